--- /dev/null
+++ b/src/base/alloc.c
@@ -0,0 +1,85 @@
+#include "base/alloc.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+static void *
+libc_resize(void *ctx, void *block, size_t size)
+{
+	void *p;
+
+	(void)ctx;
+	p = realloc(block, size);
+	if (p == NULL && size > 0) {
+		fputs("celeryford: out of memory\n", stderr);
+		abort();
+	}
+	return p;
+}
+
+static void
+libc_release(void *ctx, void *block)
+{
+	(void)ctx;
+	free(block);
+}
+
+/* Returns the C library's allocator, which aborts when memory runs out. */
+const struct alloc *
+alloc_default(void)
+{
+	static const struct alloc libc = {libc_resize, libc_release, NULL};
+
+	return &libc;
+}
+
+/* Returns size bytes that hold no defined value. */
+void *
+alloc_get(const struct alloc *alloc, size_t size)
+{
+	return alloc->resize(alloc->ctx, NULL, size);
+}
+
+/* Returns count elements of size bytes, all zero. */
+void *
+alloc_zero(const struct alloc *alloc, size_t count, size_t size)
+{
+	void *p;
+
+	if (size != 0 && count > (size_t)-1 / size)
+		abort();
+	p = alloc_get(alloc, count * size);
+	memset(p, 0, count * size);
+	return p;
+}
+
+/* Grows or shrinks a block; the block may move. */
+void *
+alloc_resize(const struct alloc *alloc, void *block, size_t size)
+{
+	return alloc->resize(alloc->ctx, block, size);
+}
+
+/* Returns a copy of a string, or NULL for NULL. */
+char *
+alloc_strdup(const struct alloc *alloc, const char *text)
+{
+	size_t n;
+	char *p;
+
+	if (text == NULL)
+		return NULL;
+	n = strlen(text) + 1;
+	p = alloc_get(alloc, n);
+	memcpy(p, text, n);
+	return p;
+}
+
+/* Gives a block back; NULL is allowed. */
+void
+alloc_free(const struct alloc *alloc, void *block)
+{
+	if (block != NULL)
+		alloc->release(alloc->ctx, block);
+}
--- /dev/null
+++ b/src/base/err.c
@@ -0,0 +1,41 @@
+#include "base/err.h"
+
+#define ERR_AS_ROW(kind, number, status, again, message) \
+	[-(number)] = {#kind, message, status, again},
+static const struct err_answer err_table[-ERR_END] = {
+    [0] = {"ERR_ok", "no error", 200, 0}, ERR_KINDS(ERR_AS_ROW)};
+#undef ERR_AS_ROW
+
+/*
+ * Returns the answer for a negative error number.  A number outside the list
+ * gets the row of ERR_INTERNAL, so that callers never see a blank answer.
+ */
+const struct err_answer *
+err_answer(int error)
+{
+	if (error > 0 || error <= ERR_END)
+		error = ERR_INTERNAL;
+	return &err_table[-error];
+}
+
+/* Returns the name of an error number without its module prefix. */
+const char *
+err_name(int error)
+{
+	return err_answer(error)->name + sizeof("ERR_") - 1;
+}
+
+/* Returns the run state as the answers to callers spell it. */
+const char *
+err_run_state_name(enum err_run_state state)
+{
+	switch (state) {
+	case ERR_NOT_RUN:
+		return "not_run";
+	case ERR_RAN:
+		return "ran";
+	case ERR_MAY_HAVE_RUN:
+		break;
+	}
+	return "may_have_run";
+}
--- /dev/null
+++ b/src/base/err.h
@@ -0,0 +1,80 @@
+#ifndef CF_ERR_H
+#define CF_ERR_H
+
+#include <stdint.h>
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+/* What is known of a request's execution when an error is answered. */
+enum err_run_state {
+	ERR_NOT_RUN, /* no byte of any attempt reached a backend server */
+	ERR_MAY_HAVE_RUN, /* the outcome of an attempt is unknown */
+	ERR_RAN /* an attempt is known to have run */
+};
+
+/*
+ * The closed list of error kinds: name, negative number, HTTP status, and
+ * whether the same request may be sent again later.
+ */
+#define ERR_KINDS(X)                                                           \
+	X(ERR_MALFORMED, -1, 400, 0, "the request is malformed")               \
+	X(ERR_NO_KEY, -2, 401, 0, "the API key is missing or unknown")         \
+	X(ERR_FORBIDDEN, -3, 403, 0, "the key does not give access to this")   \
+	X(ERR_UNKNOWN_MODEL, -4, 404, 0, "no such model or version")           \
+	X(ERR_NOT_FOUND, -5, 404, 0, "no such resource")                       \
+	X(ERR_METHOD, -6, 405, 0, "the method is not allowed here")            \
+	X(ERR_TIMEOUT, -7, 504, 1, "the deadline has passed")                  \
+	X(ERR_CONFLICT, -8, 409, 0, "another change was accepted first")       \
+	X(ERR_TOO_LARGE, -9, 413, 0, "the request is larger than allowed")     \
+	X(ERR_HEADER, -10, 431, 0, "a header is larger than allowed")          \
+	X(ERR_RATE, -11, 429, 1, "the workspace is over its share")            \
+	X(ERR_CRASHES, -12, 422, 0, "the request crashes backend servers")     \
+	X(ERR_IN_PROGRESS, -13, 409, 1, "a request with this key is running")  \
+	X(ERR_HALTED, -14, 409, 0, "the outcome is unknown; operators decide") \
+	X(ERR_DUPLICATE, -15, 409, 0, "a request with this key has run")       \
+	X(ERR_NO_CAPACITY, -16, 503, 1, "no backend server has room in time")  \
+	X(ERR_NO_SERVER, -17, 503, 1, "no backend server runs this version")   \
+	X(ERR_NO_QUORUM, -18, 503, 1, "too few state replicas are in reach")   \
+	X(ERR_ISOLATED, -19, 503, 1, "this instance is isolated")              \
+	X(ERR_SHUTDOWN, -20, 503, 1, "this instance is shutting down")         \
+	X(ERR_UPSTREAM, -21, 502, 1, "the backend server failed")              \
+	X(ERR_UPSTREAM_CUT, -22, 502, 1, "the backend server's answer is cut") \
+	X(ERR_SLOW_SENDER, -23, 408, 1, "the request came too slowly")         \
+	X(ERR_CALLER_GONE, -24, 499, 0, "the caller went away")                \
+	X(ERR_NOT_LEADER, -25, 503, 1, "this replica is not the leader")       \
+	X(ERR_DISK, -26, 500, 1, "the data folder failed")                     \
+	X(ERR_CORRUPT, -27, 500, 0, "stored data does not match its checksum") \
+	X(ERR_IO, -28, 500, 1, "input or output failed")                       \
+	X(ERR_VERSION, -29, 500, 0, "the format is of an unknown version")     \
+	X(ERR_AUTH, -30, 403, 0, "the peer does not hold the cluster key")     \
+	X(ERR_INVALID, -31, 422, 0, "the configuration is invalid")            \
+	X(ERR_STALE, -32, 409, 0, "the fencing number is out of date")         \
+	X(ERR_SETTING, -33, 500, 0, "a setting is invalid")                    \
+	X(ERR_INTERNAL, -34, 500, 1, "an internal invariant failed")
+
+#define ERR_AS_ENUM(name, number, status, again, text) name = (number),
+enum err {
+	ERR_OK = 0,
+	ERR_KINDS(ERR_AS_ENUM) ERR_END = -35
+};
+#undef ERR_AS_ENUM
+
+/* One row of the table from error kind to answer. */
+struct err_answer {
+	const char *name; /* lower case, as callers see it: "no_capacity" */
+	const char *text;
+	uint16_t http_status;
+	uint8_t try_again; /* the answer carries Retry-After */
+};
+
+const struct err_answer *err_answer(int error);
+const char *err_name(int error);
+const char *err_run_state_name(enum err_run_state state);
+
+#ifdef __cplusplus
+}
+#endif
+
+#endif
--- /dev/null
+++ b/src/core/cfg.h
@@ -0,0 +1,120 @@
+#ifndef CF_CFG_H
+#define CF_CFG_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+/*
+ * One compiled configuration revision, as the decisions read it.  It never
+ * changes once made.  An index names the same data centre, model, version,
+ * service or workspace in every later revision of the process: an entry that
+ * leaves the document stays behind with present == false.
+ */
+enum {
+	CFG_NAME_BYTES = 64,
+	CFG_VERSIONS_MAX = 64, /* one bit each in version masks */
+	CFG_DATA_CENTRES_MAX = 16, /* one bit each in data centre masks */
+	CFG_KEY_HASH_BYTES = 32,
+	CFG_NONE = 0xffff /* no index */
+};
+
+struct cfg_data_centre {
+	char name[CFG_NAME_BYTES];
+	char region[CFG_NAME_BYTES];
+	bool present;
+	bool out; /* operators have taken it out */
+};
+
+struct cfg_model {
+	char name[CFG_NAME_BYTES];
+	bool present;
+};
+
+enum cfg_version_state {
+	CFG_RELEASED,
+	CFG_ROLLING, /* in roll-out: exposure is capped and watched */
+	CFG_WITHDRAWN /* receives no new work */
+};
+
+struct cfg_version {
+	char name[CFG_NAME_BYTES];
+	bool present;
+	uint16_t model;
+	enum cfg_version_state state;
+	uint16_t stage_permille; /* share of traffic while CFG_ROLLING */
+	uint32_t cost_micro; /* price of 1,000 output tokens, 1e-6 */
+	uint16_t prior_permille; /* expected share of answers that pass */
+	bool serve_isolated; /* served past the configuration lease */
+	uint16_t unrated_max; /* answers not yet rated while rolling */
+};
+
+struct cfg_service {
+	char name[CFG_NAME_BYTES];
+	bool present;
+	bool idempotent; /* a call may be repeated */
+	uint32_t timeout_ms;
+};
+
+struct cfg_workspace {
+	char name[CFG_NAME_BYTES];
+	bool present;
+	uint8_t
+	    key_hash[CFG_KEY_HASH_BYTES]; /* crypto_generichash of the key */
+	uint64_t versions; /* mask of versions it may use */
+	uint64_t services; /* mask of services it may call */
+	uint32_t data_centres; /* mask of data centres it may run in */
+	uint16_t priority; /* 0 is served first when capacity is short */
+	uint16_t weight; /* share under contention */
+	uint16_t target_permille; /* share of answers that must pass */
+	uint32_t deadline_ms; /* to the first token, unless the caller says */
+	uint32_t rate_per_s; /* 0: no limit */
+	uint32_t retry_permille; /* retries and hedges per success */
+};
+
+struct cfg {
+	uint64_t revision;
+	uint16_t data_centre_count;
+	uint16_t model_count;
+	uint16_t version_count;
+	uint16_t service_count;
+	uint16_t workspace_count;
+	struct cfg_data_centre *data_centres;
+	struct cfg_model *models;
+	struct cfg_version *versions;
+	struct cfg_service *services;
+	struct cfg_workspace *workspaces;
+};
+
+/*
+ * Whether a workspace may run a version in a data centre now.  Every dispatch
+ * of every attempt asks this last, after all waiting is over.
+ */
+static inline bool
+cfg_version_allowed(const struct cfg *cfg, uint16_t workspace, uint16_t version,
+    uint16_t data_centre)
+{
+	const struct cfg_workspace *w;
+	const struct cfg_version *v;
+
+	if (workspace >= cfg->workspace_count ||
+	    version >= cfg->version_count ||
+	    data_centre >= cfg->data_centre_count)
+		return false;
+	w = &cfg->workspaces[workspace];
+	v = &cfg->versions[version];
+	return w->present && v->present && v->state != CFG_WITHDRAWN &&
+	       (w->versions >> version & 1) != 0 &&
+	       (w->data_centres >> data_centre & 1) != 0 &&
+	       cfg->data_centres[data_centre].present &&
+	       !cfg->data_centres[data_centre].out;
+}
+
+#ifdef __cplusplus
+}
+#endif
+
+#endif
--- /dev/null
+++ b/src/daemon/main.c
@@ -0,0 +1,5 @@
+int
+main(void)
+{
+	return 0;
+}
--- /dev/null
+++ b/test/unit/base_test.cc
@@ -0,0 +1,54 @@
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <set>
+#include <string>
+
+#include "base/buf.h"
+#include "base/err.h"
+#include "base/rng.h"
+#include "celeryford.h"
+
+TEST(Err, EveryKindHasItsOwnRow)
+{
+	std::set<std::string> names;
+
+	for (int e = -1; e > ERR_END; e--) {
+		const struct err_answer *answer = err_answer(e);
+
+		ASSERT_NE(answer->name, nullptr) << e;
+		EXPECT_TRUE(names.insert(answer->name).second) << answer->name;
+		EXPECT_GE(answer->http_status, 400);
+		EXPECT_LT(answer->http_status, 600);
+	}
+	EXPECT_EQ(err_answer(ERR_END), err_answer(ERR_INTERNAL));
+	EXPECT_EQ(err_answer(7), err_answer(ERR_INTERNAL));
+}
+
+RC_GTEST_PROP(Buf, AddThenConsumeKeepsTheRest, ())
+{
+	const auto first = *rc::gen::arbitrary<std::string>();
+	const auto second = *rc::gen::arbitrary<std::string>();
+	struct buf buf;
+
+	buf_init(&buf, nullptr);
+	buf_add(&buf, first.data(), first.size());
+	buf_add(&buf, second.data(), second.size());
+	buf_consume(&buf, first.size());
+	RC_ASSERT(std::string(buf_text(&buf), buf.len) == second);
+	buf_free(&buf);
+}
+
+TEST(Rng, OneSeedOneSequence)
+{
+	struct rng a, b;
+
+	rng_init(&a, 7);
+	rng_init(&b, 7);
+	for (int i = 0; i < 1000; i++) {
+		uint32_t x = rng_below(&a, 10);
+
+		EXPECT_LT(x, 10u);
+		EXPECT_EQ(x, rng_below(&b, 10));
+	}
+}
