Carry a session's revision of birth with its requests

A binding that was lost is found again by a rule over the session id and the configuration of its birth, which the router can't know otherwise.

--- a/include/celeryford.h
+++ b/include/celeryford.h
@@ -122,6 +122,7 @@
 	uint32_t prompt_tokens;
 	uint32_t output_tokens_max;
 	int64_t deadline_us; /* the first token is due */
+	uint64_t session_birth; /* revision the session began at; 0 unknown */
 };
 
 /* Reports about attempts name the request and the attempt of the dispatch. */
