--- a/include/celeryford.h
+++ b/include/celeryford.h
@@ -75,7 +75,9 @@
 	CF_EV_CREDIT, /* the granter gave or took warm-up credits */
 	CF_EV_CACHE, /* a backend server's prefix cache changed */
 	CF_EV_ISOLATED, /* the configuration lease ended or returned */
-	CF_EV_WAKE /* the time that CF_ACT_WAKE asked for has come */
+	CF_EV_WAKE, /* the time that CF_ACT_WAKE asked for has come */
+	CF_EV_NEIGHBOUR, /* another data centre reported its spare capacity */
+	CF_EV_INSTANCES /* entry instances alive in this data centre */
 };
 
 enum cf_warmth {
@@ -185,6 +187,14 @@
 			bool stored; /* false: evicted */
 		} cache;
 		bool isolated;
+		struct {
+			uint16_t data_centre;
+			uint16_t spare_slots; /* requests it can take now */
+			uint64_t versions; /* mask of versions with room */
+			uint64_t services;
+			bool cut_off; /* not in reach */
+		} neighbour;
+		uint16_t instances;
 	} u;
 };
 
