--- /dev/null
+++ b/fakes/engine/chat.c
@@ -0,0 +1,319 @@
+#include <jansson.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "engine.h"
+
+enum {
+	CHAT_PIECE_BYTES = 1024, /* more than one event ever takes */
+	CHAT_TOKENS_MIN = 3, /* tag, verdict, end */
+	CHAT_TOKENS_MAX = 65536
+};
+
+static void
+copy_text(char *to, const char *from)
+{
+	snprintf(to, ENGINE_TAG_BYTES, "%s", from);
+}
+
+/* Takes the first word of the last message as the call's tag. */
+static void
+chat_read_tag(struct call *call, const char *text)
+{
+	size_t len = strcspn(text, " \t\n\"\\");
+
+	if (len >= sizeof(call->tag))
+		len = sizeof(call->tag) - 1;
+	memcpy(call->tag, text, len);
+	call->tag[len] = '\0';
+}
+
+/* Reads the messages: the tag, and the prompt's length in the cache. */
+static int
+chat_read_messages(struct engine *engine, struct call *call, json_t *list)
+{
+	const char *content = NULL;
+	struct buf text;
+	uint32_t missing;
+	size_t i;
+	json_t *message;
+
+	if (!json_is_array(list) || json_array_size(list) == 0)
+		return ERR_MALFORMED;
+	buf_init(&text, alloc_default());
+	json_array_foreach(list, i, message)
+	{
+		content =
+		    json_string_value(json_object_get(message, "content"));
+		if (content == NULL)
+			break;
+		buf_adds(&text, content);
+		buf_adds(&text, "\n");
+	}
+	if (content != NULL) {
+		chat_read_tag(call, content);
+		call->prompt_tokens = (uint32_t)(text.len / 4 + 1);
+		missing = announce_prompt(engine, buf_text(&text), text.len);
+		call->first_due_us =
+		    missing / 4 * engine->options.prompt_token_us;
+	}
+	buf_free(&text);
+	return content == NULL ? ERR_MALFORMED : 0;
+}
+
+static bool
+chat_serves(const struct engine *engine, const char *model)
+{
+	int i;
+
+	for (i = 0; i < engine->options.version_count; i++)
+		if (strcmp(engine->options.versions[i], model) == 0)
+			return true;
+	return false;
+}
+
+/* Gives a crossed answer the id and tag of the call before it. */
+static void
+chat_cross(struct engine *engine, struct call *call)
+{
+	char id[ENGINE_TAG_BYTES], tag[ENGINE_TAG_BYTES];
+
+	copy_text(id, call->id);
+	copy_text(tag, call->tag);
+	if (call->fault == FAULT_CROSS) {
+		copy_text(call->id, engine->last_id);
+		copy_text(call->tag, engine->last_tag);
+	}
+	copy_text(engine->last_id, id);
+	copy_text(engine->last_tag, tag);
+}
+
+/*
+ * Reads the body of a chat completion.  Errors: ERR_MALFORMED, and
+ * ERR_UNKNOWN_MODEL if the version is not loaded here.
+ */
+int
+chat_parse(struct engine *engine, struct call *call)
+{
+	json_t *root =
+	    json_loadb(buf_text(&call->body), call->body.len, 0, NULL);
+	const char *model = json_string_value(json_object_get(root, "model"));
+	json_int_t tokens =
+	    json_integer_value(json_object_get(root, "max_tokens"));
+	int error;
+
+	if (model == NULL) {
+		json_decref(root);
+		return ERR_MALFORMED;
+	}
+	copy_text(call->model, model);
+	call->stream = json_is_true(json_object_get(root, "stream"));
+	error =
+	    chat_read_messages(engine, call, json_object_get(root, "messages"));
+	json_decref(root);
+	if (error != 0)
+		return error;
+	if (!chat_serves(engine, call->model))
+		return ERR_UNKNOWN_MODEL;
+	if (tokens <= 0)
+		tokens = engine->options.tokens;
+	if (tokens < CHAT_TOKENS_MIN)
+		tokens = CHAT_TOKENS_MIN;
+	if (tokens > CHAT_TOKENS_MAX)
+		tokens = CHAT_TOKENS_MAX;
+	call->tokens = (uint32_t)tokens;
+	call->pass = rng_below(&engine->rng, 1000) <
+		     (uint32_t)engine->options.pass_permille;
+	chat_cross(engine, call);
+	return 0;
+}
+
+/* Writes one token: the tag, the verdict, a count, and "end" as the last. */
+static void
+chat_token(const struct call *call, uint32_t i, struct buf *out)
+{
+	if (i == 0)
+		buf_addf(out, "re:%s", call->tag);
+	else if (i == 1)
+		buf_adds(out, call->pass ? " pass" : " fail");
+	else if (i + 1 == call->tokens)
+		buf_adds(out, " end");
+	else
+		buf_addf(out, " w%u", i);
+}
+
+static void
+chat_usage(const struct call *call, struct buf *out)
+{
+	buf_addf(out,
+	    "\"usage\":{\"prompt_tokens\":%u,\"completion_tokens\":%u,"
+	    "\"total_tokens\":%u}",
+	    call->prompt_tokens, call->tokens,
+	    call->prompt_tokens + call->tokens);
+}
+
+/* Writes the next event of a stream into the call's pending text. */
+static void
+chat_event(struct call *call)
+{
+	struct buf *out = &call->pending;
+
+	buf_addf(out,
+	    "data: {\"id\":\"chatcmpl-%s\",\"object\":"
+	    "\"chat.completion.chunk\",\"model\":\"%s\",\"choices\":[",
+	    call->id, call->model);
+	if (call->sent == call->tokens) {
+		buf_adds(out, "],");
+		chat_usage(call, out);
+		buf_adds(out, "}\n\ndata: [DONE]\n\n");
+		call->usage_sent = true;
+		return;
+	}
+	buf_adds(out, "{\"index\":0,\"delta\":{\"content\":\"");
+	chat_token(call, call->sent, out);
+	call->sent++;
+	buf_addf(out, "\"},\"finish_reason\":%s}]}\n\n",
+	    call->sent == call->tokens ? "\"stop\"" : "null");
+}
+
+/* Whether a call whose answer is to be cut has written its half. */
+static bool
+chat_cut(const struct call *call)
+{
+	return call->fault == FAULT_CUT && call->sent >= call->tokens / 2;
+}
+
+/* Copies pending text out; returns the bytes copied. */
+static ssize_t
+chat_copy(struct call *call, char *to, size_t max)
+{
+	size_t len = call->pending.len - call->pending_at;
+
+	if (len > max)
+		len = max;
+	memcpy(to, call->pending.data + call->pending_at, len);
+	call->pending_at += len;
+	if (call->pending_at == call->pending.len) {
+		buf_clear(&call->pending);
+		call->pending_at = 0;
+	}
+	return (ssize_t)len;
+}
+
+/* Feeds a stream: one event a call, the connection suspended between. */
+static ssize_t
+chat_read_stream(void *ctx, uint64_t pos, char *to, size_t max)
+{
+	struct call *call = ctx;
+	struct engine *engine = call->engine;
+
+	if (call->gone)
+		return MHD_CONTENT_READER_END_WITH_ERROR;
+	if (call->pending.len > 0)
+		return chat_copy(call, to, max);
+	if (chat_cut(call))
+		return MHD_CONTENT_READER_END_WITH_ERROR;
+	if (call->usage_sent)
+		return MHD_CONTENT_READER_END_OF_STREAM;
+	if (call->conn->silent || work_due(engine, call) <= call->sent) {
+		if (call->sent < call->tokens || call->conn->silent) {
+			work_suspend(call);
+			engine->next_due_us = 0;
+			return 0;
+		}
+	}
+	if (call->sent < call->tokens)
+		engine->stats.tokens++;
+	chat_event(call);
+	return chat_copy(call, to, max);
+}
+
+/* Feeds half of a whole answer, then breaks the connection. */
+static ssize_t
+chat_read_half(void *ctx, uint64_t pos, char *to, size_t max)
+{
+	struct call *call = ctx;
+	size_t half = call->pending.len / 2;
+
+	if (pos >= half)
+		return MHD_CONTENT_READER_END_WITH_ERROR;
+	if (max > half - pos)
+		max = half - pos;
+	memcpy(to, call->pending.data + pos, max);
+	return (ssize_t)max;
+}
+
+/* Writes a whole answer into the call's pending text. */
+static void
+chat_whole(struct call *call)
+{
+	struct buf *out = &call->pending;
+	uint32_t i;
+
+	buf_addf(out,
+	    "{\"id\":\"chatcmpl-%s\",\"object\":\"chat.completion\","
+	    "\"model\":\"%s\",\"choices\":[{\"index\":0,\"message\":"
+	    "{\"role\":\"assistant\",\"content\":\"",
+	    call->id, call->model);
+	for (i = 0; i < call->tokens; i++)
+		chat_token(call, i, out);
+	buf_adds(out, "\"},\"finish_reason\":\"stop\"}],");
+	chat_usage(call, out);
+	buf_adds(out, "}\n");
+}
+
+static enum MHD_Result
+chat_queue(struct call *call, struct MHD_Response *response, const char *type)
+{
+	enum MHD_Result result;
+
+	MHD_add_response_header(response, "Content-Type", type);
+	if (call->id[0] != '\0')
+		MHD_add_response_header(
+		    response, "Celeryford-Request", call->id);
+	call->answered = true;
+	result = MHD_queue_response(call->connection, 200, response);
+	MHD_destroy_response(response);
+	return result;
+}
+
+/* Queues the answer of a chat completion whose first token is due. */
+enum MHD_Result
+chat_answer(struct engine *engine, struct call *call)
+{
+	if (call->stream)
+		return chat_queue(call,
+		    MHD_create_response_from_callback(MHD_SIZE_UNKNOWN,
+			CHAT_PIECE_BYTES, chat_read_stream, call, NULL),
+		    "text/event-stream");
+	engine->stats.tokens += call->tokens;
+	chat_whole(call);
+	if (call->fault == FAULT_CUT)
+		return chat_queue(call,
+		    MHD_create_response_from_callback(call->pending.len,
+			CHAT_PIECE_BYTES, chat_read_half, call, NULL),
+		    "application/json");
+	return chat_queue(call,
+	    MHD_create_response_from_buffer(
+		call->pending.len, call->pending.data, MHD_RESPMEM_PERSISTENT),
+	    "application/json");
+}
+
+/* Queues the answer of a plain service's call. */
+enum MHD_Result
+service_answer(struct engine *engine, struct call *call)
+{
+	buf_addf(&call->pending,
+	    "{\"service\":\"%s\",\"server\":\"%s\",\"run\":%llu}\n", call->path,
+	    engine->options.name,
+	    (unsigned long long)engine->stats.service_runs);
+	if (call->fault == FAULT_CUT)
+		return chat_queue(call,
+		    MHD_create_response_from_callback(call->pending.len,
+			CHAT_PIECE_BYTES, chat_read_half, call, NULL),
+		    "application/json");
+	return chat_queue(call,
+	    MHD_create_response_from_buffer(
+		call->pending.len, call->pending.data, MHD_RESPMEM_PERSISTENT),
+	    "application/json");
+}
--- /dev/null
+++ b/fakes/engine/http.c
@@ -0,0 +1,350 @@
+#include <arpa/inet.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "engine.h"
+
+enum {
+	HTTP_CONNECTIONS = 8192,
+	HTTP_IDLE_S = 0, /* idle connections are kept */
+	HTTP_TERM_OK = MHD_REQUEST_TERMINATED_COMPLETED_OK
+};
+
+/* Queues a JSON answer, with Celeryford-Request if id is given. */
+enum MHD_Result
+http_json(struct MHD_Connection *connection, unsigned status, const char *body,
+    const char *id)
+{
+	struct MHD_Response *response;
+	enum MHD_Result result;
+
+	response = MHD_create_response_from_buffer(
+	    strlen(body), (void *)body, MHD_RESPMEM_MUST_COPY);
+	MHD_add_response_header(response, "Content-Type", "application/json");
+	if (id != NULL && id[0] != '\0')
+		MHD_add_response_header(response, "Celeryford-Request", id);
+	result = MHD_queue_response(connection, status, response);
+	MHD_destroy_response(response);
+	return result;
+}
+
+static const char *
+http_header(struct MHD_Connection *connection, const char *name)
+{
+	return MHD_lookup_connection_value(connection, MHD_HEADER_KIND, name);
+}
+
+static int64_t
+http_argument(struct MHD_Connection *connection, const char *name)
+{
+	const char *text = MHD_lookup_connection_value(
+	    connection, MHD_GET_ARGUMENT_KIND, name);
+
+	return text == NULL ? -1 : strtoll(text, NULL, 10);
+}
+
+/* Chooses the call's fault: its header's, or one by the flags' shares. */
+static enum fault
+http_fault(struct engine *engine, struct MHD_Connection *connection)
+{
+	static const char *const names[] = {
+	    "none", "crash", "cut", "silent", "late", "cross"};
+	const struct engine_options *o = &engine->options;
+	const char *text = http_header(connection, "Fake-Fault");
+	uint32_t dice = rng_below(&engine->rng, 1000);
+	int i;
+
+	for (i = FAULT_CRASH; text != NULL && i <= FAULT_CROSS; i++)
+		if (strcmp(text, names[i]) == 0)
+			return (enum fault)i;
+	if (dice < o->late_permille)
+		return FAULT_LATE;
+	if (dice < o->late_permille + o->cross_permille)
+		return FAULT_CROSS;
+	if (dice < o->late_permille + o->cross_permille + o->cut_permille)
+		return FAULT_CUT;
+	return FAULT_NONE;
+}
+
+/* Makes every connection silent that is open now; new ones will work. */
+static void
+http_silence(struct engine *engine)
+{
+	struct conn *conn;
+
+	for (conn = engine->conns; conn != NULL; conn = conn->next)
+		conn->silent = true;
+}
+
+/* Counts a call and brings about the faults that come before its work. */
+static void
+http_arrive(struct engine *engine, struct call *call)
+{
+	const struct engine_options *o = &engine->options;
+	const char *text;
+
+	engine->stats.requests++;
+	if (engine->leaving_us != 0)
+		engine->stats.after_leaving_us =
+		    loop_now_us() - engine->leaving_us;
+	call->fault = http_fault(engine, call->connection);
+	text = http_header(call->connection, "Celeryford-Request");
+	snprintf(call->id, sizeof(call->id), "%s", text == NULL ? "" : text);
+	if (call->id[0] != '\0')
+		stats_attempt(engine, call->id);
+	text = http_header(call->connection, "Celeryford-Priority");
+	call->priority = text == NULL ? 0 : atoi(text);
+	if (call->fault == FAULT_CRASH)
+		engine_crash(engine, "Fake-Fault");
+	if (o->crash_on != NULL &&
+	    strstr(buf_text(&call->body), o->crash_on) != NULL)
+		engine_crash(engine, call->id);
+	if (o->silent_after > 0 &&
+	    engine->stats.requests == (uint64_t)o->silent_after)
+		http_silence(engine);
+	if (call->fault == FAULT_SILENT)
+		call->conn->silent = true;
+}
+
+static bool
+http_known_service(const struct engine *engine, const char *path)
+{
+	const char *name = path + strlen("/v1/services/");
+	size_t len;
+	int i;
+
+	for (i = 0; i < engine->options.service_count; i++) {
+		len = strlen(engine->options.services[i]);
+		if (strncmp(name, engine->options.services[i], len) == 0 &&
+		    (name[len] == '\0' || name[len] == '/'))
+			return true;
+	}
+	return false;
+}
+
+/* Takes in a call of the engine's work; an error is answered at once. */
+static int
+http_begin(struct engine *engine, struct call *call)
+{
+	const char *key;
+	int error = 0;
+
+	http_arrive(engine, call);
+	if (call->service) {
+		call->tokens = 1;
+		if (!http_known_service(engine, call->path))
+			error = ERR_NOT_FOUND;
+	} else {
+		error = chat_parse(engine, call);
+	}
+	if (error != 0)
+		return error;
+	key = http_header(call->connection, "Idempotency-Key");
+	stats_run(engine, key, call->service);
+	return work_admit(engine, call);
+}
+
+static enum MHD_Result
+http_error(struct call *call, int error)
+{
+	const struct err_answer *answer = err_answer(error);
+	char body[256];
+
+	call->answered = true;
+	snprintf(body, sizeof(body),
+	    "{\"error\":{\"kind\":\"%s\",\"message\":\"%s\","
+	    "\"run_state\":\"not_run\"}}\n",
+	    answer->name, answer->text);
+	return http_json(call->connection, answer->http_status, body, call->id);
+}
+
+/* Answers a call of the engine's work, or suspends it until it is due. */
+static enum MHD_Result
+http_work(struct engine *engine, struct call *call)
+{
+	uint32_t wanted;
+	int error;
+
+	if (call->gone)
+		return MHD_NO;
+	if (!call->admitted) {
+		error = http_begin(engine, call);
+		if (error != 0)
+			return http_error(call, error);
+	}
+	wanted = call->stream ? 1 : call->tokens;
+	if (call->conn->silent || work_due(engine, call) < wanted) {
+		work_suspend(call);
+		engine->next_due_us = 0;
+		return MHD_YES;
+	}
+	return call->service ? service_answer(engine, call)
+			     : chat_answer(engine, call);
+}
+
+/* Changes faults while the engine runs: POST /fake/set?NAME=NUMBER. */
+static enum MHD_Result
+http_set(struct engine *engine, struct call *call)
+{
+	struct engine_options *o = &engine->options;
+	int64_t n;
+
+	n = http_argument(call->connection, "pass_permille");
+	if (n >= 0)
+		o->pass_permille = n;
+	n = http_argument(call->connection, "token_us");
+	if (n >= 0)
+		o->token_us = n;
+	n = http_argument(call->connection, "cold_ms");
+	if (n >= 0)
+		engine->cold_until_us = loop_now_us() + n * 1000;
+	n = http_argument(call->connection, "silent");
+	if (n > 0)
+		http_silence(engine);
+	return http_json(call->connection, 200, "{}\n", NULL);
+}
+
+static enum MHD_Result
+http_stats(struct engine *engine, struct call *call)
+{
+	char *text =
+	    stats_json(engine, http_argument(call->connection, "keys") > 0,
+		http_argument(call->connection, "attempts") > 0);
+	enum MHD_Result result;
+
+	result = http_json(call->connection, 200, text, NULL);
+	free(text);
+	return result;
+}
+
+/* Hands a whole request to its path's function. */
+static enum MHD_Result
+http_route(struct engine *engine, struct call *call, const char *method)
+{
+	bool post = strcmp(method, "POST") == 0;
+
+	if (call->body.len > ENGINE_BODY_MAX)
+		return http_error(call, ERR_TOO_LARGE);
+	call->service = strncmp(call->path, "/v1/services/", 13) == 0;
+	if (call->service ||
+	    (post && strcmp(call->path, "/v1/chat/completions") == 0))
+		return http_work(engine, call);
+	if (post && strcmp(call->path, "/v1/orders") == 0)
+		return orders_answer(engine, call);
+	call->answered = true;
+	if (post && strcmp(call->path, "/fake/set") == 0)
+		return http_set(engine, call);
+	if (strcmp(call->path, "/fake/stats") == 0)
+		return http_stats(engine, call);
+	if (strcmp(call->path, "/healthz") == 0)
+		return http_json(call->connection, 200, "{}\n", NULL);
+	return http_error(call, ERR_NOT_FOUND);
+}
+
+static struct call *
+http_call_new(
+    struct engine *engine, struct MHD_Connection *connection, const char *path)
+{
+	struct call *call = alloc_zero(alloc_default(), 1, sizeof(*call));
+
+	call->engine = engine;
+	call->connection = connection;
+	call->conn = MHD_get_connection_info(
+	    connection, MHD_CONNECTION_INFO_SOCKET_CONTEXT)
+			 ->socket_context;
+	call->path = path;
+	call->arrived_us = loop_now_us();
+	buf_init(&call->body, alloc_default());
+	buf_init(&call->pending, alloc_default());
+	return call;
+}
+
+static enum MHD_Result
+on_request(void *ctx, struct MHD_Connection *connection, const char *url,
+    const char *method, const char *version, const char *data, size_t *size,
+    void **call_ctx)
+{
+	struct engine *engine = ctx;
+	struct call *call = *call_ctx;
+
+	if (call == NULL) {
+		*call_ctx = http_call_new(engine, connection, url);
+		return MHD_YES;
+	}
+	if (*size > 0) {
+		if (call->body.len <= ENGINE_BODY_MAX)
+			buf_add(&call->body, data, *size);
+		*size = 0;
+		return MHD_YES;
+	}
+	return http_route(engine, call, method);
+}
+
+static void
+on_ended(void *ctx, struct MHD_Connection *connection, void **call_ctx,
+    enum MHD_RequestTerminationCode code)
+{
+	struct engine *engine = ctx;
+	struct call *call = *call_ctx;
+
+	if (call == NULL)
+		return;
+	if (call->admitted && code != MHD_REQUEST_TERMINATED_COMPLETED_OK &&
+	    (call->fault != FAULT_CUT || call->gone))
+		engine->stats.cancelled++;
+	work_end(engine, call);
+	buf_free(&call->body);
+	buf_free(&call->pending);
+	alloc_free(alloc_default(), call);
+	*call_ctx = NULL;
+}
+
+static void
+on_connection(void *ctx, struct MHD_Connection *connection, void **conn_ctx,
+    enum MHD_ConnectionNotificationCode code)
+{
+	struct engine *engine = ctx;
+	struct conn *conn = *conn_ctx;
+
+	if (code == MHD_CONNECTION_NOTIFY_STARTED) {
+		conn = alloc_zero(alloc_default(), 1, sizeof(*conn));
+		conn->next = engine->conns;
+		if (conn->next != NULL)
+			conn->next->prev = conn;
+		engine->conns = conn;
+		*conn_ctx = conn;
+		return;
+	}
+	if (conn->prev != NULL)
+		conn->prev->next = conn->next;
+	else
+		engine->conns = conn->next;
+	if (conn->next != NULL)
+		conn->next->prev = conn->prev;
+	alloc_free(alloc_default(), conn);
+}
+
+/* Opens the listening port; returns NULL if the address can't be used. */
+struct MHD_Daemon *
+http_start(struct engine *engine)
+{
+	struct sockaddr_in address = {.sin_family = AF_INET};
+	const char *colon = strrchr(engine->options.listen, ':');
+	char host[64];
+
+	if (colon == NULL)
+		return NULL;
+	snprintf(host, sizeof(host), "%.*s",
+	    (int)(colon - engine->options.listen), engine->options.listen);
+	if (inet_pton(AF_INET, host, &address.sin_addr) != 1)
+		return NULL;
+	address.sin_port = htons((uint16_t)strtoul(colon + 1, NULL, 10));
+	return MHD_start_daemon(
+	    MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME | MHD_USE_ERROR_LOG, 0,
+	    NULL, NULL, on_request, engine, MHD_OPTION_SOCK_ADDR, &address,
+	    MHD_OPTION_NOTIFY_COMPLETED, on_ended, engine,
+	    MHD_OPTION_NOTIFY_CONNECTION, on_connection, engine,
+	    MHD_OPTION_CONNECTION_LIMIT, (unsigned)HTTP_CONNECTIONS,
+	    MHD_OPTION_LISTENING_ADDRESS_REUSE, 1u, MHD_OPTION_END);
+}
