--- a/include/celeryford.h
+++ b/include/celeryford.h
@@ -231,7 +231,8 @@
 	CF_WHY_CRASHES, /* refused: crash marks */
 	CF_WHY_BUDGET, /* refused: retry budget spent */
 	CF_WHY_OUTCOME, /* refused: an earlier run's outcome is unknown */
-	CF_WHY_ABSORB /* another data centre has room */
+	CF_WHY_ABSORB, /* another data centre has room */
+	CF_WHY_REBOUND /* the session's version ended; it got this one */
 };
 
 struct cf_action {
