--- a/include/celeryford.h
+++ b/include/celeryford.h
@@ -57,6 +57,19 @@
 	uint16_t max_servers; /* backend servers of the data centre */
 	uint32_t max_requests; /* open at once, queued ones included */
 	uint32_t max_sessions; /* bindings kept */
+	uint32_t unsafe; /* tests only: CF_UNSAFE_* rules left out */
+};
+
+/* Rules that a test may leave out, to show what each of them prevents. */
+enum cf_unsafe {
+	CF_UNSAFE_ALLOWED = 1 << 0, /* no last check of the configuration */
+	CF_UNSAFE_STICKY = 1 << 1, /* sessions are not bound */
+	CF_UNSAFE_CREDIT = 1 << 2, /* cold servers are sent to as warm */
+	CF_UNSAFE_LEAVING = 1 << 3, /* leaving is not looked at */
+	CF_UNSAFE_ONCE = 1 << 4, /* unknown outcomes are retried */
+	CF_UNSAFE_RUN_STATE = 1 << 5, /* a cancelled attempt counts as not run */
+	CF_UNSAFE_MARKS = 1 << 6, /* crash marks are not looked at */
+	CF_UNSAFE_END = 1 << 7 /* a request stays open after its answer */
 };
 
 enum cf_event_kind {
