Say how forwarded, escalated and abandoned requests end

The contract was open on these three; the daemon has to keep an answer that may still be chosen, and to let a call that must not be repeated end.

--- a/include/celeryford.h
+++ b/include/celeryford.h
@@ -26,6 +26,14 @@
  * retry or an escalation to a better version), CF_ACT_ANSWER or
  * CF_ACT_REFUSE.  After either of the last two the request is forgotten.
  *
+ * A forwarded request is an attempt like any other and is reported by its
+ * number.  The receiving instance does not claim it again and does not forward
+ * it on.  CF_ACT_ANSWER may name an earlier attempt than the last, so the whole
+ * answer of an attempt that was followed by an escalation is kept until then.
+ * CF_EV_CALLER_GONE cancels what runs, but not a call that must not be
+ * repeated: that one goes on until its outcome is known, and ends with
+ * CF_ACT_ANSWER or CF_ACT_REFUSE as if the caller were there.
+ *
  * Times are microseconds of a monotonic clock.  Names become indices of the
  * compiled configuration (core/cfg.h); backend servers become indices that
  * CF_EV_ANNOUNCE carries and the caller chooses, each below max_servers.
