--- a/include/celeryford.h
+++ b/include/celeryford.h
@@ -26,6 +26,14 @@
  * retry or an escalation to a better version), CF_ACT_ANSWER or
  * CF_ACT_REFUSE.  After either of the last two the request is forgotten.
  *
+ * A forwarded request is an attempt like any other and is reported by its
+ * number.  The receiving instance does not claim it again and does not forward
+ * it on.  CF_ACT_ANSWER may name an earlier attempt than the last, so the whole
+ * answer of an attempt that was followed by an escalation is kept until then.
+ * CF_EV_CALLER_GONE cancels what runs, but not a call that must not be
+ * repeated: that one goes on until its outcome is known, and ends with
+ * CF_ACT_ANSWER or CF_ACT_REFUSE as if the caller were there.
+ *
  * Times are microseconds of a monotonic clock.  Names become indices of the
  * compiled configuration (core/cfg.h); backend servers become indices that
  * CF_EV_ANNOUNCE carries and the caller chooses, each below max_servers.
@@ -57,6 +65,19 @@
 	uint16_t max_servers; /* backend servers of the data centre */
 	uint32_t max_requests; /* open at once, queued ones included */
 	uint32_t max_sessions; /* bindings kept */
+	uint32_t unsafe; /* tests only: CF_UNSAFE_* rules left out */
+};
+
+/* Rules that a test may leave out, to show what each of them prevents. */
+enum cf_unsafe {
+	CF_UNSAFE_ALLOWED = 1 << 0, /* no last check of the configuration */
+	CF_UNSAFE_STICKY = 1 << 1, /* sessions are not bound */
+	CF_UNSAFE_CREDIT = 1 << 2, /* cold servers are sent to as warm */
+	CF_UNSAFE_LEAVING = 1 << 3, /* leaving is not looked at */
+	CF_UNSAFE_ONCE = 1 << 4, /* unknown outcomes are retried */
+	CF_UNSAFE_RUN_STATE = 1 << 5, /* a cancelled attempt counts as not run */
+	CF_UNSAFE_MARKS = 1 << 6, /* crash marks are not looked at */
+	CF_UNSAFE_END = 1 << 7 /* a request stays open after its answer */
 };
 
 enum cf_event_kind {
@@ -231,7 +252,8 @@
 	CF_WHY_CRASHES, /* refused: crash marks */
 	CF_WHY_BUDGET, /* refused: retry budget spent */
 	CF_WHY_OUTCOME, /* refused: an earlier run's outcome is unknown */
-	CF_WHY_ABSORB /* another data centre has room */
+	CF_WHY_ABSORB, /* another data centre has room */
+	CF_WHY_REBOUND /* the session's version ended; it got this one */
 };
 
 struct cf_action {
