--- a/src/core/router.c
+++ b/src/core/router.c
@@ -472,6 +472,8 @@
 	case CF_EV_CREDIT:
 	case CF_EV_CACHE:
 	case CF_EV_WAKE:
+	case CF_EV_NEIGHBOUR:
+	case CF_EV_INSTANCES:
 		break;
 	}
 }
