--- a/Makefile
+++ b/Makefile
@@ -39,7 +39,7 @@
 
 lint: build
 	clang-format --dry-run -Werror $(SOURCES)
-	printf '%s\n' $(C_SOURCES) | xargs -P 8 -n 4 \
+	printf '%s\n' $(C_SOURCES) | xargs -P 8 -n 1 \
 	    clang-tidy --quiet -p $(BUILD) 2>/dev/null
 
 install: build
--- a/src/base/err.c
+++ b/src/base/err.c
@@ -1,9 +1,9 @@
 #include "base/err.h"
 
-#define ERR_AS_ROW(kind, number, status, again, message) \
-	[-(number)] = {#kind, message, status, again},
+#define ERR_AS_ROW(kind, number, status, again, name, text) \
+	[-(number)] = {name, text, status, again},
 static const struct err_answer err_table[-ERR_END] = {
-    [0] = {"ERR_ok", "no error", 200, 0}, ERR_KINDS(ERR_AS_ROW)};
+    [0] = {"ok", "no error", 200, 0}, ERR_KINDS(ERR_AS_ROW)};
 #undef ERR_AS_ROW
 
 /*
@@ -18,11 +18,11 @@
 	return &err_table[-error];
 }
 
-/* Returns the name of an error number without its module prefix. */
+/* Returns the name of an error number as answers spell it. */
 const char *
 err_name(int error)
 {
-	return err_answer(error)->name + sizeof("ERR_") - 1;
+	return err_answer(error)->name;
 }
 
 /* Returns the run state as the answers to callers spell it. */
--- a/src/base/log.c
+++ b/src/base/log.c
@@ -37,6 +37,17 @@
 
 static const log4c_layout_type_t log_layout_type = {"celeryford", format_line};
 
+/* Writes a finished line; log4c's own appender puts its name before it. */
+static int
+append_line(log4c_appender_t *appender, const log4c_logging_event_t *event)
+{
+	(void)appender;
+	return fputs(event->evt_rendered_msg, stderr);
+}
+
+static const log4c_appender_type_t log_appender_type = {
+    "celeryford", NULL, append_line, NULL};
+
 /* Opens the log on standard error.  Returns 0, or -1 if log4c refuses. */
 int
 log_open(enum log_level level)
@@ -48,7 +59,9 @@
 	log4c_layout_type_set(&log_layout_type);
 	layout = log4c_layout_get("celeryford");
 	log4c_layout_set_type(layout, &log_layout_type);
-	appender = log4c_appender_get("stderr");
+	log4c_appender_type_set(&log_appender_type);
+	appender = log4c_appender_get("celeryford");
+	log4c_appender_set_type(appender, &log_appender_type);
 	log4c_appender_set_layout(appender, layout);
 	log_category = log4c_category_get("celeryford");
 	if (log_category == NULL)
@@ -98,7 +111,9 @@
 	va_start(args, format);
 	vsnprintf(line + n, sizeof(line) - n - 1, format, args);
 	va_end(args);
-	strcat(line, "\n");
+	n = strlen(line);
+	line[n] = '\n';
+	line[n + 1] = '\0';
 	log4c_category_log(log_category, log_priorities[level], "%s", line);
 }
 
--- a/src/config/compile.c
+++ b/src/config/compile.c
@@ -287,46 +287,56 @@
 	    or_default(in->timeout_ms, DEFAULT_SERVICE_TIMEOUT_MS);
 }
 
+/* One table of the configuration, as patterns are matched against it. */
+struct named_table {
+	const char *key; /* of the workspace, for messages */
+	const void *entries;
+	size_t count;
+	size_t size;
+	size_t present_at; /* offset of the entry's "present" */
+};
+
 /* Returns the mask of present entries that the patterns name. */
 static uint64_t
-match_names(struct compiler *c, const struct section *s, const char *key,
-    char **patterns, uint32_t pattern_count, const void *table, size_t count,
-    size_t size, size_t present_at)
+match_names(struct compiler *c, const struct section *s,
+    const struct named_table *table, char **patterns, uint32_t pattern_count)
 {
 	uint64_t mask = 0;
 
 	for (uint32_t p = 0; p < pattern_count; p++) {
-		const char *entry = table;
+		const char *entry = table->entries;
 		uint64_t found = 0;
 
-		for (size_t i = 0; i < count; i++, entry += size) {
-			if (*(const bool *)(entry + present_at) &&
+		for (size_t i = 0; i < table->count;
+		     i++, entry += table->size) {
+			if (*(const bool *)(entry + table->present_at) &&
 			    fnmatch(patterns[p], entry, 0) == 0)
 				found |= (uint64_t)1 << i;
 		}
 		if (found == 0)
 			section_problem(c->problems, s->line, s->path,
-			    "%s: nothing is named \"%s\"", key, patterns[p]);
+			    "%s: nothing is named \"%s\"", table->key,
+			    patterns[p]);
 		mask |= found;
 	}
 	return mask;
 }
 
-#define MATCH(c, s, key, in, tables, counter, type)                   \
-	match_names(c, s, key, (in)->tables, (in)->tables##_count,    \
-	    (c)->cfg->tables, (c)->cfg->counter, sizeof(struct type), \
-	    offsetof(struct type, present))
+#define MATCH(c, s, in, tables, counter, type)               \
+	match_names(c, s,                                    \
+	    &(struct named_table){#tables, (c)->cfg->tables, \
+		(c)->cfg->counter, sizeof(struct type),      \
+		offsetof(struct type, present)},             \
+	    (in)->tables, (in)->tables##_count)
 
 static void
 compile_masks(struct compiler *c, const struct section *s,
     const struct schema_workspace *in, struct cfg_workspace *w)
 {
-	w->versions =
-	    MATCH(c, s, "versions", in, versions, version_count, cfg_version);
-	w->services =
-	    MATCH(c, s, "services", in, services, service_count, cfg_service);
-	w->data_centres = (uint32_t)MATCH(c, s, "data_centres", in,
-	    data_centres, data_centre_count, cfg_data_centre);
+	w->versions = MATCH(c, s, in, versions, version_count, cfg_version);
+	w->services = MATCH(c, s, in, services, service_count, cfg_service);
+	w->data_centres = (uint32_t)MATCH(
+	    c, s, in, data_centres, data_centre_count, cfg_data_centre);
 	if (in->data_centres_count == 0)
 		w->data_centres = UINT32_MAX;
 }
--- a/src/config/section.c
+++ b/src/config/section.c
@@ -271,7 +271,7 @@
 
 	if (list->count == 0)
 		return;
-	sorted = alloc_zero(list->alloc, list->count, sizeof(*sorted));
+	sorted = alloc_zero(list->alloc, list->count, sizeof(struct section *));
 	for (size_t i = 0; i < list->count; i++)
 		sorted[i] = &list->items[i];
 	qsort(sorted, list->count, sizeof(struct section *), compare_paths);
--- /dev/null
+++ b/src/daemon/settings.h
@@ -0,0 +1,60 @@
+#ifndef CF_SETTINGS_H
+#define CF_SETTINGS_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "wire/secure.h"
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+/*
+ * The daemon's settings: a flag each, and an environment variable of the same
+ * name (--ops-listen, CELERYFORD_OPS_LISTEN) that the flag goes before.
+ */
+enum {
+	SETTINGS_HOST_BYTES = 64,
+	SETTINGS_PEERS_MAX = 512,
+	SETTINGS_PATH_BYTES = 512
+};
+
+struct settings_address {
+	char host[SETTINGS_HOST_BYTES];
+	uint16_t port;
+};
+
+struct settings_peer {
+	char instance[SECURE_NAME_BYTES];
+	char data_centre[SECURE_NAME_BYTES];
+	struct settings_address address;
+	bool replica; /* keeps a state replica */
+};
+
+struct settings {
+	struct settings_address listen;
+	struct settings_address ops_listen;
+	struct settings_address peer_listen;
+	char instance[SECURE_NAME_BYTES];
+	char data_centre[SECURE_NAME_BYTES];
+	char data_dir[SETTINGS_PATH_BYTES]; /* "": no state replica */
+	char config[SETTINGS_PATH_BYTES]; /* first document of a new set */
+	char cluster_key[SETTINGS_PATH_BYTES];
+	struct settings_peer *peers;
+	uint32_t peer_count;
+	uint32_t body_max_bytes;
+	uint32_t drain_delay_ms; /* the balancer notices within this */
+	uint32_t drain_max_ms; /* streams are given this long to end */
+	int log_level;
+	bool check; /* validate and end */
+};
+
+void settings_read(struct settings *settings, int argc, char **argv);
+void settings_free(struct settings *settings);
+
+#ifdef __cplusplus
+}
+#endif
+
+#endif
--- /dev/null
+++ b/src/entry/attempt.c
@@ -0,0 +1,375 @@
+#include "entry/attempt.h"
+
+#include <jansson.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/err.h"
+#include "entry/sse.h"
+
+enum {
+	ATTEMPT_URL_BYTES = 2048,
+	ATTEMPT_HEADERS_MAX = 16,
+	ATTEMPT_TEXT_BYTES = 128,
+	ATTEMPT_ANSWER_MAX_BYTES = 16 * 1024 * 1024,
+	ATTEMPT_PROBE_MS = 1000,
+	HTTP_OK_FIRST = 200,
+	HTTP_OK_LAST = 299,
+	HTTP_TOO_MANY = 429,
+	HTTP_UNAVAILABLE = 503,
+	US_PER_MS = 1000,
+	MS_PER_S = 1000
+};
+
+struct attempt {
+	struct attempt_options options;
+	struct hc_call *call;
+	struct hc_call *probe;
+	struct loop_timer *progress;
+	int64_t heard_us;
+	struct sse sse;
+	struct buf body;
+	struct buf events;
+	long status;
+	char correlation[ATTEMPT_TEXT_BYTES];
+	char content_type[ATTEMPT_TEXT_BYTES];
+	char version[ATTEMPT_TEXT_BYTES];
+	char run[ATTEMPT_TEXT_BYTES];
+	uint32_t retry_after_ms;
+	bool streaming; /* the answer is an event stream */
+	bool heard;
+	bool sent;
+	bool ended;
+};
+
+static void
+end_attempt(struct attempt *a, struct attempt_end *end)
+{
+	if (a->ended)
+		return;
+	a->ended = true;
+	loop_cancel(a->progress);
+	a->progress = NULL;
+	if (a->probe != NULL)
+		hc_cancel(a->probe);
+	a->probe = NULL;
+	end->status = a->status;
+	end->retry_after_ms = a->retry_after_ms;
+	a->options.handler->end(a->options.ctx, a, end);
+}
+
+static void
+copy_header(struct hc_call *call, const char *name, char *out)
+{
+	const char *value = hc_header(call, name);
+
+	snprintf(out, ATTEMPT_TEXT_BYTES, "%s", value != NULL ? value : "");
+}
+
+static int
+on_headers(void *ctx, struct hc_call *call, long status)
+{
+	struct attempt *a = ctx;
+	const char *echoed = hc_header(call, "Celeryford-Request");
+	const char *wait = hc_header(call, "Celeryford-Retry-After-Ms");
+
+	a->status = status;
+	a->sent = true;
+	/* Another request's answer, late or crossed: never the caller's. */
+	if (echoed != NULL ? strcmp(echoed, a->correlation) != 0
+			   : a->options.chat && status == HTTP_OK_FIRST)
+		return ERR_UPSTREAM;
+	copy_header(call, "Content-Type", a->content_type);
+	copy_header(call, "Celeryford-Version", a->version);
+	copy_header(call, "Celeryford-Run", a->run);
+	if (wait != NULL)
+		a->retry_after_ms = (uint32_t)strtoul(wait, NULL, 10);
+	else if ((wait = hc_header(call, "Retry-After")) != NULL)
+		a->retry_after_ms =
+		    (uint32_t)strtoul(wait, NULL, 10) * MS_PER_S;
+	a->streaming = a->options.streaming && status == HTTP_OK_FIRST;
+	return 0;
+}
+
+static int
+on_data(void *ctx, struct hc_call *call, const char *data, size_t len)
+{
+	struct attempt *a = ctx;
+	int error = 0;
+
+	(void)call;
+	a->heard_us = loop_now_us(a->options.loop);
+	if (!a->heard && a->status == HTTP_OK_FIRST) {
+		a->heard = true;
+		a->options.handler->first_byte(a->options.ctx, a);
+	}
+	if (!a->streaming) {
+		if (a->body.len + len > ATTEMPT_ANSWER_MAX_BYTES)
+			return ERR_TOO_LARGE;
+		buf_add(&a->body, data, len);
+		return 0;
+	}
+	buf_clear(&a->events);
+	error = sse_feed(&a->sse, data, len, &a->events);
+	if (a->events.len > 0 && !a->ended)
+		a->options.handler->stream(
+		    a->options.ctx, a, a->events.data, a->events.len);
+	return error;
+}
+
+static void
+check_chat(const struct attempt *a, struct attempt_end *end)
+{
+	json_t *root = json_loadb(buf_text(&a->body), a->body.len, 0, NULL);
+	json_t *choice = json_array_get(json_object_get(root, "choices"), 0);
+	json_t *content =
+	    json_object_get(json_object_get(choice, "message"), "content");
+	json_t *usage = json_object_get(root, "usage");
+
+	end->defective = json_string_length(content) == 0;
+	end->output_tokens = (uint32_t)json_integer_value(
+	    json_object_get(usage, "completion_tokens"));
+	json_decref(root);
+}
+
+/* A refusal of the server's own says whether the request was run. */
+static void
+end_refused(const struct attempt *a, struct attempt_end *end)
+{
+	bool not_run = strcmp(a->run, "not_run") == 0;
+
+	end->error = a->status == HTTP_TOO_MANY || a->status == HTTP_UNAVAILABLE
+			 ? ERR_NO_CAPACITY
+			 : ERR_UPSTREAM;
+	if (not_run)
+		end->run_state = ERR_NOT_RUN;
+	else if (strcmp(a->run, "ran") == 0)
+		end->run_state = ERR_RAN;
+}
+
+static void
+judge_whole(const struct attempt *a, struct attempt_end *end)
+{
+	if (a->streaming) {
+		end->output_tokens = sse_output_tokens(&a->sse);
+		if (!a->sse.done)
+			end->error = ERR_UPSTREAM_CUT;
+		return;
+	}
+	if (a->options.chat &&
+	    (a->status < HTTP_OK_FIRST || a->status > HTTP_OK_LAST)) {
+		end_refused(a, end);
+		return;
+	}
+	if (a->status == HTTP_TOO_MANY || a->status == HTTP_UNAVAILABLE)
+		end_refused(a, end);
+	else if (a->options.chat)
+		check_chat(a, end);
+}
+
+static void
+on_done(void *ctx, const struct hc_result *result)
+{
+	struct attempt *a = ctx;
+	struct attempt_end end = {.error = result->error,
+	    .run_state = result->run_state,
+	    .server_crashed = result->unreachable};
+
+	a->call = NULL;
+	a->status = result->status;
+	a->sent = a->sent || result->run_state != ERR_NOT_RUN;
+	if (end.error == 0)
+		judge_whole(a, &end);
+	if (end.error == 0)
+		end.run_state = ERR_RAN;
+	else if (end.error == ERR_UPSTREAM && a->heard)
+		end.error = ERR_UPSTREAM_CUT;
+	/* The connection broke before an answer: the server may be gone. */
+	if (result->error == ERR_UPSTREAM && result->status == 0)
+		end.server_crashed = true;
+	end_attempt(a, &end);
+}
+
+static const struct hc_handler call_handler = {on_headers, on_data, on_done};
+
+static int
+probe_headers(void *ctx, struct hc_call *call, long status)
+{
+	(void)ctx;
+	(void)call;
+	(void)status;
+	return 0;
+}
+
+static int
+probe_data(void *ctx, struct hc_call *call, const char *data, size_t len)
+{
+	(void)ctx;
+	(void)call;
+	(void)data;
+	(void)len;
+	return 0;
+}
+
+/* The probe tells whose fault the silence is; the attempt ends either way. */
+static void
+probe_done(void *ctx, const struct hc_result *result)
+{
+	struct attempt *a = ctx;
+	struct attempt_end end = {.error = ERR_TIMEOUT,
+	    .run_state = ERR_MAY_HAVE_RUN,
+	    .server_crashed = result->error != 0};
+
+	a->probe = NULL;
+	if (a->call != NULL)
+		hc_cancel(a->call);
+	a->call = NULL;
+	end_attempt(a, &end);
+}
+
+static const struct hc_handler probe_handler = {
+    probe_headers, probe_data, probe_done};
+
+static void
+check_progress(void *ctx)
+{
+	struct attempt *a = ctx;
+	int64_t limit_us = (int64_t)a->options.progress_ms * US_PER_MS;
+	int64_t silent_us = loop_now_us(a->options.loop) - a->heard_us;
+	char url[ATTEMPT_URL_BYTES];
+	struct hc_request probe = {.method = "GET",
+	    .url = url,
+	    .timeout_ms = ATTEMPT_PROBE_MS,
+	    .fresh = true,
+	    .handler = &probe_handler,
+	    .ctx = a};
+
+	a->progress = NULL;
+	if (silent_us < limit_us) {
+		a->progress = loop_after(
+		    a->options.loop, limit_us - silent_us, check_progress, a);
+		return;
+	}
+	snprintf(url, sizeof(url), "http://%s/healthz", a->options.address);
+	a->probe = hc_start(a->options.client, &probe);
+}
+
+static void
+start_call(struct attempt *a)
+{
+	const struct attempt_options *o = &a->options;
+	const char *headers[ATTEMPT_HEADERS_MAX];
+	char correlation[ATTEMPT_TEXT_BYTES + 32];
+	char url[ATTEMPT_URL_BYTES];
+	size_t n = 0;
+	struct hc_request request = {.method = o->method,
+	    .url = url,
+	    .headers = headers,
+	    .body = o->body,
+	    .len = o->len,
+	    .timeout_ms = o->timeout_ms,
+	    .fresh = o->fresh,
+	    .handler = &call_handler,
+	    .ctx = a};
+
+	snprintf(url, sizeof(url), "http://%s%s", o->address, o->path);
+	snprintf(correlation, sizeof(correlation), "Celeryford-Request: %s",
+	    a->correlation);
+	headers[n++] = correlation;
+	for (const char *const *h = o->headers;
+	     *h != NULL && n < ATTEMPT_HEADERS_MAX - 1; h++)
+		headers[n++] = *h;
+	headers[n] = NULL;
+	a->call = hc_start(o->client, &request);
+}
+
+/* Starts the call; the handler hears of it only after this returns. */
+struct attempt *
+attempt_start(const struct attempt_options *options)
+{
+	struct attempt *a = alloc_zero(options->alloc, 1, sizeof(*a));
+
+	a->options = *options;
+	snprintf(
+	    a->correlation, sizeof(a->correlation), "%s", options->correlation);
+	sse_init(&a->sse, options->alloc);
+	buf_init(&a->body, options->alloc);
+	buf_init(&a->events, options->alloc);
+	a->heard_us = loop_now_us(options->loop);
+	a->progress = loop_after(options->loop,
+	    (int64_t)options->progress_ms * US_PER_MS, check_progress, a);
+	start_call(a);
+	/* Both live only as long as the caller's stack. */
+	a->options.headers = NULL;
+	a->options.correlation = NULL;
+	return a;
+}
+
+/* Ends the attempt if it still runs, without a report, and releases it. */
+void
+attempt_free(struct attempt *a)
+{
+	if (a == NULL)
+		return;
+	a->ended = true;
+	loop_cancel(a->progress);
+	if (a->call != NULL)
+		hc_cancel(a->call);
+	if (a->probe != NULL)
+		hc_cancel(a->probe);
+	sse_free(&a->sse);
+	buf_free(&a->body);
+	buf_free(&a->events);
+	alloc_free(a->options.alloc, a);
+}
+
+/* Stops or resumes reading for a caller that takes its stream slowly. */
+void
+attempt_pause(struct attempt *a, bool pause)
+{
+	a->heard_us = loop_now_us(a->options.loop);
+	if (a->call != NULL)
+		hc_pause(a->call, pause);
+}
+
+uint8_t
+attempt_number(const struct attempt *a)
+{
+	return a->options.number;
+}
+
+/* Returns the whole body of an answer that is not a stream. */
+const struct buf *
+attempt_body(const struct attempt *a)
+{
+	return &a->body;
+}
+
+/* Returns the terminator of a stream, which was held back. */
+const struct buf *
+attempt_terminator(const struct attempt *a)
+{
+	return &a->sse.last;
+}
+
+/* Returns the answer's content type, "" if it gave none. */
+const char *
+attempt_content_type(const struct attempt *a)
+{
+	return a->content_type;
+}
+
+/* Returns the version that a forwarded answer names, or "". */
+const char *
+attempt_version(const struct attempt *a)
+{
+	return a->version;
+}
+
+/* Returns whether any byte of the request has left this host. */
+bool
+attempt_was_sent(const struct attempt *a)
+{
+	return a->sent || (a->call != NULL && hc_was_sent(a->call));
+}
--- a/src/http/server.c
+++ b/src/http/server.c
@@ -31,6 +31,7 @@
 	struct hs *hs;
 	struct MHD_Connection *connection;
 	char *method;
+	char *target; /* path and query as sent */
 	char *path;
 	struct buf body;
 	struct buf out; /* stream bytes not yet taken */
@@ -176,20 +177,33 @@
 	return MHD_YES;
 }
 
-static struct hs_exchange *
-exchange_new(struct hs *hs, struct MHD_Connection *connection,
-    const char *method, const char *url)
+/* The request line is complete: an exchange begins. */
+static void *
+exchange_new(void *ctx, const char *target, struct MHD_Connection *connection)
 {
+	struct hs *hs = ctx;
 	const struct alloc *alloc = hs->options.alloc;
 	struct hs_exchange *x = alloc_zero(alloc, 1, sizeof(*x));
-	const char *length;
 
 	x->hs = hs;
 	x->connection = connection;
-	x->method = alloc_strdup(alloc, method);
-	x->path = alloc_strdup(alloc, url);
+	x->target = alloc_strdup(alloc, target);
 	buf_init(&x->body, alloc);
 	buf_init(&x->out, alloc);
+	hs->open++;
+	return x;
+}
+
+/* The headers are complete. */
+static void
+exchange_begin(struct hs_exchange *x, const char *method, const char *path)
+{
+	struct hs *hs = x->hs;
+	struct MHD_Connection *connection = x->connection;
+	const char *length;
+
+	x->method = alloc_strdup(hs->options.alloc, method);
+	x->path = alloc_strdup(hs->options.alloc, path);
 	MHD_get_connection_values(connection, MHD_HEADER_KIND, count_header, x);
 	if (x->header_bytes > hs->options.header_max_bytes)
 		x->refusal = ERR_HEADER;
@@ -200,8 +214,6 @@
 		x->refusal = ERR_TOO_LARGE;
 	x->late = loop_after(hs->options.loop,
 	    (int64_t)hs->options.body_timeout_ms * 1000, request_late, x);
-	hs->open++;
-	return x;
 }
 
 static enum MHD_Result
@@ -246,10 +258,10 @@
 	struct hs *hs = ctx;
 	struct hs_exchange *x = *data;
 
+	(void)connection;
 	(void)version;
-	if (x == NULL) {
-		x = exchange_new(hs, connection, method, url);
-		*data = x;
+	if (x->method == NULL) {
+		exchange_begin(x, method, url);
 		return x->refusal != 0 ? hand_over(x) : MHD_YES;
 	}
 	if (x->gone)
@@ -293,6 +305,7 @@
 		MHD_destroy_response(x->response);
 	buf_free(&x->body);
 	buf_free(&x->out);
+	alloc_free(alloc, x->target);
 	alloc_free(alloc, x->method);
 	alloc_free(alloc, x->path);
 	alloc_free(alloc, x);
@@ -322,6 +335,14 @@
 static struct MHD_Daemon *
 start_daemon(struct hs *hs)
 {
+	const struct MHD_OptionItem items[] = {
+	    {MHD_OPTION_LISTENING_ADDRESS_REUSE, 1, NULL},
+	    {MHD_OPTION_URI_LOG_CALLBACK, (intptr_t)exchange_new, hs},
+	    {MHD_OPTION_NOTIFY_COMPLETED, (intptr_t)on_completed, hs},
+	    {MHD_OPTION_CONNECTION_MEMORY_LIMIT, HS_CONNECTION_BYTES, NULL},
+	    {MHD_OPTION_CONNECTION_LIMIT, hs->options.connections_max, NULL},
+	    {MHD_OPTION_CONNECTION_TIMEOUT, HS_IDLE_TIMEOUT_S, NULL},
+	    {MHD_OPTION_END, 0, NULL}};
 	struct sockaddr_storage address;
 	unsigned int flags = MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME;
 
@@ -330,12 +351,8 @@
 	if (address.ss_family == AF_INET6)
 		flags |= MHD_USE_IPv6;
 	return MHD_start_daemon(flags, 0, NULL, NULL, on_access, hs,
-	    MHD_OPTION_SOCK_ADDR, (struct sockaddr *)&address,
-	    MHD_OPTION_LISTENING_ADDRESS_REUSE, 1U, MHD_OPTION_NOTIFY_COMPLETED,
-	    on_completed, hs, MHD_OPTION_CONNECTION_MEMORY_LIMIT,
-	    (size_t)HS_CONNECTION_BYTES, MHD_OPTION_CONNECTION_LIMIT,
-	    hs->options.connections_max, MHD_OPTION_CONNECTION_TIMEOUT,
-	    (unsigned int)HS_IDLE_TIMEOUT_S, MHD_OPTION_END);
+	    MHD_OPTION_SOCK_ADDR, (struct sockaddr *)&address, MHD_OPTION_ARRAY,
+	    items, MHD_OPTION_END);
 }
 
 /* Starts listening.  NULL if the address is not an IP number or is taken. */
@@ -404,7 +421,14 @@
 	return x->method;
 }
 
-/* Returns the path without its query. */
+/* Returns path and query as the caller sent them. */
+const char *
+hs_target(const struct hs_exchange *x)
+{
+	return x->target;
+}
+
+/* Returns the path, decoded and without its query. */
 const char *
 hs_path(const struct hs_exchange *x)
 {
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -57,6 +57,7 @@
 uint32_t hs_open(const struct hs *hs);
 
 const char *hs_method(const struct hs_exchange *x);
+const char *hs_target(const struct hs_exchange *x);
 const char *hs_path(const struct hs_exchange *x);
 const char *hs_header(const struct hs_exchange *x, const char *name);
 const char *hs_query(const struct hs_exchange *x, const char *name);
