--- a/src/config/compile.c
+++ b/src/config/compile.c
@@ -390,6 +390,7 @@
 		compile_workspace(c, section, data);
 		break;
 	case SCHEMA_TEAMS:
+	case SCHEMA_REPLICAS:
 	case SCHEMA_GROUPS:
 		break;
 	}
--- a/src/core/cfg.h
+++ b/src/core/cfg.h
@@ -113,6 +113,25 @@
 	       !cfg->data_centres[data_centre].out;
 }
 
+/* The same for a plain service. */
+static inline bool
+cfg_service_allowed(const struct cfg *cfg, uint16_t workspace, uint16_t service,
+    uint16_t data_centre)
+{
+	const struct cfg_workspace *w;
+
+	if (workspace >= cfg->workspace_count ||
+	    service >= cfg->service_count ||
+	    data_centre >= cfg->data_centre_count)
+		return false;
+	w = &cfg->workspaces[workspace];
+	return w->present && cfg->services[service].present &&
+	       (w->services >> service & 1) != 0 &&
+	       (w->data_centres >> data_centre & 1) != 0 &&
+	       cfg->data_centres[data_centre].present &&
+	       !cfg->data_centres[data_centre].out;
+}
+
 #ifdef __cplusplus
 }
 #endif
--- a/src/daemon/child_entry.c
+++ b/src/daemon/child_entry.c
@@ -14,47 +14,68 @@
 {
 	struct node *node = ctx;
 
-	/* Without state replicas nobody can promise that a call runs once. */
-	entry_claimed(node->entry, c->request, ERR_NO_QUORUM);
+	book_claim(node->book, c);
 }
 
 static void
-outcome(void *ctx, const struct entry_claim *c, enum entry_outcome result)
+mark(void *ctx, uint32_t request)
+{
+	struct node *node = ctx;
+
+	book_mark(node->book, request);
+}
+
+static bool
+may_dispatch(void *ctx, uint32_t request)
 {
 	struct node *node = ctx;
 
-	(void)result;
-	entry_settled(node->entry, c->request);
+	return book_may_dispatch(node->book, request);
 }
 
 static void
+outcome(void *ctx, const struct entry_claim *c, enum entry_outcome result)
+{
+	struct node *node = ctx;
+
+	book_outcome(node->book, c->request, result);
+}
+
+static bool
 intend(void *ctx, const struct entry_bill *bill)
 {
-	(void)ctx;
-	(void)bill;
+	struct node *node = ctx;
+
+	return book_intend(node->book, bill);
 }
 
 static void
 settle(void *ctx, const struct entry_bill *bill)
 {
-	node_settle(ctx, bill);
+	struct node *node = ctx;
+
+	book_settle(node->book, bill);
 }
 
 static void
 spread(void *ctx, const struct cf_action *action)
 {
-	(void)ctx;
-	(void)action;
+	node_spread(ctx, action);
+}
+
+static void
+rated(void *ctx, const struct cf_rating *rating)
+{
+	node_spread_rating(ctx, rating);
 }
 
 static const char *
 neighbour(void *ctx, uint16_t data_centre)
 {
-	(void)ctx;
-	(void)data_centre;
-	return NULL;
+	return node_neighbour(ctx, data_centre);
 }
 
+/* Keyed by the newest cluster key, and by the request's id. */
 static void
 forward_tag(void *ctx, const char *id, char tag[ENTRY_TAG_BYTES])
 {
@@ -66,8 +87,16 @@
 	sodium_bin2hex(tag, ENTRY_TAG_BYTES, hash, sizeof(hash));
 }
 
-static const struct entry_ports entry_ports = {
-    claim, outcome, intend, settle, spread, neighbour, forward_tag};
+static const struct entry_ports entry_ports = {.claim = claim,
+    .mark = mark,
+    .may_dispatch = may_dispatch,
+    .outcome = outcome,
+    .intend = intend,
+    .settle = settle,
+    .spread = spread,
+    .rated = rated,
+    .neighbour = neighbour,
+    .forward_tag = forward_tag};
 
 static int
 start(void *ctx)
@@ -80,18 +109,21 @@
 	    .host = s->listen.host,
 	    .port = s->listen.port,
 	    .instance = s->instance,
-	    .incarnation = node->incarnation,
+	    .owner = node->owner,
 	    .data_centre = s->data_centre,
 	    .body_max_bytes = s->body_max_bytes,
 	    .seed = rng_system_seed(),
 	    .ports = &entry_ports,
 	    .ctx = node};
 
+	node->book = book_new(node);
 	node->entry = entry_new(&options);
-	if (node->entry == NULL)
+	if (node->entry == NULL) {
+		book_free(node->book);
+		node->book = NULL;
 		return ERR_IO;
-	if (node->cfg != NULL)
-		return entry_configure(node->entry, node->cfg);
+	}
+	node_in_force(node);
 	return 0;
 }
 
@@ -102,6 +134,8 @@
 
 	entry_free(node->entry);
 	node->entry = NULL;
+	book_free(node->book);
+	node->book = NULL;
 }
 
 struct sup_child_spec
--- a/src/daemon/child_ops.c
+++ b/src/daemon/child_ops.c
@@ -1,12 +1,21 @@
+#include <inttypes.h>
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 
 #include "base/err.h"
+#include "config/compile.h"
 #include "daemon/node.h"
+#include "daemon/operator.h"
+#include "daemon/state.h"
 #include "entry/answer.h"
 
 /* The ops child: metrics, health and operators' requests. */
 
+enum { HTTP_OK = 200, BODY_BYTES = 128 };
+
+static const char bearer[] = "Bearer ";
+
 static bool
 is_ready(void *ctx, struct buf *why)
 {
@@ -14,74 +23,226 @@
 
 	if (node->draining)
 		buf_adds(why, "draining\n");
-	else if (node->cfg == NULL)
+	else if (node_cfg(node) == NULL)
 		buf_adds(why, "no configuration yet\n");
 	return why->len == 0;
 }
 
+static void
+set_metric(struct node *node, enum metrics_kind kind, const char *name,
+    uint64_t value)
+{
+	metrics_get(node->metrics, kind, name, "")->value = value;
+}
+
 static void
 measure(void *ctx)
 {
 	struct node *node = ctx;
 	const struct peer_stats *stats = peer_stats(node->hub);
 
-	metrics_get(node->metrics, METRICS_COUNTER,
-	    "celeryford_peer_sent_bytes_total", "")
-	    ->value = stats->sent_bytes;
-	metrics_get(node->metrics, METRICS_COUNTER,
-	    "celeryford_peer_received_bytes_total", "")
-	    ->value = stats->received_bytes;
-	metrics_get(
-	    node->metrics, METRICS_GAUGE, "celeryford_open_requests", "")
-	    ->value = entry_open_requests(node->entry);
+	set_metric(node, METRICS_COUNTER, "celeryford_peer_sent_bytes_total",
+	    stats->sent_bytes);
+	set_metric(node, METRICS_COUNTER,
+	    "celeryford_peer_received_bytes_total", stats->received_bytes);
+	set_metric(node, METRICS_COUNTER, "celeryford_peer_sent_frames_total",
+	    stats->sent_frames);
+	set_metric(node, METRICS_COUNTER,
+	    "celeryford_peer_dropped_frames_total", stats->dropped_frames);
+	set_metric(node, METRICS_COUNTER,
+	    "celeryford_peer_refused_links_total", stats->refused_links);
+	set_metric(node, METRICS_GAUGE, "celeryford_open_requests",
+	    entry_open_requests(node->entry));
+	set_metric(node, METRICS_GAUGE, "celeryford_open_bills",
+	    book_open(node->book));
+	set_metric(node, METRICS_GAUGE, "celeryford_config_revision",
+	    node_revision(node));
+	set_metric(node, METRICS_GAUGE, "celeryford_isolated",
+	    node_isolated(node));
 }
 
 static void
 answer_explain(struct node *node, struct hs_exchange *x)
 {
-	struct answer_error missing = {
-	    .error = ERR_NOT_FOUND, .param = "request"};
+	struct answer_error missing = {.error = ERR_NOT_FOUND,
+	    .param = "request"};
 	const char *id = hs_query(x, "request");
 	struct buf text;
 
 	buf_init(&text, node->alloc);
 	if (id != NULL && entry_explain(node->entry, id, &text))
-		hs_answer(x, 200, NULL, 0, text.data, text.len);
+		hs_answer(x, HTTP_OK, NULL, 0, text.data, text.len);
 	else
 		answer_error(x, &missing);
 	buf_free(&text);
 }
 
 static void
-operate(void *ctx, struct hs_exchange *x)
+add_data_centres(const struct cfg *cfg, struct buf *out)
+{
+	buf_adds(out, "[");
+	for (uint16_t i = 0; cfg != NULL && i < cfg->data_centre_count; i++) {
+		const struct cfg_data_centre *dc = &cfg->data_centres[i];
+
+		if (dc->present)
+			buf_addf(out, "%s{\"data_centre\":\"%s\",\"state\":\"%s\"}",
+			    out->data[out->len - 1] == '[' ? "" : ",", dc->name,
+			    dc->out ? "out" : "in");
+	}
+	buf_adds(out, "]");
+}
+
+static void
+answer_status(struct node *node, struct hs_exchange *x)
+{
+	const struct settings *s = node->settings;
+	struct buf text;
+
+	buf_init(&text, node->alloc);
+	buf_addf(&text,
+	    "{\"instance\":\"%s\",\"data_centre\":\"%s\",\"revision\":%" PRIu64
+	    ",\"isolated\":%s,\"draining\":%s,\"open_requests\":%u,"
+	    "\"open_bills\":%u,\"data_centres\":",
+	    s->instance, s->data_centre, node_revision(node),
+	    node_isolated(node) ? "true" : "false",
+	    node->draining ? "true" : "false",
+	    entry_open_requests(node->entry), book_open(node->book));
+	add_data_centres(node_cfg(node), &text);
+	buf_adds(&text, ",\"instances\":");
+	node_member_status(node, &text);
+	buf_adds(&text, ",\"servers\":");
+	entry_status(node->entry, &text);
+	buf_adds(&text, "}");
+	answer_json(x, HTTP_OK, buf_text(&text), text.len);
+	buf_free(&text);
+}
+
+static void
+answer_servers(struct node *node, struct hs_exchange *x)
 {
-	struct answer_error missing = {.error = ERR_NOT_FOUND, .param = "path"};
-	struct node *node = ctx;
 	struct buf text;
 
-	if (strcmp(hs_path(x), "/ops/explain") == 0) {
+	buf_init(&text, node->alloc);
+	entry_status(node->entry, &text);
+	answer_json(x, HTTP_OK, buf_text(&text), text.len);
+	buf_free(&text);
+}
+
+/* A read whose one parameter is a number of the query. */
+static void
+ask_with_number(struct node *node, struct hs_exchange *x,
+    enum operator_kind kind, const char *team, const char *name)
+{
+	const char *value = hs_query(x, name);
+	char body[BODY_BYTES];
+
+	snprintf(body, sizeof(body), "{\"%s\":%" PRIu64 "}", name,
+	    value != NULL ? (uint64_t)strtoull(value, NULL, 10) : 0);
+	operators_ask(node->operators, x, kind, team, body, strlen(body));
+}
+
+static void
+get_remote(struct node *node, struct hs_exchange *x, const char *team,
+    const char *what)
+{
+	struct answer_error missing = {.error = ERR_NOT_FOUND, .param = "path"};
+	struct operators *operators = node->operators;
+
+	if (strcmp(what, "config") == 0)
+		operators_ask(operators, x, OPERATOR_DOCUMENT, team, "", 0);
+	else if (strcmp(what, "history") == 0)
+		operators_ask(operators, x, OPERATOR_HISTORY, team, "", 0);
+	else if (strcmp(what, "log") == 0)
+		operators_ask(operators, x, OPERATOR_LOG, team, "", 0);
+	else if (strcmp(what, "unsettled") == 0)
+		operators_ask(operators, x, OPERATOR_UNSETTLED, team, "", 0);
+	else if (strcmp(what, "unconfirmed") == 0)
+		ask_with_number(node, x, OPERATOR_UNCONFIRMED, team,
+		    "revision");
+	else if (strcmp(what, "bills") == 0)
+		ask_with_number(node, x, OPERATOR_BILLS, team, "after");
+	else
+		answer_error(x, &missing);
+}
+
+static void
+get(struct node *node, struct hs_exchange *x, const char *team,
+    const char *what)
+{
+	if (strcmp(what, "status") == 0)
+		answer_status(node, x);
+	else if (strcmp(what, "servers") == 0)
+		answer_servers(node, x);
+	else if (strcmp(what, "explain") == 0)
 		answer_explain(node, x);
-		return;
-	}
-	if (strcmp(hs_path(x), "/ops/servers") == 0) {
-		buf_init(&text, node->alloc);
-		entry_status(node->entry, &text);
-		answer_json(x, 200, buf_text(&text), text.len);
-		buf_free(&text);
-		return;
-	}
-	if (strcmp(hs_path(x), "/ops/bills") == 0) {
-		node_export_bills(node, x);
-		return;
+	else if (strcmp(what, "halts") == 0)
+		book_halts(node->book, x);
+	else
+		get_remote(node, x, team, what);
+}
+
+static void
+post(struct node *node, struct hs_exchange *x, const char *team,
+    const char *what)
+{
+	struct answer_error missing = {.error = ERR_NOT_FOUND, .param = "path"};
+	const struct buf *body = hs_body(x);
+
+	if (strcmp(what, "config") == 0)
+		operators_ask(node->operators, x, OPERATOR_APPLY, team,
+		    body->data, body->len);
+	else if (strcmp(what, "halts") == 0)
+		book_resolve(node->book, x);
+	else
+		answer_error(x, &missing);
+}
+
+static bool
+team_of(const struct node *node, const struct hs_exchange *x,
+    char team[CFG_NAME_BYTES])
+{
+	const struct section_list *sections = node_sections(node);
+	const char *auth = hs_header(x, "Authorization");
+
+	return sections != NULL && auth != NULL &&
+	       strncmp(auth, bearer, sizeof(bearer) - 1) == 0 &&
+	       compile_team_of_key(sections, auth + sizeof(bearer) - 1, team);
+}
+
+static void
+operate(void *ctx, struct hs_exchange *x)
+{
+	static const char prefix[] = "/ops/";
+	struct answer_error refused = {.error = ERR_NO_KEY,
+	    .param = "Authorization"};
+	struct node *node = ctx;
+	char team[CFG_NAME_BYTES];
+
+	if (strncmp(hs_path(x), prefix, sizeof(prefix) - 1) != 0) {
+		refused.error = ERR_NOT_FOUND;
+		refused.param = "path";
+		answer_error(x, &refused);
+	} else if (node_cfg(node) == NULL) {
+		refused.error = ERR_ISOLATED;
+		refused.retry_after_ms = 1000;
+		answer_error(x, &refused);
+	} else if (!team_of(node, x, team)) {
+		answer_error(x, &refused);
+	} else if (strcmp(hs_method(x), "POST") == 0) {
+		post(node, x, team, hs_path(x) + sizeof(prefix) - 1);
+	} else {
+		get(node, x, team, hs_path(x) + sizeof(prefix) - 1);
 	}
-	answer_error(x, &missing);
 }
 
 static void
 gone(void *ctx, struct hs_exchange *x)
 {
-	(void)ctx;
-	(void)x;
+	struct node *node = ctx;
+
+	operators_gone(node->operators, x);
+	if (node->book != NULL)
+		book_gone(node->book, x);
 }
 
 static const struct ops_ports ops_ports = {is_ready, measure, operate, gone};
@@ -98,8 +259,13 @@
 	    .ports = &ops_ports,
 	    .ctx = node};
 
+	node->operators = operators_new(node);
 	node->ops = ops_new(&options);
-	return node->ops != NULL ? 0 : ERR_IO;
+	if (node->ops != NULL)
+		return 0;
+	operators_free(node->operators);
+	node->operators = NULL;
+	return ERR_IO;
 }
 
 static void
@@ -107,6 +273,8 @@
 {
 	struct node *node = ctx;
 
+	operators_free(node->operators);
+	node->operators = NULL;
 	ops_free(node->ops);
 	node->ops = NULL;
 }
--- a/src/daemon/child_peer.c
+++ b/src/daemon/child_peer.c
@@ -3,17 +3,135 @@
 #include <stdio.h>
 
 #include "daemon/node.h"
+#include "daemon/operator.h"
+#include "daemon/state.h"
+#include "wire/operator.pb-c.h"
 
 /* The peer child: links from and to the other instances. */
 
+/* Claims: the replica side hears requests, the claimant's side answers. */
+static void
+on_claim(struct node *node, uint32_t from, const uint8_t *data, uint32_t len)
+{
+	static struct cl_msg msg;
+
+	if (cl_msg_decode(&msg, data, len) != 0)
+		return;
+	if (node->state != NULL)
+		state_claims_message(node->state, from, &msg);
+	if (node->book != NULL &&
+	    (msg.kind == CL_MSG_REPLY || msg.kind == CL_MSG_ENTRIES))
+		book_claim_message(node->book, from, &msg);
+}
+
+static void
+on_bill(struct node *node, uint32_t from, const uint8_t *data, uint32_t len)
+{
+	static struct bl_msg msg;
+
+	if (bl_msg_decode(&msg, data, len) != 0)
+		return;
+	if (node->state != NULL && msg.kind != BL_MSG_ACK)
+		state_bills_message(node->state, from, &msg);
+	else if (node->book != NULL)
+		book_bill_message(node->book, from, &msg);
+}
+
+static void
+on_operator(struct node *node, uint32_t from, const uint8_t *data, uint32_t len)
+{
+	Opr__Request *request = opr__request__unpack(NULL, len, data);
+
+	if (request != NULL && node->state != NULL)
+		state_operator(node->state, from, request->id, request->kind,
+		    request->team, request->author, request->body.data,
+		    request->body.len);
+	opr__request__free_unpacked(request, NULL);
+}
+
+static void
+deliver(struct node *node, uint32_t from, enum peer_channel channel,
+    const uint8_t *data, uint32_t len)
+{
+	switch (channel) {
+	case PEER_RLOG:
+		if (node->state != NULL)
+			state_log_message(node->state, data, len);
+		break;
+	case PEER_CLAIM:
+		on_claim(node, from, data, len);
+		break;
+	case PEER_BILL:
+		on_bill(node, from, data, len);
+		break;
+	case PEER_MEMBER:
+		node_member_message(node, from, data, len);
+		break;
+	case PEER_CONFIG:
+		node_config_message(node, from, data, len);
+		break;
+	case PEER_CREDIT:
+		break;
+	case PEER_OPERATOR:
+		on_operator(node, from, data, len);
+		break;
+	case PEER_OPERATOR_REPLY:
+		if (node->operators != NULL)
+			operators_message(node->operators, from, data, len);
+		break;
+	case PEER_CHANNELS:
+		break;
+	}
+}
+
 static void
 on_message(void *ctx, const struct secure_peer *from, enum peer_channel channel,
     const uint8_t *data, uint32_t len)
 {
-	struct node *node = ctx;
+	deliver(ctx, directory_number_of(from->instance), channel, data, len);
+}
+
+/* A message of this instance to itself, delivered in a turn of its own. */
+struct loopback {
+	struct node *node;
+	enum peer_channel channel;
+	struct buf bytes;
+};
+
+static void
+deliver_loopback(void *ctx)
+{
+	struct loopback *item = ctx;
+	struct node *node = item->node;
+
+	deliver(node, directory_self(node->directory)->number, item->channel,
+	    item->bytes.data, (uint32_t)item->bytes.len);
+	buf_free(&item->bytes);
+	alloc_free(node->alloc, item);
+}
+
+/* Sends a message to an instance by its number; best effort. */
+void
+node_send(struct node *node, uint32_t to, enum peer_channel channel,
+    const struct buf *bytes)
+{
+	const struct directory_entry *entry =
+	    directory_find(node->directory, to);
+	struct loopback *item;
 
-	if (channel == PEER_BILL)
-		node_bill_message(node, from, data, len);
+	if (entry == NULL || node->hub == NULL)
+		return;
+	if (!entry->self) {
+		peer_send(node->hub, entry->name, channel, bytes->data,
+		    (uint32_t)bytes->len);
+		return;
+	}
+	item = alloc_zero(node->alloc, 1, sizeof(*item));
+	item->node = node;
+	item->channel = channel;
+	buf_init(&item->bytes, node->alloc);
+	buf_add(&item->bytes, bytes->data, bytes->len);
+	loop_after(node->loop, 0, deliver_loopback, item);
 }
 
 static const struct peer_handler peer_handler = {on_message};
--- /dev/null
+++ b/src/daemon/child_state.c
@@ -0,0 +1,323 @@
+#include <inttypes.h>
+#include <string.h>
+#include <time.h>
+
+#include "base/clock.h"
+#include "base/err.h"
+#include "base/log.h"
+#include "base/rng.h"
+#include "daemon/state.h"
+
+enum {
+	STATE_TICK_US = 50000,
+	KIND_BASE = 0xff00, /* a module's kinds share their upper byte */
+	KIND_IMAGE = 0x00ff /* the module's image, in journal snapshots */
+};
+
+/* Remembers whom to tell when a record is durable. */
+static void
+push_waiting(struct state *state, struct state_waiting item)
+{
+	if (state->waiting_count == state->waiting_size) {
+		size_t size =
+		    state->waiting_size > 0 ? state->waiting_size * 2 : 256;
+		struct state_waiting *grown =
+		    alloc_zero(state->node->alloc, size, sizeof(*grown));
+
+		for (size_t i = 0; i < state->waiting_count; i++)
+			grown[i] = state->waiting[(state->waiting_first + i) %
+						  state->waiting_size];
+		alloc_free(state->node->alloc, state->waiting);
+		state->waiting = grown;
+		state->waiting_first = 0;
+		state->waiting_size = size;
+	}
+	state->waiting[(state->waiting_first + state->waiting_count++) %
+		       state->waiting_size] = item;
+}
+
+/* Appends a journal record; its owner hears when it is durable. */
+uint64_t
+state_append(struct state *state, uint16_t kind, const void *data, size_t len,
+    enum state_owner owner, uint64_t number)
+{
+	struct state_waiting item = {.owner = owner, .number = number};
+
+	if (state->lost)
+		return 0;
+	item.seq = jn_append(state->jn, kind, data, len);
+	push_waiting(state, item);
+	return item.seq;
+}
+
+static void
+tell_owner(struct state *state, const struct state_waiting *item)
+{
+	struct rl_event event = {.kind = RL_EV_PERSISTED};
+	int64_t now_us = loop_now_us(state->node->loop);
+
+	switch (item->owner) {
+	case OWNER_LOG:
+		event.u.persisted.number = item->number;
+		state_log_step(state, &event);
+		break;
+	case OWNER_CLAIMS:
+		if (state->claims != NULL)
+			cl_store_persisted(state->claims, now_us, item->number);
+		break;
+	case OWNER_BILLS:
+		bl_store_persisted(state->bills, item->number);
+		break;
+	case OWNER_CONFIG:
+		node_config_persisted(state->node, item->number);
+		break;
+	}
+}
+
+/* The journal is lost for good: this replica falls silent. */
+static void
+lose_journal(struct state *state)
+{
+	struct rl_event event = {.kind = RL_EV_DISK_LOST};
+
+	if (state->lost)
+		return;
+	log_event(LOG_LEVEL_ERROR, "data_folder_failed", "folder=%s",
+	    state->node->settings->data_dir);
+	state->lost = true;
+	state_log_step(state, &event);
+	if (state->claims != NULL)
+		cl_store_persist_failed(state->claims);
+	bl_store_persist_failed(state->bills);
+}
+
+/*
+ * Tells the owners of all durable records.  Of the log's only the newest one
+ * is told, since it stands for those before.
+ */
+static void
+on_durable(void *ctx, int events)
+{
+	struct state *state = ctx;
+	struct state_waiting newest_log = {0};
+	uint64_t durable = 0;
+
+	(void)events;
+	if (jn_poll(state->jn, &durable) != 0) {
+		lose_journal(state);
+		return;
+	}
+	while (state->waiting_count > 0) {
+		struct state_waiting item =
+		    state->waiting[state->waiting_first];
+
+		if (item.seq > durable)
+			break;
+		state->waiting_first =
+		    (state->waiting_first + 1) % state->waiting_size;
+		state->waiting_count--;
+		if (item.owner == OWNER_LOG)
+			newest_log = item;
+		else
+			tell_owner(state, &item);
+	}
+	if (newest_log.seq > 0)
+		tell_owner(state, &newest_log);
+}
+
+static void
+take_snapshot(struct state *state)
+{
+	struct buf parts[4];
+	struct jn_image images[4];
+	size_t count = 0;
+
+	for (size_t i = 0; i < 4; i++)
+		buf_init(&parts[i], state->node->alloc);
+	rl_image(state->rl, &parts[0]);
+	images[count++] =
+	    (struct jn_image){RL_REC_IMAGE, parts[0].data, parts[0].len};
+	if (state->claims != NULL) {
+		cl_store_image(state->claims, &parts[1]);
+		images[count++] = (struct jn_image){
+		    JN_KIND_CLAIMS | KIND_IMAGE, parts[1].data, parts[1].len};
+	}
+	bl_store_image(state->bills, &parts[2]);
+	images[count++] = (struct jn_image){
+	    JN_KIND_BILLS | KIND_IMAGE, parts[2].data, parts[2].len};
+	node_config_copy(state->node, &parts[3]);
+	if (parts[3].len > 0)
+		images[count++] = (struct jn_image){
+		    JN_KIND_CFGDIST, parts[3].data, parts[3].len};
+	if (jn_snapshot(state->jn, images, count) != 0)
+		lose_journal(state);
+	for (size_t i = 0; i < 4; i++)
+		buf_free(&parts[i]);
+}
+
+static void
+on_tick(void *ctx)
+{
+	struct state *state = ctx;
+
+	state_claims_tick(state);
+	state_bills_tick(state);
+	state_config_tick(state);
+	if (!state->lost && jn_snapshot_due(state->jn))
+		take_snapshot(state);
+	state->tick =
+	    loop_after(state->node->loop, STATE_TICK_US, on_tick, state);
+}
+
+static int
+replay_record(struct state *state, const struct jn_record *record)
+{
+	bool image = (record->kind & KIND_IMAGE) == KIND_IMAGE;
+
+	switch (record->kind & KIND_BASE) {
+	case JN_KIND_RLOG:
+		return rl_replay(
+		    state->rl, record->kind, record->data, record->len);
+	case JN_KIND_CLAIMS:
+		return state_claims_replay(
+		    state, record->data, record->len, image);
+	case JN_KIND_BILLS:
+		if (state->bills == NULL && state_bills_new(state) != 0)
+			return ERR_DISK;
+		return image ? bl_store_restore_image(
+				   state->bills, record->data, record->len)
+			     : bl_store_restore(
+				   state->bills, record->data, record->len);
+	case JN_KIND_CFGDIST:
+		return node_config_replay(
+		    state->node, record->data, record->len);
+	default:
+		return ERR_VERSION;
+	}
+}
+
+static int
+replay(struct state *state)
+{
+	struct jn_record record;
+	uint64_t records = 0;
+	int more, error = 0;
+
+	while ((more = jn_next(state->jn, &record)) > 0 && error == 0) {
+		error = replay_record(state, &record);
+		records++;
+	}
+	if (more < 0)
+		error = more;
+	if (error != 0)
+		log_event(LOG_LEVEL_ERROR, "replay_failed",
+		    "error=%s record=%" PRIu64 " why=\"%s\"", err_name(error),
+		    records, jn_why(state->jn));
+	else
+		log_event(
+		    LOG_LEVEL_INFO, "replayed", "records=%" PRIu64, records);
+	return error;
+}
+
+static int
+open_journal(struct state *state)
+{
+	struct jn_options options = {.alloc = state->node->alloc,
+	    .folder = state->node->settings->data_dir};
+	struct buf why;
+	int error;
+
+	buf_init(&why, state->node->alloc);
+	error = jn_open(&options, &state->jn, &why);
+	if (error != 0)
+		log_event(LOG_LEVEL_ERROR, "data_folder_refused",
+		    "error=%s why=\"%s\"", err_name(error), buf_text(&why));
+	else if (why.len > 0)
+		log_event(LOG_LEVEL_WARN, "data_folder_repaired", "what=\"%s\"",
+		    buf_text(&why));
+	buf_free(&why);
+	return error;
+}
+
+/* Hands the log's leadership to another replica before this one leaves. */
+void
+node_hand_over(struct node *node)
+{
+	struct rl_event event = {.kind = RL_EV_HANDOVER};
+
+	if (node->state != NULL && rl_is_leader(node->state->rl))
+		state_log_step(node->state, &event);
+}
+
+static void
+stop(void *ctx)
+{
+	struct node *node = ctx;
+	struct state *state = node->state;
+
+	if (state == NULL)
+		return;
+	node->state = NULL;
+	loop_cancel(state->tick);
+	loop_cancel(state->wake);
+	loop_unwatch(state->watch);
+	state_config_free(state);
+	if (state->rl != NULL) {
+		rl_actions_free(state->rl, &state->actions);
+		rl_free(state->rl);
+	}
+	cl_store_free(state->claims);
+	state_bills_free(state);
+	if (state->jn != NULL)
+		jn_close(state->jn);
+	alloc_free(node->alloc, state->waiting);
+	alloc_free(node->alloc, state);
+}
+
+static int
+start_parts(struct state *state)
+{
+	int error = open_journal(state);
+
+	if (error != 0)
+		return error;
+	state_config_new(state);
+	error = state_log_new(state);
+	if (error == 0)
+		error = replay(state);
+	if (error == 0 && state->bills == NULL)
+		error = state_bills_new(state);
+	if (error == 0)
+		error = jn_start(state->jn);
+	return error;
+}
+
+static int
+start(void *ctx)
+{
+	struct node *node = ctx;
+	struct state *state;
+	int error;
+
+	if (node->settings->data_dir[0] == '\0')
+		return 0;
+	state = alloc_zero(node->alloc, 1, sizeof(*state));
+	state->node = node;
+	node->state = state;
+	error = start_parts(state);
+	if (error != 0) {
+		stop(node);
+		return error;
+	}
+	state->watch = loop_watch(
+	    node->loop, jn_fd(state->jn), LOOP_READ, on_durable, state);
+	state->tick = loop_after(node->loop, STATE_TICK_US, on_tick, state);
+	state_log_start(state);
+	return 0;
+}
+
+struct sup_child_spec
+child_state(struct node *node)
+{
+	return (struct sup_child_spec){"state", start, stop, node};
+}
--- a/src/daemon/main.c
+++ b/src/daemon/main.c
@@ -7,12 +7,14 @@
 #include <string.h>
 #include <sys/signalfd.h>
 #include <unistd.h>
+#include <xxhash.h>
 
 #include "base/clock.h"
 #include "base/err.h"
 #include "base/log.h"
 #include "config/compile.h"
 #include "daemon/node.h"
+#include "daemon/state.h"
 
 /*
  * celeryfordd: reads the settings, builds the supervisor tree and runs the
@@ -68,31 +70,32 @@
 	return error;
 }
 
-/* Reads, compiles and puts in force the document of a file. */
-int
-node_load_document(struct node *node, const char *path)
+/* Reads and checks the first document of a new replica set. */
+static int
+read_document(struct node *node, const char *path)
 {
 	static struct section_problems problems;
 	struct buf text, report;
+	struct cfg *cfg = NULL;
 	int error;
 
-	problems.count = 0;
 	buf_init(&text, node->alloc);
 	buf_init(&report, node->alloc);
 	error = read_file(path, &text);
 	if (error != 0)
 		section_problem(&problems, 0, path, "can't be read");
 	else
-		error = section_split(
-		    buf_text(&text), text.len, &node->sections, &problems);
+		error = section_split(buf_text(&text), text.len, &node->first,
+		    &problems);
 	if (error == 0)
-		node->cfg = compile_sections(
-		    node->alloc, &node->sections, 1, NULL, &problems);
-	if (node->cfg == NULL) {
+		cfg = compile_sections(node->alloc, &node->first, 1, NULL,
+		    &problems);
+	if (cfg == NULL) {
 		section_problems_print(&problems, &report);
 		fprintf(stderr, "celeryfordd: --config: %s", buf_text(&report));
 		error = ERR_INVALID;
 	}
+	compile_free(node->alloc, cfg);
 	buf_free(&text);
 	buf_free(&report);
 	return error;
@@ -104,10 +107,17 @@
 	struct node *node = ctx;
 	int64_t now_us = loop_now_us(node->loop);
 
-	if (entry_open_requests(node->entry) == 0 ||
-	    now_us >= node->drain_until_us) {
-		log_event(LOG_LEVEL_INFO, "drained", "open=%u",
-		    entry_open_requests(node->entry));
+	bool quiet = entry_open_requests(node->entry) == 0 &&
+		     book_open(node->book) == 0;
+
+	if (quiet && !node->leaving) {
+		node->leaving = true;
+		node_hand_over(node);
+		node_leave(node);
+	}
+	if ((quiet && node->left) || now_us >= node->drain_until_us) {
+		log_event(LOG_LEVEL_INFO, "drained", "open=%u bills=%u",
+		    entry_open_requests(node->entry), book_open(node->book));
 		loop_stop(node->loop);
 		return;
 	}
@@ -242,13 +252,22 @@
 static int
 prepare(struct node *node)
 {
-	section_list_init(&node->sections, node->alloc);
+	const char *name = node->settings->instance;
+
+	section_list_init(&node->first, node->alloc);
+	node->incarnation = (uint64_t)clock_wall_us();
+	node->owner = XXH64(name, strlen(name), node->incarnation);
 	if (read_cluster_key(node) != 0)
 		return EXIT_USAGE;
 	if (node->settings->config[0] != '\0' &&
-	    node_load_document(node, node->settings->config) != 0)
+	    read_document(node, node->settings->config) != 0)
 		return EXIT_USAGE;
-	return 0;
+	node->directory = directory_new(node->alloc, node->settings);
+	if (node->directory != NULL)
+		return 0;
+	fprintf(stderr, "celeryfordd: --peer: two names share a number; "
+			"rename one of them\n");
+	return EXIT_USAGE;
 }
 
 int
@@ -262,15 +281,14 @@
 	if (sodium_init() < 0 || apr_initialize() != APR_SUCCESS ||
 	    curl_global_init(CURL_GLOBAL_DEFAULT) != 0)
 		return EXIT_FAILURE_TO_START;
-	node.incarnation = (uint64_t)clock_wall_us();
 	status = prepare(&node);
 	if (status == 0 && !settings.check) {
 		log_open((enum log_level)settings.log_level);
 		status = run(&node);
 		log_close();
 	}
-	section_list_free(&node.sections);
-	compile_free(node.alloc, node.cfg);
+	section_list_free(&node.first);
+	directory_free(node.directory);
 	settings_free(&settings);
 	curl_global_cleanup();
 	apr_terminate();
--- a/src/daemon/settings.c
+++ b/src/daemon/settings.c
@@ -45,7 +45,7 @@
     {"ops-listen", KEY_OPS_LISTEN, "IP:PORT", 0,
 	"Operators' HTTP, metrics and health", 0},
     {"peer-listen", KEY_PEER_LISTEN, "IP:PORT", 0, "Links from instances", 0},
-    {"peer", KEY_PEER, "NAME@DC=IP:PORT[,replica]", 0,
+    {"peer", KEY_PEER, "NAME@DC=IP:PORT[,http=PORT][,replica]", 0,
 	"Another instance; may be given again", 0},
     {"instance", KEY_INSTANCE, "NAME", 0, "Name of this instance", 0},
     {"data-centre", KEY_DATA_CENTRE, "NAME", 0, "Where it runs", 0},
@@ -172,6 +172,29 @@
 		reject(flag_name(key), value, accepted);
 }
 
+/* What may follow a peer's address: ",http=PORT" and ",replica". */
+static bool
+parse_peer_words(const char *text, struct settings_peer *peer)
+{
+	while (*text == ',') {
+		size_t len = strcspn(++text, ",");
+		char word[32];
+		uint32_t port;
+
+		snprintf(word, sizeof(word), "%.*s", (int)len, text);
+		text += len;
+		if (strcmp(word, "replica") == 0) {
+			peer->replica = true;
+		} else if (strncmp(word, "http=", 5) == 0 &&
+			   parse_number(word + 5, UINT16_MAX, &port)) {
+			peer->http_port = (uint16_t)port;
+		} else {
+			return false;
+		}
+	}
+	return true;
+}
+
 static bool
 parse_peer(const char *text, struct settings_peer *peer)
 {
@@ -188,9 +211,7 @@
 	snprintf(peer->data_centre, sizeof(peer->data_centre), "%.*s",
 	    (int)(equals - at - 1), at + 1);
 	len = strcspn(equals + 1, ",");
-	peer->replica = strcmp(equals + 1 + len, ",replica") == 0;
-	if (len >= sizeof(address) ||
-	    (equals[1 + len] != '\0' && !peer->replica))
+	if (len >= sizeof(address) || !parse_peer_words(equals + 1 + len, peer))
 		return false;
 	snprintf(address, sizeof(address), "%.*s", (int)len, equals + 1);
 	return parse_address(address, &peer->address);
@@ -205,8 +226,9 @@
 		reject("peer", value, "at most 512 peers are taken");
 	if (!parse_peer(value, &peer))
 		reject("peer", value,
-		    "NAME@DATA-CENTRE=IP:PORT is needed, with ,replica after "
-		    "it if the instance keeps a state replica");
+		    "NAME@DATA-CENTRE=IP:PORT is needed, then ,http=PORT if "
+		    "requests may be forwarded to it, and ,replica if it keeps "
+		    "a state replica");
 	for (uint32_t i = 0; i < settings->peer_count; i++) {
 		if (strcmp(settings->peers[i].instance, peer.instance) == 0)
 			reject("peer", value, "the name stands twice");
--- a/src/daemon/settings.h
+++ b/src/daemon/settings.h
@@ -29,6 +29,7 @@
 	char instance[SECURE_NAME_BYTES];
 	char data_centre[SECURE_NAME_BYTES];
 	struct settings_address address;
+	uint16_t http_port; /* of its callers' listener; 0: not forwarded to */
 	bool replica; /* keeps a state replica */
 };
 
--- /dev/null
+++ b/src/daemon/state_bills.c
@@ -0,0 +1,249 @@
+#include <inttypes.h>
+#include <jansson.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "base/clock.h"
+#include "base/err.h"
+#include "base/log.h"
+#include "daemon/directory.h"
+#include "daemon/state.h"
+
+/*
+ * The bills that this replica keeps, and the export: one JSON object a line in
+ * a file that only grows.  The replicated log fixes its order through seals,
+ * so every replica writes the same file.
+ */
+
+enum {
+	SEAL_EVERY_US = 1000000,
+	LINE_BYTES = 1024,
+	EXPORT_MAX_BYTES = 512 * 1024,
+	UNSETTLED_MAX = 200,
+	UNSETTLED_AGE_S = 60,
+	US_PER_S = 1000000
+};
+
+static void
+archive_path(const struct state *state, char *out, size_t size)
+{
+	snprintf(out, size, "%s/bills-export.jsonl",
+	    state->node->settings->data_dir);
+}
+
+/* Counts the whole lines and cuts what a crash left of one. */
+static int
+open_archive(struct state *state)
+{
+	char path[SETTINGS_PATH_BYTES + 32];
+	char line[LINE_BYTES];
+	long end = 0;
+
+	archive_path(state, path, sizeof(path));
+	state->archive = fopen(path, "a+e");
+	if (state->archive == NULL)
+		return ERR_DISK;
+	rewind(state->archive);
+	while (fgets(line, sizeof(line), state->archive) != NULL &&
+	       strchr(line, '\n') != NULL) {
+		state->archived++;
+		end = ftell(state->archive);
+	}
+	if (ftruncate(fileno(state->archive), end) != 0)
+		return ERR_DISK;
+	fseek(state->archive, 0, SEEK_END);
+	return 0;
+}
+
+static void
+print_line(const struct state *state, const struct bl_store_action *action,
+    char out[LINE_BYTES])
+{
+	const struct bl_bill *bill = action->bill;
+	uint32_t tokens = 0;
+	uint32_t version = 0;
+
+	for (uint8_t i = 0; i < bill->item_count; i++) {
+		tokens += bill->items[i].output_tokens;
+		version = bill->items[i].version;
+	}
+	snprintf(out, LINE_BYTES,
+	    "{\"line\":%" PRIu64 ",\"request\":\"%016" PRIx64 "-%" PRIu64
+	    "\",\"workspace\":\"%s\",\"version\":\"%s\",\"born_s\":%" PRId64
+	    ",\"attempts\":%u,\"output_tokens\":%u,\"cost_nano\":%" PRIu64
+	    ",\"state\":\"%s\"}\n",
+	    action->position, bill->id.owner, bill->request,
+	    node_name_of(state->node, bill->workspace),
+	    node_name_of(state->node, version), bill->born_s, bill->item_count,
+	    tokens, bl_bill_cost_nano(bill),
+	    bill->state == BL_CLOSED ? "closed" : "settled");
+}
+
+static void
+archive(struct state *state, const struct bl_store_action *action)
+{
+	char line[LINE_BYTES];
+
+	/* Written before a restart already. */
+	if (action->position <= state->archived)
+		return;
+	print_line(state, action, line);
+	if (fputs(line, state->archive) < 0)
+		log_event(LOG_LEVEL_ERROR, "export_failed", "line=%" PRIu64,
+		    action->position);
+	else
+		state->archived = action->position;
+}
+
+static void
+emit(void *ctx, const struct bl_store_action *action)
+{
+	struct state *state = ctx;
+	struct buf bytes;
+
+	switch (action->kind) {
+	case BL_STORE_SEND:
+		buf_init(&bytes, state->node->alloc);
+		bl_msg_encode(action->msg, &bytes);
+		node_send(state->node, action->to, PEER_BILL, &bytes);
+		buf_free(&bytes);
+		break;
+	case BL_STORE_PERSIST:
+		state_append(state, JN_KIND_BILLS, action->record,
+		    action->record_len, OWNER_BILLS, action->sequence);
+		break;
+	case BL_STORE_ARCHIVE:
+		archive(state, action);
+		break;
+	}
+}
+
+/*
+ * Opens the store and the export: at the first of its records, or after the
+ * replay.  By then the log knows the identity that this folder lives under.
+ */
+int
+state_bills_new(struct state *state)
+{
+	const struct directory *directory = state->node->directory;
+	struct bl_store_options options = {.alloc = state->node->alloc,
+	    .emit = emit,
+	    .ctx = state,
+	    .instance = directory_self(directory)->number,
+	    .life = rl_id(state->rl)};
+	uint32_t others[BL_REPLICAS_MAX];
+	uint32_t count = 0;
+
+	state->bills = bl_store_new(&options);
+	for (uint32_t i = 0; i < directory_count(directory); i++) {
+		const struct directory_entry *e = directory_at(directory, i);
+
+		if (!e->self && e->rank != DIRECTORY_NO_RANK &&
+		    count < BL_REPLICAS_MAX)
+			others[count++] = e->number;
+	}
+	bl_store_peers(state->bills, others, count);
+	return open_archive(state);
+}
+
+/* Closes the export. */
+void
+state_bills_free(struct state *state)
+{
+	bl_store_free(state->bills);
+	if (state->archive != NULL)
+		fclose(state->archive);
+	state->archive = NULL;
+}
+
+/* Applies a seal that the log has agreed on. */
+void
+state_bills_seal(struct state *state, const void *data, size_t len)
+{
+	struct bl_seal seal;
+
+	state->seal_token = 0;
+	if (bl_seal_decode(&seal, data, len) == 0)
+		bl_store_sealed(state->bills, &seal);
+	fflush(state->archive);
+}
+
+/* Takes an instance's or another replica's message. */
+void
+state_bills_message(
+    struct state *state, uint32_t from, const struct bl_msg *msg)
+{
+	bl_store_message(
+	    state->bills, loop_now_us(state->node->loop), from, msg);
+}
+
+/* Proposes the next seal, as the leader. */
+static void
+propose_seal(struct state *state)
+{
+	struct bl_seal seal;
+	struct buf bytes;
+
+	if (state->seal_token != 0 || !bl_store_propose(state->bills, &seal))
+		return;
+	buf_init(&bytes, state->node->alloc);
+	bl_seal_encode(&seal, &bytes);
+	state->seal_token = state->next_token + 1;
+	state_log_propose(state, ENTRY_SEAL, &bytes);
+	buf_free(&bytes);
+}
+
+/* Lets time pass. */
+void
+state_bills_tick(struct state *state)
+{
+	int64_t now_us = loop_now_us(state->node->loop);
+
+	bl_store_tick(state->bills, now_us);
+	if (now_us < state->next_seal_us || !rl_is_leader(state->rl))
+		return;
+	state->next_seal_us = now_us + SEAL_EVERY_US;
+	propose_seal(state);
+}
+
+/* Appends lines of the export after a line number, as many as fit. */
+void
+state_bills_export(struct state *state, uint64_t after, struct buf *out)
+{
+	char path[SETTINGS_PATH_BYTES + 32];
+	char line[LINE_BYTES];
+	FILE *file;
+
+	fflush(state->archive);
+	archive_path(state, path, sizeof(path));
+	file = fopen(path, "re");
+	for (uint64_t n = 1; file != NULL && out->len < EXPORT_MAX_BYTES &&
+			     fgets(line, sizeof(line), file) != NULL;
+	     n++) {
+		if (n > after)
+			buf_adds(out, line);
+	}
+	if (file != NULL)
+		fclose(file);
+}
+
+/* Appends the audit: a JSON array of intents without settlement. */
+void
+state_bills_unsettled(struct state *state, struct buf *out)
+{
+	static struct bl_bill bills[UNSETTLED_MAX];
+	int64_t now_s = clock_wall_us() / US_PER_S;
+	size_t count = bl_store_unsettled(
+	    state->bills, now_s - UNSETTLED_AGE_S, bills, UNSETTLED_MAX);
+
+	buf_adds(out, "[");
+	for (size_t i = 0; i < count && i < UNSETTLED_MAX; i++)
+		buf_addf(out,
+		    "%s{\"request\":\"%016" PRIx64 "-%" PRIu64
+		    "\",\"workspace\":\"%s\",\"age_s\":%" PRId64 "}",
+		    i > 0 ? "," : "", bills[i].id.owner, bills[i].request,
+		    node_name_of(state->node, bills[i].workspace),
+		    now_s - bills[i].born_s);
+	buf_adds(out, "]");
+}
--- /dev/null
+++ b/src/daemon/state_claims.c
@@ -0,0 +1,125 @@
+#include <inttypes.h>
+#include <string.h>
+
+#include "base/clock.h"
+#include "base/err.h"
+#include "base/log.h"
+#include "daemon/directory.h"
+#include "daemon/state.h"
+
+/*
+ * The claims that this replica keeps.  Whether its store starts empty as one
+ * of the first replicas, or must learn as a replacement, follows from how the
+ * replicated log first shows this replica: as a voter or as a learner.
+ */
+
+enum {
+	US_PER_S = 1000000
+};
+
+static void
+send_message(struct node *node, uint32_t to, const struct cl_msg *msg)
+{
+	struct buf bytes;
+
+	buf_init(&bytes, node->alloc);
+	cl_msg_encode(msg, &bytes);
+	node_send(node, to, PEER_CLAIM, &bytes);
+	buf_free(&bytes);
+}
+
+static void
+emit(void *ctx, const struct cl_store_action *action)
+{
+	struct state *state = ctx;
+
+	switch (action->kind) {
+	case CL_STORE_SEND:
+		send_message(state->node, action->to, action->msg);
+		break;
+	case CL_STORE_PERSIST:
+		state_append(state, JN_KIND_CLAIMS, action->record,
+		    action->record_len, OWNER_CLAIMS, action->sequence);
+		break;
+	case CL_STORE_READY:
+		log_event(LOG_LEVEL_INFO, "claims_ready", "keys=%u",
+		    cl_store_count(state->claims));
+		break;
+	}
+}
+
+static void
+create(struct state *state, bool replaced)
+{
+	struct cl_store_options options = {.alloc = state->node->alloc,
+	    .emit = emit,
+	    .ctx = state,
+	    .instance = directory_self(state->node->directory)->number,
+	    .replaced = replaced};
+
+	state->claims = cl_store_new(&options);
+	log_event(LOG_LEVEL_INFO, "claims_opened", "replaced=%d", replaced);
+}
+
+/* Replays a journal record, or an image of a journal snapshot. */
+int
+state_claims_replay(
+    struct state *state, const void *data, size_t len, bool image)
+{
+	if (state->claims == NULL)
+		create(state, false);
+	return image ? cl_store_restore_image(state->claims, data, len)
+		     : cl_store_restore(state->claims, data, len);
+}
+
+static void
+create_when_known(struct state *state, const struct rl_status *status)
+{
+	for (size_t i = 0; i < status->member_count; i++) {
+		if (status->members[i].id == status->id)
+			create(state, !status->members[i].voter);
+	}
+}
+
+/* Follows the replicated log's membership: is this replica new in an old set?
+ */
+void
+state_claims_members(struct state *state)
+{
+	struct rl_status status;
+
+	if (state->claims != NULL)
+		return;
+	rl_status(state->rl, &status);
+	create_when_known(state, &status);
+	if (state->claims != NULL && state->set.epoch > 0)
+		cl_store_replicas(state->claims, &state->set);
+}
+
+/* Takes the set of replicas that the configuration names. */
+void
+state_claims_set(struct state *state, const struct cl_replicas *set)
+{
+	state->set = *set;
+	if (state->claims != NULL)
+		cl_store_replicas(state->claims, set);
+}
+
+/* Takes a claimant's or another replica's message. */
+void
+state_claims_message(
+    struct state *state, uint32_t from, const struct cl_msg *msg)
+{
+	if (state->claims != NULL)
+		cl_store_message(
+		    state->claims, loop_now_us(state->node->loop), from, msg);
+}
+
+/* Lets time pass. */
+void
+state_claims_tick(struct state *state)
+{
+	if (state->claims != NULL)
+		cl_store_tick(state->claims, loop_now_us(state->node->loop),
+		    clock_wall_us() / US_PER_S);
+}
--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -5,6 +5,7 @@
 #include <stdio.h>
 #include <string.h>
 
+#include "base/clock.h"
 #include "base/err.h"
 #include "base/log.h"
 #include "config/compile.h"
@@ -28,6 +29,7 @@
 	ENTRY_SERVERS_MAX = 256,
 	ENTRY_SESSIONS_MAX = 65536,
 	ENTRY_RETRY_MS = 1000,
+	US_PER_S = 1000000,
 	HTTP_OK = 200,
 	HTTP_NO_CONTENT = 204
 };
@@ -244,11 +246,12 @@
 	f->request = parse->out;
 	f->request.id = f->id;
 	f->request.forwarded = is_forwarded(entry, x, f);
-	if (f->request.once)
-		snprintf(f->key, sizeof(f->key), "%s",
-		    parse->key != NULL ? parse->key : f->name);
-	snprintf(f->bill_id, sizeof(f->bill_id), "%s",
-	    parse->key != NULL ? parse->key : f->name);
+	/* A key of our own says when it was born, so that it can expire. */
+	if (f->request.once && parse->key != NULL)
+		snprintf(f->key, sizeof(f->key), "%s", parse->key);
+	else if (f->request.once)
+		snprintf(f->key, sizeof(f->key), "%010" PRId64 "-%s",
+		    clock_wall_us() / US_PER_S, f->name);
 	f->routed = true;
 	entry->requests->value++;
 	event.u.request = f->request;
@@ -433,6 +436,7 @@
 		return;
 	}
 	entry_event(entry, &event);
+	entry->options.ports->rated(entry->options.ctx, &event.u.rating);
 	hs_answer(x, HTTP_NO_CONTENT, NULL, 0, "", 0);
 }
 
@@ -695,6 +699,38 @@
 	entry_event(entry, &event);
 }
 
+/* The attempt marker of a request is durable, or could not be made so. */
+void
+entry_marked(struct entry *entry, uint32_t request, int error)
+{
+	struct flight *f = flight_find(entry, request);
+
+	if (f != NULL)
+		flight_marked(f, error);
+}
+
+/*
+ * Adds up this instance's share of the spare slots of each version: servers
+ * report their load to every instance, so the share is what the report leaves
+ * less what this instance has sent.
+ */
+void
+entry_spare(struct entry *entry, uint16_t *spare, uint16_t count)
+{
+	for (uint16_t i = 0; i < servers_count(entry->servers); i++) {
+		const struct server *s = servers_at(entry->servers, i);
+		int left = s->last.slots - s->last.running - s->last.queued;
+
+		if (!s->present || s->last.leaving || left <= 0 ||
+		    s->last.warmth != CF_WARM)
+			continue;
+		for (uint16_t v = 0; v < count; v++) {
+			if (s->last.versions >> v & 1)
+				spare[v] = (uint16_t)(spare[v] + left);
+		}
+	}
+}
+
 /* A bill or an outcome of a request is durable. */
 void
 entry_settled(struct entry *entry, uint32_t request)
--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -28,11 +28,11 @@
 struct entry_bill {
 	uint32_t request; /* comes back in entry_settled() */
 	const char *workspace;
-	const char *id;
+	uint64_t sequence; /* request id, with the instance's owner number */
 	const char *version; /* of the answer; "" for a plain service */
 	uint32_t prompt_tokens;
 	uint32_t output_tokens;
-	uint64_t cost_micro; /* of every attempt that ran */
+	uint64_t cost_nano; /* of every attempt that ran */
 	uint8_t attempts;
 };
 
@@ -52,10 +52,17 @@
 	void (*claim)(void *ctx, const struct entry_claim *claim);
 	void (*outcome)(void *ctx, const struct entry_claim *claim,
 	    enum entry_outcome outcome);
-	void (*intend)(void *ctx, const struct entry_bill *bill);
+	/* Makes the attempt marker durable; entry_marked() follows. */
+	void (*mark)(void *ctx, uint32_t request);
+	/* Whether the marker still allows a dispatch now. */
+	bool (*may_dispatch)(void *ctx, uint32_t request);
+	/* False: no more bills can be kept. */
+	bool (*intend)(void *ctx, const struct entry_bill *bill);
 	void (*settle)(void *ctx, const struct entry_bill *bill);
 	/* CF_ACT_BIND, _CRASH_MARK, _CREDIT_ASK, _CREDIT_GIVE, _STOP_VERSION */
 	void (*spread)(void *ctx, const struct cf_action *action);
+	/* A rating that this instance was given. */
+	void (*rated)(void *ctx, const struct cf_rating *rating);
 	/* "IP:PORT" of an instance of a data centre, or NULL. */
 	const char *(*neighbour)(void *ctx, uint16_t data_centre);
 	/* Proof, for one request id, that an instance of ours forwards it. */
@@ -70,7 +77,7 @@
 	const char *host;
 	uint16_t port;
 	const char *instance;
-	uint64_t incarnation;
+	uint64_t owner; /* first part of request ids */
 	const char *data_centre;
 	uint32_t body_max_bytes;
 	uint64_t seed;
@@ -83,8 +90,10 @@
 int entry_configure(struct entry *entry, const struct cfg *cfg);
 void entry_event(struct entry *entry, const struct cf_event *event);
 void entry_claimed(struct entry *entry, uint32_t request, int error);
+void entry_marked(struct entry *entry, uint32_t request, int error);
 void entry_settled(struct entry *entry, uint32_t request);
 void entry_drain(struct entry *entry);
+void entry_spare(struct entry *entry, uint16_t *spare, uint16_t count);
 uint32_t entry_open_requests(const struct entry *entry);
 void entry_status(struct entry *entry, struct buf *out);
 bool entry_explain(struct entry *entry, const char *id, struct buf *out);
--- a/src/entry/flight.c
+++ b/src/entry/flight.c
@@ -13,8 +13,7 @@
 	SLOW_CALLER_BYTES = 64 * 1024, /* untaken: the server is held back */
 	HEADER_BYTES = 256,
 	HEADERS_MAX = 10,
-	US_PER_MS = 1000,
-	TOKENS_PER_PRICE = 1000
+	US_PER_MS = 1000
 };
 
 static void on_stream(
@@ -43,9 +42,9 @@
 	f->arrived_us = loop_now_us(entry->options.loop);
 	f->method = alloc_strdup(entry->options.alloc, hs_method(x));
 	f->target = alloc_strdup(entry->options.alloc, hs_target(x));
-	snprintf(f->name, sizeof(f->name), "%s-%" PRIx64 "-%" PRIu64,
-	    entry->options.instance, entry->options.incarnation,
-	    ++entry->sequence);
+	f->sequence = ++entry->sequence;
+	snprintf(f->name, sizeof(f->name), "%016" PRIx64 "-%" PRIu64,
+	    entry->options.owner, f->sequence);
 	entry->flights[f->id] = f;
 	return f;
 }
@@ -97,26 +96,39 @@
 	    f->winner >= 0 ? f->attempts[f->winner].version : CFG_NONE;
 	struct entry_bill bill = {.request = f->id,
 	    .workspace = entry->cfg->workspaces[f->request.workspace].name,
-	    .id = f->bill_id,
+	    .sequence = f->sequence,
 	    .version = entry_version_name(entry, version),
 	    .prompt_tokens = f->request.prompt_tokens,
 	    .output_tokens = f->output_tokens,
-	    .cost_micro = f->cost_micro,
+	    .cost_nano = f->cost_nano,
 	    .attempts = f->attempt_count};
 
 	return bill;
 }
 
-static void
+/* Notes the intent before the first dispatch; false if it can't be kept. */
+static bool
 intend_once(struct flight *f)
 {
 	struct entry_bill bill;
 
 	if (f->intended || f->request.forwarded)
-		return;
-	f->intended = true;
+		return true;
 	bill = bill_of(f);
-	f->entry->options.ports->intend(f->entry->options.ctx, &bill);
+	f->intended =
+	    f->entry->options.ports->intend(f->entry->options.ctx, &bill);
+	return f->intended;
+}
+
+/* An attempt that was not started, since something it needs is missing. */
+static void
+fail_unstarted(struct flight *f, uint8_t number, int error)
+{
+	struct cf_attempt failed = {.attempt = number,
+	    .error = error,
+	    .run_state = ERR_NOT_RUN};
+
+	report(f, CF_EV_FAILED, &failed);
 }
 
 /* The body with the chosen version's name in place of the caller's model. */
@@ -215,9 +227,8 @@
 	f->entry->dispatches->value++;
 }
 
-/* Starts an attempt on a backend server. */
-void
-flight_dispatch(struct flight *f, const struct cf_action *action)
+static void
+dispatch_now(struct flight *f, const struct cf_action *action)
 {
 	struct flight_attempt *slot = &f->attempts[action->attempt];
 	const struct server *server =
@@ -227,7 +238,6 @@
 
 	slot->version = action->version;
 	make_body(f, slot);
-	intend_once(f);
 	if (f->request.kind == CF_CHAT)
 		add_header(&headers, "Content-Type", "application/json");
 	else
@@ -241,6 +251,61 @@
 	start_attempt(f, action, server->address, &headers);
 }
 
+/*
+ * Starts an attempt on a backend server: at once, or for a call that must not
+ * be repeated once its attempt marker is durable.
+ */
+void
+flight_dispatch(struct flight *f, const struct cf_action *action)
+{
+	const struct entry_options *options = &f->entry->options;
+
+	if (!intend_once(f)) {
+		fail_unstarted(f, action->attempt, ERR_NO_CAPACITY);
+		return;
+	}
+	if (f->claimed && !options->ports->may_dispatch(options->ctx, f->id)) {
+		f->marking = true;
+		f->start = *action;
+		options->ports->mark(options->ctx, f->id);
+		return;
+	}
+	dispatch_now(f, action);
+}
+
+/* Whether what the router chose before the wait is still allowed. */
+static bool
+still_allowed(const struct flight *f)
+{
+	const struct entry *entry = f->entry;
+	uint16_t dc = entry->data_centre;
+
+	if (f->request.kind == CF_CHAT)
+		return cfg_version_allowed(entry->cfg, f->request.workspace,
+		    f->start.version, dc);
+	return cfg_service_allowed(entry->cfg, f->request.workspace,
+	    f->request.service, dc);
+}
+
+/* The attempt marker is durable, or could not be made so. */
+void
+flight_marked(struct flight *f, int error)
+{
+	const struct entry_options *options = &f->entry->options;
+
+	if (!f->marking)
+		return;
+	f->marking = false;
+	if (error == 0 && !options->ports->may_dispatch(options->ctx, f->id))
+		error = ERR_TIMEOUT;
+	if (error == 0 && !still_allowed(f))
+		error = ERR_FORBIDDEN;
+	if (error != 0)
+		fail_unstarted(f, f->start.attempt, error);
+	else
+		dispatch_now(f, &f->start);
+}
+
 /* Hands the request to an instance of another data centre. */
 void
 flight_forward(struct flight *f, const struct cf_action *action)
@@ -250,19 +315,15 @@
 	const char *address = entry->options.ports->neighbour(
 	    entry->options.ctx, action->data_centre);
 	struct header_list headers = {.items = {NULL}};
-	struct cf_attempt failed = {.attempt = action->attempt,
-	    .error = ERR_UPSTREAM,
-	    .run_state = ERR_NOT_RUN};
 	char tag[ENTRY_TAG_BYTES];
 	char id[FLIGHT_ID_BYTES + 16];
 
 	slot->forwarded = true;
 	slot->version = CFG_NONE;
-	intend_once(f);
 	entry_note(entry, f, action, "forward",
 	    entry->cfg->data_centres[action->data_centre].name);
-	if (address == NULL) {
-		report(f, CF_EV_FAILED, &failed);
+	if (address == NULL || !intend_once(f)) {
+		fail_unstarted(f, action->attempt, ERR_UPSTREAM);
 		return;
 	}
 	snprintf(id, sizeof(id), "%s/%u", f->name, action->attempt);
@@ -284,6 +345,8 @@
 {
 	attempt_free(f->attempts[attempt].attempt);
 	f->attempts[attempt].attempt = NULL;
+	if (f->marking && f->start.attempt == attempt)
+		f->marking = false;
 }
 
 static const char *
--- a/src/entry/flight.h
+++ b/src/entry/flight.h
@@ -39,7 +39,7 @@
 	struct hs_exchange *x; /* NULL once the caller has gone */
 	char name[FLIGHT_ID_BYTES]; /* request id, as callers see it */
 	char key[FLIGHT_ID_BYTES + 64]; /* claimed; "" if none */
-	char bill_id[FLIGHT_ID_BYTES + 64];
+	uint64_t sequence;
 	struct cf_request request;
 	json_t *json; /* chat: the body */
 	char *method;
@@ -47,7 +47,7 @@
 	struct flight_attempt attempts[CF_ATTEMPTS_MAX];
 	uint8_t attempt_count;
 	uint32_t output_tokens;
-	uint64_t cost_micro;
+	uint64_t cost_nano;
 	int64_t arrived_us;
 	int winner; /* attempt answered with, or -1 */
 	int streaming_from; /* attempt whose tokens pass on, or -1 */
@@ -55,6 +55,8 @@
 	bool routed; /* the router knows the request */
 	bool claimed;
 	bool intended;
+	bool marking; /* start is waiting for the attempt marker */
+	struct cf_action start;
 };
 
 struct entry {
@@ -96,6 +98,7 @@
 void flight_cancel(struct flight *flight, uint8_t attempt);
 void flight_answer(struct flight *flight, const struct cf_action *action);
 void flight_refuse(struct flight *flight, const struct cf_action *action);
+void flight_marked(struct flight *flight, int error);
 void flight_durable(struct flight *flight);
 
 const char *entry_version_name(const struct entry *entry, uint16_t version);
--- a/src/wire/peer.h
+++ b/src/wire/peer.h
@@ -29,8 +29,9 @@
 	PEER_MEMBER = 4, /* membership and what it spreads */
 	PEER_CONFIG = 5, /* configuration distribution */
 	PEER_CREDIT = 6, /* warm-up credits */
-	PEER_OPERATOR = 7, /* operators' changes, to the leader */
-	PEER_CHANNELS = 8
+	PEER_OPERATOR = 7, /* operators' requests, to a replica */
+	PEER_OPERATOR_REPLY = 8,
+	PEER_CHANNELS = 9
 };
 
 enum {
