--- a/src/daemon/book.c
+++ b/src/daemon/book.c
@@ -33,7 +33,12 @@
 
 static const uint64_t operator_op = (uint64_t)1 << 63;
 
-enum told_kind { TOLD_CLAIM, TOLD_MARK, TOLD_OUTCOME, TOLD_SETTLED };
+enum told_kind {
+	TOLD_CLAIM,
+	TOLD_MARK,
+	TOLD_OUTCOME,
+	TOLD_SETTLED
+};
 
 struct told {
 	enum told_kind kind;
@@ -99,15 +104,14 @@
 tell(struct book *book, enum told_kind kind, uint32_t request, int error)
 {
 	if (book->told_count == book->told_size) {
-		book->told_size = book->told_size > 0 ? book->told_size * 2
-						      : 64;
+		book->told_size =
+		    book->told_size > 0 ? book->told_size * 2 : 64;
 		book->told = alloc_resize(book->node->alloc, book->told,
 		    book->told_size * sizeof(*book->told));
 	}
 	book->told[book->told_count++] = (struct told){kind, request, error};
 	if (book->flush == NULL)
-		book->flush =
-		    loop_after(book->node->loop, 0, flush, book);
+		book->flush = loop_after(book->node->loop, 0, flush, book);
 }
 
 static void
@@ -121,10 +125,10 @@
 	buf_free(&bytes);
 }
 
-static void resolve_answered(struct book *book,
-    const struct cl_client_action *action);
-static void halts_arrived(struct book *book,
-    const struct cl_client_action *action);
+static void resolve_answered(
+    struct book *book, const struct cl_client_action *action);
+static void halts_arrived(
+    struct book *book, const struct cl_client_action *action);
 static void finish_halts(struct book *book, struct halt_ask *ask);
 
 static void
@@ -294,8 +298,8 @@
 	}
 	slot->op = (++book->generation << 32 | claim->request) & ~operator_op;
 	slot->open = true;
-	cl_client_claim(book->claims, now_us, slot->op, &key,
-	    now_us + CLAIM_TIMEOUT_US);
+	cl_client_claim(
+	    book->claims, now_us, slot->op, &key, now_us + CLAIM_TIMEOUT_US);
 }
 
 /* Makes the attempt marker durable before a dispatch; entry_marked() follows.
@@ -314,8 +318,8 @@
 book_may_dispatch(struct book *book, uint32_t request)
 {
 	return book->slots[request].open &&
-	       cl_client_may_dispatch(book->claims, clock_monotonic_us(),
-		   book->slots[request].op);
+	       cl_client_may_dispatch(
+		   book->claims, clock_monotonic_us(), book->slots[request].op);
 }
 
 /* Ends a claim; entry_settled() follows once that is durable. */
@@ -381,16 +385,16 @@
 void
 book_claim_message(struct book *book, uint32_t from, const struct cl_msg *msg)
 {
-	cl_client_message(book->claims, loop_now_us(book->node->loop), from,
-	    msg);
+	cl_client_message(
+	    book->claims, loop_now_us(book->node->loop), from, msg);
 }
 
 /* Takes a message about bills. */
 void
 book_bill_message(struct book *book, uint32_t from, const struct bl_msg *msg)
 {
-	bl_client_message(book->bills, loop_now_us(book->node->loop), from,
-	    msg);
+	bl_client_message(
+	    book->bills, loop_now_us(book->node->loop), from, msg);
 }
 
 /* Takes the set of state replicas that the configuration names. */
@@ -452,8 +456,8 @@
 static void
 finish_halts(struct book *book, struct halt_ask *ask)
 {
-	struct answer_error late = {.error = ERR_NO_QUORUM,
-	    .retry_after_ms = 1000};
+	struct answer_error late = {
+	    .error = ERR_NO_QUORUM, .retry_after_ms = 1000};
 	struct hs_exchange *x = ask->x;
 	char *text;
 
@@ -505,10 +509,10 @@
 			id) == 0)
 			return;
 	}
-	json_array_append_new(list,
-	    json_pack("{s:s,s:s,s:s}", "halt", id, "workspace",
-		node_name_of(book->node, entry->key.workspace), "phase",
-		cl_phase_name(entry->phase)));
+	json_array_append_new(
+	    list, json_pack("{s:s,s:s,s:s}", "halt", id, "workspace",
+		      node_name_of(book->node, entry->key.workspace), "phase",
+		      cl_phase_name(entry->phase)));
 }
 
 static void
@@ -538,8 +542,8 @@
 	char hash[2 * CL_KEY_BYTES + 1];
 
 	return sscanf(text,
-		   "%8" SCNx32 "-%" SCNu32 "-%32[0-9a-f]-%" SCNu64
-		   "-%" SCNu32 "-%" SCNu64,
+		   "%8" SCNx32 "-%" SCNu32 "-%32[0-9a-f]-%" SCNu64 "-%" SCNu32
+		   "-%" SCNu64,
 		   &key->workspace, &key->born, hash, &ballot->round,
 		   &ballot->instance, &ballot->incarnation) == 6 &&
 	       sodium_hex2bin(key->hash, CL_KEY_BYTES, hash, strlen(hash), NULL,
@@ -570,8 +574,8 @@
 		return;
 	}
 	order.change_id = XXH64(change, strlen(change), 0) | 1;
-	order.verdict = strcmp(verdict, "ran") == 0 ? CL_RESOLVED_RAN
-						    : CL_RESOLVED_NOT_RUN;
+	order.verdict =
+	    strcmp(verdict, "ran") == 0 ? CL_RESOLVED_RAN : CL_RESOLVED_NOT_RUN;
 	json_decref(root);
 	ask = new_ask(book, x);
 	ask->order = order;
@@ -582,8 +586,8 @@
 static void
 resolve_answered(struct book *book, const struct cl_client_action *action)
 {
-	struct answer_error refused = {.error = action->error,
-	    .retry_after_ms = 1000};
+	struct answer_error refused = {
+	    .error = action->error, .retry_after_ms = 1000};
 	struct halt_ask *ask = book->asks;
 	struct hs_exchange *x;
 
--- a/src/daemon/child_config.c
+++ b/src/daemon/child_config.c
@@ -57,9 +57,8 @@
 bool
 node_isolated(const struct node *node)
 {
-	return node->config == NULL ||
-	       cy_node_isolated(node->config->node_side,
-		   loop_now_us(node->loop));
+	return node->config == NULL || cy_node_isolated(node->config->node_side,
+					   loop_now_us(node->loop));
 }
 
 /* Returns the revision in force. */
@@ -96,8 +95,8 @@
 	if (config->name_count == NAMES_MAX)
 		return;
 	config->names[config->name_count].hash = hash;
-	snprintf(config->names[config->name_count++].text, CFG_NAME_BYTES,
-	    "%s", text);
+	snprintf(config->names[config->name_count++].text, CFG_NAME_BYTES, "%s",
+	    text);
 }
 
 static void
@@ -137,8 +136,8 @@
 }
 
 static void
-put_in_force(struct config *config, uint64_t revision,
-    const struct buf *document)
+put_in_force(
+    struct config *config, uint64_t revision, const struct buf *document)
 {
 	const struct alloc *alloc = config->node->alloc;
 	struct section_problems problems = {0};
@@ -147,8 +146,8 @@
 
 	section_list_init(&sections, alloc);
 	if (delta_read(document->data, document->len, &sections) == 0)
-		cfg = compile_sections(alloc, &sections, revision, config->cfg,
-		    &problems);
+		cfg = compile_sections(
+		    alloc, &sections, revision, config->cfg, &problems);
 	if (cfg == NULL) {
 		log_event(LOG_LEVEL_ERROR, "config_refused",
 		    "revision=%" PRIu64 " problem=\"%s\"", revision,
@@ -163,8 +162,8 @@
 	config->cfg = cfg;
 	learn_names(config);
 	node_in_force(config->node);
-	log_event(LOG_LEVEL_INFO, "config_in_force", "revision=%" PRIu64,
-	    revision);
+	log_event(
+	    LOG_LEVEL_INFO, "config_in_force", "revision=%" PRIu64, revision);
 }
 
 static void
@@ -261,8 +260,8 @@
 
 	cy_node_tick(config->node_side, loop_now_us(config->node->loop));
 	confirm(config);
-	config->tick = loop_after(config->node->loop, CONFIG_TICK_US, on_tick,
-	    config);
+	config->tick =
+	    loop_after(config->node->loop, CONFIG_TICK_US, on_tick, config);
 }
 
 static bool
@@ -284,8 +283,8 @@
 
 /* Takes a message of configuration distribution. */
 void
-node_config_message(struct node *node, uint32_t from, const uint8_t *data,
-    uint32_t len)
+node_config_message(
+    struct node *node, uint32_t from, const uint8_t *data, uint32_t len)
 {
 	int64_t now_us = loop_now_us(node->loop);
 	struct buf scratch;
@@ -295,11 +294,11 @@
 	if (cy_msg_decode(&msg, data, len, &scratch) == 0) {
 		if (is_for_source(&msg) && node->state != NULL &&
 		    !is_for_relay(node, from))
-			cy_source_message(node->state->source, now_us, from,
-			    &msg);
+			cy_source_message(
+			    node->state->source, now_us, from, &msg);
 		else if (node->config != NULL)
-			cy_node_message(node->config->node_side, now_us, from,
-			    &msg);
+			cy_node_message(
+			    node->config->node_side, now_us, from, &msg);
 		if (node->config != NULL)
 			confirm(node->config);
 	}
@@ -311,8 +310,8 @@
 node_config_persisted(struct node *node, uint64_t revision)
 {
 	if (node->config != NULL)
-		cy_node_persisted(node->config->node_side,
-		    loop_now_us(node->loop), revision);
+		cy_node_persisted(
+		    node->config->node_side, loop_now_us(node->loop), revision);
 }
 
 /* Appends the durable copy for a journal snapshot; nothing if there is none. */
--- a/src/daemon/child_member.c
+++ b/src/daemon/child_member.c
@@ -165,14 +165,14 @@
 
 /* A data centre's spare slots, or that nothing is heard of it. */
 static void
-tell_neighbour(struct member *member, uint16_t rank,
-    const struct mb_summary *summary)
+tell_neighbour(
+    struct member *member, uint16_t rank, const struct mb_summary *summary)
 {
 	const struct cfg *cfg = node_cfg(member->node);
 	const char *name = directory_data_centre(member->node->directory, rank);
 	struct cf_event event = {.kind = CF_EV_NEIGHBOUR};
-	int dc = cfg != NULL && name != NULL ? cfg_find_data_centre(cfg, name)
-					     : -1;
+	int dc =
+	    cfg != NULL && name != NULL ? cfg_find_data_centre(cfg, name) : -1;
 
 	if (dc < 0 || member->node->entry == NULL)
 		return;
@@ -299,14 +299,13 @@
 		uint16_t spare[MB_VERSIONS_MAX] = {0};
 
 		tell_instances(member);
-		if (member->node->entry != NULL &&
-		    !member->node->draining)
-			entry_spare(member->node->entry, spare,
-			    MB_VERSIONS_MAX);
+		if (member->node->entry != NULL && !member->node->draining)
+			entry_spare(
+			    member->node->entry, spare, MB_VERSIONS_MAX);
 		mb_spare(member->mb, spare);
 	}
-	member->tick = loop_after(member->node->loop, MEMBER_TICK_US, on_tick,
-	    member);
+	member->tick =
+	    loop_after(member->node->loop, MEMBER_TICK_US, on_tick, member);
 }
 
 /*
@@ -348,8 +347,8 @@
 		if (e->data_centre_rank == own)
 			mb_seed_member(member->mb, e->number);
 		else
-			mb_seed_data_centre(member->mb, e->data_centre_rank,
-			    e->number);
+			mb_seed_data_centre(
+			    member->mb, e->data_centre_rank, e->number);
 	}
 }
 
@@ -362,14 +361,14 @@
 
 /* Takes a message of membership. */
 void
-node_member_message(struct node *node, uint32_t from, const uint8_t *data,
-    uint32_t len)
+node_member_message(
+    struct node *node, uint32_t from, const uint8_t *data, uint32_t len)
 {
 	static struct mb_msg msg;
 
 	if (node->member != NULL && mb_msg_decode(&msg, data, len) == 0)
-		mb_message(node->member->mb, loop_now_us(node->loop), from,
-		    &msg);
+		mb_message(
+		    node->member->mb, loop_now_us(node->loop), from, &msg);
 }
 
 static void
@@ -394,8 +393,8 @@
 
 	switch (action->kind) {
 	case CF_ACT_CRASH_MARK:
-		publish(node, MB_ITEM_CRASH_MARK, action->key, &crashes, 1,
-		    true);
+		publish(
+		    node, MB_ITEM_CRASH_MARK, action->key, &crashes, 1, true);
 		break;
 	case CF_ACT_BIND:
 		bind.workspace =
@@ -457,8 +456,8 @@
 void
 node_member_status(const struct node *node, struct buf *out)
 {
-	static const char *const states[] = {"?", "alive", "suspect", "left",
-	    "gone"};
+	static const char *const states[] = {
+	    "?", "alive", "suspect", "left", "gone"};
 	struct mb_record records[MB_MEMBERS_MAX];
 	size_t n = node->member != NULL
 		       ? mb_members(node->member->mb, records, MB_MEMBERS_MAX)
@@ -469,7 +468,8 @@
 		buf_addf(out,
 		    "%s{\"instance\":\"%s\",\"state\":\"%s\",\"relay\":%s,"
 		    "\"granter\":%s}",
-		    i > 0 ? "," : "", name_of_instance(node, records[i].instance),
+		    i > 0 ? "," : "",
+		    name_of_instance(node, records[i].instance),
 		    states[records[i].state],
 		    records[i].roles >> MB_RELAY & 1 ? "true" : "false",
 		    records[i].roles >> MB_GRANTER & 1 ? "true" : "false");
--- a/src/daemon/child_ops.c
+++ b/src/daemon/child_ops.c
@@ -12,7 +12,10 @@
 
 /* The ops child: metrics, health and operators' requests. */
 
-enum { HTTP_OK = 200, BODY_BYTES = 128 };
+enum {
+	HTTP_OK = 200,
+	BODY_BYTES = 128
+};
 
 static const char bearer[] = "Bearer ";
 
@@ -29,8 +32,8 @@
 }
 
 static void
-set_metric(struct node *node, enum metrics_kind kind, const char *name,
-    uint64_t value)
+set_metric(
+    struct node *node, enum metrics_kind kind, const char *name, uint64_t value)
 {
 	metrics_get(node->metrics, kind, name, "")->value = value;
 }
@@ -49,23 +52,23 @@
 	    stats->sent_frames);
 	set_metric(node, METRICS_COUNTER,
 	    "celeryford_peer_dropped_frames_total", stats->dropped_frames);
-	set_metric(node, METRICS_COUNTER,
-	    "celeryford_peer_refused_links_total", stats->refused_links);
+	set_metric(node, METRICS_COUNTER, "celeryford_peer_refused_links_total",
+	    stats->refused_links);
 	set_metric(node, METRICS_GAUGE, "celeryford_open_requests",
 	    entry_open_requests(node->entry));
 	set_metric(node, METRICS_GAUGE, "celeryford_open_bills",
 	    book_open(node->book));
 	set_metric(node, METRICS_GAUGE, "celeryford_config_revision",
 	    node_revision(node));
-	set_metric(node, METRICS_GAUGE, "celeryford_isolated",
-	    node_isolated(node));
+	set_metric(
+	    node, METRICS_GAUGE, "celeryford_isolated", node_isolated(node));
 }
 
 static void
 answer_explain(struct node *node, struct hs_exchange *x)
 {
-	struct answer_error missing = {.error = ERR_NOT_FOUND,
-	    .param = "request"};
+	struct answer_error missing = {
+	    .error = ERR_NOT_FOUND, .param = "request"};
 	const char *id = hs_query(x, "request");
 	struct buf text;
 
@@ -85,7 +88,8 @@
 		const struct cfg_data_centre *dc = &cfg->data_centres[i];
 
 		if (dc->present)
-			buf_addf(out, "%s{\"data_centre\":\"%s\",\"state\":\"%s\"}",
+			buf_addf(out,
+			    "%s{\"data_centre\":\"%s\",\"state\":\"%s\"}",
 			    out->data[out->len - 1] == '[' ? "" : ",", dc->name,
 			    dc->out ? "out" : "in");
 	}
@@ -105,8 +109,8 @@
 	    "\"open_bills\":%u,\"data_centres\":",
 	    s->instance, s->data_centre, node_revision(node),
 	    node_isolated(node) ? "true" : "false",
-	    node->draining ? "true" : "false",
-	    entry_open_requests(node->entry), book_open(node->book));
+	    node->draining ? "true" : "false", entry_open_requests(node->entry),
+	    book_open(node->book));
 	add_data_centres(node_cfg(node), &text);
 	buf_adds(&text, ",\"instances\":");
 	node_member_status(node, &text);
@@ -157,8 +161,8 @@
 	else if (strcmp(what, "unsettled") == 0)
 		operators_ask(operators, x, OPERATOR_UNSETTLED, team, "", 0);
 	else if (strcmp(what, "unconfirmed") == 0)
-		ask_with_number(node, x, OPERATOR_UNCONFIRMED, team,
-		    "revision");
+		ask_with_number(
+		    node, x, OPERATOR_UNCONFIRMED, team, "revision");
 	else if (strcmp(what, "bills") == 0)
 		ask_with_number(node, x, OPERATOR_BILLS, team, "after");
 	else
@@ -213,8 +217,8 @@
 operate(void *ctx, struct hs_exchange *x)
 {
 	static const char prefix[] = "/ops/";
-	struct answer_error refused = {.error = ERR_NO_KEY,
-	    .param = "Authorization"};
+	struct answer_error refused = {
+	    .error = ERR_NO_KEY, .param = "Authorization"};
 	struct node *node = ctx;
 	char team[CFG_NAME_BYTES];
 
--- a/src/daemon/directory.h
+++ b/src/daemon/directory.h
@@ -46,8 +46,8 @@
     const struct directory *directory, const char *name);
 const struct directory_entry *directory_find_rank(
     const struct directory *directory, uint16_t rank);
-const char *directory_data_centre(const struct directory *directory,
-    uint16_t rank);
+const char *directory_data_centre(
+    const struct directory *directory, uint16_t rank);
 uint64_t directory_ranks(const struct directory *directory);
 uint32_t directory_number_of(const char *name);
 
--- a/src/daemon/main.c
+++ b/src/daemon/main.c
@@ -85,11 +85,11 @@
 	if (error != 0)
 		section_problem(&problems, 0, path, "can't be read");
 	else
-		error = section_split(buf_text(&text), text.len, &node->first,
-		    &problems);
+		error = section_split(
+		    buf_text(&text), text.len, &node->first, &problems);
 	if (error == 0)
-		cfg = compile_sections(node->alloc, &node->first, 1, NULL,
-		    &problems);
+		cfg = compile_sections(
+		    node->alloc, &node->first, 1, NULL, &problems);
 	if (cfg == NULL) {
 		section_problems_print(&problems, &report);
 		fprintf(stderr, "celeryfordd: --config: %s", buf_text(&report));
@@ -107,8 +107,8 @@
 	struct node *node = ctx;
 	int64_t now_us = loop_now_us(node->loop);
 
-	bool quiet = entry_open_requests(node->entry) == 0 &&
-		     book_open(node->book) == 0;
+	bool quiet =
+	    entry_open_requests(node->entry) == 0 && book_open(node->book) == 0;
 
 	if (quiet && !node->leaving) {
 		node->leaving = true;
--- a/src/daemon/node.h
+++ b/src/daemon/node.h
@@ -83,8 +83,8 @@
 const char *node_name_of(const struct node *node, uint32_t hash);
 bool node_isolated(const struct node *node);
 uint64_t node_revision(const struct node *node);
-void node_config_message(struct node *node, uint32_t from, const uint8_t *data,
-    uint32_t len);
+void node_config_message(
+    struct node *node, uint32_t from, const uint8_t *data, uint32_t len);
 void node_config_emit_source(void *ctx, const struct cy_action *action);
 void node_config_persisted(struct node *node, uint64_t revision);
 void node_config_copy(const struct node *node, struct buf *out);
@@ -93,8 +93,8 @@
 void node_in_force(struct node *node);
 
 /* child_member.c: who is alive, and what is spread among them. */
-void node_member_message(struct node *node, uint32_t from, const uint8_t *data,
-    uint32_t len);
+void node_member_message(
+    struct node *node, uint32_t from, const uint8_t *data, uint32_t len);
 void node_spread(struct node *node, const struct cf_action *action);
 void node_spread_rating(struct node *node, const struct cf_rating *rating);
 bool node_is_relay(const struct node *node);
@@ -108,14 +108,14 @@
 void book_claim(struct book *book, const struct entry_claim *claim);
 void book_mark(struct book *book, uint32_t request);
 bool book_may_dispatch(struct book *book, uint32_t request);
-void book_outcome(struct book *book, uint32_t request,
-    enum entry_outcome outcome);
+void book_outcome(
+    struct book *book, uint32_t request, enum entry_outcome outcome);
 bool book_intend(struct book *book, const struct entry_bill *bill);
 void book_settle(struct book *book, const struct entry_bill *bill);
-void book_claim_message(struct book *book, uint32_t from,
-    const struct cl_msg *msg);
-void book_bill_message(struct book *book, uint32_t from,
-    const struct bl_msg *msg);
+void book_claim_message(
+    struct book *book, uint32_t from, const struct cl_msg *msg);
+void book_bill_message(
+    struct book *book, uint32_t from, const struct bl_msg *msg);
 void book_replicas(struct book *book, const struct cl_replicas *set);
 void book_peers(struct book *book, const uint32_t *instances, uint32_t count);
 void book_ended(struct book *book, uint32_t instance, uint64_t incarnation);
--- a/src/entry/flight.c
+++ b/src/entry/flight.c
@@ -124,9 +124,8 @@
 static void
 fail_unstarted(struct flight *f, uint8_t number, int error)
 {
-	struct cf_attempt failed = {.attempt = number,
-	    .error = error,
-	    .run_state = ERR_NOT_RUN};
+	struct cf_attempt failed = {
+	    .attempt = number, .error = error, .run_state = ERR_NOT_RUN};
 
 	report(f, CF_EV_FAILED, &failed);
 }
@@ -281,10 +280,10 @@
 	uint16_t dc = entry->data_centre;
 
 	if (f->request.kind == CF_CHAT)
-		return cfg_version_allowed(entry->cfg, f->request.workspace,
-		    f->start.version, dc);
-	return cfg_service_allowed(entry->cfg, f->request.workspace,
-	    f->request.service, dc);
+		return cfg_version_allowed(
+		    entry->cfg, f->request.workspace, f->start.version, dc);
+	return cfg_service_allowed(
+	    entry->cfg, f->request.workspace, f->request.service, dc);
 }
 
 /* The attempt marker is durable, or could not be made so. */
