--- a/src/state/journal.h
+++ b/src/state/journal.h
@@ -60,7 +60,6 @@
 	int (*close)(struct jn_files *files, int fd);
 	ssize_t (*pwrite)(struct jn_files *files, int fd, const void *data,
 	    size_t len, off_t offset);
-	int (*truncate)(struct jn_files *files, int fd, off_t size);
 	int (*fsync)(struct jn_files *files, int fd);
 	int (*rename)(struct jn_files *files, const char *from, const char *to);
 	int (*unlink)(struct jn_files *files, const char *path);
@@ -107,6 +106,7 @@
 	uint64_t snapshot_seq;
 	uint64_t snapshot_bytes;
 	uint64_t segment_bytes; /* written since the snapshot */
+	bool snapshot_queued;
 	int error; /* 0, or ERR_DISK for good */
 };
 
--- /dev/null
+++ b/src/state/rlog.c
@@ -0,0 +1,537 @@
+#include "state/rlog.h"
+
+#include <string.h>
+
+#include "state/rlog_i.h"
+
+enum {
+	HEARTBEAT_US = 250000,
+	ELECTION_MIN_US = 900000,
+	ELECTION_MAX_US = 1400000,
+	LEASE_US = 750000,
+	JUMP_US = 400000,
+	WINDOW_BYTES = 256 * 1024,
+	CHUNK_BYTES = 64 * 1024,
+	COMPACT_BYTES = 1024 * 1024
+};
+
+static void
+fill_defaults(struct rl_options *options)
+{
+	if (options->heartbeat_us == 0)
+		options->heartbeat_us = HEARTBEAT_US;
+	if (options->election_min_us == 0)
+		options->election_min_us = ELECTION_MIN_US;
+	if (options->election_max_us == 0)
+		options->election_max_us = ELECTION_MAX_US;
+	if (options->lease_us == 0)
+		options->lease_us = LEASE_US;
+	if (options->jump_us == 0)
+		options->jump_us = JUMP_US;
+	if (options->window_bytes == 0)
+		options->window_bytes = WINDOW_BYTES;
+	if (options->chunk_bytes == 0)
+		options->chunk_bytes = CHUNK_BYTES;
+	if (options->compact_bytes == 0)
+		options->compact_bytes = COMPACT_BYTES;
+}
+
+/* Makes a replica of an empty folder; rl_replay() fills in what it holds. */
+struct rl *
+rl_new(const struct rl_options *options)
+{
+	const struct alloc *alloc =
+	    options->alloc != NULL ? options->alloc : alloc_default();
+	struct rl *rl = alloc_zero(alloc, 1, sizeof(*rl));
+
+	rl->options = *options;
+	rl->alloc = alloc;
+	fill_defaults(&rl->options);
+	rng_init(&rl->rng, options->seed);
+	rl->leader_instance = RL_NO_INSTANCE;
+	buf_init(&rl->snapshot.data, alloc);
+	buf_init(&rl->incoming, alloc);
+	return rl;
+}
+
+/*
+ * Ends the replay.  All that was replayed is durable.  Before its restart the
+ * replica may have promised a leader not to vote for others; it keeps that
+ * promise without remembering it.
+ */
+void
+rl_start(struct rl *rl, int64_t now_us)
+{
+	rl->now_us = now_us;
+	rl->last_step_us = now_us;
+	if (rl->commit > rl_last_index(rl))
+		rl->commit = rl_last_index(rl);
+	rl->durable = rl_last_index(rl);
+	rl->commit_durable = rl->commit;
+	rl->commit_pending = rl->commit;
+	if (!rl->options.unsafe_skip_vote_wait)
+		rl->promise_us = now_us + rl->options.election_min_us;
+	rl_config_refresh(rl);
+	rl_rest_election(rl);
+}
+
+static void
+free_garbage(struct rl *rl)
+{
+	size_t i;
+
+	for (i = 0; i < rl->garbage_count; i++)
+		alloc_free(rl->alloc, rl->garbage[i]);
+	rl->garbage_count = 0;
+}
+
+/* Releases a replica. */
+void
+rl_free(struct rl *rl)
+{
+	size_t i;
+
+	free_garbage(rl);
+	for (i = 0; i < rl->slot_count; i++)
+		alloc_free(rl->alloc, rl->slots[i].data);
+	alloc_free(rl->alloc, rl->slots);
+	alloc_free(rl->alloc, rl->reads);
+	alloc_free(rl->alloc, (void *)rl->garbage);
+	buf_free(&rl->snapshot.data);
+	buf_free(&rl->incoming);
+	alloc_free(rl->alloc, rl);
+}
+
+/* Releases the memory of a list of actions. */
+void
+rl_actions_free(struct rl *rl, struct rl_actions *actions)
+{
+	alloc_free(rl->alloc, actions->items);
+	memset(actions, 0, sizeof(*actions));
+}
+
+/* Adds an action to the step's list. */
+struct rl_action *
+rl_emit(struct rl *rl, enum rl_action_kind kind)
+{
+	struct rl_actions *out = rl->out;
+	struct rl_action *action;
+
+	if (out->count == out->size) {
+		out->size = out->size > 0 ? out->size * 2 : 32;
+		out->items = alloc_resize(
+		    rl->alloc, out->items, out->size * sizeof(*out->items));
+	}
+	action = &out->items[out->count++];
+	memset(action, 0, sizeof(*action));
+	action->kind = kind;
+	return action;
+}
+
+/* Frees a block at the next step: actions of this one may point into it. */
+void
+rl_discard(struct rl *rl, void *block)
+{
+	if (block == NULL)
+		return;
+	if (rl->garbage_count == rl->garbage_size) {
+		rl->garbage_size =
+		    rl->garbage_size > 0 ? rl->garbage_size * 2 : 64;
+		rl->garbage = alloc_resize(rl->alloc, (void *)rl->garbage,
+		    rl->garbage_size * sizeof(*rl->garbage));
+	}
+	rl->garbage[rl->garbage_count++] = block;
+}
+
+/* Returns a message from this replica in its current term. */
+struct rl_msg
+rl_msg_to(const struct rl *rl, enum rl_msg_kind kind, uint64_t to_id)
+{
+	struct rl_msg msg;
+
+	memset(&msg, 0, sizeof(msg));
+	msg.kind = kind;
+	msg.from_id = rl->id;
+	msg.to_id = to_id;
+	msg.from_instance = rl->options.instance;
+	msg.term = rl->term;
+	return msg;
+}
+
+/* Sends a message now. */
+void
+rl_send(struct rl *rl, uint16_t instance, const struct rl_msg *msg)
+{
+	struct rl_action *action = rl_emit(rl, RL_ACT_SEND);
+
+	action->u.send.instance = instance;
+	action->u.send.message = *msg;
+}
+
+/*
+ * Sends a message once a journal record is durable.  When too many wait, the
+ * oldest is dropped, as a link might.
+ */
+void
+rl_send_after(
+    struct rl *rl, uint64_t number, uint16_t instance, const struct rl_msg *msg)
+{
+	struct rl_held *held;
+
+	if (number <= rl->persisted) {
+		rl_send(rl, instance, msg);
+		return;
+	}
+	if (rl->held_count == RL_HELD_MAX) {
+		rl->held_count--;
+		memmove(rl->held, rl->held + 1,
+		    rl->held_count * sizeof(rl->held[0]));
+	}
+	held = &rl->held[rl->held_count++];
+	held->number = number;
+	held->instance = instance;
+	held->message = *msg;
+}
+
+static void
+release_held(struct rl *rl)
+{
+	size_t kept = 0, i;
+
+	for (i = 0; i < rl->held_count; i++) {
+		struct rl_held *held = &rl->held[i];
+
+		if (held->number > rl->persisted)
+			rl->held[kept++] = *held;
+		else if (held->message.term >= rl->term)
+			rl_send(rl, held->instance, &held->message);
+	}
+	rl->held_count = kept;
+}
+
+/* Tells a caller that what it asked for is not done here. */
+void
+rl_refuse(struct rl *rl, uint64_t token, int error)
+{
+	struct rl_action *action = rl_emit(rl, RL_ACT_REFUSE);
+
+	action->u.refuse.token = token;
+	action->u.refuse.error = error;
+	action->u.refuse.leader = rl_leader(rl);
+}
+
+/* Moves the durable index to what the journal has reported. */
+void
+rl_advance_durable(struct rl *rl)
+{
+	if (rl->persisted < rl->snapshot_number)
+		return;
+	if (rl->durable < rl->base_index)
+		rl->durable = rl->base_index;
+	while (rl->durable < rl_last_index(rl) &&
+	       rl_slot_at(rl, rl->durable + 1)->number <= rl->persisted)
+		rl->durable++;
+}
+
+static void
+on_persisted(struct rl *rl, uint64_t number)
+{
+	uint64_t durable = rl->durable;
+	bool could = rl->persisted >= rl->vote_number;
+
+	if (number <= rl->persisted || number > rl->number)
+		return;
+	rl->persisted = number;
+	rl_advance_durable(rl);
+	if (rl->commit_number != 0 && number >= rl->commit_number) {
+		rl->commit_number = 0;
+		rl->commit_durable = rl->commit_pending;
+	}
+	release_held(rl);
+	rl_count_votes(rl);
+	if (rl->durable > durable ||
+	    (!could && rl->persisted >= rl->vote_number))
+		rl_reply_durable(rl);
+}
+
+static void
+on_message(struct rl *rl, const struct rl_msg *msg)
+{
+	if (msg->from_id == rl->id || (msg->to_id != 0 && msg->to_id != rl->id))
+		return;
+	switch (msg->kind) {
+	case RL_MSG_HELLO:
+		rl_on_hello(rl, msg);
+		break;
+	case RL_MSG_PREVOTE:
+		rl_on_prevote(rl, msg);
+		break;
+	case RL_MSG_PREVOTE_REPLY:
+		rl_on_prevote_reply(rl, msg);
+		break;
+	case RL_MSG_VOTE:
+		rl_on_vote(rl, msg);
+		break;
+	case RL_MSG_VOTE_REPLY:
+		rl_on_vote_reply(rl, msg);
+		break;
+	case RL_MSG_APPEND:
+		rl_on_append(rl, msg);
+		break;
+	case RL_MSG_APPEND_REPLY:
+		rl_on_append_reply(rl, msg);
+		break;
+	case RL_MSG_SNAPSHOT:
+		rl_on_snapshot(rl, msg);
+		break;
+	case RL_MSG_SNAPSHOT_REPLY:
+		rl_on_snapshot_reply(rl, msg);
+		break;
+	case RL_MSG_TIMEOUT_NOW:
+		rl_on_timeout_now(rl, msg);
+		break;
+	}
+}
+
+static void
+on_handover(struct rl *rl)
+{
+	rl->leaving = true;
+	if (rl->role == RL_LEADER && rl->handover_until_us == 0)
+		rl->handover_until_us =
+		    rl->now_us + rl->options.election_max_us;
+}
+
+static void
+on_disk_lost(struct rl *rl)
+{
+	if (rl->dead)
+		return;
+	rl_become_follower(rl, rl->term, 0, 0);
+	rl->held_count = 0;
+	rl->dead = true;
+}
+
+static void
+dispatch(struct rl *rl, const struct rl_event *event)
+{
+	switch (event->kind) {
+	case RL_EV_TICK:
+		break;
+	case RL_EV_MESSAGE:
+		on_message(rl, event->u.message);
+		break;
+	case RL_EV_PROPOSE:
+		rl_on_propose(rl, event->u.propose.token, event->u.propose.data,
+		    event->u.propose.len);
+		break;
+	case RL_EV_READ:
+		rl_on_read(rl, event->u.read.token);
+		break;
+	case RL_EV_PERSISTED:
+		on_persisted(rl, event->u.persisted.number);
+		break;
+	case RL_EV_SNAPSHOT_TAKEN:
+		rl_on_snapshot_taken(rl, event->u.snapshot.index,
+		    event->u.snapshot.data, event->u.snapshot.len);
+		break;
+	case RL_EV_REMOVE:
+		rl_on_remove(
+		    rl, event->u.remove.instance, event->u.remove.token);
+		break;
+	case RL_EV_HANDOVER:
+		on_handover(rl);
+		break;
+	case RL_EV_DISK_LOST:
+		on_disk_lost(rl);
+		break;
+	}
+}
+
+/* A replica without a disk promises and answers nothing any more. */
+static void
+refuse_dead(struct rl *rl, const struct rl_event *event)
+{
+	if (event->kind == RL_EV_PROPOSE)
+		rl_refuse(rl, event->u.propose.token, ERR_DISK);
+	else if (event->kind == RL_EV_READ)
+		rl_refuse(rl, event->u.read.token, ERR_DISK);
+	else if (event->kind == RL_EV_REMOVE)
+		rl_refuse(rl, event->u.remove.token, ERR_DISK);
+}
+
+/*
+ * After a gap between two steps the process may have been frozen: what it
+ * believes of leases and of silence is out of date until others confirm it.
+ */
+static void
+check_jump(struct rl *rl)
+{
+	bool jumped = rl->now_us - rl->last_step_us > rl->options.jump_us;
+
+	rl->last_step_us = rl->now_us;
+	if (!jumped || rl->options.unsafe_skip_jump_check)
+		return;
+	rl->lease_until_us = 0;
+	if (rl->role == RL_LEADER) {
+		rl->min_round = rl->round + 1;
+		rl->quorum_us = rl->now_us;
+		rl->heartbeat_us = rl->now_us;
+	} else {
+		rl_rest_election(rl);
+	}
+}
+
+static void
+start_first(struct rl *rl)
+{
+	rl->started = true;
+	if (rl->id == 0) {
+		rl->id = rl->options.fresh_id;
+		rl_persist_identity(rl);
+	}
+	rl_config_refresh(rl);
+}
+
+static void
+tell_leader(struct rl *rl)
+{
+	struct rl_action *action;
+
+	if (rl->told_term == rl->term && rl->told_leader == rl->leader_id &&
+	    rl->told_role == rl->role)
+		return;
+	rl->told_term = rl->term;
+	rl->told_leader = rl->leader_id;
+	rl->told_role = rl->role;
+	action = rl_emit(rl, RL_ACT_LEADER);
+	action->u.leader.term = rl->term;
+	action->u.leader.instance = rl_leader(rl);
+	action->u.leader.is_self = rl->role == RL_LEADER;
+}
+
+/* What follows from any event, in the order that needs no second pass. */
+static void
+settle(struct rl *rl)
+{
+	rl_elect_tick(rl);
+	rl_lead_tick(rl);
+	rl_advance_durable(rl);
+	rl_advance_commit(rl);
+	rl_renew_lease(rl);
+	rl_member_tick(rl);
+	rl_hello_tick(rl);
+	rl_handover(rl);
+	rl_replicate(rl);
+	rl_apply(rl);
+	if (rl->role == RL_LEADER)
+		rl_grant_reads(rl);
+	rl_ask_snapshot(rl);
+	tell_leader(rl);
+}
+
+/*
+ * Takes one event at a time that never goes backwards and lists what to do.
+ * The list is emptied first; it and all it points to are valid until the next
+ * step.
+ */
+void
+rl_step(struct rl *rl, int64_t now_us, const struct rl_event *event,
+    struct rl_actions *actions)
+{
+	free_garbage(rl);
+	actions->count = 0;
+	rl->out = actions;
+	if (now_us > rl->now_us)
+		rl->now_us = now_us;
+	if (rl->dead) {
+		refuse_dead(rl, event);
+		return;
+	}
+	if (!rl->started)
+		start_first(rl);
+	check_jump(rl);
+	dispatch(rl, event);
+	if (!rl->dead)
+		settle(rl);
+	else
+		tell_leader(rl);
+}
+
+/* Tells whether this replica leads; its lease may be over all the same. */
+bool
+rl_is_leader(const struct rl *rl)
+{
+	return rl->role == RL_LEADER;
+}
+
+/* Returns the current term: the fencing number of orders. */
+uint64_t
+rl_term(const struct rl *rl)
+{
+	return rl->term;
+}
+
+/* Returns the instance of the known leader, or RL_NO_INSTANCE. */
+uint16_t
+rl_leader(const struct rl *rl)
+{
+	return rl->leader_instance;
+}
+
+/* Returns until when no other replica can lead; 0 if that is not known. */
+int64_t
+rl_lease_until_us(const struct rl *rl)
+{
+	return rl->role == RL_LEADER && rl->commit >= rl->term_start
+		   ? rl->lease_until_us
+		   : 0;
+}
+
+/* Returns when the next RL_EV_TICK is due; gaps stay well under jump_us. */
+int64_t
+rl_wake_us(const struct rl *rl)
+{
+	int64_t due = rl->now_us + rl->options.jump_us / 2;
+	int64_t next =
+	    rl->role == RL_LEADER ? rl->heartbeat_us : rl->election_us;
+
+	return next < due ? next : due;
+}
+
+/* Returns the identity of this replica. */
+uint64_t
+rl_id(const struct rl *rl)
+{
+	return rl->id;
+}
+
+/* Returns the index up to which a restart without peers would apply again. */
+uint64_t
+rl_durable_commit(const struct rl *rl)
+{
+	return rl->commit_durable < rl->durable ? rl->commit_durable
+						: rl->durable;
+}
+
+/* Copies what status pages show. */
+void
+rl_status(const struct rl *rl, struct rl_status *status)
+{
+	memset(status, 0, sizeof(*status));
+	status->role = rl->role;
+	status->id = rl->id;
+	status->term = rl->term;
+	status->first_index = rl->base_index + 1;
+	status->last_index = rl_last_index(rl);
+	status->last_term = rl_last_term(rl);
+	status->durable_index = rl->durable;
+	status->commit = rl->commit;
+	status->applied = rl->applied;
+	status->snapshot_index = rl->snapshot.index;
+	status->log_bytes = rl_bytes_between(
+	    (struct rl *)rl, rl->base_index, rl_last_index(rl));
+	status->member_count = rl->config.count;
+	memcpy(status->members, rl->config.members,
+	    rl->config.count * sizeof(rl->config.members[0]));
+}
--- a/src/state/rlog.h
+++ b/src/state/rlog.h
@@ -56,6 +56,7 @@
 
 /* Journal record kinds. */
 enum rl_record_kind {
+	RL_REC_IMAGE = JN_KIND_RLOG, /* in snapshots: the whole of rl_image() */
 	RL_REC_IDENTITY = JN_KIND_RLOG + 1,
 	RL_REC_VOTE = JN_KIND_RLOG + 2,
 	RL_REC_ENTRY = JN_KIND_RLOG + 3, /* replaces this index and above */
@@ -142,6 +143,7 @@
 	uint64_t round; /* of heartbeats; a reply repeats it */
 	uint64_t match; /* reply: the log agrees up to here, durably */
 	bool ok; /* reply: granted or accepted; HELLO: the folder is new */
+	bool joinable; /* HELLO: has never been a voter */
 	bool transfer; /* VOTE: on the old leader's behalf */
 	uint64_t offset; /* SNAPSHOT: of the chunk; reply: next wanted */
 	uint64_t total; /* SNAPSHOT: size */
--- /dev/null
+++ b/src/state/rlog_i.h
@@ -0,0 +1,250 @@
+#ifndef CF_RLOG_I_H
+#define CF_RLOG_I_H
+
+/* What the files of the replicated log share; see rlog.h for the module. */
+
+#include "base/rng.h"
+#include "state/rlog.h"
+
+enum {
+	RL_ROUNDS = 16, /* heartbeat rounds whose start is remembered */
+	RL_BATCH_BYTES = 64 * 1024, /* entries in one message */
+	RL_BATCH_ENTRIES = 256,
+	RL_HELD_MAX = 256, /* messages that wait for the disk */
+	RL_HELLO_FRESH_US = 3000000 /* age of a HELLO that still counts */
+};
+
+/* One entry kept in memory. */
+struct rl_slot {
+	uint64_t term;
+	enum rl_entry_kind kind;
+	uint64_t token; /* of the caller that proposed it here */
+	uint64_t number; /* of its journal record */
+	uint64_t end_bytes; /* running sum over the log, this one included */
+	uint8_t *data;
+	size_t len;
+};
+
+struct rl_config {
+	struct rl_member members[RL_MEMBERS_MAX];
+	size_t count;
+};
+
+enum rl_peer_state {
+	RL_PROBE, /* one message at a time until the logs are matched */
+	RL_REPLICATE, /* entries are sent ahead within the window */
+	RL_SNAPSHOT /* the follower needs what the log no longer has */
+};
+
+struct rl_peer {
+	uint64_t id;
+	uint16_t instance;
+	enum rl_peer_state state;
+	bool probing; /* RL_PROBE: a message is under way */
+	uint64_t match;
+	uint64_t next;
+	uint64_t acked_round;
+	int64_t heard_us;
+	bool granted; /* of this vote or pre-vote */
+	uint64_t snapshot_index; /* RL_SNAPSHOT: which one is sent */
+	uint64_t snapshot_offset;
+};
+
+/* A message that waits for a journal record to be durable. */
+struct rl_held {
+	uint64_t number;
+	uint16_t instance;
+	struct rl_msg message; /* without entries or chunk */
+};
+
+struct rl_read {
+	uint64_t token;
+	uint64_t index;
+	uint64_t round;
+	int64_t until_us;
+};
+
+struct rl_hello {
+	uint64_t id; /* 0: none heard */
+	int64_t heard_us;
+	bool empty;
+	bool joinable;
+};
+
+struct rl_snapshot {
+	uint64_t index;
+	uint64_t term;
+	struct rl_config config;
+	struct buf data;
+};
+
+struct rl {
+	struct rl_options options;
+	const struct alloc *alloc;
+	struct rng rng;
+	int64_t now_us;
+	int64_t last_step_us;
+	struct rl_actions *out;
+	void **garbage; /* freed at the next step */
+	size_t garbage_count;
+	size_t garbage_size;
+
+	/* durable state, as it will be once all records are synced */
+	uint64_t id;
+	bool was_voter;
+	uint64_t term;
+	uint64_t voted_for;
+	struct rl_snapshot snapshot;
+	uint64_t base_index; /* the entry before the first one kept */
+	uint64_t base_term;
+	struct rl_config base_config;
+	struct rl_slot *slots;
+	size_t slot_count;
+	size_t slot_size;
+
+	/* what the journal has reported */
+	uint64_t number; /* last record asked for */
+	uint64_t persisted;
+	uint64_t vote_number; /* record of the current term and vote */
+	uint64_t snapshot_number; /* record of the snapshot taken in */
+	uint64_t durable; /* entries up to this index */
+	uint64_t commit_number; /* outstanding RL_REC_COMMIT; 0: none */
+	uint64_t commit_pending;
+	uint64_t commit_durable;
+	struct rl_held held[RL_HELD_MAX];
+	size_t held_count;
+
+	enum rl_role role;
+	uint64_t leader_id; /* 0: unknown */
+	uint16_t leader_instance;
+	uint64_t told_term;
+	uint64_t told_leader;
+	enum rl_role told_role;
+	uint64_t commit;
+	uint64_t applied;
+	struct rl_config config; /* the latest in the log */
+	uint64_t config_index;
+	bool started;
+	bool restore_due;
+	bool dead; /* the journal failed */
+	bool leaving;
+
+	/* followers */
+	int64_t election_us;
+	int64_t promise_us; /* no vote for others before this */
+	uint64_t verified; /* the leader's log and this one agree */
+	uint64_t seen_round;
+	struct buf incoming; /* snapshot chunks */
+	uint64_t incoming_index;
+	uint64_t incoming_term;
+	int64_t hello_us;
+	struct rl_hello hellos[RL_INSTANCES_MAX];
+
+	/* candidates and leaders */
+	struct rl_peer peers[RL_MEMBERS_MAX];
+	size_t peer_count;
+	bool transfer; /* this candidacy was asked for by the leader */
+	int64_t heartbeat_us;
+	uint64_t round;
+	uint64_t min_round; /* earlier rounds grant no lease */
+	int64_t round_us[RL_ROUNDS];
+	int64_t quorum_us; /* a quorum answered a round begun then */
+	int64_t lease_until_us;
+	uint64_t term_start; /* index of the term's first entry */
+	struct rl_read *reads;
+	size_t read_count;
+	size_t read_size;
+	int64_t handover_until_us; /* 0: none under way */
+	bool snapshot_asked;
+	uint64_t remove_token;
+	uint64_t remove_index; /* configuration that does it; 0: none */
+};
+
+/* rlog.c */
+struct rl_action *rl_emit(struct rl *rl, enum rl_action_kind kind);
+void rl_discard(struct rl *rl, void *block);
+void rl_send(struct rl *rl, uint16_t instance, const struct rl_msg *msg);
+void rl_send_after(struct rl *rl, uint64_t number, uint16_t instance,
+    const struct rl_msg *msg);
+struct rl_msg rl_msg_to(
+    const struct rl *rl, enum rl_msg_kind kind, uint64_t to_id);
+void rl_refuse(struct rl *rl, uint64_t token, int error);
+void rl_advance_durable(struct rl *rl);
+
+/* rlog_log.c */
+uint64_t rl_last_index(const struct rl *rl);
+uint64_t rl_last_term(const struct rl *rl);
+bool rl_term_at(const struct rl *rl, uint64_t index, uint64_t *term);
+struct rl_slot *rl_slot_at(struct rl *rl, uint64_t index);
+uint64_t rl_bytes_between(struct rl *rl, uint64_t after, uint64_t to);
+struct rl_slot *rl_log_add(struct rl *rl, uint64_t term,
+    enum rl_entry_kind kind, const void *data, size_t len);
+void rl_log_truncate(struct rl *rl, uint64_t from);
+void rl_log_cut(struct rl *rl, uint64_t index);
+void rl_log_reset(struct rl *rl, uint64_t index, uint64_t term,
+    const struct rl_config *config);
+struct rl_entry rl_entry_at(struct rl *rl, uint64_t index);
+
+/* rlog_store.c */
+void rl_persist_identity(struct rl *rl);
+void rl_persist_vote(struct rl *rl);
+void rl_persist_entry(struct rl *rl, uint64_t index);
+void rl_persist_snapshot(struct rl *rl);
+void rl_persist_commit(struct rl *rl);
+void rl_config_encode(const struct rl_config *config, struct buf *out);
+int rl_config_decode(const void *data, size_t len, struct rl_config *config);
+
+/* rlog_elect.c */
+void rl_become_follower(
+    struct rl *rl, uint64_t term, uint64_t leader_id, uint16_t leader_instance);
+void rl_campaign(struct rl *rl, bool transfer);
+void rl_count_votes(struct rl *rl);
+void rl_elect_tick(struct rl *rl);
+void rl_rest_election(struct rl *rl);
+void rl_on_prevote(struct rl *rl, const struct rl_msg *msg);
+void rl_on_prevote_reply(struct rl *rl, const struct rl_msg *msg);
+void rl_on_vote(struct rl *rl, const struct rl_msg *msg);
+void rl_on_vote_reply(struct rl *rl, const struct rl_msg *msg);
+void rl_on_timeout_now(struct rl *rl, const struct rl_msg *msg);
+
+/* rlog_lead.c */
+void rl_become_leader(struct rl *rl);
+void rl_lead_tick(struct rl *rl);
+void rl_start_round(struct rl *rl);
+void rl_replicate(struct rl *rl);
+void rl_advance_commit(struct rl *rl);
+void rl_renew_lease(struct rl *rl);
+void rl_on_append_reply(struct rl *rl, const struct rl_msg *msg);
+void rl_on_snapshot_reply(struct rl *rl, const struct rl_msg *msg);
+void rl_handover(struct rl *rl);
+
+/* rlog_follow.c */
+void rl_on_append(struct rl *rl, const struct rl_msg *msg);
+void rl_on_snapshot(struct rl *rl, const struct rl_msg *msg);
+void rl_reply_durable(struct rl *rl);
+void rl_install(struct rl *rl, uint64_t index, uint64_t term,
+    const struct rl_config *config, const void *data, size_t len);
+
+/* rlog_member.c */
+void rl_config_refresh(struct rl *rl);
+bool rl_is_voter(const struct rl *rl, uint64_t id);
+size_t rl_voter_count(const struct rl *rl);
+struct rl_peer *rl_peer_of(struct rl *rl, uint64_t id);
+void rl_member_tick(struct rl *rl);
+void rl_hello_tick(struct rl *rl);
+void rl_on_hello(struct rl *rl, const struct rl_msg *msg);
+void rl_on_remove(struct rl *rl, uint16_t instance, uint64_t token);
+void rl_member_committed(struct rl *rl);
+bool rl_is_empty(const struct rl *rl);
+
+/* rlog_client.c */
+void rl_on_propose(struct rl *rl, uint64_t token, const void *data, size_t len);
+void rl_on_read(struct rl *rl, uint64_t token);
+void rl_grant_reads(struct rl *rl);
+void rl_refuse_reads(struct rl *rl, int error);
+void rl_apply(struct rl *rl);
+void rl_on_snapshot_taken(
+    struct rl *rl, uint64_t index, const void *data, size_t len);
+void rl_ask_snapshot(struct rl *rl);
+
+#endif
--- /dev/null
+++ b/src/state/rlog_lead.c
@@ -0,0 +1,384 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "state/rlog_i.h"
+
+static void
+reset_peers(struct rl *rl)
+{
+	size_t i;
+
+	for (i = 0; i < rl->peer_count; i++) {
+		struct rl_peer *peer = &rl->peers[i];
+
+		peer->state = RL_PROBE;
+		peer->probing = false;
+		peer->match = 0;
+		peer->next = rl_last_index(rl) + 1;
+		peer->acked_round = 0;
+		peer->heard_us = rl->now_us;
+	}
+}
+
+/* Takes leadership of the current term with an empty entry of that term. */
+void
+rl_become_leader(struct rl *rl)
+{
+	rl->role = RL_LEADER;
+	rl->leader_id = rl->id;
+	rl->leader_instance = rl->options.instance;
+	rl->min_round = rl->round + 1;
+	rl->lease_until_us = 0;
+	rl->quorum_us = rl->now_us;
+	rl->remove_index = 0;
+	rl->snapshot_asked = false;
+	reset_peers(rl);
+	(void)rl_log_add(rl, rl->term, RL_ENTRY_EMPTY, NULL, 0);
+	rl->term_start = rl_last_index(rl);
+	rl_persist_entry(rl, rl->term_start);
+	rl_start_round(rl);
+}
+
+static struct rl_msg
+append_to(struct rl *rl, const struct rl_peer *peer)
+{
+	struct rl_msg msg = rl_msg_to(rl, RL_MSG_APPEND, peer->id);
+	uint64_t previous = peer->next - 1;
+
+	if (peer->state == RL_SNAPSHOT ||
+	    !rl_term_at(rl, previous, &msg.log_term)) {
+		previous = peer->match >= rl->base_index ? peer->match : 0;
+		if (!rl_term_at(rl, previous, &msg.log_term))
+			msg.log_term = 0;
+	}
+	msg.log_index = previous;
+	msg.commit = rl->commit;
+	msg.round = rl->round;
+	return msg;
+}
+
+/* Begins a heartbeat round; an answered round renews the lease. */
+void
+rl_start_round(struct rl *rl)
+{
+	struct rl_msg msg;
+	size_t i;
+
+	rl->round++;
+	rl->round_us[rl->round % RL_ROUNDS] = rl->now_us;
+	rl->heartbeat_us = rl->now_us + rl->options.heartbeat_us;
+	for (i = 0; i < rl->peer_count; i++) {
+		msg = append_to(rl, &rl->peers[i]);
+		rl->peers[i].probing = false;
+		rl_send(rl, rl->peers[i].instance, &msg);
+	}
+}
+
+static bool
+round_has_quorum(struct rl *rl, uint64_t round)
+{
+	size_t count = rl_is_voter(rl, rl->id) ? 1 : 0;
+	size_t i;
+
+	for (i = 0; i < rl->peer_count; i++)
+		if (rl->peers[i].acked_round >= round &&
+		    rl_is_voter(rl, rl->peers[i].id))
+			count++;
+	return count >= rl_voter_count(rl) / 2 + 1;
+}
+
+/*
+ * The lease runs from the start of the newest round that a quorum answered:
+ * each of them promised, later than that, to vote for nobody else for
+ * election_min_us.
+ */
+void
+rl_renew_lease(struct rl *rl)
+{
+	uint64_t round;
+
+	for (round = rl->round; round >= rl->min_round &&
+				round + RL_ROUNDS > rl->round && round > 0;
+	     round--) {
+		if (!round_has_quorum(rl, round))
+			continue;
+		rl->quorum_us = rl->round_us[round % RL_ROUNDS];
+		rl->lease_until_us = rl->quorum_us + rl->options.lease_us;
+		return;
+	}
+}
+
+/* Heartbeats, and stepping down when no quorum answers any more. */
+void
+rl_lead_tick(struct rl *rl)
+{
+	if (rl->role != RL_LEADER)
+		return;
+	if (rl->now_us >= rl->heartbeat_us)
+		rl_start_round(rl);
+	rl_renew_lease(rl);
+	if (rl->now_us - rl->quorum_us > rl->options.election_max_us) {
+		rl_refuse_reads(rl, ERR_NO_QUORUM);
+		rl_become_follower(rl, rl->term, 0, 0);
+		return;
+	}
+	if (rl->handover_until_us != 0 && rl->now_us > rl->handover_until_us) {
+		rl->handover_until_us = 0;
+		rl->leaving = false;
+	}
+}
+
+static void
+send_chunk(struct rl *rl, struct rl_peer *peer)
+{
+	struct rl_msg msg = rl_msg_to(rl, RL_MSG_SNAPSHOT, peer->id);
+	size_t size = rl->snapshot.data.len, len;
+
+	if (peer->state != RL_SNAPSHOT ||
+	    peer->snapshot_index != rl->snapshot.index) {
+		peer->state = RL_SNAPSHOT;
+		peer->snapshot_index = rl->snapshot.index;
+		peer->snapshot_offset = 0;
+	}
+	if (peer->snapshot_offset > size)
+		peer->snapshot_offset = 0;
+	len = size - (size_t)peer->snapshot_offset;
+	if (len > rl->options.chunk_bytes)
+		len = rl->options.chunk_bytes;
+	msg.log_index = rl->snapshot.index;
+	msg.log_term = rl->snapshot.term;
+	msg.offset = peer->snapshot_offset;
+	msg.total = size;
+	msg.chunk = rl->snapshot.data.data + peer->snapshot_offset;
+	msg.chunk_len = len;
+	msg.members = rl->snapshot.config.members;
+	msg.member_count = rl->snapshot.config.count;
+	peer->probing = true;
+	rl_send(rl, peer->instance, &msg);
+}
+
+static size_t
+batch_size(struct rl *rl, uint64_t first)
+{
+	uint64_t last = rl_last_index(rl);
+	size_t count = 0, bytes = 0;
+
+	while (first + count <= last && count < RL_BATCH_ENTRIES) {
+		bytes += rl_slot_at(rl, first + count)->len;
+		if (count > 0 && bytes > RL_BATCH_BYTES)
+			break;
+		count++;
+	}
+	return count;
+}
+
+static void
+send_entries(struct rl *rl, struct rl_peer *peer)
+{
+	struct rl_msg msg = append_to(rl, peer);
+	struct rl_entry *entries;
+	size_t count, i;
+
+	count = batch_size(rl, peer->next);
+	entries = alloc_get(rl->alloc, (count + 1) * sizeof(*entries));
+	rl_discard(rl, entries);
+	for (i = 0; i < count; i++)
+		entries[i] = rl_entry_at(rl, peer->next + i);
+	msg.entries = entries;
+	msg.entry_count = count;
+	if (peer->state == RL_REPLICATE)
+		peer->next += count;
+	else
+		peer->probing = true;
+	rl_send(rl, peer->instance, &msg);
+}
+
+static bool
+may_send(struct rl *rl, const struct rl_peer *peer)
+{
+	if (peer->state != RL_REPLICATE)
+		return !peer->probing;
+	if (peer->next > rl_last_index(rl))
+		return false;
+	if (peer->match < rl->base_index)
+		return true;
+	return rl_bytes_between(rl, peer->match, peer->next - 1) <
+	       rl->options.window_bytes;
+}
+
+static void
+replicate_to(struct rl *rl, struct rl_peer *peer)
+{
+	while (may_send(rl, peer)) {
+		if (peer->state == RL_SNAPSHOT ||
+		    peer->next <= rl->base_index) {
+			send_chunk(rl, peer);
+		} else if (peer->next > rl_last_index(rl) &&
+			   peer->match == rl_last_index(rl)) {
+			return;
+		} else {
+			send_entries(rl, peer);
+		}
+	}
+}
+
+/* Sends each follower what it lacks, within its window. */
+void
+rl_replicate(struct rl *rl)
+{
+	size_t i;
+
+	if (rl->role != RL_LEADER)
+		return;
+	for (i = 0; i < rl->peer_count; i++)
+		replicate_to(rl, &rl->peers[i]);
+}
+
+static int
+match_order(const void *a, const void *b)
+{
+	uint64_t x = *(const uint64_t *)a, y = *(const uint64_t *)b;
+
+	return (x < y) - (x > y);
+}
+
+/*
+ * Commits what a quorum of voters holds durably.  Copies of an older term's
+ * entry count only below one of this term, since they may yet be replaced.
+ */
+void
+rl_advance_commit(struct rl *rl)
+{
+	uint64_t matches[RL_MEMBERS_MAX], index, term;
+	size_t count = 0, i;
+
+	if (rl->role != RL_LEADER)
+		return;
+	if (rl_is_voter(rl, rl->id))
+		matches[count++] = rl->durable;
+	for (i = 0; i < rl->peer_count && count < RL_MEMBERS_MAX; i++)
+		if (rl_is_voter(rl, rl->peers[i].id))
+			matches[count++] = rl->peers[i].match;
+	if (count == 0)
+		return;
+	qsort(matches, count, sizeof(*matches), match_order);
+	index = matches[count / 2];
+	if (index <= rl->commit || !rl_term_at(rl, index, &term))
+		return;
+	if (term != rl->term && !rl->options.unsafe_commit_old_term)
+		return;
+	rl->commit = index;
+	rl_member_committed(rl);
+}
+
+static void
+on_reject(struct rl *rl, struct rl_peer *peer, const struct rl_msg *msg)
+{
+	if (peer->state == RL_SNAPSHOT || msg->log_index <= peer->match ||
+	    msg->log_index >= peer->next)
+		return;
+	peer->state = RL_PROBE;
+	peer->probing = false;
+	peer->next =
+	    msg->match + 1 < msg->log_index ? msg->match + 1 : msg->log_index;
+	if (peer->next <= peer->match)
+		peer->next = peer->match + 1;
+}
+
+static void
+on_accept(struct rl *rl, struct rl_peer *peer, const struct rl_msg *msg)
+{
+	if (msg->match > rl_last_index(rl))
+		return;
+	if (msg->match > peer->match)
+		peer->match = msg->match;
+	if (peer->next <= peer->match)
+		peer->next = peer->match + 1;
+	if (peer->state == RL_SNAPSHOT) {
+		if (peer->match < rl->base_index)
+			return;
+		peer->next = peer->match + 1;
+	}
+	peer->state = RL_REPLICATE;
+	peer->probing = false;
+}
+
+/* Takes a follower's answer to entries or a heartbeat. */
+void
+rl_on_append_reply(struct rl *rl, const struct rl_msg *msg)
+{
+	struct rl_peer *peer = rl_peer_of(rl, msg->from_id);
+
+	if (msg->term > rl->term) {
+		rl_become_follower(rl, msg->term, 0, 0);
+		return;
+	}
+	if (rl->role != RL_LEADER || msg->term != rl->term || peer == NULL)
+		return;
+	peer->heard_us = rl->now_us;
+	if (msg->round > peer->acked_round && msg->round <= rl->round)
+		peer->acked_round = msg->round;
+	if (msg->ok)
+		on_accept(rl, peer, msg);
+	else
+		on_reject(rl, peer, msg);
+}
+
+/* Takes a follower's answer to a chunk: which byte it wants next. */
+void
+rl_on_snapshot_reply(struct rl *rl, const struct rl_msg *msg)
+{
+	struct rl_peer *peer = rl_peer_of(rl, msg->from_id);
+
+	if (msg->term > rl->term) {
+		rl_become_follower(rl, msg->term, 0, 0);
+		return;
+	}
+	if (rl->role != RL_LEADER || msg->term != rl->term || peer == NULL)
+		return;
+	peer->heard_us = rl->now_us;
+	if (peer->state != RL_SNAPSHOT ||
+	    msg->log_index != peer->snapshot_index)
+		return;
+	peer->snapshot_offset = msg->offset;
+	peer->probing = msg->offset >= rl->snapshot.data.len;
+}
+
+static struct rl_peer *
+best_successor(struct rl *rl)
+{
+	struct rl_peer *best = NULL;
+	int64_t since = rl->now_us - 2 * rl->options.heartbeat_us;
+	size_t i;
+
+	for (i = 0; i < rl->peer_count; i++) {
+		struct rl_peer *peer = &rl->peers[i];
+
+		if (!rl_is_voter(rl, peer->id) || peer->heard_us < since)
+			continue;
+		if (best == NULL || peer->match > best->match)
+			best = peer;
+	}
+	return best;
+}
+
+/*
+ * Hands leadership to the voter whose log is whole.  The lease ends before the
+ * successor is told: from here on this replica follows in its own term, and
+ * cannot lead in it again.
+ */
+void
+rl_handover(struct rl *rl)
+{
+	struct rl_peer *peer;
+	struct rl_msg msg;
+
+	if (rl->role != RL_LEADER || rl->handover_until_us == 0)
+		return;
+	peer = best_successor(rl);
+	if (peer == NULL || peer->match < rl_last_index(rl))
+		return;
+	msg = rl_msg_to(rl, RL_MSG_TIMEOUT_NOW, peer->id);
+	rl_become_follower(rl, rl->term, 0, 0);
+	rl_send(rl, peer->instance, &msg);
+}
--- /dev/null
+++ b/src/state/rlog_log.c
@@ -0,0 +1,177 @@
+#include <string.h>
+
+#include "state/rlog_i.h"
+
+/* Returns the index of the last entry, durable or not. */
+uint64_t
+rl_last_index(const struct rl *rl)
+{
+	return rl->base_index + rl->slot_count;
+}
+
+/* Returns the term of the last entry. */
+uint64_t
+rl_last_term(const struct rl *rl)
+{
+	return rl->slot_count > 0 ? rl->slots[rl->slot_count - 1].term
+				  : rl->base_term;
+}
+
+/* Brings the term of an entry; false if the log does not have it. */
+bool
+rl_term_at(const struct rl *rl, uint64_t index, uint64_t *term)
+{
+	if (index < rl->base_index || index > rl_last_index(rl))
+		return false;
+	*term = index == rl->base_index
+		    ? rl->base_term
+		    : rl->slots[index - rl->base_index - 1].term;
+	return true;
+}
+
+/* Returns the entry at an index that the log has. */
+struct rl_slot *
+rl_slot_at(struct rl *rl, uint64_t index)
+{
+	return &rl->slots[index - rl->base_index - 1];
+}
+
+/* Returns the entry at an index as others see it. */
+struct rl_entry
+rl_entry_at(struct rl *rl, uint64_t index)
+{
+	const struct rl_slot *slot = rl_slot_at(rl, index);
+	struct rl_entry entry = {
+	    index, slot->term, slot->kind, slot->data, slot->len};
+
+	return entry;
+}
+
+enum {
+	ENTRY_COST_BYTES = 64 /* what an entry takes besides its data */
+};
+
+static uint64_t
+end_bytes(struct rl *rl, uint64_t index)
+{
+	if (rl->slot_count == 0)
+		return 0;
+	if (index <= rl->base_index)
+		return rl->slots[0].end_bytes - rl->slots[0].len -
+		       ENTRY_COST_BYTES;
+	return rl_slot_at(rl, index)->end_bytes;
+}
+
+/* Returns the bytes of the entries after one index and up to another. */
+uint64_t
+rl_bytes_between(struct rl *rl, uint64_t after, uint64_t to)
+{
+	return to > after ? end_bytes(rl, to) - end_bytes(rl, after) : 0;
+}
+
+/* Appends an entry in memory. */
+struct rl_slot *
+rl_log_add(struct rl *rl, uint64_t term, enum rl_entry_kind kind,
+    const void *data, size_t len)
+{
+	struct rl_slot *slot;
+	uint64_t before;
+
+	if (rl->slot_count == rl->slot_size) {
+		rl->slot_size = rl->slot_size > 0 ? rl->slot_size * 2 : 64;
+		rl->slots = alloc_resize(
+		    rl->alloc, rl->slots, rl->slot_size * sizeof(*rl->slots));
+	}
+	before =
+	    rl->slot_count > 0 ? rl->slots[rl->slot_count - 1].end_bytes : 0;
+	slot = &rl->slots[rl->slot_count++];
+	memset(slot, 0, sizeof(*slot));
+	slot->term = term;
+	slot->kind = kind;
+	slot->len = len;
+	slot->end_bytes = before + len + ENTRY_COST_BYTES;
+	if (len > 0) {
+		slot->data = alloc_get(rl->alloc, len);
+		memcpy(slot->data, data, len);
+	}
+	if (kind == RL_ENTRY_MEMBERS)
+		rl_config_refresh(rl);
+	return slot;
+}
+
+static void
+drop_slot(struct rl *rl, struct rl_slot *slot, int error)
+{
+	if (slot->token != 0)
+		rl_refuse(rl, slot->token, error);
+	rl_discard(rl, slot->data);
+}
+
+/*
+ * Removes an index and all above it: another leader's entries take their
+ * place, so what was proposed here is known not to be accepted.
+ */
+void
+rl_log_truncate(struct rl *rl, uint64_t from)
+{
+	while (rl_last_index(rl) >= from && rl->slot_count > 0) {
+		drop_slot(rl, &rl->slots[rl->slot_count - 1], ERR_NOT_LEADER);
+		rl->slot_count--;
+	}
+	if (rl->durable > rl_last_index(rl))
+		rl->durable = rl_last_index(rl);
+	if (rl->verified > rl_last_index(rl))
+		rl->verified = rl_last_index(rl);
+	rl_config_refresh(rl);
+}
+
+/* Forgets entries up to an index that a snapshot covers. */
+void
+rl_log_cut(struct rl *rl, uint64_t index)
+{
+	struct rl_config config = rl->base_config;
+	size_t count, i;
+
+	if (index <= rl->base_index)
+		return;
+	count = (size_t)(index - rl->base_index);
+	for (i = 0; i < count; i++) {
+		if (rl->slots[i].kind == RL_ENTRY_MEMBERS)
+			(void)rl_config_decode(
+			    rl->slots[i].data, rl->slots[i].len, &config);
+		drop_slot(rl, &rl->slots[i], ERR_TIMEOUT);
+	}
+	rl->base_term = rl->slots[count - 1].term;
+	rl->base_index = index;
+	rl->base_config = config;
+	rl->slot_count -= count;
+	memmove(
+	    rl->slots, rl->slots + count, rl->slot_count * sizeof(*rl->slots));
+	rl_config_refresh(rl);
+}
+
+/*
+ * Starts the log after a snapshot from the leader.  Entries above it stay if
+ * the log agrees with the snapshot; else all of them go.
+ */
+void
+rl_log_reset(struct rl *rl, uint64_t index, uint64_t term,
+    const struct rl_config *config)
+{
+	uint64_t own_term;
+	size_t i;
+
+	if (rl_term_at(rl, index, &own_term) && own_term == term) {
+		rl_log_cut(rl, index);
+	} else {
+		for (i = 0; i < rl->slot_count; i++)
+			drop_slot(rl, &rl->slots[i], ERR_TIMEOUT);
+		rl->slot_count = 0;
+	}
+	rl->base_index = index;
+	rl->base_term = term;
+	rl->base_config = *config;
+	if (rl->durable > rl_last_index(rl))
+		rl->durable = rl_last_index(rl);
+	rl_config_refresh(rl);
+}
--- /dev/null
+++ b/src/state/rlog_member.c
@@ -0,0 +1,413 @@
+#include <string.h>
+
+#include "state/rlog_i.h"
+
+/* Tells whether an identity is a voter in the latest configuration. */
+bool
+rl_is_voter(const struct rl *rl, uint64_t id)
+{
+	size_t i;
+
+	for (i = 0; i < rl->config.count; i++)
+		if (rl->config.members[i].id == id)
+			return rl->config.members[i].voter;
+	return false;
+}
+
+/* Returns the number of voters in the latest configuration. */
+size_t
+rl_voter_count(const struct rl *rl)
+{
+	size_t count = 0, i;
+
+	for (i = 0; i < rl->config.count; i++)
+		if (rl->config.members[i].voter)
+			count++;
+	return count;
+}
+
+/* Returns the progress of another member, or NULL. */
+struct rl_peer *
+rl_peer_of(struct rl *rl, uint64_t id)
+{
+	size_t i;
+
+	for (i = 0; i < rl->peer_count; i++)
+		if (rl->peers[i].id == id)
+			return &rl->peers[i];
+	return NULL;
+}
+
+static bool
+is_member(const struct rl *rl, uint64_t id)
+{
+	size_t i;
+
+	for (i = 0; i < rl->config.count; i++)
+		if (rl->config.members[i].id == id)
+			return true;
+	return false;
+}
+
+/* Gives every other member a row of progress, keeping the rows that stay. */
+static void
+refresh_peers(struct rl *rl)
+{
+	struct rl_peer peers[RL_MEMBERS_MAX];
+	const struct rl_member *member;
+	const struct rl_peer *old;
+	size_t count = 0, i;
+
+	memset(peers, 0, sizeof(peers));
+	for (i = 0; i < rl->config.count; i++) {
+		member = &rl->config.members[i];
+		if (member->id == rl->id)
+			continue;
+		old = rl_peer_of(rl, member->id);
+		if (old != NULL) {
+			peers[count++] = *old;
+			continue;
+		}
+		peers[count].id = member->id;
+		peers[count].instance = member->instance;
+		peers[count].next = rl_last_index(rl) + 1;
+		peers[count].heard_us = rl->now_us;
+		count++;
+	}
+	memcpy(rl->peers, peers, sizeof(peers));
+	rl->peer_count = count;
+}
+
+/*
+ * Takes the latest configuration in the log into use: it binds from the moment
+ * that it is written, committed or not.
+ */
+void
+rl_config_refresh(struct rl *rl)
+{
+	size_t i = rl->slot_count;
+
+	rl->config = rl->base_config;
+	rl->config_index = rl->base_index;
+	while (i-- > 0) {
+		const struct rl_slot *slot = &rl->slots[i];
+
+		if (slot->kind != RL_ENTRY_MEMBERS)
+			continue;
+		if (rl_config_decode(slot->data, slot->len, &rl->config) == 0)
+			rl->config_index = rl->base_index + 1 + i;
+		break;
+	}
+	refresh_peers(rl);
+}
+
+/* Tells whether this folder has never taken part in a log. */
+bool
+rl_is_empty(const struct rl *rl)
+{
+	return rl->term == 0 && rl_last_index(rl) == 0;
+}
+
+static void
+write_config(struct rl *rl, const struct rl_config *config)
+{
+	struct buf data;
+
+	buf_init(&data, rl->alloc);
+	rl_config_encode(config, &data);
+	(void)rl_log_add(rl, rl->term, RL_ENTRY_MEMBERS, data.data, data.len);
+	buf_free(&data);
+	rl_persist_entry(rl, rl_last_index(rl));
+}
+
+static uint16_t
+lowest_instance(const struct rl *rl)
+{
+	return rl->options.instances != 0
+		   ? (uint16_t)__builtin_ctzll(rl->options.instances)
+		   : (uint16_t)RL_NO_INSTANCE;
+}
+
+static bool
+all_empty(const struct rl *rl)
+{
+	const struct rl_hello *hello;
+	uint16_t i;
+
+	for (i = 0; i < RL_INSTANCES_MAX; i++) {
+		if ((rl->options.instances >> i & 1) == 0 ||
+		    i == rl->options.instance)
+			continue;
+		hello = &rl->hellos[i];
+		if (hello->id == 0 || !hello->empty ||
+		    hello->heard_us + RL_HELLO_FRESH_US < rl->now_us)
+			return false;
+	}
+	return true;
+}
+
+/*
+ * Forms the log with every instance as a voter.  Any replica that has ever
+ * taken part keeps silent about being empty, so a lost disk forms no second
+ * log while another holds the first.
+ */
+static void
+form(struct rl *rl)
+{
+	struct rl_config config = {0};
+	uint16_t i;
+
+	for (i = 0; i < RL_INSTANCES_MAX && config.count < RL_MEMBERS_MAX;
+	     i++) {
+		struct rl_member *member = &config.members[config.count];
+
+		if ((rl->options.instances >> i & 1) == 0)
+			continue;
+		member->id =
+		    i == rl->options.instance ? rl->id : rl->hellos[i].id;
+		member->instance = i;
+		member->voter = true;
+		config.count++;
+	}
+	rl->term = 1;
+	rl->voted_for = rl->id;
+	rl_persist_vote(rl);
+	write_config(rl, &config);
+	rl_rest_election(rl);
+}
+
+static void
+send_hello(struct rl *rl, uint16_t instance, uint64_t to_id)
+{
+	struct rl_msg msg = rl_msg_to(rl, RL_MSG_HELLO, to_id);
+
+	msg.ok = rl_is_empty(rl);
+	msg.joinable = !rl->was_voter;
+	rl_send(rl, instance, &msg);
+}
+
+static void
+note_voter(struct rl *rl)
+{
+	if (rl->was_voter || !rl_is_voter(rl, rl->id))
+		return;
+	rl->was_voter = true;
+	rl_persist_identity(rl);
+}
+
+/* Introduces this replica while it is no voter and hears from no leader. */
+void
+rl_hello_tick(struct rl *rl)
+{
+	uint16_t i;
+
+	note_voter(rl);
+	if (rl->was_voter || rl->leaving || rl->now_us < rl->hello_us)
+		return;
+	rl->hello_us = rl->now_us + 2 * rl->options.heartbeat_us;
+	if (is_member(rl, rl->id) && rl->leader_id != 0)
+		return;
+	for (i = 0; i < RL_INSTANCES_MAX; i++)
+		if ((rl->options.instances >> i & 1) != 0 &&
+		    i != rl->options.instance)
+			send_hello(rl, i, 0);
+	if (rl_is_empty(rl) && lowest_instance(rl) == rl->options.instance &&
+	    all_empty(rl))
+		form(rl);
+}
+
+/*
+ * Notes an introduction.  An empty replica answers the lowest instance by its
+ * identity; only such an answer counts towards forming the log, since an
+ * introduction that was long under way says nothing about now.
+ */
+void
+rl_on_hello(struct rl *rl, const struct rl_msg *msg)
+{
+	struct rl_hello *hello;
+
+	if (msg->from_instance >= RL_INSTANCES_MAX ||
+	    (rl->options.instances >> msg->from_instance & 1) == 0)
+		return;
+	hello = &rl->hellos[msg->from_instance];
+	hello->id = msg->from_id;
+	hello->heard_us = rl->now_us;
+	hello->empty = msg->ok && msg->to_id == rl->id;
+	hello->joinable = msg->joinable;
+	if (msg->to_id == 0 && rl_is_empty(rl) &&
+	    msg->from_instance == lowest_instance(rl))
+		send_hello(rl, msg->from_instance, msg->from_id);
+}
+
+static bool
+is_fresh(const struct rl *rl, const struct rl_hello *hello)
+{
+	return hello->id != 0 && hello->joinable &&
+	       hello->heard_us + RL_HELLO_FRESH_US > rl->now_us;
+}
+
+static void
+remove_at(struct rl_config *config, size_t i)
+{
+	config->count--;
+	memmove(&config->members[i], &config->members[i + 1],
+	    (config->count - i) * sizeof(config->members[0]));
+}
+
+/* Takes in a newcomer as a learner, in place of an older learner there. */
+static bool
+add_learner(struct rl *rl, struct rl_config *config)
+{
+	const struct rl_hello *hello;
+	struct rl_member *member;
+	uint16_t instance;
+	size_t i;
+
+	for (instance = 0; instance < RL_INSTANCES_MAX; instance++) {
+		hello = &rl->hellos[instance];
+		if (!is_fresh(rl, hello) || is_member(rl, hello->id))
+			continue;
+		for (i = 0; i < config->count; i++) {
+			if (config->members[i].instance == instance &&
+			    !config->members[i].voter) {
+				remove_at(config, i);
+				return true;
+			}
+		}
+		if (config->count == RL_MEMBERS_MAX)
+			return false;
+		member = &config->members[config->count++];
+		member->id = hello->id;
+		member->instance = instance;
+		member->voter = rl->options.unsafe_vote_uncaught;
+		return true;
+	}
+	return false;
+}
+
+static bool
+has_caught_up(struct rl *rl, const struct rl_peer *peer)
+{
+	return peer->state == RL_REPLICATE && peer->match >= rl->base_index &&
+	       peer->heard_us + 2 * rl->options.heartbeat_us > rl->now_us &&
+	       rl_bytes_between(rl, peer->match, rl_last_index(rl)) <=
+		   rl->options.window_bytes / 4;
+}
+
+/* Gives a learner that has caught up its vote. */
+static bool
+promote_learner(struct rl *rl, struct rl_config *config)
+{
+	const struct rl_peer *peer;
+	size_t i;
+
+	for (i = 0; i < config->count; i++) {
+		if (config->members[i].voter)
+			continue;
+		peer = rl_peer_of(rl, config->members[i].id);
+		if (peer == NULL || !has_caught_up(rl, peer))
+			continue;
+		config->members[i].voter = true;
+		return true;
+	}
+	return false;
+}
+
+static bool
+is_replaced(const struct rl_config *config, size_t i)
+{
+	size_t j;
+
+	for (j = i + 1; j < config->count; j++)
+		if (config->members[j].instance ==
+			config->members[i].instance &&
+		    config->members[j].voter)
+			return true;
+	return false;
+}
+
+/*
+ * Removes an identity whose instance has a later one with a vote.  The later
+ * one votes first: at every moment a quorum holds all that was accepted.
+ */
+static bool
+remove_replaced(struct rl *rl, struct rl_config *config)
+{
+	const struct rl_peer *peer;
+	size_t i;
+
+	for (i = 0; i < config->count; i++) {
+		peer = rl_peer_of(rl, config->members[i].id);
+		if (peer == NULL || !is_replaced(config, i) ||
+		    peer->heard_us + rl->options.election_max_us > rl->now_us)
+			continue;
+		remove_at(config, i);
+		return true;
+	}
+	return false;
+}
+
+static bool
+may_change(const struct rl *rl)
+{
+	return rl->role == RL_LEADER && rl->commit >= rl->term_start &&
+	       rl->config_index <= rl->commit && rl->handover_until_us == 0;
+}
+
+/* Takes the next step of a repair: one change of membership at a time. */
+void
+rl_member_tick(struct rl *rl)
+{
+	struct rl_config config = rl->config;
+
+	if (!may_change(rl))
+		return;
+	if (remove_replaced(rl, &config) || promote_learner(rl, &config) ||
+	    add_learner(rl, &config))
+		write_config(rl, &config);
+}
+
+/* Removes every replica of an instance for good, at an operator's word. */
+void
+rl_on_remove(struct rl *rl, uint16_t instance, uint64_t token)
+{
+	struct rl_config config = rl->config;
+	size_t i = config.count;
+
+	if (rl->role != RL_LEADER) {
+		rl_refuse(rl, token, ERR_NOT_LEADER);
+		return;
+	}
+	while (i-- > 0)
+		if (config.members[i].instance == instance)
+			break;
+	if (i == (size_t)-1) {
+		rl_refuse(rl, token, ERR_NOT_FOUND);
+		return;
+	}
+	if (!may_change(rl) || rl->remove_index != 0 ||
+	    (config.members[i].voter && rl_voter_count(rl) == 1)) {
+		rl_refuse(rl, token, ERR_CONFLICT);
+		return;
+	}
+	remove_at(&config, i);
+	write_config(rl, &config);
+	rl->remove_token = token;
+	rl->remove_index = rl_last_index(rl);
+}
+
+/* Acts on a configuration that has become committed. */
+void
+rl_member_committed(struct rl *rl)
+{
+	struct rl_action *action;
+
+	if (rl->remove_index != 0 && rl->commit >= rl->remove_index) {
+		action = rl_emit(rl, RL_ACT_DONE);
+		action->u.done.token = rl->remove_token;
+		rl->remove_index = 0;
+		rl->remove_token = 0;
+	}
+	if (rl->config_index <= rl->commit && !rl_is_voter(rl, rl->id))
+		rl_become_follower(rl, rl->term, 0, 0);
+}
--- /dev/null
+++ b/src/state/rlog_store.c
@@ -0,0 +1,418 @@
+#include <string.h>
+
+#include "state/rlog_i.h"
+#include "wire/rlog.pb-c.h"
+
+/*
+ * Journal records.  Each is emitted when the state in memory changes, in the
+ * same order, so a replay that stops anywhere gives a state that once was.
+ */
+static uint64_t
+persist(struct rl *rl, uint16_t kind, const ProtobufCMessage *message)
+{
+	struct rl_action *action;
+	uint8_t *data;
+	size_t len;
+
+	len = protobuf_c_message_get_packed_size(message);
+	data = alloc_get(rl->alloc, len + 1);
+	(void)protobuf_c_message_pack(message, data);
+	rl_discard(rl, data);
+	action = rl_emit(rl, RL_ACT_PERSIST);
+	action->u.persist.number = ++rl->number;
+	action->u.persist.kind = kind;
+	action->u.persist.data = data;
+	action->u.persist.len = len;
+	if (rl->options.unsafe_skip_persist)
+		rl->persisted = rl->number;
+	return rl->number;
+}
+
+static size_t
+members_out(const struct rl_config *config, Rlpb__Member *members,
+    Rlpb__Member **pointers)
+{
+	size_t i;
+
+	for (i = 0; i < config->count; i++) {
+		rlpb__member__init(&members[i]);
+		members[i].id = config->members[i].id;
+		members[i].instance = config->members[i].instance;
+		members[i].voter = config->members[i].voter;
+		pointers[i] = &members[i];
+	}
+	return config->count;
+}
+
+static int
+members_in(Rlpb__Member **members, size_t count, struct rl_config *config)
+{
+	size_t i;
+
+	if (count > RL_MEMBERS_MAX)
+		return ERR_CORRUPT;
+	config->count = count;
+	for (i = 0; i < count; i++) {
+		config->members[i].id = members[i]->id;
+		config->members[i].instance = (uint16_t)members[i]->instance;
+		config->members[i].voter = members[i]->voter;
+	}
+	return 0;
+}
+
+/* Appends the members as the data of an entry. */
+void
+rl_config_encode(const struct rl_config *config, struct buf *out)
+{
+	Rlpb__Member members[RL_MEMBERS_MAX];
+	Rlpb__Member *pointers[RL_MEMBERS_MAX];
+	Rlpb__Members message = RLPB__MEMBERS__INIT;
+	size_t len;
+
+	message.n_member = members_out(config, members, pointers);
+	message.member = pointers;
+	len = rlpb__members__get_packed_size(&message);
+	buf_reserve(out, len);
+	(void)rlpb__members__pack(&message, out->data + out->len);
+	out->len += len;
+}
+
+/* Reads the members from an entry's data: 0 or ERR_CORRUPT. */
+int
+rl_config_decode(const void *data, size_t len, struct rl_config *config)
+{
+	Rlpb__Members *message;
+	int e;
+
+	message = rlpb__members__unpack(NULL, len, data);
+	if (message == NULL)
+		return ERR_CORRUPT;
+	e = members_in(message->member, message->n_member, config);
+	rlpb__members__free_unpacked(message, NULL);
+	return e;
+}
+
+static Rlpb__Identity
+identity_out(const struct rl *rl)
+{
+	Rlpb__Identity message = RLPB__IDENTITY__INIT;
+
+	message.id = rl->id;
+	message.was_voter = rl->was_voter;
+	return message;
+}
+
+static Rlpb__Vote
+vote_out(const struct rl *rl)
+{
+	Rlpb__Vote message = RLPB__VOTE__INIT;
+
+	message.term = rl->term;
+	message.voted_for = rl->voted_for;
+	return message;
+}
+
+static Rlpb__Entry
+entry_out(struct rl *rl, uint64_t index)
+{
+	Rlpb__Entry message = RLPB__ENTRY__INIT;
+	const struct rl_slot *slot = rl_slot_at(rl, index);
+
+	message.index = index;
+	message.term = slot->term;
+	message.kind = (uint32_t)slot->kind;
+	message.data.data = slot->data;
+	message.data.len = slot->len;
+	return message;
+}
+
+/* Records the identity, and whether it has ever been a voter. */
+void
+rl_persist_identity(struct rl *rl)
+{
+	Rlpb__Identity message = identity_out(rl);
+
+	(void)persist(rl, RL_REC_IDENTITY, &message.base);
+}
+
+/* Records the term and the vote in it. */
+void
+rl_persist_vote(struct rl *rl)
+{
+	Rlpb__Vote message = vote_out(rl);
+
+	rl->vote_number = persist(rl, RL_REC_VOTE, &message.base);
+}
+
+/* Records one entry of the log. */
+void
+rl_persist_entry(struct rl *rl, uint64_t index)
+{
+	Rlpb__Entry message = entry_out(rl, index);
+	uint64_t number = persist(rl, RL_REC_ENTRY, &message.base);
+
+	rl_slot_at(rl, index)->number = number;
+}
+
+static Rlpb__Snapshot
+snapshot_out(
+    const struct rl *rl, Rlpb__Member *members, Rlpb__Member **pointers)
+{
+	Rlpb__Snapshot message = RLPB__SNAPSHOT__INIT;
+
+	message.index = rl->snapshot.index;
+	message.term = rl->snapshot.term;
+	message.n_member = members_out(&rl->snapshot.config, members, pointers);
+	message.member = pointers;
+	message.data.data = rl->snapshot.data.data;
+	message.data.len = rl->snapshot.data.len;
+	return message;
+}
+
+/* Records a snapshot that the leader has sent. */
+void
+rl_persist_snapshot(struct rl *rl)
+{
+	Rlpb__Member members[RL_MEMBERS_MAX];
+	Rlpb__Member *pointers[RL_MEMBERS_MAX];
+	Rlpb__Snapshot message = snapshot_out(rl, members, pointers);
+
+	rl->snapshot_number = persist(rl, RL_REC_SNAPSHOT, &message.base);
+}
+
+/*
+ * Records how far the log is committed, with at most one such record under way,
+ * so that a replica that restarts alone goes on from there.
+ */
+void
+rl_persist_commit(struct rl *rl)
+{
+	Rlpb__Commit message = RLPB__COMMIT__INIT;
+
+	if (rl->commit_number != 0 || rl->commit_pending == rl->commit)
+		return;
+	message.index = rl->commit;
+	rl->commit_pending = rl->commit;
+	rl->commit_number = persist(rl, RL_REC_COMMIT, &message.base);
+}
+
+static int
+replay_entry(struct rl *rl, const Rlpb__Entry *entry)
+{
+	if (entry->index <= rl->base_index ||
+	    entry->index > rl_last_index(rl) + 1 ||
+	    entry->kind > RL_ENTRY_MEMBERS)
+		return ERR_CORRUPT;
+	if (entry->index <= rl_last_index(rl))
+		rl_log_truncate(rl, entry->index);
+	(void)rl_log_add(rl, entry->term, (enum rl_entry_kind)entry->kind,
+	    entry->data.data, entry->data.len);
+	if (entry->term > rl->term) {
+		rl->term = entry->term;
+		rl->voted_for = 0;
+	}
+	return 0;
+}
+
+static int
+replay_snapshot(struct rl *rl, const Rlpb__Snapshot *snapshot)
+{
+	struct rl_config config;
+	int e;
+
+	e = members_in(snapshot->member, snapshot->n_member, &config);
+	if (e != 0)
+		return e;
+	rl->snapshot.index = snapshot->index;
+	rl->snapshot.term = snapshot->term;
+	rl->snapshot.config = config;
+	buf_clear(&rl->snapshot.data);
+	buf_add(&rl->snapshot.data, snapshot->data.data, snapshot->data.len);
+	rl->restore_due = true;
+	if (rl->commit < snapshot->index)
+		rl->commit = snapshot->index;
+	rl->applied = snapshot->index;
+	return 0;
+}
+
+static int
+replay_image(struct rl *rl, const Rlpb__Image *image)
+{
+	struct rl_config config;
+	size_t i;
+	int e;
+
+	if (image->identity == NULL || image->vote == NULL)
+		return ERR_CORRUPT;
+	rl->id = image->identity->id;
+	rl->was_voter = image->identity->was_voter;
+	rl->term = image->vote->term;
+	rl->voted_for = image->vote->voted_for;
+	if (image->snapshot != NULL &&
+	    (e = replay_snapshot(rl, image->snapshot)) != 0)
+		return e;
+	e = members_in(image->base_member, image->n_base_member, &config);
+	if (e != 0)
+		return e;
+	rl_log_reset(rl, image->base_index, image->base_term, &config);
+	for (i = 0; i < image->n_entry; i++)
+		if ((e = replay_entry(rl, image->entry[i])) != 0)
+			return e;
+	rl->commit = image->commit;
+	return 0;
+}
+
+static int
+replay_image_bytes(struct rl *rl, const void *data, size_t len)
+{
+	Rlpb__Image *image = rlpb__image__unpack(NULL, len, data);
+	int e;
+
+	if (image == NULL)
+		return ERR_CORRUPT;
+	e = replay_image(rl, image);
+	rlpb__image__free_unpacked(image, NULL);
+	return e;
+}
+
+static int
+replay_entry_bytes(struct rl *rl, const void *data, size_t len)
+{
+	Rlpb__Entry *entry = rlpb__entry__unpack(NULL, len, data);
+	int e;
+
+	if (entry == NULL)
+		return ERR_CORRUPT;
+	e = replay_entry(rl, entry);
+	rlpb__entry__free_unpacked(entry, NULL);
+	return e;
+}
+
+static int
+replay_snapshot_bytes(struct rl *rl, const void *data, size_t len)
+{
+	Rlpb__Snapshot *snapshot = rlpb__snapshot__unpack(NULL, len, data);
+	int e;
+
+	if (snapshot == NULL)
+		return ERR_CORRUPT;
+	e = replay_snapshot(rl, snapshot);
+	if (e == 0)
+		rl_log_reset(rl, rl->snapshot.index, rl->snapshot.term,
+		    &rl->snapshot.config);
+	rlpb__snapshot__free_unpacked(snapshot, NULL);
+	return e;
+}
+
+static int
+replay_identity_bytes(struct rl *rl, const void *data, size_t len)
+{
+	Rlpb__Identity *identity = rlpb__identity__unpack(NULL, len, data);
+
+	if (identity == NULL)
+		return ERR_CORRUPT;
+	rl->id = identity->id;
+	rl->was_voter = identity->was_voter;
+	rlpb__identity__free_unpacked(identity, NULL);
+	return 0;
+}
+
+static int
+replay_vote_bytes(struct rl *rl, const void *data, size_t len)
+{
+	Rlpb__Vote *vote = rlpb__vote__unpack(NULL, len, data);
+
+	if (vote == NULL)
+		return ERR_CORRUPT;
+	rl->term = vote->term;
+	rl->voted_for = vote->voted_for;
+	rlpb__vote__free_unpacked(vote, NULL);
+	return 0;
+}
+
+static int
+replay_commit_bytes(struct rl *rl, const void *data, size_t len)
+{
+	Rlpb__Commit *commit = rlpb__commit__unpack(NULL, len, data);
+	int e = 0;
+
+	if (commit == NULL)
+		return ERR_CORRUPT;
+	if (commit->index > rl_last_index(rl))
+		e = ERR_CORRUPT;
+	else if (commit->index > rl->commit)
+		rl->commit = commit->index;
+	rlpb__commit__free_unpacked(commit, NULL);
+	return e;
+}
+
+/*
+ * Takes in one journal record, before rl_start().  Returns 0, ERR_CORRUPT for
+ * bytes that are no record of this kind or do not fit those before, or
+ * ERR_VERSION for a kind that this release does not know.
+ */
+int
+rl_replay(struct rl *rl, uint16_t kind, const void *data, size_t len)
+{
+	switch (kind) {
+	case RL_REC_IMAGE:
+		return replay_image_bytes(rl, data, len);
+	case RL_REC_IDENTITY:
+		return replay_identity_bytes(rl, data, len);
+	case RL_REC_VOTE:
+		return replay_vote_bytes(rl, data, len);
+	case RL_REC_ENTRY:
+		return replay_entry_bytes(rl, data, len);
+	case RL_REC_SNAPSHOT:
+		return replay_snapshot_bytes(rl, data, len);
+	case RL_REC_COMMIT:
+		return replay_commit_bytes(rl, data, len);
+	default:
+		return ERR_VERSION;
+	}
+}
+
+/*
+ * Appends the image that replaces all records emitted so far; it goes into a
+ * journal snapshot under RL_REC_IMAGE.
+ */
+void
+rl_image(const struct rl *rl_const, struct buf *out)
+{
+	struct rl *rl = (struct rl *)rl_const; /* reads only */
+	Rlpb__Member members[2][RL_MEMBERS_MAX];
+	Rlpb__Member *pointers[2][RL_MEMBERS_MAX];
+	Rlpb__Identity identity = identity_out(rl);
+	Rlpb__Vote vote = vote_out(rl);
+	Rlpb__Snapshot snapshot;
+	Rlpb__Image image = RLPB__IMAGE__INIT;
+	Rlpb__Entry *entries;
+	size_t i, len;
+
+	image.identity = &identity;
+	image.vote = &vote;
+	image.commit = rl->commit;
+	snapshot = snapshot_out(rl, members[0], pointers[0]);
+	if (rl->snapshot.index > 0)
+		image.snapshot = &snapshot;
+	image.base_index = rl->base_index;
+	image.base_term = rl->base_term;
+	image.n_base_member =
+	    members_out(&rl->base_config, members[1], pointers[1]);
+	image.base_member = pointers[1];
+	image.n_entry = rl->slot_count;
+	entries = alloc_get(rl->alloc, (rl->slot_count + 1) * sizeof(*entries));
+	image.entry =
+	    alloc_get(rl->alloc, (rl->slot_count + 1) * sizeof(*image.entry));
+	for (i = 0; i < rl->slot_count; i++) {
+		entries[i] = entry_out(rl, rl->base_index + 1 + i);
+		image.entry[i] = &entries[i];
+	}
+	len = rlpb__image__get_packed_size(&image);
+	buf_reserve(out, len);
+	(void)rlpb__image__pack(&image, out->data + out->len);
+	out->len += len;
+	out->data[out->len] = '\0';
+	alloc_free(rl->alloc, (void *)image.entry);
+	alloc_free(rl->alloc, entries);
+}
