--- /dev/null
+++ b/src/state/cfgstore.c
@@ -0,0 +1,576 @@
+#include "state/cfgstore.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <xxhash.h>
+
+#include "state/cfgstore_i.h"
+#include "wire/cfgstore.pb-c.h"
+
+enum {
+	HISTORY_MAX = 1000,
+	ID_WINDOW = 10000
+};
+
+/* Makes an empty store at revision 0. */
+struct cs *
+cs_new(const struct cs_options *options)
+{
+	const struct alloc *alloc =
+	    options->alloc != NULL ? options->alloc : alloc_default();
+	struct cs *cs = alloc_zero(alloc, 1, sizeof(*cs));
+
+	cs->options = *options;
+	cs->alloc = alloc;
+	if (cs->options.history_max == 0)
+		cs->options.history_max = HISTORY_MAX;
+	if (cs->options.id_window == 0)
+		cs->options.id_window = ID_WINDOW;
+	cs->history = alloc_zero(
+	    alloc, cs->options.history_max + 1, sizeof(*cs->history));
+	return cs;
+}
+
+static void
+free_stored(struct cs *cs, struct cs_stored *stored)
+{
+	alloc_free(cs->alloc, stored->path);
+	alloc_free(cs->alloc, stored->text);
+	alloc_free(cs->alloc, stored->author);
+}
+
+static void
+free_event(struct cs *cs, struct cs_event *event)
+{
+	alloc_free(cs->alloc, event->id);
+	alloc_free(cs->alloc, event->author);
+	alloc_free(cs->alloc, event->team);
+	alloc_free(cs->alloc, event->paths);
+}
+
+/* Empties the store before an image is read. */
+void
+cs_clear(struct cs *cs)
+{
+	struct cs_answered *answered;
+	size_t i;
+
+	for (i = 0; i < cs->section_count; i++)
+		free_stored(cs, &cs->sections[i]);
+	for (i = 0; i < cs->history_count; i++)
+		free_event(cs, &cs->history[i]);
+	while ((answered = cs->oldest) != NULL) {
+		cs->oldest = answered->next;
+		alloc_free(cs->alloc, answered->id);
+		alloc_free(cs->alloc, answered);
+	}
+	cs->newest = NULL;
+	memset(cs->buckets, 0, sizeof(cs->buckets));
+	cs->section_count = cs->present_count = cs->history_count = 0;
+	cs->revision = cs->log_index = cs->floor = 0;
+}
+
+/* Releases the store. */
+void
+cs_free(struct cs *cs)
+{
+	cs_clear(cs);
+	alloc_free(cs->alloc, cs->sections);
+	alloc_free(cs->alloc, cs->history);
+	alloc_free(cs->alloc, cs);
+}
+
+static size_t
+find(const struct cs *cs, const char *path, bool *found)
+{
+	size_t low = 0, high = cs->section_count, middle;
+	int order;
+
+	*found = false;
+	while (low < high) {
+		middle = low + (high - low) / 2;
+		order = strcmp(cs->sections[middle].path, path);
+		if (order == 0) {
+			*found = true;
+			return middle;
+		}
+		if (order < 0)
+			low = middle + 1;
+		else
+			high = middle;
+	}
+	return low;
+}
+
+static struct cs_stored *
+insert_at(struct cs *cs, size_t i, const char *path)
+{
+	if (cs->section_count == cs->section_size) {
+		cs->section_size =
+		    cs->section_size > 0 ? cs->section_size * 2 : 64;
+		cs->sections = alloc_resize(cs->alloc, cs->sections,
+		    cs->section_size * sizeof(*cs->sections));
+	}
+	memmove(&cs->sections[i + 1], &cs->sections[i],
+	    (cs->section_count - i) * sizeof(*cs->sections));
+	cs->section_count++;
+	memset(&cs->sections[i], 0, sizeof(cs->sections[i]));
+	cs->sections[i].path = alloc_strdup(cs->alloc, path);
+	cs->sections[i].removed = true;
+	return &cs->sections[i];
+}
+
+/* Returns the record of a path, removed or not, or NULL. */
+struct cs_stored *
+cs_store(struct cs *cs, const char *path, bool create)
+{
+	bool found;
+	size_t i = find(cs, path, &found);
+
+	if (found)
+		return &cs->sections[i];
+	return create ? insert_at(cs, i, path) : NULL;
+}
+
+/* Replaces a section's text; NULL removes the section. */
+void
+cs_set_text(
+    struct cs *cs, struct cs_stored *stored, const void *text, size_t len)
+{
+	bool removed = text == NULL;
+
+	if (stored->removed && !removed)
+		cs->present_count++;
+	else if (!stored->removed && removed)
+		cs->present_count--;
+	alloc_free(cs->alloc, stored->text);
+	stored->removed = removed;
+	stored->text = NULL;
+	stored->len = 0;
+	if (removed)
+		return;
+	stored->text = alloc_get(cs->alloc, len + 1);
+	memcpy(stored->text, text, len);
+	stored->text[len] = '\0';
+	stored->len = len;
+}
+
+/* Replaces a section's author. */
+void
+cs_set_author(struct cs *cs, struct cs_stored *stored, const char *author)
+{
+	alloc_free(cs->alloc, stored->author);
+	stored->author = alloc_strdup(cs->alloc, author);
+}
+
+static size_t
+bucket_of(const char *id)
+{
+	return (size_t)(XXH3_64bits(id, strlen(id)) % CS_BUCKETS);
+}
+
+static struct cs_answered *
+recall(const struct cs *cs, const char *id)
+{
+	struct cs_answered *answered = cs->buckets[bucket_of(id)];
+
+	while (answered != NULL && strcmp(answered->id, id) != 0)
+		answered = answered->next_in_bucket;
+	return answered;
+}
+
+static void
+forget_oldest(struct cs *cs)
+{
+	struct cs_answered *answered = cs->oldest;
+	struct cs_answered **link = &cs->buckets[bucket_of(answered->id)];
+
+	while (*link != answered)
+		link = &(*link)->next_in_bucket;
+	*link = answered->next_in_bucket;
+	cs->oldest = answered->next;
+	if (cs->oldest == NULL)
+		cs->newest = NULL;
+	alloc_free(cs->alloc, answered->id);
+	alloc_free(cs->alloc, answered);
+}
+
+/*
+ * Keeps the answer to a change.  Answers expire by distance in the log, which
+ * is the same on every replica, not by time, which is not.
+ */
+struct cs_answered *
+cs_remember(struct cs *cs, const char *id, uint64_t log_index,
+    const struct cs_result *result)
+{
+	struct cs_answered *answered =
+	    alloc_zero(cs->alloc, 1, sizeof(*answered));
+	size_t bucket = bucket_of(id);
+
+	while (cs->oldest != NULL &&
+	       cs->oldest->log_index + cs->options.id_window <= log_index)
+		forget_oldest(cs);
+	answered->id = alloc_strdup(cs->alloc, id);
+	answered->log_index = log_index;
+	answered->result = *result;
+	answered->next_in_bucket = cs->buckets[bucket];
+	cs->buckets[bucket] = answered;
+	if (cs->newest != NULL)
+		cs->newest->next = answered;
+	else
+		cs->oldest = answered;
+	cs->newest = answered;
+	return answered;
+}
+
+/* Drops removed sections that no delta reaches back to any more. */
+static void
+drop_removed(struct cs *cs)
+{
+	size_t kept = 0, i;
+
+	for (i = 0; i < cs->section_count; i++) {
+		struct cs_stored *stored = &cs->sections[i];
+
+		if (stored->removed && stored->revision <= cs->floor)
+			free_stored(cs, stored);
+		else
+			cs->sections[kept++] = *stored;
+	}
+	cs->section_count = kept;
+}
+
+/*
+ * Adds to the history.  Beyond its length the oldest entries go, a tenth at a
+ * time; the last change of each section stays with the section.
+ */
+void
+cs_history_add(struct cs *cs, const struct cs_history *entry)
+{
+	struct cs_event *event;
+	size_t drop = cs->options.history_max / 10 + 1, i;
+
+	if (cs->history_count == cs->options.history_max) {
+		cs->floor = cs->history[drop - 1].revision;
+		for (i = 0; i < drop; i++)
+			free_event(cs, &cs->history[i]);
+		cs->history_count -= drop;
+		memmove(cs->history, cs->history + drop,
+		    cs->history_count * sizeof(*cs->history));
+		drop_removed(cs);
+	}
+	event = &cs->history[cs->history_count++];
+	event->revision = entry->revision;
+	event->log_index = entry->log_index;
+	event->when_us = entry->when_us;
+	event->id = alloc_strdup(cs->alloc, entry->id);
+	event->author = alloc_strdup(cs->alloc, entry->author);
+	event->team = alloc_strdup(cs->alloc, entry->team);
+	event->paths = alloc_strdup(cs->alloc, entry->paths);
+}
+
+static bool
+is_name(const char *text, size_t size)
+{
+	size_t i;
+
+	for (i = 0; text[i] != '\0'; i++)
+		if (i + 1 == size || (unsigned char)text[i] <= ' ')
+			return false;
+	return i > 0;
+}
+
+static int
+check_item(const struct cs *cs, const Cspb__Change *change, size_t i)
+{
+	const Cspb__Item *item = change->item[i];
+	size_t j;
+
+	if (!is_name(item->path, CS_PATH_BYTES) ||
+	    item->text.len > CS_TEXT_MAX_BYTES)
+		return ERR_MALFORMED;
+	for (j = 0; j < i; j++)
+		if (strcmp(change->item[j]->path, item->path) == 0)
+			return ERR_MALFORMED;
+	if (cs->options.may_change != NULL &&
+	    !cs->options.may_change(
+		cs->options.ctx, cs, change->team, item->path))
+		return ERR_FORBIDDEN;
+	return 0;
+}
+
+/*
+ * A change must have read the section as it is.  An absent section reads as
+ * revision 0, or as the revision that removed it.
+ */
+static bool
+base_matches(struct cs *cs, const Cspb__Item *item)
+{
+	const struct cs_stored *stored = cs_store(cs, item->path, false);
+
+	if (cs->options.unsafe_skip_base_check)
+		return true;
+	if (stored == NULL)
+		return item->base_revision == 0;
+	if (stored->removed && item->base_revision == 0)
+		return true;
+	return item->base_revision == stored->revision;
+}
+
+static int
+check_change(
+    struct cs *cs, const Cspb__Change *change, struct cs_result *result)
+{
+	const struct cs_stored *stored;
+	size_t i;
+	int e;
+
+	if (change->n_item == 0 || change->n_item > CS_ITEMS_MAX ||
+	    !is_name(change->author, CS_NAME_BYTES) ||
+	    !is_name(change->team, CS_NAME_BYTES))
+		return ERR_MALFORMED;
+	for (i = 0; i < change->n_item; i++) {
+		(void)snprintf(result->path, sizeof(result->path), "%s",
+		    change->item[i]->path);
+		e = check_item(cs, change, i);
+		if (e != 0)
+			return e;
+		if (base_matches(cs, change->item[i]))
+			continue;
+		stored = cs_store(cs, change->item[i]->path, false);
+		if (stored != NULL) {
+			result->won_revision = stored->revision;
+			(void)snprintf(result->won_author,
+			    sizeof(result->won_author), "%s", stored->author);
+		}
+		return ERR_CONFLICT;
+	}
+	result->path[0] = '\0';
+	return 0;
+}
+
+static void
+accept_change(struct cs *cs, uint64_t log_index, const Cspb__Change *change)
+{
+	struct cs_history entry = {0};
+	struct cs_stored *stored;
+	struct buf paths;
+	size_t i;
+
+	cs->revision++;
+	buf_init(&paths, cs->alloc);
+	for (i = 0; i < change->n_item; i++) {
+		const Cspb__Item *item = change->item[i];
+		const void *text = item->text.data != NULL
+				       ? (const void *)item->text.data
+				       : "";
+
+		stored = cs_store(cs, item->path, true);
+		cs_set_text(
+		    cs, stored, item->remove ? NULL : text, item->text.len);
+		cs_set_author(cs, stored, change->author);
+		stored->revision = cs->revision;
+		stored->when_us = change->when_us;
+		buf_addf(&paths, "%s%s\n", item->remove ? "-" : "", item->path);
+	}
+	entry.revision = cs->revision;
+	entry.log_index = log_index;
+	entry.when_us = change->when_us;
+	entry.id = change->id;
+	entry.author = change->author;
+	entry.team = change->team;
+	entry.paths = buf_text(&paths);
+	cs_history_add(cs, &entry);
+	buf_free(&paths);
+}
+
+static void
+apply_decoded(struct cs *cs, uint64_t log_index, const Cspb__Change *change,
+    struct cs_result *result)
+{
+	const struct cs_answered *answered;
+
+	if (!is_name(change->id, CS_NAME_BYTES)) {
+		result->error = ERR_MALFORMED;
+		return;
+	}
+	answered = recall(cs, change->id);
+	if (answered != NULL && !cs->options.unsafe_skip_ids) {
+		*result = answered->result;
+		result->repeated = true;
+		return;
+	}
+	result->error = check_change(cs, change, result);
+	if (result->error == 0)
+		accept_change(cs, log_index, change);
+	result->revision = cs->revision;
+	(void)cs_remember(cs, change->id, log_index, result);
+}
+
+/*
+ * Applies a log entry.  result tells what became of the change: accepted under
+ * a new revision, or refused with no section changed.
+ */
+void
+cs_apply(struct cs *cs, uint64_t log_index, const void *data, size_t len,
+    struct cs_result *result)
+{
+	Cspb__Change *change;
+
+	memset(result, 0, sizeof(*result));
+	cs->log_index = log_index;
+	result->revision = cs->revision;
+	change = cspb__change__unpack(NULL, len, data);
+	if (change == NULL) {
+		result->error = ERR_MALFORMED;
+		return;
+	}
+	apply_decoded(cs, log_index, change, result);
+	cspb__change__free_unpacked(change, NULL);
+}
+
+/* Brings the answer that a change id has had; false if none is known. */
+bool
+cs_answer(const struct cs *cs, const char *id, struct cs_result *result)
+{
+	const struct cs_answered *answered = recall(cs, id);
+
+	if (answered == NULL)
+		return false;
+	*result = answered->result;
+	result->repeated = true;
+	return true;
+}
+
+/* Returns the revision of the last accepted change. */
+uint64_t
+cs_revision(const struct cs *cs)
+{
+	return cs->revision;
+}
+
+/* Returns the log index of the last entry applied. */
+uint64_t
+cs_applied_index(const struct cs *cs)
+{
+	return cs->log_index;
+}
+
+/* Returns the number of sections in the document. */
+size_t
+cs_section_count(const struct cs *cs)
+{
+	return cs->present_count;
+}
+
+static void
+show(const struct cs_stored *stored, struct cs_section *section)
+{
+	section->path = stored->path;
+	section->text = stored->text;
+	section->len = stored->len;
+	section->revision = stored->revision;
+	section->author = stored->author;
+	section->when_us = stored->when_us;
+	section->removed = stored->removed;
+}
+
+/* Brings the section at a position in the order of paths. */
+bool
+cs_section_at(const struct cs *cs, size_t i, struct cs_section *section)
+{
+	size_t at;
+
+	if (i >= cs->present_count)
+		return false;
+	if (cs->present_count == cs->section_count) {
+		show(&cs->sections[i], section);
+		return true;
+	}
+	for (at = 0; at < cs->section_count; at++) {
+		if (cs->sections[at].removed)
+			continue;
+		if (i-- == 0)
+			break;
+	}
+	show(&cs->sections[at], section);
+	return true;
+}
+
+/* Brings the section of a path; false if the document has none. */
+bool
+cs_section_get(
+    const struct cs *cs, const char *path, struct cs_section *section)
+{
+	bool found;
+	size_t i = find(cs, path, &found);
+
+	if (!found || cs->sections[i].removed)
+		return false;
+	show(&cs->sections[i], section);
+	return true;
+}
+
+/* Returns the number of changes that the history still has. */
+size_t
+cs_history_count(const struct cs *cs)
+{
+	return cs->history_count;
+}
+
+/* Brings an entry of the history, the oldest first. */
+bool
+cs_history_at(const struct cs *cs, size_t i, struct cs_history *entry)
+{
+	const struct cs_event *event;
+
+	if (i >= cs->history_count)
+		return false;
+	event = &cs->history[i];
+	entry->revision = event->revision;
+	entry->log_index = event->log_index;
+	entry->when_us = event->when_us;
+	entry->id = event->id;
+	entry->author = event->author;
+	entry->team = event->team;
+	entry->paths = event->paths;
+	return true;
+}
+
+static int
+revision_order(const void *a, const void *b)
+{
+	const struct cs_stored *x = *(const struct cs_stored *const *)a;
+	const struct cs_stored *y = *(const struct cs_stored *const *)b;
+
+	return (x->revision > y->revision) - (x->revision < y->revision);
+}
+
+/*
+ * Calls visit for each section changed or removed after a revision, oldest
+ * first.  Returns 0, or ERR_STALE if the whole document must be sent instead.
+ */
+int
+cs_since(const struct cs *cs, uint64_t revision,
+    void (*visit)(void *ctx, const struct cs_section *section), void *ctx)
+{
+	const struct cs_stored **changed;
+	struct cs_section section;
+	size_t count = 0, i;
+
+	if (revision < cs->floor || revision > cs->revision)
+		return ERR_STALE;
+	changed =
+	    alloc_get(cs->alloc, (cs->section_count + 1) * sizeof(*changed));
+	for (i = 0; i < cs->section_count; i++)
+		if (cs->sections[i].revision > revision)
+			changed[count++] = &cs->sections[i];
+	qsort((void *)changed, count, sizeof(*changed), revision_order);
+	for (i = 0; i < count; i++) {
+		show(changed[i], &section);
+		visit(ctx, &section);
+	}
+	alloc_free(cs->alloc, (void *)changed);
+	return 0;
+}
--- a/src/state/rlog_elect.c
+++ b/src/state/rlog_elect.c
@@ -206,8 +206,9 @@
 		rl_become_follower(rl, msg->term, 0, 0);
 	reply = rl_msg_to(rl, RL_MSG_VOTE_REPLY, msg->from_id);
 	reply.ok = (rl->voted_for == 0 || rl->voted_for == msg->from_id) &&
-		   rl->role == RL_FOLLOWER && log_is_current(rl, msg);
+		   log_is_current(rl, msg);
 	if (reply.ok) {
+		rl_become_follower(rl, rl->term, 0, 0);
 		set_term(rl, rl->term, msg->from_id);
 		rl_rest_election(rl);
 	}
--- a/src/state/rlog_member.c
+++ b/src/state/rlog_member.c
@@ -230,9 +230,12 @@
 	    (rl->options.instances >> msg->from_instance & 1) == 0)
 		return;
 	hello = &rl->hellos[msg->from_instance];
+	if (hello->id != msg->from_id || !msg->ok)
+		hello->empty = false;
+	else if (msg->to_id == rl->id)
+		hello->empty = true;
 	hello->id = msg->from_id;
 	hello->heard_us = rl->now_us;
-	hello->empty = msg->ok && msg->to_id == rl->id;
 	hello->joinable = msg->joinable;
 	if (msg->to_id == 0 && rl_is_empty(rl) &&
 	    msg->from_instance == lowest_instance(rl))
--- /dev/null
+++ b/test/rlog_sim.h
@@ -0,0 +1,709 @@
+#ifndef CF_TEST_RLOG_SIM_H
+#define CF_TEST_RLOG_SIM_H
+
+#include <cstring>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "fakenet.h"
+#include "state/cfgstore.h"
+#include "state/rlog.h"
+
+/*
+ * State replicas with fake links and fake disks in virtual time, clients that
+ * retry, and the invariants, which are checked after every step.  The first
+ * one broken is kept in `broken`.
+ */
+class RlogSim
+{
+      public:
+	struct Options {
+		int nodes = 5;
+		uint64_t seed = 1;
+		rl_options rl = {};
+		cs_options cs = {};
+		int64_t sync_us = 1000;
+		size_t image_records = 60; /* journal records per snapshot */
+	};
+
+	struct Record {
+		uint16_t kind;
+		std::string data;
+		uint64_t number; /* 0: the image of a journal snapshot */
+	};
+
+	struct Node {
+		struct rl *rl = nullptr;
+		struct cs *cs = nullptr;
+		struct rl_actions actions = {};
+		std::vector<Record> disk;
+		size_t synced = 0;
+		size_t sync_upto = 0;
+		int64_t sync_due_us = 0; /* 0: none under way */
+		int64_t frozen_until_us = 0;
+		bool sync_stuck = false;
+		uint64_t id = 0;
+		uint64_t revision = 0;
+		uint64_t durable_revision = 0;
+		std::vector<std::pair<int, std::string>> inbox;
+
+		bool up() const
+		{
+			return rl != nullptr;
+		}
+	};
+
+	/* A client's change or read, tried until it is answered. */
+	struct Op {
+		std::string id, path, text, author;
+		uint64_t base = 0;
+		bool read = false;
+		bool answered = false;
+		bool once = false; /* not tried again */
+		int error = 0;
+		uint64_t revision = 0;
+		std::string won_author;
+		uint64_t floor = 0; /* READ: must not be older */
+		int64_t next_us = 0;
+		int64_t answered_us = 0;
+		int node = -1;
+	};
+
+	explicit RlogSim(const Options &given)
+	    : net(given.seed), options(given), rng(given.seed * 7919)
+	{
+		nodes.resize(given.nodes);
+		for (int n = 0; n < given.nodes; n++)
+			start(n);
+	}
+
+	~RlogSim()
+	{
+		for (size_t n = 0; n < nodes.size(); n++)
+			stop((int)n);
+	}
+
+	FakeNet<std::string> net;
+	Options options;
+	std::vector<Node> nodes;
+	std::deque<Op> ops;
+	std::string broken;
+	/* Returns false to lose a message; for faults at one message. */
+	std::function<bool(int from, int to, const rl_msg &)> filter;
+	std::function<void(const std::string &)> trace;
+	std::map<std::string, uint64_t> accepted;
+	uint64_t answered_revision = 0;
+	std::map<rl_msg_kind, uint64_t> sent;
+
+	int64_t now() const
+	{
+		return net.now_us;
+	}
+
+	/* The leader of the highest term among those that run, or -1. */
+	int leader() const
+	{
+		uint64_t term = 0;
+		int found = -1;
+
+		for (size_t n = 0; n < nodes.size(); n++) {
+			const Node &node = nodes[n];
+
+			if (node.up() && rl_is_leader(node.rl) &&
+			    rl_term(node.rl) > term) {
+				term = rl_term(node.rl);
+				found = (int)n;
+			}
+		}
+		return found;
+	}
+
+	struct rl_status status(int n) const
+	{
+		struct rl_status s;
+
+		rl_status(nodes[n].rl, &s);
+		return s;
+	}
+
+	void run_for(int64_t us, int64_t slice_us = 1000)
+	{
+		run_until([] { return false; }, us, slice_us);
+	}
+
+	bool run_until(const std::function<bool()> &done, int64_t us,
+	    int64_t slice_us = 1000)
+	{
+		int64_t until = now() + us;
+
+		while (now() < until && broken.empty()) {
+			if (done())
+				return true;
+			slice(slice_us);
+		}
+		return done();
+	}
+
+	bool settle(int64_t us = 10000000)
+	{
+		return run_until(
+		    [this] {
+			    int n = leader();
+
+			    return n >= 0 &&
+				   rl_lease_until_us(nodes[n].rl) > now();
+		    },
+		    us);
+	}
+
+	Op &change(const std::string &id, const std::string &path,
+	    uint64_t base, const std::string &text,
+	    const std::string &author = "ana")
+	{
+		Op op;
+
+		op.id = id;
+		op.path = path;
+		op.base = base;
+		op.text = text;
+		op.author = author;
+		ops.push_back(op);
+		return ops.back();
+	}
+
+	Op &read()
+	{
+		Op op;
+
+		op.read = true;
+		op.floor = answered_revision;
+		ops.push_back(op);
+		return ops.back();
+	}
+
+	/* Brings one change about and returns whether it was accepted. */
+	bool accept(const std::string &id, const std::string &path,
+	    uint64_t base = 0, const std::string &text = "x",
+	    int64_t us = 10000000)
+	{
+		Op &op = change(id, path, base, text);
+
+		return run_until([&op] { return op.answered; }, us) &&
+		       op.error == 0;
+	}
+
+	/* The process dies; what it wrote stays, synced or not. */
+	void kill(int n)
+	{
+		stop(n);
+	}
+
+	/* The machine dies: what was not synced is gone. */
+	void lose_tail(int n)
+	{
+		stop(n);
+		nodes[n].disk.resize(nodes[n].synced);
+	}
+
+	void lose_disk(int n)
+	{
+		stop(n);
+		nodes[n].disk.clear();
+		nodes[n].synced = 0;
+		nodes[n].durable_revision = 0;
+	}
+
+	/* A sync fails: the process goes on without its disk. */
+	void fail_sync(int n)
+	{
+		rl_event event = {};
+
+		if (!nodes[n].up())
+			return;
+		nodes[n].sync_stuck = true;
+		event.kind = RL_EV_DISK_LOST;
+		step(n, event);
+	}
+
+	void freeze(int n, int64_t us)
+	{
+		nodes[n].frozen_until_us = now() + us;
+	}
+
+	void start(int n)
+	{
+		Node &node = nodes[n];
+		rl_options rl = options.rl;
+		bool keep = rl.unsafe_keep_identity && node.id != 0;
+
+		if (node.up())
+			return;
+		rl.seed = rng();
+		rl.fresh_id = keep ? node.id : rng() | 1;
+		rl.instance = (uint16_t)n;
+		rl.instances = (1ULL << options.nodes) - 1;
+		node.rl = rl_new(&rl);
+		node.cs = cs_new(&options.cs);
+		node.sync_stuck = false;
+		node.frozen_until_us = 0;
+		replay(n);
+		rl_start(node.rl, now());
+		node.synced = node.disk.size();
+		node.revision = 0;
+		tick(n);
+		node.id = rl_id(node.rl);
+		if (cs_revision(node.cs) < node.durable_revision)
+			fail("node %d restarted with an older revision", n);
+	}
+
+	void propose_to(int n, Op &op)
+	{
+		rl_event event = {};
+		uint64_t token = ++tokens;
+		buf data;
+
+		owners[token] = &op;
+		op.node = n;
+		if (op.read) {
+			event.kind = RL_EV_READ;
+			event.u.read.token = token;
+			step(n, event);
+			return;
+		}
+		cs_item item = {op.path.c_str(), op.base, false,
+		    op.text.data(), op.text.size()};
+		cs_change what = {op.id.c_str(), op.author.c_str(), "team",
+		    now(), &item, 1};
+		buf_init(&data, nullptr);
+		cs_change_encode(&what, &data);
+		event.kind = RL_EV_PROPOSE;
+		event.u.propose.token = token;
+		event.u.propose.data = data.data;
+		event.u.propose.len = data.len;
+		step(n, event);
+		buf_free(&data);
+	}
+
+	void event(int n, rl_event_kind kind)
+	{
+		rl_event event = {};
+
+		event.kind = kind;
+		if (nodes[n].up())
+			step(n, event);
+	}
+
+	void remove(int n, int instance)
+	{
+		rl_event event = {};
+
+		event.kind = RL_EV_REMOVE;
+		event.u.remove.instance = (uint16_t)instance;
+		event.u.remove.token = ++tokens;
+		step(n, event);
+	}
+
+	/*
+	 * After everything is mended: each replica has every accepted change
+	 * under its revision, and replicas at one index hold the same bytes.
+	 */
+	std::string check_end()
+	{
+		std::map<uint64_t, std::string> images;
+
+		for (size_t n = 0; n < nodes.size() && broken.empty(); n++) {
+			Node &node = nodes[n];
+			buf image;
+
+			if (!node.up() || rl_leader(node.rl) == RL_NO_INSTANCE)
+				continue;
+			check_accepted((int)n);
+			buf_init(&image, nullptr);
+			cs_image(node.cs, &image);
+			std::string bytes((char *)image.data, image.len);
+			auto at = images.emplace(cs_applied_index(node.cs),
+			    bytes);
+			if (at.first->second != bytes)
+				fail("node %d differs at one index", (int)n);
+			buf_free(&image);
+		}
+		return broken;
+	}
+
+	void fail(const char *format, int n)
+	{
+		char text[128];
+
+		snprintf(text, sizeof(text), format, n);
+		if (broken.empty())
+			broken = text;
+	}
+
+	uint64_t random(uint64_t below)
+	{
+		return rng() % below;
+	}
+
+      private:
+	std::mt19937_64 rng;
+	uint64_t tokens = 0;
+	std::map<uint64_t, Op *> owners;
+	std::map<uint64_t, uint64_t> leaders; /* term to identity */
+	std::map<uint64_t, std::string> applied; /* index to entry */
+	std::map<uint64_t, uint64_t> revision_at; /* index to revision */
+
+	void stop(int n)
+	{
+		Node &node = nodes[n];
+
+		if (!node.up())
+			return;
+		rl_actions_free(node.rl, &node.actions);
+		rl_free(node.rl);
+		cs_free(node.cs);
+		node.rl = nullptr;
+		node.cs = nullptr;
+		node.sync_due_us = 0;
+		node.inbox.clear();
+		net.drop_to(n);
+	}
+
+	void replay(int n)
+	{
+		Node &node = nodes[n];
+		size_t first = 0;
+
+		for (size_t i = 0; i < node.disk.size(); i++)
+			if (node.disk[i].number == 0)
+				first = i;
+		node.disk.erase(node.disk.begin(),
+		    node.disk.begin() + (long)first);
+		for (Record &record : node.disk) {
+			if (rl_replay(node.rl, record.kind,
+				record.data.data(), record.data.size()) != 0)
+				fail("node %d cannot replay", n);
+			if (record.number != 0)
+				record.number = UINT64_MAX;
+		}
+	}
+
+	void tick(int n)
+	{
+		event(n, RL_EV_TICK);
+	}
+
+	void slice(int64_t us)
+	{
+		net.run_until(now() + us,
+		    [this](int from, int to, const std::string &bytes) {
+			    deliver(from, to, bytes);
+		    });
+		for (size_t n = 0; n < nodes.size(); n++)
+			turn((int)n);
+		for (size_t i = 0; i < ops.size(); i++)
+			drive(ops[i]);
+	}
+
+	bool frozen(int n) const
+	{
+		return nodes[n].frozen_until_us > now();
+	}
+
+	void turn(int n)
+	{
+		Node &node = nodes[n];
+
+		if (!node.up() || frozen(n))
+			return;
+		if (!node.inbox.empty()) {
+			auto inbox = std::move(node.inbox);
+
+			node.inbox.clear();
+			for (auto &item : inbox)
+				deliver(item.first, n, item.second);
+		}
+		if (node.up() && rl_wake_us(node.rl) <= now())
+			tick(n);
+		sync(n);
+	}
+
+	void sync(int n)
+	{
+		Node &node = nodes[n];
+
+		if (!node.up() || node.sync_stuck)
+			return;
+		if (node.sync_due_us != 0 && node.sync_due_us <= now()) {
+			rl_event event = {};
+
+			node.sync_due_us = 0;
+			node.synced = node.sync_upto;
+			event.kind = RL_EV_PERSISTED;
+			for (size_t i = node.synced; i-- > 0;) {
+				uint64_t number = node.disk[i].number;
+
+				if (number == 0)
+					continue;
+				if (number != UINT64_MAX)
+					event.u.persisted.number = number;
+				break;
+			}
+			step(n, event);
+			if (node.up())
+				note_durable(n);
+		}
+		if (node.up() && node.sync_due_us == 0 &&
+		    node.synced < node.disk.size()) {
+			node.sync_upto = node.disk.size();
+			node.sync_due_us = now() + options.sync_us +
+					   (int64_t)random(
+					       (uint64_t)options.sync_us + 1);
+		}
+	}
+
+	void note_durable(int n)
+	{
+		auto at =
+		    revision_at.upper_bound(rl_durable_commit(nodes[n].rl));
+
+		if (at != revision_at.begin() &&
+		    (--at)->second > nodes[n].durable_revision)
+			nodes[n].durable_revision = at->second;
+	}
+
+	void deliver(int from, int to, const std::string &bytes)
+	{
+		rl_event event = {};
+		rl_msg msg;
+
+		if (!nodes[to].up())
+			return;
+		if (frozen(to)) {
+			nodes[to].inbox.emplace_back(from, bytes);
+			return;
+		}
+		if (rl_msg_decode(bytes.data(), bytes.size(), &msg) != 0) {
+			fail("message to %d is malformed", to);
+			return;
+		}
+		event.kind = RL_EV_MESSAGE;
+		event.u.message = &msg;
+		step(to, event);
+		rl_msg_release(&msg);
+	}
+
+	void drive(Op &op)
+	{
+		int n;
+
+		if (op.answered || op.next_us > now() ||
+		    (op.once && op.node >= 0))
+			return;
+		op.next_us = now() + 400000;
+		n = leader();
+		if (op.node >= 0 && random(2) == 0)
+			n = (int)random(nodes.size());
+		if (n >= 0 && nodes[n].up() && !frozen(n))
+			propose_to(n, op);
+	}
+
+	void step(int n, const rl_event &event)
+	{
+		Node &node = nodes[n];
+		bool wants_image = false;
+
+		rl_step(node.rl, now(), &event, &node.actions);
+		for (size_t i = 0; i < node.actions.count; i++)
+			wants_image |= carry_out(n, node.actions.items[i]);
+		check(n);
+		compact(n);
+		if (wants_image)
+			give_image(n);
+	}
+
+	/* The journal's own snapshot: an image replaces all records so far. */
+	void compact(int n)
+	{
+		Node &node = nodes[n];
+		buf image;
+
+		if (node.disk.size() < options.image_records ||
+		    node.disk.size() > node.synced + 1 || node.sync_due_us != 0)
+			return;
+		buf_init(&image, nullptr);
+		rl_image(node.rl, &image);
+		node.disk.erase(node.disk.begin(),
+		    node.disk.begin() + (long)node.synced);
+		node.disk.push_back({RL_REC_IMAGE,
+		    std::string((char *)image.data, image.len), 0});
+		node.synced = node.disk.size();
+		buf_free(&image);
+	}
+
+	void give_image(int n)
+	{
+		Node &node = nodes[n];
+		rl_event event = {};
+		buf image;
+
+		buf_init(&image, nullptr);
+		cs_image(node.cs, &image);
+		event.kind = RL_EV_SNAPSHOT_TAKEN;
+		event.u.snapshot.index = status(n).applied;
+		event.u.snapshot.data = image.data;
+		event.u.snapshot.len = image.len;
+		step(n, event);
+		buf_free(&image);
+	}
+
+	bool carry_out(int n, const rl_action &action)
+	{
+		Node &node = nodes[n];
+
+		switch (action.kind) {
+		case RL_ACT_PERSIST:
+			node.disk.push_back({action.u.persist.kind,
+			    std::string((const char *)action.u.persist.data,
+				action.u.persist.len),
+			    action.u.persist.number});
+			break;
+		case RL_ACT_SEND:
+			send(n, action.u.send.instance, action.u.send.message);
+			break;
+		case RL_ACT_APPLY:
+			apply(n, action.u.apply.entry, action.u.apply.token);
+			break;
+		case RL_ACT_RESTORE:
+			if (cs_restore(node.cs, action.u.restore.data,
+				action.u.restore.len) != 0)
+				fail("node %d cannot restore", n);
+			break;
+		case RL_ACT_READ:
+			granted(n, action.u.read.token);
+			break;
+		case RL_ACT_REFUSE:
+			refused(action.u.refuse.token, action.u.refuse.error);
+			break;
+		case RL_ACT_LEADER:
+			if (action.u.leader.is_self && trace)
+				trace("leader " + std::to_string(n));
+			break;
+		case RL_ACT_TAKE_SNAPSHOT:
+			return true;
+		case RL_ACT_DONE:
+			break;
+		}
+		return false;
+	}
+
+	void send(int from, int to, const rl_msg &msg)
+	{
+		buf bytes;
+
+		sent[msg.kind]++;
+		if (filter && !filter(from, to, msg))
+			return;
+		buf_init(&bytes, nullptr);
+		rl_msg_encode(&msg, &bytes);
+		net.send(from, to, std::string((char *)bytes.data, bytes.len));
+		buf_free(&bytes);
+	}
+
+	void apply(int n, const rl_entry &entry, uint64_t token)
+	{
+		Node &node = nodes[n];
+		std::string bytes((const char *)entry.data, entry.len);
+		auto at = applied.emplace(entry.index, bytes);
+		cs_result result;
+
+		if (at.first->second != bytes)
+			fail("node %d applied another entry", n);
+		if (entry.index <= cs_applied_index(node.cs))
+			fail("node %d applied an index twice", n);
+		cs_apply(node.cs, entry.index, entry.data, entry.len, &result);
+		revision_at[entry.index] = cs_revision(node.cs);
+		if (token != 0)
+			answer(token, result);
+	}
+
+	void answer(uint64_t token, const cs_result &result)
+	{
+		Op &op = *owners.at(token);
+
+		if (result.error == 0) {
+			auto at = accepted.emplace(op.id, result.revision);
+
+			if (at.first->second != result.revision)
+				fail("a resend had another answer", 0);
+			if (result.revision > answered_revision)
+				answered_revision = result.revision;
+		}
+		if (op.answered)
+			return;
+		op.answered = true;
+		op.answered_us = now();
+		op.error = result.error;
+		op.revision = result.revision;
+		op.won_author = result.won_author;
+	}
+
+	void granted(int n, uint64_t token)
+	{
+		Op &op = *owners.at(token);
+
+		if (cs_revision(nodes[n].cs) < op.floor)
+			fail("node %d gave a stale read", n);
+		op.answered = true;
+		op.revision = cs_revision(nodes[n].cs);
+	}
+
+	void refused(uint64_t token, int error)
+	{
+		auto at = owners.find(token);
+
+		if (at == owners.end() || at->second->answered)
+			return;
+		at->second->error = error;
+		at->second->next_us = now() + 20000;
+	}
+
+	void check(int n)
+	{
+		Node &node = nodes[n];
+		uint64_t term = rl_term(node.rl);
+
+		if (cs_revision(node.cs) < node.revision)
+			fail("node %d went back to an older revision", n);
+		node.revision = cs_revision(node.cs);
+		if (!rl_is_leader(node.rl))
+			return;
+		auto at = leaders.emplace(term, rl_id(node.rl));
+		if (at.first->second != rl_id(node.rl))
+			fail("two leaders in term %d", (int)term);
+		if (rl_lease_until_us(node.rl) <= now())
+			return;
+		for (size_t m = 0; m < nodes.size(); m++)
+			if ((int)m != n && nodes[m].up() &&
+			    rl_lease_until_us(nodes[m].rl) > now())
+				fail("node %d shares the lease", n);
+	}
+
+	void check_accepted(int n)
+	{
+		for (const auto &item : accepted) {
+			cs_result result;
+
+			if (!cs_answer(nodes[n].cs, item.first.c_str(),
+				&result) ||
+			    result.error != 0 ||
+			    result.revision != item.second)
+				fail("node %d lost an accepted change", n);
+		}
+	}
+};
+
+#endif
