Repair a lost replica by removing its old identity first

Change: once the learner has caught up, the dead identity is removed and the vote given a moment later, so the quorum never counts both.

--- a/src/state/rlog.h
+++ b/src/state/rlog.h
@@ -25,8 +25,8 @@
  * A replica is named by its identity, 64 random bits that live and die with
  * its data folder, and reached through its instance, a small number from the
  * settings.  A replica that lost its disk comes back under a new identity: it
- * joins as a learner, without a vote, becomes a voter once it has caught up,
- * and only then the old identity of its instance is removed.  The log is
+ * joins as a learner, without a vote; once it has caught up, the old identity
+ * of its instance is removed and it becomes a voter.  The log is
  * formed once, by the lowest instance, when every instance in `instances`
  * says that its folder is new.
  *
--- a/src/state/rlog_elect.c
+++ b/src/state/rlog_elect.c
@@ -123,13 +123,20 @@
 		rl_campaign(rl, false);
 }
 
-/* Starts an election when no leader has been heard of for long enough. */
+/*
+ * Starts an election when no leader has been heard of for long enough.  A
+ * replica that is leaving lets the others try first.
+ */
 void
 rl_elect_tick(struct rl *rl)
 {
+	int64_t leave_us = 2 * rl->options.election_max_us;
+
 	if (rl->role == RL_LEADER || rl->now_us < rl->election_us)
 		return;
-	if (!rl_is_voter(rl, rl->id) || rl->leaving) {
+	if (rl->leaving && rl->now_us < rl->election_us + leave_us)
+		return;
+	if (!rl_is_voter(rl, rl->id)) {
 		rl->leader_id = 0;
 		rl->leader_instance = RL_NO_INSTANCE;
 		rl_rest_election(rl);
--- a/src/state/rlog_member.c
+++ b/src/state/rlog_member.c
@@ -297,54 +297,44 @@
 		   rl->options.window_bytes / 4;
 }
 
-/* Gives a learner that has caught up its vote. */
-static bool
-promote_learner(struct rl *rl, struct rl_config *config)
-{
-	const struct rl_peer *peer;
-	size_t i;
-
-	for (i = 0; i < config->count; i++) {
-		if (config->members[i].voter)
-			continue;
-		peer = rl_peer_of(rl, config->members[i].id);
-		if (peer == NULL || !has_caught_up(rl, peer))
-			continue;
-		config->members[i].voter = true;
-		return true;
-	}
-	return false;
-}
-
-static bool
-is_replaced(const struct rl_config *config, size_t i)
+static size_t
+older_voter(const struct rl_config *config, size_t i)
 {
 	size_t j;
 
-	for (j = i + 1; j < config->count; j++)
-		if (config->members[j].instance ==
-			config->members[i].instance &&
-		    config->members[j].voter)
-			return true;
-	return false;
+	for (j = 0; j < i; j++)
+		if (config->members[j].voter &&
+		    config->members[j].instance == config->members[i].instance)
+			return j;
+	return i;
 }
 
 /*
- * Removes an identity whose instance has a later one with a vote.  The later
- * one votes first: at every moment a quorum holds all that was accepted.
+ * Gives a learner that has caught up its vote.  The identity that its instance
+ * had before goes first, a moment earlier: with both voting, the quorum would
+ * be larger while one of its members is known to be dead.
  */
 static bool
-remove_replaced(struct rl *rl, struct rl_config *config)
+promote_learner(struct rl *rl, struct rl_config *config)
 {
-	const struct rl_peer *peer;
-	size_t i;
+	const struct rl_peer *peer, *old;
+	size_t i, j;
 
 	for (i = 0; i < config->count; i++) {
 		peer = rl_peer_of(rl, config->members[i].id);
-		if (peer == NULL || !is_replaced(config, i) ||
-		    peer->heard_us + rl->options.election_max_us > rl->now_us)
+		if (peer == NULL || config->members[i].voter ||
+		    !has_caught_up(rl, peer))
+			continue;
+		j = older_voter(config, i);
+		if (j == i) {
+			config->members[i].voter = true;
+			return true;
+		}
+		old = rl_peer_of(rl, config->members[j].id);
+		if (old == NULL ||
+		    old->heard_us + rl->options.election_max_us > rl->now_us)
 			continue;
-		remove_at(config, i);
+		remove_at(config, j);
 		return true;
 	}
 	return false;
@@ -365,8 +355,7 @@
 
 	if (!may_change(rl))
 		return;
-	if (remove_replaced(rl, &config) || promote_learner(rl, &config) ||
-	    add_learner(rl, &config))
+	if (promote_learner(rl, &config) || add_learner(rl, &config))
 		write_config(rl, &config);
 }
 
