--- /dev/null
+++ b/src/state/lease.h
@@ -0,0 +1,101 @@
+#ifndef CF_LEASE_H
+#define CF_LEASE_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+/*
+ * Leases: at most one holder at a time, without a disk.
+ *
+ * ls_vote is a voter's side: it grants a lease to one candidate, and after a
+ * restart it is silent for one whole lease, because it has forgotten what it
+ * granted.  ls_hold is the candidate's: it holds the lease once a majority of
+ * the voters has granted, until the time it asked plus the lease minus a
+ * margin for clock drift.  Every action under the lease asks ls_hold_valid()
+ * with the clock read just before; a gap between two steps longer than
+ * LS_JUMP_MS drops the lease at once, before the clock is believed again.
+ *
+ * ls_orders is the leadership of orders to model engines.  Orders carry the
+ * fencing number; an engine that ignores it must be given none by the new
+ * leader before the old lease is over.
+ */
+
+enum {
+	LS_LEASE_MS = 3000,
+	LS_MARGIN_MS = 500, /* clock drift and the time an action takes */
+	LS_JUMP_MS = 1000,
+	LS_VOTERS_MAX = 96
+};
+
+struct ls_options {
+	uint32_t lease_ms; /* 0: LS_LEASE_MS */
+	uint32_t margin_ms; /* 0: LS_MARGIN_MS */
+	uint32_t jump_ms; /* 0: LS_JUMP_MS */
+	/* For tests that show what each mechanism is for. */
+	bool unsafe_skip_wait;
+	bool unsafe_skip_check;
+	bool unsafe_skip_jump;
+};
+
+struct ls_vote {
+	struct ls_options options;
+	int64_t silent_until_us;
+	int64_t granted_until_us;
+	uint64_t holder; /* id of the candidate; 0: none */
+	uint64_t fence; /* highest fencing number seen */
+};
+
+void ls_vote_init(
+    struct ls_vote *vote, const struct ls_options *options, int64_t now_us);
+/* True: granted from now on; *fence: the number for the holder's orders. */
+bool ls_vote_ask(
+    struct ls_vote *vote, int64_t now_us, uint64_t candidate, uint64_t *fence);
+void ls_vote_release(struct ls_vote *vote, uint64_t candidate);
+
+struct ls_hold {
+	struct ls_options options;
+	uint32_t voters;
+	uint64_t round; /* of the present question */
+	int64_t asked_us;
+	uint32_t grants;
+	uint8_t granted[LS_VOTERS_MAX];
+	int64_t until_us; /* 0: not held */
+	uint64_t fence;
+	int64_t seen_us; /* last step, for jumps */
+	int64_t due_us; /* next question */
+};
+
+void ls_hold_init(
+    struct ls_hold *hold, const struct ls_options *options, uint32_t voters);
+/* True: ask all voters now, with hold->round. */
+bool ls_hold_tick(struct ls_hold *hold, int64_t now_us, uint32_t jitter_us);
+void ls_hold_answer(struct ls_hold *hold, int64_t now_us, uint32_t voter,
+    uint64_t round, bool granted, uint64_t fence);
+bool ls_hold_valid(const struct ls_hold *hold, int64_t now_us);
+void ls_hold_drop(struct ls_hold *hold);
+
+struct ls_orders {
+	struct ls_options options;
+	uint64_t fence; /* 0: not the leader */
+	int64_t until_us;
+	int64_t old_until_us; /* a former leader may give orders until then */
+};
+
+void ls_orders_init(struct ls_orders *orders, const struct ls_options *options);
+/* Leadership won or renewed; until_us: when the own lease ends. */
+void ls_orders_lead(
+    struct ls_orders *orders, int64_t now_us, uint64_t fence, int64_t until_us);
+void ls_orders_lost(struct ls_orders *orders);
+bool ls_orders_may(
+    const struct ls_orders *orders, int64_t now_us, bool engine_checks_fence);
+
+#ifdef __cplusplus
+}
+#endif
+
+#endif
