--- a/src/state/claim.h
+++ b/src/state/claim.h
@@ -24,14 +24,16 @@
  *	cl_client_mark()	attempt marker: it may run from here on
  *	cl_client_done()	the outcome, so that a resend is told
  *
- * or cl_client_release() when it knows that the call has not run.  Between
+ * or cl_client_release() when it knows that the call has not run, or
+ * cl_client_halt() when it cannot know.  Between
  * the marker and each dispatch cl_client_may_dispatch() checks the marker's
  * age, because an operator may resolve a claim whose claimant looks gone.
  *
  * A replica (cl_store) keeps one entry a key: the highest ballot promised, and
- * the highest (ballot, phase) accepted.  A claim promises a ballot.  A claim
- * without marker whose claimant is gone is taken over under a higher ballot,
- * which a late marker of the old claimant can no longer pass on any majority.
+ * the highest (ballot, phase) accepted.  A claim is a promise on a majority;
+ * the marker is accepted under it.  A claim without marker whose claimant is
+ * gone is taken over under a higher ballot, after which a late marker of the
+ * old claimant finds no majority any more.
  * A claim with a marker and no outcome is halted and waits for
  * cl_client_resolve().  docs/design/claims.md argues why this is safe.
  *
@@ -65,13 +67,14 @@
 };
 
 enum cl_phase {
-	CL_FREE, /* never claimed */
-	CL_CLAIMED,
+	CL_FREE, /* nothing was ever accepted */
 	CL_MARKED, /* dispatched, or about to be */
-	CL_RELEASED, /* the claimant knows that it has not run */
+	CL_HALTED, /* dispatched, and the claimant does not know the outcome */
+	CL_RELEASED, /* marked, but the claimant knows that it has not run */
 	CL_DONE,
 	CL_RESOLVED_RAN, /* an operator's word after a halt */
-	CL_RESOLVED_NOT_RUN
+	CL_RESOLVED_NOT_RUN,
+	CL_PHASES
 };
 
 /* The last resolution stays with the key through later phases. */
@@ -81,9 +84,14 @@
 	enum cl_phase verdict;
 };
 
+/*
+ * What a replica knows of a key.  A claim only promises; the phases are what
+ * was accepted, and carry the last resolution forward.
+ */
 struct cl_entry {
 	struct cl_key key;
 	struct cl_ballot promised;
+	bool held; /* the promised claimant has not released */
 	struct cl_ballot accepted; /* whose phase this is */
 	enum cl_phase phase;
 	int32_t status; /* CL_DONE: status of the first answer */
@@ -92,22 +100,24 @@
 };
 
 enum cl_msg_kind {
-	CL_MSG_CLAIM = 1,
-	CL_MSG_WRITE, /* entry.accepted, entry.phase and what goes with it */
+	CL_MSG_CLAIM = 1, /* promise ballot to a claimant */
+	CL_MSG_PREPARE, /* promise ballot to resolve entry.resolution */
+	CL_MSG_WRITE, /* accept entry.phase and what goes with it at ballot */
+	CL_MSG_RELEASE, /* a claimant without marker gives ballot back */
 	CL_MSG_READ,
-	CL_MSG_HALTS, /* cursor: entries with a marker and no outcome */
+	CL_MSG_REPLY, /* to the five above: error, and the entry now held */
+	CL_MSG_HALTS, /* cursor: entries with a marker or halted */
 	CL_MSG_LEARN, /* cursor: all entries, for a replaced replica */
-	CL_MSG_REPLY, /* to the first three: error, and the entry now held */
-	CL_MSG_ENTRIES /* to CL_MSG_HALTS and CL_MSG_LEARN */
+	CL_MSG_ENTRIES /* to the two above */
 };
 
 struct cl_msg {
 	enum cl_msg_kind kind;
 	uint64_t epoch; /* of the replica set */
-	uint64_t op; /* echoed in the reply */
+	uint64_t op; /* echoed in the reply, as is ballot */
 	int error;
 	struct cl_ballot ballot;
-	struct cl_ballot takeover; /* CLAIM, resolving: holder that is gone */
+	struct cl_ballot takeover; /* CLAIM: holder that is gone */
 	struct cl_entry entry;
 	uint64_t cursor; /* next position; 0 in ENTRIES: the end */
 	uint32_t floor; /* LEARN: birth times below are refused */
@@ -128,8 +138,11 @@
 int cl_key_parse(uint32_t workspace, const char *text, struct cl_key *key);
 bool cl_key_equal(const struct cl_key *a, const struct cl_key *b);
 int cl_ballot_compare(const struct cl_ballot *a, const struct cl_ballot *b);
-int cl_phase_rank(enum cl_phase phase);
+bool cl_ballot_zero(const struct cl_ballot *ballot);
 bool cl_entry_newer(const struct cl_entry *a, const struct cl_entry *b);
+bool cl_entry_merge(struct cl_entry *to, const struct cl_entry *from);
+void cl_entry_encode(const struct cl_entry *entry, struct buf *out);
+int cl_entry_decode(struct cl_entry *entry, const uint8_t *data, size_t len);
 const char *cl_phase_name(enum cl_phase phase);
 
 /* Replica side. */
@@ -209,11 +222,17 @@
 };
 
 /*
- * Answers to a claim: 0, ERR_IN_PROGRESS, ERR_DUPLICATE (entry has status and
- * digest), ERR_HALTED (entry.accepted is the attempt to resolve),
- * ERR_MALFORMED, ERR_NO_CAPACITY, ERR_NO_QUORUM.  To a marker: 0 or
- * ERR_IN_PROGRESS (another claimant took over) or ERR_NO_QUORUM; after both
- * errors the op is over and nothing may be dispatched.
+ * Answers to a claim: 0, ERR_IN_PROGRESS, ERR_DUPLICATE (phase CL_DONE: entry
+ * has status and digest; CL_FREE: the key is older than the horizon and may
+ * have run), ERR_HALTED (entry.accepted is the attempt to resolve),
+ * ERR_MALFORMED (born in the future), ERR_NO_CAPACITY, ERR_NO_QUORUM.  To a
+ * marker: 0, ERR_IN_PROGRESS (another claimant took over) or ERR_NO_QUORUM;
+ * after an error the op is over and nothing may be dispatched.  To an outcome
+ * or a release: 0, ERR_STALE (resolved by an operator meanwhile) or
+ * ERR_NO_QUORUM.  To a resolution: 0, ERR_CONFLICT (resolved by another
+ * order, see entry), ERR_DUPLICATE (it has an outcome), ERR_STALE (not the
+ * last attempt), ERR_NOT_FOUND (not halted), ERR_IN_PROGRESS (too early) or
+ * ERR_NO_QUORUM.
  */
 struct cl_client_action {
 	enum cl_client_action_kind kind;
@@ -230,7 +249,7 @@
 	void (*emit)(void *ctx, const struct cl_client_action *action);
 	void *ctx;
 	uint32_t instance;
-	uint64_t incarnation; /* differs in each life of the instance */
+	uint64_t incarnation; /* grows with each life of the instance */
 	uint64_t seed;
 	uint32_t ops_max; /* open at once; 0: 4,096 */
 	uint32_t resend_ms; /* 0: 200 */
@@ -246,7 +265,7 @@
 void cl_client_free(struct cl_client *client);
 void cl_client_replicas(
     struct cl_client *client, const struct cl_replicas *set);
-/* Membership says that this life of an instance has ended. */
+/* This life of an instance, and all before it, have ended. */
 void cl_client_gone(
     struct cl_client *client, uint32_t instance, uint64_t incarnation);
 void cl_client_message(struct cl_client *client, int64_t now_us, uint32_t from,
@@ -254,13 +273,14 @@
 void cl_client_tick(struct cl_client *client, int64_t now_us);
 int64_t cl_client_due_us(const struct cl_client *client);
 
-/* op is chosen by the caller, unique among the open ones. */
+/* op is chosen by the caller, another for each request. */
 void cl_client_claim(struct cl_client *client, int64_t now_us, uint64_t op,
     const struct cl_key *key, int64_t deadline_us);
 void cl_client_mark(
     struct cl_client *client, int64_t now_us, uint64_t op, int64_t deadline_us);
 void cl_client_done(struct cl_client *client, int64_t now_us, uint64_t op,
     int32_t status, const uint8_t digest[CL_DIGEST_BYTES]);
+void cl_client_halt(struct cl_client *client, int64_t now_us, uint64_t op);
 void cl_client_release(struct cl_client *client, int64_t now_us, uint64_t op);
 void cl_client_resolve(struct cl_client *client, int64_t now_us, uint64_t op,
     const struct cl_key *key, const struct cl_resolution *order,
--- /dev/null
+++ b/test/claim_world.h
@@ -0,0 +1,431 @@
+#ifndef CF_TEST_CLAIM_WORLD_H
+#define CF_TEST_CLAIM_WORLD_H
+
+#include <cstring>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "fakenet.h"
+#include "state/claim.h"
+
+/* One run of a key by a claimant, as its caller sees it. */
+struct ClaimRun {
+	int claimant;
+	std::string key;
+	bool answered = false, marked = false, dispatched = false;
+	bool ended = false;
+	int error = 0;
+	struct cl_entry entry = {};
+	bool keep_marked = false; /* stop before the dispatch */
+	bool keep_held = false; /* stop before the marker */
+	bool keep_dispatched = false; /* stop before the outcome */
+};
+
+/*
+ * Replicas and claimants of claims over fake links.  Replicas are instances
+ * 1.., claimants 11..; every message and record passes through its encoding.
+ * A claimant runs a key: claim, marker, dispatch, outcome.  What really ran is
+ * counted apart from what the claims believe.
+ */
+struct ClaimWorld {
+	typedef std::string Bytes;
+
+	struct Replica {
+		struct cl_store *store = nullptr;
+		std::vector<Bytes> disk; /* synced */
+		std::vector<Bytes> tail; /* written, not yet synced */
+		uint64_t sequence = 0;
+		int64_t sync_at_us = 0;
+		bool frozen = false, down = false;
+		bool sync_fails = false, sync_hangs = false;
+		std::vector<std::pair<int, Bytes>> inbox; /* while frozen */
+	};
+
+	struct Claimant {
+		struct cl_client *client = nullptr;
+		uint64_t incarnation = 1;
+		bool frozen = false, down = false;
+		std::vector<std::pair<int, Bytes>> inbox;
+	};
+
+	typedef ClaimRun Run;
+
+	FakeNet<Bytes> net;
+	std::map<int, Replica> replicas;
+	std::map<int, Claimant> claimants;
+	std::map<uint64_t, Run> runs; /* by op */
+	std::map<std::string, int> ran; /* dispatches of each key */
+	std::map<uint64_t, std::pair<int, struct cl_entry>> resolved, reads;
+	std::vector<struct cl_entry> halts;
+	struct cl_replicas set = {};
+	struct cl_store_options store_options = {};
+	struct cl_client_options client_options = {};
+	uint64_t next_op = 1;
+	int64_t wall_s = 1800000000;
+
+	struct Ctx {
+		ClaimWorld *world;
+		int id;
+	};
+	std::map<int, std::unique_ptr<Ctx>> contexts;
+
+	ClaimWorld(uint64_t seed, int replica_count, int claimant_count)
+	    : net(seed)
+	{
+		client_options.seed = seed;
+		set.epoch = 1;
+		set.count = replica_count;
+		for (int i = 0; i < replica_count; i++)
+			set.instances[i] = i + 1;
+		count = claimant_count;
+	}
+
+	/* After the options are set. */
+	void start()
+	{
+		for (uint32_t i = 0; i < set.count; i++)
+			start_replica(set.instances[i], false);
+		for (int i = 0; i < count; i++)
+			start_claimant(11 + i);
+	}
+
+	~ClaimWorld()
+	{
+		for (auto &r : replicas)
+			cl_store_free(r.second.store);
+		for (auto &c : claimants)
+			cl_client_free(c.second.client);
+	}
+
+	int64_t now()
+	{
+		return net.now_us;
+	}
+
+	void *context(int id)
+	{
+		if (!contexts[id])
+			contexts[id].reset(new Ctx{this, id});
+		return contexts[id].get();
+	}
+
+	/* Starts from the synced records; replaced: on an empty disk. */
+	void start_replica(int id, bool replaced)
+	{
+		struct cl_store_options options = store_options;
+		Replica &r = replicas[id];
+
+		cl_store_free(r.store);
+		options.instance = id;
+		options.replaced = replaced;
+		options.ctx = context(id);
+		options.emit = [](void *ctx, const cl_store_action *a) {
+			((Ctx *)ctx)->world->replica_acts(((Ctx *)ctx)->id, a);
+		};
+		r.store = cl_store_new(&options);
+		r.tail.clear();
+		r.sequence = 0;
+		r.down = r.frozen = r.sync_fails = r.sync_hangs = false;
+		for (auto &b : r.disk)
+			cl_store_restore(
+			    r.store, (const uint8_t *)b.data(), b.size());
+		cl_store_replicas(r.store, &set);
+		cl_store_tick(r.store, now(), wall_s);
+	}
+
+	void start_claimant(int id)
+	{
+		struct cl_client_options options = client_options;
+		Claimant &c = claimants[id];
+
+		cl_client_free(c.client);
+		options.instance = id;
+		options.seed += id;
+		options.incarnation = c.incarnation;
+		options.ctx = context(id);
+		options.emit = [](void *ctx, const cl_client_action *a) {
+			((Ctx *)ctx)->world->claimant_acts(((Ctx *)ctx)->id, a);
+		};
+		c.client = cl_client_new(&options);
+		c.down = c.frozen = false;
+		cl_client_replicas(c.client, &set);
+	}
+
+	void kill_replica(int id)
+	{
+		replicas[id].down = true;
+		replicas[id].tail.clear();
+		net.drop_to(id);
+	}
+
+	/* Empty disk, new identity: a new epoch of the set. */
+	void replace_replica(int id)
+	{
+		replicas[id].disk.clear();
+		set.epoch++;
+		for (auto &r : replicas)
+			if (r.first != id && !r.second.down)
+				cl_store_replicas(r.second.store, &set);
+		for (auto &c : claimants)
+			cl_client_replicas(c.second.client, &set);
+		start_replica(id, true);
+	}
+
+	/* Kills a claimant; the others learn of it at once. */
+	void kill_claimant(int id)
+	{
+		claimants[id].down = true;
+		net.drop_to(id);
+		suspect(id);
+	}
+
+	void suspect(int id)
+	{
+		for (auto &c : claimants)
+			if (c.first != id)
+				cl_client_gone(c.second.client, id,
+				    claimants[id].incarnation);
+	}
+
+	void restart_claimant(int id)
+	{
+		claimants[id].incarnation++;
+		start_claimant(id);
+	}
+
+	static Bytes encode(const struct cl_msg *msg)
+	{
+		struct buf b;
+
+		buf_init(&b, NULL);
+		cl_msg_encode(msg, &b);
+		Bytes bytes((const char *)b.data, b.len);
+		buf_free(&b);
+		return bytes;
+	}
+
+	void replica_acts(int id, const struct cl_store_action *a)
+	{
+		Replica &r = replicas[id];
+
+		if (a->kind == CL_STORE_SEND) {
+			net.send(id, a->to, encode(a->msg));
+		} else if (a->kind == CL_STORE_PERSIST) {
+			r.tail.push_back(
+			    Bytes((const char *)a->record, a->record_len));
+			r.sequence = a->sequence;
+			r.sync_at_us = now() + 300;
+		}
+	}
+
+	void sync(Replica &r)
+	{
+		if (r.down || r.frozen || r.sync_hangs || r.tail.empty() ||
+		    now() < r.sync_at_us)
+			return;
+		if (r.sync_fails) {
+			cl_store_persist_failed(r.store);
+			r.tail.clear();
+			return;
+		}
+		r.disk.insert(r.disk.end(), r.tail.begin(), r.tail.end());
+		r.tail.clear();
+		cl_store_persisted(r.store, now(), r.sequence);
+	}
+
+	void claimant_acts(int id, const struct cl_client_action *a)
+	{
+		if (a->kind == CL_CLIENT_SEND) {
+			net.send(id, a->to, encode(a->msg));
+			return;
+		}
+		if (a->kind == CL_CLIENT_HALTS) {
+			halts.insert(halts.end(), a->msg->entries,
+			    a->msg->entries + a->msg->entry_count);
+			return;
+		}
+		todo.push_back({id, *a});
+	}
+
+	/* The caller's side of a claimant, outside of emit(). */
+	void react(int id, const struct cl_client_action &a)
+	{
+		if (a.step == CL_STEP_RESOLVE || a.step == CL_STEP_READ) {
+			(a.step == CL_STEP_READ ? reads : resolved)[a.op] = {
+			    a.error, a.entry};
+			return;
+		}
+		if (runs.count(a.op) == 0)
+			return;
+		Run &run = runs[a.op];
+		if (a.step == CL_STEP_CLAIM) {
+			run.answered = true;
+			run.error = a.error;
+			run.entry = a.entry;
+			run.ended = a.error != 0;
+			if (a.error == 0 && !run.keep_held)
+				mark(a.op);
+		} else if (a.step == CL_STEP_MARK) {
+			run.error = a.error;
+			run.marked = a.error == 0;
+			run.ended = a.error != 0;
+			if (a.error == 0 && !run.keep_marked)
+				dispatch(a.op);
+		} else {
+			run.error = a.error;
+			run.ended = true;
+		}
+	}
+
+	void mark(uint64_t op)
+	{
+		Claimant &c = claimants[runs[op].claimant];
+
+		cl_client_mark(c.client, now(), op, now() + 2000000);
+	}
+
+	/* The call runs, if the claim still allows it now. */
+	void dispatch(uint64_t op)
+	{
+		Run &run = runs[op];
+		struct cl_client *client = claimants[run.claimant].client;
+		uint8_t digest[CL_DIGEST_BYTES] = {7};
+
+		if (!cl_client_may_dispatch(client, now(), op))
+			return;
+		ran[run.key]++;
+		run.dispatched = true;
+		if (!run.keep_dispatched)
+			cl_client_done(client, now(), op, 200, digest);
+	}
+
+	struct cl_key key_of(const std::string &text)
+	{
+		struct cl_key key;
+
+		cl_key_parse(1, text.c_str(), &key);
+		return key;
+	}
+
+	std::string dated(int n)
+	{
+		return std::to_string(wall_s) + "-" + std::to_string(n);
+	}
+
+	uint64_t run(int claimant, const std::string &text, Run how = Run())
+	{
+		struct cl_key key = key_of(text);
+		uint64_t op = next_op++;
+
+		how.claimant = claimant;
+		how.key = text;
+		runs[op] = how;
+		cl_client_claim(claimants[claimant].client, now(), op, &key,
+		    now() + 2000000);
+		return op;
+	}
+
+	uint64_t resolve(int claimant, const std::string &text,
+	    const struct cl_ballot &attempt, uint64_t change,
+	    enum cl_phase verdict)
+	{
+		struct cl_key key = key_of(text);
+		struct cl_resolution order = {attempt, change, verdict};
+		uint64_t op = next_op++;
+
+		cl_client_resolve(claimants[claimant].client, now(), op, &key,
+		    &order, now() + 3000000);
+		return op;
+	}
+
+	/* Runs a key and waits; returns the claim's or marker's error. */
+	Run &settle(int claimant, const std::string &text, Run how = Run())
+	{
+		uint64_t op = run(claimant, text, how);
+
+		step(3000);
+		return runs[op];
+	}
+
+	void deliver(int from, int to, const Bytes &bytes)
+	{
+		struct cl_msg msg;
+
+		ASSERT_EQ(0, cl_msg_decode(&msg, (const uint8_t *)bytes.data(),
+				 bytes.size()));
+		if (to < 11) {
+			Replica &r = replicas[to];
+
+			if (r.frozen)
+				r.inbox.push_back({from, bytes});
+			else if (!r.down)
+				cl_store_message(r.store, now(), from, &msg);
+			return;
+		}
+		Claimant &c = claimants[to];
+		if (c.frozen)
+			c.inbox.push_back({from, bytes});
+		else if (!c.down)
+			cl_client_message(c.client, now(), from, &msg);
+	}
+
+	void work()
+	{
+		while (!todo.empty()) {
+			auto item = todo.front();
+
+			todo.erase(todo.begin());
+			if (!claimants[item.first].down)
+				react(item.first, item.second);
+		}
+	}
+
+	/* A frozen process finds its messages when it wakes. */
+	void wake(int id)
+	{
+		std::vector<std::pair<int, Bytes>> inbox;
+
+		if (id < 11) {
+			replicas[id].frozen = false;
+			inbox.swap(replicas[id].inbox);
+		} else {
+			claimants[id].frozen = false;
+			inbox.swap(claimants[id].inbox);
+		}
+		for (auto &m : inbox)
+			deliver(m.first, id, m.second);
+		work();
+	}
+
+	/* Lets time pass in half milliseconds. */
+	void step(int ms)
+	{
+		for (int64_t end = now() + ms * 1000LL; now() < end;) {
+			net.run_until(now() + 500,
+			    [&](int from, int to, const Bytes &bytes) {
+				    deliver(from, to, bytes);
+				    work();
+			    });
+			for (auto &r : replicas) {
+				sync(r.second);
+				if (!r.second.down && !r.second.frozen &&
+				    now() % 50000 < 500)
+					cl_store_tick(
+					    r.second.store, now(), wall_s);
+			}
+			for (auto &c : claimants)
+				if (!c.second.down && !c.second.frozen)
+					cl_client_tick(c.second.client, now());
+			work();
+		}
+	}
+
+      private:
+	int count = 0;
+	std::vector<std::pair<int, struct cl_client_action>> todo;
+};
+
+#endif
