--- /dev/null
+++ b/test/unit/claim_matrix_test.cc
@@ -0,0 +1,374 @@
+#include <gtest/gtest.h>
+
+#include <functional>
+
+#include "claim_world.h"
+#include "matrix.h"
+
+/*
+ * Claim, run, settle: every fault at every step.  In each cell claimant 11
+ * runs a key up to the step, the fault strikes while the step's messages are
+ * under way, 11 goes on if it can, 12 is sent the same request, everything is
+ * repaired, and 12 is sent it again.  What must hold: the call ran at most
+ * once; a caller that was told "done" is confirmed by the resend; in the end
+ * the key has run, runs now, or is halted and can be resolved.
+ */
+
+enum step {
+	CLAIM,
+	MARKER,
+	DISPATCH,
+	OUTCOME,
+	SETTLED,
+	RELEASE,
+	RESOLVE,
+	STEPS
+};
+
+enum fault {
+	KILL_CLAIMANT,
+	KILL_REPLICA,
+	LOST_DISK,
+	LOST_TAIL,
+	CUT,
+	ONE_WAY_CUT,
+	FREEZE,
+	DUPLICATED,
+	REORDERED,
+	DELAYED,
+	FAILED_SYNC,
+	OPERATOR_RACE,
+	RESEND,
+	SECOND_LOSS,
+	FAULTS
+};
+
+struct Off {
+	const char *name;
+	std::function<void(ClaimWorld &)> set;
+};
+
+class Cell
+{
+      public:
+	explicit Cell(const Off *off) : w(3, 3, 3)
+	{
+		if (off != nullptr)
+			off->set(w);
+		w.start();
+		w.step(1);
+		key = w.dated(1);
+	}
+
+	std::string run(enum step s, enum fault f)
+	{
+		before = f;
+		reach(s);
+		strike(s, f);
+		go_on(s);
+		second_caller();
+		repair(f);
+		return verdict();
+	}
+
+      private:
+	ClaimWorld w;
+	std::string key;
+	uint64_t op = 0, order = 0, rival = 0;
+	struct cl_ballot attempt = {};
+	enum fault before = FAULTS;
+	bool told_done = false;
+
+	/* Messages of the step are sent and under way afterwards. */
+	void reach(enum step s)
+	{
+		ClaimRun how;
+
+		if (before == LOST_DISK || before == SECOND_LOSS)
+			w.net.isolate(3, 20);
+		hang(s, CLAIM);
+		how.keep_held = how.keep_marked = how.keep_dispatched = true;
+		op = w.run(11, key, how);
+		if (s == CLAIM)
+			return;
+		w.step(20);
+		hang(s, MARKER);
+		w.mark(op);
+		if (s == MARKER)
+			return;
+		w.step(20);
+		if (s == RELEASE) {
+			hang(s, RELEASE);
+			cl_client_release(w.claimants[11].client, w.now(), op);
+			return;
+		}
+		if (s == RESOLVE) {
+			halted();
+			return;
+		}
+		if (s == DISPATCH)
+			return;
+		w.dispatch(op);
+		hang(s, OUTCOME);
+		done();
+		if (s == SETTLED)
+			w.step(20);
+	}
+
+	/* The records of the struck step stay unsynced on one replica. */
+	void hang(enum step s, enum step now)
+	{
+		if (before == LOST_TAIL && s == now)
+			for (int r = 1; r <= 3; r++)
+				w.replicas[r].sync_hangs = true;
+	}
+
+	void done()
+	{
+		uint8_t digest[CL_DIGEST_BYTES] = {7};
+
+		cl_client_done(
+		    w.claimants[11].client, w.now(), op, 200, digest);
+	}
+
+	void halted()
+	{
+		w.kill_claimant(11);
+		attempt = w.settle(12, key).entry.accepted;
+		w.step(CL_MARK_WAIT_MS);
+		hang(RESOLVE, RESOLVE);
+		order = w.resolve(12, key, attempt, 7, CL_RESOLVED_NOT_RUN);
+	}
+
+	void strike(enum step s, enum fault f)
+	{
+		switch (f) {
+		case KILL_CLAIMANT:
+			w.kill_claimant(s == RESOLVE ? 12 : 11);
+			if (s == RESOLVE)
+				w.restart_claimant(12);
+			break;
+		case KILL_REPLICA:
+			w.step(1);
+			w.kill_replica(1);
+			break;
+		case LOST_DISK:
+		case SECOND_LOSS:
+			w.step(3);
+			w.kill_replica(1);
+			w.net.mend_all();
+			if (f == LOST_DISK)
+				w.net.isolate(2, 20);
+			w.replace_replica(1);
+			if (f == SECOND_LOSS) {
+				w.step(1000);
+				w.kill_replica(2);
+			}
+			break;
+		case LOST_TAIL:
+			w.step(20);
+			if (w.runs[op].marked && !w.claimants[11].down)
+				w.dispatch(op);
+			for (int r = 1; r <= 3; r++) {
+				w.kill_replica(r);
+				w.start_replica(r, false);
+			}
+			if (!w.claimants[11].down)
+				w.kill_claimant(11);
+			break;
+		case CUT:
+			w.net.cut(11, 1);
+			w.net.cut(1, 11);
+			w.net.cut(11, 2);
+			w.net.cut(2, 11);
+			w.net.cut(12, 3);
+			w.net.cut(3, 12);
+			w.suspect(11);
+			break;
+		case ONE_WAY_CUT:
+			w.net.cut(1, 11);
+			w.net.cut(2, 11);
+			w.suspect(11);
+			break;
+		case FREEZE:
+			w.step(1);
+			if (s == RESOLVE)
+				break;
+			w.claimants[11].frozen = true;
+			w.suspect(11);
+			break;
+		case DUPLICATED:
+			w.net.duplicate_percent = 100;
+			w.step(2);
+			break;
+		case REORDERED:
+			w.net.delay_max_us = 40000;
+			w.net.duplicate_percent = 50;
+			break;
+		case DELAYED:
+			w.net.delay_min_us = w.net.delay_max_us = 1500000;
+			break;
+		case FAILED_SYNC:
+			w.replicas[1].sync_fails = true;
+			break;
+		case OPERATOR_RACE:
+			if (s == RESOLVE)
+				rival = w.resolve(
+				    13, key, attempt, 8, CL_RESOLVED_RAN);
+			break;
+		case RESEND:
+			w.run(s == RESOLVE ? 13 : 12, key);
+			if (s == RESOLVE)
+				w.resolve(
+				    13, key, attempt, 7, CL_RESOLVED_NOT_RUN);
+			break;
+		default:
+			break;
+		}
+	}
+
+	/* Claimant 11 goes on with its run as far as it is let. */
+	void go_on(enum step s)
+	{
+		ClaimRun &run = w.runs[op];
+
+		w.step(500);
+		if (w.claimants[11].frozen) {
+			ClaimRun other = w.settle(12, key);
+			w.step(CL_MARK_WAIT_MS);
+			if (other.error == ERR_HALTED && w.ran[key] == 0) {
+				w.resolve(13, key, other.entry.accepted, 7,
+				    CL_RESOLVED_NOT_RUN);
+				w.step(1500);
+				w.settle(12, key);
+			}
+			w.wake(11);
+		}
+		if (s == RELEASE || s == RESOLVE || w.claimants[11].down)
+			return;
+		if (run.answered && !run.ended && !run.marked) {
+			w.mark(op);
+			w.step(3000);
+		}
+		if (run.marked && !run.ended && !run.dispatched) {
+			w.dispatch(op);
+			done();
+		}
+		w.step(3000);
+		told_done = run.dispatched && run.ended && run.error == 0;
+	}
+
+	void second_caller()
+	{
+		w.settle(12, key);
+	}
+
+	void repair(enum fault f)
+	{
+		w.net.mend_all();
+		w.net.duplicate_percent = 0;
+		w.net.delay_min_us = 500;
+		w.net.delay_max_us = 1500;
+		w.step(4000);
+		for (auto &r : w.replicas)
+			if (r.second.down || f == FAILED_SYNC)
+				w.start_replica(r.first, false);
+		if (!w.claimants[11].down)
+			w.kill_claimant(11);
+		w.step(CL_MARK_WAIT_MS + 3000);
+	}
+
+	std::string verdict()
+	{
+		ClaimRun last = w.settle(12, key);
+
+		if (w.ran[key] > 1)
+			return "ran " + std::to_string(w.ran[key]) + " times";
+		if (told_done && last.error != ERR_DUPLICATE)
+			return "told done, resend says " +
+			       std::string(err_name(last.error));
+		if (rival != 0 && w.resolved[rival].first == 0 &&
+		    w.resolved[order].first == 0)
+			return "two orders resolved one halt";
+		if (last.error == ERR_HALTED)
+			return resolvable(last.entry.accepted);
+		if (last.error != 0 && last.error != ERR_DUPLICATE)
+			return std::string("stuck: ") + err_name(last.error);
+		return "";
+	}
+
+	std::string resolvable(const struct cl_ballot &halt)
+	{
+		bool ran = w.ran[key] > 0;
+		uint64_t o = w.resolve(13, key, halt, 9,
+		    ran ? CL_RESOLVED_RAN : CL_RESOLVED_NOT_RUN);
+
+		w.step(3000);
+		if (w.resolved[o].first != 0)
+			return "cannot be resolved";
+		ClaimRun after = w.settle(12, key);
+		if (w.ran[key] != 1)
+			return "ran " + std::to_string(w.ran[key]) + " times";
+		return after.error == (ran ? ERR_DUPLICATE : 0)
+			   ? ""
+			   : "resolved, then " +
+				 std::string(err_name(after.error));
+	}
+};
+
+static size_t
+run_matrix(const Off *off)
+{
+	struct matrix m;
+
+	m.title = std::string("Claim, run, settle") +
+		  (off != nullptr ? std::string(" without ") + off->name : "");
+	m.steps = {"claim", "marker", "dispatch", "outcome", "settled",
+	    "release", "resolve"};
+	m.faults = {"kill claimant", "kill replica", "lost disk", "lost tail",
+	    "cut", "one-way cut", "freeze", "duplicated", "reordered",
+	    "delayed", "failed sync", "operator race", "resend", "second loss"};
+	m.cell = [off](size_t s, size_t f) {
+		if (f == OPERATOR_RACE && s != RESOLVE)
+			return std::string("-");
+		return Cell(off).run((enum step)s, (enum fault)f);
+	};
+	return matrix_run(m);
+}
+
+TEST(ClaimMatrix, EveryFaultAtEveryStep)
+{
+	EXPECT_EQ(0u, run_matrix(nullptr));
+}
+
+TEST(ClaimMatrix, EachMechanismOff)
+{
+	const Off offs[] = {
+	    {"syncs",
+		[](ClaimWorld &w) { w.store_options.unsafe_skip_sync = true; }},
+	    {"ballots",
+		[](ClaimWorld &w) {
+			w.store_options.unsafe_skip_ballots = true;
+		}},
+	    {"markers",
+		[](ClaimWorld &w) {
+			w.client_options.unsafe_skip_marker = true;
+		}},
+	    {"marker age",
+		[](ClaimWorld &w) {
+			w.client_options.unsafe_dispatch_late = true;
+			w.store_options.unsafe_skip_wait_out = true;
+		}},
+	    {"majorities",
+		[](ClaimWorld &w) {
+			w.client_options.unsafe_one_replica = true;
+		}},
+	    {"learning",
+		[](ClaimWorld &w) {
+			w.store_options.unsafe_skip_learning = true;
+		}},
+	};
+
+	for (const Off &off : offs)
+		EXPECT_GT(run_matrix(&off), 0u) << off.name;
+}
