Route with a queue, sessions, credits, crash marks and retry budgets

Cause: the first version refused whatever did not fit at once and knew no cold servers, sessions, crashes, budgets or other data centres.

--- a/include/celeryford.h
+++ b/include/celeryford.h
@@ -75,7 +75,8 @@
 	CF_UNSAFE_CREDIT = 1 << 2, /* cold servers are sent to as warm */
 	CF_UNSAFE_LEAVING = 1 << 3, /* leaving is not looked at */
 	CF_UNSAFE_ONCE = 1 << 4, /* unknown outcomes are retried */
-	CF_UNSAFE_RUN_STATE = 1 << 5, /* a cancelled attempt counts as not run */
+	CF_UNSAFE_RUN_STATE = 1
+			      << 5, /* a cancelled attempt counts as not run */
 	CF_UNSAFE_MARKS = 1 << 6, /* crash marks are not looked at */
 	CF_UNSAFE_END = 1 << 7 /* a request stays open after its answer */
 };
--- /dev/null
+++ b/src/core/cache.c
@@ -0,0 +1,151 @@
+#include "core/cache.h"
+
+enum {
+	CACHE_BUCKETS = 8192
+};
+
+struct cache_entry {
+	uint64_t prefix;
+	uint32_t generation; /* of its server's beliefs */
+	uint16_t server;
+	bool used;
+};
+
+struct cache_server {
+	uint64_t sequence;
+	uint32_t generation;
+};
+
+struct cache {
+	const struct alloc *alloc;
+	struct cache_entry *entries; /* CACHE_WAYS to a bucket */
+	uint8_t *next; /* entry to replace in each bucket */
+	struct cache_server *servers;
+	uint16_t max_servers;
+};
+
+/* Returns a memory without beliefs. */
+struct cache *
+cache_new(const struct alloc *alloc, uint16_t max_servers)
+{
+	struct cache *cache = alloc_zero(alloc, 1, sizeof(*cache));
+
+	cache->alloc = alloc;
+	cache->max_servers = max_servers;
+	cache->entries = alloc_zero(
+	    alloc, (size_t)CACHE_BUCKETS * CACHE_WAYS, sizeof(*cache->entries));
+	cache->next = alloc_zero(alloc, CACHE_BUCKETS, 1);
+	cache->servers =
+	    alloc_zero(alloc, max_servers, sizeof(*cache->servers));
+	return cache;
+}
+
+void
+cache_free(struct cache *cache)
+{
+	if (cache == NULL)
+		return;
+	alloc_free(cache->alloc, cache->entries);
+	alloc_free(cache->alloc, cache->next);
+	alloc_free(cache->alloc, cache->servers);
+	alloc_free(cache->alloc, cache);
+}
+
+static uint32_t
+cache_bucket(uint64_t prefix)
+{
+	return (uint32_t)(prefix * UINT64_C(0x9e3779b97f4a7c15) >> 32) %
+	       CACHE_BUCKETS;
+}
+
+static bool
+cache_live(const struct cache *cache, const struct cache_entry *e)
+{
+	return e->used && e->generation == cache->servers[e->server].generation;
+}
+
+static struct cache_entry *
+cache_find(struct cache *cache, uint16_t server, uint64_t prefix)
+{
+	struct cache_entry *e =
+	    &cache->entries[(size_t)cache_bucket(prefix) * CACHE_WAYS];
+	uint32_t i;
+
+	for (i = 0; i < CACHE_WAYS; i++)
+		if (e[i].prefix == prefix && e[i].server == server &&
+		    cache_live(cache, &e[i]))
+			return &e[i];
+	return NULL;
+}
+
+/* Notes that a server holds a prefix, from an event or its own traffic. */
+void
+cache_believe(struct cache *cache, uint16_t server, uint64_t prefix)
+{
+	uint32_t bucket = cache_bucket(prefix);
+	struct cache_entry *e;
+
+	if (server >= cache->max_servers ||
+	    cache_find(cache, server, prefix) != NULL)
+		return;
+	e = &cache->entries[(size_t)bucket * CACHE_WAYS + cache->next[bucket]];
+	cache->next[bucket] = (cache->next[bucket] + 1) % CACHE_WAYS;
+	e->prefix = prefix;
+	e->server = server;
+	e->generation = cache->servers[server].generation;
+	e->used = true;
+}
+
+/* Drops all beliefs about a server, whose sequence starts anew. */
+void
+cache_forget_server(struct cache *cache, uint16_t server)
+{
+	if (server >= cache->max_servers)
+		return;
+	cache->servers[server].generation++;
+	cache->servers[server].sequence = 0;
+}
+
+/*
+ * Takes in a server's cache event.  A gap in the sequence may hide evictions,
+ * so it drops what was believed; an event that comes twice is ignored.
+ */
+void
+cache_event(struct cache *cache, uint16_t server, uint64_t sequence,
+    uint64_t prefix, bool stored)
+{
+	struct cache_server *s;
+	struct cache_entry *e;
+
+	if (server >= cache->max_servers)
+		return;
+	s = &cache->servers[server];
+	if (s->sequence != 0 && sequence <= s->sequence)
+		return;
+	if (s->sequence != 0 && sequence != s->sequence + 1)
+		cache_forget_server(cache, server);
+	s->sequence = sequence;
+	if (stored) {
+		cache_believe(cache, server, prefix);
+		return;
+	}
+	e = cache_find(cache, server, prefix);
+	if (e != NULL)
+		e->used = false;
+}
+
+/* Lists the servers believed to hold a prefix; returns how many. */
+uint8_t
+cache_holders(
+    const struct cache *cache, uint64_t prefix, uint16_t servers[CACHE_WAYS])
+{
+	const struct cache_entry *e =
+	    &cache->entries[(size_t)cache_bucket(prefix) * CACHE_WAYS];
+	uint8_t count = 0;
+	uint32_t i;
+
+	for (i = 0; i < CACHE_WAYS; i++)
+		if (e[i].prefix == prefix && cache_live(cache, &e[i]))
+			servers[count++] = e[i].server;
+	return count;
+}
--- a/src/core/reason.c
+++ b/src/core/reason.c
@@ -18,6 +18,7 @@
     [CF_WHY_BUDGET] = "budget",
     [CF_WHY_OUTCOME] = "outcome",
     [CF_WHY_ABSORB] = "absorb",
+    [CF_WHY_REBOUND] = "rebound",
 };
 
 /* Returns the reason as the decision log spells it. */
--- /dev/null
+++ b/src/core/request.c
@@ -0,0 +1,409 @@
+#include <string.h>
+
+#include "core/router.h"
+
+enum {
+	RETRY_AFTER_MIN_MS = 200,
+	RETRY_AFTER_MAX_MS = 30000,
+	RETRY_AFTER_MS = 500, /* where no wait was estimated */
+	DEADLINE_MS = 30000 /* where neither caller nor workspace has one */
+};
+
+#define MOVE(state) (1u << (state))
+
+/* The states that each state may be followed by. */
+static const uint32_t request_moves[] = {
+    [REQUEST_FREE] = MOVE(REQUEST_NEW),
+    [REQUEST_NEW] = MOVE(REQUEST_CLAIMING) | MOVE(REQUEST_QUEUED) |
+		    MOVE(REQUEST_RUNNING) | MOVE(REQUEST_FREE),
+    [REQUEST_CLAIMING] =
+	MOVE(REQUEST_QUEUED) | MOVE(REQUEST_RUNNING) | MOVE(REQUEST_FREE),
+    [REQUEST_QUEUED] = MOVE(REQUEST_RUNNING) | MOVE(REQUEST_FREE),
+    [REQUEST_RUNNING] =
+	MOVE(REQUEST_RUNNING) | MOVE(REQUEST_QUEUED) | MOVE(REQUEST_FREE),
+};
+
+/* Returns a request's place in the table. */
+uint32_t
+request_slot(const struct cf_router *r, const struct request *q)
+{
+	return (uint32_t)(q - r->requests);
+}
+
+/* Returns an open request by the caller's id, or NULL. */
+struct request *
+request_get(struct cf_router *r, uint32_t id)
+{
+	int64_t slot = map_get(r->by_id, id);
+
+	return slot == MAP_NONE ? NULL : &r->requests[slot];
+}
+
+/* Moves a request to its next state; a move that is not listed is a fault. */
+void
+request_move(struct request *q, enum request_state to)
+{
+	if (!(request_moves[q->state] & MOVE(to)))
+		__builtin_trap();
+	q->state = to;
+}
+
+/* Forgets a request. */
+void
+request_end(struct cf_router *r, struct request *q)
+{
+	if (q->state == REQUEST_QUEUED)
+		request_unqueue(r, q);
+	if (router_unsafe(r, CF_UNSAFE_END))
+		return;
+	heap_clear(r->timers, request_slot(r, q));
+	map_remove(r->by_id, q->asked.id);
+	request_move(q, REQUEST_FREE);
+	q->next_free = r->free_head;
+	r->free_head = request_slot(r, q);
+}
+
+/*
+ * Returns what is known of a request's execution: it has not run only if every
+ * attempt was reported so, or there was none.
+ */
+enum err_run_state
+request_run_state(const struct cf_router *r, const struct request *q)
+{
+	enum err_run_state worst = ERR_NOT_RUN;
+	enum err_run_state one;
+	uint8_t i;
+
+	for (i = 0; i < q->attempt_count; i++) {
+		one = q->attempts[i].run_state;
+		if (router_unsafe(r, CF_UNSAFE_RUN_STATE) &&
+		    one == ERR_MAY_HAVE_RUN)
+			one = ERR_NOT_RUN;
+		if (one > worst)
+			worst = one;
+	}
+	return worst;
+}
+
+/* Returns how many attempts of a request run now. */
+uint8_t
+request_running(const struct request *q)
+{
+	uint8_t count = 0;
+	uint8_t i;
+
+	for (i = 0; i < q->attempt_count; i++)
+		count += q->attempts[i].state == ATTEMPT_RUNNING;
+	return count;
+}
+
+/* Returns a time to come back, spread so that callers do not come at once. */
+static uint32_t
+request_retry_after(struct cf_router *r, uint32_t after_ms)
+{
+	if (after_ms == 0)
+		after_ms = RETRY_AFTER_MS;
+	if (after_ms < RETRY_AFTER_MIN_MS)
+		after_ms = RETRY_AFTER_MIN_MS;
+	if (after_ms > RETRY_AFTER_MAX_MS)
+		after_ms = RETRY_AFTER_MAX_MS;
+	return after_ms + rng_below(&r->rng, after_ms);
+}
+
+static void
+request_refuse_unknown(struct cf_router *r, const struct cf_request *asked,
+    int error, enum cf_reason reason, uint32_t after_ms)
+{
+	struct cf_action *a = router_act(r, CF_ACT_REFUSE);
+
+	a->request = asked->id;
+	a->workspace = asked->workspace;
+	a->error = error;
+	a->reason = reason;
+	a->run_state = ERR_NOT_RUN;
+	if (err_answer(error)->try_again)
+		a->retry_after_ms = request_retry_after(r, after_ms);
+}
+
+/*
+ * Ends a request with an error.  after_ms is when it may come back, 0 for the
+ * usual time; it is left out for errors that coming back does not mend.
+ */
+void
+request_refuse(struct cf_router *r, struct request *q, int error,
+    enum cf_reason reason, uint32_t after_ms)
+{
+	enum err_run_state state = request_run_state(r, q);
+	struct cf_action *a;
+
+	if (q->asked.once && state == ERR_NOT_RUN) {
+		/* The claim that failed says what the earlier call did. */
+		if (error == ERR_DUPLICATE)
+			state = ERR_RAN;
+		if (error == ERR_HALTED || error == ERR_IN_PROGRESS)
+			state = ERR_MAY_HAVE_RUN;
+	}
+	a = router_act(r, CF_ACT_REFUSE);
+	a->request = q->asked.id;
+	a->workspace = q->asked.workspace;
+	a->error = error;
+	a->run_state = state;
+	a->reason = reason;
+	if (err_answer(error)->try_again)
+		a->retry_after_ms = request_retry_after(r, after_ms);
+	request_end(r, q);
+}
+
+/* Ends a request with the answer of one of its attempts. */
+void
+request_answer(struct cf_router *r, struct request *q, uint8_t attempt)
+{
+	struct cf_action *a = router_act(r, CF_ACT_ANSWER);
+	const struct attempt *t = &q->attempts[attempt];
+
+	a->request = q->asked.id;
+	a->workspace = q->asked.workspace;
+	a->attempt = attempt;
+	a->server = t->server;
+	a->version = t->version;
+	a->data_centre = t->data_centre;
+	a->run_state = ERR_RAN;
+	a->reason = q->why;
+	limit_success(r->limit, q->asked.workspace);
+	request_end(r, q);
+}
+
+/* Takes a request out of the queue without ending it. */
+void
+request_unqueue(struct cf_router *r, struct request *q)
+{
+	queue_remove(r->queue, request_slot(r, q));
+	heap_clear(r->timers, request_slot(r, q));
+	if (q->lane != CFG_NONE)
+		r->waiting[q->lane]--;
+}
+
+/* Queues a request, or refuses it at once if it would wait too long. */
+static void
+request_wait(struct cf_router *r, struct request *q, enum place_result why)
+{
+	int64_t wait_us = place_wait_us(r, q);
+	int64_t latest_us = q->asked.deadline_us;
+	uint32_t after_ms = (uint32_t)(wait_us / 1000);
+
+	if (why == PLACE_NO_SERVER) {
+		request_refuse(r, q, ERR_NO_SERVER, CF_WHY_NO_SERVER, 0);
+		return;
+	}
+	if (r->now_us + wait_us > latest_us) {
+		request_refuse(r, q, ERR_NO_CAPACITY, CF_WHY_LIMIT, after_ms);
+		return;
+	}
+	request_move(q, REQUEST_QUEUED);
+	queue_push(r->queue, q->asked.workspace, request_slot(r, q));
+	q->lane = CFG_NONE;
+	if (marks_get(r->marks, q->asked.fingerprint, r->now_us) == 0) {
+		/* A suspect waits for more than room and blocks nobody. */
+		q->lane = place_lane(q, q->chain.versions[q->step]);
+		r->waiting[q->lane]++;
+	}
+	heap_set(r->timers, request_slot(r, q), latest_us);
+}
+
+static void
+request_refuse_place(struct cf_router *r, struct request *q)
+{
+	const struct cfg *cfg = r->cfg;
+	uint16_t dc = r->options.data_centre;
+	uint16_t v = q->asked.version;
+
+	if (q->elsewhere == 0 && q->asked.kind == CF_CHAT) {
+		if (v != CFG_NONE && v < cfg->version_count &&
+		    (!cfg->versions[v].present ||
+			cfg->versions[v].state == CFG_WITHDRAWN))
+			request_refuse(
+			    r, q, ERR_UNKNOWN_MODEL, CF_WHY_NOT_ALLOWED, 0);
+		else
+			request_refuse(
+			    r, q, ERR_FORBIDDEN, CF_WHY_NOT_ALLOWED, 0);
+	} else if (dc < cfg->data_centre_count && cfg->data_centres[dc].out) {
+		request_refuse(r, q, ERR_NO_CAPACITY, CF_WHY_NO_SERVER, 0);
+	} else if (r->isolated) {
+		request_refuse(r, q, ERR_ISOLATED, CF_WHY_NOT_ALLOWED, 0);
+	} else {
+		request_refuse(r, q, ERR_FORBIDDEN, CF_WHY_NOT_ALLOWED, 0);
+	}
+}
+
+/*
+ * Brings a request without a running attempt on its way: to a backend server,
+ * to another data centre, into the queue, or back to its caller.
+ */
+void
+request_go(struct cf_router *r, struct request *q, enum cf_reason why)
+{
+	enum place_result result;
+
+	q->why = why;
+	if (!place_choose(r, q)) {
+		request_refuse_place(r, q);
+		return;
+	}
+	if (place_ramping(r) && place_forward(r, q))
+		return;
+	result = place_local(r, q, false);
+	if (result == PLACE_DONE || place_forward(r, q))
+		return;
+	if (result == PLACE_NOT_ALLOWED && !place_reachable(r, q))
+		request_refuse_place(r, q);
+	else
+		request_wait(r, q, result);
+}
+
+/* Makes place in a full table by refusing one that waits; may fail. */
+static bool
+request_make_place(struct cf_router *r, uint16_t workspace)
+{
+	int64_t victim;
+
+	if (r->free_head != r->options.max_requests)
+		return true;
+	victim = queue_victim(r->queue, workspace);
+	if (victim == QUEUE_NONE)
+		return false;
+	request_refuse(
+	    r, &r->requests[victim], ERR_NO_CAPACITY, CF_WHY_LIMIT, 0);
+	return r->free_head != r->options.max_requests;
+}
+
+static struct request *
+request_new(struct cf_router *r, const struct cf_request *asked)
+{
+	struct request *q = &r->requests[r->free_head];
+	const struct cfg_workspace *w = &r->cfg->workspaces[asked->workspace];
+	uint32_t deadline_ms =
+	    w->deadline_ms != 0 ? w->deadline_ms : DEADLINE_MS;
+
+	r->free_head = q->next_free;
+	q->asked = *asked;
+	request_move(q, REQUEST_NEW);
+	q->caller_gone = false;
+	q->pinned = false;
+	q->bind = false;
+	q->attempt_count = 0;
+	q->kept = REQUEST_NO_ATTEMPT;
+	q->step = 0;
+	q->elsewhere = 0;
+	q->chain.count = 0;
+	if (asked->deadline_us == 0)
+		q->asked.deadline_us = r->now_us + deadline_ms * 1000LL;
+	if (asked->prefix_count > CF_PREFIXES_MAX)
+		q->asked.prefix_count = CF_PREFIXES_MAX;
+	map_put(r->by_id, asked->id, request_slot(r, q));
+	return q;
+}
+
+/* Whether a request names only what the configuration holds. */
+static bool
+request_known(const struct cf_router *r, const struct cf_request *asked)
+{
+	const struct cfg *cfg = r->cfg;
+
+	if (cfg == NULL || asked->workspace >= cfg->workspace_count ||
+	    !cfg->workspaces[asked->workspace].present)
+		return false;
+	if (asked->kind == CF_SERVICE)
+		return asked->service < cfg->service_count &&
+		       asked->service < 64 &&
+		       cfg->services[asked->service].present &&
+		       (cfg->workspaces[asked->workspace].services >>
+			       asked->service &
+			   1);
+	return asked->version == CFG_NONE ||
+	       asked->version < cfg->version_count;
+}
+
+/* Takes in a caller's request. */
+void
+request_arrived(struct cf_router *r, const struct cf_request *asked)
+{
+	uint32_t after_ms = 0;
+	struct request *q;
+	struct cf_action *a;
+
+	if (!request_known(r, asked)) {
+		request_refuse_unknown(
+		    r, asked, ERR_FORBIDDEN, CF_WHY_NOT_ALLOWED, 0);
+		return;
+	}
+	if (marks_get(r->marks, asked->fingerprint, r->now_us) >=
+		MARKS_REFUSED &&
+	    !router_unsafe(r, CF_UNSAFE_MARKS)) {
+		request_refuse_unknown(
+		    r, asked, ERR_CRASHES, CF_WHY_CRASHES, 0);
+		return;
+	}
+	if (!asked->forwarded &&
+	    !limit_take(r->limit, asked->workspace, r->now_us, &after_ms)) {
+		request_refuse_unknown(
+		    r, asked, ERR_RATE, CF_WHY_LIMIT, after_ms);
+		return;
+	}
+	if (!request_make_place(r, asked->workspace)) {
+		request_refuse_unknown(
+		    r, asked, ERR_NO_CAPACITY, CF_WHY_LIMIT, 0);
+		return;
+	}
+	q = request_new(r, asked);
+	if (!asked->once || asked->forwarded) {
+		request_go(r, q, CF_WHY_CHEAPEST);
+		return;
+	}
+	request_move(q, REQUEST_CLAIMING);
+	a = router_act(r, CF_ACT_CLAIM);
+	a->request = asked->id;
+	a->workspace = asked->workspace;
+}
+
+/* Takes in how a claim ended. */
+void
+request_claimed(struct cf_router *r, uint32_t id, int error)
+{
+	struct request *q = request_get(r, id);
+
+	if (q == NULL || q->state != REQUEST_CLAIMING)
+		return;
+	if (error != 0)
+		request_refuse(r, q, error, CF_WHY_OUTCOME, 0);
+	else
+		request_go(r, q, CF_WHY_CHEAPEST);
+}
+
+/*
+ * Ends a request whose caller has gone.  A running call that must not be
+ * repeated goes on, so that its outcome becomes known.
+ */
+void
+request_caller_gone(struct cf_router *r, uint32_t id)
+{
+	struct request *q = request_get(r, id);
+	uint16_t freed[CF_ATTEMPTS_MAX];
+	uint8_t count = 0;
+	uint8_t i;
+
+	if (q == NULL)
+		return;
+	q->caller_gone = true;
+	if (q->asked.once && q->state == REQUEST_RUNNING)
+		return;
+	for (i = 0; i < q->attempt_count; i++) {
+		if (q->attempts[i].state != ATTEMPT_RUNNING)
+			continue;
+		attempt_cancel(r, q, i);
+		if (q->attempts[i].server != CF_NO_SERVER)
+			freed[count++] = q->attempts[i].server;
+	}
+	request_end(r, q);
+	for (i = 0; i < count; i++)
+		upkeep_drain_server(r, freed[i]);
+}
--- a/src/core/router.c
+++ b/src/core/router.c
@@ -1,62 +1,15 @@
-#include "celeryford.h"
+#include "core/router.h"
 
 #include <string.h>
 
-#include "base/rng.h"
-#include "core/fleet.h"
-#include "core/map.h"
-#include "core/quality.h"
-#include "core/rollout.h"
-
 enum {
-	RETRY_AFTER_MS = 500,
-	REQUEST_TRIES_MAX = 3
-};
-
-enum attempt_state {
-	ATTEMPT_NONE,
-	ATTEMPT_RUNNING,
-	ATTEMPT_ENDED
-};
-
-struct attempt {
-	uint16_t server;
-	uint16_t version;
-	enum attempt_state state;
-	uint64_t incarnation;
-	int64_t started_us;
-	int64_t first_token_us;
-};
-
-struct request {
-	struct cf_request asked;
-	bool used;
-	bool claiming;
-	uint8_t attempt_count;
-	enum err_run_state run_state; /* over all attempts so far */
-	struct qual_chain chain;
-	uint8_t step; /* position in the chain */
-	struct attempt attempts[CF_ATTEMPTS_MAX];
-	uint32_t next_free;
-};
-
-struct cf_router {
-	struct cf_router_options options;
-	const struct alloc *alloc;
-	const struct cfg *cfg;
-	struct fl *fl;
-	struct qual *qual;
-	struct ro *ro;
-	struct rng rng;
-	struct map *by_id;
-	struct request *requests;
-	uint32_t free_head;
-	bool isolated;
-	int64_t now_us;
-	struct cf_actions *actions;
+	/* Actions that handling one more request may add to a step. */
+	ROUTER_ROOM = 3 * CF_ATTEMPTS_MAX,
+	ROUTER_MARKS = 4096 /* crash marks remembered */
 };
 
-static struct cf_action *
+/* Appends an action to the step's list. */
+struct cf_action *
 router_act(struct cf_router *r, enum cf_action_kind kind)
 {
 	struct cf_action *a = &r->actions->items[r->actions->count++];
@@ -69,26 +22,57 @@
 	return a;
 }
 
+/*
+ * Whether the step's list has room for one more request's actions.  Where it
+ * has not, the rest is left for a wake at once.
+ */
+bool
+router_room(struct cf_router *r)
+{
+	if (r->actions->count + 2 * ROUTER_ROOM <= CF_ACTIONS_MAX)
+		return true;
+	r->more = true;
+	return false;
+}
+
+/* Whether a test left out a rule. */
+bool
+router_unsafe(const struct cf_router *r, enum cf_unsafe rule)
+{
+	return (r->options.unsafe & rule) != 0;
+}
+
 /* Returns a router that refuses everything until its first CF_EV_CONFIG. */
 struct cf_router *
 cf_router_new(const struct cf_router_options *options)
 {
 	const struct alloc *alloc =
 	    options->alloc != NULL ? options->alloc : alloc_default();
+	struct fl_options fl = {alloc, options->max_servers,
+	    (options->unsafe & CF_UNSAFE_CREDIT) != 0,
+	    (options->unsafe & CF_UNSAFE_LEAVING) != 0};
 	struct cf_router *r = alloc_zero(alloc, 1, sizeof(*r));
 	uint32_t i;
 
 	r->options = *options;
 	r->alloc = alloc;
-	r->fl = fl_new(alloc, options->max_servers);
+	r->instances = 1;
+	r->wake_us = INT64_MAX;
+	r->fl = fl_new(&fl);
 	r->qual = qual_new(alloc);
 	r->ro = ro_new(alloc);
-	rng_init(&r->rng, options->seed);
+	r->queue = queue_new(alloc, options->max_requests);
+	r->limit = limit_new(alloc);
+	r->marks = marks_new(alloc, ROUTER_MARKS);
+	r->session = session_new(alloc, options->max_sessions);
+	r->timers = heap_new(alloc, options->max_requests);
 	r->by_id = map_new(alloc, options->max_requests);
 	r->requests =
 	    alloc_zero(alloc, options->max_requests, sizeof(*r->requests));
 	for (i = 0; i < options->max_requests; i++)
 		r->requests[i].next_free = i + 1;
+	nb_init(&r->nb, options->data_centre);
+	rng_init(&r->rng, options->seed);
 	return r;
 }
 
@@ -100,402 +84,218 @@
 	fl_free(r->fl);
 	qual_free(r->qual);
 	ro_free(r->ro);
+	queue_free(r->queue);
+	limit_free(r->limit);
+	marks_free(r->marks);
+	session_free(r->session);
+	heap_free(r->timers);
 	map_free(r->by_id);
 	alloc_free(r->alloc, r->requests);
 	alloc_free(r->alloc, r);
 }
 
-static struct request *
-request_get(struct cf_router *r, uint32_t id)
-{
-	int64_t slot = map_get(r->by_id, id);
-
-	return slot == MAP_NONE ? NULL : &r->requests[slot];
-}
-
-static void
-request_end(struct cf_router *r, struct request *q)
-{
-	map_remove(r->by_id, q->asked.id);
-	q->used = false;
-	q->next_free = r->free_head;
-	r->free_head = (uint32_t)(q - r->requests);
-}
-
-static void
-router_refuse(struct cf_router *r, uint32_t id, uint16_t workspace, int error,
-    enum err_run_state run_state, enum cf_reason reason)
+/* Says once that the sequential test has stopped a version. */
+void
+router_watch_version(struct cf_router *r, uint16_t version)
 {
-	struct cf_action *a = router_act(r, CF_ACT_REFUSE);
-
-	a->request = id;
-	a->workspace = workspace;
-	a->error = error;
-	a->run_state = run_state;
-	a->reason = reason;
-	if (err_answer(error)->try_again)
-		a->retry_after_ms =
-		    RETRY_AFTER_MS + rng_below(&r->rng, RETRY_AFTER_MS);
-}
+	struct cf_action *a;
 
-static void
-request_refuse(
-    struct cf_router *r, struct request *q, int error, enum cf_reason reason)
-{
-	router_refuse(
-	    r, q->asked.id, q->asked.workspace, error, q->run_state, reason);
-	request_end(r, q);
+	if ((r->stopped >> version & 1) || !ro_stopped(r->ro, version))
+		return;
+	r->stopped |= UINT64_C(1) << version;
+	a = router_act(r, CF_ACT_STOP_VERSION);
+	a->version = version;
 }
 
-/* Whether an attempt may be dispatched now; the last check of every one. */
+/* Whether the own data centre takes work by a configuration. */
 static bool
-dispatch_allowed(
-    const struct cf_router *r, const struct request *q, uint16_t version)
+router_open_by(const struct cf_router *r, const struct cfg *cfg)
 {
-	const struct cfg *cfg = r->cfg;
-	const struct cfg_workspace *w;
 	uint16_t dc = r->options.data_centre;
 
-	if (q->asked.kind == CF_SERVICE) {
-		w = &cfg->workspaces[q->asked.workspace];
-		return w->present && (w->services >> q->asked.service & 1) &&
-		       (w->data_centres >> dc & 1) &&
-		       cfg->data_centres[dc].present &&
-		       !cfg->data_centres[dc].out;
-	}
-	return cfg_version_allowed(cfg, q->asked.workspace, version, dc) &&
-	       !ro_stopped(r->ro, version) &&
-	       (!r->isolated || cfg->versions[version].serve_isolated);
+	return dc < cfg->data_centre_count && cfg->data_centres[dc].present &&
+	       !cfg->data_centres[dc].out;
 }
 
 static void
-dispatch(struct cf_router *r, struct request *q, uint16_t server,
-    uint16_t version, uint16_t candidates)
-{
-	struct fl_server *s = fl_server(r->fl, server);
-	struct attempt *t = &q->attempts[q->attempt_count];
-	struct cf_action *a = router_act(r, CF_ACT_DISPATCH);
-
-	memset(t, 0, sizeof(*t));
-	t->server = server;
-	t->version = version;
-	t->state = ATTEMPT_RUNNING;
-	t->incarnation = s->said.incarnation;
-	t->started_us = r->now_us;
-	s->in_flight++;
-	a->request = q->asked.id;
-	a->workspace = q->asked.workspace;
-	a->attempt = q->attempt_count++;
-	a->server = server;
-	a->version = version;
-	a->candidates = candidates;
-	a->reason = q->attempt_count > 1 ? CF_WHY_RETRY : q->chain.reason;
-	a->at_us = q->asked.deadline_us;
-	if (version != CFG_NONE)
-		ro_served(r->ro, version, r->now_us);
-}
-
-/* Dispatches a request on the first version of its chain that has a server. */
-static void
-request_place(struct cf_router *r, struct request *q)
-{
-	uint16_t tried[CF_ATTEMPTS_MAX];
-	struct fl_need need = {CFG_NONE, q->asked.service, tried, 0};
-	uint16_t candidates, seen = 0;
-	uint16_t server;
-	bool allowed = false;
-	uint8_t i;
-
-	for (i = 0; i < q->attempt_count; i++)
-		tried[need.avoid_count++] = q->attempts[i].server;
-	for (i = 0; i < q->chain.count; i++) {
-		need.version = q->chain.versions[i];
-		if (!dispatch_allowed(r, q, need.version))
-			continue;
-		allowed = true;
-		server = fl_pick(r->fl, &r->rng, &need, r->now_us, &candidates);
-		seen += candidates;
-		if (server != CF_NO_SERVER) {
-			dispatch(r, q, server, need.version, candidates);
-			return;
-		}
-	}
-	if (!allowed)
-		request_refuse(r, q, ERR_FORBIDDEN, CF_WHY_NOT_ALLOWED);
-	else if (seen == 0)
-		request_refuse(r, q, ERR_NO_SERVER, CF_WHY_NO_SERVER);
-	else
-		request_refuse(r, q, ERR_NO_CAPACITY, CF_WHY_LIMIT);
-}
-
-/* Returns the versions that the request may run, as a mask. */
-static uint64_t
-request_versions(const struct cf_router *r, const struct request *q)
+router_configure(struct cf_router *r, const struct cfg *cfg)
 {
-	uint64_t mask = 0;
 	uint16_t v;
 
-	for (v = 0; v < r->cfg->version_count; v++)
-		if ((q->asked.version == CFG_NONE || q->asked.version == v) &&
-		    (q->asked.model == CFG_NONE ||
-			r->cfg->versions[v].model == q->asked.model) &&
-		    dispatch_allowed(r, q, v))
-			mask |= UINT64_C(1) << v;
-	return mask;
-}
-
-static void
-request_choose(struct cf_router *r, struct request *q)
-{
-	uint64_t mask;
-
-	if (q->asked.kind == CF_SERVICE) {
-		q->chain.count = 1;
-		q->chain.versions[0] = CFG_NONE;
-		q->chain.reason = CF_WHY_ONLY;
-		return;
-	}
-	mask = request_versions(r, q);
-	if (mask == 0)
-		return;
-	if (q->asked.version != CFG_NONE) {
-		q->chain.count = 1;
-		q->chain.versions[0] = q->asked.version;
-		q->chain.reason = CF_WHY_REQUESTED;
-		return;
-	}
-	qual_choose(r->qual, &r->rng, q->asked.workspace, q->asked.task_class,
-	    mask, ro_open(r->ro, (uint16_t)rng_below(&r->rng, 1000)),
-	    !q->asked.streaming, r->now_us, &q->chain);
-}
-
-static void
-on_request(struct cf_router *r, const struct cf_request *asked)
-{
-	struct request *q;
-	struct cf_action *a;
-
-	if (r->cfg == NULL || asked->workspace >= r->cfg->workspace_count) {
-		router_refuse(r, asked->id, asked->workspace, ERR_FORBIDDEN,
-		    ERR_NOT_RUN, CF_WHY_NOT_ALLOWED);
-		return;
-	}
-	if (r->free_head == r->options.max_requests) {
-		router_refuse(r, asked->id, asked->workspace, ERR_NO_CAPACITY,
-		    ERR_NOT_RUN, CF_WHY_LIMIT);
-		return;
-	}
-	q = &r->requests[r->free_head];
-	r->free_head = q->next_free;
-	memset(q, 0, sizeof(*q));
-	q->asked = *asked;
-	q->used = true;
-	map_put(r->by_id, asked->id, (uint32_t)(q - r->requests));
-	if (asked->once) {
-		q->claiming = true;
-		a = router_act(r, CF_ACT_CLAIM);
-		a->request = asked->id;
-		a->workspace = asked->workspace;
-		return;
-	}
-	request_choose(r, q);
-	request_place(r, q);
-}
-
-static void
-on_claimed(struct cf_router *r, uint32_t id, int error)
-{
-	struct request *q = request_get(r, id);
-
-	if (q == NULL || !q->claiming)
-		return;
-	q->claiming = false;
-	if (error != 0) {
-		request_refuse(r, q, error, CF_WHY_OUTCOME);
-		return;
-	}
-	request_choose(r, q);
-	request_place(r, q);
-}
-
-/* Returns the running attempt that a report names, or NULL. */
-static struct attempt *
-attempt_get(struct request *q, const struct cf_attempt *report)
-{
-	struct attempt *t;
+	bool open = router_open_by(r, cfg);
 
-	if (q == NULL || report->attempt >= q->attempt_count)
-		return NULL;
-	t = &q->attempts[report->attempt];
-	return t->state == ATTEMPT_RUNNING ? t : NULL;
+	if (r->cfg != NULL && open && !r->open)
+		r->returned_us = r->now_us;
+	r->open = open;
+	r->cfg = cfg;
+	qual_configure(r->qual, cfg);
+	ro_configure(r->ro, cfg);
+	queue_configure(r->queue, cfg);
+	limit_configure(r->limit, cfg, r->instances);
+	session_configure(r->session, cfg);
+	for (v = 0; v < cfg->version_count; v++)
+		if (!ro_stopped(r->ro, v))
+			r->stopped &= ~(UINT64_C(1) << v);
+	upkeep_drain(r);
 }
 
 static void
-attempt_end(struct cf_router *r, struct attempt *t)
+router_set_instances(struct cf_router *r, uint16_t instances)
 {
-	struct fl_server *s = fl_server(r->fl, t->server);
-
-	t->state = ATTEMPT_ENDED;
-	if (s->in_flight > 0)
-		s->in_flight--;
+	r->instances = instances == 0 ? 1 : instances;
+	if (r->cfg != NULL)
+		limit_configure(r->limit, r->cfg, r->instances);
 }
 
 static void
-on_done(struct cf_router *r, const struct cf_attempt *report)
+router_rated(struct cf_router *r, const struct cf_rating *rating)
 {
-	struct request *q = request_get(r, report->request);
-	struct attempt *t = attempt_get(q, report);
-	struct cf_action *a;
-
-	if (t == NULL)
+	if (r->cfg == NULL || rating->version >= r->cfg->version_count ||
+	    rating->workspace >= r->cfg->workspace_count)
 		return;
-	attempt_end(r, t);
-	a = router_act(r, CF_ACT_ANSWER);
-	a->request = q->asked.id;
-	a->workspace = q->asked.workspace;
-	a->attempt = report->attempt;
-	a->server = t->server;
-	a->version = t->version;
-	a->run_state = ERR_RAN;
-	request_end(r, q);
+	qual_rate(r->qual, rating, r->now_us);
+	ro_rated(r->ro, rating->version, rating->passed, r->now_us);
+	router_watch_version(r, rating->version);
 }
 
 static void
-on_failed(struct cf_router *r, const struct cf_attempt *report)
+router_bound(struct cf_router *r, const struct cf_event *event)
 {
-	struct request *q = request_get(r, report->request);
-	struct attempt *t = attempt_get(q, report);
+	struct session_key key = {
+	    event->u.bind.workspace, event->u.bind.session, 0};
 
-	if (t == NULL)
+	if (r->cfg == NULL || key.workspace >= r->cfg->workspace_count ||
+	    event->u.bind.version >= r->cfg->version_count)
 		return;
-	attempt_end(r, t);
-	if (report->run_state > q->run_state)
-		q->run_state = report->run_state;
-	if (q->asked.once && q->run_state != ERR_NOT_RUN)
-		request_refuse(r, q, ERR_HALTED, CF_WHY_OUTCOME);
-	else if (!err_answer(report->error)->try_again ||
-		 (q->asked.streaming && t->first_token_us != 0))
-		request_refuse(r, q, report->error, CF_WHY_OUTCOME);
-	else if (q->attempt_count >= REQUEST_TRIES_MAX)
-		request_refuse(r, q, report->error, CF_WHY_BUDGET);
-	else
-		request_place(r, q);
+	session_bind(r->session, &key, event->u.bind.version);
 }
 
+/* Takes in what concerns backend servers and other data centres. */
 static void
-on_caller_gone(struct cf_router *r, uint32_t id)
+router_fleet_event(struct cf_router *r, const struct cf_event *event)
 {
-	struct request *q = request_get(r, id);
-	struct cf_action *a;
-	uint8_t i;
-
-	if (q == NULL)
-		return;
-	for (i = 0; i < q->attempt_count; i++) {
-		if (q->attempts[i].state != ATTEMPT_RUNNING)
-			continue;
-		attempt_end(r, &q->attempts[i]);
-		a = router_act(r, CF_ACT_CANCEL);
-		a->request = id;
-		a->attempt = i;
-		a->server = q->attempts[i].server;
+	switch (event->kind) {
+	case CF_EV_ANNOUNCE:
+		if (fl_announce(r->fl, &event->u.announce, r->now_us))
+			upkeep_drain_server(r, event->u.announce.server);
+		break;
+	case CF_EV_SERVER_GONE:
+		if (event->u.gone.crashed)
+			upkeep_crash(r, event->u.gone.server);
+		fl_gone(r->fl, event->u.gone.server, r->now_us);
+		break;
+	case CF_EV_CREDIT:
+		fl_credit(r->fl, event->u.credit.server,
+		    event->u.credit.incarnation, event->u.credit.credits,
+		    event->u.credit.until_us);
+		upkeep_drain_server(r, event->u.credit.server);
+		break;
+	case CF_EV_CACHE:
+		cache_event(fl_cache(r->fl), event->u.cache.server,
+		    event->u.cache.sequence, event->u.cache.prefix,
+		    event->u.cache.stored);
+		break;
+	case CF_EV_NEIGHBOUR:
+		nb_heard(&r->nb, event, r->now_us);
+		upkeep_drain(r);
+		break;
+	default:
+		break;
 	}
-	request_end(r, q);
 }
 
 static void
-on_first_token(struct cf_router *r, const struct cf_attempt *report)
-{
-	struct attempt *t =
-	    attempt_get(request_get(r, report->request), report);
-
-	if (t != NULL && t->first_token_us == 0)
-		t->first_token_us = r->now_us;
-}
-
-static void
-on_config(struct cf_router *r, const struct cfg *cfg)
-{
-	r->cfg = cfg;
-	qual_configure(r->qual, cfg);
-	ro_configure(r->ro, cfg);
-}
-
-/*
- * Takes in one event at the given time and appends the actions it leads to.
- * Times never run backwards between steps.
- */
-void
-cf_router_step(struct cf_router *r, int64_t now_us,
-    const struct cf_event *event, struct cf_actions *actions)
+router_take(struct cf_router *r, const struct cf_event *event)
 {
-	r->now_us = now_us;
-	r->actions = actions;
 	switch (event->kind) {
 	case CF_EV_CONFIG:
-		on_config(r, event->u.config);
-		break;
-	case CF_EV_ANNOUNCE:
-		fl_announce(r->fl, &event->u.announce, now_us);
-		break;
-	case CF_EV_SERVER_GONE:
-		fl_gone(r->fl, event->u.gone.server);
+		router_configure(r, event->u.config);
 		break;
 	case CF_EV_REQUEST:
-		on_request(r, &event->u.request);
+		request_arrived(r, &event->u.request);
 		break;
 	case CF_EV_CLAIMED:
-		on_claimed(r, event->u.claimed.request, event->u.claimed.error);
+		request_claimed(
+		    r, event->u.claimed.request, event->u.claimed.error);
 		break;
 	case CF_EV_FIRST_TOKEN:
-		on_first_token(r, &event->u.attempt);
+		attempt_first_token(r, &event->u.attempt);
 		break;
 	case CF_EV_DONE:
-		on_done(r, &event->u.attempt);
+		attempt_done(r, &event->u.attempt);
 		break;
 	case CF_EV_FAILED:
-		on_failed(r, &event->u.attempt);
+		attempt_failed(r, &event->u.attempt);
 		break;
 	case CF_EV_CALLER_GONE:
-		on_caller_gone(r, event->u.caller_gone.request);
+		request_caller_gone(r, event->u.caller_gone.request);
 		break;
 	case CF_EV_RATING:
-		qual_rate(r->qual, &event->u.rating, now_us);
-		ro_rated(r->ro, event->u.rating.version, event->u.rating.passed,
-		    now_us);
+		router_rated(r, &event->u.rating);
+		break;
+	case CF_EV_BIND:
+		router_bound(r, event);
+		break;
+	case CF_EV_CRASH_MARK:
+		marks_merge(r->marks, event->u.crash_mark.fingerprint,
+		    event->u.crash_mark.crashes, r->now_us);
 		break;
 	case CF_EV_ISOLATED:
 		r->isolated = event->u.isolated;
 		break;
-	case CF_EV_BIND:
-	case CF_EV_CRASH_MARK:
-	case CF_EV_CREDIT:
-	case CF_EV_CACHE:
+	case CF_EV_INSTANCES:
+		router_set_instances(r, event->u.instances);
+		break;
 	case CF_EV_WAKE:
 		break;
+	default:
+		router_fleet_event(r, event);
+		break;
 	}
 }
 
+/*
+ * Takes in one event at the given time and replaces the list of actions by
+ * those it leads to.  Times never run backwards between steps.
+ */
+void
+cf_router_step(struct cf_router *r, int64_t now_us,
+    const struct cf_event *event, struct cf_actions *actions)
+{
+	actions->count = 0;
+	r->actions = actions;
+	r->now_us = now_us;
+	r->more = false;
+	if (now_us >= r->wake_us)
+		r->wake_us = INT64_MAX;
+	router_take(r, event);
+	upkeep_finish(r);
+}
+
+/* Returns how many requests are open, queued ones included. */
 uint32_t
 cf_router_open(const struct cf_router *r)
 {
 	return map_count(r->by_id);
 }
 
+/* Returns how many requests wait for room. */
 uint32_t
 cf_router_queued(const struct cf_router *r)
 {
-	return 0;
+	return queue_count(r->queue);
 }
 
+/* Returns how many attempts this instance runs on a backend server. */
 uint16_t
 cf_router_in_flight(const struct cf_router *r, uint16_t server)
 {
-	return server < r->options.max_servers
-		   ? fl_server(r->fl, server)->in_flight
-		   : 0;
+	const struct fl_server *s = fl_server(r->fl, server);
+
+	return s != NULL ? s->in_flight : 0;
 }
 
+/* Returns how many answers of a version count against its exposure. */
 uint64_t
 cf_router_exposure(const struct cf_router *r, uint16_t version)
 {
--- /dev/null
+++ b/src/core/session.c
@@ -0,0 +1,280 @@
+#include "core/session.h"
+
+#include <string.h>
+
+#include "core/map.h"
+
+enum {
+	SESSION_END = UINT32_MAX,
+	SESSION_ERAS = 8 /* changes of a workspace's versions remembered */
+};
+
+struct session_binding {
+	uint64_t hash;
+	uint16_t workspace;
+	uint16_t version;
+	uint32_t newer;
+	uint32_t older;
+};
+
+/* What a workspace's sessions could get from one revision on. */
+struct session_era {
+	uint64_t revision;
+	uint64_t released;
+	uint64_t rolling;
+	uint16_t stage_permille[CFG_VERSIONS_MAX];
+};
+
+struct session_lane {
+	struct session_era eras[SESSION_ERAS];
+	uint8_t count;
+	uint8_t newest;
+};
+
+struct session {
+	const struct alloc *alloc;
+	const struct cfg *cfg;
+	struct map *by_hash;
+	struct session_binding *bindings;
+	uint32_t capacity;
+	uint32_t used;
+	uint32_t newest;
+	uint32_t oldest;
+	struct session_lane *lanes;
+	uint16_t lane_count;
+};
+
+/* Returns a memory for the given number of bindings. */
+struct session *
+session_new(const struct alloc *alloc, uint32_t capacity)
+{
+	struct session *s = alloc_zero(alloc, 1, sizeof(*s));
+
+	s->alloc = alloc;
+	s->capacity = capacity;
+	s->by_hash = map_new(alloc, capacity);
+	s->bindings = alloc_zero(alloc, capacity, sizeof(*s->bindings));
+	s->newest = SESSION_END;
+	s->oldest = SESSION_END;
+	return s;
+}
+
+void
+session_free(struct session *s)
+{
+	if (s == NULL)
+		return;
+	map_free(s->by_hash);
+	alloc_free(s->alloc, s->bindings);
+	alloc_free(s->alloc, s->lanes);
+	alloc_free(s->alloc, s);
+}
+
+static uint64_t
+session_mix(uint64_t a, uint64_t b)
+{
+	a ^= b + UINT64_C(0x9e3779b97f4a7c15) + (a << 6) + (a >> 2);
+	a ^= a >> 31;
+	a *= UINT64_C(0x7fb5d329728ea185);
+	a ^= a >> 27;
+	a *= UINT64_C(0x81dadef4bc2dd44d);
+	return a ^ a >> 33;
+}
+
+static void
+session_era_now(
+    const struct cfg *cfg, uint16_t workspace, struct session_era *era)
+{
+	const struct cfg_workspace *w = &cfg->workspaces[workspace];
+	const struct cfg_version *v;
+	uint16_t i;
+
+	memset(era, 0, sizeof(*era));
+	era->revision = cfg->revision;
+	for (i = 0; w->present && i < cfg->version_count; i++) {
+		v = &cfg->versions[i];
+		if (!v->present || !(w->versions >> i & 1))
+			continue;
+		if (v->state == CFG_RELEASED)
+			era->released |= UINT64_C(1) << i;
+		if (v->state != CFG_ROLLING)
+			continue;
+		era->rolling |= UINT64_C(1) << i;
+		era->stage_permille[i] = v->stage_permille;
+	}
+}
+
+/* Takes over a revision and remembers what it changes for new sessions. */
+void
+session_configure(struct session *s, const struct cfg *cfg)
+{
+	struct session_era now, *last;
+	struct session_lane *lane;
+	uint16_t i;
+
+	s->cfg = cfg;
+	if (cfg->workspace_count > s->lane_count) {
+		s->lanes = alloc_resize(
+		    s->alloc, s->lanes, cfg->workspace_count * sizeof(*lane));
+		memset(&s->lanes[s->lane_count], 0,
+		    (cfg->workspace_count - s->lane_count) * sizeof(*lane));
+		s->lane_count = cfg->workspace_count;
+	}
+	for (i = 0; i < cfg->workspace_count; i++) {
+		lane = &s->lanes[i];
+		last = &lane->eras[lane->newest];
+		session_era_now(cfg, i, &now);
+		if (lane->count > 0) {
+			now.revision = last->revision;
+			if (memcmp(&now, last, sizeof(now)) == 0)
+				continue;
+			now.revision = cfg->revision;
+			lane->newest = (lane->newest + 1) % SESSION_ERAS;
+		}
+		lane->eras[lane->newest] = now;
+		if (lane->count < SESSION_ERAS)
+			lane->count++;
+	}
+}
+
+/* Returns the era that a revision of birth falls into. */
+static const struct session_era *
+session_era_at(const struct session_lane *lane, uint64_t birth)
+{
+	uint8_t at = lane->newest;
+	uint8_t i;
+
+	for (i = 1; birth != 0 && i < lane->count; i++) {
+		if (lane->eras[at].revision <= birth)
+			break;
+		at = (uint8_t)((at + SESSION_ERAS - 1) % SESSION_ERAS);
+	}
+	return &lane->eras[at];
+}
+
+static uint16_t
+session_cheapest(
+    const struct cfg *cfg, uint64_t candidates, uint16_t target_permille)
+{
+	const struct cfg_version *v = cfg->versions;
+	uint16_t best = CFG_NONE, cheap = CFG_NONE;
+	uint16_t i;
+
+	for (; candidates != 0; candidates &= candidates - 1) {
+		i = (uint16_t)__builtin_ctzll(candidates);
+		if (best == CFG_NONE ||
+		    v[i].prior_permille > v[best].prior_permille)
+			best = i;
+		if (v[i].prior_permille >= target_permille &&
+		    (cheap == CFG_NONE ||
+			v[i].cost_micro < v[cheap].cost_micro))
+			cheap = i;
+	}
+	return cheap != CFG_NONE ? cheap : best;
+}
+
+static uint16_t
+session_rule_in(const struct session *s, const struct session_era *era,
+    const struct session_key *key, uint64_t candidates)
+{
+	uint64_t rolling = era->rolling & candidates;
+	uint16_t i;
+
+	for (; rolling != 0; rolling &= rolling - 1) {
+		i = (uint16_t)__builtin_ctzll(rolling);
+		if (session_mix(key->id, i) % 1000 < era->stage_permille[i])
+			return i;
+	}
+	return session_cheapest(s->cfg, era->released & candidates,
+	    s->cfg->workspaces[key->workspace].target_permille);
+}
+
+/*
+ * Returns the version that the rule gives a session out of the candidates: a
+ * version in roll-out if the session's hash falls into its stage, else the
+ * cheapest whose configured prior meets the target.  Falls back on the newest
+ * configuration when nothing of the session's birth is left, and on CFG_NONE.
+ */
+uint16_t
+session_rule(
+    const struct session *s, const struct session_key *key, uint64_t candidates)
+{
+	const struct session_lane *lane = &s->lanes[key->workspace];
+	uint16_t version = session_rule_in(
+	    s, session_era_at(lane, key->birth), key, candidates);
+
+	if (version == CFG_NONE)
+		version = session_rule_in(
+		    s, session_era_at(lane, 0), key, candidates);
+	return version;
+}
+
+static void
+session_unlink(struct session *s, uint32_t slot)
+{
+	struct session_binding *b = &s->bindings[slot];
+
+	if (b->newer == SESSION_END)
+		s->newest = b->older;
+	else
+		s->bindings[b->newer].older = b->older;
+	if (b->older == SESSION_END)
+		s->oldest = b->newer;
+	else
+		s->bindings[b->older].newer = b->newer;
+}
+
+static void
+session_link(struct session *s, uint32_t slot)
+{
+	struct session_binding *b = &s->bindings[slot];
+
+	b->newer = SESSION_END;
+	b->older = s->newest;
+	if (s->newest == SESSION_END)
+		s->oldest = slot;
+	else
+		s->bindings[s->newest].newer = slot;
+	s->newest = slot;
+}
+
+/* Returns the bound version, or CFG_NONE; a found binding becomes newest. */
+uint16_t
+session_get(struct session *s, const struct session_key *key)
+{
+	int64_t slot =
+	    map_get(s->by_hash, session_mix(key->id, key->workspace));
+
+	if (slot == MAP_NONE)
+		return CFG_NONE;
+	session_unlink(s, (uint32_t)slot);
+	session_link(s, (uint32_t)slot);
+	return s->bindings[slot].version;
+}
+
+/* Binds a session, in place of an earlier binding of it. */
+void
+session_bind(struct session *s, const struct session_key *key, uint16_t version)
+{
+	uint64_t hash = session_mix(key->id, key->workspace);
+	int64_t found = map_get(s->by_hash, hash);
+	uint32_t slot;
+
+	if (s->capacity == 0)
+		return;
+	if (found != MAP_NONE) {
+		slot = (uint32_t)found;
+		session_unlink(s, slot);
+	} else if (s->used < s->capacity) {
+		slot = s->used++;
+	} else {
+		slot = s->oldest;
+		session_unlink(s, slot);
+		map_remove(s->by_hash, s->bindings[slot].hash);
+	}
+	s->bindings[slot].hash = hash;
+	s->bindings[slot].workspace = key->workspace;
+	s->bindings[slot].version = version;
+	session_link(s, slot);
+	map_put(s->by_hash, hash, slot);
+}
--- /dev/null
+++ b/src/core/session.h
@@ -0,0 +1,41 @@
+#ifndef CF_SESSION_H
+#define CF_SESSION_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "base/alloc.h"
+#include "core/cfg.h"
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+/*
+ * Which version a session runs on.  Bindings are kept in bounded memory, the
+ * least recently used one goes first.  A session's first version follows from
+ * its id and the configuration at its birth alone, so a lost binding is found
+ * again by the same rule.
+ */
+struct session_key {
+	uint16_t workspace;
+	uint64_t id;
+	uint64_t birth; /* revision; 0: unknown, the newest is taken */
+};
+
+struct session;
+
+struct session *session_new(const struct alloc *alloc, uint32_t capacity);
+void session_free(struct session *session);
+void session_configure(struct session *session, const struct cfg *cfg);
+uint16_t session_get(struct session *session, const struct session_key *key);
+void session_bind(
+    struct session *session, const struct session_key *key, uint16_t version);
+uint16_t session_rule(const struct session *session,
+    const struct session_key *key, uint64_t candidates);
+
+#ifdef __cplusplus
+}
+#endif
+
+#endif
