--- a/src/daemon/child_peer.c
+++ b/src/daemon/child_peer.c
@@ -79,6 +79,8 @@
 		if (node->operators != NULL)
 			operators_message(node->operators, from, data, len);
 		break;
+	case PEER_PING:
+	case PEER_PONG:
 	case PEER_CHANNELS:
 		break;
 	}
--- a/src/entry/flight.c
+++ b/src/entry/flight.c
@@ -421,9 +421,9 @@
 	f->output_tokens = tokens;
 	f->entry->tokens->value += tokens;
 	if (slot->version < cfg->version_count)
-		f->cost_micro += (uint64_t)tokens *
-				 cfg->versions[slot->version].cost_micro /
-				 TOKENS_PER_PRICE;
+		/* Millionths per 1,000 tokens: billionths per token. */
+		f->cost_nano += (uint64_t)tokens *
+		    cfg->versions[slot->version].cost_micro;
 }
 
 static void
