--- a/include/celeryford.h
+++ b/include/celeryford.h
@@ -30,6 +30,10 @@
  * number.  The receiving instance does not claim it again and does not forward
  * it on.  CF_ACT_ANSWER may name an earlier attempt than the last, so the whole
  * answer of an attempt that was followed by an escalation is kept until then.
+ * Warm-up credits: CF_ACT_CREDIT_ASK and CF_ACT_CREDIT_GIVE reach the granter
+ *in their order.  Each ask is answered by one CF_EV_CREDIT, with 0 credits when
+ * it is denied; until_us is the time of the ask plus the granter's lease.
+ *
  * CF_EV_CALLER_GONE cancels what runs, but not a call that must not be
  * repeated: that one goes on until its outcome is known, and ends with
  * CF_ACT_ANSWER or CF_ACT_REFUSE as if the caller were there.
--- a/src/core/attempt.c
+++ b/src/core/attempt.c
@@ -122,6 +122,7 @@
 	place_need(r, q, version, avoid, &need);
 	if (q->attempt_count == CF_ATTEMPTS_MAX ||
 	    !place_allowed(r, q, version) || !attempt_once_allowed(r, q) ||
+	    request_convicted(r, q->asked.fingerprint) ||
 	    !fl_can_take(r->fl, choice->server, &need, r->now_us))
 		return false;
 	t = attempt_start(r, q, version);
@@ -344,13 +345,11 @@
 attempt_after_failure(struct cf_router *r, struct request *q,
     const struct cf_attempt *report, bool began)
 {
-	uint8_t crashes = marks_get(r->marks, q->asked.fingerprint, r->now_us);
-
 	if (q->kept != REQUEST_NO_ATTEMPT)
 		request_answer(r, q, q->kept);
 	else if (!attempt_once_allowed(r, q))
 		request_refuse(r, q, ERR_HALTED, CF_WHY_OUTCOME, 0);
-	else if (crashes >= MARKS_REFUSED && !router_unsafe(r, CF_UNSAFE_MARKS))
+	else if (request_convicted(r, q->asked.fingerprint))
 		request_refuse(r, q, ERR_CRASHES, CF_WHY_CRASHES, 0);
 	else if (!err_answer(report->error)->try_again ||
 		 (q->asked.streaming && began) || q->caller_gone)
--- a/src/core/fleet.c
+++ b/src/core/fleet.c
@@ -187,6 +187,8 @@
 	s->error_us = 0;
 	s->credits = 0;
 	s->asked_us = 0;
+	s->asks_open = 0;
+	s->asks_void = 0;
 	memset(s->history, 0, sizeof(s->history));
 	cache_forget_server(fl->cache, server);
 }
@@ -213,6 +215,11 @@
 		fl_restart(fl, said->server);
 	if (said->warmth == CF_COLD && s->said.warmth == CF_WARM)
 		cache_forget_server(fl->cache, said->server);
+	if (said->warmth == CF_WARM) {
+		/* Credits are for the cold phase that they were given in. */
+		s->credits = 0;
+		s->asks_void = s->asks_open;
+	}
 	slots_before = s->said.slots;
 	s->said = *said;
 	s->said.reported_us = reported_us;
@@ -253,7 +260,10 @@
 	}
 }
 
-/* Takes in how many warm-up credits of a server this instance now holds. */
+/*
+ * Takes in how many warm-up credits of a server this instance now holds: the
+ * granter's answer to the oldest ask that is not answered yet.
+ */
 void
 fl_credit(struct fl *fl, uint16_t server, uint64_t incarnation,
     uint16_t credits, int64_t until_us)
@@ -262,6 +272,12 @@
 
 	if (s == NULL || s->said.incarnation != incarnation)
 		return;
+	if (s->asks_open > 0)
+		s->asks_open--;
+	if (s->asks_void > 0) {
+		s->asks_void--;
+		return;
+	}
 	s->credits = credits;
 	s->credits_incarnation = incarnation;
 	s->credits_until_us = until_us;
--- a/src/core/fleet.h
+++ b/src/core/fleet.h
@@ -53,6 +53,8 @@
 	uint64_t credits_incarnation;
 	int64_t credits_until_us;
 	int64_t asked_us;
+	uint16_t asks_open; /* asks whose answer is not in yet */
+	uint16_t asks_void; /* of them, made before it was last warm */
 	struct fl_change history[FL_HISTORY];
 	uint8_t history_next;
 };
--- a/src/core/place.c
+++ b/src/core/place.c
@@ -141,8 +141,9 @@
 }
 
 /*
- * Fills a request's chain of versions if it has none that may still run.
- * Returns false when nothing is allowed anywhere.
+ * Fills a request's chain of versions if it has none that may still run.  A
+ * session is looked up again each time, since another request of it may have
+ * been bound during a wait.  Returns false when nothing is allowed anywhere.
  */
 bool
 place_choose(struct cf_router *r, struct request *q)
@@ -163,7 +164,8 @@
 		candidates = q->elsewhere;
 	if (candidates == 0)
 		return false;
-	if (!first && (candidates >> q->chain.versions[q->step] & 1))
+	if (!first && (q->asked.session == 0 || q->asked.version != CFG_NONE) &&
+	    (candidates >> q->chain.versions[q->step] & 1))
 		return true;
 	q->chain.count = 0;
 	q->step = 0;
--- a/src/core/request.c
+++ b/src/core/request.c
@@ -85,6 +85,14 @@
 	return worst;
 }
 
+/* Whether a request has crashed servers too often to run again. */
+bool
+request_convicted(const struct cf_router *r, uint64_t fingerprint)
+{
+	return marks_get(r->marks, fingerprint, r->now_us) >= MARKS_REFUSED &&
+	       !router_unsafe(r, CF_UNSAFE_MARKS);
+}
+
 /* Returns how many attempts of a request run now. */
 uint8_t
 request_running(const struct request *q)
@@ -245,6 +253,10 @@
 	enum place_result result;
 
 	q->why = why;
+	if (request_convicted(r, q->asked.fingerprint)) {
+		request_refuse(r, q, ERR_CRASHES, CF_WHY_CRASHES, 0);
+		return;
+	}
 	if (!place_choose(r, q)) {
 		request_refuse_place(r, q);
 		return;
@@ -336,9 +348,7 @@
 		    r, asked, ERR_FORBIDDEN, CF_WHY_NOT_ALLOWED, 0);
 		return;
 	}
-	if (marks_get(r->marks, asked->fingerprint, r->now_us) >=
-		MARKS_REFUSED &&
-	    !router_unsafe(r, CF_UNSAFE_MARKS)) {
+	if (request_convicted(r, asked->fingerprint)) {
 		request_refuse_unknown(
 		    r, asked, ERR_CRASHES, CF_WHY_CRASHES, 0);
 		return;
--- a/src/core/router.h
+++ b/src/core/router.h
@@ -126,6 +126,7 @@
 void request_end(struct cf_router *r, struct request *q);
 enum err_run_state request_run_state(
     const struct cf_router *r, const struct request *q);
+bool request_convicted(const struct cf_router *r, uint64_t fingerprint);
 uint8_t request_running(const struct request *q);
 void request_refuse(struct cf_router *r, struct request *q, int error,
     enum cf_reason reason, uint32_t after_ms);
--- a/src/core/upkeep.c
+++ b/src/core/upkeep.c
@@ -93,6 +93,16 @@
 	a->count = count;
 }
 
+static void
+upkeep_send_ask(struct cf_router *r, uint16_t server, uint16_t wanted)
+{
+	struct fl_server *s = fl_server(r->fl, server);
+
+	s->asked_us = r->now_us;
+	s->asks_open++;
+	upkeep_credit_act(r, server, CF_ACT_CREDIT_ASK, wanted);
+}
+
 /* Asks for one credit more than a cold server's attempts need now. */
 void
 upkeep_ask(struct cf_router *r, uint16_t server)
@@ -106,11 +116,26 @@
 		wanted = s->said.cold_slots;
 	if (wanted == 0 || !router_room(r))
 		return;
-	s->asked_us = r->now_us;
-	upkeep_credit_act(r, server, CF_ACT_CREDIT_ASK, wanted);
+	upkeep_send_ask(r, server, wanted);
+}
+
+/* Whether a server's credits are to be renewed or given back now. */
+static bool
+upkeep_credits_due(struct cf_router *r, struct fl_server *s)
+{
+	if (s->credits_until_us <= r->now_us ||
+	    s->credits_incarnation != s->said.incarnation)
+		s->credits = 0;
+	return s->credits > 0 &&
+	       s->credits_until_us - r->now_us <= UPKEEP_RENEW_US &&
+	       r->now_us - s->asked_us >= UPKEEP_ASK_US;
 }
 
-/* Renews the credits that are in use and gives the others back. */
+/*
+ * Renews the credits that are in use and gives the others back.  While an ask
+ * is out nothing is given back, since its answer would cross the return; such
+ * credits end with their lease.
+ */
 static void
 upkeep_credits(struct cf_router *r)
 {
@@ -119,20 +144,11 @@
 
 	for (i = 0; i < fl_end(r->fl) && router_room(r); i++) {
 		s = fl_server(r->fl, i);
-		if (s->credits == 0)
+		if (s->credits == 0 || !upkeep_credits_due(r, s))
 			continue;
-		if (s->credits_until_us <= r->now_us ||
-		    s->credits_incarnation != s->said.incarnation) {
-			s->credits = 0;
-			continue;
-		}
-		if (s->credits_until_us - r->now_us > UPKEEP_RENEW_US ||
-		    r->now_us - s->asked_us < UPKEEP_ASK_US)
-			continue;
-		s->asked_us = r->now_us;
 		if (s->in_flight > 0 || s->credits_used) {
-			upkeep_credit_act(r, i, CF_ACT_CREDIT_ASK, s->credits);
-		} else {
+			upkeep_send_ask(r, i, s->credits);
+		} else if (s->asks_open == 0) {
 			upkeep_credit_act(r, i, CF_ACT_CREDIT_GIVE, s->credits);
 			s->credits = 0;
 		}
@@ -146,6 +162,10 @@
 static void
 upkeep_try(struct cf_router *r, struct request *q, uint16_t server)
 {
+	if (request_convicted(r, q->asked.fingerprint)) {
+		request_refuse(r, q, ERR_CRASHES, CF_WHY_CRASHES, 0);
+		return;
+	}
 	if (!place_choose(r, q)) {
 		request_refuse(r, q, ERR_FORBIDDEN, CF_WHY_NOT_ALLOWED, 0);
 		return;
