Share flags, small HTTP servers and a precise timer among the tools

The loop now waits on a timerfd, so that arrivals and tokens are not rounded up to the poll's milliseconds.

--- a/fakes/engine/announce.c
+++ b/fakes/engine/announce.c
@@ -35,7 +35,7 @@
 	unsigned block_at;
 	struct cache_event events[ANNOUNCE_EVENTS];
 	int event_count;
-	bool busy[ENGINE_NAMES_MAX]; /* by URL: one post at a time */
+	bool busy[FLAGS_ITEMS_MAX]; /* by URL: one post at a time */
 };
 
 /* Makes the announcer; its first announcement is due at once. */
@@ -144,13 +144,13 @@
 }
 
 static json_t *
-announce_names(const char *const *names, int count)
+announce_names(const struct flag_list *names)
 {
 	json_t *list = json_array();
 	int i;
 
-	for (i = 0; i < count; i++)
-		json_array_append_new(list, json_string(names[i]));
+	for (i = 0; i < names->count; i++)
+		json_array_append_new(list, json_string(names->items[i]));
 	return list;
 }
 
@@ -187,8 +187,8 @@
 			 "s:i, s:I, s:b, s:o}",
 	    "server", o->name, "address", o->listen, "data_centre",
 	    o->data_centre, "incarnation", (json_int_t)engine->incarnation,
-	    "versions", announce_names(o->versions, o->version_count),
-	    "services", announce_names(o->services, o->service_count), "warmth",
+	    "versions", announce_names(&o->versions), "services",
+	    announce_names(&o->services), "warmth",
 	    engine_cold(engine) ? "cold" : "warm", "slots",
 	    (json_int_t)o->slots, "cold_slots", (json_int_t)o->cold_slots,
 	    "running", load.running, "queued", load.queued, "token_us",
@@ -216,12 +216,12 @@
 	char *url;
 	int i;
 
-	for (i = 0; i < engine->options.announce_count; i++) {
+	for (i = 0; i < engine->options.announce.count; i++) {
 		if (a->busy[i])
 			continue;
 		a->busy[i] = true;
 		url = apr_psprintf(engine->pool, "%s/v1/announce",
-		    engine->options.announce[i]);
+		    engine->options.announce.items[i]);
 		loop_post(engine->loop, url, text, ANNOUNCE_TIMEOUT_MS,
 		    on_posted, &a->busy[i]);
 	}
--- a/fakes/engine/chat.c
+++ b/fakes/engine/chat.c
@@ -66,8 +66,8 @@
 {
 	int i;
 
-	for (i = 0; i < engine->options.version_count; i++)
-		if (strcmp(engine->options.versions[i], model) == 0)
+	for (i = 0; i < engine->options.versions.count; i++)
+		if (strcmp(engine->options.versions.items[i], model) == 0)
 			return true;
 	return false;
 }
--- a/fakes/engine/engine.h
+++ b/fakes/engine/engine.h
@@ -9,7 +9,9 @@
 #include "base/buf.h"
 #include "base/err.h"
 #include "base/rng.h"
+#include "flags.h"
 #include "loop.h"
+#include "serve.h"
 
 /*
  * A stand-in for a model engine.  main.c reads the flags and runs the loop,
@@ -18,7 +20,6 @@
  * the router's instances, stats.c counts.
  */
 enum {
-	ENGINE_NAMES_MAX = 64, /* versions, services, announce URLs */
 	ENGINE_BODY_MAX = 4 << 20, /* bytes of a request's body */
 	ENGINE_TAG_BYTES = 64,
 	ENGINE_CRASHED = 3 /* exit status of a crash */
@@ -37,12 +38,9 @@
 	const char *listen;
 	const char *name;
 	const char *data_centre;
-	const char *announce[ENGINE_NAMES_MAX];
-	int announce_count;
-	const char *versions[ENGINE_NAMES_MAX];
-	int version_count;
-	const char *services[ENGINE_NAMES_MAX];
-	int service_count;
+	struct flag_list announce;
+	struct flag_list versions;
+	struct flag_list services;
 	const char *crash_on;
 	const char *stats_file;
 	int64_t announce_ms;
@@ -161,8 +159,6 @@
 
 /* http.c */
 struct MHD_Daemon *http_start(struct engine *engine);
-enum MHD_Result http_json(struct MHD_Connection *connection, unsigned status,
-    const char *body, const char *id);
 
 /* announce.c */
 void announce_init(struct engine *engine);
--- a/fakes/engine/http.c
+++ b/fakes/engine/http.c
@@ -1,4 +1,3 @@
-#include <arpa/inet.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -6,44 +5,15 @@
 #include "engine.h"
 
 enum {
-	HTTP_CONNECTIONS = 8192,
-	HTTP_IDLE_S = 0, /* idle connections are kept */
-	HTTP_TERM_OK = MHD_REQUEST_TERMINATED_COMPLETED_OK
+	HTTP_CONNECTIONS = 8192
 };
 
-/* Queues a JSON answer, with Celeryford-Request if id is given. */
-enum MHD_Result
-http_json(struct MHD_Connection *connection, unsigned status, const char *body,
-    const char *id)
-{
-	struct MHD_Response *response;
-	enum MHD_Result result;
-
-	response = MHD_create_response_from_buffer(
-	    strlen(body), (void *)body, MHD_RESPMEM_MUST_COPY);
-	MHD_add_response_header(response, "Content-Type", "application/json");
-	if (id != NULL && id[0] != '\0')
-		MHD_add_response_header(response, "Celeryford-Request", id);
-	result = MHD_queue_response(connection, status, response);
-	MHD_destroy_response(response);
-	return result;
-}
-
 static const char *
 http_header(struct MHD_Connection *connection, const char *name)
 {
 	return MHD_lookup_connection_value(connection, MHD_HEADER_KIND, name);
 }
 
-static int64_t
-http_argument(struct MHD_Connection *connection, const char *name)
-{
-	const char *text = MHD_lookup_connection_value(
-	    connection, MHD_GET_ARGUMENT_KIND, name);
-
-	return text == NULL ? -1 : strtoll(text, NULL, 10);
-}
-
 /* Chooses the call's fault: its header's, or one by the flags' shares. */
 static enum fault
 http_fault(struct engine *engine, struct MHD_Connection *connection)
@@ -114,9 +84,10 @@
 	size_t len;
 	int i;
 
-	for (i = 0; i < engine->options.service_count; i++) {
-		len = strlen(engine->options.services[i]);
-		if (strncmp(name, engine->options.services[i], len) == 0 &&
+	for (i = 0; i < engine->options.services.count; i++) {
+		len = strlen(engine->options.services.items[i]);
+		if (strncmp(name, engine->options.services.items[i], len) ==
+			0 &&
 		    (name[len] == '\0' || name[len] == '/'))
 			return true;
 	}
@@ -156,7 +127,8 @@
 	    "{\"error\":{\"kind\":\"%s\",\"message\":\"%s\","
 	    "\"run_state\":\"not_run\"}}\n",
 	    answer->name, answer->text);
-	return http_json(call->connection, answer->http_status, body, call->id);
+	return serve_json(call->connection, answer->http_status, body,
+	    "Celeryford-Request", call->id);
 }
 
 /* Answers a call of the engine's work, or suspends it until it is due. */
@@ -190,30 +162,30 @@
 	struct engine_options *o = &engine->options;
 	int64_t n;
 
-	n = http_argument(call->connection, "pass_permille");
+	n = serve_argument(call->connection, "pass_permille");
 	if (n >= 0)
 		o->pass_permille = n;
-	n = http_argument(call->connection, "token_us");
+	n = serve_argument(call->connection, "token_us");
 	if (n >= 0)
 		o->token_us = n;
-	n = http_argument(call->connection, "cold_ms");
+	n = serve_argument(call->connection, "cold_ms");
 	if (n >= 0)
 		engine->cold_until_us = loop_now_us() + n * 1000;
-	n = http_argument(call->connection, "silent");
+	n = serve_argument(call->connection, "silent");
 	if (n > 0)
 		http_silence(engine);
-	return http_json(call->connection, 200, "{}\n", NULL);
+	return serve_json(call->connection, 200, "{}\n", NULL, NULL);
 }
 
 static enum MHD_Result
 http_stats(struct engine *engine, struct call *call)
 {
 	char *text =
-	    stats_json(engine, http_argument(call->connection, "keys") > 0,
-		http_argument(call->connection, "attempts") > 0);
+	    stats_json(engine, serve_argument(call->connection, "keys") > 0,
+		serve_argument(call->connection, "attempts") > 0);
 	enum MHD_Result result;
 
-	result = http_json(call->connection, 200, text, NULL);
+	result = serve_json(call->connection, 200, text, NULL, NULL);
 	free(text);
 	return result;
 }
@@ -238,7 +210,7 @@
 	if (strcmp(call->path, "/fake/stats") == 0)
 		return http_stats(engine, call);
 	if (strcmp(call->path, "/healthz") == 0)
-		return http_json(call->connection, 200, "{}\n", NULL);
+		return serve_json(call->connection, 200, "{}\n", NULL, NULL);
 	return http_error(call, ERR_NOT_FOUND);
 }
 
@@ -329,19 +301,11 @@
 struct MHD_Daemon *
 http_start(struct engine *engine)
 {
-	struct sockaddr_in address = {.sin_family = AF_INET};
-	const char *colon = strrchr(engine->options.listen, ':');
-	char host[64];
+	struct sockaddr_in address;
 
-	if (colon == NULL)
-		return NULL;
-	snprintf(host, sizeof(host), "%.*s",
-	    (int)(colon - engine->options.listen), engine->options.listen);
-	if (inet_pton(AF_INET, host, &address.sin_addr) != 1)
+	if (!flags_address(engine->options.listen, &address))
 		return NULL;
-	address.sin_port = htons((uint16_t)strtoul(colon + 1, NULL, 10));
-	return MHD_start_daemon(
-	    MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME | MHD_USE_ERROR_LOG, 0,
+	return MHD_start_daemon(MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME, 0,
 	    NULL, NULL, on_request, engine, MHD_OPTION_SOCK_ADDR, &address,
 	    MHD_OPTION_NOTIFY_COMPLETED, on_ended, engine,
 	    MHD_OPTION_NOTIFY_CONNECTION, on_connection, engine,
--- a/fakes/engine/main.c
+++ b/fakes/engine/main.c
@@ -1,10 +1,8 @@
 #include <apr_general.h>
-#include <argp.h>
 #include <signal.h>
 #include <stddef.h>
 #include <stdio.h>
 #include <stdlib.h>
-#include <string.h>
 
 #include "engine.h"
 
@@ -14,159 +12,59 @@
 
 static volatile sig_atomic_t stop_asked;
 
-enum flag {
-	FLAG_LISTEN = 0x100,
-	FLAG_NAME,
-	FLAG_DATA_CENTRE,
-	FLAG_ANNOUNCE,
-	FLAG_VERSION,
-	FLAG_SERVICE,
-	FLAG_CRASH_ON,
-	FLAG_STATS_FILE,
-	FLAG_IGNORE_FENCING,
-	FLAG_NUMBERS /* the flags that take a number start here */
-};
-
-/* The flags that take a number, with where it goes. */
-static const struct number_flag {
-	const char *name;
-	size_t offset;
-	int64_t value;
-	const char *help;
-} number_flags[] = {
-#define NUMBER(name, field, value, help)                                  \
-	{                                                                 \
-		name, offsetof(struct engine_options, field), value, help \
+#define FLAG(name, kind, field, number, text, help)                         \
+	{                                                                   \
+		name, kind, offsetof(struct engine_options, field), number, \
+		    text, help                                              \
 	}
-    NUMBER("announce-ms", announce_ms, 500, "between announcements"),
-    NUMBER("leave-ms", leave_ms, 2000, "from SIGTERM to the earliest exit"),
-    NUMBER("slots", slots, 8, "calls run at once"),
-    NUMBER("cold-slots", cold_slots, 1, "calls borne at once while cold"),
-    NUMBER("cold-ms", cold_ms, 0, "length of the cold start"),
-    NUMBER("token-us", token_us, 0, "between tokens"),
-    NUMBER("first-token-us", first_token_us, 0, "to the first token"),
-    NUMBER("prompt-token-us", prompt_token_us, 0,
+
+static const struct flag flags[] = {
+    FLAG("listen", FLAG_TEXT, listen, 0, "127.0.0.1:9001",
+	"address to serve, IP:PORT"),
+    FLAG("name", FLAG_TEXT, name, 0, "e1", "of this server"),
+    FLAG("data-centre", FLAG_TEXT, data_centre, 0, "local", "where it stands"),
+    FLAG("announce", FLAG_LIST, announce, 0, NULL,
+	"URL of an instance to report to"),
+    FLAG("version", FLAG_LIST, versions, 0, NULL, "loaded MODEL/VERSION"),
+    FLAG("service", FLAG_LIST, services, 0, NULL, "plain service offered"),
+    FLAG("crash-on", FLAG_TEXT, crash_on, 0, NULL,
+	"a body with this text crashes it"),
+    FLAG("stats-file", FLAG_TEXT, stats_file, 0, NULL,
+	"file for the counters at the end"),
+    FLAG("ignore-fencing", FLAG_SWITCH, ignore_fencing, 0, NULL,
+	"carry out orders with old fencing numbers"),
+    FLAG("announce-ms", FLAG_NUMBER, announce_ms, 500, NULL,
+	"between announcements"),
+    FLAG("leave-ms", FLAG_NUMBER, leave_ms, 2000, NULL,
+	"from SIGTERM to the earliest exit"),
+    FLAG("slots", FLAG_NUMBER, slots, 8, NULL, "calls run at once"),
+    FLAG("cold-slots", FLAG_NUMBER, cold_slots, 1, NULL,
+	"calls borne at once while cold"),
+    FLAG("cold-ms", FLAG_NUMBER, cold_ms, 0, NULL, "length of the cold start"),
+    FLAG("token-us", FLAG_NUMBER, token_us, 0, NULL, "between tokens"),
+    FLAG("first-token-us", FLAG_NUMBER, first_token_us, 0, NULL,
+	"to the first token"),
+    FLAG("prompt-token-us", FLAG_NUMBER, prompt_token_us, 0, NULL,
 	"to the first token, for each prompt token not cached"),
-    NUMBER("cache-blocks", cache_blocks, 256, "prefixes held"),
-    NUMBER("pass-permille", pass_permille, 950, "share of good answers"),
-    NUMBER("tokens", tokens, 16, "of an answer without max_tokens"),
-    NUMBER("report-lag-ms", report_lag_ms, 0, "load is announced this late"),
-    NUMBER("cache-gap-permille", cache_gap_permille, 0,
+    FLAG("cache-blocks", FLAG_NUMBER, cache_blocks, 256, NULL, "prefixes held"),
+    FLAG("pass-permille", FLAG_NUMBER, pass_permille, 950, NULL,
+	"share of good answers"),
+    FLAG("tokens", FLAG_NUMBER, tokens, 16, NULL,
+	"of an answer without max_tokens"),
+    FLAG("report-lag-ms", FLAG_NUMBER, report_lag_ms, 0, NULL,
+	"load is announced this late"),
+    FLAG("cache-gap-permille", FLAG_NUMBER, cache_gap_permille, 0, NULL,
 	"share of cache events lost"),
-    NUMBER("silent-after", silent_after, 0,
+    FLAG("silent-after", FLAG_NUMBER, silent_after, 0, NULL,
 	"requests after which the open connections go silent"),
-    NUMBER("late-permille", late_permille, 0, "share of late answers"),
-    NUMBER("late-ms", late_ms, 3000, "delay of a late answer"),
-    NUMBER("cross-permille", cross_permille, 0, "share of crossed answers"),
-    NUMBER("cut-permille", cut_permille, 0, "share of cut answers"),
-    NUMBER("seed", seed, 1, "of the random source")
-#undef NUMBER
-};
-
-enum {
-	NUMBER_FLAGS = sizeof(number_flags) / sizeof(number_flags[0]),
-	TEXT_FLAGS = 9
-};
-
-static const struct argp_option text_flags[TEXT_FLAGS] = {
-    {"listen", FLAG_LISTEN, "IP:PORT", 0, "address to serve", 0},
-    {"name", FLAG_NAME, "NAME", 0, "of this server", 0},
-    {"data-centre", FLAG_DATA_CENTRE, "NAME", 0, "where it stands", 0},
-    {"announce", FLAG_ANNOUNCE, "URL", 0, "instance to report to", 0},
-    {"version", FLAG_VERSION, "MODEL/VERSION", 0, "loaded version", 0},
-    {"service", FLAG_SERVICE, "NAME", 0, "plain service offered", 0},
-    {"crash-on", FLAG_CRASH_ON, "TEXT", 0, "a body with it crashes", 0},
-    {"stats-file", FLAG_STATS_FILE, "FILE", 0, "counters at the end", 0},
-    {"ignore-fencing", FLAG_IGNORE_FENCING, NULL, 0,
-	"carry out orders with old fencing numbers", 0}};
-
-static void
-add_name(struct argp_state *state, const char **names, int *count, char *name)
-{
-	if (*count == ENGINE_NAMES_MAX)
-		argp_error(state, "more than %d of one flag", ENGINE_NAMES_MAX);
-	names[(*count)++] = name;
-}
-
-static void
-set_number(struct argp_state *state, struct engine_options *o, int key,
-    const char *arg)
-{
-	const struct number_flag *flag = &number_flags[key - FLAG_NUMBERS];
-	char *end;
-	long long value = strtoll(arg, &end, 10);
-
-	if (*arg == '\0' || *end != '\0' || value < 0)
-		argp_error(state, "--%s: %s is not a number from 0 up",
-		    flag->name, arg);
-	memcpy((char *)o + flag->offset, &(int64_t){value}, sizeof(int64_t));
-}
-
-static error_t
-on_flag(int key, char *arg, struct argp_state *state)
-{
-	struct engine_options *o = state->input;
-
-	if (key >= FLAG_NUMBERS && key < FLAG_NUMBERS + NUMBER_FLAGS) {
-		set_number(state, o, key, arg);
-		return 0;
-	}
-	switch (key) {
-	case FLAG_LISTEN:
-		o->listen = arg;
-		return 0;
-	case FLAG_NAME:
-		o->name = arg;
-		return 0;
-	case FLAG_DATA_CENTRE:
-		o->data_centre = arg;
-		return 0;
-	case FLAG_ANNOUNCE:
-		add_name(state, o->announce, &o->announce_count, arg);
-		return 0;
-	case FLAG_VERSION:
-		add_name(state, o->versions, &o->version_count, arg);
-		return 0;
-	case FLAG_SERVICE:
-		add_name(state, o->services, &o->service_count, arg);
-		return 0;
-	case FLAG_CRASH_ON:
-		o->crash_on = arg;
-		return 0;
-	case FLAG_STATS_FILE:
-		o->stats_file = arg;
-		return 0;
-	case FLAG_IGNORE_FENCING:
-		o->ignore_fencing = true;
-		return 0;
-	default:
-		return ARGP_ERR_UNKNOWN;
-	}
-}
-
-/* Reads the flags; a wrong one ends the process with exit status 2. */
-static void
-read_flags(int argc, char **argv, struct engine_options *o)
-{
-	struct argp_option flags[TEXT_FLAGS + NUMBER_FLAGS + 1] = {{0}};
-	struct argp argp = {flags, on_flag, NULL,
-	    "A stand-in for a model engine and for plain services.", NULL, NULL,
-	    NULL};
-	int i;
-
-	memcpy(flags, text_flags, sizeof(text_flags));
-	for (i = 0; i < NUMBER_FLAGS; i++) {
-		flags[TEXT_FLAGS + i] =
-		    (struct argp_option){number_flags[i].name, FLAG_NUMBERS + i,
-			"N", 0, number_flags[i].help, 0};
-		memcpy((char *)o + number_flags[i].offset,
-		    &number_flags[i].value, sizeof(int64_t));
-	}
-	argp_err_exit_status = 2;
-	argp_parse(&argp, argc, argv, 0, NULL, o);
-	if (o->cache_blocks == 0)
-		o->cache_blocks = 1;
-}
+    FLAG("late-permille", FLAG_NUMBER, late_permille, 0, NULL,
+	"share of late answers"),
+    FLAG("late-ms", FLAG_NUMBER, late_ms, 3000, NULL, "delay of a late answer"),
+    FLAG("cross-permille", FLAG_NUMBER, cross_permille, 0, NULL,
+	"share of crossed answers"),
+    FLAG("cut-permille", FLAG_NUMBER, cut_permille, 0, NULL,
+	"share of cut answers"),
+    FLAG("seed", FLAG_NUMBER, seed, 1, NULL, "of the random source")};
 
 static void
 on_signal(int number)
@@ -218,12 +116,14 @@
 int
 main(int argc, char **argv)
 {
-	static struct engine engine = {.options = {.listen = "127.0.0.1:9001",
-					   .name = "e1",
-					   .data_centre = "local"}};
+	static struct engine engine;
 	struct MHD_Daemon *daemon;
 
-	read_flags(argc, argv, &engine.options);
+	flags_read(argc, argv,
+	    "A stand-in for a model engine and for plain services.", flags,
+	    sizeof(flags) / sizeof(flags[0]), &engine.options);
+	if (engine.options.cache_blocks == 0)
+		engine.options.cache_blocks = 1;
 	signal(SIGPIPE, SIG_IGN);
 	signal(SIGTERM, on_signal);
 	signal(SIGINT, on_signal);
--- a/fakes/engine/orders.c
+++ b/fakes/engine/orders.c
@@ -37,8 +37,8 @@
 {
 	int i;
 
-	for (i = 0; i < engine->options.version_count; i++)
-		if (strcmp(engine->options.versions[i], version) == 0)
+	for (i = 0; i < engine->options.versions.count; i++)
+		if (strcmp(engine->options.versions.items[i], version) == 0)
 			return i;
 	return -1;
 }
@@ -56,15 +56,15 @@
 		return false;
 	at = orders_find(engine, version);
 	if (strcmp(action, "load") == 0) {
-		if (at < 0 && o->version_count < ENGINE_NAMES_MAX)
-			o->versions[o->version_count++] =
+		if (at < 0 && o->versions.count < FLAGS_ITEMS_MAX)
+			o->versions.items[o->versions.count++] =
 			    apr_pstrdup(engine->pool, version);
 		return true;
 	}
 	if (strcmp(action, "unload") != 0)
 		return false;
 	if (at >= 0)
-		o->versions[at] = o->versions[--o->version_count];
+		o->versions.items[at] = o->versions.items[--o->versions.count];
 	return true;
 }
 
@@ -115,12 +115,13 @@
 	call->answered = true;
 	if (id == NULL) {
 		json_decref(root);
-		return http_json(call->connection, 400,
-		    "{\"status\":\"malformed\"}\n", NULL);
+		return serve_json(call->connection, 400,
+		    "{\"status\":\"malformed\"}\n", NULL, NULL);
 	}
 	answer = apr_hash_get(engine->orders->answers, id, APR_HASH_KEY_STRING);
 	if (answer == NULL)
 		answer = orders_decide(engine, id, root);
 	json_decref(root);
-	return http_json(call->connection, answer->status, answer->body, NULL);
+	return serve_json(
+	    call->connection, answer->status, answer->body, NULL, NULL);
 }
--- a/fakes/engine/work.c
+++ b/fakes/engine/work.c
@@ -183,6 +183,7 @@
 {
 	call->suspended = false;
 	MHD_resume_connection(call->connection);
+	loop_kick(call->engine->loop);
 }
 
 /* Looks for clients that have disconnected while their calls wait. */
--- /dev/null
+++ b/fakes/flags.h
@@ -0,0 +1,44 @@
+#ifndef CF_FLAGS_H
+#define CF_FLAGS_H
+
+#include <netinet/in.h>
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+/*
+ * Flags of the stand-ins and bench programs: a table that says for each flag
+ * which field of the program's options it fills.  argp reads them, so --help
+ * lists them; a wrong value ends the process with exit status 2.
+ */
+enum {
+	FLAGS_MAX = 48,
+	FLAGS_ITEMS_MAX = 64
+};
+
+enum flag_kind {
+	FLAG_NUMBER, /* int64_t, from 0 up */
+	FLAG_TEXT, /* const char * */
+	FLAG_LIST, /* struct flag_list: the flag may be repeated */
+	FLAG_SWITCH /* bool: takes no value */
+};
+
+struct flag_list {
+	const char *items[FLAGS_ITEMS_MAX];
+	int count;
+};
+
+struct flag {
+	const char *name;
+	enum flag_kind kind;
+	size_t offset; /* of the field in the options */
+	int64_t number; /* FLAG_NUMBER: the value without the flag */
+	const char *text; /* FLAG_TEXT: the value without the flag */
+	const char *help;
+};
+
+void flags_read(int argc, char **argv, const char *about,
+    const struct flag *flags, int count, void *options);
+bool flags_address(const char *text, struct sockaddr_in *address);
+
+#endif
--- a/fakes/loop.c
+++ b/fakes/loop.c
@@ -4,15 +4,25 @@
 #include <apr_poll.h>
 #include <apr_portable.h>
 #include <apr_time.h>
+#include <stdbool.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/timerfd.h>
 #include <time.h>
+#include <unistd.h>
 
 #include "base/alloc.h"
 
 enum {
 	LOOP_EVENTS = 512, /* descriptors answered by one poll */
-	LOOP_WAIT_MAX_US = 1000000
+	LOOP_KICKS = 2 /* runs that a resumed connection needs */
+};
+
+/* A watched descriptor; kept after its close for the next with its number. */
+struct slot {
+	apr_pollfd_t poll;
+	loop_ready_fn ready;
+	void *ctx;
 };
 
 struct loop {
@@ -20,8 +30,11 @@
 	apr_pollset_t *pollset;
 	CURLM *multi;
 	struct MHD_Daemon *daemon;
-	apr_pollfd_t **slots; /* by descriptor, kept for its next use */
+	int daemon_runs; /* due without a further event */
+	struct slot **slots; /* by descriptor */
 	int slot_count;
+	int timer_fd;
+	int64_t timer_us; /* what the timer is set to */
 	int64_t curl_due_us; /* 0: no timer */
 	unsigned transfers;
 };
@@ -51,46 +64,97 @@
 	return (int64_t)apr_time_now();
 }
 
-/* Returns the kept poll entry of a descriptor, made at its first use. */
-static apr_pollfd_t *
+/* Makes room for a descriptor in the table of slots. */
+static void
+loop_grow(struct loop *loop, int fd)
+{
+	const size_t slot_bytes = sizeof(void *);
+	int count = loop->slot_count;
+
+	while (fd >= count)
+		count = count == 0 ? 64 : count * 2;
+	loop->slots =
+	    alloc_resize(alloc_default(), loop->slots, count * slot_bytes);
+	memset(loop->slots + loop->slot_count, 0,
+	    (count - loop->slot_count) * slot_bytes);
+	loop->slot_count = count;
+}
+
+/* Returns the slot of a descriptor, made at its first use. */
+static struct slot *
 loop_slot(struct loop *loop, int fd)
 {
-	apr_pollfd_t *slot;
+	struct slot *slot;
 	apr_os_file_t os_file = fd;
-	int count = loop->slot_count;
 
-	if (fd >= count) {
-		while (fd >= count)
-			count = count == 0 ? 64 : count * 2;
-		loop->slots = alloc_resize(
-		    alloc_default(), loop->slots, count * sizeof(*loop->slots));
-		memset(loop->slots + loop->slot_count, 0,
-		    (count - loop->slot_count) * sizeof(*loop->slots));
-		loop->slot_count = count;
-	}
+	if (fd >= loop->slot_count)
+		loop_grow(loop, fd);
 	if (loop->slots[fd] != NULL)
 		return loop->slots[fd];
 	slot = alloc_zero(alloc_default(), 1, sizeof(*slot));
-	slot->p = loop->pool;
-	slot->desc_type = APR_POLL_FILE;
-	apr_os_file_put(&slot->desc.f, &os_file, 0, loop->pool);
+	slot->poll.p = loop->pool;
+	slot->poll.desc_type = APR_POLL_FILE;
+	apr_os_file_put(&slot->poll.desc.f, &os_file, 0, loop->pool);
+	slot->poll.client_data = slot;
 	loop->slots[fd] = slot;
 	return slot;
 }
 
-/* Watches a descriptor for these events; 0 stops watching it. */
-static void
-loop_watch(struct loop *loop, int fd, apr_int16_t events)
+/*
+ * Watches a descriptor for APR_POLLIN and APR_POLLOUT; events 0 stops
+ * watching it, which must be done before it is closed.
+ */
+void
+loop_watch(struct loop *loop, int fd, apr_int16_t events, loop_ready_fn ready,
+    void *ctx)
 {
-	apr_pollfd_t *slot = loop_slot(loop, fd);
+	struct slot *slot = loop_slot(loop, fd);
 
-	if (slot->reqevents == events)
+	slot->ready = ready;
+	slot->ctx = ctx;
+	if (slot->poll.reqevents == events)
 		return;
-	if (slot->reqevents != 0)
-		apr_pollset_remove(loop->pollset, slot);
-	slot->reqevents = events;
+	if (slot->poll.reqevents != 0)
+		apr_pollset_remove(loop->pollset, &slot->poll);
+	slot->poll.reqevents = events;
 	if (events != 0)
-		apr_pollset_add(loop->pollset, slot);
+		apr_pollset_add(loop->pollset, &slot->poll);
+}
+
+/* Tells libcurl that one of its sockets is ready. */
+static void
+on_curl_ready(void *ctx, int fd, apr_int16_t events)
+{
+	struct loop *loop = ctx;
+	int mask = 0, running;
+
+	if (events & APR_POLLIN)
+		mask |= CURL_CSELECT_IN;
+	if (events & APR_POLLOUT)
+		mask |= CURL_CSELECT_OUT;
+	if (events & (APR_POLLERR | APR_POLLHUP))
+		mask |= CURL_CSELECT_ERR;
+	curl_multi_socket_action(loop->multi, fd, mask, &running);
+}
+
+static void
+on_daemon_ready(void *ctx, int fd, apr_int16_t events)
+{
+	struct loop *loop = ctx;
+
+	if (loop->daemon_runs == 0)
+		loop->daemon_runs = 1;
+}
+
+static void
+on_timer_ready(void *ctx, int fd, apr_int16_t events)
+{
+	struct loop *loop = ctx;
+	uint64_t count;
+
+	loop->timer_us = 0;
+	if (read(fd, &count, sizeof(count)) < 0)
+		return;
 }
 
 static int
@@ -102,7 +166,7 @@
 		events |= APR_POLLIN;
 	if (what == CURL_POLL_OUT || what == CURL_POLL_INOUT)
 		events |= APR_POLLOUT;
-	loop_watch(ctx, fd, events);
+	loop_watch(ctx, fd, events, on_curl_ready, ctx);
 	return 0;
 }
 
@@ -128,6 +192,11 @@
 	if (apr_pollset_create_ex(&loop->pollset, LOOP_EVENTS, loop->pool,
 		APR_POLLSET_NOCOPY, APR_POLLSET_EPOLL) != APR_SUCCESS)
 		abort();
+	loop->timer_fd =
+	    timerfd_create(CLOCK_MONOTONIC, TFD_NONBLOCK | TFD_CLOEXEC);
+	if (loop->timer_fd < 0)
+		abort();
+	loop_watch(loop, loop->timer_fd, APR_POLLIN, on_timer_ready, loop);
 	loop->multi = curl_multi_init();
 	curl_multi_setopt(loop->multi, CURLMOPT_SOCKETFUNCTION, on_socket);
 	curl_multi_setopt(loop->multi, CURLMOPT_SOCKETDATA, loop);
@@ -144,6 +213,7 @@
 
 	curl_multi_cleanup(loop->multi);
 	apr_pollset_destroy(loop->pollset);
+	close(loop->timer_fd);
 	for (i = 0; i < loop->slot_count; i++)
 		alloc_free(alloc_default(), loop->slots[i]);
 	alloc_free(alloc_default(), loop->slots);
@@ -159,7 +229,17 @@
 
 	loop->daemon = daemon;
 	info = MHD_get_daemon_info(daemon, MHD_DAEMON_INFO_EPOLL_FD);
-	loop_watch(loop, info->epoll_fd, APR_POLLIN);
+	loop_watch(loop, info->epoll_fd, APR_POLLIN, on_daemon_ready, loop);
+}
+
+/*
+ * Lets the daemon run without waiting for an event.  To be called after
+ * MHD_resume_connection(), which by itself does not wake the poll each time.
+ */
+void
+loop_kick(struct loop *loop)
+{
+	loop->daemon_runs = LOOP_KICKS;
 }
 
 /* Starts a transfer; done (may be NULL) is called when it ends. */
@@ -229,43 +309,53 @@
 	}
 }
 
-/* Returns how long the poll may last, in microseconds. */
-static apr_interval_time_t
-loop_wait(struct loop *loop, int64_t until_us)
+/* Sets the timer to a time; a time that has passed is left to the caller. */
+static void
+loop_arm(struct loop *loop, int64_t due_us)
 {
-	int64_t now_us = loop_now_us();
-	int64_t wait_us = until_us - now_us;
-	MHD_UNSIGNED_LONG_LONG http_ms;
+	struct itimerspec spec = {{0, 0}, {0, 0}};
+
+	if (due_us == loop->timer_us)
+		return;
+	loop->timer_us = due_us;
+	spec.it_value.tv_sec = due_us / 1000000;
+	spec.it_value.tv_nsec = due_us % 1000000 * 1000;
+	timerfd_settime(loop->timer_fd, TFD_TIMER_ABSTIME, &spec, NULL);
+}
 
-	if (loop->curl_due_us != 0 && loop->curl_due_us - now_us < wait_us)
-		wait_us = loop->curl_due_us - now_us;
-	if (loop->daemon != NULL &&
-	    MHD_get_timeout(loop->daemon, &http_ms) == MHD_YES &&
-	    (int64_t)http_ms * 1000 < wait_us)
-		wait_us = (int64_t)http_ms * 1000;
-	if (wait_us > LOOP_WAIT_MAX_US)
-		wait_us = LOOP_WAIT_MAX_US;
-	/* The poll counts whole milliseconds: round up, never spin. */
-	return wait_us <= 0 ? 0 : (wait_us + 999) / 1000 * 1000;
+/* Returns the earliest time at which the loop has something to do. */
+static int64_t
+loop_due(struct loop *loop, int64_t until_us)
+{
+	MHD_UNSIGNED_LONG_LONG http_ms;
+	int64_t http_us;
+
+	if (loop->curl_due_us != 0 && loop->curl_due_us < until_us)
+		until_us = loop->curl_due_us;
+	if (loop->daemon == NULL ||
+	    MHD_get_timeout(loop->daemon, &http_ms) != MHD_YES)
+		return until_us;
+	if (http_ms == 0 && loop->daemon_runs == 0)
+		loop->daemon_runs = 1;
+	http_us = loop_now_us() + (int64_t)http_ms * 1000;
+	return http_us < until_us ? http_us : until_us;
 }
 
-/* Tells libcurl which of its sockets are ready. */
+/* Serves the descriptors that a poll found ready. */
 static void
-loop_socket(struct loop *loop, const apr_pollfd_t *ready)
+loop_dispatch(const apr_pollfd_t *ready, apr_int32_t count)
 {
+	struct slot *slot;
+	apr_int32_t i;
 	apr_os_file_t fd;
-	int mask = 0, running;
 
-	apr_os_file_get(&fd, ready->desc.f);
-	if (loop->slots[fd]->reqevents == 0)
-		return;
-	if (ready->rtnevents & APR_POLLIN)
-		mask |= CURL_CSELECT_IN;
-	if (ready->rtnevents & APR_POLLOUT)
-		mask |= CURL_CSELECT_OUT;
-	if (ready->rtnevents & (APR_POLLERR | APR_POLLHUP))
-		mask |= CURL_CSELECT_ERR;
-	curl_multi_socket_action(loop->multi, fd, mask, &running);
+	for (i = 0; i < count; i++) {
+		slot = ready[i].client_data;
+		if (slot->poll.reqevents == 0)
+			continue;
+		apr_os_file_get(&fd, ready[i].desc.f);
+		slot->ready(slot->ctx, fd, ready[i].rtnevents);
+	}
 }
 
 /* Polls once, at most until then, and serves what is ready. */
@@ -273,23 +363,22 @@
 loop_turn(struct loop *loop, int64_t until_us)
 {
 	const apr_pollfd_t *ready = NULL;
-	apr_int32_t count = 0, i;
-	int running, epoll_fd = -1;
-	apr_os_file_t fd;
-
-	if (loop->daemon != NULL)
-		epoll_fd =
-		    MHD_get_daemon_info(loop->daemon, MHD_DAEMON_INFO_EPOLL_FD)
-			->epoll_fd;
-	apr_pollset_poll(
-	    loop->pollset, loop_wait(loop, until_us), &count, &ready);
-	for (i = 0; i < count; i++) {
-		apr_os_file_get(&fd, ready[i].desc.f);
-		if (fd != epoll_fd)
-			loop_socket(loop, &ready[i]);
-	}
-	if (loop->daemon != NULL)
+	int64_t due_us = loop_due(loop, until_us);
+	apr_interval_time_t wait_us = -1;
+	apr_int32_t count = 0;
+	int running;
+
+	if (loop->daemon_runs > 0 || due_us <= loop_now_us())
+		wait_us = 0;
+	else
+		loop_arm(loop, due_us);
+	if (apr_pollset_poll(loop->pollset, wait_us, &count, &ready) ==
+	    APR_SUCCESS)
+		loop_dispatch(ready, count);
+	if (loop->daemon_runs > 0) {
+		loop->daemon_runs--;
 		MHD_run(loop->daemon);
+	}
 	if (loop->curl_due_us != 0 && loop->curl_due_us <= loop_now_us()) {
 		loop->curl_due_us = 0;
 		curl_multi_socket_action(
--- /dev/null
+++ b/fakes/serve.c
@@ -0,0 +1,109 @@
+#include "serve.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "flags.h"
+
+enum {
+	SERVE_BODY_MAX = 4 << 20
+};
+
+struct serve {
+	serve_fn handler;
+	void *ctx;
+};
+
+/* Queues a JSON answer, with one header more if its value is given. */
+enum MHD_Result
+serve_json(struct MHD_Connection *connection, unsigned status, const char *body,
+    const char *header, const char *value)
+{
+	struct MHD_Response *response;
+	enum MHD_Result result;
+
+	response = MHD_create_response_from_buffer(
+	    strlen(body), (void *)body, MHD_RESPMEM_MUST_COPY);
+	MHD_add_response_header(response, "Content-Type", "application/json");
+	if (value != NULL && value[0] != '\0')
+		MHD_add_response_header(response, header, value);
+	result = MHD_queue_response(connection, status, response);
+	MHD_destroy_response(response);
+	return result;
+}
+
+/* Returns a number of the query string, or -1 if it is not there. */
+int64_t
+serve_argument(struct MHD_Connection *connection, const char *name)
+{
+	const char *text = MHD_lookup_connection_value(
+	    connection, MHD_GET_ARGUMENT_KIND, name);
+
+	return text == NULL ? -1 : strtoll(text, NULL, 10);
+}
+
+static enum MHD_Result
+on_request(void *ctx, struct MHD_Connection *connection, const char *url,
+    const char *method, const char *version, const char *data, size_t *size,
+    void **request_ctx)
+{
+	struct serve *serve = ctx;
+	struct serve_request *request = *request_ctx;
+
+	if (request == NULL) {
+		request = alloc_zero(alloc_default(), 1, sizeof(*request));
+		request->connection = connection;
+		request->method = method;
+		request->path = url;
+		buf_init(&request->body, alloc_default());
+		*request_ctx = request;
+		return MHD_YES;
+	}
+	if (*size > 0) {
+		if (request->body.len + *size > SERVE_BODY_MAX)
+			return MHD_NO;
+		buf_add(&request->body, data, *size);
+		*size = 0;
+		return MHD_YES;
+	}
+	return serve->handler(serve->ctx, request);
+}
+
+static void
+on_ended(void *ctx, struct MHD_Connection *connection, void **request_ctx,
+    enum MHD_RequestTerminationCode code)
+{
+	struct serve_request *request = *request_ctx;
+
+	if (request == NULL)
+		return;
+	buf_free(&request->body);
+	alloc_free(alloc_default(), request);
+	*request_ctx = NULL;
+}
+
+/*
+ * Listens on IP:PORT and serves on the loop until the process ends.  Returns
+ * NULL, after a line on stderr, if the address can't be used.
+ */
+struct MHD_Daemon *
+serve_start(struct loop *loop, const char *listen, serve_fn handler, void *ctx)
+{
+	static struct serve serve;
+	struct sockaddr_in address;
+	struct MHD_Daemon *daemon = NULL;
+
+	serve.handler = handler;
+	serve.ctx = ctx;
+	if (flags_address(listen, &address))
+		daemon = MHD_start_daemon(MHD_USE_EPOLL, 0, NULL, NULL,
+		    on_request, &serve, MHD_OPTION_SOCK_ADDR, &address,
+		    MHD_OPTION_NOTIFY_COMPLETED, on_ended, NULL,
+		    MHD_OPTION_LISTENING_ADDRESS_REUSE, 1u, MHD_OPTION_END);
+	if (daemon == NULL)
+		fprintf(stderr, "can't listen on %s\n", listen);
+	else
+		loop_serve(loop, daemon);
+	return daemon;
+}
--- /dev/null
+++ b/fakes/serve.h
@@ -0,0 +1,30 @@
+#ifndef CF_SERVE_H
+#define CF_SERVE_H
+
+#include <microhttpd.h>
+#include <stdint.h>
+
+#include "base/buf.h"
+#include "loop.h"
+
+/*
+ * A small HTTP server for stand-ins that answer each request at once: the
+ * handler sees the whole request and queues its answer with serve_json().
+ */
+struct serve_request {
+	struct MHD_Connection *connection;
+	const char *method;
+	const char *path;
+	struct buf body;
+};
+
+typedef enum MHD_Result (*serve_fn)(
+    void *ctx, const struct serve_request *request);
+
+struct MHD_Daemon *serve_start(
+    struct loop *loop, const char *listen, serve_fn handler, void *ctx);
+enum MHD_Result serve_json(struct MHD_Connection *connection, unsigned status,
+    const char *body, const char *header, const char *value);
+int64_t serve_argument(struct MHD_Connection *connection, const char *name);
+
+#endif
