Do not share the listening ports of the tools

MHD_OPTION_LISTENING_ADDRESS_REUSE also sets SO_REUSEPORT: an engine that was still leaving took every other connection of its successor on the same port.

--- a/fakes/engine/http.c
+++ b/fakes/engine/http.c
@@ -309,6 +309,5 @@
 	    NULL, NULL, on_request, engine, MHD_OPTION_SOCK_ADDR, &address,
 	    MHD_OPTION_NOTIFY_COMPLETED, on_ended, engine,
 	    MHD_OPTION_NOTIFY_CONNECTION, on_connection, engine,
-	    MHD_OPTION_CONNECTION_LIMIT, (unsigned)HTTP_CONNECTIONS,
-	    MHD_OPTION_LISTENING_ADDRESS_REUSE, 1u, MHD_OPTION_END);
+	    MHD_OPTION_CONNECTION_LIMIT, (unsigned)HTTP_CONNECTIONS, MHD_OPTION_END);
 }
--- a/fakes/serve.c
+++ b/fakes/serve.c
@@ -99,8 +99,7 @@
 	if (flags_address(listen, &address))
 		daemon = MHD_start_daemon(MHD_USE_EPOLL, 0, NULL, NULL,
 		    on_request, &serve, MHD_OPTION_SOCK_ADDR, &address,
-		    MHD_OPTION_NOTIFY_COMPLETED, on_ended, NULL,
-		    MHD_OPTION_LISTENING_ADDRESS_REUSE, 1u, MHD_OPTION_END);
+		    MHD_OPTION_NOTIFY_COMPLETED, on_ended, NULL, MHD_OPTION_END);
 	if (daemon == NULL)
 		fprintf(stderr, "can't listen on %s\n", listen);
 	else
