--- a/fakes/engine/announce.c
+++ b/fakes/engine/announce.c
@@ -124,7 +124,7 @@
 announce_load(struct engine *engine)
 {
 	struct announcer *a = engine->announcer;
-	int64_t now_us = loop_now_us();
+	int64_t now_us = tl_now_us();
 	int64_t wanted_us = now_us - engine->options.report_lag_ms * 1000;
 	struct load best = {
 	    now_us, engine->running, engine->admitted - engine->running};
@@ -222,8 +222,8 @@
 		a->busy[i] = true;
 		url = apr_psprintf(engine->pool, "%s/v1/announce",
 		    engine->options.announce.items[i]);
-		loop_post(engine->loop, url, text, ANNOUNCE_TIMEOUT_MS,
-		    on_posted, &a->busy[i]);
+		tl_post(engine->loop, url, text, ANNOUNCE_TIMEOUT_MS, on_posted,
+		    &a->busy[i]);
 	}
 	free(text);
 }
@@ -233,7 +233,7 @@
 announce_tick(struct engine *engine)
 {
 	struct announcer *a = engine->announcer;
-	int64_t now_us = loop_now_us();
+	int64_t now_us = tl_now_us();
 
 	if (now_us >= a->next_us) {
 		a->next_us = now_us + engine->options.announce_ms * 1000;
--- a/fakes/engine/engine.h
+++ b/fakes/engine/engine.h
@@ -10,7 +10,7 @@
 #include "base/err.h"
 #include "base/rng.h"
 #include "flags.h"
-#include "loop.h"
+#include "tool_loop.h"
 #include "serve.h"
 
 /*
@@ -123,7 +123,7 @@
 
 struct engine {
 	struct engine_options options;
-	struct loop *loop;
+	struct tool_loop *loop;
 	apr_pool_t *pool;
 	struct rng rng;
 	uint64_t incarnation;
--- a/fakes/engine/http.c
+++ b/fakes/engine/http.c
@@ -57,7 +57,7 @@
 	engine->stats.requests++;
 	if (engine->leaving_us != 0)
 		engine->stats.after_leaving_us =
-		    loop_now_us() - engine->leaving_us;
+		    tl_now_us() - engine->leaving_us;
 	call->fault = http_fault(engine, call->connection);
 	text = http_header(call->connection, "Celeryford-Request");
 	snprintf(call->id, sizeof(call->id), "%s", text == NULL ? "" : text);
@@ -170,7 +170,7 @@
 		o->token_us = n;
 	n = serve_argument(call->connection, "cold_ms");
 	if (n >= 0)
-		engine->cold_until_us = loop_now_us() + n * 1000;
+		engine->cold_until_us = tl_now_us() + n * 1000;
 	n = serve_argument(call->connection, "silent");
 	if (n > 0)
 		http_silence(engine);
@@ -226,7 +226,7 @@
 	    connection, MHD_CONNECTION_INFO_SOCKET_CONTEXT)
 			 ->socket_context;
 	call->path = path;
-	call->arrived_us = loop_now_us();
+	call->arrived_us = tl_now_us();
 	buf_init(&call->body, alloc_default());
 	buf_init(&call->pending, alloc_default());
 	return call;
@@ -309,5 +309,6 @@
 	    NULL, NULL, on_request, engine, MHD_OPTION_SOCK_ADDR, &address,
 	    MHD_OPTION_NOTIFY_COMPLETED, on_ended, engine,
 	    MHD_OPTION_NOTIFY_CONNECTION, on_connection, engine,
-	    MHD_OPTION_CONNECTION_LIMIT, (unsigned)HTTP_CONNECTIONS, MHD_OPTION_END);
+	    MHD_OPTION_CONNECTION_LIMIT, (unsigned)HTTP_CONNECTIONS,
+	    MHD_OPTION_END);
 }
--- a/fakes/engine/main.c
+++ b/fakes/engine/main.c
@@ -79,7 +79,7 @@
 	int64_t work_us, announce_us, now_us;
 
 	for (;;) {
-		now_us = loop_now_us();
+		now_us = tl_now_us();
 		if (stop_asked && engine->leaving_us == 0) {
 			engine->leaving_us = now_us;
 			announce_now(engine);
@@ -96,7 +96,7 @@
 			work_us = announce_us;
 		if (engine->leaving_us != 0 && work_us > now_us + 50000)
 			work_us = now_us + 50000;
-		loop_turn(engine->loop, work_us);
+		tl_turn(engine->loop, work_us);
 	}
 }
 
@@ -127,11 +127,11 @@
 	signal(SIGPIPE, SIG_IGN);
 	signal(SIGTERM, on_signal);
 	signal(SIGINT, on_signal);
-	engine.loop = loop_new();
+	engine.loop = tl_new();
 	apr_pool_create(&engine.pool, NULL);
 	rng_init(&engine.rng, (uint64_t)engine.options.seed);
-	engine.incarnation = (uint64_t)loop_wall_us();
-	engine.cold_until_us = loop_now_us() + engine.options.cold_ms * 1000;
+	engine.incarnation = (uint64_t)tl_wall_us();
+	engine.cold_until_us = tl_now_us() + engine.options.cold_ms * 1000;
 	stats_init(&engine);
 	orders_init(&engine);
 	announce_init(&engine);
@@ -141,7 +141,7 @@
 		    engine.options.listen);
 		return 1;
 	}
-	loop_serve(engine.loop, daemon);
+	tl_serve(engine.loop, daemon);
 	serve(&engine);
 	if (engine.options.stats_file != NULL)
 		write_stats(&engine);
--- a/fakes/engine/work.c
+++ b/fakes/engine/work.c
@@ -16,7 +16,7 @@
 bool
 engine_cold(const struct engine *engine)
 {
-	return loop_now_us() < engine->cold_until_us;
+	return tl_now_us() < engine->cold_until_us;
 }
 
 /* Ends the process as a crash would, after a line that says what caused it. */
@@ -44,7 +44,7 @@
 	const struct engine_options *o = &engine->options;
 
 	call->started = true;
-	call->first_due_us += loop_now_us() + o->first_token_us;
+	call->first_due_us += tl_now_us() + o->first_token_us;
 	if (call->fault == FAULT_LATE)
 		call->first_due_us += o->late_ms * 1000;
 	if (call->first_due_us < engine->next_due_us)
@@ -146,7 +146,7 @@
 	if (token_us == 0 && engine->options.first_token_us == 0 &&
 	    call->fault != FAULT_LATE && engine->options.prompt_token_us == 0)
 		return call->tokens;
-	now_us = loop_now_us();
+	now_us = tl_now_us();
 	if (now_us < call->first_due_us)
 		return 0;
 	if (token_us == 0)
@@ -183,7 +183,7 @@
 {
 	call->suspended = false;
 	MHD_resume_connection(call->connection);
-	loop_kick(call->engine->loop);
+	tl_kick(call->engine->loop);
 }
 
 /* Looks for clients that have disconnected while their calls wait. */
@@ -207,7 +207,7 @@
 int64_t
 work_tick(struct engine *engine)
 {
-	int64_t now_us = loop_now_us();
+	int64_t now_us = tl_now_us();
 	int64_t wanted_us;
 	struct call *call;
 
--- a/fakes/serve.c
+++ b/fakes/serve.c
@@ -88,7 +88,8 @@
  * NULL, after a line on stderr, if the address can't be used.
  */
 struct MHD_Daemon *
-serve_start(struct loop *loop, const char *listen, serve_fn handler, void *ctx)
+serve_start(
+    struct tool_loop *loop, const char *listen, serve_fn handler, void *ctx)
 {
 	static struct serve serve;
 	struct sockaddr_in address;
@@ -99,10 +100,11 @@
 	if (flags_address(listen, &address))
 		daemon = MHD_start_daemon(MHD_USE_EPOLL, 0, NULL, NULL,
 		    on_request, &serve, MHD_OPTION_SOCK_ADDR, &address,
-		    MHD_OPTION_NOTIFY_COMPLETED, on_ended, NULL, MHD_OPTION_END);
+		    MHD_OPTION_NOTIFY_COMPLETED, on_ended, NULL,
+		    MHD_OPTION_END);
 	if (daemon == NULL)
 		fprintf(stderr, "can't listen on %s\n", listen);
 	else
-		loop_serve(loop, daemon);
+		tl_serve(loop, daemon);
 	return daemon;
 }
--- a/fakes/serve.h
+++ b/fakes/serve.h
@@ -5,7 +5,7 @@
 #include <stdint.h>
 
 #include "base/buf.h"
-#include "loop.h"
+#include "tool_loop.h"
 
 /*
  * A small HTTP server for stand-ins that answer each request at once: the
@@ -22,7 +22,7 @@
     void *ctx, const struct serve_request *request);
 
 struct MHD_Daemon *serve_start(
-    struct loop *loop, const char *listen, serve_fn handler, void *ctx);
+    struct tool_loop *loop, const char *listen, serve_fn handler, void *ctx);
 enum MHD_Result serve_json(struct MHD_Connection *connection, unsigned status,
     const char *body, const char *header, const char *value);
 int64_t serve_argument(struct MHD_Connection *connection, const char *name);
--- a/fakes/loop.c
+++ b/fakes/tool_loop.c
@@ -1,4 +1,4 @@
-#include "loop.h"
+#include "tool_loop.h"
 
 #include <apr_general.h>
 #include <apr_poll.h>
@@ -14,18 +14,18 @@
 #include "base/alloc.h"
 
 enum {
-	LOOP_EVENTS = 512, /* descriptors answered by one poll */
-	LOOP_KICKS = 2 /* runs that a resumed connection needs */
+	TL_EVENTS = 512, /* descriptors answered by one poll */
+	TL_KICKS = 2 /* runs that a resumed connection needs */
 };
 
 /* A watched descriptor; kept after its close for the next with its number. */
 struct slot {
 	apr_pollfd_t poll;
-	loop_ready_fn ready;
+	tl_ready_fn ready;
 	void *ctx;
 };
 
-struct loop {
+struct tool_loop {
 	apr_pool_t *pool;
 	apr_pollset_t *pollset;
 	CURLM *multi;
@@ -41,7 +41,7 @@
 
 /* What CURLOPT_PRIVATE points to while a transfer runs. */
 struct transfer {
-	loop_done_fn done;
+	tl_done_fn done;
 	void *ctx;
 	struct curl_slist *headers;
 	char *body;
@@ -49,7 +49,7 @@
 
 /* Returns the monotonic clock in microseconds. */
 int64_t
-loop_now_us(void)
+tl_now_us(void)
 {
 	struct timespec now;
 
@@ -59,14 +59,14 @@
 
 /* Returns the wall clock in microseconds since 1970. */
 int64_t
-loop_wall_us(void)
+tl_wall_us(void)
 {
 	return (int64_t)apr_time_now();
 }
 
 /* Makes room for a descriptor in the table of slots. */
 static void
-loop_grow(struct loop *loop, int fd)
+tl_grow(struct tool_loop *loop, int fd)
 {
 	const size_t slot_bytes = sizeof(void *);
 	int count = loop->slot_count;
@@ -82,13 +82,13 @@
 
 /* Returns the slot of a descriptor, made at its first use. */
 static struct slot *
-loop_slot(struct loop *loop, int fd)
+tl_slot(struct tool_loop *loop, int fd)
 {
 	struct slot *slot;
 	apr_os_file_t os_file = fd;
 
 	if (fd >= loop->slot_count)
-		loop_grow(loop, fd);
+		tl_grow(loop, fd);
 	if (loop->slots[fd] != NULL)
 		return loop->slots[fd];
 	slot = alloc_zero(alloc_default(), 1, sizeof(*slot));
@@ -105,10 +105,10 @@
  * watching it, which must be done before it is closed.
  */
 void
-loop_watch(struct loop *loop, int fd, apr_int16_t events, loop_ready_fn ready,
+tl_watch(struct tool_loop *loop, int fd, apr_int16_t events, tl_ready_fn ready,
     void *ctx)
 {
-	struct slot *slot = loop_slot(loop, fd);
+	struct slot *slot = tl_slot(loop, fd);
 
 	slot->ready = ready;
 	slot->ctx = ctx;
@@ -125,7 +125,7 @@
 static void
 on_curl_ready(void *ctx, int fd, apr_int16_t events)
 {
-	struct loop *loop = ctx;
+	struct tool_loop *loop = ctx;
 	int mask = 0, running;
 
 	if (events & APR_POLLIN)
@@ -140,7 +140,7 @@
 static void
 on_daemon_ready(void *ctx, int fd, apr_int16_t events)
 {
-	struct loop *loop = ctx;
+	struct tool_loop *loop = ctx;
 
 	if (loop->daemon_runs == 0)
 		loop->daemon_runs = 1;
@@ -149,7 +149,7 @@
 static void
 on_timer_ready(void *ctx, int fd, apr_int16_t events)
 {
-	struct loop *loop = ctx;
+	struct tool_loop *loop = ctx;
 	uint64_t count;
 
 	loop->timer_us = 0;
@@ -166,37 +166,37 @@
 		events |= APR_POLLIN;
 	if (what == CURL_POLL_OUT || what == CURL_POLL_INOUT)
 		events |= APR_POLLOUT;
-	loop_watch(ctx, fd, events, on_curl_ready, ctx);
+	tl_watch(ctx, fd, events, on_curl_ready, ctx);
 	return 0;
 }
 
 static int
 on_timer(CURLM *multi, long timeout_ms, void *ctx)
 {
-	struct loop *loop = ctx;
+	struct tool_loop *loop = ctx;
 
 	loop->curl_due_us =
-	    timeout_ms < 0 ? 0 : loop_now_us() + timeout_ms * 1000;
+	    timeout_ms < 0 ? 0 : tl_now_us() + timeout_ms * 1000;
 	return 0;
 }
 
 /* Makes a loop; APR and libcurl are initialised on the way. */
-struct loop *
-loop_new(void)
+struct tool_loop *
+tl_new(void)
 {
-	struct loop *loop = alloc_zero(alloc_default(), 1, sizeof(*loop));
+	struct tool_loop *loop = alloc_zero(alloc_default(), 1, sizeof(*loop));
 
 	apr_initialize();
 	curl_global_init(CURL_GLOBAL_DEFAULT);
 	apr_pool_create(&loop->pool, NULL);
-	if (apr_pollset_create_ex(&loop->pollset, LOOP_EVENTS, loop->pool,
+	if (apr_pollset_create_ex(&loop->pollset, TL_EVENTS, loop->pool,
 		APR_POLLSET_NOCOPY, APR_POLLSET_EPOLL) != APR_SUCCESS)
 		abort();
 	loop->timer_fd =
 	    timerfd_create(CLOCK_MONOTONIC, TFD_NONBLOCK | TFD_CLOEXEC);
 	if (loop->timer_fd < 0)
 		abort();
-	loop_watch(loop, loop->timer_fd, APR_POLLIN, on_timer_ready, loop);
+	tl_watch(loop, loop->timer_fd, APR_POLLIN, on_timer_ready, loop);
 	loop->multi = curl_multi_init();
 	curl_multi_setopt(loop->multi, CURLMOPT_SOCKETFUNCTION, on_socket);
 	curl_multi_setopt(loop->multi, CURLMOPT_SOCKETDATA, loop);
@@ -207,7 +207,7 @@
 
 /* Frees a loop; every transfer must have ended. */
 void
-loop_free(struct loop *loop)
+tl_free(struct tool_loop *loop)
 {
 	int i;
 
@@ -223,13 +223,13 @@
 
 /* Serves a daemon that was started with MHD_USE_EPOLL and no thread. */
 void
-loop_serve(struct loop *loop, struct MHD_Daemon *daemon)
+tl_serve(struct tool_loop *loop, struct MHD_Daemon *daemon)
 {
 	const union MHD_DaemonInfo *info;
 
 	loop->daemon = daemon;
 	info = MHD_get_daemon_info(daemon, MHD_DAEMON_INFO_EPOLL_FD);
-	loop_watch(loop, info->epoll_fd, APR_POLLIN, on_daemon_ready, loop);
+	tl_watch(loop, info->epoll_fd, APR_POLLIN, on_daemon_ready, loop);
 }
 
 /*
@@ -237,14 +237,14 @@
  * MHD_resume_connection(), which by itself does not wake the poll each time.
  */
 void
-loop_kick(struct loop *loop)
+tl_kick(struct tool_loop *loop)
 {
-	loop->daemon_runs = LOOP_KICKS;
+	loop->daemon_runs = TL_KICKS;
 }
 
 /* Starts a transfer; done (may be NULL) is called when it ends. */
 void
-loop_start(struct loop *loop, CURL *easy, loop_done_fn done, void *ctx)
+tl_start(struct tool_loop *loop, CURL *easy, tl_done_fn done, void *ctx)
 {
 	struct transfer *transfer =
 	    alloc_zero(alloc_default(), 1, sizeof(*transfer));
@@ -265,8 +265,8 @@
 
 /* Posts a JSON body and drops the answer; done (may be NULL) sees the end. */
 void
-loop_post(struct loop *loop, const char *url, const char *body, long timeout_ms,
-    loop_done_fn done, void *ctx)
+tl_post(struct tool_loop *loop, const char *url, const char *body,
+    long timeout_ms, tl_done_fn done, void *ctx)
 {
 	CURL *easy = curl_easy_init();
 	struct transfer *transfer;
@@ -278,14 +278,14 @@
 	curl_easy_setopt(easy, CURLOPT_COPYPOSTFIELDS, body);
 	curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, timeout_ms);
 	curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, drop_body);
-	loop_start(loop, easy, done, ctx);
+	tl_start(loop, easy, done, ctx);
 	curl_easy_getinfo(easy, CURLINFO_PRIVATE, (char **)&transfer);
 	transfer->headers = headers;
 }
 
 /* Reports the transfers that have ended and frees them. */
 static void
-loop_reap(struct loop *loop)
+tl_reap(struct tool_loop *loop)
 {
 	struct transfer *transfer;
 	CURLMsg *message;
@@ -311,7 +311,7 @@
 
 /* Sets the timer to a time; a time that has passed is left to the caller. */
 static void
-loop_arm(struct loop *loop, int64_t due_us)
+tl_arm(struct tool_loop *loop, int64_t due_us)
 {
 	struct itimerspec spec = {{0, 0}, {0, 0}};
 
@@ -325,7 +325,7 @@
 
 /* Returns the earliest time at which the loop has something to do. */
 static int64_t
-loop_due(struct loop *loop, int64_t until_us)
+tl_due(struct tool_loop *loop, int64_t until_us)
 {
 	MHD_UNSIGNED_LONG_LONG http_ms;
 	int64_t http_us;
@@ -337,13 +337,13 @@
 		return until_us;
 	if (http_ms == 0 && loop->daemon_runs == 0)
 		loop->daemon_runs = 1;
-	http_us = loop_now_us() + (int64_t)http_ms * 1000;
+	http_us = tl_now_us() + (int64_t)http_ms * 1000;
 	return http_us < until_us ? http_us : until_us;
 }
 
 /* Serves the descriptors that a poll found ready. */
 static void
-loop_dispatch(const apr_pollfd_t *ready, apr_int32_t count)
+tl_dispatch(const apr_pollfd_t *ready, apr_int32_t count)
 {
 	struct slot *slot;
 	apr_int32_t i;
@@ -360,36 +360,36 @@
 
 /* Polls once, at most until then, and serves what is ready. */
 void
-loop_turn(struct loop *loop, int64_t until_us)
+tl_turn(struct tool_loop *loop, int64_t until_us)
 {
 	const apr_pollfd_t *ready = NULL;
-	int64_t due_us = loop_due(loop, until_us);
+	int64_t due_us = tl_due(loop, until_us);
 	apr_interval_time_t wait_us = -1;
 	apr_int32_t count = 0;
 	int running;
 
-	if (loop->daemon_runs > 0 || due_us <= loop_now_us())
+	if (loop->daemon_runs > 0 || due_us <= tl_now_us())
 		wait_us = 0;
 	else
-		loop_arm(loop, due_us);
+		tl_arm(loop, due_us);
 	if (apr_pollset_poll(loop->pollset, wait_us, &count, &ready) ==
 	    APR_SUCCESS)
-		loop_dispatch(ready, count);
+		tl_dispatch(ready, count);
 	if (loop->daemon_runs > 0) {
 		loop->daemon_runs--;
 		MHD_run(loop->daemon);
 	}
-	if (loop->curl_due_us != 0 && loop->curl_due_us <= loop_now_us()) {
+	if (loop->curl_due_us != 0 && loop->curl_due_us <= tl_now_us()) {
 		loop->curl_due_us = 0;
 		curl_multi_socket_action(
 		    loop->multi, CURL_SOCKET_TIMEOUT, 0, &running);
 	}
-	loop_reap(loop);
+	tl_reap(loop);
 }
 
 /* Returns how many transfers are running. */
 unsigned
-loop_transfers(const struct loop *loop)
+tl_transfers(const struct tool_loop *loop)
 {
 	return loop->transfers;
 }
