--- a/fakes/engine/announce.c
+++ b/fakes/engine/announce.c
@@ -35,7 +35,7 @@
 	unsigned block_at;
 	struct cache_event events[ANNOUNCE_EVENTS];
 	int event_count;
-	bool busy[ENGINE_NAMES_MAX]; /* by URL: one post at a time */
+	bool busy[FLAGS_ITEMS_MAX]; /* by URL: one post at a time */
 };
 
 /* Makes the announcer; its first announcement is due at once. */
@@ -124,7 +124,7 @@
 announce_load(struct engine *engine)
 {
 	struct announcer *a = engine->announcer;
-	int64_t now_us = loop_now_us();
+	int64_t now_us = tl_now_us();
 	int64_t wanted_us = now_us - engine->options.report_lag_ms * 1000;
 	struct load best = {
 	    now_us, engine->running, engine->admitted - engine->running};
@@ -144,13 +144,13 @@
 }
 
 static json_t *
-announce_names(const char *const *names, int count)
+announce_names(const struct flag_list *names)
 {
 	json_t *list = json_array();
 	int i;
 
-	for (i = 0; i < count; i++)
-		json_array_append_new(list, json_string(names[i]));
+	for (i = 0; i < names->count; i++)
+		json_array_append_new(list, json_string(names->items[i]));
 	return list;
 }
 
@@ -187,8 +187,8 @@
 			 "s:i, s:I, s:b, s:o}",
 	    "server", o->name, "address", o->listen, "data_centre",
 	    o->data_centre, "incarnation", (json_int_t)engine->incarnation,
-	    "versions", announce_names(o->versions, o->version_count),
-	    "services", announce_names(o->services, o->service_count), "warmth",
+	    "versions", announce_names(&o->versions), "services",
+	    announce_names(&o->services), "warmth",
 	    engine_cold(engine) ? "cold" : "warm", "slots",
 	    (json_int_t)o->slots, "cold_slots", (json_int_t)o->cold_slots,
 	    "running", load.running, "queued", load.queued, "token_us",
@@ -216,14 +216,14 @@
 	char *url;
 	int i;
 
-	for (i = 0; i < engine->options.announce_count; i++) {
+	for (i = 0; i < engine->options.announce.count; i++) {
 		if (a->busy[i])
 			continue;
 		a->busy[i] = true;
 		url = apr_psprintf(engine->pool, "%s/v1/announce",
-		    engine->options.announce[i]);
-		loop_post(engine->loop, url, text, ANNOUNCE_TIMEOUT_MS,
-		    on_posted, &a->busy[i]);
+		    engine->options.announce.items[i]);
+		tl_post(engine->loop, url, text, ANNOUNCE_TIMEOUT_MS, on_posted,
+		    &a->busy[i]);
 	}
 	free(text);
 }
@@ -233,7 +233,7 @@
 announce_tick(struct engine *engine)
 {
 	struct announcer *a = engine->announcer;
-	int64_t now_us = loop_now_us();
+	int64_t now_us = tl_now_us();
 
 	if (now_us >= a->next_us) {
 		a->next_us = now_us + engine->options.announce_ms * 1000;
