Do not hedge on a version that the session has left

Cause: a hedge ran on its first attempt's version after another request of the session had been bound anew (withdrawal and return in between). Ruled out: the queue, which looks the session up again.

--- a/src/core/attempt.c
+++ b/src/core/attempt.c
@@ -399,6 +399,10 @@
 	if (q->attempt_count != 1 || t->state != ATTEMPT_RUNNING ||
 	    t->first_token_us != 0 || !place_allowed(r, q, t->version))
 		return;
+	/* The session may have moved on since the first attempt. */
+	if (q->pinned &&
+	    (!place_choose(r, q) || q->chain.versions[0] != t->version))
+		return;
 	place_need(r, q, t->version, avoid, &need);
 	if (need.avoid_count == 0)
 		return;
