--- a/src/config/compile.c
+++ b/src/config/compile.c
@@ -346,11 +346,12 @@
     const struct schema_workspace *in)
 {
 	struct cfg_workspace *w;
+	uint16_t i;
 
 	if (!name_fits(c, s, strlen(name_of(s))))
 		return;
-	w = &c->cfg->workspaces[INTERN(
-	    c, workspaces, workspace_count, name_of(s))];
+	i = INTERN(c, workspaces, workspace_count, name_of(s));
+	w = &c->cfg->workspaces[i];
 	w->present = true;
 	if (sodium_hex2bin(w->key_hash, sizeof(w->key_hash), in->key_hash,
 		strlen(in->key_hash), NULL, NULL, NULL) != 0)
@@ -390,6 +391,7 @@
 		compile_workspace(c, section, data);
 		break;
 	case SCHEMA_TEAMS:
+	case SCHEMA_REPLICAS:
 	case SCHEMA_GROUPS:
 		break;
 	}
--- a/src/config/schema.c
+++ b/src/config/schema.c
@@ -67,6 +67,10 @@
     OPTIONAL_NAMES(schema_workspace, services),
     OPTIONAL_NAMES(schema_workspace, data_centres), CYAML_FIELD_END};
 
+static const cyaml_schema_field_t replicas_fields[] = {
+    OPTIONAL_UINT(schema_replicas, epoch),
+    OPTIONAL_NAMES(schema_replicas, voters), CYAML_FIELD_END};
+
 #define GROUP_SCHEMA(type, fields)                                           \
 	{                                                                    \
 		CYAML_VALUE_MAPPING(CYAML_FLAG_POINTER, struct type, fields) \
@@ -88,6 +92,8 @@
 	GROUP_SCHEMA(schema_service, service_fields), service_fields},
     [SCHEMA_WORKSPACES] = {"workspaces",
 	GROUP_SCHEMA(schema_workspace, workspace_fields), workspace_fields},
+    [SCHEMA_REPLICAS] = {"replicas",
+	GROUP_SCHEMA(schema_replicas, replicas_fields), replicas_fields},
 };
 
 /* Returns the group's key in the document. */
--- a/src/config/schema.h
+++ b/src/config/schema.h
@@ -21,6 +21,7 @@
 	SCHEMA_VERSIONS,
 	SCHEMA_SERVICES,
 	SCHEMA_WORKSPACES,
+	SCHEMA_REPLICAS, /* kept by the state replicas themselves */
 	SCHEMA_GROUPS
 };
 
@@ -30,11 +31,6 @@
 	ISOLATED_STOP
 };
 
-struct schema_names {
-	char **names;
-	uint32_t names_count;
-};
-
 struct schema_team {
 	char *key_hash;
 	char **owns;
@@ -77,6 +73,12 @@
 	uint32_t data_centres_count;
 };
 
+struct schema_replicas {
+	uint64_t epoch; /* log index of the membership; grows */
+	char **voters; /* "INSTANCE@IDENTITY" */
+	uint32_t voters_count;
+};
+
 const char *schema_group_name(enum schema_group group);
 int schema_group_of(const char *path);
 void *schema_load(enum schema_group group, const struct section *section,
--- a/src/state/rlog.c
+++ b/src/state/rlog.c
@@ -531,6 +531,7 @@
 	status->snapshot_index = rl->snapshot.index;
 	status->log_bytes = rl_bytes_between(
 	    (struct rl *)rl, rl->base_index, rl_last_index(rl));
+	status->members_index = rl->config_index;
 	status->member_count = rl->config.count;
 	memcpy(status->members, rl->config.members,
 	    rl->config.count * sizeof(rl->config.members[0]));
--- a/src/state/rlog.h
+++ b/src/state/rlog.h
@@ -276,6 +276,7 @@
 	uint64_t log_bytes;
 	struct rl_member members[RL_MEMBERS_MAX];
 	size_t member_count;
+	uint64_t members_index; /* log index of the entry that made members */
 };
 
 struct rl;
--- a/src/wire/cfgsync.pb-c.c
+++ b/src/wire/cfgsync.pb-c.c
@@ -7,105 +7,105 @@
 #endif
 
 #include "cfgsync.pb-c.h"
-void   cfw__cy_confirm__init
-                     (Cfw__CyConfirm         *message)
+void   cypb__confirm__init
+                     (Cypb__Confirm         *message)
 {
-  static const Cfw__CyConfirm init_value = CFW__CY_CONFIRM__INIT;
+  static const Cypb__Confirm init_value = CYPB__CONFIRM__INIT;
   *message = init_value;
 }
-size_t cfw__cy_confirm__get_packed_size
-                     (const Cfw__CyConfirm *message)
+size_t cypb__confirm__get_packed_size
+                     (const Cypb__Confirm *message)
 {
-  assert(message->base.descriptor == &cfw__cy_confirm__descriptor);
+  assert(message->base.descriptor == &cypb__confirm__descriptor);
   return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t cfw__cy_confirm__pack
-                     (const Cfw__CyConfirm *message,
+size_t cypb__confirm__pack
+                     (const Cypb__Confirm *message,
                       uint8_t       *out)
 {
-  assert(message->base.descriptor == &cfw__cy_confirm__descriptor);
+  assert(message->base.descriptor == &cypb__confirm__descriptor);
   return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t cfw__cy_confirm__pack_to_buffer
-                     (const Cfw__CyConfirm *message,
+size_t cypb__confirm__pack_to_buffer
+                     (const Cypb__Confirm *message,
                       ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &cfw__cy_confirm__descriptor);
+  assert(message->base.descriptor == &cypb__confirm__descriptor);
   return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
-Cfw__CyConfirm *
-       cfw__cy_confirm__unpack
+Cypb__Confirm *
+       cypb__confirm__unpack
                      (ProtobufCAllocator  *allocator,
                       size_t               len,
                       const uint8_t       *data)
 {
-  return (Cfw__CyConfirm *)
-     protobuf_c_message_unpack (&cfw__cy_confirm__descriptor,
+  return (Cypb__Confirm *)
+     protobuf_c_message_unpack (&cypb__confirm__descriptor,
                                 allocator, len, data);
 }
-void   cfw__cy_confirm__free_unpacked
-                     (Cfw__CyConfirm *message,
+void   cypb__confirm__free_unpacked
+                     (Cypb__Confirm *message,
                       ProtobufCAllocator *allocator)
 {
   if(!message)
     return;
-  assert(message->base.descriptor == &cfw__cy_confirm__descriptor);
+  assert(message->base.descriptor == &cypb__confirm__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void   cfw__cy_msg__init
-                     (Cfw__CyMsg         *message)
+void   cypb__message__init
+                     (Cypb__Message         *message)
 {
-  static const Cfw__CyMsg init_value = CFW__CY_MSG__INIT;
+  static const Cypb__Message init_value = CYPB__MESSAGE__INIT;
   *message = init_value;
 }
-size_t cfw__cy_msg__get_packed_size
-                     (const Cfw__CyMsg *message)
+size_t cypb__message__get_packed_size
+                     (const Cypb__Message *message)
 {
-  assert(message->base.descriptor == &cfw__cy_msg__descriptor);
+  assert(message->base.descriptor == &cypb__message__descriptor);
   return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t cfw__cy_msg__pack
-                     (const Cfw__CyMsg *message,
+size_t cypb__message__pack
+                     (const Cypb__Message *message,
                       uint8_t       *out)
 {
-  assert(message->base.descriptor == &cfw__cy_msg__descriptor);
+  assert(message->base.descriptor == &cypb__message__descriptor);
   return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t cfw__cy_msg__pack_to_buffer
-                     (const Cfw__CyMsg *message,
+size_t cypb__message__pack_to_buffer
+                     (const Cypb__Message *message,
                       ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &cfw__cy_msg__descriptor);
+  assert(message->base.descriptor == &cypb__message__descriptor);
   return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
-Cfw__CyMsg *
-       cfw__cy_msg__unpack
+Cypb__Message *
+       cypb__message__unpack
                      (ProtobufCAllocator  *allocator,
                       size_t               len,
                       const uint8_t       *data)
 {
-  return (Cfw__CyMsg *)
-     protobuf_c_message_unpack (&cfw__cy_msg__descriptor,
+  return (Cypb__Message *)
+     protobuf_c_message_unpack (&cypb__message__descriptor,
                                 allocator, len, data);
 }
-void   cfw__cy_msg__free_unpacked
-                     (Cfw__CyMsg *message,
+void   cypb__message__free_unpacked
+                     (Cypb__Message *message,
                       ProtobufCAllocator *allocator)
 {
   if(!message)
     return;
-  assert(message->base.descriptor == &cfw__cy_msg__descriptor);
+  assert(message->base.descriptor == &cypb__message__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor cfw__cy_confirm__field_descriptors[3] =
+static const ProtobufCFieldDescriptor cypb__confirm__field_descriptors[3] =
 {
   {
     "instance",
     1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_FIXED32,
     0,   /* quantifier_offset */
-    offsetof(Cfw__CyConfirm, instance),
+    offsetof(Cypb__Confirm, instance),
     NULL,
     NULL,
     0,             /* flags */
@@ -115,9 +115,9 @@
     "incarnation",
     2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_FIXED64,
+    PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Cfw__CyConfirm, incarnation),
+    offsetof(Cypb__Confirm, incarnation),
     NULL,
     NULL,
     0,             /* flags */
@@ -129,39 +129,39 @@
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Cfw__CyConfirm, revision),
+    offsetof(Cypb__Confirm, revision),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned cfw__cy_confirm__field_indices_by_name[] = {
+static const unsigned cypb__confirm__field_indices_by_name[] = {
   1,   /* field[1] = incarnation */
   0,   /* field[0] = instance */
   2,   /* field[2] = revision */
 };
-static const ProtobufCIntRange cfw__cy_confirm__number_ranges[1 + 1] =
+static const ProtobufCIntRange cypb__confirm__number_ranges[1 + 1] =
 {
   { 1, 0 },
   { 0, 3 }
 };
-const ProtobufCMessageDescriptor cfw__cy_confirm__descriptor =
+const ProtobufCMessageDescriptor cypb__confirm__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "cfw.CyConfirm",
-  "CyConfirm",
-  "Cfw__CyConfirm",
-  "cfw",
-  sizeof(Cfw__CyConfirm),
+  "cypb.Confirm",
+  "Confirm",
+  "Cypb__Confirm",
+  "cypb",
+  sizeof(Cypb__Confirm),
   3,
-  cfw__cy_confirm__field_descriptors,
-  cfw__cy_confirm__field_indices_by_name,
-  1,  cfw__cy_confirm__number_ranges,
-  (ProtobufCMessageInit) cfw__cy_confirm__init,
+  cypb__confirm__field_descriptors,
+  cypb__confirm__field_indices_by_name,
+  1,  cypb__confirm__number_ranges,
+  (ProtobufCMessageInit) cypb__confirm__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cfw__cy_msg__field_descriptors[11] =
+static const ProtobufCFieldDescriptor cypb__message__field_descriptors[11] =
 {
   {
     "kind",
@@ -169,7 +169,7 @@
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Cfw__CyMsg, kind),
+    offsetof(Cypb__Message, kind),
     NULL,
     NULL,
     0,             /* flags */
@@ -181,7 +181,7 @@
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Cfw__CyMsg, round),
+    offsetof(Cypb__Message, round),
     NULL,
     NULL,
     0,             /* flags */
@@ -191,9 +191,9 @@
     "instance",
     3,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_FIXED32,
     0,   /* quantifier_offset */
-    offsetof(Cfw__CyMsg, instance),
+    offsetof(Cypb__Message, instance),
     NULL,
     NULL,
     0,             /* flags */
@@ -203,9 +203,9 @@
     "incarnation",
     4,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_FIXED64,
+    PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Cfw__CyMsg, incarnation),
+    offsetof(Cypb__Message, incarnation),
     NULL,
     NULL,
     0,             /* flags */
@@ -217,7 +217,7 @@
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Cfw__CyMsg, revision),
+    offsetof(Cypb__Message, revision),
     NULL,
     NULL,
     0,             /* flags */
@@ -229,7 +229,7 @@
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Cfw__CyMsg, base_revision),
+    offsetof(Cypb__Message, base_revision),
     NULL,
     NULL,
     0,             /* flags */
@@ -241,7 +241,7 @@
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Cfw__CyMsg, lease_ms),
+    offsetof(Cypb__Message, lease_ms),
     NULL,
     NULL,
     0,             /* flags */
@@ -253,7 +253,7 @@
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Cfw__CyMsg, offset),
+    offsetof(Cypb__Message, offset),
     NULL,
     NULL,
     0,             /* flags */
@@ -265,7 +265,7 @@
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Cfw__CyMsg, total),
+    offsetof(Cypb__Message, total),
     NULL,
     NULL,
     0,             /* flags */
@@ -276,9 +276,9 @@
     10,
     PROTOBUF_C_LABEL_REPEATED,
     PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Cfw__CyMsg, n_confirms),
-    offsetof(Cfw__CyMsg, confirms),
-    &cfw__cy_confirm__descriptor,
+    offsetof(Cypb__Message, n_confirms),
+    offsetof(Cypb__Message, confirms),
+    &cypb__confirm__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
@@ -289,14 +289,14 @@
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_BYTES,
     0,   /* quantifier_offset */
-    offsetof(Cfw__CyMsg, data),
+    offsetof(Cypb__Message, data),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned cfw__cy_msg__field_indices_by_name[] = {
+static const unsigned cypb__message__field_indices_by_name[] = {
   5,   /* field[5] = base_revision */
   9,   /* field[9] = confirms */
   10,   /* field[10] = data */
@@ -309,23 +309,23 @@
   1,   /* field[1] = round */
   8,   /* field[8] = total */
 };
-static const ProtobufCIntRange cfw__cy_msg__number_ranges[1 + 1] =
+static const ProtobufCIntRange cypb__message__number_ranges[1 + 1] =
 {
   { 1, 0 },
   { 0, 11 }
 };
-const ProtobufCMessageDescriptor cfw__cy_msg__descriptor =
+const ProtobufCMessageDescriptor cypb__message__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "cfw.CyMsg",
-  "CyMsg",
-  "Cfw__CyMsg",
-  "cfw",
-  sizeof(Cfw__CyMsg),
+  "cypb.Message",
+  "Message",
+  "Cypb__Message",
+  "cypb",
+  sizeof(Cypb__Message),
   11,
-  cfw__cy_msg__field_descriptors,
-  cfw__cy_msg__field_indices_by_name,
-  1,  cfw__cy_msg__number_ranges,
-  (ProtobufCMessageInit) cfw__cy_msg__init,
+  cypb__message__field_descriptors,
+  cypb__message__field_indices_by_name,
+  1,  cypb__message__number_ranges,
+  (ProtobufCMessageInit) cypb__message__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
--- a/src/wire/cfgsync.pb-c.h
+++ b/src/wire/cfgsync.pb-c.h
@@ -15,8 +15,8 @@
 #endif
 
 
-typedef struct Cfw__CyConfirm Cfw__CyConfirm;
-typedef struct Cfw__CyMsg Cfw__CyMsg;
+typedef struct Cypb__Confirm Cypb__Confirm;
+typedef struct Cypb__Message Cypb__Message;
 
 
 /* --- enums --- */
@@ -24,19 +24,19 @@
 
 /* --- messages --- */
 
-struct  Cfw__CyConfirm
+struct  Cypb__Confirm
 {
   ProtobufCMessage base;
   uint32_t instance;
   uint64_t incarnation;
   uint64_t revision;
 };
-#define CFW__CY_CONFIRM__INIT \
- { PROTOBUF_C_MESSAGE_INIT (&cfw__cy_confirm__descriptor) \
+#define CYPB__CONFIRM__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&cypb__confirm__descriptor) \
     , 0, 0, 0 }
 
 
-struct  Cfw__CyMsg
+struct  Cypb__Message
 {
   ProtobufCMessage base;
   uint32_t kind;
@@ -49,59 +49,59 @@
   uint64_t offset;
   uint64_t total;
   size_t n_confirms;
-  Cfw__CyConfirm **confirms;
+  Cypb__Confirm **confirms;
   ProtobufCBinaryData data;
 };
-#define CFW__CY_MSG__INIT \
- { PROTOBUF_C_MESSAGE_INIT (&cfw__cy_msg__descriptor) \
+#define CYPB__MESSAGE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&cypb__message__descriptor) \
     , 0, 0, 0, 0, 0, 0, 0, 0, 0, 0,NULL, {0,NULL} }
 
 
-/* Cfw__CyConfirm methods */
-void   cfw__cy_confirm__init
-                     (Cfw__CyConfirm         *message);
-size_t cfw__cy_confirm__get_packed_size
-                     (const Cfw__CyConfirm   *message);
-size_t cfw__cy_confirm__pack
-                     (const Cfw__CyConfirm   *message,
+/* Cypb__Confirm methods */
+void   cypb__confirm__init
+                     (Cypb__Confirm         *message);
+size_t cypb__confirm__get_packed_size
+                     (const Cypb__Confirm   *message);
+size_t cypb__confirm__pack
+                     (const Cypb__Confirm   *message,
                       uint8_t             *out);
-size_t cfw__cy_confirm__pack_to_buffer
-                     (const Cfw__CyConfirm   *message,
+size_t cypb__confirm__pack_to_buffer
+                     (const Cypb__Confirm   *message,
                       ProtobufCBuffer     *buffer);
-Cfw__CyConfirm *
-       cfw__cy_confirm__unpack
+Cypb__Confirm *
+       cypb__confirm__unpack
                      (ProtobufCAllocator  *allocator,
                       size_t               len,
                       const uint8_t       *data);
-void   cfw__cy_confirm__free_unpacked
-                     (Cfw__CyConfirm *message,
+void   cypb__confirm__free_unpacked
+                     (Cypb__Confirm *message,
                       ProtobufCAllocator *allocator);
-/* Cfw__CyMsg methods */
-void   cfw__cy_msg__init
-                     (Cfw__CyMsg         *message);
-size_t cfw__cy_msg__get_packed_size
-                     (const Cfw__CyMsg   *message);
-size_t cfw__cy_msg__pack
-                     (const Cfw__CyMsg   *message,
+/* Cypb__Message methods */
+void   cypb__message__init
+                     (Cypb__Message         *message);
+size_t cypb__message__get_packed_size
+                     (const Cypb__Message   *message);
+size_t cypb__message__pack
+                     (const Cypb__Message   *message,
                       uint8_t             *out);
-size_t cfw__cy_msg__pack_to_buffer
-                     (const Cfw__CyMsg   *message,
+size_t cypb__message__pack_to_buffer
+                     (const Cypb__Message   *message,
                       ProtobufCBuffer     *buffer);
-Cfw__CyMsg *
-       cfw__cy_msg__unpack
+Cypb__Message *
+       cypb__message__unpack
                      (ProtobufCAllocator  *allocator,
                       size_t               len,
                       const uint8_t       *data);
-void   cfw__cy_msg__free_unpacked
-                     (Cfw__CyMsg *message,
+void   cypb__message__free_unpacked
+                     (Cypb__Message *message,
                       ProtobufCAllocator *allocator);
 /* --- per-message closures --- */
 
-typedef void (*Cfw__CyConfirm_Closure)
-                 (const Cfw__CyConfirm *message,
+typedef void (*Cypb__Confirm_Closure)
+                 (const Cypb__Confirm *message,
                   void *closure_data);
-typedef void (*Cfw__CyMsg_Closure)
-                 (const Cfw__CyMsg *message,
+typedef void (*Cypb__Message_Closure)
+                 (const Cypb__Message *message,
                   void *closure_data);
 
 /* --- services --- */
@@ -109,8 +109,8 @@
 
 /* --- descriptors --- */
 
-extern const ProtobufCMessageDescriptor cfw__cy_confirm__descriptor;
-extern const ProtobufCMessageDescriptor cfw__cy_msg__descriptor;
+extern const ProtobufCMessageDescriptor cypb__confirm__descriptor;
+extern const ProtobufCMessageDescriptor cypb__message__descriptor;
 
 PROTOBUF_C__END_DECLS
 
--- a/src/wire/link.c
+++ b/src/wire/link.c
@@ -34,6 +34,7 @@
 	struct buf waiting; /* plain frames sent before the link was ready */
 	struct buf plain;
 	int64_t used_us;
+	int64_t asked_us; /* oldest frame sent since a byte came; 0: none */
 	uint64_t sent_bytes;
 	uint64_t received_bytes;
 	int error; /* set: the link closes at the end of this turn */
@@ -211,6 +212,7 @@
 	}
 	link->in.len += n;
 	link->received_bytes += n;
+	link->asked_us = 0;
 	link->used_us = loop_now_us(link->options.loop);
 	take_frames(link);
 }
@@ -332,6 +334,8 @@
 void
 link_send(struct link *link, const void *data, uint32_t len)
 {
+	if (link->asked_us == 0)
+		link->asked_us = loop_now_us(link->options.loop);
 	if (link->state != LINK_READY) {
 		put_length(&link->waiting, len);
 		buf_add(&link->waiting, data, len);
@@ -363,6 +367,18 @@
 	return loop_now_us(link->options.loop) - link->used_us;
 }
 
+/*
+ * Returns how long the other end has been silent since something was sent to
+ * it.  A connection can go silent for good without an error.
+ */
+int64_t
+link_unheard_us(const struct link *link)
+{
+	return link->asked_us == 0
+		   ? 0
+		   : loop_now_us(link->options.loop) - link->asked_us;
+}
+
 /* Returns who the other end is; known once the link is ready. */
 const struct secure_peer *
 link_peer(const struct link *link)
--- a/src/wire/link.h
+++ b/src/wire/link.h
@@ -44,6 +44,7 @@
 uint32_t link_queued_bytes(const struct link *link);
 bool link_ready(const struct link *link);
 int64_t link_idle_us(const struct link *link);
+int64_t link_unheard_us(const struct link *link);
 const struct secure_peer *link_peer(const struct link *link);
 void link_take_bytes(struct link *link, uint64_t *sent, uint64_t *received);
 
--- a/src/wire/peer.c
+++ b/src/wire/peer.c
@@ -12,10 +12,13 @@
 
 enum {
 	PEER_IDLE_US = 60000000,
-	PEER_TICK_US = 1000000,
+	PEER_TICK_US = 500000,
+	PEER_PING_US = 1000000, /* unheard for this long: ask */
+	PEER_SILENT_US = 3000000, /* unheard for this long: dead */
 	PEER_REDIAL_FIRST_US = 100000,
 	PEER_REDIAL_MAX_US = 3000000,
-	PEER_BACKLOG = 128
+	PEER_BACKLOG = 128,
+	PEER_OVERHEAD_BYTES = 64 /* envelope and encryption of a frame */
 };
 
 struct peer {
@@ -74,6 +77,23 @@
 	hub->stats.received_bytes += received;
 }
 
+/* Packs a message and puts it on a link. */
+static void
+send_on(struct peer_hub *hub, struct link *link, enum peer_channel channel,
+    const void *data, uint32_t len)
+{
+	Wire__Envelope envelope = WIRE__ENVELOPE__INIT;
+
+	envelope.channel = channel;
+	envelope.body.data = (uint8_t *)data;
+	envelope.body.len = len;
+	buf_clear(&hub->frame);
+	buf_reserve(&hub->frame, wire__envelope__get_packed_size(&envelope));
+	hub->frame.len = wire__envelope__pack(&envelope, hub->frame.data);
+	link_send(link, hub->frame.data, (uint32_t)hub->frame.len);
+	hub->stats.sent_frames++;
+}
+
 static void
 on_frame(void *ctx, struct link *link, const uint8_t *data, uint32_t len)
 {
@@ -83,8 +103,10 @@
 	if (envelope == NULL)
 		return;
 	hub->stats.received_frames++;
+	if (envelope->channel == PEER_PING)
+		send_on(hub, link, PEER_PONG, NULL, 0);
 	/* A channel of a newer release is passed over. */
-	if (envelope->channel > 0 && envelope->channel < PEER_CHANNELS)
+	else if (envelope->channel > 0 && envelope->channel < PEER_CHANNELS)
 		hub->options.handler->message(hub->options.ctx, link_peer(link),
 		    (enum peer_channel)envelope->channel, envelope->body.data,
 		    (uint32_t)envelope->body.len);
@@ -144,6 +166,27 @@
 	hub->incoming = in;
 }
 
+static void
+drop_link(struct peer *peer)
+{
+	link_free(peer->link);
+	peer->link = NULL;
+}
+
+/* Finds out whether a link still reaches the other end. */
+static void
+watch_link(struct peer_hub *hub, struct peer *peer)
+{
+	int64_t unheard_us = link_unheard_us(peer->link);
+
+	if (link_idle_us(peer->link) > PEER_IDLE_US)
+		drop_link(peer);
+	else if (unheard_us > PEER_SILENT_US)
+		drop_link(peer);
+	else if (unheard_us > PEER_PING_US && link_ready(peer->link))
+		send_on(hub, peer->link, PEER_PING, NULL, 0);
+}
+
 static void
 on_tick(void *ctx)
 {
@@ -155,10 +198,7 @@
 		count_bytes(hub, p->link);
 		if (link_ready(p->link))
 			p->backoff_us = 0;
-		if (link_idle_us(p->link) > PEER_IDLE_US) {
-			link_free(p->link);
-			p->link = NULL;
-		}
+		watch_link(hub, p);
 	}
 	for (struct incoming *in = hub->incoming; in != NULL; in = in->next)
 		count_bytes(hub, in->link);
@@ -291,25 +331,17 @@
     const void *data, uint32_t len)
 {
 	struct peer *peer = find_peer(hub, instance);
-	Wire__Envelope envelope = WIRE__ENVELOPE__INIT;
 
 	if (peer == NULL)
 		return ERR_NOT_FOUND;
-	envelope.channel = channel;
-	envelope.body.data = (uint8_t *)data;
-	envelope.body.len = len;
-	if (wire__envelope__get_packed_size(&envelope) > PEER_FRAME_MAX_BYTES)
+	if (len > PEER_FRAME_MAX_BYTES - PEER_OVERHEAD_BYTES)
 		return ERR_TOO_LARGE;
 	if (!dial(hub, peer) ||
 	    link_queued_bytes(peer->link) > PEER_QUEUE_MAX_BYTES) {
 		hub->stats.dropped_frames++;
 		return ERR_IO;
 	}
-	buf_clear(&hub->frame);
-	buf_reserve(&hub->frame, wire__envelope__get_packed_size(&envelope));
-	hub->frame.len = wire__envelope__pack(&envelope, hub->frame.data);
-	link_send(peer->link, hub->frame.data, (uint32_t)hub->frame.len);
-	hub->stats.sent_frames++;
+	send_on(hub, peer->link, channel, data, len);
 	return 0;
 }
 
--- a/src/wire/peer.h
+++ b/src/wire/peer.h
@@ -16,7 +16,9 @@
  * Links between instances: TCP, length-bounded frames, encrypted and
  * authenticated by wire/secure.h.  A link is dialled when there is something
  * to send and carries one direction; what arrives comes over the link that the
- * other end dialled.  A link that has been idle is closed, so that instances
+ * other end dialled, and is answered by a ping's echo only.  A link that has
+ * sent something and heard nothing back for PEER_SILENT_US is taken for dead
+ * and dialled anew.  A link that has been idle is closed, so that instances
  * that have nothing to say to each other hold no connection.
  *
  * Delivery is best effort and in order within a link: what a broken or full
@@ -29,8 +31,11 @@
 	PEER_MEMBER = 4, /* membership and what it spreads */
 	PEER_CONFIG = 5, /* configuration distribution */
 	PEER_CREDIT = 6, /* warm-up credits */
-	PEER_OPERATOR = 7, /* operators' changes, to the leader */
-	PEER_CHANNELS = 8
+	PEER_OPERATOR = 7, /* operators' requests, to a replica */
+	PEER_OPERATOR_REPLY = 8,
+	PEER_PING = 9, /* answered by PEER_PONG on the same link */
+	PEER_PONG = 10,
+	PEER_CHANNELS = 11
 };
 
 enum {
--- a/test/unit/config_test.cc
+++ b/test/unit/config_test.cc
@@ -69,6 +69,23 @@
 	compile_free(alloc_default(), cfg);
 }
 
+TEST_F(Config, TablesGrowWhileTheyAreFilled)
+{
+	std::string text = "workspaces:\n";
+	std::string hash(64, '0');
+
+	for (int i = 0; i < 40; i++)
+		text += "  w" + std::to_string(i) + ": {key_hash: \"" + hash +
+			"\", priority: " + std::to_string(i) + "}\n";
+	ASSERT_EQ(split(text), 0);
+	struct cfg *cfg = compile(nullptr);
+	ASSERT_NE(cfg, nullptr) << problems.items[0].text;
+	ASSERT_EQ(cfg->workspace_count, 40);
+	for (int i = 0; i < 40; i++)
+		EXPECT_EQ(cfg->workspaces[i].priority, i);
+	compile_free(alloc_default(), cfg);
+}
+
 TEST_F(Config, JoinThenSplitGivesTheSameSections)
 {
 	struct buf joined;
