--- /dev/null
+++ b/src/state/member_i.h
@@ -0,0 +1,127 @@
+#ifndef CF_MEMBER_I_H
+#define CF_MEMBER_I_H
+
+#include "base/rng.h"
+#include "state/member.h"
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+/* Shared by the files of membership only. */
+enum {
+	MB_ITEMS_KEPT = 512, /* known items, so that each is told once */
+	MB_PROBES_MAX = 8,
+	MB_HELPERS = 2,
+	MB_SEEDS_MAX = 512,
+	MB_LEAVE_MS = 600 /* a leaving member tells the others so long */
+};
+
+struct mb_member {
+	struct mb_record record;
+	int64_t suspect_until_us; /* then it is gone; 0: not suspected */
+	uint8_t tell; /* messages that still carry this record */
+};
+
+struct mb_probe {
+	uint32_t number; /* 0: free */
+	uint32_t target;
+	uint32_t asked_for; /* instance whose probe this helps; 0: own */
+	uint32_t asked_number;
+	int64_t helpers_us; /* when helpers are asked; 0: they were */
+	int64_t failed_us;
+};
+
+struct mb_known_item {
+	struct mb_item item;
+	uint8_t tell;
+};
+
+struct mb_place {
+	uint16_t data_centre;
+	uint32_t relay; /* as it last said; 0: none heard of */
+	uint32_t number; /* of its last summary */
+	int64_t heard_us;
+	bool known;
+	bool silent;
+};
+
+struct mb_role_state {
+	struct ls_vote vote;
+	uint64_t vote_holder; /* whom vote_round belongs to */
+	uint64_t vote_round; /* latest question that was granted */
+	struct ls_hold hold;
+	uint64_t asked_round; /* latest question of this candidate */
+	bool held;
+};
+
+struct mb {
+	struct mb_options options;
+	struct rng rng;
+	int64_t now_us;
+	int64_t seen_us; /* last step, for own pauses */
+	struct mb_record self;
+	struct mb_member members[MB_MEMBERS_MAX];
+	uint32_t count;
+	uint32_t order; /* next to be probed */
+	uint32_t seeds[MB_SEEDS_MAX];
+	uint32_t seed_count;
+	struct {
+		uint16_t data_centre;
+		uint32_t instance;
+	} place_seeds[MB_SEEDS_MAX];
+	uint32_t place_seed_count;
+	struct mb_probe probes[MB_PROBES_MAX];
+	uint32_t probe_number;
+	int64_t probe_due_us;
+	int64_t join_due_us;
+	struct mb_known_item items[MB_ITEMS_KEPT];
+	uint32_t item_next;
+	uint32_t item_number;
+	struct mb_place places[MB_DATA_CENTRES_MAX];
+	struct mb_role_state roles[MB_ROLES];
+	uint16_t own_spare[MB_VERSIONS_MAX];
+	uint16_t spare_of[MB_MEMBERS_MAX][MB_VERSIONS_MAX];
+	uint32_t spare_from[MB_MEMBERS_MAX];
+	uint32_t spare_count;
+	uint32_t summary_number;
+	int64_t summary_due_us;
+	int64_t leave_us; /* 0: not leaving */
+	bool left;
+};
+
+/* member.c */
+int64_t mb_ms(uint32_t value_ms, uint32_t fallback_ms);
+void mb_emit(struct mb *mb, const struct mb_action *action);
+void mb_send(struct mb *mb, uint32_t to, struct mb_msg *msg);
+struct mb_member *mb_find(struct mb *mb, uint32_t instance);
+uint8_t mb_tell_count(const struct mb *mb);
+
+/* member_record.c */
+void mb_take_record(struct mb *mb, const struct mb_record *record);
+void mb_suspect(struct mb *mb, uint32_t instance);
+void mb_expire_suspects(struct mb *mb);
+void mb_add_news(struct mb *mb, struct mb_msg *msg);
+
+/* member_probe.c */
+void mb_probe_next(struct mb *mb);
+void mb_probe_tick(struct mb *mb);
+void mb_probe_message(struct mb *mb, uint32_t from, const struct mb_msg *msg);
+void mb_shift_probes(struct mb *mb, int64_t gap_us);
+
+/* member_item.c */
+void mb_take_item(struct mb *mb, const struct mb_item *item, bool from_wide);
+void mb_add_items(struct mb *mb, struct mb_msg *msg);
+void mb_summary_tick(struct mb *mb);
+void mb_summary_message(struct mb *mb, uint32_t from, const struct mb_msg *msg);
+
+/* member_role.c */
+void mb_role_tick(struct mb *mb);
+void mb_role_message(struct mb *mb, uint32_t from, const struct mb_msg *msg);
+void mb_role_release(struct mb *mb);
+
+#ifdef __cplusplus
+}
+#endif
+
+#endif
--- /dev/null
+++ b/src/state/member_item.c
@@ -0,0 +1,323 @@
+#include "state/member_i.h"
+
+#include <string.h>
+
+/*
+ * Items and summaries.  An item spreads in its data centre on probes and their
+ * answers; the relay that hears a wide one for the first time hands it to the
+ * relays of the other data centres.
+ */
+
+enum {
+	SUMMARY_MS = 2000,
+	SILENT_MS = 30000,
+	SPARE_MAX = 255
+};
+
+static void take_summary_item(struct mb *mb, const struct mb_item *item);
+
+static struct mb_known_item *
+find_item(struct mb *mb, const struct mb_item *item)
+{
+	for (uint32_t i = 0; i < MB_ITEMS_KEPT; i++) {
+		struct mb_known_item *k = &mb->items[i];
+
+		if (k->item.kind == item->kind &&
+		    k->item.origin == item->origin &&
+		    k->item.incarnation == item->incarnation &&
+		    k->item.number == item->number)
+			return k;
+	}
+	return NULL;
+}
+
+static void
+keep_item(struct mb *mb, const struct mb_item *item)
+{
+	struct mb_known_item *slot =
+	    &mb->items[mb->item_next++ % MB_ITEMS_KEPT];
+
+	slot->item = *item;
+	slot->tell = mb_tell_count(mb);
+}
+
+/* Returns whom to send to in another data centre: its relay, or any. */
+static uint32_t
+reach_place(struct mb *mb, const struct mb_place *place)
+{
+	uint32_t chosen = place->relay;
+	uint32_t seen = 0;
+
+	if (chosen != 0 && !place->silent)
+		return chosen;
+	for (uint32_t i = 0; i < mb->place_seed_count; i++) {
+		if (mb->place_seeds[i].data_centre != place->data_centre)
+			continue;
+		if (rng_below(&mb->rng, ++seen) == 0)
+			chosen = mb->place_seeds[i].instance;
+	}
+	return chosen;
+}
+
+static void
+send_wide(struct mb *mb, const struct mb_item *item)
+{
+	struct mb_msg msg = {.kind = MB_MSG_ITEMS, .item_count = 1};
+
+	msg.items[0] = *item;
+	for (uint32_t i = 0; i < MB_DATA_CENTRES_MAX; i++) {
+		if (mb->places[i].known)
+			mb_send(mb, reach_place(mb, &mb->places[i]), &msg);
+	}
+}
+
+/*
+ * Takes an item.  One that crossed from another data centre is spread in this
+ * one and goes no further.
+ */
+void
+mb_take_item(struct mb *mb, const struct mb_item *item, bool from_wide)
+{
+	struct mb_action action = {.kind = MB_GOT_ITEM, .item = item};
+
+	if (item->origin == mb->self.instance || find_item(mb, item) != NULL)
+		return;
+	keep_item(mb, item);
+	if (item->kind == MB_ITEM_SUMMARY) {
+		take_summary_item(mb, item);
+		return;
+	}
+	mb_emit(mb, &action);
+	if (item->wide && !from_wide && mb_role_held(mb, MB_RELAY, mb->now_us))
+		send_wide(mb, item);
+}
+
+/* Puts items that are news on a message. */
+void
+mb_add_items(struct mb *mb, struct mb_msg *msg)
+{
+	for (uint32_t i = 0;
+	     i < MB_ITEMS_KEPT && msg->item_count < MB_ITEMS_BATCH; i++) {
+		/* The newest first: an old one has been told often. */
+		struct mb_known_item *k =
+		    &mb->items[(mb->item_next + MB_ITEMS_KEPT - 1 - i) %
+			       MB_ITEMS_KEPT];
+
+		if (k->tell == 0)
+			continue;
+		k->tell--;
+		msg->items[msg->item_count++] = k->item;
+	}
+}
+
+/*
+ * Publishes a fact: to one instance, or to the data centre, and with wide also
+ * to the others.  Returns 0 or ERR_TOO_LARGE.
+ */
+int
+mb_publish(struct mb *mb, int64_t now_us, const struct mb_item *item,
+    uint32_t to, bool wide)
+{
+	struct mb_msg msg = {.kind = MB_MSG_ITEMS, .item_count = 1};
+	struct mb_item own = *item;
+
+	if (item->len > MB_ITEM_BYTES)
+		return ERR_TOO_LARGE;
+	mb->now_us = now_us;
+	own.origin = mb->self.instance;
+	own.incarnation = mb->self.incarnation;
+	own.number = ++mb->item_number;
+	own.wide = wide;
+	if (to != 0) {
+		msg.items[0] = own;
+		mb_send(mb, to, &msg);
+		return 0;
+	}
+	keep_item(mb, &own);
+	if (wide && mb_role_held(mb, MB_RELAY, now_us))
+		send_wide(mb, &own);
+	return 0;
+}
+
+/* Notes this instance's own share of the spare slots. */
+void
+mb_spare(struct mb *mb, const uint16_t spare[MB_VERSIONS_MAX])
+{
+	memcpy(mb->own_spare, spare, sizeof(mb->own_spare));
+}
+
+static void
+note_spare(struct mb *mb, uint32_t from, const struct mb_summary *summary)
+{
+	uint32_t i = 0;
+
+	while (i < mb->spare_count && mb->spare_from[i] != from)
+		i++;
+	if (i == MB_MEMBERS_MAX)
+		return;
+	if (i == mb->spare_count)
+		mb->spare_count++;
+	mb->spare_from[i] = from;
+	memcpy(mb->spare_of[i], summary->spare, sizeof(mb->spare_of[i]));
+}
+
+static uint16_t
+count_alive(const struct mb *mb)
+{
+	uint16_t alive = 1;
+
+	for (uint32_t i = 0; i < mb->count; i++)
+		alive += mb->members[i].record.state == MB_ALIVE;
+	return alive;
+}
+
+/*
+ * The data centre's spare slots.  Every instance sees the same servers, so
+ * the least that any of them sees is what is left.
+ */
+static void
+add_up(struct mb *mb, struct mb_summary *summary)
+{
+	memcpy(summary->spare, mb->own_spare, sizeof(summary->spare));
+	for (uint32_t i = 0; i < mb->spare_count; i++) {
+		if (!mb_alive(mb, mb->spare_from[i]))
+			continue;
+		for (int v = 0; v < MB_VERSIONS_MAX; v++) {
+			if (mb->spare_of[i][v] < summary->spare[v])
+				summary->spare[v] = mb->spare_of[i][v];
+		}
+	}
+}
+
+static void
+send_summary(struct mb *mb)
+{
+	struct mb_msg msg = {.kind = MB_MSG_SUMMARY};
+
+	msg.summary.data_centre = mb->options.data_centre;
+	msg.summary.number = ++mb->summary_number;
+	msg.summary.instances = count_alive(mb);
+	msg.summary.relay = mb->self.instance;
+	add_up(mb, &msg.summary);
+	for (uint32_t i = 0; i < MB_DATA_CENTRES_MAX; i++) {
+		if (mb->places[i].known)
+			mb_send(mb, reach_place(mb, &mb->places[i]), &msg);
+	}
+}
+
+static void
+send_spare(struct mb *mb)
+{
+	struct mb_msg msg = {.kind = MB_MSG_SPARE};
+	uint32_t relay = mb_role_holder(mb, MB_RELAY);
+
+	if (relay == 0)
+		return;
+	memcpy(msg.summary.spare, mb->own_spare, sizeof(msg.summary.spare));
+	mb_send(mb, relay, &msg);
+}
+
+static void
+find_silent(struct mb *mb)
+{
+	int64_t limit_us = mb_ms(mb->options.silent_ms, SILENT_MS);
+
+	for (uint32_t i = 0; i < MB_DATA_CENTRES_MAX; i++) {
+		struct mb_place *p = &mb->places[i];
+		struct mb_action action = {
+		    .kind = MB_DC_SILENT, .data_centre = p->data_centre};
+
+		if (!p->known || p->silent ||
+		    mb->now_us - p->heard_us <= limit_us)
+			continue;
+		p->silent = true;
+		mb_emit(mb, &action);
+	}
+}
+
+/* Sends what is due, and notices data centres that fell silent. */
+void
+mb_summary_tick(struct mb *mb)
+{
+	find_silent(mb);
+	if (mb->now_us < mb->summary_due_us)
+		return;
+	mb->summary_due_us =
+	    mb->now_us + mb_ms(mb->options.summary_ms, SUMMARY_MS);
+	if (mb_role_held(mb, MB_RELAY, mb->now_us))
+		send_summary(mb);
+	else
+		send_spare(mb);
+}
+
+/* Takes a data centre's summary; false for one that is no news. */
+static bool
+take_summary(struct mb *mb, const struct mb_summary *summary)
+{
+	struct mb_place *place =
+	    &mb->places[summary->data_centre % MB_DATA_CENTRES_MAX];
+	struct mb_action action = {.kind = MB_GOT_SUMMARY,
+	    .summary = summary,
+	    .data_centre = summary->data_centre};
+
+	if (!place->known || summary->data_centre == mb->options.data_centre)
+		return false;
+	/* A new relay counts from one again. */
+	if (place->relay == summary->relay && summary->number <= place->number)
+		return false;
+	place->relay = summary->relay;
+	place->number = summary->number;
+	place->heard_us = mb->now_us;
+	place->silent = false;
+	mb_emit(mb, &action);
+	return true;
+}
+
+/*
+ * A summary from another relay spreads here as an item does: to hand it to
+ * every member would cost the relay more, the more members there are.  An item
+ * has a byte a version; more spare slots than that make no difference.
+ */
+static void
+spread_summary(struct mb *mb, const struct mb_summary *summary)
+{
+	struct mb_item item = {.kind = MB_ITEM_SUMMARY,
+	    .key = (uint64_t)summary->data_centre << 48 |
+		   (uint64_t)summary->relay << 16 | summary->instances};
+
+	for (int v = 0; v < MB_VERSIONS_MAX; v++) {
+		item.data[v] =
+		    (uint8_t)(summary->spare[v] < SPARE_MAX ? summary->spare[v]
+							    : SPARE_MAX);
+		if (item.data[v] != 0)
+			item.len = (uint8_t)(v + 1);
+	}
+	mb_publish(mb, mb->now_us, &item, 0, false);
+}
+
+/* Takes a summary that came as an item. */
+static void
+take_summary_item(struct mb *mb, const struct mb_item *item)
+{
+	struct mb_summary summary = {.data_centre = (uint16_t)(item->key >> 48),
+	    .relay = (uint32_t)(item->key >> 16),
+	    .instances = (uint16_t)item->key};
+	struct mb_place *place =
+	    &mb->places[summary.data_centre % MB_DATA_CENTRES_MAX];
+
+	for (int v = 0; v < item->len; v++)
+		summary.spare[v] = item->data[v];
+	summary.number = place->relay == summary.relay ? place->number + 1 : 1;
+	take_summary(mb, &summary);
+}
+
+/* Takes a share of the spare slots, or a data centre's summary. */
+void
+mb_summary_message(struct mb *mb, uint32_t from, const struct mb_msg *msg)
+{
+	if (msg->kind == MB_MSG_SPARE) {
+		note_spare(mb, from, &msg->summary);
+	} else if (take_summary(mb, &msg->summary)) {
+		spread_summary(mb, &msg->summary);
+	}
+}
--- /dev/null
+++ b/src/state/member_role.c
@@ -0,0 +1,176 @@
+#include "state/member_i.h"
+
+/* Roles of the data centre under leases from a majority of voters. */
+
+enum {
+	JITTER_US = 300000,
+	BACKOFF_US = 1000000 /* random, after a split vote */
+};
+
+static uint64_t
+candidate_id(const struct mb *mb)
+{
+	/* A life each: a restarted process does not inherit its lease. */
+	return mb->self.incarnation * 0x9e3779b97f4a7c15u ^ mb->self.instance;
+}
+
+/* Returns the voter's rank, or -1 if an instance is none. */
+static int
+voter_rank(const struct mb *mb, uint32_t instance)
+{
+	for (uint32_t i = 0; i < mb->options.voter_count; i++) {
+		if (mb->options.voters[i] == instance)
+			return (int)i;
+	}
+	return -1;
+}
+
+/* Returns whether this instance holds a role, at a time read just before. */
+bool
+mb_role_held(const struct mb *mb, enum mb_role role, int64_t now_us)
+{
+	return mb->leave_us == 0 &&
+	       ls_hold_valid(&mb->roles[role].hold, now_us);
+}
+
+/* Returns who is believed to hold a role, 0 if nobody. */
+uint32_t
+mb_role_holder(const struct mb *mb, enum mb_role role)
+{
+	if (mb->self.roles >> role & 1)
+		return mb->self.instance;
+	for (uint32_t i = 0; i < mb->count; i++) {
+		const struct mb_record *r = &mb->members[i].record;
+
+		if (r->state == MB_ALIVE && (r->roles >> role & 1) != 0)
+			return r->instance;
+	}
+	return 0;
+}
+
+static void
+answer_ask(struct mb *mb, uint32_t from, const struct mb_msg *msg)
+{
+	struct mb_role_state *r = &mb->roles[msg->role];
+	struct mb_msg answer = {.kind = MB_MSG_LEASE_ANSWER,
+	    .role = msg->role,
+	    .round = msg->round};
+
+	answer.granted =
+	    ls_vote_ask(&r->vote, mb->now_us, msg->fence, &answer.fence);
+	if (answer.granted && r->vote_holder != msg->fence)
+		r->vote_round = 0;
+	if (answer.granted && msg->round > r->vote_round)
+		r->vote_round = msg->round;
+	r->vote_holder = r->vote.holder;
+	mb_send(mb, from, &answer);
+}
+
+static void
+ask_voters(struct mb *mb, enum mb_role role)
+{
+	struct mb_msg msg = {.kind = MB_MSG_LEASE_ASK,
+	    .role = role,
+	    .round = mb->roles[role].hold.round,
+	    .fence = candidate_id(mb)};
+
+	mb->roles[role].asked_round = msg.round;
+	for (uint32_t i = 0; i < mb->options.voter_count; i++)
+		mb_send(mb, mb->options.voters[i], &msg);
+}
+
+/* Notices that a role was won or lost, and lets the others know. */
+static void
+follow_hold(struct mb *mb, enum mb_role role)
+{
+	struct mb_role_state *r = &mb->roles[role];
+	bool held = mb_role_held(mb, role, mb->now_us);
+	struct mb_action action = {.role = role, .fence = r->hold.fence};
+
+	if (held == r->held)
+		return;
+	r->held = held;
+	action.kind = held ? MB_ROLE_WON : MB_ROLE_LOST;
+	mb->self.roles = (uint8_t)((mb->self.roles & ~(1u << role)) |
+				   (held ? 1u << role : 0));
+	mb->self.version++;
+	mb_emit(mb, &action);
+}
+
+/* Renews what is held, and stands for what nobody seems to hold. */
+void
+mb_role_tick(struct mb *mb)
+{
+	for (int role = 0; role < MB_ROLES; role++) {
+		uint32_t holder = mb_role_holder(mb, (enum mb_role)role);
+		struct ls_hold *hold = &mb->roles[role].hold;
+
+		follow_hold(mb, (enum mb_role)role);
+		if (mb->leave_us != 0 ||
+		    (holder != 0 && holder != mb->self.instance)) {
+			hold->seen_us = mb->now_us;
+			continue;
+		}
+		if (ls_hold_tick(
+			hold, mb->now_us, rng_below(&mb->rng, JITTER_US)))
+			ask_voters(mb, (enum mb_role)role);
+	}
+}
+
+static void
+release_votes(struct mb *mb, enum mb_role role)
+{
+	struct mb_msg msg = {.kind = MB_MSG_LEASE_RELEASE,
+	    .role = role,
+	    .round = mb->roles[role].asked_round,
+	    .fence = candidate_id(mb)};
+
+	for (uint32_t i = 0; i < mb->options.voter_count; i++)
+		mb_send(mb, mb->options.voters[i], &msg);
+}
+
+/* Another candidate was faster with a voter: let it have the others too. */
+static void
+yield_role(struct mb *mb, enum mb_role role)
+{
+	struct ls_hold *hold = &mb->roles[role].hold;
+
+	ls_hold_drop(hold);
+	hold->due_us = mb->now_us + rng_below(&mb->rng, BACKOFF_US);
+	release_votes(mb, role);
+}
+
+/* Takes a candidate's question, a voter's answer, or a role given back. */
+void
+mb_role_message(struct mb *mb, uint32_t from, const struct mb_msg *msg)
+{
+	struct mb_role_state *r = &mb->roles[msg->role];
+	int rank = voter_rank(mb, from);
+
+	if (msg->kind == MB_MSG_LEASE_ASK) {
+		answer_ask(mb, from, msg);
+	} else if (msg->kind == MB_MSG_LEASE_RELEASE) {
+		/* One that was overtaken must not take back a later vote. */
+		if (msg->round >= r->vote_round)
+			ls_vote_release(&r->vote, msg->fence);
+	} else if (!msg->granted && !r->held && msg->round == r->hold.round) {
+		yield_role(mb, msg->role);
+	} else if (rank >= 0) {
+		ls_hold_answer(&r->hold, mb->now_us, (uint32_t)rank, msg->round,
+		    msg->granted, msg->fence);
+		follow_hold(mb, msg->role);
+	}
+}
+
+/* Gives every role back before leaving. */
+void
+mb_role_release(struct mb *mb)
+{
+	for (int role = 0; role < MB_ROLES; role++) {
+		if (!mb->roles[role].held)
+			continue;
+		ls_hold_drop(&mb->roles[role].hold);
+		follow_hold(mb, (enum mb_role)role);
+		release_votes(mb, (enum mb_role)role);
+	}
+}
--- a/src/wire/member.pb-c.c
+++ b/src/wire/member.pb-c.c
@@ -7,195 +7,195 @@
 #endif
 
 #include "member.pb-c.h"
-void   cfw__mb_record__init
-                     (Cfw__MbRecord         *message)
+void   mbpb__record__init
+                     (Mbpb__Record         *message)
 {
-  static const Cfw__MbRecord init_value = CFW__MB_RECORD__INIT;
+  static const Mbpb__Record init_value = MBPB__RECORD__INIT;
   *message = init_value;
 }
-size_t cfw__mb_record__get_packed_size
-                     (const Cfw__MbRecord *message)
+size_t mbpb__record__get_packed_size
+                     (const Mbpb__Record *message)
 {
-  assert(message->base.descriptor == &cfw__mb_record__descriptor);
+  assert(message->base.descriptor == &mbpb__record__descriptor);
   return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t cfw__mb_record__pack
-                     (const Cfw__MbRecord *message,
+size_t mbpb__record__pack
+                     (const Mbpb__Record *message,
                       uint8_t       *out)
 {
-  assert(message->base.descriptor == &cfw__mb_record__descriptor);
+  assert(message->base.descriptor == &mbpb__record__descriptor);
   return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t cfw__mb_record__pack_to_buffer
-                     (const Cfw__MbRecord *message,
+size_t mbpb__record__pack_to_buffer
+                     (const Mbpb__Record *message,
                       ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &cfw__mb_record__descriptor);
+  assert(message->base.descriptor == &mbpb__record__descriptor);
   return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
-Cfw__MbRecord *
-       cfw__mb_record__unpack
+Mbpb__Record *
+       mbpb__record__unpack
                      (ProtobufCAllocator  *allocator,
                       size_t               len,
                       const uint8_t       *data)
 {
-  return (Cfw__MbRecord *)
-     protobuf_c_message_unpack (&cfw__mb_record__descriptor,
+  return (Mbpb__Record *)
+     protobuf_c_message_unpack (&mbpb__record__descriptor,
                                 allocator, len, data);
 }
-void   cfw__mb_record__free_unpacked
-                     (Cfw__MbRecord *message,
+void   mbpb__record__free_unpacked
+                     (Mbpb__Record *message,
                       ProtobufCAllocator *allocator)
 {
   if(!message)
     return;
-  assert(message->base.descriptor == &cfw__mb_record__descriptor);
+  assert(message->base.descriptor == &mbpb__record__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void   cfw__mb_item__init
-                     (Cfw__MbItem         *message)
+void   mbpb__item__init
+                     (Mbpb__Item         *message)
 {
-  static const Cfw__MbItem init_value = CFW__MB_ITEM__INIT;
+  static const Mbpb__Item init_value = MBPB__ITEM__INIT;
   *message = init_value;
 }
-size_t cfw__mb_item__get_packed_size
-                     (const Cfw__MbItem *message)
+size_t mbpb__item__get_packed_size
+                     (const Mbpb__Item *message)
 {
-  assert(message->base.descriptor == &cfw__mb_item__descriptor);
+  assert(message->base.descriptor == &mbpb__item__descriptor);
   return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t cfw__mb_item__pack
-                     (const Cfw__MbItem *message,
+size_t mbpb__item__pack
+                     (const Mbpb__Item *message,
                       uint8_t       *out)
 {
-  assert(message->base.descriptor == &cfw__mb_item__descriptor);
+  assert(message->base.descriptor == &mbpb__item__descriptor);
   return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t cfw__mb_item__pack_to_buffer
-                     (const Cfw__MbItem *message,
+size_t mbpb__item__pack_to_buffer
+                     (const Mbpb__Item *message,
                       ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &cfw__mb_item__descriptor);
+  assert(message->base.descriptor == &mbpb__item__descriptor);
   return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
-Cfw__MbItem *
-       cfw__mb_item__unpack
+Mbpb__Item *
+       mbpb__item__unpack
                      (ProtobufCAllocator  *allocator,
                       size_t               len,
                       const uint8_t       *data)
 {
-  return (Cfw__MbItem *)
-     protobuf_c_message_unpack (&cfw__mb_item__descriptor,
+  return (Mbpb__Item *)
+     protobuf_c_message_unpack (&mbpb__item__descriptor,
                                 allocator, len, data);
 }
-void   cfw__mb_item__free_unpacked
-                     (Cfw__MbItem *message,
+void   mbpb__item__free_unpacked
+                     (Mbpb__Item *message,
                       ProtobufCAllocator *allocator)
 {
   if(!message)
     return;
-  assert(message->base.descriptor == &cfw__mb_item__descriptor);
+  assert(message->base.descriptor == &mbpb__item__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void   cfw__mb_summary__init
-                     (Cfw__MbSummary         *message)
+void   mbpb__summary__init
+                     (Mbpb__Summary         *message)
 {
-  static const Cfw__MbSummary init_value = CFW__MB_SUMMARY__INIT;
+  static const Mbpb__Summary init_value = MBPB__SUMMARY__INIT;
   *message = init_value;
 }
-size_t cfw__mb_summary__get_packed_size
-                     (const Cfw__MbSummary *message)
+size_t mbpb__summary__get_packed_size
+                     (const Mbpb__Summary *message)
 {
-  assert(message->base.descriptor == &cfw__mb_summary__descriptor);
+  assert(message->base.descriptor == &mbpb__summary__descriptor);
   return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t cfw__mb_summary__pack
-                     (const Cfw__MbSummary *message,
+size_t mbpb__summary__pack
+                     (const Mbpb__Summary *message,
                       uint8_t       *out)
 {
-  assert(message->base.descriptor == &cfw__mb_summary__descriptor);
+  assert(message->base.descriptor == &mbpb__summary__descriptor);
   return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t cfw__mb_summary__pack_to_buffer
-                     (const Cfw__MbSummary *message,
+size_t mbpb__summary__pack_to_buffer
+                     (const Mbpb__Summary *message,
                       ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &cfw__mb_summary__descriptor);
+  assert(message->base.descriptor == &mbpb__summary__descriptor);
   return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
-Cfw__MbSummary *
-       cfw__mb_summary__unpack
+Mbpb__Summary *
+       mbpb__summary__unpack
                      (ProtobufCAllocator  *allocator,
                       size_t               len,
                       const uint8_t       *data)
 {
-  return (Cfw__MbSummary *)
-     protobuf_c_message_unpack (&cfw__mb_summary__descriptor,
+  return (Mbpb__Summary *)
+     protobuf_c_message_unpack (&mbpb__summary__descriptor,
                                 allocator, len, data);
 }
-void   cfw__mb_summary__free_unpacked
-                     (Cfw__MbSummary *message,
+void   mbpb__summary__free_unpacked
+                     (Mbpb__Summary *message,
                       ProtobufCAllocator *allocator)
 {
   if(!message)
     return;
-  assert(message->base.descriptor == &cfw__mb_summary__descriptor);
+  assert(message->base.descriptor == &mbpb__summary__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void   cfw__mb_msg__init
-                     (Cfw__MbMsg         *message)
+void   mbpb__message__init
+                     (Mbpb__Message         *message)
 {
-  static const Cfw__MbMsg init_value = CFW__MB_MSG__INIT;
+  static const Mbpb__Message init_value = MBPB__MESSAGE__INIT;
   *message = init_value;
 }
-size_t cfw__mb_msg__get_packed_size
-                     (const Cfw__MbMsg *message)
+size_t mbpb__message__get_packed_size
+                     (const Mbpb__Message *message)
 {
-  assert(message->base.descriptor == &cfw__mb_msg__descriptor);
+  assert(message->base.descriptor == &mbpb__message__descriptor);
   return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t cfw__mb_msg__pack
-                     (const Cfw__MbMsg *message,
+size_t mbpb__message__pack
+                     (const Mbpb__Message *message,
                       uint8_t       *out)
 {
-  assert(message->base.descriptor == &cfw__mb_msg__descriptor);
+  assert(message->base.descriptor == &mbpb__message__descriptor);
   return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t cfw__mb_msg__pack_to_buffer
-                     (const Cfw__MbMsg *message,
+size_t mbpb__message__pack_to_buffer
+                     (const Mbpb__Message *message,
                       ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &cfw__mb_msg__descriptor);
+  assert(message->base.descriptor == &mbpb__message__descriptor);
   return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
-Cfw__MbMsg *
-       cfw__mb_msg__unpack
+Mbpb__Message *
+       mbpb__message__unpack
                      (ProtobufCAllocator  *allocator,
                       size_t               len,
                       const uint8_t       *data)
 {
-  return (Cfw__MbMsg *)
-     protobuf_c_message_unpack (&cfw__mb_msg__descriptor,
+  return (Mbpb__Message *)
+     protobuf_c_message_unpack (&mbpb__message__descriptor,
                                 allocator, len, data);
 }
-void   cfw__mb_msg__free_unpacked
-                     (Cfw__MbMsg *message,
+void   mbpb__message__free_unpacked
+                     (Mbpb__Message *message,
                       ProtobufCAllocator *allocator)
 {
   if(!message)
     return;
-  assert(message->base.descriptor == &cfw__mb_msg__descriptor);
+  assert(message->base.descriptor == &mbpb__message__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor cfw__mb_record__field_descriptors[5] =
+static const ProtobufCFieldDescriptor mbpb__record__field_descriptors[5] =
 {
   {
     "instance",
     1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_FIXED32,
     0,   /* quantifier_offset */
-    offsetof(Cfw__MbRecord, instance),
+    offsetof(Mbpb__Record, instance),
     NULL,
     NULL,
     0,             /* flags */
@@ -207,7 +207,7 @@
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Cfw__MbRecord, incarnation),
+    offsetof(Mbpb__Record, incarnation),
     NULL,
     NULL,
     0,             /* flags */
@@ -219,7 +219,7 @@
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Cfw__MbRecord, version),
+    offsetof(Mbpb__Record, version),
     NULL,
     NULL,
     0,             /* flags */
@@ -231,7 +231,7 @@
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Cfw__MbRecord, state),
+    offsetof(Mbpb__Record, state),
     NULL,
     NULL,
     0,             /* flags */
@@ -243,41 +243,41 @@
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Cfw__MbRecord, roles),
+    offsetof(Mbpb__Record, roles),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned cfw__mb_record__field_indices_by_name[] = {
+static const unsigned mbpb__record__field_indices_by_name[] = {
   1,   /* field[1] = incarnation */
   0,   /* field[0] = instance */
   4,   /* field[4] = roles */
   3,   /* field[3] = state */
   2,   /* field[2] = version */
 };
-static const ProtobufCIntRange cfw__mb_record__number_ranges[1 + 1] =
+static const ProtobufCIntRange mbpb__record__number_ranges[1 + 1] =
 {
   { 1, 0 },
   { 0, 5 }
 };
-const ProtobufCMessageDescriptor cfw__mb_record__descriptor =
+const ProtobufCMessageDescriptor mbpb__record__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "cfw.MbRecord",
-  "MbRecord",
-  "Cfw__MbRecord",
-  "cfw",
-  sizeof(Cfw__MbRecord),
+  "mbpb.Record",
+  "Record",
+  "Mbpb__Record",
+  "mbpb",
+  sizeof(Mbpb__Record),
   5,
-  cfw__mb_record__field_descriptors,
-  cfw__mb_record__field_indices_by_name,
-  1,  cfw__mb_record__number_ranges,
-  (ProtobufCMessageInit) cfw__mb_record__init,
+  mbpb__record__field_descriptors,
+  mbpb__record__field_indices_by_name,
+  1,  mbpb__record__number_ranges,
+  (ProtobufCMessageInit) mbpb__record__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cfw__mb_item__field_descriptors[7] =
+static const ProtobufCFieldDescriptor mbpb__item__field_descriptors[7] =
 {
   {
     "kind",
@@ -285,7 +285,7 @@
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Cfw__MbItem, kind),
+    offsetof(Mbpb__Item, kind),
     NULL,
     NULL,
     0,             /* flags */
@@ -295,9 +295,9 @@
     "origin",
     2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_FIXED32,
     0,   /* quantifier_offset */
-    offsetof(Cfw__MbItem, origin),
+    offsetof(Mbpb__Item, origin),
     NULL,
     NULL,
     0,             /* flags */
@@ -309,7 +309,7 @@
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Cfw__MbItem, incarnation),
+    offsetof(Mbpb__Item, incarnation),
     NULL,
     NULL,
     0,             /* flags */
@@ -321,7 +321,7 @@
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Cfw__MbItem, number),
+    offsetof(Mbpb__Item, number),
     NULL,
     NULL,
     0,             /* flags */
@@ -333,7 +333,7 @@
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_BOOL,
     0,   /* quantifier_offset */
-    offsetof(Cfw__MbItem, wide),
+    offsetof(Mbpb__Item, wide),
     NULL,
     NULL,
     0,             /* flags */
@@ -345,7 +345,7 @@
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_FIXED64,
     0,   /* quantifier_offset */
-    offsetof(Cfw__MbItem, key),
+    offsetof(Mbpb__Item, key),
     NULL,
     NULL,
     0,             /* flags */
@@ -357,14 +357,14 @@
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_BYTES,
     0,   /* quantifier_offset */
-    offsetof(Cfw__MbItem, data),
+    offsetof(Mbpb__Item, data),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned cfw__mb_item__field_indices_by_name[] = {
+static const unsigned mbpb__item__field_indices_by_name[] = {
   6,   /* field[6] = data */
   2,   /* field[2] = incarnation */
   5,   /* field[5] = key */
@@ -373,27 +373,27 @@
   1,   /* field[1] = origin */
   4,   /* field[4] = wide */
 };
-static const ProtobufCIntRange cfw__mb_item__number_ranges[1 + 1] =
+static const ProtobufCIntRange mbpb__item__number_ranges[1 + 1] =
 {
   { 1, 0 },
   { 0, 7 }
 };
-const ProtobufCMessageDescriptor cfw__mb_item__descriptor =
+const ProtobufCMessageDescriptor mbpb__item__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "cfw.MbItem",
-  "MbItem",
-  "Cfw__MbItem",
-  "cfw",
-  sizeof(Cfw__MbItem),
+  "mbpb.Item",
+  "Item",
+  "Mbpb__Item",
+  "mbpb",
+  sizeof(Mbpb__Item),
   7,
-  cfw__mb_item__field_descriptors,
-  cfw__mb_item__field_indices_by_name,
-  1,  cfw__mb_item__number_ranges,
-  (ProtobufCMessageInit) cfw__mb_item__init,
+  mbpb__item__field_descriptors,
+  mbpb__item__field_indices_by_name,
+  1,  mbpb__item__number_ranges,
+  (ProtobufCMessageInit) mbpb__item__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cfw__mb_summary__field_descriptors[5] =
+static const ProtobufCFieldDescriptor mbpb__summary__field_descriptors[5] =
 {
   {
     "data_centre",
@@ -401,7 +401,7 @@
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Cfw__MbSummary, data_centre),
+    offsetof(Mbpb__Summary, data_centre),
     NULL,
     NULL,
     0,             /* flags */
@@ -413,7 +413,7 @@
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Cfw__MbSummary, number),
+    offsetof(Mbpb__Summary, number),
     NULL,
     NULL,
     0,             /* flags */
@@ -425,7 +425,7 @@
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Cfw__MbSummary, instances),
+    offsetof(Mbpb__Summary, instances),
     NULL,
     NULL,
     0,             /* flags */
@@ -435,9 +435,9 @@
     "relay",
     4,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_FIXED32,
     0,   /* quantifier_offset */
-    offsetof(Cfw__MbSummary, relay),
+    offsetof(Mbpb__Summary, relay),
     NULL,
     NULL,
     0,             /* flags */
@@ -448,42 +448,42 @@
     5,
     PROTOBUF_C_LABEL_REPEATED,
     PROTOBUF_C_TYPE_UINT32,
-    offsetof(Cfw__MbSummary, n_spare),
-    offsetof(Cfw__MbSummary, spare),
+    offsetof(Mbpb__Summary, n_spare),
+    offsetof(Mbpb__Summary, spare),
     NULL,
     NULL,
     0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned cfw__mb_summary__field_indices_by_name[] = {
+static const unsigned mbpb__summary__field_indices_by_name[] = {
   0,   /* field[0] = data_centre */
   2,   /* field[2] = instances */
   1,   /* field[1] = number */
   3,   /* field[3] = relay */
   4,   /* field[4] = spare */
 };
-static const ProtobufCIntRange cfw__mb_summary__number_ranges[1 + 1] =
+static const ProtobufCIntRange mbpb__summary__number_ranges[1 + 1] =
 {
   { 1, 0 },
   { 0, 5 }
 };
-const ProtobufCMessageDescriptor cfw__mb_summary__descriptor =
+const ProtobufCMessageDescriptor mbpb__summary__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "cfw.MbSummary",
-  "MbSummary",
-  "Cfw__MbSummary",
-  "cfw",
-  sizeof(Cfw__MbSummary),
+  "mbpb.Summary",
+  "Summary",
+  "Mbpb__Summary",
+  "mbpb",
+  sizeof(Mbpb__Summary),
   5,
-  cfw__mb_summary__field_descriptors,
-  cfw__mb_summary__field_indices_by_name,
-  1,  cfw__mb_summary__number_ranges,
-  (ProtobufCMessageInit) cfw__mb_summary__init,
+  mbpb__summary__field_descriptors,
+  mbpb__summary__field_indices_by_name,
+  1,  mbpb__summary__number_ranges,
+  (ProtobufCMessageInit) mbpb__summary__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cfw__mb_msg__field_descriptors[11] =
+static const ProtobufCFieldDescriptor mbpb__message__field_descriptors[11] =
 {
   {
     "kind",
@@ -491,7 +491,7 @@
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Cfw__MbMsg, kind),
+    offsetof(Mbpb__Message, kind),
     NULL,
     NULL,
     0,             /* flags */
@@ -503,7 +503,7 @@
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Cfw__MbMsg, probe),
+    offsetof(Mbpb__Message, probe),
     NULL,
     NULL,
     0,             /* flags */
@@ -513,9 +513,9 @@
     "target",
     3,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_FIXED32,
     0,   /* quantifier_offset */
-    offsetof(Cfw__MbMsg, target),
+    offsetof(Mbpb__Message, target),
     NULL,
     NULL,
     0,             /* flags */
@@ -527,8 +527,8 @@
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_MESSAGE,
     0,   /* quantifier_offset */
-    offsetof(Cfw__MbMsg, self),
-    &cfw__mb_record__descriptor,
+    offsetof(Mbpb__Message, self),
+    &mbpb__record__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
@@ -539,7 +539,7 @@
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Cfw__MbMsg, role),
+    offsetof(Mbpb__Message, role),
     NULL,
     NULL,
     0,             /* flags */
@@ -551,7 +551,7 @@
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Cfw__MbMsg, round),
+    offsetof(Mbpb__Message, round),
     NULL,
     NULL,
     0,             /* flags */
@@ -563,7 +563,7 @@
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Cfw__MbMsg, fence),
+    offsetof(Mbpb__Message, fence),
     NULL,
     NULL,
     0,             /* flags */
@@ -575,7 +575,7 @@
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_BOOL,
     0,   /* quantifier_offset */
-    offsetof(Cfw__MbMsg, granted),
+    offsetof(Mbpb__Message, granted),
     NULL,
     NULL,
     0,             /* flags */
@@ -587,8 +587,8 @@
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_MESSAGE,
     0,   /* quantifier_offset */
-    offsetof(Cfw__MbMsg, summary),
-    &cfw__mb_summary__descriptor,
+    offsetof(Mbpb__Message, summary),
+    &mbpb__summary__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
@@ -598,9 +598,9 @@
     10,
     PROTOBUF_C_LABEL_REPEATED,
     PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Cfw__MbMsg, n_records),
-    offsetof(Cfw__MbMsg, records),
-    &cfw__mb_record__descriptor,
+    offsetof(Mbpb__Message, n_records),
+    offsetof(Mbpb__Message, records),
+    &mbpb__record__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
@@ -610,15 +610,15 @@
     11,
     PROTOBUF_C_LABEL_REPEATED,
     PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Cfw__MbMsg, n_items),
-    offsetof(Cfw__MbMsg, items),
-    &cfw__mb_item__descriptor,
+    offsetof(Mbpb__Message, n_items),
+    offsetof(Mbpb__Message, items),
+    &mbpb__item__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned cfw__mb_msg__field_indices_by_name[] = {
+static const unsigned mbpb__message__field_indices_by_name[] = {
   6,   /* field[6] = fence */
   7,   /* field[7] = granted */
   10,   /* field[10] = items */
@@ -631,23 +631,23 @@
   8,   /* field[8] = summary */
   2,   /* field[2] = target */
 };
-static const ProtobufCIntRange cfw__mb_msg__number_ranges[1 + 1] =
+static const ProtobufCIntRange mbpb__message__number_ranges[1 + 1] =
 {
   { 1, 0 },
   { 0, 11 }
 };
-const ProtobufCMessageDescriptor cfw__mb_msg__descriptor =
+const ProtobufCMessageDescriptor mbpb__message__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "cfw.MbMsg",
-  "MbMsg",
-  "Cfw__MbMsg",
-  "cfw",
-  sizeof(Cfw__MbMsg),
+  "mbpb.Message",
+  "Message",
+  "Mbpb__Message",
+  "mbpb",
+  sizeof(Mbpb__Message),
   11,
-  cfw__mb_msg__field_descriptors,
-  cfw__mb_msg__field_indices_by_name,
-  1,  cfw__mb_msg__number_ranges,
-  (ProtobufCMessageInit) cfw__mb_msg__init,
+  mbpb__message__field_descriptors,
+  mbpb__message__field_indices_by_name,
+  1,  mbpb__message__number_ranges,
+  (ProtobufCMessageInit) mbpb__message__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
--- a/src/wire/member.pb-c.h
+++ b/src/wire/member.pb-c.h
@@ -15,10 +15,10 @@
 #endif
 
 
-typedef struct Cfw__MbRecord Cfw__MbRecord;
-typedef struct Cfw__MbItem Cfw__MbItem;
-typedef struct Cfw__MbSummary Cfw__MbSummary;
-typedef struct Cfw__MbMsg Cfw__MbMsg;
+typedef struct Mbpb__Record Mbpb__Record;
+typedef struct Mbpb__Item Mbpb__Item;
+typedef struct Mbpb__Summary Mbpb__Summary;
+typedef struct Mbpb__Message Mbpb__Message;
 
 
 /* --- enums --- */
@@ -26,7 +26,7 @@
 
 /* --- messages --- */
 
-struct  Cfw__MbRecord
+struct  Mbpb__Record
 {
   ProtobufCMessage base;
   uint32_t instance;
@@ -35,12 +35,12 @@
   uint32_t state;
   uint32_t roles;
 };
-#define CFW__MB_RECORD__INIT \
- { PROTOBUF_C_MESSAGE_INIT (&cfw__mb_record__descriptor) \
+#define MBPB__RECORD__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&mbpb__record__descriptor) \
     , 0, 0, 0, 0, 0 }
 
 
-struct  Cfw__MbItem
+struct  Mbpb__Item
 {
   ProtobufCMessage base;
   uint32_t kind;
@@ -51,12 +51,12 @@
   uint64_t key;
   ProtobufCBinaryData data;
 };
-#define CFW__MB_ITEM__INIT \
- { PROTOBUF_C_MESSAGE_INIT (&cfw__mb_item__descriptor) \
+#define MBPB__ITEM__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&mbpb__item__descriptor) \
     , 0, 0, 0, 0, 0, 0, {0,NULL} }
 
 
-struct  Cfw__MbSummary
+struct  Mbpb__Summary
 {
   ProtobufCMessage base;
   uint32_t data_centre;
@@ -66,122 +66,122 @@
   size_t n_spare;
   uint32_t *spare;
 };
-#define CFW__MB_SUMMARY__INIT \
- { PROTOBUF_C_MESSAGE_INIT (&cfw__mb_summary__descriptor) \
+#define MBPB__SUMMARY__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&mbpb__summary__descriptor) \
     , 0, 0, 0, 0, 0,NULL }
 
 
-struct  Cfw__MbMsg
+struct  Mbpb__Message
 {
   ProtobufCMessage base;
   uint32_t kind;
   uint32_t probe;
   uint32_t target;
-  Cfw__MbRecord *self;
+  Mbpb__Record *self;
   uint32_t role;
   uint64_t round;
   uint64_t fence;
   protobuf_c_boolean granted;
-  Cfw__MbSummary *summary;
+  Mbpb__Summary *summary;
   size_t n_records;
-  Cfw__MbRecord **records;
+  Mbpb__Record **records;
   size_t n_items;
-  Cfw__MbItem **items;
+  Mbpb__Item **items;
 };
-#define CFW__MB_MSG__INIT \
- { PROTOBUF_C_MESSAGE_INIT (&cfw__mb_msg__descriptor) \
+#define MBPB__MESSAGE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&mbpb__message__descriptor) \
     , 0, 0, 0, NULL, 0, 0, 0, 0, NULL, 0,NULL, 0,NULL }
 
 
-/* Cfw__MbRecord methods */
-void   cfw__mb_record__init
-                     (Cfw__MbRecord         *message);
-size_t cfw__mb_record__get_packed_size
-                     (const Cfw__MbRecord   *message);
-size_t cfw__mb_record__pack
-                     (const Cfw__MbRecord   *message,
+/* Mbpb__Record methods */
+void   mbpb__record__init
+                     (Mbpb__Record         *message);
+size_t mbpb__record__get_packed_size
+                     (const Mbpb__Record   *message);
+size_t mbpb__record__pack
+                     (const Mbpb__Record   *message,
                       uint8_t             *out);
-size_t cfw__mb_record__pack_to_buffer
-                     (const Cfw__MbRecord   *message,
+size_t mbpb__record__pack_to_buffer
+                     (const Mbpb__Record   *message,
                       ProtobufCBuffer     *buffer);
-Cfw__MbRecord *
-       cfw__mb_record__unpack
+Mbpb__Record *
+       mbpb__record__unpack
                      (ProtobufCAllocator  *allocator,
                       size_t               len,
                       const uint8_t       *data);
-void   cfw__mb_record__free_unpacked
-                     (Cfw__MbRecord *message,
+void   mbpb__record__free_unpacked
+                     (Mbpb__Record *message,
                       ProtobufCAllocator *allocator);
-/* Cfw__MbItem methods */
-void   cfw__mb_item__init
-                     (Cfw__MbItem         *message);
-size_t cfw__mb_item__get_packed_size
-                     (const Cfw__MbItem   *message);
-size_t cfw__mb_item__pack
-                     (const Cfw__MbItem   *message,
+/* Mbpb__Item methods */
+void   mbpb__item__init
+                     (Mbpb__Item         *message);
+size_t mbpb__item__get_packed_size
+                     (const Mbpb__Item   *message);
+size_t mbpb__item__pack
+                     (const Mbpb__Item   *message,
                       uint8_t             *out);
-size_t cfw__mb_item__pack_to_buffer
-                     (const Cfw__MbItem   *message,
+size_t mbpb__item__pack_to_buffer
+                     (const Mbpb__Item   *message,
                       ProtobufCBuffer     *buffer);
-Cfw__MbItem *
-       cfw__mb_item__unpack
+Mbpb__Item *
+       mbpb__item__unpack
                      (ProtobufCAllocator  *allocator,
                       size_t               len,
                       const uint8_t       *data);
-void   cfw__mb_item__free_unpacked
-                     (Cfw__MbItem *message,
+void   mbpb__item__free_unpacked
+                     (Mbpb__Item *message,
                       ProtobufCAllocator *allocator);
-/* Cfw__MbSummary methods */
-void   cfw__mb_summary__init
-                     (Cfw__MbSummary         *message);
-size_t cfw__mb_summary__get_packed_size
-                     (const Cfw__MbSummary   *message);
-size_t cfw__mb_summary__pack
-                     (const Cfw__MbSummary   *message,
+/* Mbpb__Summary methods */
+void   mbpb__summary__init
+                     (Mbpb__Summary         *message);
+size_t mbpb__summary__get_packed_size
+                     (const Mbpb__Summary   *message);
+size_t mbpb__summary__pack
+                     (const Mbpb__Summary   *message,
                       uint8_t             *out);
-size_t cfw__mb_summary__pack_to_buffer
-                     (const Cfw__MbSummary   *message,
+size_t mbpb__summary__pack_to_buffer
+                     (const Mbpb__Summary   *message,
                       ProtobufCBuffer     *buffer);
-Cfw__MbSummary *
-       cfw__mb_summary__unpack
+Mbpb__Summary *
+       mbpb__summary__unpack
                      (ProtobufCAllocator  *allocator,
                       size_t               len,
                       const uint8_t       *data);
-void   cfw__mb_summary__free_unpacked
-                     (Cfw__MbSummary *message,
+void   mbpb__summary__free_unpacked
+                     (Mbpb__Summary *message,
                       ProtobufCAllocator *allocator);
-/* Cfw__MbMsg methods */
-void   cfw__mb_msg__init
-                     (Cfw__MbMsg         *message);
-size_t cfw__mb_msg__get_packed_size
-                     (const Cfw__MbMsg   *message);
-size_t cfw__mb_msg__pack
-                     (const Cfw__MbMsg   *message,
+/* Mbpb__Message methods */
+void   mbpb__message__init
+                     (Mbpb__Message         *message);
+size_t mbpb__message__get_packed_size
+                     (const Mbpb__Message   *message);
+size_t mbpb__message__pack
+                     (const Mbpb__Message   *message,
                       uint8_t             *out);
-size_t cfw__mb_msg__pack_to_buffer
-                     (const Cfw__MbMsg   *message,
+size_t mbpb__message__pack_to_buffer
+                     (const Mbpb__Message   *message,
                       ProtobufCBuffer     *buffer);
-Cfw__MbMsg *
-       cfw__mb_msg__unpack
+Mbpb__Message *
+       mbpb__message__unpack
                      (ProtobufCAllocator  *allocator,
                       size_t               len,
                       const uint8_t       *data);
-void   cfw__mb_msg__free_unpacked
-                     (Cfw__MbMsg *message,
+void   mbpb__message__free_unpacked
+                     (Mbpb__Message *message,
                       ProtobufCAllocator *allocator);
 /* --- per-message closures --- */
 
-typedef void (*Cfw__MbRecord_Closure)
-                 (const Cfw__MbRecord *message,
+typedef void (*Mbpb__Record_Closure)
+                 (const Mbpb__Record *message,
                   void *closure_data);
-typedef void (*Cfw__MbItem_Closure)
-                 (const Cfw__MbItem *message,
+typedef void (*Mbpb__Item_Closure)
+                 (const Mbpb__Item *message,
                   void *closure_data);
-typedef void (*Cfw__MbSummary_Closure)
-                 (const Cfw__MbSummary *message,
+typedef void (*Mbpb__Summary_Closure)
+                 (const Mbpb__Summary *message,
                   void *closure_data);
-typedef void (*Cfw__MbMsg_Closure)
-                 (const Cfw__MbMsg *message,
+typedef void (*Mbpb__Message_Closure)
+                 (const Mbpb__Message *message,
                   void *closure_data);
 
 /* --- services --- */
@@ -189,10 +189,10 @@
 
 /* --- descriptors --- */
 
-extern const ProtobufCMessageDescriptor cfw__mb_record__descriptor;
-extern const ProtobufCMessageDescriptor cfw__mb_item__descriptor;
-extern const ProtobufCMessageDescriptor cfw__mb_summary__descriptor;
-extern const ProtobufCMessageDescriptor cfw__mb_msg__descriptor;
+extern const ProtobufCMessageDescriptor mbpb__record__descriptor;
+extern const ProtobufCMessageDescriptor mbpb__item__descriptor;
+extern const ProtobufCMessageDescriptor mbpb__summary__descriptor;
+extern const ProtobufCMessageDescriptor mbpb__message__descriptor;
 
 PROTOBUF_C__END_DECLS
 
