--- /dev/null
+++ b/test/process/spin.sh
@@ -0,0 +1,42 @@
+#!/bin/bash
+# Checks the spin models exhaustively, and that each fails once a mechanism is
+# switched off.  Skips itself where spin is not installed.
+set -u
+models=$(cd "$(dirname "$0")/../spin" && pwd)
+command -v spin >/dev/null || { echo "spin is not installed: not run"; exit 0; }
+work=$(mktemp -d)
+trap 'rm -rf "$work"' EXIT
+cd "$work" || exit 1
+bad=0
+
+# check EXPECTED MODEL OPTIONS...: EXPECTED is the number of errors.
+check()
+{
+	local expected=$1 model=$2 out errors
+	shift 2
+	cp "$models/$model.pml" .
+	spin "$@" -a "$model.pml" >spin.out 2>&1 &&
+	    gcc -O2 -w -DSAFETY -DCOLLAPSE -DMEMLIM=1500 -o pan pan.c ||
+	    { cat spin.out; bad=1; return; }
+	out=$(timeout 60 ./pan -E -m100000 -w24 2>&1)
+	errors=$(sed -n 's/.*errors: \([0-9]*\).*/\1/p' <<<"$out")
+	echo "$model $*: errors ${errors:-none reported}," \
+	    "$(sed -n 's/^ *\([0-9.e+]*\) states, stored.*/\1/p' <<<"$out")" \
+	    "states"
+	if [ "${errors:-x}" != "$expected" ] ||
+	    { [ "$expected" = 0 ] && grep -q "not completed" <<<"$out"; }; then
+		echo "expected $expected errors"
+		bad=1
+	fi
+}
+
+check 0 claims -DLOSS
+check 0 claims -DRESOLVE
+check 1 claims -DLOSS -DSKIP_BALLOTS
+check 1 claims -DLOSS -DSKIP_LEARNING
+check 1 claims -DLOSS -DSKIP_MARKER
+check 1 claims -DRESOLVE -DSKIP_AGE
+check 0 orders
+check 1 orders -DSKIP_CHECK
+check 1 orders -DSKIP_WAIT
+exit $bad
--- /dev/null
+++ b/test/spin/orders.pml
@@ -0,0 +1,81 @@
+/*
+ * Order leadership where engines ignore fencing numbers: at no moment may two
+ * leaders give orders, although clocks are read at other times than orders
+ * are given and a leader may freeze at any step.
+ *
+ * Time is in ticks.  A voter's grant lasts LEASE ticks; a leader believes its
+ * lease for LEASE - 1.  Voting is one step here (a majority is one register);
+ * the new leader learns until when the old lease may last.
+ *
+ * -DSKIP_CHECK: a leader does not read the clock before each order.
+ * -DSKIP_WAIT: a new leader does not wait the old lease out.
+ */
+
+#define LEASE 3
+#define END 9
+
+byte now;
+byte holder; /* 0: none */
+byte granted_until;
+byte fence; /* grows when the holder changes */
+byte last_fence; /* of the last order that an engine carried out */
+
+#ifdef SKIP_WAIT
+#define FREE_FOR(me) (true)
+#else
+#define FREE_FOR(me) (holder == 0 || holder == me || now >= granted_until)
+#endif
+
+#ifdef SKIP_CHECK
+#define MAY_ORDER (true)
+#else
+#define MAY_ORDER (now < until)
+#endif
+
+proctype Clock()
+{
+	do
+	:: now < END -> now++
+	:: else -> break
+	od
+}
+
+proctype Leader(byte me)
+{
+	byte asked, own_fence, until;
+	byte rounds = 0;
+
+	do
+	:: rounds < 3 ->
+		asked = now;
+		atomic {
+			FREE_FOR(me);
+			if
+			:: holder != me -> fence++
+			:: else -> skip
+			fi;
+			holder = me;
+			own_fence = fence;
+			granted_until = now + LEASE
+		};
+		until = asked + LEASE - 1;
+		do
+		:: atomic {
+			MAY_ORDER;
+			assert(own_fence >= last_fence);
+			last_fence = own_fence
+		   }
+		:: break
+		od;
+		rounds++
+	:: else -> break
+	od
+}
+
+init {
+	atomic {
+		run Clock();
+		run Leader(1);
+		run Leader(2)
+	}
+}
