--- a/src/state/rlog_i.h
+++ b/src/state/rlog_i.h
@@ -48,6 +48,7 @@
 	bool granted; /* of this vote or pre-vote */
 	uint64_t snapshot_index; /* RL_SNAPSHOT: which one is sent */
 	uint64_t snapshot_offset;
+	uint64_t rewound_round; /* when it last went back */
 };
 
 /* A message that waits for a journal record to be durable. */
--- a/src/state/rlog_lead.c
+++ b/src/state/rlog_lead.c
@@ -324,7 +324,12 @@
 		on_reject(rl, peer, msg);
 }
 
-/* Takes a follower's answer to a chunk: which byte it wants next. */
+/*
+ * Takes a follower's answer to a chunk: which byte it wants next.  An answer
+ * that brings no progress sends nothing, or doubled messages would double
+ * again with each exchange; going back, after the follower's restart, is
+ * granted once a heartbeat round.
+ */
 void
 rl_on_snapshot_reply(struct rl *rl, const struct rl_msg *msg)
 {
@@ -340,6 +345,12 @@
 	if (peer->state != RL_SNAPSHOT ||
 	    msg->log_index != peer->snapshot_index)
 		return;
+	if (msg->offset == peer->snapshot_offset ||
+	    (msg->offset < peer->snapshot_offset &&
+		peer->rewound_round == rl->round))
+		return;
+	if (msg->offset < peer->snapshot_offset)
+		peer->rewound_round = rl->round;
 	peer->snapshot_offset = msg->offset;
 	peer->probing = msg->offset >= rl->snapshot.data.len;
 }
--- a/test/rlog_sim.h
+++ b/test/rlog_sim.h
@@ -274,10 +274,10 @@
 			step(n, event);
 			return;
 		}
-		cs_item item = {op.path.c_str(), op.base, false,
-		    op.text.data(), op.text.size()};
-		cs_change what = {op.id.c_str(), op.author.c_str(), "team",
-		    now(), &item, 1};
+		cs_item item = {op.path.c_str(), op.base, false, op.text.data(),
+		    op.text.size()};
+		cs_change what = {
+		    op.id.c_str(), op.author.c_str(), "team", now(), &item, 1};
 		buf_init(&data, nullptr);
 		cs_change_encode(&what, &data);
 		event.kind = RL_EV_PROPOSE;
@@ -325,8 +325,8 @@
 			buf_init(&image, nullptr);
 			cs_image(node.cs, &image);
 			std::string bytes((char *)image.data, image.len);
-			auto at = images.emplace(cs_applied_index(node.cs),
-			    bytes);
+			auto at =
+			    images.emplace(cs_applied_index(node.cs), bytes);
 			if (at.first->second != bytes)
 				fail("node %d differs at one index", (int)n);
 			buf_free(&image);
@@ -380,11 +380,11 @@
 		for (size_t i = 0; i < node.disk.size(); i++)
 			if (node.disk[i].number == 0)
 				first = i;
-		node.disk.erase(node.disk.begin(),
-		    node.disk.begin() + (long)first);
+		node.disk.erase(
+		    node.disk.begin(), node.disk.begin() + (long)first);
 		for (Record &record : node.disk) {
-			if (rl_replay(node.rl, record.kind,
-				record.data.data(), record.data.size()) != 0)
+			if (rl_replay(node.rl, record.kind, record.data.data(),
+				record.data.size()) != 0)
 				fail("node %d cannot replay", n);
 			if (record.number != 0)
 				record.number = UINT64_MAX;
@@ -459,9 +459,9 @@
 		if (node.up() && node.sync_due_us == 0 &&
 		    node.synced < node.disk.size()) {
 			node.sync_upto = node.disk.size();
-			node.sync_due_us = now() + options.sync_us +
-					   (int64_t)random(
-					       (uint64_t)options.sync_us + 1);
+			node.sync_due_us =
+			    now() + options.sync_us +
+			    (int64_t)random((uint64_t)options.sync_us + 1);
 		}
 	}
 
@@ -536,8 +536,8 @@
 			return;
 		buf_init(&image, nullptr);
 		rl_image(node.rl, &image);
-		node.disk.erase(node.disk.begin(),
-		    node.disk.begin() + (long)node.synced);
+		node.disk.erase(
+		    node.disk.begin(), node.disk.begin() + (long)node.synced);
 		node.disk.push_back({RL_REC_IMAGE,
 		    std::string((char *)image.data, image.len), 0});
 		node.synced = node.disk.size();
@@ -697,10 +697,9 @@
 		for (const auto &item : accepted) {
 			cs_result result;
 
-			if (!cs_answer(nodes[n].cs, item.first.c_str(),
-				&result) ||
-			    result.error != 0 ||
-			    result.revision != item.second)
+			if (!cs_answer(
+				nodes[n].cs, item.first.c_str(), &result) ||
+			    result.error != 0 || result.revision != item.second)
 				fail("node %d lost an accepted change", n);
 		}
 	}
--- a/test/unit/rlog_random_test.cc
+++ b/test/unit/rlog_random_test.cc
@@ -66,9 +66,8 @@
 RC_GTEST_PROP(RlogRandom, NoScheduleBreaksAnInvariant, ())
 {
 	const auto seed = *rc::gen::inRange<uint64_t>(1, 1000000);
-	const auto steps =
-	    *rc::gen::container<std::vector<ScheduleStep>>(
-		rc::gen::arbitrary<ScheduleStep>());
+	const auto steps = *rc::gen::container<std::vector<ScheduleStep>>(
+	    rc::gen::arbitrary<ScheduleStep>());
 	std::string broken = run_schedule(seed, steps);
 
 	if (!broken.empty()) {
