--- /dev/null
+++ b/bench/journal-bench/main.c
@@ -0,0 +1,369 @@
+#include <argp.h>
+#include <fcntl.h>
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <time.h>
+#include <unistd.h>
+
+#include "state/cfgstore.h"
+#include "state/journal.h"
+#include "state/rlog.h"
+
+/*
+ * Measures the journal on the disk at hand: the disk's own sync rate, records
+ * appended and synced one at a time and in groups in the same run, and what a
+ * restart reads and how long it takes after many changes.
+ */
+
+enum {
+	RECORD_BYTES = 400,
+	SECTION_BYTES = 1000,
+	WAIT_MS = 10000
+};
+
+struct settings {
+	const char *folder;
+	uint32_t run_ms;
+	uint32_t sections;
+};
+
+static int64_t
+now_us(void)
+{
+	struct timespec t;
+
+	(void)clock_gettime(CLOCK_MONOTONIC, &t);
+	return (int64_t)t.tv_sec * 1000000 + t.tv_nsec / 1000;
+}
+
+static void
+die(const char *what)
+{
+	fprintf(stderr, "cf-journal-bench: %s\n", what);
+	exit(1);
+}
+
+static struct jn *
+open_journal(const char *folder, struct rl *rl)
+{
+	struct jn_options options = {.folder = folder};
+	struct jn_record record;
+	struct jn *jn;
+	struct buf why;
+	int e;
+
+	buf_init(&why, NULL);
+	if (jn_open(&options, &jn, &why) != 0)
+		die(buf_text(&why));
+	buf_free(&why);
+	while ((e = jn_next(jn, &record)) > 0)
+		if (rl != NULL &&
+		    rl_replay(rl, record.kind, record.data, record.len) != 0)
+			die("a record cannot be replayed");
+	if (e < 0 || jn_start(jn) != 0)
+		die("the journal does not open");
+	return jn;
+}
+
+static void
+bench_disk(const struct settings *settings)
+{
+	char path[4096], block[RECORD_BYTES] = {0};
+	int64_t until = now_us() + settings->run_ms * 1000LL;
+	uint64_t count = 0;
+	off_t at = 0;
+	int fd;
+
+	(void)snprintf(path, sizeof(path), "%s/raw", settings->folder);
+	fd = open(path, O_RDWR | O_CREAT | O_TRUNC | O_CLOEXEC, 0600);
+	if (fd < 0)
+		die("cannot write the folder");
+	while (now_us() < until) {
+		if (pwrite(fd, block, sizeof(block), at) < 0 ||
+		    fdatasync(fd) != 0)
+			die("cannot sync");
+		at += sizeof(block);
+		count++;
+	}
+	(void)close(fd);
+	(void)unlink(path);
+	printf("disk: %.0f syncs/s of %d bytes appended\n",
+	    (double)count * 1000 / settings->run_ms, RECORD_BYTES);
+}
+
+/* Keeps a number of records under way; 1 is one at a time. */
+static void
+bench_append(const struct settings *settings, struct jn *jn, uint64_t window)
+{
+	char record[RECORD_BYTES] = {0};
+	struct jn_stats before, after;
+	int64_t begin = now_us();
+	int64_t until = begin + settings->run_ms * 1000LL;
+	uint64_t seq = 0, count = 0;
+
+	jn_stats(jn, &before);
+	while (now_us() < until) {
+		seq = jn_append(jn, JN_KIND_BILLS, record, sizeof(record));
+		count++;
+		if (count >= window &&
+		    jn_wait(jn, seq - window + 1, WAIT_MS) != 0)
+			die("a record did not become durable");
+	}
+	if (jn_wait(jn, seq, WAIT_MS) != 0)
+		die("a record did not become durable");
+	jn_stats(jn, &after);
+	printf("journal: window %4" PRIu64 ": %8.0f records/s, %6.0f syncs/s\n",
+	    window, (double)count * 1e6 / (double)(now_us() - begin),
+	    (double)(after.syncs - before.syncs) * 1e6 /
+		(double)(now_us() - begin));
+}
+
+struct replica {
+	struct rl *rl;
+	struct cs *cs;
+	struct jn *jn;
+	struct rl_actions actions;
+	uint64_t first_seq; /* journal sequence of record number 0 */
+	uint64_t number;
+	uint64_t seq;
+};
+
+static void step(struct replica *r, const struct rl_event *event);
+
+static void
+give_image(struct replica *r)
+{
+	struct rl_event event = {.kind = RL_EV_SNAPSHOT_TAKEN};
+	struct rl_status status;
+	struct buf image;
+
+	rl_status(r->rl, &status);
+	buf_init(&image, NULL);
+	cs_image(r->cs, &image);
+	event.u.snapshot.index = status.applied;
+	event.u.snapshot.data = image.data;
+	event.u.snapshot.len = image.len;
+	step(r, &event);
+	buf_free(&image);
+}
+
+static bool
+carry_out(struct replica *r, const struct rl_action *action)
+{
+	struct cs_result result;
+
+	switch (action->kind) {
+	case RL_ACT_PERSIST:
+		r->seq = jn_append(r->jn, action->u.persist.kind,
+		    action->u.persist.data, action->u.persist.len);
+		r->number = action->u.persist.number;
+		return false;
+	case RL_ACT_APPLY:
+		cs_apply(r->cs, action->u.apply.entry.index,
+		    action->u.apply.entry.data, action->u.apply.entry.len,
+		    &result);
+		if (result.error != 0)
+			die("a change was refused");
+		return false;
+	case RL_ACT_RESTORE:
+		if (cs_restore(r->cs, action->u.restore.data,
+			action->u.restore.len) != 0)
+			die("an image cannot be restored");
+		return false;
+	case RL_ACT_TAKE_SNAPSHOT:
+		return true;
+	default:
+		return false;
+	}
+}
+
+static void
+step(struct replica *r, const struct rl_event *event)
+{
+	bool wants_image = false;
+	size_t i;
+
+	rl_step(r->rl, now_us(), event, &r->actions);
+	for (i = 0; i < r->actions.count; i++)
+		wants_image |= carry_out(r, &r->actions.items[i]);
+	if (wants_image)
+		give_image(r);
+}
+
+static void
+persisted(struct replica *r)
+{
+	struct rl_event event = {.kind = RL_EV_PERSISTED};
+
+	if (jn_wait(r->jn, r->seq, WAIT_MS) != 0)
+		die("a record did not become durable");
+	event.u.persisted.number = r->number;
+	step(r, &event);
+}
+
+static void
+snapshot_if_due(struct replica *r)
+{
+	struct jn_image part = {.kind = RL_REC_IMAGE};
+	struct buf image;
+
+	if (!jn_snapshot_due(r->jn))
+		return;
+	give_image(r);
+	buf_init(&image, NULL);
+	rl_image(r->rl, &image);
+	part.data = image.data;
+	part.len = image.len;
+	(void)jn_snapshot(r->jn, &part, 1);
+	buf_free(&image);
+}
+
+static void
+start_replica(struct replica *r, const char *folder)
+{
+	struct rl_options options = {.seed = 1, .fresh_id = 1, .instances = 1};
+	struct cs_options store = {0};
+	struct rl_event tick = {.kind = RL_EV_TICK};
+
+	memset(r, 0, sizeof(*r));
+	r->rl = rl_new(&options);
+	r->cs = cs_new(&store);
+	r->jn = open_journal(folder, r->rl);
+	rl_start(r->rl, now_us());
+	step(r, &tick);
+}
+
+static void
+stop_replica(struct replica *r)
+{
+	jn_close(r->jn);
+	rl_actions_free(r->rl, &r->actions);
+	rl_free(r->rl);
+	cs_free(r->cs);
+}
+
+static void
+lead(struct replica *r)
+{
+	struct rl_event tick = {.kind = RL_EV_TICK};
+
+	while (!rl_is_leader(r->rl) || rl_lease_until_us(r->rl) == 0) {
+		(void)usleep(10000);
+		step(r, &tick);
+		persisted(r);
+	}
+}
+
+static void
+propose(struct replica *r, uint32_t change, uint32_t sections)
+{
+	struct rl_event event = {.kind = RL_EV_PROPOSE};
+	char id[32], path[32], text[SECTION_BYTES];
+	struct cs_item item = {path, 0, false, text, sizeof(text)};
+	struct cs_change what = {id, "bench", "bench", 0, &item, 1};
+	struct cs_section section;
+	struct buf data;
+
+	memset(text, 'x', sizeof(text));
+	(void)snprintf(id, sizeof(id), "c%u", change);
+	(void)snprintf(path, sizeof(path), "section/%u", change % sections);
+	if (cs_section_get(r->cs, path, &section))
+		item.base_revision = section.revision;
+	buf_init(&data, NULL);
+	if (cs_change_encode(&what, &data) != 0)
+		die("a change is too large");
+	event.u.propose.token = change + 1;
+	event.u.propose.data = data.data;
+	event.u.propose.len = data.len;
+	step(r, &event);
+	buf_free(&data);
+}
+
+static void
+bench_recovery(const struct settings *settings, uint32_t changes)
+{
+	char folder[4096];
+	struct replica r;
+	struct jn_stats stats;
+	int64_t begin, took;
+	uint32_t i;
+
+	(void)snprintf(
+	    folder, sizeof(folder), "%s/r%u", settings->folder, changes);
+	start_replica(&r, folder);
+	lead(&r);
+	begin = now_us();
+	for (i = 0; i < changes; i++) {
+		propose(&r, i, settings->sections);
+		if (i % settings->sections == settings->sections - 1)
+			persisted(&r);
+		snapshot_if_due(&r);
+	}
+	persisted(&r);
+	took = now_us() - begin;
+	stop_replica(&r);
+	begin = now_us();
+	start_replica(&r, folder);
+	jn_stats(r.jn, &stats);
+	printf("recovery: %6u changes written in %6.0f ms: %6.1f ms, read "
+	       "%8" PRIu64 " bytes, revision %" PRIu64 "\n",
+	    changes, (double)took / 1000, (double)(now_us() - begin) / 1000,
+	    stats.replay_bytes, cs_revision(r.cs));
+	if (cs_revision(r.cs) != changes)
+		die("a change is missing after the restart");
+	stop_replica(&r);
+}
+
+static error_t
+parse(int key, char *arg, struct argp_state *state)
+{
+	struct settings *settings = state->input;
+
+	switch (key) {
+	case 'f':
+		settings->folder = arg;
+		return 0;
+	case 't':
+		settings->run_ms = (uint32_t)strtoul(arg, NULL, 10);
+		return settings->run_ms > 0 ? 0 : EINVAL;
+	case 's':
+		settings->sections = (uint32_t)strtoul(arg, NULL, 10);
+		return settings->sections > 0 ? 0 : EINVAL;
+	default:
+		return ARGP_ERR_UNKNOWN;
+	}
+}
+
+int
+main(int argc, char **argv)
+{
+	static const struct argp_option options[] = {
+	    {"folder", 'f', "FOLDER", 0, "An empty folder on the disk", 0},
+	    {"time", 't', "MS", 0, "Length of each run (2000)", 0},
+	    {"sections", 's', "COUNT", 0, "Sections of the document (100)", 0},
+	    {0}};
+	static const struct argp argp = {options, parse, NULL,
+	    "Measures the journal on the disk at hand.", NULL, NULL, NULL};
+	struct settings settings = {NULL, 2000, 100};
+	static const uint64_t windows[] = {1, 16, 256, 4096};
+	char folder[4096];
+	struct jn *jn;
+	size_t i;
+
+	if (argp_parse(&argp, argc, argv, 0, NULL, &settings) != 0 ||
+	    settings.folder == NULL)
+		die("--folder is missing");
+	bench_disk(&settings);
+	(void)snprintf(folder, sizeof(folder), "%s/append", settings.folder);
+	jn = open_journal(folder, NULL);
+	for (i = 0; i < sizeof(windows) / sizeof(windows[0]); i++)
+		bench_append(&settings, jn, windows[i]);
+	jn_close(jn);
+	bench_disk(&settings);
+	bench_recovery(&settings, 300);
+	bench_recovery(&settings, 3000);
+	bench_recovery(&settings, 30000);
+	return 0;
+}
--- /dev/null
+++ b/test/unit/journal_test.cc
@@ -0,0 +1,350 @@
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <cstdlib>
+#include <filesystem>
+
+#include "fakedisk.h"
+
+enum {
+	KIND = JN_KIND_BILLS + 1
+};
+
+class Journal : public testing::Test
+{
+      protected:
+	std::string folder;
+	FakeDisk disk;
+	jn_options options = {};
+	struct jn *jn = nullptr;
+	std::string why;
+
+	void SetUp() override
+	{
+		char name[] = "/tmp/cf-journal-XXXXXX";
+
+		folder = mkdtemp(name);
+		options.folder = folder.c_str();
+		options.files = disk.files();
+	}
+
+	void TearDown() override
+	{
+		shut();
+		std::filesystem::remove_all(folder);
+	}
+
+	void shut()
+	{
+		if (jn != nullptr)
+			jn_close(jn);
+		jn = nullptr;
+	}
+
+	/* Opens, replays into a list of texts, and starts. */
+	int open(std::vector<std::string> *texts = nullptr)
+	{
+		struct jn_record record;
+		buf reason;
+		int e;
+
+		shut();
+		buf_init(&reason, nullptr);
+		e = jn_open(&options, &jn, &reason);
+		why = buf_text(&reason);
+		buf_free(&reason);
+		while (e == 0 && (e = jn_next(jn, &record)) > 0) {
+			e = 0;
+			if (texts != nullptr)
+				texts->emplace_back(
+				    (const char *)record.data, record.len);
+			if (record.seq != 0)
+				continue;
+		}
+		if (e < 0 && jn != nullptr)
+			why = jn_why(jn);
+		return e == 0 ? jn_start(jn) : e;
+	}
+
+	uint64_t append(const std::string &text)
+	{
+		return jn_append(jn, KIND, text.data(), text.size());
+	}
+
+	int snapshot(const std::string &text)
+	{
+		jn_image image = {KIND, text.data(), text.size()};
+
+		return jn_snapshot(jn, &image, 1);
+	}
+
+	uint64_t durable()
+	{
+		uint64_t seq = 0;
+
+		jn_poll(jn, &seq);
+		return seq;
+	}
+
+	std::vector<std::string> listing()
+	{
+		std::vector<std::string> names;
+
+		for (auto &f : std::filesystem::directory_iterator(folder))
+			if (f.path().filename() != "lock")
+				names.push_back(f.path().filename());
+		std::sort(names.begin(), names.end());
+		return names;
+	}
+};
+
+TEST_F(Journal, ReplaysTheSnapshotThenWhatFollowed)
+{
+	std::vector<std::string> texts;
+
+	ASSERT_EQ(open(), 0) << why;
+	append("one");
+	append("two");
+	EXPECT_EQ(snapshot("image"), 0);
+	EXPECT_EQ(jn_wait(jn, append("three"), 5000), 0);
+	EXPECT_EQ(durable(), 3u);
+	ASSERT_EQ(open(&texts), 0) << why;
+	EXPECT_EQ(texts, (std::vector<std::string>{"image", "three"}));
+	EXPECT_EQ(append("four"), 4u);
+	EXPECT_EQ(
+	    listing(), (std::vector<std::string>{"journal-0000000000000003.log",
+			   "snapshot-0000000000000002.img"}));
+}
+
+TEST_F(Journal, OneProcessHasTheFolder)
+{
+	struct jn *second;
+	buf reason;
+
+	ASSERT_EQ(open(), 0);
+	buf_init(&reason, nullptr);
+	EXPECT_EQ(jn_open(&options, &second, &reason), ERR_DISK);
+	EXPECT_NE(strstr(buf_text(&reason), "another process"), nullptr);
+	buf_free(&reason);
+}
+
+/* Texts "1", "2", ...; an image "N" stands for all up to N. */
+static uint64_t
+highest(const std::vector<std::string> &texts, bool *contiguous)
+{
+	uint64_t last = 0;
+
+	*contiguous = true;
+	for (size_t i = 0; i < texts.size(); i++) {
+		uint64_t v = std::stoull(texts[i]);
+
+		if (texts[i][0] == '0') /* an image: "0N" */
+			*contiguous &= i == 0;
+		else
+			*contiguous &= v == last + 1;
+		last = v;
+	}
+	return last;
+}
+
+class JournalCrash : public Journal
+{
+      protected:
+	/* Works until the disk fails; returns what was said to be durable. */
+	uint64_t work()
+	{
+		uint64_t said = 0;
+
+		if (open() != 0)
+			return 0;
+		for (int i = 1; i <= 12; i++) {
+			append(std::to_string(i));
+			if (i % 5 == 0)
+				snapshot("0" + std::to_string(i));
+			if (i % 2 == 0 && jn_wait(jn, (uint64_t)i, 5000) != 0)
+				break;
+		}
+		said = durable();
+		shut();
+		return said;
+	}
+
+	/* Crashes after each file operation; returns how often data was lost.
+	 */
+	int crash_everywhere(unsigned keep_permille)
+	{
+		int lost = 0, total = 1000;
+
+		for (int at = 1; at < total; at++) {
+			std::vector<std::string> texts;
+			bool contiguous;
+
+			std::filesystem::remove_all(folder);
+			std::filesystem::create_directory(folder);
+			disk.ops_left = at;
+			disk.ops = 0;
+			uint64_t said = work();
+			if (disk.ops <= at)
+				total = 0; /* the work was done */
+			disk.crash(keep_permille);
+			disk.ops_left = INT_MAX;
+			int e = open(&texts);
+			uint64_t last = highest(texts, &contiguous);
+			lost += e != 0 || !contiguous || last < said;
+			if (e != 0 || !contiguous || last < said)
+				note = "operation " + std::to_string(at) +
+				       ": " + why + " said " +
+				       std::to_string(said) + " found " +
+				       std::to_string(last);
+			shut();
+		}
+		return lost;
+	}
+
+	std::string note;
+};
+
+TEST_F(JournalCrash, NothingDurableIsLostAtAnyOperation)
+{
+	for (unsigned keep : {0u, 300u, 700u, 1000u})
+		EXPECT_EQ(crash_everywhere(keep), 0) << keep << " " << note;
+}
+
+TEST_F(JournalCrash, WithoutSyncsItIsLost)
+{
+	options.unsafe_skip_sync = true;
+	EXPECT_GT(crash_everywhere(0), 0);
+}
+
+TEST_F(Journal, AFailedSyncIsFinal)
+{
+	ASSERT_EQ(open(), 0);
+	EXPECT_EQ(jn_wait(jn, append("1"), 5000), 0);
+	disk.syncs_left = 0;
+	EXPECT_EQ(jn_wait(jn, append("2"), 5000), ERR_DISK);
+	disk.syncs_left = INT_MAX;
+	EXPECT_EQ(jn_wait(jn, append("3"), 5000), ERR_DISK);
+	EXPECT_EQ(durable(), 1u);
+}
+
+TEST_F(Journal, AFullDiskIsFinalAndShortWritesAreNot)
+{
+	std::vector<std::string> texts;
+
+	disk.write_max = 7;
+	ASSERT_EQ(open(), 0);
+	EXPECT_EQ(jn_wait(jn, append("1"), 5000), 0);
+	disk.space_left = 20;
+	EXPECT_EQ(jn_wait(jn, append("2"), 5000), ERR_DISK);
+	disk.space_left = SIZE_MAX;
+	EXPECT_EQ(jn_wait(jn, append("3"), 5000), ERR_DISK);
+	ASSERT_EQ(open(&texts), 0) << why;
+	EXPECT_EQ(texts, (std::vector<std::string>{"1"}));
+	struct jn_stats stats;
+	jn_stats(jn, &stats);
+	EXPECT_EQ(stats.torn_bytes, 20u);
+}
+
+/* Every bit pattern that is not the written one is refused or harmless. */
+TEST_F(Journal, AFlippedBitIsRefusedWithFileAndOffset)
+{
+	std::vector<std::string> texts, again;
+	int refused = 0;
+
+	ASSERT_EQ(open(), 0);
+	append("one");
+	snapshot("image");
+	append("two");
+	jn_wait(jn, append("three"), 5000);
+	ASSERT_EQ(open(&texts), 0);
+	shut();
+	for (const auto &name : listing()) {
+		std::string path = folder + "/" + name;
+		std::string bytes = FakeDisk::slurp(path);
+
+		for (size_t i = 0; i < bytes.size(); i++) {
+			std::string bad = bytes;
+			buf report;
+
+			bad[i] ^= 0x10;
+			std::ofstream(path, std::ios::binary) << bad;
+			buf_init(&report, nullptr);
+			again.clear();
+			if (jn_check(folder.c_str(), &report) != 0) {
+				refused++;
+				EXPECT_NE(
+				    strstr(buf_text(&report), path.c_str()),
+				    nullptr);
+			} else {
+				ASSERT_EQ(open(&again), 0);
+				EXPECT_EQ(again, texts) << name << " " << i;
+				shut();
+			}
+			buf_free(&report);
+			std::ofstream(path, std::ios::binary) << bytes;
+		}
+	}
+	EXPECT_GT(refused, 200);
+}
+
+TEST_F(Journal, ATornTailIsCutAndReported)
+{
+	std::vector<std::string> texts;
+	struct jn_stats stats;
+	std::string path = folder + "/journal-0000000000000001.log";
+
+	ASSERT_EQ(open(), 0);
+	jn_wait(jn, append("one"), 5000);
+	shut();
+	std::string bytes = FakeDisk::slurp(path);
+	std::ofstream(path, std::ios::binary) << bytes << bytes.substr(32, 20);
+	ASSERT_EQ(open(&texts), 0) << why;
+	jn_stats(jn, &stats);
+	EXPECT_EQ(stats.torn_bytes, 20u);
+	EXPECT_EQ(texts, (std::vector<std::string>{"one"}));
+}
+
+TEST_F(Journal, AMissingSegmentIsRefused)
+{
+	ASSERT_EQ(open(), 0);
+	append("one");
+	snapshot("image");
+	jn_wait(jn, append("two"), 5000);
+	shut();
+	std::filesystem::remove(folder + "/journal-0000000000000002.log");
+	EXPECT_EQ(open(), ERR_CORRUPT);
+	EXPECT_NE(why.find("segment is missing"), std::string::npos) << why;
+}
+
+TEST_F(Journal, ASnapshotIsDueWhenTheRecordsOutweighIt)
+{
+	std::string text(1000, 'x');
+
+	options.snapshot_min_bytes = 5000;
+	ASSERT_EQ(open(), 0);
+	for (int i = 0; i < 4; i++)
+		jn_wait(jn, append(text), 5000);
+	EXPECT_FALSE(jn_snapshot_due(jn));
+	for (int i = 0; i < 2; i++)
+		jn_wait(jn, append(text), 5000);
+	EXPECT_TRUE(jn_snapshot_due(jn));
+	snapshot("image");
+	jn_wait(jn, append("after"), 5000);
+	EXPECT_FALSE(jn_snapshot_due(jn));
+}
+
+TEST_F(Journal, DumpListsEachRecord)
+{
+	buf out;
+
+	ASSERT_EQ(open(), 0);
+	append("one");
+	jn_wait(jn, append("three"), 5000);
+	shut();
+	buf_init(&out, nullptr);
+	EXPECT_EQ(jn_dump(folder.c_str(), &out), 0);
+	EXPECT_NE(strstr(buf_text(&out), "seq 2 kind 0x0401 bytes 5"), nullptr);
+	EXPECT_NE(strstr(buf_text(&out), "records 2 last 2"), nullptr)
+	    << buf_text(&out);
+	buf_free(&out);
+}
