--- /dev/null
+++ b/bench/relay/main.c
@@ -0,0 +1,139 @@
+#include <signal.h>
+#include <stddef.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "flags.h"
+#include "relay.h"
+#include "serve.h"
+
+struct options {
+	const char *listen;
+	const char *to;
+	const char *control;
+	int64_t delay_ms;
+};
+
+static const struct flag flags[] = {
+    {"listen", FLAG_TEXT, offsetof(struct options, listen), 0, NULL,
+	"address to accept on, IP:PORT"},
+    {"to", FLAG_TEXT, offsetof(struct options, to), 0, NULL,
+	"address to relay to, IP:PORT"},
+    {"control", FLAG_TEXT, offsetof(struct options, control), 0, NULL,
+	"address of the control requests, IP:PORT; none without it"},
+    {"delay-ms", FLAG_NUMBER, offsetof(struct options, delay_ms), 0, NULL,
+	"one-way delay from the start"}};
+
+static volatile sig_atomic_t stop_asked;
+
+static void
+on_signal(int number)
+{
+	stop_asked = 1;
+}
+
+static enum MHD_Result
+answer_counts(struct relay *relay, struct MHD_Connection *connection)
+{
+	const struct relay_counts *c = relay_counts(relay);
+	char body[256];
+
+	snprintf(body, sizeof(body),
+	    "{\"connections\":%llu,\"open\":%llu,\"resets\":%llu,"
+	    "\"bytes_up\":%llu,\"bytes_down\":%llu}\n",
+	    (unsigned long long)c->connections, (unsigned long long)c->open,
+	    (unsigned long long)c->resets,
+	    (unsigned long long)c->bytes[RELAY_UP],
+	    (unsigned long long)c->bytes[RELAY_DOWN]);
+	return serve_json(connection, 200, body, NULL, NULL);
+}
+
+/* Cuts the link, or holds the one way that is named. */
+static bool
+control_cut(struct relay *relay, struct MHD_Connection *connection)
+{
+	const char *way = MHD_lookup_connection_value(
+	    connection, MHD_GET_ARGUMENT_KIND, "way");
+
+	if (way == NULL)
+		relay_cut(relay);
+	else if (strcmp(way, "up") == 0)
+		relay_hold(relay, RELAY_UP);
+	else if (strcmp(way, "down") == 0)
+		relay_hold(relay, RELAY_DOWN);
+	else
+		return false;
+	return true;
+}
+
+/* Carries a control request out; returns whether it is a known one. */
+static bool
+control(struct relay *relay, const struct serve_request *request)
+{
+	int64_t ms;
+
+	if (strcmp(request->path, "/cut") == 0)
+		return control_cut(relay, request->connection);
+	if (strcmp(request->path, "/mend") == 0) {
+		relay_mend(relay);
+		return true;
+	}
+	if (strcmp(request->path, "/freeze") == 0) {
+		relay_hold(relay, RELAY_UP);
+		relay_hold(relay, RELAY_DOWN);
+		return true;
+	}
+	ms = serve_argument(request->connection, "ms");
+	if (strcmp(request->path, "/delay") != 0 || ms < 0)
+		return false;
+	relay_delay(relay, ms * 1000);
+	return true;
+}
+
+static enum MHD_Result
+on_control(void *ctx, const struct serve_request *request)
+{
+	struct relay *relay = ctx;
+
+	if (strcmp(request->method, "GET") == 0)
+		return answer_counts(relay, request->connection);
+	if (strcmp(request->method, "POST") != 0 || !control(relay, request))
+		return serve_json(request->connection, 404, "{}\n", NULL, NULL);
+	return answer_counts(relay, request->connection);
+}
+
+int
+main(int argc, char **argv)
+{
+	struct options options = {0};
+	struct sockaddr_in listen_on, to;
+	struct tool_loop *loop;
+	struct relay *relay;
+
+	flags_read(argc, argv, "A TCP relay that can cut, freeze or delay.",
+	    flags, sizeof(flags) / sizeof(flags[0]), &options);
+	if (options.listen == NULL || options.to == NULL ||
+	    !flags_address(options.listen, &listen_on) ||
+	    !flags_address(options.to, &to)) {
+		fprintf(stderr, "cf-relay: --listen and --to need IP:PORT\n");
+		return 2;
+	}
+	signal(SIGPIPE, SIG_IGN);
+	signal(SIGTERM, on_signal);
+	signal(SIGINT, on_signal);
+	loop = tl_new();
+	relay = relay_new(loop, &listen_on, &to);
+	if (relay == NULL) {
+		fprintf(stderr, "can't listen on %s\n", options.listen);
+		return 1;
+	}
+	relay_delay(relay, options.delay_ms * 1000);
+	if (options.control != NULL &&
+	    serve_start(loop, options.control, on_control, relay) == NULL)
+		return 1;
+	while (!stop_asked)
+		tl_turn(loop, relay_tick(relay, tl_now_us()));
+	relay_free(relay);
+	return 0;
+}
