Test the tools as processes

Programs listen on ports that the system chooses and print the address, so that the tests need no fixed ports.

--- a/bench/load/main.c
+++ b/bench/load/main.c
@@ -66,7 +66,8 @@
 send_due(struct load *load, int64_t now_us)
 {
 	const struct resend *resend;
-	int64_t due_us = now_us + SECOND_US;
+	int64_t due_us =
+	    now_us < load->end_us ? load->end_us : now_us + SECOND_US;
 
 	while (load->next_us <= now_us && load->next_us < load->end_us) {
 		shot_fire(load, load->next_us);
--- a/bench/relay/main.c
+++ b/bench/relay/main.c
@@ -128,6 +128,7 @@
 		fprintf(stderr, "can't listen on %s\n", options.listen);
 		return 1;
 	}
+	serve_print_address("relays", options.listen, relay_port(relay), NULL);
 	relay_delay(relay, options.delay_ms * 1000);
 	if (options.control != NULL &&
 	    serve_start(loop, options.control, on_control, relay) == NULL)
--- a/bench/relay/relay.c
+++ b/bench/relay/relay.c
@@ -1,6 +1,7 @@
 #include "relay.h"
 
 #include <errno.h>
+#include <arpa/inet.h>
 #include <netinet/tcp.h>
 #include <string.h>
 #include <sys/socket.h>
@@ -346,6 +347,17 @@
 	return relay;
 }
 
+/* Returns the port that it listens on. */
+uint16_t
+relay_port(const struct relay *relay)
+{
+	struct sockaddr_in address = {0};
+	socklen_t len = sizeof(address);
+
+	getsockname(relay->listen_fd, (void *)&address, &len);
+	return ntohs(address.sin_port);
+}
+
 /* Closes everything. */
 void
 relay_free(struct relay *relay)
--- a/bench/relay/relay.h
+++ b/bench/relay/relay.h
@@ -30,6 +30,7 @@
 
 struct relay *relay_new(struct tool_loop *loop,
     const struct sockaddr_in *listen, const struct sockaddr_in *to);
+uint16_t relay_port(const struct relay *relay);
 void relay_free(struct relay *relay);
 int64_t relay_tick(struct relay *relay, int64_t now_us);
 void relay_cut(struct relay *relay);
--- a/fakes/engine/announce.c
+++ b/fakes/engine/announce.c
@@ -26,6 +26,12 @@
 	bool stored;
 };
 
+/* The posts to one URL: one at a time. */
+struct post {
+	struct engine *engine;
+	bool busy;
+};
+
 struct announcer {
 	int64_t next_us;
 	uint64_t sequence;
@@ -35,7 +41,7 @@
 	unsigned block_at;
 	struct cache_event events[ANNOUNCE_EVENTS];
 	int event_count;
-	bool busy[FLAGS_ITEMS_MAX]; /* by URL: one post at a time */
+	struct post posts[FLAGS_ITEMS_MAX]; /* by URL */
 };
 
 /* Makes the announcer; its first announcement is due at once. */
@@ -154,7 +160,7 @@
 	return list;
 }
 
-/* Returns the cache events since the last announcement, and forgets them. */
+/* Returns the cache events since the last announcement. */
 static json_t *
 announce_events(struct announcer *a)
 {
@@ -170,12 +176,11 @@
 			      (json_int_t)a->events[i].sequence, "prefix",
 			      prefix, "stored", a->events[i].stored));
 	}
-	a->event_count = 0;
 	return list;
 }
 
 /* Returns the announcement as JSON text for free(3). */
-static char *
+char *
 announce_text(struct engine *engine)
 {
 	const struct engine_options *o = &engine->options;
@@ -185,7 +190,7 @@
 
 	root = json_pack("{s:s, s:s, s:s, s:I, s:o, s:o, s:s, s:I, s:I, s:i, "
 			 "s:i, s:I, s:b, s:o}",
-	    "server", o->name, "address", o->listen, "data_centre",
+	    "server", o->name, "address", engine->address, "data_centre",
 	    o->data_centre, "incarnation", (json_int_t)engine->incarnation,
 	    "versions", announce_names(&o->versions), "services",
 	    announce_names(&o->services), "warmth",
@@ -202,9 +207,11 @@
 static void
 on_posted(void *ctx, CURL *easy, CURLcode code)
 {
-	bool *busy = ctx;
+	struct post *post = ctx;
 
-	*busy = false;
+	post->busy = false;
+	if (code == CURLE_OK)
+		post->engine->stats.announced++;
 }
 
 /* Announces to every URL whose last announcement has ended. */
@@ -217,14 +224,16 @@
 	int i;
 
 	for (i = 0; i < engine->options.announce.count; i++) {
-		if (a->busy[i])
+		if (a->posts[i].busy)
 			continue;
-		a->busy[i] = true;
+		a->posts[i].engine = engine;
+		a->posts[i].busy = true;
 		url = apr_psprintf(engine->pool, "%s/v1/announce",
 		    engine->options.announce.items[i]);
 		tl_post(engine->loop, url, text, ANNOUNCE_TIMEOUT_MS, on_posted,
-		    &a->busy[i]);
+		    &a->posts[i]);
 	}
+	a->event_count = 0;
 	free(text);
 }
 
--- a/fakes/engine/engine.h
+++ b/fakes/engine/engine.h
@@ -111,6 +111,7 @@
 	uint64_t service_runs;
 	uint64_t double_runs;
 	uint64_t attempts_repeated;
+	uint64_t announced; /* announcements that were answered */
 	uint64_t orders;
 	uint64_t orders_stale;
 	uint64_t cold_peak;
@@ -126,6 +127,7 @@
 	struct tool_loop *loop;
 	apr_pool_t *pool;
 	struct rng rng;
+	char *address; /* with the port that the system chose */
 	uint64_t incarnation;
 	int64_t cold_until_us;
 	struct call *calls;
@@ -165,6 +167,7 @@
 void announce_free(struct engine *engine);
 int64_t announce_tick(struct engine *engine);
 uint32_t announce_prompt(struct engine *engine, const char *text, size_t len);
+char *announce_text(struct engine *engine);
 void announce_now(struct engine *engine);
 
 /* stats.c */
--- a/fakes/engine/http.c
+++ b/fakes/engine/http.c
@@ -190,6 +190,18 @@
 	return result;
 }
 
+/* Answers what the next announcement says, for tests. */
+static enum MHD_Result
+http_announcement(struct engine *engine, struct call *call)
+{
+	char *text = announce_text(engine);
+	enum MHD_Result result;
+
+	result = serve_json(call->connection, 200, text, NULL, NULL);
+	free(text);
+	return result;
+}
+
 /* Hands a whole request to its path's function. */
 static enum MHD_Result
 http_route(struct engine *engine, struct call *call, const char *method)
@@ -209,6 +221,8 @@
 		return http_set(engine, call);
 	if (strcmp(call->path, "/fake/stats") == 0)
 		return http_stats(engine, call);
+	if (strcmp(call->path, "/fake/announcement") == 0)
+		return http_announcement(engine, call);
 	if (strcmp(call->path, "/healthz") == 0)
 		return serve_json(call->connection, 200, "{}\n", NULL, NULL);
 	return http_error(call, ERR_NOT_FOUND);
--- a/fakes/engine/main.c
+++ b/fakes/engine/main.c
@@ -142,6 +142,9 @@
 		return 1;
 	}
 	tl_serve(engine.loop, daemon);
+	serve_print_address("serves", engine.options.listen,
+	    MHD_get_daemon_info(daemon, MHD_DAEMON_INFO_BIND_PORT)->port,
+	    &engine.address);
 	serve(&engine);
 	if (engine.options.stats_file != NULL)
 		write_stats(&engine);
--- a/fakes/engine/stats.c
+++ b/fakes/engine/stats.c
@@ -92,6 +92,7 @@
 	json_object_set_new(root, "double_runs", json_integer(s->double_runs));
 	json_object_set_new(root, "peak", json_integer(s->peak));
 	json_object_set_new(root, "cold_peak", json_integer(s->cold_peak));
+	json_object_set_new(root, "announced", json_integer(s->announced));
 	json_object_set_new(root, "orders", json_integer(s->orders));
 	json_object_set_new(
 	    root, "orders_stale", json_integer(s->orders_stale));
--- a/fakes/serve.c
+++ b/fakes/serve.c
@@ -43,6 +43,28 @@
 	return text == NULL ? -1 : strtoll(text, NULL, 10);
 }
 
+/*
+ * Prints the address that a program listens on, with the port that the system
+ * chose for port 0, as a line "WHAT IP:PORT".  If address is not NULL, it gets
+ * the text, for free(3).
+ */
+void
+serve_print_address(
+    const char *what, const char *listen, uint16_t port, char **address)
+{
+	int host = (int)strcspn(listen, ":");
+	char *text;
+
+	if (asprintf(&text, "%.*s:%u", host, listen, port) < 0)
+		abort();
+	printf("%s %s\n", what, text);
+	fflush(stdout);
+	if (address != NULL)
+		*address = text;
+	else
+		free(text);
+}
+
 static enum MHD_Result
 on_request(void *ctx, struct MHD_Connection *connection, const char *url,
     const char *method, const char *version, const char *data, size_t *size,
@@ -84,8 +106,9 @@
 }
 
 /*
- * Listens on IP:PORT and serves on the loop until the process ends.  Returns
- * NULL, after a line on stderr, if the address can't be used.
+ * Listens on IP:PORT, prints the address and serves on the loop until the
+ * process ends.  Returns NULL, after a line on stderr, if the address can't be
+ * used.
  */
 struct MHD_Daemon *
 serve_start(
@@ -94,6 +117,7 @@
 	static struct serve serve;
 	struct sockaddr_in address;
 	struct MHD_Daemon *daemon = NULL;
+	const union MHD_DaemonInfo *info;
 
 	serve.handler = handler;
 	serve.ctx = ctx;
@@ -104,7 +128,10 @@
 		    MHD_OPTION_END);
 	if (daemon == NULL)
 		fprintf(stderr, "can't listen on %s\n", listen);
-	else
-		tl_serve(loop, daemon);
+	if (daemon == NULL)
+		return NULL;
+	tl_serve(loop, daemon);
+	info = MHD_get_daemon_info(daemon, MHD_DAEMON_INFO_BIND_PORT);
+	serve_print_address("serves", listen, info->port, NULL);
 	return daemon;
 }
--- a/fakes/serve.h
+++ b/fakes/serve.h
@@ -21,6 +21,8 @@
 typedef enum MHD_Result (*serve_fn)(
     void *ctx, const struct serve_request *request);
 
+void serve_print_address(
+    const char *what, const char *listen, uint16_t port, char **address);
 struct MHD_Daemon *serve_start(
     struct tool_loop *loop, const char *listen, serve_fn handler, void *ctx);
 enum MHD_Result serve_json(struct MHD_Connection *connection, unsigned status,
--- /dev/null
+++ b/test/process/tools.bash
@@ -0,0 +1,80 @@
+# Shared by the process tests: starts programs on ports that the system
+# chooses, stops them by pid, and compares what they answer.
+set -u
+build=$(cd "$1" && pwd)
+dir=$(mktemp -d)
+pids=
+failures=0
+
+finish() {
+	local p
+	for p in $pids; do kill "$p" 2>/dev/null; done
+	wait
+	rm -rf "$dir"
+	if [ "$failures" -ne 0 ]; then
+		echo "$failures checks failed"
+		exit 1
+	fi
+	echo "all checks passed"
+}
+trap finish EXIT
+
+# start NAME PROGRAM FLAGS...: sets $pid, and $addr to what it serves.
+start() {
+	local name=$1 program=$2
+	shift 2
+	"$build/$program" "$@" >"$dir/$name.out" 2>"$dir/$name.err" &
+	pid=$!
+	pids="$pids $pid"
+	until addr=$(sed -n 's/^serves //p' "$dir/$name.out") && [ -n "$addr" ]; do
+		kill -0 "$pid" 2>/dev/null || break
+		sleep 0.01
+	done
+}
+
+# until_says TEXT COMMAND...: polls for at most five seconds.
+until_says() {
+	local text=$1
+	shift
+	for _ in $(seq 250); do
+		"$@" 2>/dev/null | grep -q -- "$text" && return 0
+		sleep 0.02
+	done
+	return 1
+}
+
+# check WHAT WANTED GOT
+check() {
+	if [ "$2" = "$3" ]; then
+		echo "ok    $1"
+	else
+		echo "FAIL  $1: wanted '$2', got '$3'"
+		failures=$((failures + 1))
+	fi
+}
+
+# has WHAT TEXT GOT
+has() {
+	case $3 in
+	*"$2"*) echo "ok    $1" ;;
+	*)
+		echo "FAIL  $1: no '$2' in '$3'"
+		failures=$((failures + 1))
+		;;
+	esac
+}
+
+# field NAME JSON: a number or a plain string of a flat JSON object.
+field() {
+	printf '%s' "$2" | sed -n "s/.*\"$1\": *\"\{0,1\}\([^,\"}]*\).*/\1/p"
+}
+
+# chat ADDRESS STREAM TEXT CURL-FLAGS...
+chat() {
+	local at=$1 stream=$2 text=$3
+	shift 3
+	curl -s -m 5 "$@" -d "{\"model\":\"drafter/small-1\",\"stream\":$stream,
+	    \"max_tokens\":5,
+	    \"messages\":[{\"role\":\"user\",\"content\":\"$text\"}]}" \
+	    "http://$at/v1/chat/completions"
+}
