--- a/fakes/engine/chat.c
+++ b/fakes/engine/chat.c
@@ -218,7 +218,6 @@
 	if (call->conn->silent || work_due(engine, call) <= call->sent) {
 		if (call->sent < call->tokens || call->conn->silent) {
 			work_suspend(call);
-			engine->next_due_us = 0;
 			return 0;
 		}
 	}
--- a/fakes/engine/http.c
+++ b/fakes/engine/http.c
@@ -148,7 +148,6 @@
 	wanted = call->stream ? 1 : call->tokens;
 	if (call->conn->silent || work_due(engine, call) < wanted) {
 		work_suspend(call);
-		engine->next_due_us = 0;
 		return MHD_YES;
 	}
 	return call->service ? service_answer(engine, call)
--- a/fakes/engine/work.c
+++ b/fakes/engine/work.c
@@ -9,7 +9,8 @@
 
 enum {
 	WORK_SCAN_US = 20000, /* between looks for clients that are gone */
-	WORK_IDLE_US = 1000000
+	WORK_IDLE_US = 1000000,
+	WORK_CALLS_PER_US = 10 /* a look at all calls waits for so many */
 };
 
 /* Returns whether the engine is still in its cold start. */
@@ -125,12 +126,26 @@
 		work_start(engine, next);
 }
 
+/* Returns when a call wants to be resumed: next token, or whole answer. */
+static int64_t
+work_wanted_us(const struct engine *engine, const struct call *call)
+{
+	uint32_t tokens = call->stream ? call->sent : call->tokens - 1;
+
+	return call->first_due_us + tokens * engine->options.token_us;
+}
+
 /* Suspends a call's connection until work_tick() finds a token due. */
 void
 work_suspend(struct call *call)
 {
+	struct engine *engine = call->engine;
+	int64_t wanted_us = work_wanted_us(engine, call);
+
 	call->suspended = true;
 	MHD_suspend_connection(call->connection);
+	if (call->started && wanted_us < engine->next_due_us)
+		engine->next_due_us = wanted_us;
 }
 
 /* Returns how many tokens of a call are due by now. */
@@ -155,15 +170,6 @@
 	return due < call->tokens ? (uint32_t)due : call->tokens;
 }
 
-/* Returns when a call wants to be resumed: next token, or whole answer. */
-static int64_t
-work_wanted_us(const struct engine *engine, const struct call *call)
-{
-	uint32_t tokens = call->stream ? call->sent : call->tokens - 1;
-
-	return call->first_due_us + tokens * engine->options.token_us;
-}
-
 /* Returns whether a suspended call's client has closed its connection. */
 static bool
 work_client_gone(const struct call *call)
@@ -208,7 +214,7 @@
 work_tick(struct engine *engine)
 {
 	int64_t now_us = tl_now_us();
-	int64_t wanted_us;
+	int64_t wanted_us, soonest_us;
 	struct call *call;
 
 	if (now_us >= engine->next_scan_us) {
@@ -217,6 +223,7 @@
 	}
 	if (now_us >= engine->next_due_us) {
 		engine->next_due_us = now_us + WORK_IDLE_US;
+		soonest_us = now_us + engine->admitted / WORK_CALLS_PER_US;
 		for (call = engine->calls; call != NULL; call = call->next) {
 			if (!call->started || !call->suspended ||
 			    call->conn->silent)
@@ -227,6 +234,8 @@
 			else if (wanted_us < engine->next_due_us)
 				engine->next_due_us = wanted_us;
 		}
+		if (engine->next_due_us < soonest_us)
+			engine->next_due_us = soonest_us;
 	}
 	if (engine->calls == NULL)
 		return now_us + WORK_IDLE_US;
