--- a/bench/load/shot.c
+++ b/bench/load/shot.c
@@ -34,6 +34,7 @@
 {
 	const struct load_options *o = &shot->load->options;
 	char text[LOAD_NAME_BYTES * 2];
+	int fill = (int)o->prompt_tokens * 4;
 
 	shot_header(shot, "Content-Type", "application/json");
 	shot_header(shot, "Expect", "");
@@ -55,9 +56,17 @@
 	}
 	buf_addf(&shot->body,
 	    "{\"model\":\"%s\",\"stream\":%s,\"max_tokens\":%lld,"
-	    "\"messages\":[{\"role\":\"user\",\"content\":\"%s %s\"}]}",
+	    "\"messages\":[",
 	    o->model, shot->kind == SHOT_STREAM ? "true" : "false",
-	    (long long)o->max_tokens, shot->tag, shot->load->padding);
+	    (long long)o->max_tokens);
+	if (shot->session[0] != '\0') {
+		fill /= 2;
+		buf_addf(&shot->body,
+		    "{\"role\":\"system\",\"content\":\"%s %.*s\"},",
+		    shot->session, fill, shot->load->padding);
+	}
+	buf_addf(&shot->body, "{\"role\":\"user\",\"content\":\"%s %.*s\"}]}",
+	    shot->tag, fill, shot->load->padding);
 }
 
 static void shot_send(struct shot *shot);
--- a/fakes/engine/announce.c
+++ b/fakes/engine/announce.c
@@ -2,13 +2,10 @@
 #include <jansson.h>
 #include <stdlib.h>
 #include <string.h>
-#include <xxhash.h>
 
 #include "engine.h"
 
 enum {
-	ANNOUNCE_PREFIXES = 8, /* of one prompt */
-	ANNOUNCE_PREFIX_BYTES = 256, /* the shortest; each next is twice it */
 	ANNOUNCE_EVENTS = 256, /* cache events in one announcement */
 	ANNOUNCE_LOADS = 64, /* past load reports, for the lag */
 	ANNOUNCE_TIMEOUT_MS = 1000
@@ -103,26 +100,14 @@
 	announce_event(engine, prefix, true);
 }
 
-/*
- * Looks a prompt up in the prefix cache and stores it.  Prefixes are XXH64 of
- * the first 256, 512, 1024... bytes.  Returns how many bytes were not cached.
- */
-uint32_t
-announce_prompt(struct engine *engine, const char *text, size_t len)
+/* Looks a prefix up in the cache and stores it; returns whether it was held. */
+bool
+announce_prefix(struct engine *engine, uint64_t prefix)
 {
-	size_t bytes = ANNOUNCE_PREFIX_BYTES, cached = 0;
-	uint64_t prefix;
-	int i;
-
-	for (i = 0; i < ANNOUNCE_PREFIXES && bytes <= len; i++) {
-		prefix = XXH64(text, bytes, 0);
-		if (announce_holds(engine, prefix))
-			cached = bytes;
-		else
-			announce_store(engine, prefix);
-		bytes *= 2;
-	}
-	return (uint32_t)(len - cached);
+	if (announce_holds(engine, prefix))
+		return true;
+	announce_store(engine, prefix);
+	return false;
 }
 
 /* Returns the load as it was report_lag_ms ago. */
--- a/fakes/engine/chat.c
+++ b/fakes/engine/chat.c
@@ -1,13 +1,16 @@
 #include <jansson.h>
 #include <stdio.h>
 #include <string.h>
+#include <xxhash.h>
 
 #include "engine.h"
 
 enum {
 	CHAT_PIECE_BYTES = 1024, /* more than one event ever takes */
 	CHAT_TOKENS_MIN = 3, /* tag, verdict, end */
-	CHAT_TOKENS_MAX = 65536
+	CHAT_TOKENS_MAX = 65536,
+	CHAT_TOKEN_BYTES = 4, /* of a prompt's token */
+	CHAT_PREFIXES = 8 /* of one prompt */
 };
 
 static void
@@ -28,37 +31,39 @@
 	call->tag[len] = '\0';
 }
 
-/* Reads the messages: the tag, and the prompt's length in the cache. */
+/*
+ * Reads the messages: the tag, and how much of the prompt is in the cache.  A
+ * prefix ends with each of the first messages, and is the chained XXH64 of
+ * the roles and contents up to there.
+ */
 static int
 chat_read_messages(struct engine *engine, struct call *call, json_t *list)
 {
-	const char *content = NULL;
-	struct buf text;
-	uint32_t missing;
-	size_t i;
+	size_t i, len = 0, cached = 0;
+	const char *role, *content;
+	uint64_t prefix = 0;
 	json_t *message;
 
 	if (!json_is_array(list) || json_array_size(list) == 0)
 		return ERR_MALFORMED;
-	buf_init(&text, alloc_default());
 	json_array_foreach(list, i, message)
 	{
+		role = json_string_value(json_object_get(message, "role"));
 		content =
 		    json_string_value(json_object_get(message, "content"));
-		if (content == NULL)
-			break;
-		buf_adds(&text, content);
-		buf_adds(&text, "\n");
-	}
-	if (content != NULL) {
+		if (role == NULL || content == NULL)
+			return ERR_MALFORMED;
+		prefix = XXH64(role, strlen(role), prefix);
+		prefix = XXH64(content, strlen(content), prefix);
+		len += strlen(content);
+		if (i < CHAT_PREFIXES && announce_prefix(engine, prefix))
+			cached = len;
 		chat_read_tag(call, content);
-		call->prompt_tokens = (uint32_t)(text.len / 4 + 1);
-		missing = announce_prompt(engine, buf_text(&text), text.len);
-		call->first_due_us =
-		    missing / 4 * engine->options.prompt_token_us;
 	}
-	buf_free(&text);
-	return content == NULL ? ERR_MALFORMED : 0;
+	call->prompt_tokens = (uint32_t)(len / CHAT_TOKEN_BYTES + 1);
+	call->first_due_us = (int64_t)((len - cached) / CHAT_TOKEN_BYTES) *
+			     engine->options.prompt_token_us;
+	return 0;
 }
 
 static bool
--- a/fakes/engine/engine.h
+++ b/fakes/engine/engine.h
@@ -166,7 +166,7 @@
 void announce_init(struct engine *engine);
 void announce_free(struct engine *engine);
 int64_t announce_tick(struct engine *engine);
-uint32_t announce_prompt(struct engine *engine, const char *text, size_t len);
+bool announce_prefix(struct engine *engine, uint64_t prefix);
 char *announce_text(struct engine *engine);
 void announce_now(struct engine *engine);
 
