--- a/bench/relay/main.c
+++ b/bench/relay/main.c
@@ -11,6 +11,7 @@
 struct options {
 	const char *listen;
 	const char *to;
+	struct flag_list links;
 	const char *control;
 	int64_t delay_ms;
 };
@@ -20,6 +21,8 @@
 	"address to accept on, IP:PORT"},
     {"to", FLAG_TEXT, offsetof(struct options, to), 0, NULL,
 	"address to relay to, IP:PORT"},
+    {"link", FLAG_LIST, offsetof(struct options, links), 0, NULL,
+	"IP:PORT=IP:PORT, one more address and where it leads"},
     {"control", FLAG_TEXT, offsetof(struct options, control), 0, NULL,
 	"address of the control requests, IP:PORT; none without it"},
     {"delay-ms", FLAG_NUMBER, offsetof(struct options, delay_ms), 0, NULL,
@@ -103,32 +106,69 @@
 	return answer_counts(relay, request->connection);
 }
 
+/* Relays one address to another; a wrong one ends the process. */
+static void
+add(struct relay *relay, const char *listen, const char *to)
+{
+	struct sockaddr_in listen_on, to_address;
+	int port;
+
+	if (!flags_address(listen, &listen_on) ||
+	    !flags_address(to, &to_address)) {
+		fprintf(stderr, "cf-relay: %s to %s: IP:PORT is needed\n",
+		    listen, to);
+		exit(2);
+	}
+	port = relay_add(relay, &listen_on, &to_address);
+	if (port < 0) {
+		fprintf(stderr, "can't listen on %s\n", listen);
+		exit(1);
+	}
+	serve_print_address("relays", listen, (uint16_t)port, NULL);
+}
+
+/* Adds the addresses that the flags name. */
+static void
+add_all(struct relay *relay, const struct options *options)
+{
+	char listen[64];
+	const char *to;
+	int i;
+
+	if (options->listen != NULL && options->to != NULL)
+		add(relay, options->listen, options->to);
+	for (i = 0; i < options->links.count; i++) {
+		to = strchr(options->links.items[i], '=');
+		if (to == NULL)
+			to = "=";
+		snprintf(listen, sizeof(listen), "%.*s",
+		    (int)strcspn(options->links.items[i], "="),
+		    options->links.items[i]);
+		add(relay, listen, to + 1);
+	}
+}
+
 int
 main(int argc, char **argv)
 {
 	struct options options = {0};
-	struct sockaddr_in listen_on, to;
 	struct tool_loop *loop;
 	struct relay *relay;
 
 	flags_read(argc, argv, "A TCP relay that can cut, freeze or delay.",
 	    flags, sizeof(flags) / sizeof(flags[0]), &options);
-	if (options.listen == NULL || options.to == NULL ||
-	    !flags_address(options.listen, &listen_on) ||
-	    !flags_address(options.to, &to)) {
-		fprintf(stderr, "cf-relay: --listen and --to need IP:PORT\n");
+	if ((options.listen == NULL || options.to == NULL) &&
+	    options.links.count == 0) {
+		fprintf(stderr,
+		    "cf-relay: --listen and --to, or --link, are needed\n");
 		return 2;
 	}
 	signal(SIGPIPE, SIG_IGN);
 	signal(SIGTERM, on_signal);
 	signal(SIGINT, on_signal);
 	loop = tl_new();
-	relay = relay_new(loop, &listen_on, &to);
-	if (relay == NULL) {
-		fprintf(stderr, "can't listen on %s\n", options.listen);
-		return 1;
-	}
-	serve_print_address("relays", options.listen, relay_port(relay), NULL);
+	relay = relay_new(loop);
+	add_all(relay, &options);
 	relay_delay(relay, options.delay_ms * 1000);
 	if (options.control != NULL &&
 	    serve_start(loop, options.control, on_control, relay) == NULL)
--- a/bench/relay/relay.c
+++ b/bench/relay/relay.c
@@ -14,7 +14,8 @@
 	RELAY_ACCEPTS = 64, /* connections taken in one turn */
 	RELAY_PIECE_BYTES = 64 << 10,
 	RELAY_KEPT_BYTES = 1 << 20, /* of one way before it stops reading */
-	RELAY_IDLE_US = 1000000
+	RELAY_IDLE_US = 1000000,
+	RELAY_ROUTES_MAX = 64
 };
 
 /* Bytes not sent yet; none at all stand for the end of the stream. */
@@ -41,10 +42,17 @@
 	struct flow flows[RELAY_WAYS];
 };
 
-struct relay {
-	struct tool_loop *loop;
+/* One address that is relayed to another. */
+struct route {
+	struct relay *relay;
 	struct sockaddr_in to;
 	int listen_fd;
+};
+
+struct relay {
+	struct tool_loop *loop;
+	struct route routes[RELAY_ROUTES_MAX];
+	int route_count;
 	struct pair *pairs;
 	bool cut;
 	bool held[RELAY_WAYS];
@@ -279,12 +287,13 @@
 
 /* Makes a pair of an accepted socket; a cut relay resets it instead. */
 static void
-pair_open(struct relay *relay, int fd)
+pair_open(const struct route *route, int fd)
 {
+	struct relay *relay = route->relay;
 	const struct linger linger = {1, 0};
 	const int on = 1;
 	struct pair *pair;
-	int to = relay->cut ? -1 : connect_to(&relay->to);
+	int to = relay->cut ? -1 : connect_to(&route->to);
 
 	if (to < 0) {
 		setsockopt(fd, SOL_SOCKET, SO_LINGER, &linger, sizeof(linger));
@@ -310,7 +319,7 @@
 static void
 on_accept(void *ctx, int listen_fd, apr_int16_t events)
 {
-	struct relay *relay = ctx;
+	struct route *route = ctx;
 	int fd, i;
 
 	for (i = 0; i < RELAY_ACCEPTS; i++) {
@@ -318,54 +327,77 @@
 		    listen_fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
 		if (fd < 0)
 			return;
-		pair_open(relay, fd);
+		pair_open(route, fd);
 	}
 }
 
-/* Listens and relays to the other address; NULL if it can't listen. */
+/* Makes a relay without addresses yet. */
 struct relay *
-relay_new(struct tool_loop *loop, const struct sockaddr_in *listen_on,
-    const struct sockaddr_in *to)
+relay_new(struct tool_loop *loop)
+{
+	struct relay *relay = alloc_zero(alloc_default(), 1, sizeof(*relay));
+
+	relay->loop = loop;
+	return relay;
+}
+
+static int
+listen_on_address(const struct sockaddr_in *address)
 {
-	struct relay *relay;
 	const int on = 1;
 	int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
 
 	if (fd < 0)
-		return NULL;
+		return -1;
 	setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
-	if (bind(fd, (const void *)listen_on, sizeof(*listen_on)) != 0 ||
+	if (bind(fd, (const void *)address, sizeof(*address)) != 0 ||
 	    listen(fd, RELAY_BACKLOG) != 0) {
 		close(fd);
-		return NULL;
+		return -1;
 	}
-	relay = alloc_zero(alloc_default(), 1, sizeof(*relay));
-	relay->loop = loop;
-	relay->to = *to;
-	relay->listen_fd = fd;
-	tl_watch(loop, fd, APR_POLLIN, on_accept, relay);
-	return relay;
+	return fd;
 }
 
-/* Returns the port that it listens on. */
-uint16_t
-relay_port(const struct relay *relay)
+/*
+ * Listens on one address and relays to the other.  Returns the port that it
+ * listens on, or -1 if it can't listen or has too many addresses.
+ */
+int
+relay_add(struct relay *relay, const struct sockaddr_in *listen_on,
+    const struct sockaddr_in *to)
 {
-	struct sockaddr_in address = {0};
-	socklen_t len = sizeof(address);
+	struct route *route = &relay->routes[relay->route_count];
+	struct sockaddr_in bound = {0};
+	socklen_t len = sizeof(bound);
+	int fd;
 
-	getsockname(relay->listen_fd, (void *)&address, &len);
-	return ntohs(address.sin_port);
+	if (relay->route_count == RELAY_ROUTES_MAX)
+		return -1;
+	fd = listen_on_address(listen_on);
+	if (fd < 0)
+		return -1;
+	route->relay = relay;
+	route->to = *to;
+	route->listen_fd = fd;
+	relay->route_count++;
+	tl_watch(relay->loop, fd, APR_POLLIN, on_accept, route);
+	getsockname(fd, (void *)&bound, &len);
+	return ntohs(bound.sin_port);
 }
 
 /* Closes everything. */
 void
 relay_free(struct relay *relay)
 {
+	int i, fd;
+
 	while (relay->pairs != NULL)
 		pair_close(relay->pairs, false);
-	tl_watch(relay->loop, relay->listen_fd, 0, on_accept, relay);
-	close(relay->listen_fd);
+	for (i = 0; i < relay->route_count; i++) {
+		fd = relay->routes[i].listen_fd;
+		tl_watch(relay->loop, fd, 0, on_accept, &relay->routes[i]);
+		close(fd);
+	}
 	alloc_free(alloc_default(), relay);
 }
 
--- a/bench/relay/relay.h
+++ b/bench/relay/relay.h
@@ -8,13 +8,14 @@
 #include "tool_loop.h"
 
 /*
- * A TCP relay for one link.  Bytes go straight from a receive to a send; only
+ * A TCP relay for one link between two places, which may carry several
+ * addresses.  Bytes go straight from a receive to a send; only
  * what the other side does not take yet, or what is delayed, is kept.  A way
  * that is held keeps its bytes and stays silent until it is mended; a relay
  * that is cut resets its connections and every new one.
  */
 enum relay_way {
-	RELAY_UP, /* from those who connect to --to */
+	RELAY_UP, /* from those who connect */
 	RELAY_DOWN,
 	RELAY_WAYS
 };
@@ -28,9 +29,9 @@
 
 struct relay;
 
-struct relay *relay_new(struct tool_loop *loop,
-    const struct sockaddr_in *listen, const struct sockaddr_in *to);
-uint16_t relay_port(const struct relay *relay);
+struct relay *relay_new(struct tool_loop *loop);
+int relay_add(struct relay *relay, const struct sockaddr_in *listen_on,
+    const struct sockaddr_in *to);
 void relay_free(struct relay *relay);
 int64_t relay_tick(struct relay *relay, int64_t now_us);
 void relay_cut(struct relay *relay);
--- a/test/process/relay.sh
+++ b/test/process/relay.sh
@@ -3,9 +3,11 @@
 . "$(dirname "$0")/tools.bash"
 start engine cf-fake-engine --listen 127.0.0.1:0 --version drafter/small-1 --leave-ms 0
 engine=$addr
-start relay cf-relay --listen 127.0.0.1:0 --to "$engine" --control 127.0.0.1:0
+start relay cf-relay --listen 127.0.0.1:0 --to "$engine" \
+    --link "127.0.0.1:0=$engine" --control 127.0.0.1:0
 control=$addr
-link=$(sed -n 's/^relays //p' "$dir/relay.out")
+link=$(sed -n 's/^relays //p' "$dir/relay.out" | head -1)
+second=$(sed -n 's/^relays //p' "$dir/relay.out" | tail -1)
 order() { curl -s -m 5 -X POST "http://$control/$1"; }
 ask() { chat "$link" true "$1" -o "$dir/answer" -w '%{time_total}' "${@:2}" 2>/dev/null; }
 at_least() { awk -v t="$1" -v s="$2" 'BEGIN { print (t >= s) ? "yes" : "no" }'; }
@@ -21,6 +23,8 @@
 order cut >/dev/null
 ask t4 >/dev/null
 check 'a cut link resets' 56 $?
+chat "$second" true t4 -o /dev/null
+check 'on all its addresses' 56 $?
 order mend >/dev/null
 ask t5 >/dev/null
 check 'mended, it connects again' 0 $?
