--- a/fakes/engine/announce.c
+++ b/fakes/engine/announce.c
@@ -2,13 +2,10 @@
 #include <jansson.h>
 #include <stdlib.h>
 #include <string.h>
-#include <xxhash.h>
 
 #include "engine.h"
 
 enum {
-	ANNOUNCE_PREFIXES = 8, /* of one prompt */
-	ANNOUNCE_PREFIX_BYTES = 256, /* the shortest; each next is twice it */
 	ANNOUNCE_EVENTS = 256, /* cache events in one announcement */
 	ANNOUNCE_LOADS = 64, /* past load reports, for the lag */
 	ANNOUNCE_TIMEOUT_MS = 1000
@@ -26,6 +23,12 @@
 	bool stored;
 };
 
+/* The posts to one URL: one at a time. */
+struct post {
+	struct engine *engine;
+	bool busy;
+};
+
 struct announcer {
 	int64_t next_us;
 	uint64_t sequence;
@@ -35,7 +38,7 @@
 	unsigned block_at;
 	struct cache_event events[ANNOUNCE_EVENTS];
 	int event_count;
-	bool busy[FLAGS_ITEMS_MAX]; /* by URL: one post at a time */
+	struct post posts[FLAGS_ITEMS_MAX]; /* by URL */
 };
 
 /* Makes the announcer; its first announcement is due at once. */
@@ -97,26 +100,14 @@
 	announce_event(engine, prefix, true);
 }
 
-/*
- * Looks a prompt up in the prefix cache and stores it.  Prefixes are XXH64 of
- * the first 256, 512, 1024... bytes.  Returns how many bytes were not cached.
- */
-uint32_t
-announce_prompt(struct engine *engine, const char *text, size_t len)
+/* Looks a prefix up in the cache and stores it; returns whether it was held. */
+bool
+announce_prefix(struct engine *engine, uint64_t prefix)
 {
-	size_t bytes = ANNOUNCE_PREFIX_BYTES, cached = 0;
-	uint64_t prefix;
-	int i;
-
-	for (i = 0; i < ANNOUNCE_PREFIXES && bytes <= len; i++) {
-		prefix = XXH64(text, bytes, 0);
-		if (announce_holds(engine, prefix))
-			cached = bytes;
-		else
-			announce_store(engine, prefix);
-		bytes *= 2;
-	}
-	return (uint32_t)(len - cached);
+	if (announce_holds(engine, prefix))
+		return true;
+	announce_store(engine, prefix);
+	return false;
 }
 
 /* Returns the load as it was report_lag_ms ago. */
@@ -154,7 +145,7 @@
 	return list;
 }
 
-/* Returns the cache events since the last announcement, and forgets them. */
+/* Returns the cache events since the last announcement. */
 static json_t *
 announce_events(struct announcer *a)
 {
@@ -170,12 +161,11 @@
 			      (json_int_t)a->events[i].sequence, "prefix",
 			      prefix, "stored", a->events[i].stored));
 	}
-	a->event_count = 0;
 	return list;
 }
 
 /* Returns the announcement as JSON text for free(3). */
-static char *
+char *
 announce_text(struct engine *engine)
 {
 	const struct engine_options *o = &engine->options;
@@ -185,7 +175,7 @@
 
 	root = json_pack("{s:s, s:s, s:s, s:I, s:o, s:o, s:s, s:I, s:I, s:i, "
 			 "s:i, s:I, s:b, s:o}",
-	    "server", o->name, "address", o->listen, "data_centre",
+	    "server", o->name, "address", engine->address, "data_centre",
 	    o->data_centre, "incarnation", (json_int_t)engine->incarnation,
 	    "versions", announce_names(&o->versions), "services",
 	    announce_names(&o->services), "warmth",
@@ -202,9 +192,11 @@
 static void
 on_posted(void *ctx, CURL *easy, CURLcode code)
 {
-	bool *busy = ctx;
+	struct post *post = ctx;
 
-	*busy = false;
+	post->busy = false;
+	if (code == CURLE_OK)
+		post->engine->stats.announced++;
 }
 
 /* Announces to every URL whose last announcement has ended. */
@@ -217,14 +209,16 @@
 	int i;
 
 	for (i = 0; i < engine->options.announce.count; i++) {
-		if (a->busy[i])
+		if (a->posts[i].busy)
 			continue;
-		a->busy[i] = true;
+		a->posts[i].engine = engine;
+		a->posts[i].busy = true;
 		url = apr_psprintf(engine->pool, "%s/v1/announce",
 		    engine->options.announce.items[i]);
 		tl_post(engine->loop, url, text, ANNOUNCE_TIMEOUT_MS, on_posted,
-		    &a->busy[i]);
+		    &a->posts[i]);
 	}
+	a->event_count = 0;
 	free(text);
 }
 
