Check the session's version at the dispatch itself

Cause: a hedge, and the repeat of a defective answer, ran on the version that their request had chosen first, after another request of the session had been bound anew (a withdrawal and a return in between). Ruled out: the queue, which looks the session up again.

--- a/src/core/attempt.c
+++ b/src/core/attempt.c
@@ -37,6 +37,26 @@
 		   request_run_state(r, q) == ERR_NOT_RUN);
 }
 
+/*
+ * Whether a session's request may run on a version: not if another request of
+ * it has meanwhile been bound to one that may run.
+ */
+static bool
+attempt_session_allowed(
+    struct cf_router *r, const struct request *q, uint16_t version)
+{
+	struct session_key key = {
+	    q->asked.workspace, q->asked.session, q->asked.session_birth};
+	uint16_t bound;
+
+	if (q->asked.kind != CF_CHAT || q->asked.session == 0 ||
+	    q->asked.version != CFG_NONE || q->asked.model != CFG_NONE)
+		return true;
+	bound = session_get(r->session, &key);
+	return bound == CFG_NONE || bound == version ||
+	       !place_allowed(r, q, bound);
+}
+
 static struct attempt *
 attempt_start(struct cf_router *r, struct request *q, uint16_t version)
 {
@@ -123,6 +143,7 @@
 	if (q->attempt_count == CF_ATTEMPTS_MAX ||
 	    !place_allowed(r, q, version) || !attempt_once_allowed(r, q) ||
 	    request_convicted(r, q->asked.fingerprint) ||
+	    !attempt_session_allowed(r, q, version) ||
 	    !fl_can_take(r->fl, choice->server, &need, r->now_us))
 		return false;
 	t = attempt_start(r, q, version);
@@ -290,7 +311,7 @@
 	    !limit_retry(r->limit, q->asked.workspace))
 		return false;
 	q->why = CF_WHY_RETRY;
-	return place_local(r, q, true) == PLACE_DONE;
+	return place_choose(r, q) && place_local(r, q, true) == PLACE_DONE;
 }
 
 /* Takes in a whole answer: it is the caller's, or a better one is tried. */
