--- a/include/celeryford.h
+++ b/include/celeryford.h
@@ -82,7 +82,8 @@
 	CF_UNSAFE_RUN_STATE = 1
 			      << 5, /* a cancelled attempt counts as not run */
 	CF_UNSAFE_MARKS = 1 << 6, /* crash marks are not looked at */
-	CF_UNSAFE_END = 1 << 7 /* a request stays open after its answer */
+	CF_UNSAFE_END = 1 << 7, /* a request stays open after its answer */
+	CF_UNSAFE_DEADLINE = 1 << 8 /* waits are not held to deadlines */
 };
 
 enum cf_event_kind {
--- a/src/core/attempt.c
+++ b/src/core/attempt.c
@@ -62,8 +62,10 @@
 {
 	struct attempt *t = &q->attempts[q->attempt_count++];
 
-	if (q->state == REQUEST_QUEUED)
+	if (q->state == REQUEST_QUEUED) {
 		request_unqueue(r, q);
+		queue_served(r->queue, q->asked.workspace, r->now_us);
+	}
 	request_move(q, REQUEST_RUNNING);
 	memset(t, 0, sizeof(*t));
 	t->state = ATTEMPT_RUNNING;
--- a/src/core/place.c
+++ b/src/core/place.c
@@ -240,7 +240,11 @@
 		need->avoid_count = 0;
 }
 
-/* Returns how long a request would wait in the queue. */
+/*
+ * Returns how long a request would wait in the queue: what stands before it at
+ * the rate at which its servers end attempts, or its workspace's own observed
+ * pace where that is slower, since better priorities keep coming.
+ */
 int64_t
 place_wait_us(const struct cf_router *r, const struct request *q)
 {
@@ -251,6 +255,10 @@
 	uint32_t queued = queue_count(r->queue);
 	int64_t service_us = r->service_us[lane];
 	uint32_t parallel = fl_slots(r->fl, &need) / r->instances;
+	int64_t pace_us =
+	    queue_pace_us(r->queue, q->asked.workspace, r->now_us);
+	int64_t own = queue_waiting(r->queue, q->asked.workspace);
+	int64_t wait_us;
 
 	if (service_us == 0)
 		service_us = PLACE_SERVICE_US;
@@ -260,7 +268,8 @@
 		parallel = r->running[lane];
 	if (parallel == 0)
 		parallel = 1;
-	return (int64_t)(ahead + 1) * service_us / parallel;
+	wait_us = (int64_t)(ahead + 1) * service_us / parallel;
+	return wait_us > (own + 1) * pace_us ? wait_us : (own + 1) * pace_us;
 }
 
 /* Whether waiting for the first choice costs too much of the time left. */
--- a/src/core/queue.c
+++ b/src/core/queue.c
@@ -2,6 +2,7 @@
 
 enum {
 	QUEUE_END = UINT32_MAX,
+	QUEUE_PACE_SHARE = 8, /* weight of one gap in their average */
 	QUEUE_LOOK_AHEAD = 8 /* requests of a workspace seen in one walk */
 };
 
@@ -18,6 +19,8 @@
 	uint32_t weight;
 	uint16_t priority;
 	uint64_t served; /* virtual time */
+	int64_t served_us; /* a waiting one was last served; 0: none waited */
+	int64_t gap_us; /* average time between two of them */
 	uint32_t seen; /* in this walk */
 	uint32_t cursor; /* next one of this walk */
 };
@@ -139,12 +142,48 @@
 	lane->served += (uint64_t)cost * QUEUE_COST_SCALE / lane->weight;
 }
 
+/* Notes that a waiting request of a workspace was served just now. */
+void
+queue_served(struct queue *queue, uint16_t workspace, int64_t now_us)
+{
+	struct queue_lane *lane = &queue->lanes[workspace];
+
+	if (lane->served_us != 0)
+		lane->gap_us += (now_us - lane->served_us - lane->gap_us) /
+				QUEUE_PACE_SHARE;
+	lane->served_us = lane->count > 0 ? now_us : 0;
+	if (lane->count == 0)
+		lane->gap_us = 0;
+}
+
+/*
+ * Returns how long a workspace's queue takes for one of its requests, as
+ * observed since it last had none waiting; 0 when nothing was observed.
+ */
+int64_t
+queue_pace_us(const struct queue *queue, uint16_t workspace, int64_t now_us)
+{
+	const struct queue_lane *lane = &queue->lanes[workspace];
+	int64_t since_us = now_us - lane->served_us;
+
+	if (lane->served_us == 0)
+		return 0;
+	return since_us > lane->gap_us ? since_us : lane->gap_us;
+}
+
 uint32_t
 queue_count(const struct queue *queue)
 {
 	return queue->count;
 }
 
+/* Returns how many requests of a workspace wait. */
+uint32_t
+queue_waiting(const struct queue *queue, uint16_t workspace)
+{
+	return queue->lanes[workspace].count;
+}
+
 /*
  * Returns how many waiting requests will be served before one that a workspace
  * adds now: all of better priority, and of its own priority what fits the
--- a/src/core/queue.h
+++ b/src/core/queue.h
@@ -30,7 +30,11 @@
 void queue_push(struct queue *queue, uint16_t workspace, uint32_t slot);
 void queue_remove(struct queue *queue, uint32_t slot);
 void queue_charge(struct queue *queue, uint16_t workspace, uint32_t cost);
+void queue_served(struct queue *queue, uint16_t workspace, int64_t now_us);
+int64_t queue_pace_us(
+    const struct queue *queue, uint16_t workspace, int64_t now_us);
 uint32_t queue_count(const struct queue *queue);
+uint32_t queue_waiting(const struct queue *queue, uint16_t workspace);
 uint32_t queue_ahead(const struct queue *queue, uint16_t workspace);
 int64_t queue_victim(const struct queue *queue, uint16_t workspace);
 
--- a/src/core/request.c
+++ b/src/core/request.c
@@ -203,6 +203,8 @@
 		request_refuse(r, q, ERR_NO_SERVER, CF_WHY_NO_SERVER, 0);
 		return;
 	}
+	if (router_unsafe(r, CF_UNSAFE_DEADLINE))
+		latest_us = INT64_MAX;
 	if (r->now_us + wait_us > latest_us) {
 		request_refuse(r, q, ERR_NO_CAPACITY, CF_WHY_LIMIT, after_ms);
 		return;
@@ -215,7 +217,8 @@
 		q->lane = place_lane(q, q->chain.versions[q->step]);
 		r->waiting[q->lane]++;
 	}
-	heap_set(r->timers, request_slot(r, q), latest_us);
+	if (latest_us != INT64_MAX)
+		heap_set(r->timers, request_slot(r, q), latest_us);
 }
 
 static void
--- a/src/core/session.c
+++ b/src/core/session.c
@@ -6,7 +6,7 @@
 
 enum {
 	SESSION_END = UINT32_MAX,
-	SESSION_ERAS = 8 /* changes of a workspace's versions remembered */
+	SESSION_ERAS = 16 /* changes of a workspace's versions remembered */
 };
 
 struct session_binding {
--- a/test/unit/router_property_test.cc
+++ b/test/unit/router_property_test.cc
@@ -101,4 +101,114 @@
 		ADD_FAILURE() << found.first << " " << found.second;
 }
 
+/*
+ * One router that can keep two bindings, several sessions, and changes that
+ * take no version away.  Returns how many requests changed their version.
+ */
+int
+moved_sessions(const std::vector<uint32_t> &ops, bool births)
+{
+	struct cf_router_options o = {};
+	std::map<uint64_t, std::pair<uint64_t, uint16_t>> first;
+	TestCfg cfg;
+	struct cf_actions actions;
+	struct cf_event ev = {};
+	int moved = 0;
+	uint32_t id = 0;
+
+	o.max_servers = 1;
+	o.max_requests = 4;
+	o.max_sessions = 2;
+	struct cf_router *router = cf_router_new(&o);
+	TestCfg::find(cfg.data_centres, "home", true);
+	for (const char *name : {"a", "b", "c", "d"}) {
+		auto &v = cfg.versions[TestCfg::find(cfg.versions, name, true)];
+
+		v.prior_permille = 900;
+		v.cost_micro = 10 - (uint32_t)cfg.versions.size();
+		v.unrated_max = 10000;
+	}
+	auto &w = cfg.workspaces[TestCfg::find(cfg.workspaces, "w", true)];
+	w.versions = 1;
+	w.data_centres = 1;
+	ev.kind = CF_EV_CONFIG;
+	ev.u.config = cfg.next();
+	cf_router_step(router, 1, &ev, &actions);
+	memset(&ev, 0, sizeof(ev));
+	ev.kind = CF_EV_ANNOUNCE;
+	ev.u.announce.versions = 15;
+	ev.u.announce.warmth = CF_WARM;
+	ev.u.announce.slots = 4;
+	cf_router_step(router, 1, &ev, &actions);
+	for (uint32_t op : ops) {
+		auto &v = cfg.versions[op / 8 % 4];
+
+		memset(&ev, 0, sizeof(ev));
+		if (op % 8 == 0 && cfg.revision < 15) {
+			if (op / 32 % 2 == 0) {
+				cfg.workspaces[0].versions |= UINT64_C(1)
+							      << (op / 8 % 4);
+			} else if (v.state == CFG_ROLLING) {
+				v.state = CFG_RELEASED;
+			} else if (!(cfg.workspaces[0].versions >>
+					   (op / 8 % 4) &
+				       1)) {
+				v.state = CFG_ROLLING;
+				v.stage_permille = 500;
+			}
+			ev.kind = CF_EV_CONFIG;
+			ev.u.config = cfg.next();
+			cf_router_step(router, 1, &ev, &actions);
+			continue;
+		}
+		ev.kind = CF_EV_REQUEST;
+		ev.u.request.id = ++id;
+		ev.u.request.model = CFG_NONE;
+		ev.u.request.version = CFG_NONE;
+		ev.u.request.session = 1 + op / 8 % 6;
+		auto born = first.find(ev.u.request.session);
+		if (births)
+			ev.u.request.session_birth = born == first.end()
+							 ? cfg.revision
+							 : born->second.first;
+		cf_router_step(router, 1, &ev, &actions);
+		uint16_t version = actions.items[0].version;
+		if (born == first.end())
+			first[ev.u.request.session] = {cfg.revision, version};
+		else
+			moved += born->second.second != version;
+		memset(&ev, 0, sizeof(ev));
+		ev.kind = CF_EV_DONE;
+		ev.u.attempt.request = id;
+		cf_router_step(router, 1, &ev, &actions);
+	}
+	cf_router_free(router);
+	return moved;
+}
+
+/* A binding that was lost is found again by the rule. */
+RC_GTEST_PROP(Session, LostBindingIsFoundAgain, ())
+{
+	const auto list = *rc::gen::resize(200,
+	    rc::gen::container<std::vector<uint32_t>>(
+		rc::gen::resize(100, rc::gen::inRange<uint32_t>(0, 4096))));
+
+	RC_ASSERT(moved_sessions(list, true) == 0);
+}
+
+/* Without the revision of birth the rule follows the newest configuration. */
+TEST(SessionWithoutBirth, IsSeenToMove)
+{
+	std::mt19937 random(5);
+	std::vector<uint32_t> list(200);
+	int moved = 0;
+
+	for (int i = 0; i < 20; i++) {
+		for (uint32_t &op : list)
+			op = (uint32_t)random();
+		moved += moved_sessions(list, false);
+	}
+	EXPECT_GT(moved, 0);
+}
+
 } // namespace
