Run the daemon on agreement, claims, bills, membership and distribution

Cause: the thin path kept its document in a file per instance and its bills in one replica's file, and could claim nothing.

--- a/src/base/loop.c
+++ b/src/base/loop.c
@@ -63,7 +63,8 @@
 		return NULL;
 	}
 	loop->heap_size = LOOP_FIRST_TIMERS;
-	loop->heap = alloc_zero(alloc, loop->heap_size, sizeof(struct loop_timer *));
+	loop->heap =
+	    alloc_zero(alloc, loop->heap_size, sizeof(struct loop_timer *));
 	loop->now_us = clock_monotonic_us();
 	return loop;
 }
--- a/src/daemon/child_member.c
+++ b/src/daemon/child_member.c
@@ -40,7 +40,6 @@
 	uint32_t version;
 	uint16_t task_class;
 	uint8_t passed;
-	uint8_t escalated;
 };
 
 struct bind_item {
@@ -113,7 +112,6 @@
 	event.u.rating.version = (uint16_t)version;
 	event.u.rating.task_class = rating.task_class;
 	event.u.rating.passed = rating.passed != 0;
-	event.u.rating.escalated = rating.escalated != 0;
 	entry_event(node->entry, &event);
 }
 
@@ -417,8 +415,7 @@
 	    .workspace = hash_name(cfg->workspaces[rating->workspace].name),
 	    .version = hash_name(cfg->versions[rating->version].name),
 	    .task_class = rating->task_class,
-	    .passed = rating->passed,
-	    .escalated = rating->escalated};
+	    .passed = rating->passed};
 
 	publish(node, MB_ITEM_RATING, 0, &item, sizeof(item), true);
 }
--- a/src/daemon/main.c
+++ b/src/daemon/main.c
@@ -106,7 +106,6 @@
 {
 	struct node *node = ctx;
 	int64_t now_us = loop_now_us(node->loop);
-
 	bool quiet =
 	    entry_open_requests(node->entry) == 0 && book_open(node->book) == 0;
 
@@ -212,8 +211,9 @@
 	    .delay_ms = RESTART_DELAY_MS,
 	    .failed = root_failed,
 	    .ctx = node};
-	struct sup_child_spec children[] = {
-	    child_peer(node), child_ops(node), child_entry(node)};
+	struct sup_child_spec children[] = {child_peer(node), child_state(node),
+	    child_config(node), child_member(node), child_entry(node),
+	    child_ops(node)};
 	struct sup *root = sup_new(&options);
 
 	for (size_t i = 0; i < sizeof(children) / sizeof(*children); i++)
--- a/src/entry/flight.c
+++ b/src/entry/flight.c
@@ -422,8 +422,8 @@
 	f->entry->tokens->value += tokens;
 	if (slot->version < cfg->version_count)
 		/* Millionths per 1,000 tokens: billionths per token. */
-		f->cost_nano += (uint64_t)tokens *
-		    cfg->versions[slot->version].cost_micro;
+		f->cost_nano +=
+		    (uint64_t)tokens * cfg->versions[slot->version].cost_micro;
 }
 
 static void
--- a/src/state/bill.c
+++ b/src/state/bill.c
@@ -60,13 +60,13 @@
 
 /* Returns the sum of the items, in millionths of the currency's unit. */
 uint64_t
-bl_bill_cost_micro(const struct bl_bill *bill)
+bl_bill_cost_nano(const struct bl_bill *bill)
 {
 	uint64_t sum;
 	uint8_t i;
 
 	sum = 0;
 	for (i = 0; i < bill->item_count; i++)
-		sum += bill->items[i].cost_micro;
+		sum += bill->items[i].cost_nano;
 	return sum;
 }
--- a/src/state/bill.h
+++ b/src/state/bill.h
@@ -50,10 +50,10 @@
 
 struct bl_item {
 	uint8_t attempt; /* unique in the bill */
-	uint16_t version;
+	uint32_t version; /* hash of its name */
 	uint32_t prompt_tokens;
 	uint32_t output_tokens;
-	uint64_t cost_micro;
+	uint64_t cost_nano;
 };
 
 enum bl_state {
@@ -75,7 +75,7 @@
 
 /* Merges from into to; true: something changed. */
 bool bl_bill_merge(struct bl_bill *to, const struct bl_bill *from);
-uint64_t bl_bill_cost_micro(const struct bl_bill *bill);
+uint64_t bl_bill_cost_nano(const struct bl_bill *bill);
 
 enum bl_msg_kind {
 	BL_MSG_PUT = 1, /* bills; answered by ACK with the same op */
--- a/src/state/bill_wire.c
+++ b/src/state/bill_wire.c
@@ -32,7 +32,7 @@
 		item->version = bill->items[i].version;
 		item->prompt_tokens = bill->items[i].prompt_tokens;
 		item->output_tokens = bill->items[i].output_tokens;
-		item->cost_micro = bill->items[i].cost_micro;
+		item->cost_nano = bill->items[i].cost_nano;
 		parts->pointers[i] = item;
 	}
 	parts->bill.n_items = bill->item_count;
@@ -58,10 +58,10 @@
 	bill->item_count = (uint8_t)wire->n_items;
 	for (i = 0; i < wire->n_items; i++) {
 		bill->items[i].attempt = (uint8_t)wire->items[i]->attempt;
-		bill->items[i].version = (uint16_t)wire->items[i]->version;
+		bill->items[i].version = wire->items[i]->version;
 		bill->items[i].prompt_tokens = wire->items[i]->prompt_tokens;
 		bill->items[i].output_tokens = wire->items[i]->output_tokens;
-		bill->items[i].cost_micro = wire->items[i]->cost_micro;
+		bill->items[i].cost_nano = wire->items[i]->cost_nano;
 	}
 	return 0;
 }
--- a/src/state/claim.h
+++ b/src/state/claim.h
@@ -290,6 +290,9 @@
 void cl_client_halts(
     struct cl_client *client, uint32_t replica, uint64_t cursor);
 
+/* Drops a held or marked op: the outcome is unknown, the marker stays. */
+void cl_client_forget(struct cl_client *client, uint64_t op);
+
 /* Checked just before every dispatch; false: mark again first. */
 bool cl_client_may_dispatch(
     const struct cl_client *client, int64_t now_us, uint64_t op);
--- a/src/state/claim_client.c
+++ b/src/state/claim_client.c
@@ -437,3 +437,16 @@
 {
 	return client->open;
 }
+
+/*
+ * Drops an op without a word to the replicas.  A marker that stands stays: the
+ * key is halted until operators decide.
+ */
+void
+cl_client_forget(struct cl_client *client, uint64_t op_id)
+{
+	struct cl_op *op = cl_op_find(client, op_id);
+
+	if (op != NULL)
+		cl_op_free(client, op);
+}
--- a/src/wire/bill.pb-c.c
+++ b/src/wire/bill.pb-c.c
@@ -373,12 +373,12 @@
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "cost_micro",
+    "cost_nano",
     5,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Cfw__BlItem, cost_micro),
+    offsetof(Cfw__BlItem, cost_nano),
     NULL,
     NULL,
     0,             /* flags */
@@ -387,7 +387,7 @@
 };
 static const unsigned cfw__bl_item__field_indices_by_name[] = {
   0,   /* field[0] = attempt */
-  4,   /* field[4] = cost_micro */
+  4,   /* field[4] = cost_nano */
   3,   /* field[3] = output_tokens */
   2,   /* field[2] = prompt_tokens */
   1,   /* field[1] = version */
--- a/src/wire/bill.pb-c.h
+++ b/src/wire/bill.pb-c.h
@@ -36,7 +36,7 @@
   uint32_t version;
   uint32_t prompt_tokens;
   uint32_t output_tokens;
-  uint64_t cost_micro;
+  uint64_t cost_nano;
 };
 #define CFW__BL_ITEM__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cfw__bl_item__descriptor) \
--- a/test/unit/bill_test.cc
+++ b/test/unit/bill_test.cc
@@ -144,7 +144,7 @@
 		return std::to_string(a->position) + ":" +
 		       std::to_string(a->bill->id.owner) + "/" +
 		       std::to_string(a->bill->id.sequence) + "=" +
-		       std::to_string(bl_bill_cost_micro(a->bill));
+		       std::to_string(bl_bill_cost_nano(a->bill));
 	}
 
 	void store_acts(int id, const struct bl_store_action *a)
@@ -396,7 +396,7 @@
 	y = c;
 	EXPECT_TRUE(bl_bill_merge(&x, &c));
 	EXPECT_TRUE(bl_bill_merge(&y, &a));
-	EXPECT_EQ(70u, bl_bill_cost_micro(&x));
+	EXPECT_EQ(70u, bl_bill_cost_nano(&x));
 	EXPECT_EQ(0, memcmp(x.items, y.items, sizeof(x.items)));
 	EXPECT_EQ(x.state, y.state);
 	EXPECT_FALSE(bl_bill_merge(&x, &c));
