Carry announcements through the data centre and lease warm-up credits

Cause: a server announces itself to any instance, but only that one knew of it; cold servers were not limited across instances.

Change: announcements travel down a binary tree over the instances alive; the holder of the granter's role leases what a cold server bears.

--- a/src/daemon/child_entry.c
+++ b/src/daemon/child_entry.c
@@ -63,6 +63,22 @@
 	node_spread(ctx, action);
 }
 
+static void
+heard(void *ctx, const struct server_news *news)
+{
+	struct node *node = ctx;
+
+	feed_announced(node->feed, news);
+}
+
+static void
+announced(void *ctx, const struct cf_announce *announce)
+{
+	struct node *node = ctx;
+
+	credits_announced(node->credits, announce);
+}
+
 static void
 rated(void *ctx, const struct cf_rating *rating)
 {
@@ -94,10 +110,24 @@
     .intend = intend,
     .settle = settle,
     .spread = spread,
+    .heard = heard,
+    .announced = announced,
     .rated = rated,
     .neighbour = neighbour,
     .forward_tag = forward_tag};
 
+/* What stands beside the entry and lives as long as it. */
+static void
+free_sides(struct node *node)
+{
+	book_free(node->book);
+	node->book = NULL;
+	feed_free(node->feed);
+	node->feed = NULL;
+	credits_free(node->credits);
+	node->credits = NULL;
+}
+
 static int
 start(void *ctx)
 {
@@ -117,10 +147,11 @@
 	    .ctx = node};
 
 	node->book = book_new(node);
+	node->feed = feed_new(node);
+	node->credits = credits_new(node);
 	node->entry = entry_new(&options);
 	if (node->entry == NULL) {
-		book_free(node->book);
-		node->book = NULL;
+		free_sides(node);
 		return ERR_IO;
 	}
 	node_in_force(node);
@@ -134,8 +165,7 @@
 
 	entry_free(node->entry);
 	node->entry = NULL;
-	book_free(node->book);
-	node->book = NULL;
+	free_sides(node);
 }
 
 struct sup_child_spec
--- a/src/daemon/child_member.c
+++ b/src/daemon/child_member.c
@@ -4,6 +4,7 @@
 #include <string.h>
 #include <xxhash.h>
 
+#include "base/clock.h"
 #include "base/err.h"
 #include "base/log.h"
 #include "base/rng.h"
@@ -231,8 +232,8 @@
 
 	log_event(LOG_LEVEL_INFO, won ? "role_won" : "role_lost", "role=%s",
 	    action->role == MB_RELAY ? "relay" : "granter");
-	if (action->role == MB_RELAY)
-		member->is_relay = won;
+	if (action->role == MB_GRANTER && member->node->credits != NULL)
+		credits_role(member->node->credits, won);
 }
 
 static void
@@ -357,6 +358,51 @@
 	return node->member != NULL && node->member->is_relay;
 }
 
+/* Returns whether this instance may grant warm-up credits now. */
+bool
+node_is_granter(const struct node *node)
+{
+	return node->member != NULL &&
+	       mb_role_held(node->member->mb, MB_GRANTER, clock_monotonic_us());
+}
+
+/* Returns the data centre's granter, 0 if none is known. */
+uint32_t
+node_granter(const struct node *node)
+{
+	return node->member != NULL
+		   ? mb_role_holder(node->member->mb, MB_GRANTER)
+		   : 0;
+}
+
+static int
+compare_numbers(const void *a, const void *b)
+{
+	uint32_t x = *(const uint32_t *)a;
+	uint32_t y = *(const uint32_t *)b;
+
+	return x < y ? -1 : x > y;
+}
+
+/* Lists the instances alive in this data centre, this one too, sorted. */
+uint32_t
+node_alive(const struct node *node, uint32_t *instances, uint32_t max)
+{
+	struct mb_record records[MB_MEMBERS_MAX];
+	uint32_t count = 0;
+	size_t n = 0;
+
+	if (node->member != NULL)
+		n = mb_members(node->member->mb, records, MB_MEMBERS_MAX);
+	for (size_t i = 0; i < n && count < max; i++) {
+		if (records[i].state == MB_ALIVE ||
+		    records[i].state == MB_SUSPECT)
+			instances[count++] = records[i].instance;
+	}
+	qsort(instances, count, sizeof(*instances), compare_numbers);
+	return count;
+}
+
 /* Takes a message of membership. */
 void
 node_member_message(
@@ -401,6 +447,11 @@
 		publish(node, MB_ITEM_BIND, action->key, &bind, sizeof(bind),
 		    false);
 		break;
+	case CF_ACT_CREDIT_ASK:
+	case CF_ACT_CREDIT_GIVE:
+		if (node->credits != NULL)
+			credits_act(node->credits, action);
+		break;
 	default:
 		break;
 	}
--- a/src/daemon/child_peer.c
+++ b/src/daemon/child_peer.c
@@ -71,6 +71,12 @@
 		node_config_message(node, from, data, len);
 		break;
 	case PEER_CREDIT:
+		if (node->credits != NULL)
+			credits_message(node->credits, from, data, len);
+		break;
+	case PEER_FEED:
+		if (node->feed != NULL)
+			feed_message(node->feed, data, len);
 		break;
 	case PEER_OPERATOR:
 		on_operator(node, from, data, len);
--- /dev/null
+++ b/src/daemon/credits.c
@@ -0,0 +1,178 @@
+#include <string.h>
+#include <xxhash.h>
+
+#include "base/log.h"
+#include "core/granter.h"
+#include "daemon/node.h"
+#include "wire/feed.pb-c.h"
+
+/*
+ * Warm-up credits.  The instance that holds the granter's role leases what a
+ * cold server bears to the instances of the data centre; the others ask it.  A
+ * lease is counted from when it was asked for, on the asker's clock.
+ */
+
+enum {
+	CREDIT_ASK = 1,
+	CREDIT_GIVE,
+	CREDIT_LEASE,
+	CREDIT_INSTANCES_MAX = 128,
+	CREDIT_SERVERS_MAX = 256,
+	US_PER_MS = 1000
+};
+
+struct credits {
+	struct node *node;
+	struct gr *granter; /* while this instance has the role */
+	uint32_t instances[CREDIT_INSTANCES_MAX];
+	uint16_t instance_count;
+};
+
+/* Creates the credits' side of an instance. */
+struct credits *
+credits_new(struct node *node)
+{
+	struct credits *credits = alloc_zero(node->alloc, 1, sizeof(*credits));
+
+	credits->node = node;
+	return credits;
+}
+
+/* Releases it; leases that were given run out by themselves. */
+void
+credits_free(struct credits *credits)
+{
+	if (credits == NULL)
+		return;
+	gr_free(credits->granter);
+	alloc_free(credits->node->alloc, credits);
+}
+
+/* The granter's role was won or lost. */
+void
+credits_role(struct credits *credits, bool won)
+{
+	struct gr_options options = {.alloc = credits->node->alloc,
+	    .max_servers = CREDIT_SERVERS_MAX,
+	    .max_instances = CREDIT_INSTANCES_MAX,
+	    .now_us = loop_now_us(credits->node->loop)};
+
+	gr_free(credits->granter);
+	credits->granter = won ? gr_new(&options) : NULL;
+	credits->instance_count = 0;
+}
+
+/* Every announcement that this instance hears of goes to its granter. */
+void
+credits_announced(struct credits *credits, const struct cf_announce *announce)
+{
+	if (credits->granter != NULL)
+		gr_announce(credits->granter, announce,
+		    loop_now_us(credits->node->loop));
+}
+
+static void
+send_credit(struct credits *credits, uint32_t to, const Feedpb__Credit *credit)
+{
+	struct buf bytes;
+
+	buf_init(&bytes, credits->node->alloc);
+	buf_reserve(&bytes, feedpb__credit__get_packed_size(credit));
+	bytes.len = feedpb__credit__pack(credit, bytes.data);
+	node_send(credits->node, to, PEER_CREDIT, &bytes);
+	buf_free(&bytes);
+}
+
+/* Carries out CF_ACT_CREDIT_ASK and CF_ACT_CREDIT_GIVE. */
+void
+credits_act(struct credits *credits, const struct cf_action *action)
+{
+	const char *name =
+	    entry_server_name(credits->node->entry, action->server);
+	uint32_t granter = node_granter(credits->node);
+	Feedpb__Credit credit = FEEDPB__CREDIT__INIT;
+
+	if (granter == 0)
+		return;
+	credit.kind =
+	    action->kind == CF_ACT_CREDIT_ASK ? CREDIT_ASK : CREDIT_GIVE;
+	credit.server = XXH32(name, strlen(name), 0);
+	credit.incarnation = action->key;
+	credit.count = action->count;
+	credit.asked_us = loop_now_us(credits->node->loop);
+	send_credit(credits, granter, &credit);
+}
+
+static uint16_t
+index_of_instance(struct credits *credits, uint32_t instance)
+{
+	uint16_t i = 0;
+
+	while (i < credits->instance_count && credits->instances[i] != instance)
+		i++;
+	if (i == credits->instance_count && i < CREDIT_INSTANCES_MAX - 1)
+		credits->instances[credits->instance_count++] = instance;
+	return i;
+}
+
+/* As the granter: answers a question, or takes credits back. */
+static void
+serve(struct credits *credits, uint32_t from, const Feedpb__Credit *asked)
+{
+	int64_t now_us = loop_now_us(credits->node->loop);
+	int server = entry_server_by_hash(credits->node->entry, asked->server);
+	uint16_t instance = index_of_instance(credits, from);
+	Feedpb__Credit answer = FEEDPB__CREDIT__INIT;
+	struct gr_lease lease;
+
+	if (server < 0 || credits->granter == NULL ||
+	    !node_is_granter(credits->node))
+		return;
+	if (asked->kind == CREDIT_GIVE) {
+		gr_give(credits->granter, instance, (uint16_t)server,
+		    (uint16_t)asked->count, now_us);
+		return;
+	}
+	if (!gr_ask(credits->granter, instance, (uint16_t)server,
+		asked->incarnation, (uint16_t)asked->count, now_us, &lease))
+		return;
+	answer.kind = CREDIT_LEASE;
+	answer.server = asked->server;
+	answer.incarnation = lease.incarnation;
+	answer.count = lease.credits;
+	answer.asked_us = asked->asked_us;
+	answer.lease_ms = (uint32_t)((lease.until_us - now_us) / US_PER_MS);
+	send_credit(credits, from, &answer);
+}
+
+static void
+take_lease(struct credits *credits, const Feedpb__Credit *lease)
+{
+	int server = entry_server_by_hash(credits->node->entry, lease->server);
+	struct cf_event event = {.kind = CF_EV_CREDIT};
+
+	if (server < 0)
+		return;
+	event.u.credit.server = (uint16_t)server;
+	event.u.credit.incarnation = lease->incarnation;
+	event.u.credit.credits = (uint16_t)lease->count;
+	event.u.credit.until_us =
+	    lease->asked_us + (int64_t)lease->lease_ms * US_PER_MS;
+	entry_event(credits->node->entry, &event);
+}
+
+/* Takes a message about credits. */
+void
+credits_message(
+    struct credits *credits, uint32_t from, const uint8_t *data, uint32_t len)
+{
+	Feedpb__Credit *credit = feedpb__credit__unpack(NULL, len, data);
+
+	if (credit == NULL)
+		return;
+	if (credit->kind == CREDIT_LEASE)
+		take_lease(credits, credit);
+	else if (credit->kind == CREDIT_ASK || credit->kind == CREDIT_GIVE)
+		serve(credits, from, credit);
+	feedpb__credit__free_unpacked(credit, NULL);
+}
--- /dev/null
+++ b/src/daemon/feed.c
@@ -0,0 +1,329 @@
+#include <stdlib.h>
+#include <string.h>
+#include <xxhash.h>
+
+#include "daemon/node.h"
+#include "wire/feed.pb-c.h"
+
+/*
+ * Announcements within a data centre.  A backend server announces itself to
+ * any instance; that instance sends what it heard to two others, each of those
+ * to two more, and so on down a binary tree over the instances alive, with
+ * itself as the root.  So every instance hears of every server, and none sends
+ * more than two copies however many there are.
+ */
+
+enum {
+	FEED_FLUSH_US = 200000, /* announcements are gathered this long */
+	FEED_FULL_US = 5000000, /* names and address again after this */
+	FEED_SERVERS_MAX = 256,
+	FEED_CHILDREN = 2
+};
+
+struct feed_entry {
+	uint32_t hash;
+	struct server_news news;
+	uint64_t text_hash; /* of what a full record adds */
+	int64_t full_us; /* when that was last sent */
+	bool waiting;
+};
+
+struct feed {
+	struct node *node;
+	struct feed_entry *entries;
+	uint32_t count;
+	struct loop_timer *flush;
+};
+
+static uint32_t
+hash_name(const char *name)
+{
+	return XXH32(name, strlen(name), 0);
+}
+
+/* Creates a feed with nothing to send. */
+struct feed *
+feed_new(struct node *node)
+{
+	struct feed *feed = alloc_zero(node->alloc, 1, sizeof(*feed));
+
+	feed->node = node;
+	feed->entries =
+	    alloc_zero(node->alloc, FEED_SERVERS_MAX, sizeof(*feed->entries));
+	return feed;
+}
+
+/* Releases a feed. */
+void
+feed_free(struct feed *feed)
+{
+	if (feed == NULL)
+		return;
+	loop_cancel(feed->flush);
+	alloc_free(feed->node->alloc, feed->entries);
+	alloc_free(feed->node->alloc, feed);
+}
+
+static uint64_t
+hash_text(const struct server *server)
+{
+	uint64_t hash = XXH64(server->address, strlen(server->address), 0);
+
+	hash = XXH64(server->versions,
+	    sizeof(server->versions[0]) * server->version_count, hash);
+	return XXH64(server->services,
+	    sizeof(server->services[0]) * server->service_count, hash);
+}
+
+static struct feed_entry *
+entry_of(struct feed *feed, uint32_t hash)
+{
+	for (uint32_t i = 0; i < feed->count; i++) {
+		if (feed->entries[i].hash == hash)
+			return &feed->entries[i];
+	}
+	if (feed->count == FEED_SERVERS_MAX)
+		return NULL;
+	feed->entries[feed->count].hash = hash;
+	return &feed->entries[feed->count++];
+}
+
+struct packed_server {
+	Feedpb__Server pb;
+	Feedpb__CacheEvent cache[SERVERS_CACHE_MAX];
+	Feedpb__CacheEvent *cache_list[SERVERS_CACHE_MAX];
+	char *versions[SERVERS_VERSIONS_MAX];
+	char *services[SERVERS_VERSIONS_MAX];
+};
+
+static void
+pack_load(struct packed_server *p, const struct feed_entry *e)
+{
+	const struct cf_announce *a = &e->news.server.last;
+
+	feedpb__server__init(&p->pb);
+	p->pb.hash = e->hash;
+	p->pb.incarnation = a->incarnation;
+	p->pb.running = a->running;
+	p->pb.queued = a->queued;
+	p->pb.token_us = a->token_us;
+	p->pb.warm = a->warmth == CF_WARM;
+	p->pb.leaving = a->leaving;
+	p->pb.slots = a->slots;
+	p->pb.cold_slots = a->cold_slots;
+	for (uint8_t i = 0; i < e->news.cache_count; i++) {
+		feedpb__cache_event__init(&p->cache[i]);
+		p->cache[i].sequence = e->news.cache[i].sequence;
+		p->cache[i].prefix = e->news.cache[i].prefix;
+		p->cache[i].stored = e->news.cache[i].stored;
+		p->cache_list[i] = &p->cache[i];
+	}
+	p->pb.n_cache = e->news.cache_count;
+	p->pb.cache = p->cache_list;
+}
+
+static void
+pack_text(struct packed_server *p, struct feed_entry *e)
+{
+	struct server *s = &e->news.server;
+
+	p->pb.name = s->name;
+	p->pb.address = s->address;
+	for (uint8_t i = 0; i < s->version_count; i++)
+		p->versions[i] = s->versions[i];
+	for (uint8_t i = 0; i < s->service_count; i++)
+		p->services[i] = s->services[i];
+	p->pb.n_versions = s->version_count;
+	p->pb.versions = p->versions;
+	p->pb.n_services = s->service_count;
+	p->pb.services = p->services;
+}
+
+/*
+ * The batch message is a row of fields, so each server can be appended as a
+ * batch of its own.
+ */
+static void
+append_server(struct feed *feed, struct feed_entry *e, struct buf *out)
+{
+	static struct packed_server packed;
+	Feedpb__Server *list[1] = {&packed.pb};
+	Feedpb__Batch batch = FEEDPB__BATCH__INIT;
+	int64_t now_us = loop_now_us(feed->node->loop);
+
+	pack_load(&packed, e);
+	if (now_us - e->full_us > FEED_FULL_US) {
+		pack_text(&packed, e);
+		e->full_us = now_us;
+	}
+	batch.n_servers = 1;
+	batch.servers = list;
+	buf_reserve(out, feedpb__batch__get_packed_size(&batch));
+	out->len += feedpb__batch__pack(&batch, out->data + out->len);
+}
+
+/* Sends bytes to this instance's children in the tree of a root. */
+static void
+send_down(struct feed *feed, uint32_t root, const struct buf *bytes)
+{
+	uint32_t alive[NODE_MEMBERS_MAX];
+	uint32_t count = node_alive(feed->node, alive, NODE_MEMBERS_MAX);
+	uint32_t self = directory_self(feed->node->directory)->number;
+	uint32_t root_at = 0, self_at = 0;
+
+	for (uint32_t i = 0; i < count; i++) {
+		if (alive[i] == root)
+			root_at = i;
+		if (alive[i] == self)
+			self_at = i;
+	}
+	self_at = (self_at + count - root_at) % count;
+	for (uint32_t c = 1; c <= FEED_CHILDREN; c++) {
+		uint32_t child = FEED_CHILDREN * self_at + c;
+
+		if (child < count)
+			node_send(feed->node, alive[(child + root_at) % count],
+			    PEER_FEED, bytes);
+	}
+}
+
+static void
+flush(void *ctx)
+{
+	struct feed *feed = ctx;
+	uint32_t self = directory_self(feed->node->directory)->number;
+	Feedpb__Batch head = FEEDPB__BATCH__INIT;
+	struct buf bytes;
+
+	feed->flush = NULL;
+	head.root = self;
+	buf_init(&bytes, feed->node->alloc);
+	buf_reserve(&bytes, feedpb__batch__get_packed_size(&head));
+	bytes.len = feedpb__batch__pack(&head, bytes.data);
+	for (uint32_t i = 0; i < feed->count; i++) {
+		if (!feed->entries[i].waiting)
+			continue;
+		feed->entries[i].waiting = false;
+		append_server(feed, &feed->entries[i], &bytes);
+		feed->entries[i].news.cache_count = 0;
+	}
+	send_down(feed, self, &bytes);
+	buf_free(&bytes);
+}
+
+/* Cache events that have not gone out yet stay, as far as there is room. */
+static void
+keep_cache(struct server_news *old, struct server_news *merged)
+{
+	uint8_t kept = old->cache_count;
+	uint8_t added = merged->cache_count;
+
+	if (kept + added > SERVERS_CACHE_MAX)
+		kept = (uint8_t)(SERVERS_CACHE_MAX - added);
+	memmove(&merged->cache[kept], merged->cache,
+	    added * sizeof(merged->cache[0]));
+	memcpy(merged->cache, old->cache, kept * sizeof(merged->cache[0]));
+	merged->cache_count = (uint8_t)(kept + added);
+}
+
+/* A server announced itself to this instance. */
+void
+feed_announced(struct feed *feed, const struct server_news *news)
+{
+	struct feed_entry *e = entry_of(feed, hash_name(news->server.name));
+	struct server_news merged = *news;
+	uint64_t text_hash = hash_text(&news->server);
+
+	if (e == NULL)
+		return;
+	if (e->waiting)
+		keep_cache(&e->news, &merged);
+	if (text_hash != e->text_hash ||
+	    news->server.last.incarnation != e->news.server.last.incarnation)
+		e->full_us = INT64_MIN / 2;
+	e->text_hash = text_hash;
+	e->news = merged;
+	e->waiting = true;
+	if (feed->flush == NULL)
+		feed->flush =
+		    loop_after(feed->node->loop, FEED_FLUSH_US, flush, feed);
+}
+
+static void
+copy_names(char out[SERVERS_VERSIONS_MAX][CFG_NAME_BYTES], uint8_t *count,
+    char **names, size_t n)
+{
+	*count = 0;
+	for (size_t i = 0; i < n && i < SERVERS_VERSIONS_MAX; i++)
+		snprintf(out[(*count)++], CFG_NAME_BYTES, "%s", names[i]);
+}
+
+static void
+unpack_load(struct server_news *news, const Feedpb__Server *pb)
+{
+	struct cf_announce *a = &news->server.last;
+
+	a->incarnation = pb->incarnation;
+	a->running = (uint16_t)pb->running;
+	a->queued = (uint16_t)pb->queued;
+	a->token_us = pb->token_us;
+	a->warmth = pb->warm ? CF_WARM : CF_COLD;
+	a->leaving = pb->leaving;
+	a->slots = (uint16_t)pb->slots;
+	a->cold_slots = (uint16_t)pb->cold_slots;
+	news->cache_count = 0;
+	for (size_t i = 0; i < pb->n_cache && i < SERVERS_CACHE_MAX; i++) {
+		struct server_cache_event *event =
+		    &news->cache[news->cache_count++];
+
+		event->sequence = pb->cache[i]->sequence;
+		event->prefix = pb->cache[i]->prefix;
+		event->stored = pb->cache[i]->stored;
+	}
+}
+
+static void
+take_server(struct feed *feed, const Feedpb__Server *pb)
+{
+	static struct server_news news;
+	struct feed_entry *e = entry_of(feed, pb->hash);
+
+	if (e == NULL)
+		return;
+	news = e->news;
+	if (pb->name[0] != '\0') {
+		struct server *s = &news.server;
+
+		snprintf(s->name, sizeof(s->name), "%s", pb->name);
+		snprintf(s->address, sizeof(s->address), "%s", pb->address);
+		copy_names(s->versions, &s->version_count, pb->versions,
+		    pb->n_versions);
+		copy_names(s->services, &s->service_count, pb->services,
+		    pb->n_services);
+	} else if (news.server.name[0] == '\0' ||
+		   news.server.last.incarnation != pb->incarnation) {
+		return; /* its names come with the next full record */
+	}
+	unpack_load(&news, pb);
+	e->news = news;
+	e->text_hash = hash_text(&news.server);
+	entry_announced(feed->node->entry, &news);
+}
+
+/* Takes a batch of another instance and passes it on. */
+void
+feed_message(struct feed *feed, const uint8_t *data, uint32_t len)
+{
+	Feedpb__Batch *batch = feedpb__batch__unpack(NULL, len, data);
+	struct buf bytes;
+
+	if (batch == NULL)
+		return;
+	for (size_t i = 0; i < batch->n_servers; i++)
+		take_server(feed, batch->servers[i]);
+	buf_init(&bytes, feed->node->alloc);
+	buf_add(&bytes, data, len);
+	send_down(feed, batch->root, &bytes);
+	buf_free(&bytes);
+	feedpb__batch__free_unpacked(batch, NULL);
+}
--- a/src/daemon/node.h
+++ b/src/daemon/node.h
@@ -9,6 +9,7 @@
 #include "daemon/directory.h"
 #include "daemon/settings.h"
 #include "entry/entry.h"
+#include "entry/servers.h"
 #include "ops/ops.h"
 #include "state/bill.h"
 #include "state/cfgsync.h"
@@ -30,6 +31,12 @@
 struct config;
 struct member;
 struct book;
+struct feed;
+struct credits;
+
+enum {
+	NODE_MEMBERS_MAX = 128 /* instances of one data centre */
+};
 
 struct node {
 	const struct alloc *alloc;
@@ -48,6 +55,8 @@
 	struct config *config;
 	struct member *member;
 	struct book *book;
+	struct feed *feed;
+	struct credits *credits;
 	struct entry *entry;
 	struct ops *ops;
 	struct operators *operators;
@@ -98,10 +107,29 @@
 void node_spread(struct node *node, const struct cf_action *action);
 void node_spread_rating(struct node *node, const struct cf_rating *rating);
 bool node_is_relay(const struct node *node);
+bool node_is_granter(const struct node *node);
+uint32_t node_granter(const struct node *node);
+uint32_t node_alive(const struct node *node, uint32_t *instances, uint32_t max);
 void node_leave(struct node *node);
 const char *node_neighbour(struct node *node, uint16_t data_centre);
 void node_member_status(const struct node *node, struct buf *out);
 
+/* feed.c: announcements within the data centre. */
+struct feed *feed_new(struct node *node);
+void feed_free(struct feed *feed);
+void feed_announced(struct feed *feed, const struct server_news *news);
+void feed_message(struct feed *feed, const uint8_t *data, uint32_t len);
+
+/* credits.c: warm-up credits of cold servers. */
+struct credits *credits_new(struct node *node);
+void credits_free(struct credits *credits);
+void credits_role(struct credits *credits, bool won);
+void credits_announced(
+    struct credits *credits, const struct cf_announce *announce);
+void credits_act(struct credits *credits, const struct cf_action *action);
+void credits_message(
+    struct credits *credits, uint32_t from, const uint8_t *data, uint32_t len);
+
 /* book.c: claims and bills of this instance's requests. */
 struct book *book_new(struct node *node);
 void book_free(struct book *book);
--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -4,6 +4,7 @@
 #include <sodium.h>
 #include <stdio.h>
 #include <string.h>
+#include <xxhash.h>
 
 #include "base/clock.h"
 #include "base/err.h"
@@ -356,34 +357,49 @@
 	}
 }
 
+/*
+ * Takes in what a server says of itself, heard here or by another instance.
+ * Returns 0, or the error of servers_take().
+ */
+int
+entry_announced(struct entry *entry, const struct server_news *news)
+{
+	struct cf_event event = {.kind = CF_EV_ANNOUNCE};
+	int index;
+
+	if (entry->cfg == NULL)
+		return ERR_ISOLATED;
+	index = servers_take(
+	    entry->servers, news, entry->cfg, loop_now_us(entry->options.loop));
+	if (index < 0)
+		return index;
+	event.u.announce = servers_at(entry->servers, (uint16_t)index)->last;
+	entry->options.ports->announced(entry->options.ctx, &event.u.announce);
+	entry_event(entry, &event);
+	tell_cache(entry, (uint16_t)index, news);
+	return 0;
+}
+
 static void
 on_announce(struct entry *entry, struct hs_exchange *x)
 {
-	struct cf_event event = {.kind = CF_EV_ANNOUNCE};
-	struct server_news news;
+	static struct server_news news;
 	const char *param = NULL;
-	int index = check_open(entry);
-
-	if (index == 0 || index == ERR_SHUTDOWN)
-		index = entry->cfg == NULL
-			    ? ERR_ISOLATED
-			    : servers_parse(buf_text(hs_body(x)),
-				  hs_body(x)->len, &news, &param);
-	if (index == 0 &&
+	int error =
+	    servers_parse(buf_text(hs_body(x)), hs_body(x)->len, &news, &param);
+
+	if (error == 0 &&
 	    strcmp(news.data_centre, entry->options.data_centre) != 0) {
 		param = "data_centre";
-		index = ERR_FORBIDDEN;
+		error = ERR_FORBIDDEN;
 	}
-	if (index == 0)
-		index = servers_take(entry->servers, &news, entry->cfg,
-		    loop_now_us(entry->options.loop));
-	if (index < 0) {
-		refuse_early(entry, x, index, param);
+	if (error == 0)
+		error = entry_announced(entry, &news);
+	if (error != 0) {
+		refuse_early(entry, x, error, param);
 		return;
 	}
-	event.u.announce = servers_at(entry->servers, (uint16_t)index)->last;
-	entry_event(entry, &event);
-	tell_cache(entry, (uint16_t)index, &news);
+	entry->options.ports->heard(entry->options.ctx, &news);
 	hs_answer(x, HTTP_NO_CONTENT, NULL, 0, "", 0);
 }
 
@@ -709,6 +725,26 @@
 		flight_marked(f, error);
 }
 
+/* Returns the name of a server by its index. */
+const char *
+entry_server_name(const struct entry *entry, uint16_t server)
+{
+	return servers_at(entry->servers, server)->name;
+}
+
+/* Returns the index of a server by the hash of its name, or -1. */
+int
+entry_server_by_hash(const struct entry *entry, uint32_t hash)
+{
+	for (uint16_t i = 0; i < servers_count(entry->servers); i++) {
+		const struct server *s = servers_at(entry->servers, i);
+
+		if (s->present && XXH32(s->name, strlen(s->name), 0) == hash)
+			return i;
+	}
+	return -1;
+}
+
 /*
  * Adds up this instance's share of the spare slots of each version: servers
  * report their load to every instance, so the share is what the report leaves
--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -19,6 +19,7 @@
  * instances must know or keep goes through the ports.
  */
 struct entry;
+struct server_news;
 
 enum {
 	ENTRY_TAG_BYTES = 65
@@ -61,6 +62,10 @@
 	void (*settle)(void *ctx, const struct entry_bill *bill);
 	/* CF_ACT_BIND, _CRASH_MARK, _CREDIT_ASK, _CREDIT_GIVE, _STOP_VERSION */
 	void (*spread)(void *ctx, const struct cf_action *action);
+	/* A server announced itself to this instance. */
+	void (*heard)(void *ctx, const struct server_news *news);
+	/* An announcement, heard here or elsewhere, counts from now on. */
+	void (*announced)(void *ctx, const struct cf_announce *announce);
 	/* A rating that this instance was given. */
 	void (*rated)(void *ctx, const struct cf_rating *rating);
 	/* "IP:PORT" of an instance of a data centre, or NULL. */
@@ -93,6 +98,9 @@
 void entry_marked(struct entry *entry, uint32_t request, int error);
 void entry_settled(struct entry *entry, uint32_t request);
 void entry_drain(struct entry *entry);
+int entry_announced(struct entry *entry, const struct server_news *news);
+const char *entry_server_name(const struct entry *entry, uint16_t server);
+int entry_server_by_hash(const struct entry *entry, uint32_t hash);
 void entry_spare(struct entry *entry, uint16_t *spare, uint16_t count);
 uint32_t entry_open_requests(const struct entry *entry);
 void entry_status(struct entry *entry, struct buf *out);
--- a/src/wire/peer.h
+++ b/src/wire/peer.h
@@ -35,7 +35,8 @@
 	PEER_OPERATOR_REPLY = 8,
 	PEER_PING = 9, /* answered by PEER_PONG on the same link */
 	PEER_PONG = 10,
-	PEER_CHANNELS = 11
+	PEER_FEED = 11, /* announcements within a data centre */
+	PEER_CHANNELS = 12
 };
 
 enum {
