--- a/bench/relay/main.c
+++ b/bench/relay/main.c
@@ -152,6 +152,7 @@
 main(int argc, char **argv)
 {
 	struct options options = {0};
+	struct MHD_Daemon *daemon = NULL;
 	struct tool_loop *loop;
 	struct relay *relay;
 
@@ -170,11 +171,16 @@
 	relay = relay_new(loop);
 	add_all(relay, &options);
 	relay_delay(relay, options.delay_ms * 1000);
-	if (options.control != NULL &&
-	    serve_start(loop, options.control, on_control, relay) == NULL)
-		return 1;
+	if (options.control != NULL) {
+		daemon = serve_start(loop, options.control, on_control, relay);
+		if (daemon == NULL)
+			return 1;
+	}
 	while (!stop_asked)
 		tl_turn(loop, relay_tick(relay, tl_now_us()));
 	relay_free(relay);
+	if (daemon != NULL)
+		MHD_stop_daemon(daemon);
+	tl_free(loop);
 	return 0;
 }
--- a/fakes/rater/main.c
+++ b/fakes/rater/main.c
@@ -175,6 +175,7 @@
 main(int argc, char **argv)
 {
 	static struct rater rater;
+	struct MHD_Daemon *daemon;
 
 	flags_read(argc, argv, "A stand-in for the service that rates answers.",
 	    flags, sizeof(flags) / sizeof(flags[0]), &rater.options);
@@ -189,10 +190,19 @@
 	rng_init(&rater.rng, (uint64_t)rater.options.seed);
 	rater.waiting =
 	    alloc_zero(alloc_default(), RATINGS_MAX, sizeof(*rater.waiting));
-	if (serve_start(rater.loop, rater.options.listen, on_request, &rater) ==
-	    NULL)
+	daemon =
+	    serve_start(rater.loop, rater.options.listen, on_request, &rater);
+	if (daemon == NULL)
 		return 1;
 	while (!stop_asked)
 		tl_turn(rater.loop, post_due(&rater, tl_now_us()));
+	/* Ratings not posted yet are lost, as in a restart of the service. */
+	while (tl_transfers(rater.loop) > 0)
+		tl_turn(rater.loop, tl_now_us() + 1000000);
+	while (rater.count-- > 0)
+		free(rater.waiting[rater.first++ % RATINGS_MAX].body);
+	alloc_free(alloc_default(), rater.waiting);
+	MHD_stop_daemon(daemon);
+	tl_free(rater.loop);
 	return 0;
 }
--- a/fakes/weights/main.c
+++ b/fakes/weights/main.c
@@ -106,6 +106,7 @@
 main(int argc, char **argv)
 {
 	static struct store store;
+	struct MHD_Daemon *daemon;
 	struct tool_loop *loop;
 
 	flags_read(argc, argv, "A stand-in for the weight store.", flags,
@@ -121,9 +122,12 @@
 	loop = tl_new();
 	store.level = store.options.burst_bytes;
 	store.filled_us = tl_now_us();
-	if (serve_start(loop, store.options.listen, on_request, &store) == NULL)
+	daemon = serve_start(loop, store.options.listen, on_request, &store);
+	if (daemon == NULL)
 		return 1;
 	while (!stop_asked)
 		tl_turn(loop, tl_now_us() + 1000000);
+	MHD_stop_daemon(daemon);
+	tl_free(loop);
 	return 0;
 }
--- a/test/process/tools.bash
+++ b/test/process/tools.bash
@@ -10,6 +10,9 @@
 	local p
 	for p in $pids; do kill "$p" 2>/dev/null; done
 	wait
+	if grep -E 'Sanitizer|runtime error' "$dir"/*.err; then
+		failures=$((failures + 1))
+	fi
 	rm -rf "$dir"
 	if [ "$failures" -ne 0 ]; then
 		echo "$failures checks failed"
@@ -26,7 +29,7 @@
 	"$build/$program" "$@" >"$dir/$name.out" 2>"$dir/$name.err" &
 	pid=$!
 	pids="$pids $pid"
-	until addr=$(sed -n 's/^serves //p' "$dir/$name.out") && [ -n "$addr" ]; do
+	until addr=$(sed -n 's/^serves //p' "$dir/$name.out" 2>/dev/null) && [ -n "$addr" ]; do
 		kill -0 "$pid" 2>/dev/null || break
 		sleep 0.01
 	done
