--- a/bench/load/load.h
+++ b/bench/load/load.h
@@ -37,6 +37,7 @@
 	const char *rater;
 	const char *workspace;
 	const char *json;
+	const char *answered;
 	int64_t rate;
 	int64_t seconds;
 	int64_t stream_permille;
@@ -49,6 +50,7 @@
 	int64_t deadline_ms;
 	int64_t timeout_ms;
 	int64_t open_max;
+	int64_t settle_ms;
 	int64_t seed;
 };
 
--- a/bench/load/main.c
+++ b/bench/load/main.c
@@ -34,6 +34,8 @@
     TEXT("bills", bills, NULL, "URL of the bills, one JSON object a line"),
     TEXT("rater", rater, NULL, "URL of the rating service"),
     TEXT("workspace", workspace, "", "name that ratings carry"),
+    TEXT("answered", answered, NULL,
+	"file for the Celeryford-Request of each whole answer"),
     TEXT("json", json, NULL, "file for the report"),
     NUMBER("rate", rate, 100, "requests a second"),
     NUMBER("seconds", seconds, 10, "length of the arrivals"),
@@ -48,6 +50,8 @@
     NUMBER("max-tokens", max_tokens, 16, "length of an answer"),
     NUMBER("deadline-ms", deadline_ms, 0, "to the first token; 0 none"),
     NUMBER("timeout-ms", timeout_ms, 60000, "after which a caller leaves"),
+    NUMBER("settle-ms", settle_ms, 0,
+	"from the last answer to the reading of engines and bills"),
     NUMBER("open-max", open_max, 10000, "requests open at once"),
     NUMBER("seed", seed, 1, "of the arrivals and choices")};
 
@@ -105,9 +109,12 @@
 		if (now_us >= limit_us ||
 		    (now_us >= load->end_us && load->resend_count == 0 &&
 			tl_transfers(load->loop) == 0))
-			return;
+			break;
 		tl_turn(load->loop, send_due(load, now_us));
 	}
+	limit_us = tl_now_us() + load->options.settle_ms * 1000;
+	while (tl_now_us() < limit_us)
+		tl_turn(load->loop, limit_us);
 }
 
 static void
--- a/bench/load/report.c
+++ b/bench/load/report.c
@@ -156,6 +156,29 @@
 	report_number(json, "answers_unbilled", check->answers_unbilled);
 }
 
+/* Writes the ids of the requests that were answered whole, one a line. */
+static void
+write_answered(struct load *load)
+{
+	apr_hash_index_t *at;
+	const void *id;
+	FILE *file;
+
+	if (load->options.answered == NULL)
+		return;
+	file = fopen(load->options.answered, "w");
+	if (file == NULL) {
+		fprintf(stderr, "can't write %s\n", load->options.answered);
+		return;
+	}
+	for (at = apr_hash_first(load->pool, load->requests); at != NULL;
+	     at = apr_hash_next(at)) {
+		apr_hash_this(at, &id, NULL, NULL);
+		fprintf(file, "%s\n", (const char *)id);
+	}
+	fclose(file);
+}
+
 /*
  * Reads what the engines and the bills say, prints the outcome and writes it
  * as JSON.  Returns 0, or 1 if a promise was seen broken: a cut answer shown
@@ -176,6 +199,7 @@
 	report_hist(json, "between_tokens", &load->between_tokens);
 	report_hist(json, "whole", &load->whole);
 	watch_report(load, json);
+	write_answered(load);
 	check_engines(load, &check);
 	check_bills(load, &check);
 	report_checks(load, &check, json);
