--- a/bench/load/answer.c
+++ b/bench/load/answer.c
@@ -78,6 +78,9 @@
 
 	if (kind == NULL || *kind != '"') {
 		snprintf(shot->error, sizeof(shot->error), "unnamed");
+		if (shot->load->counts.shown++ < LOAD_SHOWN_MAX)
+			fprintf(stderr,
+			    "cf-load: error without a kind: %.200s\n", text);
 		return;
 	}
 	len = strcspn(++kind, "\"");
@@ -118,9 +121,11 @@
 		shot->error_event = strstr(line, "error") != NULL;
 		return;
 	}
-	if (strncmp(line, "data:", 5) != 0)
+	/* A refused stream is answered with a JSON body instead. */
+	if (strncmp(line, "data:", 5) == 0)
+		line += 5;
+	else if (line[0] != '{')
 		return;
-	line += 5;
 	if (shot->error_event || strstr(line, "\"error\"") != NULL) {
 		read_error(shot, line);
 		return;
@@ -299,7 +304,7 @@
 	if (status >= 400 && code == CURLE_OK && shot->error[0] == '\0')
 		read_error(shot, buf_text(&shot->answer));
 	if (shot->error[0] != '\0') {
-		target->answered++;
+		target->errors++;
 		snprintf(name, sizeof(name), "%s%s",
 		    shot->resend ? "resend:" : "", shot->error);
 	} else if (code != CURLE_OK) {
@@ -309,7 +314,7 @@
 			load->counts.timeouts++;
 		snprintf(name, sizeof(name), "%s", transport_error(code));
 	} else {
-		target->answered++;
+		target->whole++;
 		end_whole(shot);
 		return;
 	}
--- a/bench/load/load.h
+++ b/bench/load/load.h
@@ -23,6 +23,7 @@
 	LOAD_NAME_BYTES = 96,
 	LOAD_TARGETS_MAX = FLAGS_ITEMS_MAX,
 	LOAD_STATUS_MAX = 600,
+	LOAD_SHOWN_MAX = 5, /* error bodies printed */
 	LOAD_RESEND_US = 200000 /* from a keyed call to its second sending */
 };
 
@@ -96,7 +97,8 @@
 
 struct target_counts {
 	uint64_t sent;
-	uint64_t answered; /* whole answers and error answers */
+	uint64_t whole; /* whole answers */
+	uint64_t errors; /* error answers and error events */
 	uint64_t refused; /* could not be connected to */
 	uint64_t lost; /* ended without any answer, or cut */
 };
@@ -112,6 +114,7 @@
 	uint64_t resent;
 	uint64_t lost;
 	uint64_t timeouts;
+	uint64_t shown; /* error bodies without a kind, printed */
 	uint64_t skipped; /* not sent: open_max were open */
 	uint64_t cut_as_whole;
 	uint64_t crossed; /* another request's answer */
--- a/bench/load/report.c
+++ b/bench/load/report.c
@@ -100,18 +100,19 @@
 
 	for (i = 0; i < load->options.targets.count; i++) {
 		t = &load->counts.targets[i];
-		printf("target %s: sent %llu answered %llu lost %llu "
+		printf("target %s: sent %llu whole %llu errors %llu lost %llu "
 		       "not_connected %llu\n",
 		    load->options.targets.items[i], (unsigned long long)t->sent,
-		    (unsigned long long)t->answered,
+		    (unsigned long long)t->whole, (unsigned long long)t->errors,
 		    (unsigned long long)t->lost,
 		    (unsigned long long)t->refused);
 		json_array_append_new(list,
-		    json_pack("{s:s, s:I, s:I, s:I, s:I}", "url",
+		    json_pack("{s:s, s:I, s:I, s:I, s:I, s:I}", "url",
 			load->options.targets.items[i], "sent",
-			(json_int_t)t->sent, "answered",
-			(json_int_t)t->answered, "lost", (json_int_t)t->lost,
-			"not_connected", (json_int_t)t->refused));
+			(json_int_t)t->sent, "whole", (json_int_t)t->whole,
+			"errors", (json_int_t)t->errors, "lost",
+			(json_int_t)t->lost, "not_connected",
+			(json_int_t)t->refused));
 	}
 	json_object_set_new(json, "targets", list);
 }
