--- a/bench/load/report.c
+++ b/bench/load/report.c
@@ -100,18 +100,19 @@
 
 	for (i = 0; i < load->options.targets.count; i++) {
 		t = &load->counts.targets[i];
-		printf("target %s: sent %llu answered %llu lost %llu "
+		printf("target %s: sent %llu whole %llu errors %llu lost %llu "
 		       "not_connected %llu\n",
 		    load->options.targets.items[i], (unsigned long long)t->sent,
-		    (unsigned long long)t->answered,
+		    (unsigned long long)t->whole, (unsigned long long)t->errors,
 		    (unsigned long long)t->lost,
 		    (unsigned long long)t->refused);
 		json_array_append_new(list,
-		    json_pack("{s:s, s:I, s:I, s:I, s:I}", "url",
+		    json_pack("{s:s, s:I, s:I, s:I, s:I, s:I}", "url",
 			load->options.targets.items[i], "sent",
-			(json_int_t)t->sent, "answered",
-			(json_int_t)t->answered, "lost", (json_int_t)t->lost,
-			"not_connected", (json_int_t)t->refused));
+			(json_int_t)t->sent, "whole", (json_int_t)t->whole,
+			"errors", (json_int_t)t->errors, "lost",
+			(json_int_t)t->lost, "not_connected",
+			(json_int_t)t->refused));
 	}
 	json_object_set_new(json, "targets", list);
 }
@@ -156,6 +157,29 @@
 	report_number(json, "answers_unbilled", check->answers_unbilled);
 }
 
+/* Writes the ids of the requests that were answered whole, one a line. */
+static void
+write_answered(struct load *load)
+{
+	apr_hash_index_t *at;
+	const void *id;
+	FILE *file;
+
+	if (load->options.answered == NULL)
+		return;
+	file = fopen(load->options.answered, "w");
+	if (file == NULL) {
+		fprintf(stderr, "can't write %s\n", load->options.answered);
+		return;
+	}
+	for (at = apr_hash_first(load->pool, load->requests); at != NULL;
+	     at = apr_hash_next(at)) {
+		apr_hash_this(at, &id, NULL, NULL);
+		fprintf(file, "%s\n", (const char *)id);
+	}
+	fclose(file);
+}
+
 /*
  * Reads what the engines and the bills say, prints the outcome and writes it
  * as JSON.  Returns 0, or 1 if a promise was seen broken: a cut answer shown
@@ -176,6 +200,7 @@
 	report_hist(json, "between_tokens", &load->between_tokens);
 	report_hist(json, "whole", &load->whole);
 	watch_report(load, json);
+	write_answered(load);
 	check_engines(load, &check);
 	check_bills(load, &check);
 	report_checks(load, &check, json);
