--- a/fuzz/fuzz_journal.c
+++ b/fuzz/fuzz_journal.c
@@ -14,6 +14,7 @@
  * configuration store.  The first byte chooses which.
  */
 
+/* NOLINTNEXTLINE(readability-identifier-naming): libFuzzer's name */
 int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size);
 
 static char folder[] = "/tmp/cf-fuzz-journal-XXXXXX";
--- a/src/state/cfgstore_i.h
+++ b/src/state/cfgstore_i.h
@@ -55,6 +55,8 @@
 };
 
 void cs_clear(struct cs *cs);
+size_t cs_find(const struct cs *cs, const char *path, bool *found);
+struct cs_answered *cs_recall(const struct cs *cs, const char *id);
 struct cs_stored *cs_store(struct cs *cs, const char *path, bool create);
 void cs_set_text(
     struct cs *cs, struct cs_stored *stored, const void *text, size_t len);
--- a/src/state/cfgstore_image.c
+++ b/src/state/cfgstore_image.c
@@ -19,8 +19,7 @@
 		if (change->items[i].len > CS_TEXT_MAX_BYTES)
 			return ERR_TOO_LARGE;
 	items = alloc_get(alloc, (change->item_count + 1) * sizeof(*items));
-	pointers =
-	    alloc_get(alloc, (change->item_count + 1) * sizeof(*pointers));
+	pointers = alloc_get(alloc, (change->item_count + 1) * sizeof(void *));
 	for (i = 0; i < change->item_count; i++) {
 		cspb__item__init(&items[i]);
 		items[i].path = (char *)change->items[i].path;
@@ -152,11 +151,11 @@
 	answers = alloc_zero(cs->alloc, image.n_answer + 1, sizeof(*answers));
 	history = alloc_zero(cs->alloc, image.n_history + 1, sizeof(*history));
 	image.section =
-	    alloc_zero(cs->alloc, image.n_section + 1, sizeof(sections));
+	    alloc_zero(cs->alloc, image.n_section + 1, sizeof(void *));
 	image.answer =
-	    alloc_zero(cs->alloc, image.n_answer + 1, sizeof(answers));
+	    alloc_zero(cs->alloc, image.n_answer + 1, sizeof(void *));
 	image.history =
-	    alloc_zero(cs->alloc, image.n_history + 1, sizeof(history));
+	    alloc_zero(cs->alloc, image.n_history + 1, sizeof(void *));
 	sections_out(cs, sections, image.section);
 	answers_out(cs, answers, image.answer);
 	history_out(cs, history, image.history);
--- a/src/state/journal.c
+++ b/src/state/journal.c
@@ -57,17 +57,17 @@
 
 /*
  * Opens a data folder for replay and keeps others out of it.  Returns 0,
- * ERR_DISK, ERR_CORRUPT or ERR_VERSION; the reason goes into why, and *jn is
- * NULL on an error.
+ * ERR_DISK, ERR_CORRUPT or ERR_VERSION; the reason goes into why, and *jn_out
+ * is NULL on an error.
  */
 int
-jn_open(const struct jn_options *options, struct jn **out, struct buf *why)
+jn_open(const struct jn_options *options, struct jn **jn_out, struct buf *why)
 {
 	const struct alloc *alloc;
 	struct jn *jn;
 	int e;
 
-	*out = NULL;
+	*jn_out = NULL;
 	alloc = options->alloc != NULL ? options->alloc : alloc_default();
 	if (apr_initialize() != APR_SUCCESS)
 		return ERR_INTERNAL;
@@ -91,7 +91,7 @@
 		jn_close(jn);
 		return e;
 	}
-	*out = jn;
+	*jn_out = jn;
 	return 0;
 }
 
--- a/src/state/journal.h
+++ b/src/state/journal.h
@@ -112,7 +112,8 @@
 
 struct jn;
 
-int jn_open(const struct jn_options *options, struct jn **jn, struct buf *why);
+int jn_open(
+    const struct jn_options *options, struct jn **jn_out, struct buf *why);
 int jn_next(struct jn *jn, struct jn_record *record);
 const char *jn_why(const struct jn *jn);
 int jn_start(struct jn *jn);
--- a/src/state/rlog_i.h
+++ b/src/state/rlog_i.h
@@ -38,17 +38,17 @@
 
 struct rl_peer {
 	uint64_t id;
-	uint16_t instance;
-	enum rl_peer_state state;
-	bool probing; /* RL_PROBE: a message is under way */
 	uint64_t match;
 	uint64_t next;
 	uint64_t acked_round;
 	int64_t heard_us;
-	bool granted; /* of this vote or pre-vote */
 	uint64_t snapshot_index; /* RL_SNAPSHOT: which one is sent */
 	uint64_t snapshot_offset;
 	uint64_t rewound_round; /* when it last went back */
+	enum rl_peer_state state;
+	uint16_t instance;
+	bool probing; /* RL_PROBE: a message is under way */
+	bool granted; /* of this vote or pre-vote */
 };
 
 /* A message that waits for a journal record to be durable. */
@@ -92,7 +92,6 @@
 
 	/* durable state, as it will be once all records are synced */
 	uint64_t id;
-	bool was_voter;
 	uint64_t term;
 	uint64_t voted_for;
 	struct rl_snapshot snapshot;
@@ -116,8 +115,15 @@
 	size_t held_count;
 
 	enum rl_role role;
-	uint64_t leader_id; /* 0: unknown */
 	uint16_t leader_instance;
+	bool was_voter; /* durable */
+	bool started;
+	bool restore_due;
+	bool dead; /* the journal failed */
+	bool leaving;
+	bool transfer; /* this candidacy was asked for by the leader */
+	bool snapshot_asked;
+	uint64_t leader_id; /* 0: unknown */
 	uint64_t told_term;
 	uint64_t told_leader;
 	enum rl_role told_role;
@@ -125,10 +131,6 @@
 	uint64_t applied;
 	struct rl_config config; /* the latest in the log */
 	uint64_t config_index;
-	bool started;
-	bool restore_due;
-	bool dead; /* the journal failed */
-	bool leaving;
 
 	/* followers */
 	int64_t election_us;
@@ -144,7 +146,6 @@
 	/* candidates and leaders */
 	struct rl_peer peers[RL_MEMBERS_MAX];
 	size_t peer_count;
-	bool transfer; /* this candidacy was asked for by the leader */
 	int64_t heartbeat_us;
 	uint64_t round;
 	uint64_t min_round; /* earlier rounds grant no lease */
@@ -156,7 +157,6 @@
 	size_t read_count;
 	size_t read_size;
 	int64_t handover_until_us; /* 0: none under way */
-	bool snapshot_asked;
 	uint64_t remove_token;
 	uint64_t remove_index; /* configuration that does it; 0: none */
 };
--- a/src/state/rlog_member.c
+++ b/src/state/rlog_member.c
@@ -132,7 +132,7 @@
 all_empty(const struct rl *rl)
 {
 	const struct rl_hello *hello;
-	uint16_t i;
+	size_t i;
 
 	for (i = 0; i < RL_INSTANCES_MAX; i++) {
 		if ((rl->options.instances >> i & 1) == 0 ||
@@ -155,7 +155,7 @@
 form(struct rl *rl)
 {
 	struct rl_config config = {0};
-	uint16_t i;
+	size_t i;
 
 	for (i = 0; i < RL_INSTANCES_MAX && config.count < RL_MEMBERS_MAX;
 	     i++) {
@@ -165,7 +165,7 @@
 			continue;
 		member->id =
 		    i == rl->options.instance ? rl->id : rl->hellos[i].id;
-		member->instance = i;
+		member->instance = (uint16_t)i;
 		member->voter = true;
 		config.count++;
 	}
@@ -199,7 +199,7 @@
 void
 rl_hello_tick(struct rl *rl)
 {
-	uint16_t i;
+	size_t i;
 
 	note_voter(rl);
 	if (rl->was_voter || rl->leaving || rl->now_us < rl->hello_us)
@@ -210,7 +210,7 @@
 	for (i = 0; i < RL_INSTANCES_MAX; i++)
 		if ((rl->options.instances >> i & 1) != 0 &&
 		    i != rl->options.instance)
-			send_hello(rl, i, 0);
+			send_hello(rl, (uint16_t)i, 0);
 	if (rl_is_empty(rl) && lowest_instance(rl) == rl->options.instance &&
 	    all_empty(rl))
 		form(rl);
@@ -263,7 +263,7 @@
 {
 	const struct rl_hello *hello;
 	struct rl_member *member;
-	uint16_t instance;
+	size_t instance;
 	size_t i;
 
 	for (instance = 0; instance < RL_INSTANCES_MAX; instance++) {
@@ -281,7 +281,7 @@
 			return false;
 		member = &config->members[config->count++];
 		member->id = hello->id;
-		member->instance = instance;
+		member->instance = (uint16_t)instance;
 		member->voter = rl->options.unsafe_vote_uncaught;
 		return true;
 	}
--- a/src/state/rlog_msg.c
+++ b/src/state/rlog_msg.c
@@ -48,8 +48,8 @@
 static Rlpb__Entry **
 entries_out(const struct rl_msg *msg, Rlpb__Entry *entries)
 {
-	Rlpb__Entry **pointers = alloc_get(
-	    alloc_default(), (msg->entry_count + 1) * sizeof(*pointers));
+	Rlpb__Entry **pointers =
+	    alloc_get(alloc_default(), (msg->entry_count + 1) * sizeof(void *));
 	size_t i;
 
 	for (i = 0; i < msg->entry_count; i++) {
--- /dev/null
+++ b/src/state/rlog_status.c
@@ -0,0 +1,81 @@
+#include <string.h>
+
+#include "state/rlog_i.h"
+
+/* Tells whether this replica leads; its lease may be over all the same. */
+bool
+rl_is_leader(const struct rl *rl)
+{
+	return rl->role == RL_LEADER;
+}
+
+/* Returns the current term: the fencing number of orders. */
+uint64_t
+rl_term(const struct rl *rl)
+{
+	return rl->term;
+}
+
+/* Returns the instance of the known leader, or RL_NO_INSTANCE. */
+uint16_t
+rl_leader(const struct rl *rl)
+{
+	return rl->leader_instance;
+}
+
+/* Returns until when no other replica can lead; 0 if that is not known. */
+int64_t
+rl_lease_until_us(const struct rl *rl)
+{
+	return rl->role == RL_LEADER && rl->commit >= rl->term_start
+		   ? rl->lease_until_us
+		   : 0;
+}
+
+/* Returns when the next RL_EV_TICK is due; gaps stay well under jump_us. */
+int64_t
+rl_wake_us(const struct rl *rl)
+{
+	int64_t due = rl->now_us + rl->options.jump_us / 2;
+	int64_t next =
+	    rl->role == RL_LEADER ? rl->heartbeat_us : rl->election_us;
+
+	return next < due ? next : due;
+}
+
+/* Returns the identity of this replica. */
+uint64_t
+rl_id(const struct rl *rl)
+{
+	return rl->id;
+}
+
+/* Returns the index up to which a restart without peers would apply again. */
+uint64_t
+rl_durable_commit(const struct rl *rl)
+{
+	return rl->commit_durable < rl->durable ? rl->commit_durable
+						: rl->durable;
+}
+
+/* Copies what status pages show. */
+void
+rl_status(const struct rl *rl, struct rl_status *status)
+{
+	memset(status, 0, sizeof(*status));
+	status->role = rl->role;
+	status->id = rl->id;
+	status->term = rl->term;
+	status->first_index = rl->base_index + 1;
+	status->last_index = rl_last_index(rl);
+	status->last_term = rl_last_term(rl);
+	status->durable_index = rl->durable;
+	status->commit = rl->commit;
+	status->applied = rl->applied;
+	status->snapshot_index = rl->snapshot.index;
+	status->log_bytes = rl_bytes_between(
+	    (struct rl *)rl, rl->base_index, rl_last_index(rl));
+	status->member_count = rl->config.count;
+	memcpy(status->members, rl->config.members,
+	    rl->config.count * sizeof(rl->config.members[0]));
+}
--- a/src/state/rlog_store.c
+++ b/src/state/rlog_store.c
@@ -403,7 +403,7 @@
 	image.n_entry = rl->slot_count;
 	entries = alloc_get(rl->alloc, (rl->slot_count + 1) * sizeof(*entries));
 	image.entry =
-	    alloc_get(rl->alloc, (rl->slot_count + 1) * sizeof(*image.entry));
+	    alloc_get(rl->alloc, (rl->slot_count + 1) * sizeof(void *));
 	for (i = 0; i < rl->slot_count; i++) {
 		entries[i] = entry_out(rl, rl->base_index + 1 + i);
 		image.entry[i] = &entries[i];
