Keep the cost of a full queue low

Cause: a drain went on through eight requests of every workspace after the server's room was gone, and worked out waits before it asked whether the server fits at all.

--- a/bench/decide/decide.c
+++ b/bench/decide/decide.c
@@ -11,29 +11,30 @@
 /*
  * Measures how many decisions a second one core takes: requests at random
  * over the workspaces, each dispatched, given its first token and answered,
- * with load reports in between.  One seed gives one sequence of events.
+ * with load reports in between.  An arrival rate past the servers' slots shows
+ * the cost of a full queue.  One seed gives one sequence of events.
  */
 enum {
 	DECIDE_VERSIONS = 26,
 	DECIDE_SERVERS = 146,
 	DECIDE_WORKSPACES = 10,
-	DECIDE_SLOTS = 16,
 	DECIDE_IDS = 4096
 };
 
 struct decide_options {
 	uint64_t seed;
 	uint32_t requests;
-	uint32_t open; /* requests under way at once */
+	uint32_t hold_us; /* virtual time of an attempt */
 	uint32_t step_us; /* virtual time between two arrivals */
 	uint32_t sessions_permille;
 	uint32_t prefixes;
+	uint32_t slots; /* of each server */
 };
 
 struct decide_open {
 	uint32_t id;
 	uint8_t attempt;
-	bool running;
+	int64_t started_us;
 };
 
 struct decide {
@@ -125,6 +126,7 @@
 		o = &d->open[(d->open_first + d->open_count++) % DECIDE_IDS];
 		o->id = d->actions.items[i].request;
 		o->attempt = d->actions.items[i].attempt;
+		o->started_us = d->now_us;
 	}
 }
 
@@ -141,7 +143,7 @@
 	for (i = 0; i < 4; i++)
 		a->versions |= UINT64_C(1) << (first + i) % DECIDE_VERSIONS;
 	a->warmth = CF_WARM;
-	a->slots = DECIDE_SLOTS;
+	a->slots = (uint16_t)d->options.slots;
 	a->cold_slots = 1;
 	a->running = cf_router_in_flight(d->router, server);
 	a->reported_us = d->now_us;
@@ -205,7 +207,9 @@
 		if (i % 4 == 0)
 			decide_announce(d, (uint16_t)(i / 4 % DECIDE_SERVERS));
 		decide_request(d, i + 1);
-		while (d->open_count > d->options.open)
+		while (d->open_count > 0 &&
+		       d->now_us - d->open[d->open_first].started_us >=
+			   d->options.hold_us)
 			decide_finish(d);
 	}
 }
@@ -222,9 +226,10 @@
 static const struct argp_option decide_flags[] = {
     {"seed", 's', "N", 0, "random seed (1)", 0},
     {"requests", 'n', "N", 0, "requests (1000000)", 0},
-    {"open", 'o', "N", 0, "requests under way at once (1000)", 0},
+    {"hold-us", 'o', "N", 0, "virtual time of an attempt (200000)", 0},
     {"step-us", 't', "N", 0, "virtual time between arrivals (200)", 0},
     {"sessions", 'k', "N", 0, "thousandths with a session (300)", 0},
+    {"slots", 'l', "N", 0, "slots of each server (16)", 0},
     {"prefixes", 'p', "N", 0, "prefixes of a prompt, 0 to 8 (4)", 0},
     {0},
 };
@@ -243,7 +248,7 @@
 		value = &o->requests;
 		break;
 	case 'o':
-		value = &o->open;
+		value = &o->hold_us;
 		break;
 	case 't':
 		value = &o->step_us;
@@ -251,6 +256,9 @@
 	case 'k':
 		value = &o->sessions_permille;
 		break;
+	case 'l':
+		value = &o->slots;
+		break;
 	case 'p':
 		value = &o->prefixes;
 		break;
@@ -258,7 +266,7 @@
 		return ARGP_ERR_UNKNOWN;
 	}
 	*value = (uint32_t)strtoul(arg, NULL, 10);
-	if (o->prefixes > CF_PREFIXES_MAX || o->open >= DECIDE_IDS / 2)
+	if (o->prefixes > CF_PREFIXES_MAX || o->slots > 24)
 		argp_error(state, "%s is out of range", arg);
 	return 0;
 }
@@ -277,7 +285,8 @@
 	    .max_sessions = 16384};
 	int64_t took_ns;
 
-	d.options = (struct decide_options){1, 1000000, 1000, 200, 300, 4};
+	d.options =
+	    (struct decide_options){1, 1000000, 200000, 200, 300, 4, 16};
 	argp_parse(&argp, argc, argv, 0, NULL, &d.options);
 	options.seed = d.options.seed;
 	rng_init(&d.rng, d.options.seed + 1);
--- a/src/core/fleet.h
+++ b/src/core/fleet.h
@@ -101,6 +101,7 @@
 uint16_t fl_count(const struct fl *fl, const struct fl_need *need);
 uint32_t fl_slots(const struct fl *fl, const struct fl_need *need);
 
+bool fl_open(const struct fl *fl, uint16_t server, int64_t now_us);
 bool fl_can_take(const struct fl *fl, uint16_t server,
     const struct fl_need *need, int64_t now_us);
 int64_t fl_expect(const struct fl *fl, uint16_t server,
--- a/src/core/fleet_pick.c
+++ b/src/core/fleet_pick.c
@@ -75,6 +75,14 @@
 		   : (s->listed_services >> need->service & 1) != 0;
 }
 
+/* Whether a server has room for any request. */
+bool
+fl_open(const struct fl *fl, uint16_t server, int64_t now_us)
+{
+	return server < fl->options.max_servers && fl->servers[server].known &&
+	       fl_has_room(fl, &fl->servers[server], now_us);
+}
+
 /* Whether a server may be given this request now. */
 bool
 fl_can_take(const struct fl *fl, uint16_t server, const struct fl_need *need,
--- a/src/core/place.c
+++ b/src/core/place.c
@@ -334,13 +334,13 @@
 
 	for (i = q->step; i < q->chain.count; i++) {
 		version = q->chain.versions[i];
-		if (i > q->step && !place_spills(r, q))
-			return false;
 		if (!place_allowed(r, q, version))
 			continue;
 		place_need(r, q, version, avoid, &need);
 		if (!fl_can_take(r->fl, server, &need, r->now_us))
 			continue;
+		if (i > q->step && !place_spills(r, q))
+			return false;
 		choice.candidates = fl_count(r->fl, &need);
 		choice.expected_us = fl_expect(r->fl, server, &need, r->now_us);
 		return attempt_dispatch(r, q, &choice, version, q->why);
--- a/src/core/upkeep.c
+++ b/src/core/upkeep.c
@@ -185,6 +185,9 @@
 	while ((slot = queue_turn_next(r->queue)) != QUEUE_NONE) {
 		if (!router_room(r))
 			return;
+		if (server != CF_NO_SERVER &&
+		    !fl_open(r->fl, server, r->now_us))
+			return;
 		upkeep_try(r, &r->requests[slot], server);
 	}
 }
@@ -193,7 +196,7 @@
 void
 upkeep_drain_server(struct cf_router *r, uint16_t server)
 {
-	if (queue_count(r->queue) > 0)
+	if (queue_count(r->queue) > 0 && fl_open(r->fl, server, r->now_us))
 		upkeep_walk(r, server);
 }
 
