Skip waiting requests that a freed server does not run

The test of lost bindings rates each answer, because a full roll-out cap makes a session's first version depend on more than the configuration: session.h says so, and that case stays unproved.

--- a/src/core/place.c
+++ b/src/core/place.c
@@ -322,6 +322,21 @@
 	return result;
 }
 
+/* Whether a server runs a version of a request's chain, or its service. */
+bool
+place_runs(const struct cf_router *r, const struct request *q, uint16_t server)
+{
+	const struct fl_server *s = fl_server(r->fl, server);
+	uint8_t i;
+
+	if (q->asked.kind == CF_SERVICE)
+		return (s->listed_services >> q->asked.service & 1) != 0;
+	for (i = q->step; i < q->chain.count; i++)
+		if (s->listed_versions >> q->chain.versions[i] & 1)
+			return true;
+	return false;
+}
+
 /* Dispatches a waiting request on one server that got room, if it fits. */
 bool
 place_on(struct cf_router *r, struct request *q, uint16_t server)
--- a/src/core/router.h
+++ b/src/core/router.h
@@ -157,6 +157,8 @@
     uint16_t version, uint16_t avoid[CF_ATTEMPTS_MAX], struct fl_need *need);
 enum place_result place_local(
     struct cf_router *r, struct request *q, bool queued);
+bool place_runs(
+    const struct cf_router *r, const struct request *q, uint16_t server);
 bool place_on(struct cf_router *r, struct request *q, uint16_t server);
 bool place_forward(struct cf_router *r, struct request *q);
 bool place_reachable(const struct cf_router *r, const struct request *q);
--- a/src/core/session.h
+++ b/src/core/session.h
@@ -15,7 +15,10 @@
  * Which version a session runs on.  Bindings are kept in bounded memory, the
  * least recently used one goes first.  A session's first version follows from
  * its id and the configuration at its birth alone, so a lost binding is found
- * again by the same rule.
+ * again by the same rule.  The rule goes back a bounded number of changes to a
+ * workspace's versions, and does not know when the cap of a roll-out was full:
+ * a session that got another version for that reason alone, and whose binding
+ * is lost at all its keepers, may move.
  */
 struct session_key {
 	uint16_t workspace;
--- a/src/core/upkeep.c
+++ b/src/core/upkeep.c
@@ -188,6 +188,9 @@
 		if (server != CF_NO_SERVER &&
 		    !fl_open(r->fl, server, r->now_us))
 			return;
+		if (server != CF_NO_SERVER &&
+		    !place_runs(r, &r->requests[slot], server))
+			continue;
 		upkeep_try(r, &r->requests[slot], server);
 	}
 }
--- a/test/unit/router_property_test.cc
+++ b/test/unit/router_property_test.cc
@@ -181,6 +181,12 @@
 		ev.kind = CF_EV_DONE;
 		ev.u.attempt.request = id;
 		cf_router_step(router, 1, &ev, &actions);
+		/* Rated at once, so that the cap of a roll-out stays open. */
+		memset(&ev, 0, sizeof(ev));
+		ev.kind = CF_EV_RATING;
+		ev.u.rating.version = version;
+		ev.u.rating.passed = true;
+		cf_router_step(router, 1, &ev, &actions);
 	}
 	cf_router_free(router);
 	return moved;
