Let a session's hash alone pick among several roll-outs

Cause: sessions asked for the roll-outs open at draw 0, which is the first one's share only; a second version in roll-out never got a session. Change: every draw that opens one is asked for; the session's hash decides.

--- a/src/core/place.c
+++ b/src/core/place.c
@@ -65,6 +65,7 @@
 	    (cfg->model_count + 1u) * sizeof(*r->model_versions));
 	memset(r->model_versions, 0,
 	    (cfg->model_count + 1u) * sizeof(*r->model_versions));
+	r->rolling = 0;
 	r->usable = 0;
 	r->when_isolated = 0;
 	r->stopped = 0;
@@ -73,6 +74,8 @@
 		bit = UINT64_C(1) << i;
 		if (v->present && v->state != CFG_WITHDRAWN)
 			r->usable |= bit;
+		if (v->state == CFG_ROLLING)
+			r->rolling |= bit;
 		if (v->serve_isolated)
 			r->when_isolated |= bit;
 		if (ro_stopped(r->ro, i))
@@ -122,6 +125,27 @@
 	q->pinned = pinned;
 }
 
+/*
+ * Returns the versions in roll-out that may take one more session.  Which of
+ * them a session gets is its hash's matter, so every draw that opens one is
+ * asked for.
+ */
+static uint64_t
+place_rolling_open(const struct cf_router *r)
+{
+	const struct cfg_version *v = r->cfg->versions;
+	uint64_t open = ro_open(r->ro, 0);
+	uint64_t left = r->rolling;
+	uint32_t draw = 0;
+
+	for (; left != 0; left &= left - 1) {
+		draw += v[__builtin_ctzll(left)].stage_permille;
+		if (draw < 1000)
+			open |= ro_open(r->ro, (uint16_t)draw);
+	}
+	return open & r->rolling;
+}
+
 /*
  * Puts a session's version into the chain: the bound one while it may run, or
  * the one that the rule gives.
@@ -132,10 +156,8 @@
 {
 	struct session_key key = {
 	    q->asked.workspace, q->asked.session, q->asked.session_birth};
-	uint64_t open = ro_open(r->ro, 0);
-	uint64_t rolling = 0, loaded;
 	uint16_t version = session_get(r->session, &key);
-	uint16_t i;
+	uint64_t loaded;
 	bool lost;
 
 	if (version != CFG_NONE && (candidates >> version & 1)) {
@@ -143,10 +165,7 @@
 		return;
 	}
 	lost = version != CFG_NONE && q->asked.model == CFG_NONE;
-	for (i = 0; i < r->cfg->version_count; i++)
-		if (r->cfg->versions[i].state == CFG_ROLLING)
-			rolling |= UINT64_C(1) << i;
-	candidates &= ~rolling | open;
+	candidates &= ~r->rolling | place_rolling_open(r);
 	version = session_rule(r->session, &key, candidates);
 	loaded = candidates & fl_versions(r->fl);
 	if (loaded != 0 && (version == CFG_NONE || !(loaded >> version & 1)))
--- a/src/core/router.h
+++ b/src/core/router.h
@@ -102,6 +102,7 @@
 	bool open; /* the own data centre takes work */
 	int64_t returned_us; /* own data centre came back; 0: never */
 	uint64_t stopped; /* versions reported as stopped */
+	uint64_t rolling; /* versions in roll-out */
 	uint64_t usable; /* versions present and not withdrawn */
 	uint64_t when_isolated; /* versions served while isolated */
 	uint64_t *model_versions; /* mask of versions of each model */
