--- a/src/core/router.h
+++ b/src/core/router.h
@@ -102,6 +102,7 @@
 	bool open; /* the own data centre takes work */
 	int64_t returned_us; /* own data centre came back; 0: never */
 	uint64_t stopped; /* versions reported as stopped */
+	uint64_t rolling; /* versions in roll-out */
 	uint64_t usable; /* versions present and not withdrawn */
 	uint64_t when_isolated; /* versions served while isolated */
 	uint64_t *model_versions; /* mask of versions of each model */
@@ -157,6 +158,8 @@
     uint16_t version, uint16_t avoid[CF_ATTEMPTS_MAX], struct fl_need *need);
 enum place_result place_local(
     struct cf_router *r, struct request *q, bool queued);
+bool place_runs(
+    const struct cf_router *r, const struct request *q, uint16_t server);
 bool place_on(struct cf_router *r, struct request *q, uint16_t server);
 bool place_forward(struct cf_router *r, struct request *q);
 bool place_reachable(const struct cf_router *r, const struct request *q);
