--- a/src/state/lease.h
+++ b/src/state/lease.h
@@ -20,6 +20,10 @@
  * with the clock read just before; a gap between two steps longer than
  * LS_JUMP_MS drops the lease at once, before the clock is believed again.
  *
+ * The fencing number is all of a voter's state that has to be durable, and
+ * only where it is used: voters without a disk make leases, not numbers.  The
+ * leadership of orders takes its number from the replicated log.
+ *
  * ls_orders is the leadership of orders to model engines.  Orders carry the
  * fencing number; an engine that ignores it must be given none by the new
  * leader before the old lease is over.
