--- a/src/state/member.h
+++ b/src/state/member.h
@@ -39,7 +39,7 @@
 	MB_MEMBERS_MAX = 128, /* of one data centre */
 	MB_DATA_CENTRES_MAX = 16,
 	MB_VERSIONS_MAX = 64,
-	MB_ITEM_BYTES = 64,
+	MB_ITEM_BYTES = 144,
 	MB_RECORDS_BATCH = 12, /* records in one message */
 	MB_ITEMS_BATCH = 8, /* items in one message */
 	MB_VOTERS_MAX = 5
@@ -100,7 +100,7 @@
 	MB_MSG_PING_REQ, /* probe target for the sender */
 	MB_MSG_JOIN, /* answered by records, all of them */
 	MB_MSG_RECORDS,
-	MB_MSG_ITEMS, /* to one instance, or between relays */
+	MB_MSG_ITEMS, /* to target only, or (target 0) between relays */
 	MB_MSG_SPARE, /* to the relay: summary of the sender's own share */
 	MB_MSG_SUMMARY, /* between relays */
 	MB_MSG_LEASE_ASK,
@@ -111,7 +111,7 @@
 struct mb_msg {
 	enum mb_msg_kind kind;
 	uint32_t probe; /* echoed in ACK */
-	uint32_t target; /* PING_REQ, and PING on behalf of another */
+	uint32_t target; /* PING_REQ, PING on behalf; LEASE_*: data centre */
 	struct mb_record self;
 	enum mb_role role;
 	uint64_t round; /* LEASE_*: echoed */
@@ -159,7 +159,7 @@
 	uint32_t instance;
 	uint64_t incarnation;
 	uint16_t data_centre;
-	uint32_t period_ms; /* between probes; 0: 1,000 */
+	uint32_t period_ms; /* between probes; 0: 1,200 */
 	uint32_t ack_ms; /* 0: 300; helpers are asked after it */
 	uint32_t suspect_ms; /* 0: 3,000 */
 	uint32_t jump_ms; /* a longer gap is an own pause; 0: 1,000 */
@@ -167,7 +167,7 @@
 	uint32_t summary_ms; /* 0: 2,000 */
 	uint32_t voter_count;
 	uint32_t voters[MB_VOTERS_MAX];
-	struct ls_options lease;
+	struct ls_options lease; /* lease_ms 0: 8,000 */
 	/* For tests that show what each mechanism is for. */
 	bool unsafe_skip_pause;
 	bool unsafe_skip_helpers;
