--- a/src/state/member_record.c
+++ b/src/state/member_record.c
@@ -167,39 +167,24 @@
 	}
 }
 
-static struct mb_peer *
-most_sends(struct mb *mb, uint32_t below)
-{
-	struct mb_peer *best;
-	uint32_t i;
-
-	best = NULL;
-	for (i = 0; i < mb->peer_count; i++)
-		if (mb->peers[i].sends > (best != NULL ? best->sends : 0) &&
-		    mb->peers[i].sends < below)
-			best = &mb->peers[i];
-	return best;
-}
-
-/* Adds the records that were passed on least. */
+/* Adds the records that were passed on least, each once. */
 void
 mb_record_fill(struct mb *mb, struct mb_msg *msg)
 {
-	struct mb_peer *peer;
-	uint32_t i, below;
+	bool taken[MB_MEMBERS_MAX] = {false};
+	struct mb_peer *best;
+	uint32_t i;
 
-	below = UINT32_MAX;
 	while (msg->record_count < MB_RECORDS_BATCH) {
-		peer = most_sends(mb, below);
-		if (peer == NULL)
+		best = NULL;
+		for (i = 0; i < mb->peer_count; i++)
+			if (!taken[i] && mb->peers[i].sends > 0 &&
+			    (best == NULL || mb->peers[i].sends > best->sends))
+				best = &mb->peers[i];
+		if (best == NULL)
 			return;
-		below = peer->sends;
-		for (i = 0; i < mb->peer_count; i++) {
-			if (mb->peers[i].sends != below ||
-			    msg->record_count == MB_RECORDS_BATCH)
-				continue;
-			msg->records[msg->record_count++] = mb->peers[i].record;
-			mb->peers[i].sends--;
-		}
+		taken[best - mb->peers] = true;
+		best->sends--;
+		msg->records[msg->record_count++] = best->record;
 	}
 }
