--- a/src/state/cfgsync.h
+++ b/src/state/cfgsync.h
@@ -58,8 +58,8 @@
 	uint64_t round; /* HAVE, echoed in ALIVE */
 	uint32_t instance;
 	uint64_t incarnation;
-	uint64_t revision;
-	uint64_t base; /* DELTA */
+	uint64_t revision; /* HAVE: held; ALIVE: needed for the lease */
+	uint64_t base; /* DELTA: onto this one; HAVE: in force and durable */
 	uint32_t lease_ms; /* ALIVE: remaining; 0: none */
 	uint64_t offset; /* CHUNK, WANT */
 	uint64_t total; /* CHUNK: size of the document */
@@ -105,8 +105,8 @@
 	cy_apply_fn *apply;
 	uint32_t instance;
 	uint64_t incarnation;
-	uint32_t period_ms; /* between HAVEs; 0: 1,000 */
-	uint32_t lease_ms; /* longest lease; 0: 5,000 */
+	uint32_t period_ms; /* between HAVEs; 0: 3,000 */
+	uint32_t lease_ms; /* longest lease; 0: 10,000 */
 	bool disk; /* node: CY_PERSIST is wanted */
 	/* For tests that show what each mechanism is for. */
 	bool unsafe_any_revision;
