--- a/src/state/lease.c
+++ b/src/state/lease.c
@@ -2,71 +2,67 @@
 
 #include <string.h>
 
-enum {
-	US_PER_MS = 1000,
-	RENEW_SHARE = 3 /* a lease is asked for anew after a third of it */
-};
-
-static int64_t
-or_default_us(uint32_t value_ms, uint32_t fallback_ms)
+static void
+fill_options(struct ls_options *to, const struct ls_options *from)
 {
-	return (int64_t)(value_ms != 0 ? value_ms : fallback_ms) * US_PER_MS;
+	memset(to, 0, sizeof(*to));
+	if (from != NULL)
+		*to = *from;
+	if (to->lease_ms == 0)
+		to->lease_ms = LS_LEASE_MS;
+	if (to->margin_ms == 0)
+		to->margin_ms = LS_MARGIN_MS;
+	if (to->jump_ms == 0)
+		to->jump_ms = LS_JUMP_MS;
 }
 
 static int64_t
 lease_us(const struct ls_options *options)
 {
-	return or_default_us(options->lease_ms, LS_LEASE_MS);
-}
-
-static int64_t
-margin_us(const struct ls_options *options)
-{
-	return or_default_us(options->margin_ms, LS_MARGIN_MS);
-}
-
-static int64_t
-jump_us(const struct ls_options *options)
-{
-	return or_default_us(options->jump_ms, LS_JUMP_MS);
+	return options->lease_ms * (int64_t)1000;
 }
 
-/* Starts a voter; it grants nothing for one lease, in case it granted before.
+/*
+ * Starts a voter.  It grants nothing for one lease, since it may have granted
+ * one just before it was restarted.
  */
 void
 ls_vote_init(
     struct ls_vote *vote, const struct ls_options *options, int64_t now_us)
 {
 	memset(vote, 0, sizeof(*vote));
-	vote->options = *options;
-	if (!options->unsafe_skip_wait)
-		vote->silent_until_us = now_us + lease_us(options);
+	fill_options(&vote->options, options);
+	vote->silent_until_us = now_us + lease_us(&vote->options);
+	if (vote->options.unsafe_skip_wait)
+		vote->silent_until_us = now_us;
 }
 
 /*
- * Asks a voter for the lease.  Returns true if the candidate has it from now
- * on; *fence is the number for its orders, the highest that the voter has
- * seen, and one more for a new holder.
+ * Grants or renews the lease for a candidate, unless another one may still
+ * hold it.  *fence is the highest fencing number seen: a new holder's is
+ * higher than that of every earlier one that this voter knew.
  */
 bool
 ls_vote_ask(
     struct ls_vote *vote, int64_t now_us, uint64_t candidate, uint64_t *fence)
 {
-	bool free = vote->holder == 0 || now_us >= vote->granted_until_us;
-
+	if (*fence > vote->fence)
+		vote->fence = *fence;
+	*fence = vote->fence;
 	if (now_us < vote->silent_until_us)
 		return false;
-	if (vote->holder != candidate && !free)
+	if (vote->holder != 0 && vote->holder != candidate &&
+	    now_us < vote->granted_until_us && !vote->options.unsafe_skip_wait)
 		return false;
-	if (vote->holder != candidate || free)
+	if (vote->holder != candidate)
 		vote->fence++;
+	*fence = vote->fence;
 	vote->holder = candidate;
 	vote->granted_until_us = now_us + lease_us(&vote->options);
-	*fence = vote->fence;
 	return true;
 }
 
-/* Gives a lease back, so that the next holder need not wait. */
+/* The holder gives the lease back before its end. */
 void
 ls_vote_release(struct ls_vote *vote, uint64_t candidate)
 {
@@ -76,88 +72,84 @@
 	vote->granted_until_us = 0;
 }
 
-/* Starts a candidate that holds nothing. */
+/* Starts a candidate that asks a number of voters. */
 void
 ls_hold_init(
     struct ls_hold *hold, const struct ls_options *options, uint32_t voters)
 {
 	memset(hold, 0, sizeof(*hold));
-	hold->options = *options;
+	fill_options(&hold->options, options);
 	hold->voters = voters < LS_VOTERS_MAX ? voters : LS_VOTERS_MAX;
 }
 
-/* A gap between steps means that the process slept: nothing held is sure. */
-static void
-check_jump(struct ls_hold *hold, int64_t now_us)
+/* Forgets the lease and every answer under way. */
+void
+ls_hold_drop(struct ls_hold *hold)
 {
-	bool jumped = hold->seen_us != 0 &&
-		      now_us - hold->seen_us > jump_us(&hold->options);
-
-	hold->seen_us = now_us;
-	if (jumped && !hold->options.unsafe_skip_jump)
-		ls_hold_drop(hold);
+	hold->until_us = 0;
+	hold->grants = 0;
+	hold->asked_us = 0;
+	memset(hold->granted, 0, sizeof(hold->granted));
+	hold->round++;
 }
 
 /*
- * Lets time pass.  Returns true when all voters are to be asked, with
- * hold->round; jitter_us spreads the candidates.
+ * Moves time on; true: ask all voters now.  A third of a lease lies between
+ * two questions, so two may be lost.  A jump of the clock drops the lease.
  */
 bool
 ls_hold_tick(struct ls_hold *hold, int64_t now_us, uint32_t jitter_us)
 {
-	check_jump(hold, now_us);
+	bool jumped;
+
+	jumped =
+	    hold->seen_us != 0 &&
+	    now_us - hold->seen_us > hold->options.jump_ms * (int64_t)1000 &&
+	    !hold->options.unsafe_skip_jump;
+	hold->seen_us = now_us;
+	if (jumped)
+		ls_hold_drop(hold);
 	if (now_us < hold->due_us)
 		return false;
-	hold->round++;
+	hold->due_us = now_us + lease_us(&hold->options) / 3 + jitter_us;
 	hold->asked_us = now_us;
+	hold->round++;
 	hold->grants = 0;
 	memset(hold->granted, 0, sizeof(hold->granted));
-	hold->due_us =
-	    now_us + lease_us(&hold->options) / RENEW_SHARE + jitter_us;
 	return true;
 }
 
-/* Takes a voter's answer to the present round. */
+/*
+ * Counts a voter's answer.  With a majority the lease is held from the moment
+ * that the question was sent, so it ends here before it ends at any voter.
+ */
 void
 ls_hold_answer(struct ls_hold *hold, int64_t now_us, uint32_t voter,
     uint64_t round, bool granted, uint64_t fence)
 {
-	int64_t until_us = hold->asked_us + lease_us(&hold->options) -
-			   margin_us(&hold->options);
+	int64_t until_us;
 
-	check_jump(hold, now_us);
+	if (fence > hold->fence)
+		hold->fence = fence;
 	if (round != hold->round || !granted || voter >= hold->voters ||
 	    hold->granted[voter])
 		return;
 	hold->granted[voter] = 1;
-	hold->grants++;
-	if (fence > hold->fence)
-		hold->fence = fence;
-	/* Counted from the question: a late answer does not lengthen it. */
-	if (hold->grants * 2 > hold->voters && now_us < until_us &&
-	    until_us > hold->until_us)
+	if (++hold->grants <= hold->voters / 2)
+		return;
+	until_us = hold->asked_us + lease_us(&hold->options) -
+		   hold->options.margin_ms * (int64_t)1000;
+	if (until_us > hold->until_us && until_us > now_us)
 		hold->until_us = until_us;
 }
 
-/* Returns whether the lease is held at a time read just before. */
+/* Whether the lease is held; asked with a fresh clock before each action. */
 bool
 ls_hold_valid(const struct ls_hold *hold, int64_t now_us)
 {
 	if (hold->until_us == 0)
 		return false;
-	if (hold->options.unsafe_skip_check)
-		return true;
-	return now_us < hold->until_us;
-}
-
-/* Holds nothing any more; answers still under way do not count. */
-void
-ls_hold_drop(struct ls_hold *hold)
-{
-	hold->until_us = 0;
-	hold->grants = 0;
-	hold->round++;
-	hold->due_us = 0;
+	return hold->options.unsafe_skip_check || now_us < hold->until_us;
 }
 
 /* Starts without leadership. */
@@ -165,41 +157,43 @@
 ls_orders_init(struct ls_orders *orders, const struct ls_options *options)
 {
 	memset(orders, 0, sizeof(*orders));
-	orders->options = *options;
+	fill_options(&orders->options, options);
 }
 
 /*
- * Leadership was won or renewed until until_us.  A former leader that nobody
- * could tell may go on until its own lease ends, at most one lease from now.
+ * Notes that leadership was won or renewed.  A new fencing number means that
+ * another leader may go on until its own lease, granted at the latest just
+ * before, has ended: engines that ignore the number are left alone until then.
  */
 void
 ls_orders_lead(
     struct ls_orders *orders, int64_t now_us, uint64_t fence, int64_t until_us)
 {
-	if (fence != orders->fence)
+	if (fence < orders->fence)
+		return;
+	if (fence > orders->fence)
 		orders->old_until_us = now_us + lease_us(&orders->options);
+	if (orders->options.unsafe_skip_wait)
+		orders->old_until_us = now_us;
 	orders->fence = fence;
 	orders->until_us = until_us;
 }
 
-/* Leadership went; no order may be given. */
+/* Leadership ended.  The number stays, since it never goes back. */
 void
 ls_orders_lost(struct ls_orders *orders)
 {
-	orders->fence = 0;
 	orders->until_us = 0;
 }
 
-/* Returns whether an order may be given now to an engine of this kind. */
+/* Whether an order may be given now; asked with a fresh clock before each. */
 bool
 ls_orders_may(
     const struct ls_orders *orders, int64_t now_us, bool engine_checks_fence)
 {
-	if (orders->fence == 0)
+	if (orders->until_us == 0)
 		return false;
-	if (!orders->options.unsafe_skip_check && now_us >= orders->until_us)
+	if (now_us >= orders->until_us && !orders->options.unsafe_skip_check)
 		return false;
-	if (engine_checks_fence || orders->options.unsafe_skip_wait)
-		return true;
-	return now_us >= orders->old_until_us;
+	return engine_checks_fence || now_us >= orders->old_until_us;
 }
