Drop an unreachable server at once, probe before a broken connection blames it

Ruled out: the probe of silent connections (the calls failed at once), the feed bringing back the server (no announcement after the crash).

Change: a refused connection takes the server out until it announces itself; a connection that breaks is probed on a new one before its server is blamed.

--- a/src/entry/attempt.c
+++ b/src/entry/attempt.c
@@ -26,6 +26,7 @@
 	struct attempt_options options;
 	struct hc_call *call;
 	struct hc_call *probe;
+	struct attempt_end probed; /* how it ends once the probe is over */
 	struct loop_timer *progress;
 	int64_t heard_us;
 	struct sse sse;
@@ -168,6 +169,8 @@
 		check_chat(a, end);
 }
 
+static void start_probe(struct attempt *a, const struct attempt_end *end);
+
 static void
 on_done(void *ctx, const struct hc_result *result)
 {
@@ -185,10 +188,12 @@
 		end.run_state = ERR_RAN;
 	else if (end.error == ERR_UPSTREAM && a->heard)
 		end.error = ERR_UPSTREAM_CUT;
-	/* The connection broke before an answer: the server may be gone. */
-	if (result->error == ERR_UPSTREAM && result->status == 0)
-		end.server_crashed = true;
-	end_attempt(a, &end);
+	/* A connection that broke says nothing yet about its server. */
+	if (end.error != 0 && result->error != 0 && !result->unreachable &&
+	    result->run_state != ERR_NOT_RUN)
+		start_probe(a, &end);
+	else
+		end_attempt(a, &end);
 }
 
 static const struct hc_handler call_handler = {on_headers, on_data, on_done};
@@ -212,15 +217,14 @@
 	return 0;
 }
 
-/* The probe tells whose fault the silence is; the attempt ends either way. */
+/* The probe tells whose fault it was; the attempt ends either way. */
 static void
 probe_done(void *ctx, const struct hc_result *result)
 {
 	struct attempt *a = ctx;
-	struct attempt_end end = {.error = ERR_TIMEOUT,
-	    .run_state = ERR_MAY_HAVE_RUN,
-	    .server_crashed = result->error != 0};
+	struct attempt_end end = a->probed;
 
+	end.server_crashed = result->error != 0;
 	a->probe = NULL;
 	if (a->call != NULL)
 		hc_cancel(a->call);
@@ -231,12 +235,10 @@
 static const struct hc_handler probe_handler = {
     probe_headers, probe_data, probe_done};
 
+/* Asks the server something on a new connection before it is blamed. */
 static void
-check_progress(void *ctx)
+start_probe(struct attempt *a, const struct attempt_end *end)
 {
-	struct attempt *a = ctx;
-	int64_t limit_us = (int64_t)a->options.progress_ms * US_PER_MS;
-	int64_t silent_us = loop_now_us(a->options.loop) - a->heard_us;
 	char url[ATTEMPT_URL_BYTES];
 	struct hc_request probe = {.method = "GET",
 	    .url = url,
@@ -245,14 +247,26 @@
 	    .handler = &probe_handler,
 	    .ctx = a};
 
+	a->probed = *end;
+	snprintf(url, sizeof(url), "http://%s/healthz", a->options.address);
+	a->probe = hc_start(a->options.client, &probe);
+}
+
+static void
+check_progress(void *ctx)
+{
+	struct attempt *a = ctx;
+	struct attempt_end silent = {
+	    .error = ERR_TIMEOUT, .run_state = ERR_MAY_HAVE_RUN};
+	int64_t limit_us = (int64_t)a->options.progress_ms * US_PER_MS;
+	int64_t silent_us = loop_now_us(a->options.loop) - a->heard_us;
+
 	a->progress = NULL;
-	if (silent_us < limit_us) {
+	if (silent_us < limit_us)
 		a->progress = loop_after(
 		    a->options.loop, limit_us - silent_us, check_progress, a);
-		return;
-	}
-	snprintf(url, sizeof(url), "http://%s/healthz", a->options.address);
-	a->probe = hc_start(a->options.client, &probe);
+	else if (a->probe == NULL)
+		start_probe(a, &silent);
 }
 
 static void
--- a/src/entry/flight.c
+++ b/src/entry/flight.c
@@ -6,6 +6,7 @@
 #include <string.h>
 
 #include "base/err.h"
+#include "base/log.h"
 #include "entry/answer.h"
 
 enum {
@@ -426,6 +427,22 @@
 		    (uint64_t)tokens * cfg->versions[slot->version].cost_micro;
 }
 
+/* A server that can't be reached gets nothing until it announces itself. */
+static void
+drop_server(struct entry *entry, uint16_t server, bool crashed)
+{
+	struct cf_event event = {.kind = CF_EV_SERVER_GONE};
+
+	if (!servers_mark_gone(
+		entry->servers, server, loop_now_us(entry->options.loop)))
+		return;
+	log_event(LOG_LEVEL_WARN, "server_unreachable", "server=%s",
+	    servers_at(entry->servers, server)->name);
+	event.u.gone.server = server;
+	event.u.gone.crashed = crashed;
+	entry_event(entry, &event);
+}
+
 static void
 on_end(void *ctx, struct attempt *attempt, const struct attempt_end *end)
 {
@@ -441,6 +458,12 @@
 
 	if (end->error == 0)
 		add_cost(f, &f->attempts[number], end->output_tokens);
+	/* A request that never reached the server is no suspect of its crash.
+	 */
+	result.server_crashed &= end->run_state != ERR_NOT_RUN;
+	if (end->server_crashed && !f->attempts[number].forwarded)
+		drop_server(f->entry, f->attempts[number].server,
+		    result.server_crashed);
 	report(f, end->error == 0 ? CF_EV_DONE : CF_EV_FAILED, &result);
 }
 
--- a/src/entry/servers.c
+++ b/src/entry/servers.c
@@ -234,6 +234,11 @@
 	if (server->present &&
 	    news->server.last.incarnation < server->last.incarnation)
 		return ERR_STALE;
+	if (!server->present && server->gone_us != 0 &&
+	    strcmp(server->name, news->server.name) == 0 &&
+	    news->server.last.incarnation == server->last.incarnation &&
+	    now_us - server->gone_us < SERVERS_LATE_US)
+		return ERR_STALE;
 	*server = news->server;
 	server->present = true;
 	server->heard_us = now_us;
@@ -268,11 +273,21 @@
 	return &servers->items[index];
 }
 
-/* Frees a server's place; its next announcement brings it back. */
-void
-servers_mark_gone(struct servers *servers, uint16_t index)
+/*
+ * Takes a server that can't be reached for gone.  What it announced before may
+ * still arrive for a moment and does not bring it back.  Returns false if it
+ * was gone already.
+ */
+bool
+servers_mark_gone(struct servers *servers, uint16_t index, int64_t now_us)
 {
-	servers->items[index].present = false;
+	struct server *server = &servers->items[index];
+
+	if (!server->present)
+		return false;
+	server->present = false;
+	server->gone_us = now_us;
+	return true;
 }
 
 /* Works the version masks out anew after a configuration change. */
--- a/src/entry/servers.h
+++ b/src/entry/servers.h
@@ -18,6 +18,7 @@
  */
 enum {
 	SERVERS_SILENT_US = 3000000, /* unannounced for this long: gone */
+	SERVERS_LATE_US = 800000, /* an announcement may be under way so long */
 	SERVERS_NAME_BYTES = 64,
 	SERVERS_ADDRESS_BYTES = 64,
 	SERVERS_VERSIONS_MAX = 32,
@@ -39,6 +40,7 @@
 	uint8_t service_count;
 	struct cf_announce last;
 	int64_t heard_us;
+	int64_t gone_us; /* when it was last found unreachable */
 	bool present;
 };
 
@@ -60,7 +62,7 @@
     const struct cfg *cfg, int64_t now_us);
 int servers_expire(struct servers *servers, int64_t now_us);
 const struct server *servers_at(const struct servers *servers, uint16_t index);
-void servers_mark_gone(struct servers *servers, uint16_t index);
+bool servers_mark_gone(struct servers *servers, uint16_t index, int64_t now_us);
 void servers_remask(struct servers *servers, const struct cfg *cfg);
 uint16_t servers_count(const struct servers *servers);
 
