--- a/bench/journal-bench/main.c
+++ b/bench/journal-bench/main.c
@@ -20,7 +20,8 @@
 enum {
 	RECORD_BYTES = 400,
 	SECTION_BYTES = 1000,
-	WAIT_MS = 10000
+	WAIT_MS = 10000,
+	COMMIT_WAIT_US = 50000
 };
 
 struct settings {
@@ -125,7 +126,6 @@
 	struct cs *cs;
 	struct jn *jn;
 	struct rl_actions actions;
-	uint64_t first_seq; /* journal sequence of record number 0 */
 	uint64_t number;
 	uint64_t seq;
 };
@@ -281,6 +281,48 @@
 	buf_free(&data);
 }
 
+/* Changes accepted by a log of one replica, window of them with each sync. */
+static void
+bench_changes(const struct settings *settings, uint32_t window)
+{
+	char folder[4096];
+	struct jn_stats before, after;
+	struct replica r;
+	int64_t begin;
+	uint32_t count = 0;
+
+	(void)snprintf(
+	    folder, sizeof(folder), "%s/c%u", settings->folder, window);
+	start_replica(&r, folder);
+	lead(&r);
+	jn_stats(r.jn, &before);
+	begin = now_us();
+	while (now_us() < begin + settings->run_ms * 1000LL) {
+		propose(&r, count++, settings->sections);
+		if (count % window == 0)
+			persisted(&r);
+		snapshot_if_due(&r);
+	}
+	persisted(&r);
+	jn_stats(r.jn, &after);
+	printf("changes: window %4u: %8.0f accepted/s, %6.0f syncs/s\n", window,
+	    (double)count * 1e6 / (double)(now_us() - begin),
+	    (double)(after.syncs - before.syncs) * 1e6 /
+		(double)(now_us() - begin));
+	stop_replica(&r);
+}
+
+/* The commit index is recorded a moment after the last change. */
+static void
+let_commit_settle(struct replica *r)
+{
+	struct rl_event tick = {.kind = RL_EV_TICK};
+
+	(void)usleep(COMMIT_WAIT_US);
+	step(r, &tick);
+	persisted(r);
+}
+
 static void
 bench_recovery(const struct settings *settings, uint32_t changes)
 {
@@ -303,6 +345,7 @@
 	}
 	persisted(&r);
 	took = now_us() - begin;
+	let_commit_settle(&r);
 	stop_replica(&r);
 	begin = now_us();
 	start_replica(&r, folder);
@@ -361,6 +404,8 @@
 	for (i = 0; i < sizeof(windows) / sizeof(windows[0]); i++)
 		bench_append(&settings, jn, windows[i]);
 	jn_close(jn);
+	bench_changes(&settings, 1);
+	bench_changes(&settings, 64);
 	bench_disk(&settings);
 	bench_recovery(&settings, 300);
 	bench_recovery(&settings, 3000);
--- a/src/state/rlog_i.h
+++ b/src/state/rlog_i.h
@@ -12,6 +12,7 @@
 	RL_BATCH_ENTRIES = 256,
 	RL_HELD_MAX = 256, /* messages that wait for the disk */
 	RL_HELLO_FRESH_US = 3000000, /* age of a HELLO that still counts */
+	RL_COMMIT_WAIT_US = 20000, /* for an entry to carry the commit index */
 	RL_READ_ROUND_US = 20000 /* rounds for reads come no faster */
 };
 
@@ -112,6 +113,7 @@
 	uint64_t commit_number; /* outstanding RL_REC_COMMIT; 0: none */
 	uint64_t commit_pending;
 	uint64_t commit_durable;
+	int64_t commit_due_us; /* 0: no record due */
 	struct rl_held held[RL_HELD_MAX];
 	size_t held_count;
 
--- a/src/state/rlog_status.c
+++ b/src/state/rlog_status.c
@@ -40,6 +40,8 @@
 	int64_t next =
 	    rl->role == RL_LEADER ? rl->heartbeat_us : rl->election_us;
 
+	if (rl->commit_due_us != 0 && rl->commit_due_us < next)
+		next = rl->commit_due_us;
 	return next < due ? next : due;
 }
 
--- a/src/state/rlog_store.c
+++ b/src/state/rlog_store.c
@@ -144,14 +144,26 @@
 	rl->vote_number = persist(rl, RL_REC_VOTE, &message.base);
 }
 
-/* Records one entry of the log. */
+static void
+note_commit_record(struct rl *rl, uint64_t number)
+{
+	rl->commit_due_us = 0;
+	rl->commit_pending = rl->commit;
+	rl->commit_number = number;
+}
+
+/* Records one entry of the log, and how far the log is committed by now. */
 void
 rl_persist_entry(struct rl *rl, uint64_t index)
 {
 	Rlpb__Entry message = entry_out(rl, index);
-	uint64_t number = persist(rl, RL_REC_ENTRY, &message.base);
+	uint64_t number;
 
+	message.commit = rl->commit;
+	number = persist(rl, RL_REC_ENTRY, &message.base);
 	rl_slot_at(rl, index)->number = number;
+	if (rl->commit_number == 0 && rl->commit_pending != rl->commit)
+		note_commit_record(rl, number);
 }
 
 static Rlpb__Snapshot
@@ -181,8 +193,9 @@
 }
 
 /*
- * Records how far the log is committed, with at most one such record under way,
- * so that a replica that restarts alone goes on from there.
+ * Records how far the log is committed, so that a replica that restarts alone
+ * goes on from there.  It needs no sync of its own: the next entry carries it,
+ * and only where none comes for a while it is recorded by itself.
  */
 void
 rl_persist_commit(struct rl *rl)
@@ -191,9 +204,12 @@
 
 	if (rl->commit_number != 0 || rl->commit_pending == rl->commit)
 		return;
+	if (rl->commit_due_us == 0)
+		rl->commit_due_us = rl->now_us + RL_COMMIT_WAIT_US;
+	if (rl->now_us < rl->commit_due_us)
+		return;
 	message.index = rl->commit;
-	rl->commit_pending = rl->commit;
-	rl->commit_number = persist(rl, RL_REC_COMMIT, &message.base);
+	note_commit_record(rl, persist(rl, RL_REC_COMMIT, &message.base));
 }
 
 static int
@@ -211,6 +227,10 @@
 		rl->term = entry->term;
 		rl->voted_for = 0;
 	}
+	if (entry->commit > rl_last_index(rl))
+		return ERR_CORRUPT;
+	if (entry->commit > rl->commit)
+		rl->commit = entry->commit;
 	return 0;
 }
 
--- a/src/wire/rlog.pb-c.c
+++ b/src/wire/rlog.pb-c.c
@@ -514,7 +514,7 @@
   (ProtobufCMessageInit) rlpb__members__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor rlpb__entry__field_descriptors[4] =
+static const ProtobufCFieldDescriptor rlpb__entry__field_descriptors[5] =
 {
   {
     "index",
@@ -564,8 +564,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "commit",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Rlpb__Entry, commit),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned rlpb__entry__field_indices_by_name[] = {
+  4,   /* field[4] = commit */
   3,   /* field[3] = data */
   0,   /* field[0] = index */
   2,   /* field[2] = kind */
@@ -574,7 +587,7 @@
 static const ProtobufCIntRange rlpb__entry__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor rlpb__entry__descriptor =
 {
@@ -584,7 +597,7 @@
   "Rlpb__Entry",
   "rlpb",
   sizeof(Rlpb__Entry),
-  4,
+  5,
   rlpb__entry__field_descriptors,
   rlpb__entry__field_indices_by_name,
   1,  rlpb__entry__number_ranges,
--- a/src/wire/rlog.pb-c.h
+++ b/src/wire/rlog.pb-c.h
@@ -61,10 +61,14 @@
   uint64_t term;
   uint32_t kind;
   ProtobufCBinaryData data;
+  /*
+   * journal: committed when this was recorded
+   */
+  uint64_t commit;
 };
 #define RLPB__ENTRY__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&rlpb__entry__descriptor) \
-    , 0, 0, 0, {0,NULL} }
+    , 0, 0, 0, {0,NULL}, 0 }
 
 
 struct  Rlpb__Message
