--- a/src/core/neighbour.c
+++ b/src/core/neighbour.c
@@ -46,8 +46,9 @@
 	if (dc == nb->own || !n->known || n->cut_off ||
 	    need->now_us - n->heard_us > NB_STALE_US)
 		return false;
-	if (!w->present || !(w->data_centres >> dc & 1) ||
-	    !cfg->data_centres[dc].present || cfg->data_centres[dc].out)
+	if (!need->unsafe_anywhere &&
+	    (!w->present || !(w->data_centres >> dc & 1) ||
+		!cfg->data_centres[dc].present || cfg->data_centres[dc].out))
 		return false;
 	if (need->versions == 0)
 		return (n->services >> need->service & 1) != 0;
--- a/src/core/neighbour.h
+++ b/src/core/neighbour.h
@@ -37,6 +37,7 @@
 	uint16_t service;
 	uint64_t versions; /* any of these; 0: the plain service */
 	int64_t now_us;
+	bool unsafe_anywhere; /* tests only: no look at the configuration */
 };
 
 void nb_init(struct nb *nb, uint16_t own);
--- a/src/core/place.c
+++ b/src/core/place.c
@@ -389,6 +389,7 @@
 	need->workspace = q->asked.workspace;
 	need->service = q->asked.service;
 	need->now_us = r->now_us;
+	need->unsafe_anywhere = router_unsafe(r, CF_UNSAFE_ALLOWED);
 	need->versions = 0;
 	if (q->asked.kind == CF_CHAT)
 		need->versions = q->pinned ? UINT64_C(1) << q->chain.versions[0]
--- a/test/router_world.h
+++ b/test/router_world.h
@@ -113,6 +113,7 @@
 		std::map<uint64_t, int> crashes; /* by fingerprint */
 		std::array<Server, SERVERS> told;
 		const struct cfg *cfg = nullptr;
+		std::array<int, 3> spare = {};
 	};
 
 	struct Ask {
@@ -144,7 +145,8 @@
 	{
 		static const char *const names[] = {"a", "b", "c", "d"};
 
-		TestCfg::find(cfg_.data_centres, "home", true);
+		for (const char *name : {"home", "away", "third"})
+			TestCfg::find(cfg_.data_centres, name, true);
 		TestCfg::find(cfg_.services, "filing", true);
 		for (uint16_t v = 0; v < VERSIONS; v++) {
 			TestCfg::find(cfg_.versions, names[v], true);
@@ -159,7 +161,7 @@
 			auto &k = cfg_.workspaces[w];
 			k.versions = w == 0 ? 15 : w == 1 ? 3 : 12;
 			k.services = 1;
-			k.data_centres = 1;
+			k.data_centres = w == 0 ? 7 : 3;
 			k.weight = (uint16_t)(w + 1);
 			k.priority = w / 2;
 			k.target_permille = 915;
@@ -257,6 +259,9 @@
 		case CF_ACT_DISPATCH:
 			check_dispatch(r, a);
 			break;
+		case CF_ACT_FORWARD:
+			check_forward(r, a);
+			break;
 		case CF_ACT_CANCEL:
 			requests_[a.request].attempts[a.attempt].state =
 			    UNKNOWN;
@@ -326,10 +331,53 @@
 			fail("cold server");
 	}
 
+	void check_forward(size_t r, const struct cf_action &a)
+	{
+		Request &q = requests_[a.request];
+		const struct cfg *current = routers_[r].cfg;
+		uint16_t dc = a.data_centre;
+
+		if (!q.open)
+			fail("forward after the end");
+		if (q.asked.forwarded)
+			fail("forwarded twice");
+		for (const Attempt &t : q.attempts)
+			if (q.asked.once && t.state != NOT_RUN)
+				fail("once: second run");
+		if (current->data_centres[dc].out ||
+		    !(current->workspaces[q.asked.workspace].data_centres >>
+			    dc &
+			1))
+			fail("forwarded where it may not run");
+		if (routers_[r].crashes[q.asked.fingerprint] >= 2)
+			fail("crash mark");
+		if (q.asked.kind == CF_CHAT)
+			check_session(r, q, a.version, dc);
+		if (routers_[r].spare[dc]-- <= 0)
+			fail("neighbour beyond its room");
+		q.attempts.push_back({CF_NO_SERVER, 0, RUNNING});
+	}
+
+	/* Another data centre reports its room to one router. */
+	void neighbour(const Op &op)
+	{
+		struct cf_event ev = {};
+		size_t r = op[1] % ROUTERS;
+		uint16_t dc = 1 + op[1] / ROUTERS % 2;
+		bool cut_off = op[2] % 8 == 0;
+
+		ev.kind = CF_EV_NEIGHBOUR;
+		ev.u.neighbour.data_centre = dc;
+		ev.u.neighbour.spare_slots = op[2] % 4;
+		ev.u.neighbour.versions = 15;
+		ev.u.neighbour.services = 1;
+		ev.u.neighbour.cut_off = cut_off;
+		routers_[r].spare[dc] = cut_off ? 0 : op[2] % 4;
+		give(r, ev);
+	}
+
 	void check_version(size_t r, const Request &q, uint16_t version)
 	{
-		const auto key =
-		    std::make_pair(q.asked.workspace, q.asked.session);
 		const struct cfg *current = routers_[r].cfg;
 
 		if (!cfg_version_allowed(
@@ -340,12 +388,23 @@
 		if (routers_[r].isolated &&
 		    !current->versions[version].serve_isolated)
 			fail("isolated");
+		check_session(r, q, version, 0);
+	}
+
+	/* A session moves only when its version may no longer run. */
+	void check_session(
+	    size_t r, const Request &q, uint16_t version, uint16_t dc)
+	{
+		const auto key =
+		    std::make_pair(q.asked.workspace, q.asked.session);
+		const struct cfg *current = routers_[r].cfg;
+		auto it = bound_.find(key);
+
 		if (q.asked.session == 0)
 			return;
-		auto it = bound_.find(key);
 		if (it != bound_.end() && it->second != version &&
 		    cfg_version_allowed(
-			current, q.asked.workspace, it->second, 0) &&
+			current, q.asked.workspace, it->second, dc) &&
 		    (!routers_[r].isolated ||
 			current->versions[it->second].serve_isolated))
 			fail("session moved");
@@ -402,7 +461,10 @@
 			caller_gone(op);
 			break;
 		case 11:
-			isolate(op);
+			if (op[3] % 2 == 0)
+				isolate(op);
+			else
+				neighbour(op);
 			break;
 		case 12:
 			pass(op[1] * 20000);
@@ -439,6 +501,7 @@
 		q.version = CFG_NONE;
 		q.once = q.kind == CF_SERVICE && op[2] % 8 == 0;
 		q.streaming = op[2] % 16 > 11;
+		q.forwarded = !q.once && op[2] % 16 == 9;
 		if (q.kind == CF_CHAT && op[1] % 2 == 0)
 			q.session = 1 + op[1] / 2 % SESSIONS;
 		q.fingerprint = 1 + op[3] % 7;
@@ -615,7 +678,8 @@
 			w.versions ^= UINT64_C(1) << (op[3] % VERSIONS);
 			break;
 		case 5:
-			cfg_.data_centres[0].out = !cfg_.data_centres[0].out;
+			cfg_.data_centres[op[3] % 3].out =
+			    !cfg_.data_centres[op[3] % 3].out;
 			break;
 		}
 		send_config();
@@ -717,6 +781,7 @@
 		for (int i = 0; i < 20; i++) {
 			for (uint16_t s = 0; s < SERVERS; s++)
 				fail_all(s, false);
+			fail_all(CF_NO_SERVER, false);
 			pass(500000);
 		}
 		for (auto &q : requests_)
--- a/test/unit/router_property_test.cc
+++ b/test/unit/router_property_test.cc
@@ -72,9 +72,10 @@
 }
 
 INSTANTIATE_TEST_SUITE_P(Rule, RouterWithout,
-    testing::Values(Without{"allowed", CF_UNSAFE_ALLOWED, false,
-			{"version not allowed", "withdrawn version",
-			    "data centre out", "isolated"}},
+    testing::Values(
+	Without{"allowed", CF_UNSAFE_ALLOWED, false,
+	    {"version not allowed", "withdrawn version", "data centre out",
+		"forwarded where it may not run", "isolated"}},
 	Without{"sticky", CF_UNSAFE_STICKY, false, {"session moved"}},
 	Without{"credit", CF_UNSAFE_CREDIT, false, {"cold server"}},
 	Without{"granter_wait", 0, true, {"cold server"}},
