Leave time for the first token behind a wait; round loads to the nearest

Cause: a waiting request was kept up to its deadline, though its first token takes time after that; and a fresh report of two running requests counted as one, since the faded load was rounded down, so a full server got one more. Change: the lane's average first token is taken off the deadline; rounding is to the nearest. The script on load reports shows the latter: request 5 was dispatched on the full server before, and waits for room after.

--- a/src/core/attempt.c
+++ b/src/core/attempt.c
@@ -7,6 +7,7 @@
 	HEDGE_FACTOR = 3, /* times the expected time to the first token */
 	LOW_SCORE_PERMILLE = 500, /* a quick rating below this escalates */
 	SCORE_NONE = 0xffff,
+	AVERAGE_SHARE = 32, /* weight of one sample in an average */
 	COST_BASE = 64, /* fair-share cost of any request */
 	COST_PROMPT_PARTS = 8, /* prompt tokens that cost as much as one more */
 	COST_OUTPUT_UNKNOWN = 256
@@ -233,6 +234,15 @@
 	return t->state == ATTEMPT_RUNNING ? t : NULL;
 }
 
+/* Moves an average by one sample; the first one sets it. */
+static void
+attempt_average(int64_t *average_us, int64_t took_us)
+{
+	if (*average_us == 0)
+		*average_us = took_us;
+	*average_us += (took_us - *average_us) / AVERAGE_SHARE;
+}
+
 /* Takes in the first token of an attempt; its hedge is no longer needed. */
 void
 attempt_first_token(struct cf_router *r, const struct cf_attempt *report)
@@ -250,6 +260,7 @@
 	if (t->server == CF_NO_SERVER)
 		return;
 	took_us = r->now_us - t->started_us;
+	attempt_average(&r->first_us[place_lane(q, t->version)], took_us);
 	if (t->incarnation == fl_server(r->fl, t->server)->said.incarnation)
 		fl_first_token(r->fl, t->server, took_us, t->expected_us);
 	for (i = 0; i < q->asked.prefix_count; i++)
@@ -270,14 +281,11 @@
 	bool good = !report->defective &&
 		    (!rated || report->score_permille >= LOW_SCORE_PERMILLE);
 	int64_t took_us = r->now_us - t->started_us;
-	int64_t *average = &r->service_us[place_lane(q, t->version)];
 
 	if (t->server == CF_NO_SERVER)
 		return good;
 	fl_served(r->fl, t->server, took_us);
-	if (*average == 0)
-		*average = took_us;
-	*average += (took_us - *average) / 32;
+	attempt_average(&r->service_us[place_lane(q, t->version)], took_us);
 	if (t->version == CFG_NONE)
 		return good;
 	ro_outcome(r->ro, t->version, !report->defective, r->now_us);
--- a/src/core/fleet_pick.c
+++ b/src/core/fleet_pick.c
@@ -20,14 +20,15 @@
 {
 	int64_t age_ms = (now_us - s->said.reported_us) / 1000;
 	int64_t mean = fl->others_mean * s->said.slots / 1024;
+	int64_t others;
 
 	if (age_ms < 0)
 		age_ms = 0;
 	if (age_ms > FL_AGE_MAX_MS)
 		age_ms = FL_AGE_MAX_MS;
-	return s->in_flight + (uint32_t)((s->others * (int64_t)FL_AGE_HALF_MS +
-					     mean * age_ms) /
-					 (FL_AGE_HALF_MS + age_ms));
+	others = s->others * (int64_t)FL_AGE_HALF_MS + mean * age_ms;
+	age_ms += FL_AGE_HALF_MS;
+	return s->in_flight + (uint32_t)((others + age_ms / 2) / age_ms);
 }
 
 static bool
--- a/src/core/request.c
+++ b/src/core/request.c
@@ -191,12 +191,16 @@
 		r->waiting[q->lane]--;
 }
 
-/* Queues a request, or refuses it at once if it would wait too long. */
+/*
+ * Queues a request, or refuses it at once if its first token would come too
+ * late after the wait.
+ */
 static void
 request_wait(struct cf_router *r, struct request *q, enum place_result why)
 {
 	int64_t wait_us = place_wait_us(r, q);
-	int64_t latest_us = q->asked.deadline_us;
+	uint16_t lane = place_lane(q, q->chain.versions[q->step]);
+	int64_t latest_us = q->asked.deadline_us - r->first_us[lane];
 	uint32_t after_ms = (uint32_t)(wait_us / 1000);
 
 	if (why == PLACE_NO_SERVER) {
@@ -214,7 +218,7 @@
 	q->lane = CFG_NONE;
 	if (marks_get(r->marks, q->asked.fingerprint, r->now_us) == 0) {
 		/* A suspect waits for more than room and blocks nobody. */
-		q->lane = place_lane(q, q->chain.versions[q->step]);
+		q->lane = lane;
 		r->waiting[q->lane]++;
 	}
 	if (latest_us != INT64_MAX)
--- a/src/core/router.h
+++ b/src/core/router.h
@@ -109,6 +109,7 @@
 	uint32_t running[FL_LISTS]; /* attempts by version or service */
 	uint32_t waiting[FL_LISTS]; /* queued requests by first choice */
 	int64_t service_us[FL_LISTS]; /* average time of an attempt */
+	int64_t first_us[FL_LISTS]; /* average time to the first token */
 
 	int64_t now_us;
 	int64_t sweep_us;
