--- a/src/core/quality.c
+++ b/src/core/quality.c
@@ -50,7 +50,6 @@
 	const struct cfg_version *v = qual->cfg->versions;
 	uint16_t target = qual->cfg->workspaces[workspace].target_permille;
 	uint16_t cheap = CFG_NONE, best = CFG_NONE;
-	bool only = (candidates & (candidates - 1)) == 0;
 	uint16_t i;
 
 	chain->count = 0;
@@ -67,8 +66,6 @@
 			cheap = i;
 	}
 	chain->reason = cheap == CFG_NONE ? CF_WHY_BEST : CF_WHY_CHEAPEST;
-	if (only)
-		chain->reason = CF_WHY_ONLY;
 	if (cheap == CFG_NONE)
 		cheap = best;
 	if (cheap != CFG_NONE)
