--- a/src/core/place.c
+++ b/src/core/place.c
@@ -341,19 +341,18 @@
 	return result;
 }
 
-/* Whether a server runs a version of a request's chain, or its service. */
-bool
-place_runs(const struct cf_router *r, const struct request *q, uint16_t server)
+/* Returns the versions that may still serve a request, or its service. */
+uint64_t
+place_wants(const struct request *q)
 {
-	const struct fl_server *s = fl_server(r->fl, server);
+	uint64_t mask = 0;
 	uint8_t i;
 
 	if (q->asked.kind == CF_SERVICE)
-		return (s->listed_services >> q->asked.service & 1) != 0;
+		return UINT64_C(1) << q->asked.service;
 	for (i = q->step; i < q->chain.count; i++)
-		if (s->listed_versions >> q->chain.versions[i] & 1)
-			return true;
-	return false;
+		mask |= UINT64_C(1) << q->chain.versions[i];
+	return mask;
 }
 
 /* Dispatches a waiting request on one server that got room, if it fits. */
--- a/src/core/request.c
+++ b/src/core/request.c
@@ -181,12 +181,33 @@
 	request_end(r, q);
 }
 
+/* Counts a queued request under everything it may run on, or takes it off. */
+static void
+request_count_wants(struct cf_router *r, const struct request *q, bool add)
+{
+	bool service = q->asked.kind == CF_SERVICE;
+	uint64_t *mask = service ? &r->wanted_services : &r->wanted_versions;
+	uint32_t *counts = &r->wanted[service ? CFG_VERSIONS_MAX : 0];
+	uint64_t left = q->wants;
+	int i;
+
+	for (; left != 0; left &= left - 1) {
+		i = __builtin_ctzll(left);
+		counts[i] += add ? 1 : -1u;
+		if (counts[i] > 0)
+			*mask |= UINT64_C(1) << i;
+		else
+			*mask &= ~(UINT64_C(1) << i);
+	}
+}
+
 /* Takes a request out of the queue without ending it. */
 void
 request_unqueue(struct cf_router *r, struct request *q)
 {
 	queue_remove(r->queue, request_slot(r, q));
 	heap_clear(r->timers, request_slot(r, q));
+	request_count_wants(r, q, false);
 	if (q->lane != CFG_NONE)
 		r->waiting[q->lane]--;
 }
@@ -215,6 +236,8 @@
 	}
 	request_move(q, REQUEST_QUEUED);
 	queue_push(r->queue, q->asked.workspace, request_slot(r, q));
+	q->wants = place_wants(q);
+	request_count_wants(r, q, true);
 	q->lane = CFG_NONE;
 	if (marks_get(r->marks, q->asked.fingerprint, r->now_us) == 0) {
 		/* A suspect waits for more than room and blocks nobody. */
--- a/src/core/router.h
+++ b/src/core/router.h
@@ -71,6 +71,7 @@
 	uint8_t kept; /* attempt with an answer that may do */
 	uint8_t step; /* position in the chain */
 	uint16_t lane; /* counted in waiting[]; CFG_NONE: not */
+	uint64_t wants; /* versions, or the service, counted in wanted[] */
 	enum cf_reason why; /* of the next dispatch */
 	uint64_t elsewhere; /* versions other data centres may run */
 	struct qual_chain chain;
@@ -108,6 +109,9 @@
 	uint64_t *model_versions; /* mask of versions of each model */
 	uint32_t running[FL_LISTS]; /* attempts by version or service */
 	uint32_t waiting[FL_LISTS]; /* queued requests by first choice */
+	uint32_t wanted[FL_LISTS]; /* queued requests by any choice */
+	uint64_t wanted_versions; /* mask of those above zero */
+	uint64_t wanted_services;
 	int64_t service_us[FL_LISTS]; /* average time of an attempt */
 	int64_t first_us[FL_LISTS]; /* average time to the first token */
 
@@ -159,8 +163,7 @@
     uint16_t version, uint16_t avoid[CF_ATTEMPTS_MAX], struct fl_need *need);
 enum place_result place_local(
     struct cf_router *r, struct request *q, bool queued);
-bool place_runs(
-    const struct cf_router *r, const struct request *q, uint16_t server);
+uint64_t place_wants(const struct request *q);
 bool place_on(struct cf_router *r, struct request *q, uint16_t server);
 bool place_forward(struct cf_router *r, struct request *q);
 bool place_reachable(const struct cf_router *r, const struct request *q);
--- a/src/core/upkeep.c
+++ b/src/core/upkeep.c
@@ -176,6 +176,18 @@
 		place_forward(r, q);
 }
 
+/* Whether a waiting request could run on a server as it chose. */
+static bool
+upkeep_wanted_by(
+    const struct cf_router *r, const struct request *q, uint16_t server)
+{
+	const struct fl_server *s = fl_server(r->fl, server);
+
+	return (q->wants &
+		   (q->asked.kind == CF_SERVICE ? s->listed_services
+						: s->listed_versions)) != 0;
+}
+
 static void
 upkeep_walk(struct cf_router *r, uint16_t server)
 {
@@ -189,7 +201,7 @@
 		    !fl_open(r->fl, server, r->now_us))
 			return;
 		if (server != CF_NO_SERVER &&
-		    !place_runs(r, &r->requests[slot], server))
+		    !upkeep_wanted_by(r, &r->requests[slot], server))
 			continue;
 		upkeep_try(r, &r->requests[slot], server);
 	}
@@ -199,7 +211,12 @@
 void
 upkeep_drain_server(struct cf_router *r, uint16_t server)
 {
-	if (queue_count(r->queue) > 0 && fl_open(r->fl, server, r->now_us))
+	const struct fl_server *s = fl_server(r->fl, server);
+
+	if (s != NULL &&
+	    ((s->listed_versions & r->wanted_versions) != 0 ||
+		(s->listed_services & r->wanted_services) != 0) &&
+	    fl_open(r->fl, server, r->now_us))
 		upkeep_walk(r, server);
 }
 
