Ratings say whether the answer was an escalation

An escalated answer belongs to a harder request than a first try. Without the mark, a change of chain looks like a change of the dearer version's quality. The field is zero for events that do not set it.

--- a/include/celeryford.h
+++ b/include/celeryford.h
@@ -140,6 +140,7 @@
 	uint16_t workspace;
 	uint16_t version;
 	uint16_t task_class;
+	bool escalated; /* the answer replaced one of a cheaper version */
 	bool passed;
 };
 
