--- /dev/null
+++ b/src/core/chain.c
@@ -0,0 +1,134 @@
+#include "core/chain.h"
+
+#include <math.h>
+
+enum {
+	EXPLORE_ONE_IN = 64
+};
+
+#define UNSURE 0.03f /* standard deviation worth exploring */
+
+/* Finds the escalation that adds most to a first try; returns its value. */
+static float
+best_next(const struct chain_estimate *all, size_t n,
+    const struct chain_estimate *first, float price,
+    const struct chain_estimate **next)
+{
+	float value, best;
+	size_t i;
+
+	best = price * CHAIN_FLAGGED_PASS;
+	*next = NULL;
+	for (i = 0; i < n; i++) {
+		if (all[i].version == first->version ||
+		    all[i].after <= CHAIN_FLAGGED_PASS ||
+		    all[i].solo < first->solo)
+			continue;
+		value = price * all[i].after - all[i].cost;
+		if (value > best) {
+			best = value;
+			*next = &all[i];
+		}
+	}
+	return best;
+}
+
+static float
+chain_value(const struct chain_estimate *all, size_t n,
+    const struct chain_estimate *first, float price, bool may_escalate,
+    const struct chain_estimate **next)
+{
+	*next = NULL;
+	if (!may_escalate)
+		return price * first->solo - first->cost;
+	return price * first->kept - first->cost +
+	       first->flagged * best_next(all, n, first, price, next);
+}
+
+static void
+chain_set(struct qual_chain *chain, const struct chain_estimate *first,
+    const struct chain_estimate *next, enum cf_reason reason)
+{
+	chain->count = 1;
+	chain->versions[0] = first->version;
+	if (next != NULL)
+		chain->versions[chain->count++] = next->version;
+	chain->reason = reason;
+}
+
+/*
+ * Picks a version that is not well known and might beat the best value; the
+ * last draw decides among several.
+ */
+static const struct chain_estimate *
+explore(const struct chain_estimate *all, size_t n, float best, float price,
+    bool may_escalate, struct rng *rng)
+{
+	const struct chain_estimate *pick = NULL, *next;
+	uint32_t seen = 0;
+	float value;
+	size_t i;
+
+	for (i = 0; i < n; i++) {
+		value =
+		    chain_value(all, n, &all[i], price, may_escalate, &next) +
+		    price * 2 * all[i].sigma;
+		if (all[i].sigma < UNSURE || value <= best)
+			continue;
+		if (rng_below(rng, ++seen) == 0)
+			pick = &all[i];
+	}
+	return pick;
+}
+
+/*
+ * Puts the chain with the best value first, at a price whose natural logarithm
+ * is given.  One choice in EXPLORE_ONE_IN may go to a version that is not well
+ * known; rng is NULL where nothing is explored.  n is above zero.
+ */
+void
+chain_choose(const struct chain_estimate *all, size_t n, double price_log,
+    bool may_escalate, struct rng *rng, struct qual_chain *chain)
+{
+	const struct chain_estimate *next, *first = &all[0], *follow = NULL, *e;
+	const struct chain_estimate *top = &all[0];
+	float price, value, best = -INFINITY;
+	size_t i;
+
+	price = expf((float)price_log);
+	for (i = 0; i < n; i++) {
+		value =
+		    chain_value(all, n, &all[i], price, may_escalate, &next);
+		if (value > best) {
+			best = value;
+			first = &all[i];
+			follow = next;
+		}
+		if (all[i].solo > top->solo)
+			top = &all[i];
+	}
+	chain_set(
+	    chain, first, follow, first == top ? CF_WHY_BEST : CF_WHY_CHEAPEST);
+	if (n == 1)
+		chain->reason = CF_WHY_ONLY;
+	if (rng == NULL || rng_below(rng, EXPLORE_ONE_IN) != 0)
+		return;
+	e = explore(all, n, best, price, may_escalate, rng);
+	if (e != NULL && e != first) {
+		chain_value(all, n, e, price, may_escalate, &next);
+		chain_set(chain, e, next, CF_WHY_EXPLORE);
+	}
+}
+
+/* Puts a version in roll-out first, and behind it the best escalation. */
+void
+chain_follow(const struct chain_estimate *all, size_t n,
+    const struct chain_estimate *first, double price_log, bool may_escalate,
+    struct qual_chain *chain)
+{
+	const struct chain_estimate *next = NULL;
+
+	if (may_escalate)
+		best_next(all, n, first, expf((float)price_log), &next);
+	chain_set(chain, first, next, CF_WHY_ROLLOUT);
+}
--- /dev/null
+++ b/src/core/quality.c
@@ -0,0 +1,505 @@
+#include "core/quality.h"
+
+#include "core/chain.h"
+
+#include <math.h>
+#include <string.h>
+
+enum {
+	POSITIONS = 2, /* first try, escalation */
+	LEVELS = 3, /* version; with class; with class and workspace */
+	SHARE_WINDOW = 64 /* choices behind the kept share */
+};
+
+/* Half-life of evidence. */
+#define FORGET_US (12 * 3600 * INT64_C(1000000))
+
+/* Evidence that a parent's mean counts for, for each level. */
+static const float prior_weight[LEVELS] = {10, 20, 40};
+
+/* Ratings that a cell's memory holds, for each level. */
+static const float window[LEVELS] = {4000, 2000, 600};
+
+#define PRICE_START 4.6 /* prefers the best until ratings say otherwise */
+#define PRICE_LOW (-2.3)
+#define PRICE_HIGH 5.8
+#define PRICE_STEP 0.03 /* per rating and unit of shortfall */
+#define TARGET_MARGIN 0.002
+#define ESCALATED_PRIOR 0.9f /* of the first try's mean */
+
+/* Decayed counts of ratings and of quick evidence. */
+struct cell {
+	float pass;
+	float fail;
+	float good;
+	float bad;
+	int64_t rated_us;
+	int64_t seen_us;
+};
+
+struct version {
+	bool usable;
+	bool rolling;
+	float cost; /* share of the dearest version's */
+	float prior;
+};
+
+struct workspace {
+	double target;
+	double price; /* natural logarithm */
+};
+
+struct qual {
+	const struct alloc *alloc;
+	struct qual_options options;
+	uint16_t version_count;
+	uint16_t workspace_count;
+	struct version *versions;
+	struct workspace *workspaces;
+	struct cell *cells[LEVELS];
+	float *kept_share; /* of first tries that had a next version */
+};
+
+struct qual *
+qual_new(const struct alloc *alloc)
+{
+	struct qual_options options = {0};
+
+	options.alloc = alloc;
+	return qual_new_with(&options);
+}
+
+/* Creates estimates that know nothing until qual_configure(). */
+struct qual *
+qual_new_with(const struct qual_options *options)
+{
+	const struct alloc *alloc;
+	struct qual *q;
+
+	alloc = options->alloc != NULL ? options->alloc : alloc_default();
+	q = alloc_zero(alloc, 1, sizeof(*q));
+	q->alloc = alloc;
+	q->options = *options;
+	return q;
+}
+
+void
+qual_free(struct qual *q)
+{
+	int level;
+
+	if (q == NULL)
+		return;
+	for (level = 0; level < LEVELS; level++)
+		alloc_free(q->alloc, q->cells[level]);
+	alloc_free(q->alloc, q->versions);
+	alloc_free(q->alloc, q->workspaces);
+	alloc_free(q->alloc, q->kept_share);
+	alloc_free(q->alloc, q);
+}
+
+/* Rows of version_count cells at a level. */
+static size_t
+level_rows(int level, uint16_t workspaces)
+{
+	static const size_t rows[LEVELS] = {POSITIONS,
+	    POSITIONS * QUAL_CLASSES_MAX, POSITIONS * QUAL_CLASSES_MAX};
+
+	return level == LEVELS - 1 ? rows[level] * workspaces : rows[level];
+}
+
+static struct cell *
+cell_at(const struct qual *q, int level, uint16_t workspace, uint16_t class,
+    bool escalated, uint16_t version)
+{
+	size_t row = escalated;
+
+	if (level > 0)
+		row += POSITIONS * (size_t)(class % QUAL_CLASSES_MAX);
+	if (level > 1)
+		row += POSITIONS * QUAL_CLASSES_MAX * (size_t)workspace;
+	return &q->cells[level][row * q->version_count + version];
+}
+
+/* Moves rows of old_count elements into rows of new_count elements. */
+static void *
+regrow(const struct alloc *alloc, void *old, size_t size, size_t old_rows,
+    size_t old_count, size_t new_rows, size_t new_count)
+{
+	size_t row;
+	char *p;
+
+	p = alloc_zero(alloc, new_rows * new_count + 1, size);
+	for (row = 0; old != NULL && row < old_rows; row++)
+		memcpy(p + row * new_count * size,
+		    (char *)old + row * old_count * size, old_count * size);
+	alloc_free(alloc, old);
+	return p;
+}
+
+static void
+grow(struct qual *q, uint16_t versions, uint16_t workspaces)
+{
+	uint16_t w;
+	int level;
+
+	for (level = 0; level < LEVELS; level++)
+		q->cells[level] = regrow(q->alloc, q->cells[level],
+		    sizeof(struct cell), level_rows(level, q->workspace_count),
+		    q->version_count, level_rows(level, workspaces), versions);
+	q->kept_share = regrow(q->alloc, q->kept_share, sizeof(float),
+	    (size_t)q->workspace_count * QUAL_CLASSES_MAX, q->version_count,
+	    (size_t)workspaces * QUAL_CLASSES_MAX, versions);
+	q->versions = alloc_resize(
+	    q->alloc, q->versions, (versions + 1U) * sizeof(*q->versions));
+	q->workspaces = alloc_resize(q->alloc, q->workspaces,
+	    (workspaces + 1U) * sizeof(*q->workspaces));
+	for (w = q->workspace_count; w < workspaces; w++)
+		q->workspaces[w].price = PRICE_START;
+	q->version_count = versions;
+	q->workspace_count = workspaces;
+}
+
+/*
+ * Takes over a revision.  Evidence and prices of indices that were known
+ * before stay.  This is the only function that allocates.
+ */
+void
+qual_configure(struct qual *q, const struct cfg *cfg)
+{
+	uint16_t versions, workspaces, i;
+	uint32_t dearest = 1;
+
+	versions = cfg->version_count > q->version_count ? cfg->version_count
+							 : q->version_count;
+	workspaces = cfg->workspace_count > q->workspace_count
+			 ? cfg->workspace_count
+			 : q->workspace_count;
+	if (versions != q->version_count || workspaces != q->workspace_count)
+		grow(q, versions, workspaces);
+	memset(q->versions, 0, versions * sizeof(*q->versions));
+	for (i = 0; i < cfg->version_count; i++)
+		if (cfg->versions[i].present &&
+		    cfg->versions[i].cost_micro > dearest)
+			dearest = cfg->versions[i].cost_micro;
+	for (i = 0; i < cfg->version_count; i++) {
+		const struct cfg_version *v = &cfg->versions[i];
+
+		q->versions[i].usable = v->present && v->state != CFG_WITHDRAWN;
+		q->versions[i].rolling = v->state == CFG_ROLLING;
+		q->versions[i].cost = (float)v->cost_micro / (float)dearest;
+		q->versions[i].prior =
+		    fminf(fmaxf((float)v->prior_permille / 1000, 0.02f), 0.99f);
+	}
+	for (i = 0; i < cfg->workspace_count; i++)
+		q->workspaces[i].target =
+		    cfg->workspaces[i].target_permille / 1000.0;
+}
+
+/* Multiplies a pair of counts for the time that passed. */
+static void
+forget(float *a, float *b, int64_t *last_us, int64_t now_us)
+{
+	float keep;
+
+	if (now_us <= *last_us)
+		return;
+	keep = exp2f(-(float)(now_us - *last_us) / (float)FORGET_US);
+	*a *= keep;
+	*b *= keep;
+	*last_us = now_us;
+}
+
+/* Adds one observation to a pair of counts that holds at most size. */
+static void
+observe(float *hit, float *miss, float size)
+{
+	float keep = 1 - 1 / size;
+
+	*hit = *hit * keep + 1;
+	*miss *= keep;
+}
+
+static float
+mean_pass(const struct qual *q, int level, uint16_t workspace, uint16_t class,
+    bool escalated, uint16_t version)
+{
+	const struct cell *c;
+	float m, k;
+	int i;
+
+	m = q->versions[version].prior * (escalated ? ESCALATED_PRIOR : 1);
+	for (i = 0; i <= level; i++) {
+		if (q->options.unsafe_no_pooling && i < LEVELS - 1)
+			continue;
+		c = cell_at(q, i, workspace, class, escalated, version);
+		k = prior_weight[i];
+		m = (c->pass + k * m) / (c->pass + c->fail + k);
+	}
+	return m;
+}
+
+static float
+mean_bad(const struct qual *q, uint16_t workspace, uint16_t class,
+    bool escalated, uint16_t version)
+{
+	const struct cell *c;
+	float m, k;
+	int i;
+
+	m = (1 - q->versions[version].prior) / 2;
+	for (i = 0; i < LEVELS; i++) {
+		c = cell_at(q, i, workspace, class, escalated, version);
+		k = prior_weight[i];
+		m = (c->bad + k * m) / (c->good + c->bad + k);
+	}
+	return m;
+}
+
+static bool
+known(const struct qual *q, uint16_t workspace, uint16_t version)
+{
+	return workspace < q->workspace_count && version < q->version_count;
+}
+
+/* Moves a workspace's price against one rating. */
+static void
+price_step(struct qual *q, uint16_t workspace, bool passed)
+{
+	struct workspace *w = &q->workspaces[workspace];
+
+	if (q->options.unsafe_fixed_price)
+		return;
+	w->price += PRICE_STEP * (w->target + TARGET_MARGIN - passed);
+	w->price = fmin(fmax(w->price, PRICE_LOW), PRICE_HIGH);
+}
+
+/* Takes in the rating of an answer that a caller received. */
+void
+qual_rate(struct qual *q, const struct cf_rating *r, int64_t now_us)
+{
+	struct cell *c;
+	int i;
+
+	if (!known(q, r->workspace, r->version))
+		return;
+	for (i = 0; i < LEVELS; i++) {
+		c = cell_at(q, i, r->workspace, r->task_class, r->escalated,
+		    r->version);
+		if (!q->options.unsafe_no_forgetting)
+			forget(&c->pass, &c->fail, &c->rated_us, now_us);
+		if (r->passed)
+			observe(&c->pass, &c->fail,
+			    q->options.unsafe_no_forgetting ? 1e9f : window[i]);
+		else
+			observe(&c->fail, &c->pass,
+			    q->options.unsafe_no_forgetting ? 1e9f : window[i]);
+	}
+	price_step(q, r->workspace, r->passed);
+}
+
+static void
+evidence(struct qual *q, uint16_t workspace, uint16_t version, uint16_t class,
+    bool escalated, bool good, int64_t now_us)
+{
+	struct cell *c;
+	int i;
+
+	if (!known(q, workspace, version))
+		return;
+	for (i = 0; i < LEVELS; i++) {
+		c = cell_at(q, i, workspace, class, escalated, version);
+		forget(&c->good, &c->bad, &c->seen_us, now_us);
+		if (good)
+			observe(&c->good, &c->bad, window[i]);
+		else
+			observe(&c->bad, &c->good, window[i]);
+	}
+}
+
+/* Takes in the quick verdict on a first try: good, or one that escalates. */
+void
+qual_evidence(struct qual *q, uint16_t workspace, uint16_t version,
+    uint16_t task_class, bool good, int64_t now_us)
+{
+	evidence(q, workspace, version, task_class, false, good, now_us);
+}
+
+/* Takes in the quick verdict on an escalated attempt. */
+void
+qual_evidence_escalated(struct qual *q, uint16_t workspace, uint16_t version,
+    uint16_t task_class, bool good, int64_t now_us)
+{
+	evidence(q, workspace, version, task_class, true, good, now_us);
+}
+
+/*
+ * Separates what ratings mix.  Where answers that were flagged escalate, only
+ * kept ones are rated; elsewhere all are.  share says how often the former
+ * held among the rated first tries.
+ */
+static void
+estimate_version(const struct qual *q, uint16_t workspace, uint16_t class,
+    uint16_t version, struct chain_estimate *e)
+{
+	const struct cell *c;
+	float m, f, share, k, n;
+
+	c = cell_at(q, LEVELS - 1, workspace, class, false, version);
+	share = q->kept_share[((size_t)workspace * QUAL_CLASSES_MAX +
+				  class % QUAL_CLASSES_MAX) *
+				  q->version_count +
+			      version];
+	m = mean_pass(q, LEVELS - 1, workspace, class, false, version);
+	f = mean_bad(q, workspace, class, false, version);
+	k = (m - (1 - share) * f * CHAIN_FLAGGED_PASS) /
+	    fmaxf(share + (1 - share) * (1 - f), 0.01f);
+	k = fminf(fmaxf(k, 0), 1);
+	n = c->pass + c->fail + prior_weight[LEVELS - 1];
+	e->version = version;
+	e->cost = q->versions[version].cost;
+	e->kept = (1 - f) * k;
+	e->flagged = f;
+	e->solo = e->kept + f * CHAIN_FLAGGED_PASS;
+	e->after = mean_pass(q, LEVELS - 1, workspace, class, true, version);
+	e->sigma = sqrtf(m * (1 - m) / n);
+}
+
+static size_t
+estimate_all(const struct qual *q, uint16_t workspace, uint16_t class,
+    uint64_t mask, struct chain_estimate *out)
+{
+	size_t n = 0;
+	uint16_t v;
+
+	for (; mask != 0; mask &= mask - 1) {
+		v = (uint16_t)__builtin_ctzll(mask);
+		if (v < q->version_count && q->versions[v].usable)
+			estimate_version(q, workspace, class, v, &out[n++]);
+	}
+	return n;
+}
+
+/* Remembers whether the first try's flagged answers will escalate. */
+static void
+note_share(struct qual *q, uint16_t workspace, uint16_t class,
+    const struct qual_chain *chain)
+{
+	float *share;
+
+	share = &q->kept_share[((size_t)workspace * QUAL_CLASSES_MAX +
+				   class % QUAL_CLASSES_MAX) *
+				   q->version_count +
+			       chain->versions[0]];
+	*share += ((float)(chain->count > 1) - *share) / SHARE_WINDOW;
+}
+
+/* Versions in roll-out that take new work at all. */
+static uint64_t
+rolling_mask(const struct qual *q)
+{
+	uint64_t mask = 0;
+	uint16_t v;
+
+	for (v = 0; v < q->version_count && v < CFG_VERSIONS_MAX; v++)
+		if (q->versions[v].rolling && q->versions[v].usable)
+			mask |= UINT64_C(1) << v;
+	return mask;
+}
+
+/*
+ * Chooses the chain of versions for one request.  Of rolling_open, the
+ * versions in roll-out whose share the request falls into, one comes first.
+ * Versions in roll-out outside it are left out.  The chain is empty if nothing
+ * is left.
+ */
+void
+qual_choose(struct qual *q, struct rng *rng, const struct qual_ask *ask,
+    struct qual_chain *chain)
+{
+	struct chain_estimate all[CFG_VERSIONS_MAX], first;
+	uint64_t rolling, open;
+	size_t n;
+
+	memset(chain, 0, sizeof(*chain));
+	chain->reason = CF_WHY_NO_SERVER;
+	if (ask->workspace >= q->workspace_count)
+		return;
+	rolling = rolling_mask(q);
+	open = ask->rolling_open & ask->candidates & rolling;
+	if (q->options.unsafe_any_candidate)
+		rolling = 0;
+	n = estimate_all(q, ask->workspace, ask->task_class,
+	    ask->candidates & ~rolling, all);
+	if (open != 0) {
+		estimate_version(q, ask->workspace, ask->task_class,
+		    (uint16_t)__builtin_ctzll(open), &first);
+		chain_follow(all, n, &first,
+		    q->workspaces[ask->workspace].price, ask->may_escalate,
+		    chain);
+	} else if (n > 0) {
+		chain_choose(all, n, q->workspaces[ask->workspace].price,
+		    ask->may_escalate,
+		    q->workspaces[ask->workspace].price < PRICE_START ? rng
+								      : NULL,
+		    chain);
+	}
+	if (chain->count > 0)
+		note_share(q, ask->workspace, ask->task_class, chain);
+}
+
+/* Returns the expected pass share of a first try; 0 for unknown indices. */
+double
+qual_mean(const struct qual *q, uint16_t workspace, uint16_t version,
+    uint16_t task_class)
+{
+	if (!known(q, workspace, version))
+		return 0;
+	return mean_pass(q, LEVELS - 1, workspace, task_class, false, version);
+}
+
+/* Returns a share less one standard deviation of n observations. */
+static double
+floor_of(double mean, double n)
+{
+	return fmax(mean - sqrt(mean * (1 - mean) / (n + 1)), 0);
+}
+
+/* Returns the pass share that a rating is tested against. */
+double
+qual_expect_passed(const struct qual *q, const struct cf_rating *r)
+{
+	const struct cell *c;
+	double m;
+
+	if (!known(q, r->workspace, r->version))
+		return 0;
+	c = cell_at(q, LEVELS - 1, r->workspace, r->task_class, r->escalated,
+	    r->version);
+	m = mean_pass(q, LEVELS - 1, r->workspace, r->task_class, r->escalated,
+	    r->version);
+	return floor_of(m, c->pass + c->fail + prior_weight[LEVELS - 1]);
+}
+
+/* Returns the share of good attempts that quick evidence is tested against. */
+double
+qual_expect_good(const struct qual *q, uint16_t workspace, uint16_t version,
+    uint16_t task_class, bool escalated)
+{
+	const struct cell *c;
+	double m;
+
+	if (!known(q, workspace, version))
+		return 0;
+	c = cell_at(q, LEVELS - 1, workspace, task_class, escalated, version);
+	m = 1 - mean_bad(q, workspace, task_class, escalated, version);
+	return floor_of(m, c->good + c->bad + prior_weight[LEVELS - 1]);
+}
+
+double
+qual_price(const struct qual *q, uint16_t workspace)
+{
+	if (workspace >= q->workspace_count)
+		return 0;
+	return q->workspaces[workspace].price;
+}
