Policy bench in virtual time, with the decisions used directly

cf-policy runs both users' worlds against baselines and two oracles. The hold of a version is a trickle that expires by time, since a full ring of unrated answers otherwise blocks it for ever: in a first trial versions on hold never recovered and half of the requests found no version.

--- /dev/null
+++ b/bench/policy/policies.c
@@ -0,0 +1,511 @@
+#include "policy/policy.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+/*
+ * The baselines: a chain rule and a server rule each, over one small engine
+ * that retries a failed attempt once and neither queues nor refuses for load.
+ * "direct" uses the quality and roll-out decisions under the same engine.
+ */
+
+enum {
+	OPEN_MAX = 1 << 15, /* requests of one instance, by id */
+	SERVERS_MAX = 64,
+	RETRIES_MAX = 2
+};
+
+enum chain_rule {
+	CHAIN_ROTATE, /* each version in turn, as a version-blind balancer */
+	CHAIN_BEST,
+	CHAIN_FIXED, /* cheapest, then best */
+	CHAIN_ORACLE,
+	CHAIN_BLIND, /* an oracle of averages */
+	CHAIN_BOUND, /* cheapest whose lower bound meets the target */
+	CHAIN_QUALITY /* core/quality.h and core/rollout.h */
+};
+
+enum server_rule {
+	SERVER_ROTATE,
+	SERVER_LEAST, /* least reported load */
+	SERVER_TWO /* better of two by load and own work since the report */
+};
+
+struct baseline_kind {
+	struct policy_kind kind; /* first member */
+	enum chain_rule chain;
+	enum server_rule server;
+};
+
+struct server {
+	bool known;
+	bool leaving;
+	uint16_t slots;
+	uint16_t reported;
+	uint16_t sent; /* own attempts since the report */
+	uint16_t running; /* own attempts */
+};
+
+struct open_request {
+	uint32_t id;
+	bool used;
+	struct qual_chain chain;
+	uint16_t workspace;
+	uint16_t task_class;
+	uint8_t at; /* index in the chain */
+	uint8_t retries;
+	uint8_t attempts;
+	uint16_t server;
+	bool streaming;
+	int64_t sent_us;
+	int64_t deadline_us;
+};
+
+struct baseline {
+	struct policy policy; /* first member */
+	const struct baseline_kind *rule;
+	struct policy_options options;
+	const struct cfg *cfg;
+	struct rng rng;
+	struct qual *qual;
+	struct ro *ro;
+	uint32_t turn;
+	struct server servers[SERVERS_MAX];
+	struct open_request *open;
+};
+
+static struct open_request *
+find(struct baseline *b, uint32_t id)
+{
+	struct open_request *q = &b->open[id % OPEN_MAX];
+
+	return q->used && q->id == id ? q : NULL;
+}
+
+static uint16_t
+load_of(const struct baseline *b, uint16_t s)
+{
+	uint16_t load = b->servers[s].reported;
+
+	if (b->rule->server == SERVER_TWO)
+		load += b->servers[s].sent;
+	return load;
+}
+
+static uint16_t
+pick_usable(struct baseline *b, uint16_t avoid)
+{
+	uint16_t n = b->options.servers, s, i;
+
+	s = (uint16_t)rng_below(&b->rng, n);
+	for (i = 0; i < n; i++, s = (s + 1) % n)
+		if (b->servers[s].known && !b->servers[s].leaving && s != avoid)
+			return s;
+	return CF_NO_SERVER;
+}
+
+static uint16_t
+pick_least(struct baseline *b, uint16_t avoid)
+{
+	uint16_t best = CF_NO_SERVER, s;
+
+	for (s = 0; s < b->options.servers; s++) {
+		if (!b->servers[s].known || b->servers[s].leaving || s == avoid)
+			continue;
+		if (best == CF_NO_SERVER || load_of(b, s) < load_of(b, best))
+			best = s;
+	}
+	return best;
+}
+
+static uint16_t
+pick_server(struct baseline *b, uint16_t avoid)
+{
+	uint16_t s, other, i;
+
+	switch (b->rule->server) {
+	case SERVER_ROTATE:
+		for (i = 0; i < b->options.servers; i++) {
+			s = (uint16_t)(b->turn++ % b->options.servers);
+			if (b->servers[s].known && !b->servers[s].leaving &&
+			    s != avoid)
+				return s;
+		}
+		return CF_NO_SERVER;
+	case SERVER_LEAST:
+		return pick_least(b, avoid);
+	default:
+		s = pick_usable(b, avoid);
+		other = pick_usable(b, s);
+		if (other != CF_NO_SERVER && other != avoid &&
+		    load_of(b, other) < load_of(b, s))
+			return other;
+		return s;
+	}
+}
+
+static uint64_t
+allowed_versions(const struct baseline *b, uint16_t workspace)
+{
+	uint64_t mask = 0;
+	uint32_t v;
+
+	for (v = 0; v < b->cfg->version_count; v++)
+		if (cfg_version_allowed(
+			b->cfg, workspace, v, b->options.data_centre))
+			mask |= UINT64_C(1) << v;
+	return mask;
+}
+
+static uint16_t
+extreme_version(const struct baseline *b, uint64_t mask, bool dearest)
+{
+	uint16_t v, best = CFG_NONE;
+
+	for (v = 0; v < b->cfg->version_count; v++)
+		if ((mask >> v & 1) != 0 &&
+		    (best == CFG_NONE ||
+			(b->cfg->versions[v].cost_micro >
+			    b->cfg->versions[best].cost_micro) == dearest))
+			best = v;
+	return best;
+}
+
+/* Cheapest single version whose mean less a margin meets the target. */
+static uint16_t
+bound_version(
+    const struct baseline *b, const struct cf_request *r, uint64_t mask)
+{
+	uint16_t v, best = CFG_NONE, target;
+
+	target = b->cfg->workspaces[r->workspace].target_permille;
+	for (v = 0; v < b->cfg->version_count; v++)
+		if ((mask >> v & 1) != 0 &&
+		    qual_mean(b->qual, r->workspace, v, r->task_class) * 1000 -
+			    10 >=
+			target &&
+		    (best == CFG_NONE || b->cfg->versions[v].cost_micro <
+					     b->cfg->versions[best].cost_micro))
+			best = v;
+	return best != CFG_NONE ? best : extreme_version(b, mask, true);
+}
+
+static void
+chain_of(struct qual_chain *chain, uint16_t first, uint16_t next)
+{
+	memset(chain, 0, sizeof(*chain));
+	chain->count = next != CFG_NONE && next != first ? 2 : 1;
+	chain->versions[0] = first;
+	chain->versions[1] = next;
+}
+
+static void
+choose_quality(struct baseline *b, const struct cf_request *r, uint64_t mask,
+    struct qual_chain *chain)
+{
+	struct qual_ask ask;
+
+	memset(&ask, 0, sizeof(ask));
+	ask.workspace = r->workspace;
+	ask.task_class = r->task_class;
+	ask.rolling_open = ro_open(b->ro, (uint16_t)rng_below(&b->rng, 1000));
+	ask.candidates = mask & ask.rolling_open;
+	ask.may_escalate = !r->streaming;
+	qual_choose(b->qual, &b->rng, &ask, chain);
+}
+
+static void
+choose_chain(
+    struct baseline *b, const struct cf_request *r, struct qual_chain *chain)
+{
+	uint64_t mask = allowed_versions(b, r->workspace);
+	uint32_t v, i;
+
+	switch (b->rule->chain) {
+	case CHAIN_ROTATE:
+		for (i = 0, v = 0; i < WORLD_VERSIONS; i++) {
+			v = (uint16_t)(b->turn / b->options.servers + i) %
+			    WORLD_VERSIONS;
+			if (mask >> v & 1)
+				break;
+		}
+		chain_of(chain, v, CFG_NONE);
+		break;
+	case CHAIN_BEST:
+		chain_of(chain, extreme_version(b, mask, true), CFG_NONE);
+		break;
+	case CHAIN_FIXED:
+		chain_of(chain, extreme_version(b, mask, false),
+		    r->streaming ? CFG_NONE : extreme_version(b, mask, true));
+		break;
+	case CHAIN_ORACLE:
+	case CHAIN_BLIND:
+		oracle_chain(b->options.world,
+		    b->options.request(b->options.ctx, r->id),
+		    b->options.oracle_price[r->workspace], mask,
+		    b->rule->chain == CHAIN_BLIND, chain);
+		break;
+	case CHAIN_BOUND:
+		chain_of(chain, bound_version(b, r, mask), CFG_NONE);
+		break;
+	default:
+		choose_quality(b, r, mask, chain);
+	}
+}
+
+static struct cf_action *
+act(struct cf_actions *actions, enum cf_action_kind kind, uint32_t request)
+{
+	struct cf_action *a = &actions->items[actions->count++];
+
+	memset(a, 0, sizeof(*a));
+	a->kind = kind;
+	a->request = request;
+	return a;
+}
+
+static void
+refuse(struct open_request *q, struct cf_actions *actions, int error)
+{
+	struct cf_action *a = act(actions, CF_ACT_REFUSE, q->id);
+
+	a->error = error;
+	a->retry_after_ms = 1000;
+	q->used = false;
+}
+
+static void
+dispatch(struct baseline *b, struct open_request *q, uint16_t avoid,
+    int64_t now_us, struct cf_actions *actions)
+{
+	struct cf_action *a;
+	uint16_t s = pick_server(b, avoid);
+
+	if (s == CF_NO_SERVER && avoid != CF_NO_SERVER)
+		s = pick_server(b, CF_NO_SERVER);
+	if (s == CF_NO_SERVER || q->chain.count == 0) {
+		refuse(q, actions, ERR_NO_SERVER);
+		return;
+	}
+	q->server = s;
+	q->sent_us = now_us;
+	b->servers[s].sent++;
+	b->servers[s].running++;
+	a = act(actions, CF_ACT_DISPATCH, q->id);
+	a->attempt = q->attempts++;
+	a->server = s;
+	a->version = q->chain.versions[q->at];
+	if (b->ro != NULL)
+		ro_served(b->ro, a->version, now_us);
+}
+
+static void
+on_request(struct baseline *b, const struct cf_request *r, int64_t now_us,
+    struct cf_actions *actions)
+{
+	struct open_request *q = &b->open[r->id % OPEN_MAX];
+
+	memset(q, 0, sizeof(*q));
+	q->id = r->id;
+	q->used = true;
+	q->workspace = r->workspace;
+	q->task_class = r->task_class;
+	q->streaming = r->streaming;
+	q->deadline_us = r->deadline_us;
+	choose_chain(b, r, &q->chain);
+	dispatch(b, q, CF_NO_SERVER, now_us, actions);
+}
+
+static void
+learn_outcome(
+    struct baseline *b, const struct open_request *q, bool good, int64_t now_us)
+{
+	uint16_t v = q->chain.versions[q->at];
+	bool escalated = q->at > 0;
+
+	if (b->ro == NULL)
+		return;
+	ro_outcome_against(b->ro, v, good,
+	    qual_expect_good(
+		b->qual, q->workspace, v, q->task_class, escalated),
+	    now_us);
+	if (escalated)
+		qual_evidence_escalated(
+		    b->qual, q->workspace, v, q->task_class, good, now_us);
+	else
+		qual_evidence(
+		    b->qual, q->workspace, v, q->task_class, good, now_us);
+}
+
+static void
+on_done(struct baseline *b, const struct cf_attempt *t, int64_t now_us,
+    struct cf_actions *actions)
+{
+	struct open_request *q = find(b, t->request);
+	bool good;
+
+	if (q == NULL)
+		return;
+	b->servers[q->server].running--;
+	good = !t->defective && t->score_permille >= QUAL_SCORE_LOW_PERMILLE;
+	learn_outcome(b, q, good, now_us);
+	if (!good && q->at + 1 < q->chain.count && now_us < q->deadline_us) {
+		q->at++;
+		dispatch(b, q, CF_NO_SERVER, now_us, actions);
+		return;
+	}
+	act(actions, CF_ACT_ANSWER, q->id)->attempt = t->attempt;
+	q->used = false;
+}
+
+static void
+on_failed(struct baseline *b, const struct cf_attempt *t, int64_t now_us,
+    struct cf_actions *actions)
+{
+	struct open_request *q = find(b, t->request);
+
+	if (q == NULL)
+		return;
+	b->servers[q->server].running--;
+	if (q->retries++ < RETRIES_MAX)
+		dispatch(b, q, q->server, now_us, actions);
+	else
+		refuse(q, actions, t->error);
+}
+
+static void
+on_announce(struct baseline *b, const struct cf_announce *a)
+{
+	struct server *s = &b->servers[a->server];
+
+	s->known = true;
+	s->leaving = a->leaving;
+	s->slots = a->slots;
+	s->reported = a->running + a->queued;
+	s->sent = 0;
+}
+
+static void
+on_rating(struct baseline *b, const struct cf_rating *r, int64_t now_us)
+{
+	if (b->ro != NULL)
+		ro_rated_against(b->ro, r->version, r->passed,
+		    qual_expect_passed(b->qual, r), now_us);
+	if (b->qual != NULL)
+		qual_rate(b->qual, r, now_us);
+}
+
+static void
+on_config(struct baseline *b, const struct cfg *cfg)
+{
+	b->cfg = cfg;
+	if (b->qual != NULL)
+		qual_configure(b->qual, cfg);
+	if (b->ro != NULL)
+		ro_configure(b->ro, cfg);
+}
+
+static void
+baseline_step(struct policy *policy, int64_t now_us,
+    const struct cf_event *event, struct cf_actions *actions)
+{
+	struct baseline *b = (struct baseline *)policy;
+	struct open_request *q;
+
+	actions->count = 0;
+	switch (event->kind) {
+	case CF_EV_CONFIG:
+		on_config(b, event->u.config);
+		break;
+	case CF_EV_ANNOUNCE:
+		on_announce(b, &event->u.announce);
+		break;
+	case CF_EV_SERVER_GONE:
+		b->servers[event->u.gone.server].known = false;
+		break;
+	case CF_EV_REQUEST:
+		on_request(b, &event->u.request, now_us, actions);
+		break;
+	case CF_EV_FIRST_TOKEN:
+		q = find(b, event->u.attempt.request);
+		if (q != NULL && b->ro != NULL)
+			ro_latency(b->ro, q->chain.versions[q->at],
+			    (uint32_t)(now_us - q->sent_us), now_us);
+		break;
+	case CF_EV_DONE:
+		on_done(b, &event->u.attempt, now_us, actions);
+		break;
+	case CF_EV_FAILED:
+		on_failed(b, &event->u.attempt, now_us, actions);
+		break;
+	case CF_EV_RATING:
+		on_rating(b, &event->u.rating, now_us);
+		break;
+	default:
+		break;
+	}
+}
+
+static void
+baseline_release(struct policy *policy)
+{
+	struct baseline *b = (struct baseline *)policy;
+
+	qual_free(b->qual);
+	ro_free(b->ro);
+	free(b->open);
+	free(b);
+}
+
+static struct ro *
+baseline_watch(struct policy *policy)
+{
+	return ((struct baseline *)policy)->ro;
+}
+
+static struct qual *
+baseline_quality(struct policy *policy)
+{
+	return ((struct baseline *)policy)->qual;
+}
+
+static const struct policy_vtable baseline_vtable = {
+    baseline_step, baseline_release, baseline_watch, baseline_quality};
+
+static struct policy *
+baseline_make(
+    const struct policy_kind *kind, const struct policy_options *options)
+{
+	const struct baseline_kind *rule = (const struct baseline_kind *)kind;
+	struct ro_options ro_options = {0};
+	struct baseline *b = calloc(1, sizeof(*b));
+
+	b->policy.vtable = &baseline_vtable;
+	b->rule = rule;
+	b->options = *options;
+	b->open = calloc(OPEN_MAX, sizeof(*b->open));
+	rng_init(&b->rng, options->seed);
+	b->turn = rng_below(&b->rng, 1000);
+	if (rule->chain == CHAIN_QUALITY || rule->chain == CHAIN_BOUND)
+		b->qual = qual_new(NULL);
+	ro_options.instances = WORLD_INSTANCES;
+	if (rule->chain == CHAIN_QUALITY)
+		b->ro = ro_new_with(&ro_options);
+	return &b->policy;
+}
+
+static const struct baseline_kind kinds[] = {
+    {{"direct", baseline_make, true}, CHAIN_QUALITY, SERVER_TWO},
+    {{"lower-bound", baseline_make, true}, CHAIN_BOUND, SERVER_TWO},
+    {{"oracle", baseline_make, false}, CHAIN_ORACLE, SERVER_TWO},
+    {{"blind-oracle", baseline_make, false}, CHAIN_BLIND, SERVER_TWO},
+    {{"always-best", baseline_make, false}, CHAIN_BEST, SERVER_TWO},
+    {{"fixed-cascade", baseline_make, false}, CHAIN_FIXED, SERVER_TWO},
+    {{"round-robin", baseline_make, false}, CHAIN_ROTATE, SERVER_ROTATE},
+    {{"least-load", baseline_make, false}, CHAIN_ROTATE, SERVER_LEAST},
+};
+
+const struct policy_kind *const policy_kinds[] = {&kinds[0].kind,
+    &kinds[1].kind, &kinds[2].kind, &kinds[3].kind, &kinds[4].kind,
+    &kinds[5].kind, &kinds[6].kind, &kinds[7].kind};
+const size_t policy_kind_count = sizeof(policy_kinds) / sizeof(policy_kinds[0]);
--- /dev/null
+++ b/bench/policy/policy.h
@@ -0,0 +1,57 @@
+#ifndef BENCH_POLICY_H
+#define BENCH_POLICY_H
+
+#include "celeryford.h"
+#include "core/quality.h"
+#include "core/rollout.h"
+#include "policy/world.h"
+
+/*
+ * A policy decides for one entry instance.  It takes the events of
+ * celeryford.h and gives its actions; baselines understand the ones they need.
+ */
+struct policy_options {
+	uint64_t seed;
+	uint16_t data_centre;
+	uint16_t instance;
+	uint16_t servers; /* of the data centre */
+	const struct world *world; /* the oracle looks into it */
+	const struct world_request *(*request)(void *ctx, uint32_t id);
+	void *ctx;
+	const double *oracle_price; /* for each workspace */
+};
+
+struct policy;
+
+struct policy_kind {
+	const char *name;
+	struct policy *(*make)(
+	    const struct policy_kind *kind, const struct policy_options *);
+	bool adapts; /* takes stops, ratings and digests */
+};
+
+extern const struct policy_kind *const policy_kinds[];
+extern const size_t policy_kind_count;
+
+struct policy_vtable {
+	void (*step)(struct policy *policy, int64_t now_us,
+	    const struct cf_event *event, struct cf_actions *actions);
+	void (*release)(struct policy *policy);
+	struct ro *(*watch)(struct policy *policy); /* NULL: none */
+	struct qual *(*quality)(struct policy *policy);
+};
+
+struct policy {
+	const struct policy_vtable *vtable; /* first member */
+};
+
+/* Prices at which an oracle just meets every workspace's target. */
+void oracle_prices(const struct world *world, uint64_t seed, bool blind,
+    double prices[WORLD_WORKSPACES]);
+
+/* The oracle's chain for one request at a price. */
+void oracle_chain(const struct world *world,
+    const struct world_request *request, double price, uint64_t allowed,
+    bool blind, struct qual_chain *chain);
+
+#endif
--- a/src/core/rollout.c
+++ b/src/core/rollout.c
@@ -21,11 +21,12 @@
 enum {
 	LATENCY_WARMUP = 64, /* first tokens before slowness is judged */
 	RECENT_MIN = 16, /* outcomes before a version is a comparison */
-	HELD_UNRATED = 2 /* trickle of one instance while on hold */
+	HELD_UNRATED = 3 /* trickle of one instance while on hold */
 };
 
 /* An answer that was not rated by then never will be. */
 #define UNRATED_EXPIRY_US (180 * INT64_C(1000000))
+#define HELD_EXPIRY_US (60 * INT64_C(1000000))
 
 struct version {
 	bool present;
@@ -47,7 +48,6 @@
 	uint16_t unrated_head;
 	uint16_t unrated_count;
 	int64_t unrated_us[RO_UNRATED_MAX]; /* served times, a ring */
-	int64_t now_us; /* latest time seen */
 };
 
 struct ro {
@@ -55,6 +55,7 @@
 	struct ro_options options;
 	uint16_t count;
 	struct version *versions;
+	int64_t now_us; /* latest time seen */
 };
 
 struct ro *
@@ -155,36 +156,70 @@
 		version_configure(ro, &ro->versions[i], &cfg->versions[i]);
 }
 
+static int64_t
+expiry_us(const struct version *v)
+{
+	return v->watch == RO_HELD ? HELD_EXPIRY_US : UNRATED_EXPIRY_US;
+}
+
+/* Counts the answers of this instance that a rating may still come for. */
 static uint16_t
-unrated_limit(const struct version *v)
+unrated_now(const struct ro *ro, const struct version *v)
 {
-	uint16_t cap = RO_UNRATED_MAX;
+	uint16_t i;
 
-	if (v->state == CFG_ROLLING)
-		cap = v->unrated_max;
-	if (v->watch == RO_HELD && cap > HELD_UNRATED)
-		cap = HELD_UNRATED;
-	return cap;
+	for (i = 0; i < v->unrated_count; i++)
+		if (ro->now_us -
+			v->unrated_us[(v->unrated_head + i) % RO_UNRATED_MAX] <
+		    expiry_us(v))
+			break;
+	return v->unrated_count - i;
 }
 
 static bool
 version_has_room(const struct ro *ro, const struct version *v)
 {
+	uint16_t cap;
+
 	if (ro->options.unsafe_no_cap)
 		return true;
 	if (v->state != CFG_ROLLING && v->watch != RO_HELD)
 		return true;
-	return v->unrated_count < unrated_limit(v);
+	cap = v->state == CFG_ROLLING ? v->unrated_max : RO_UNRATED_MAX;
+	if (v->watch == RO_HELD && cap > HELD_UNRATED)
+		cap = HELD_UNRATED;
+	return unrated_now(ro, v) < cap;
+}
+
+/* Released versions that are on hold, if all of them are. */
+static uint64_t
+all_held(const struct ro *ro)
+{
+	uint64_t mask = 0;
+	uint16_t i;
+
+	for (i = 0; i < ro->count && i < CFG_VERSIONS_MAX; i++) {
+		const struct version *v = &ro->versions[i];
+
+		if (!v->present || v->state != CFG_RELEASED)
+			continue;
+		if (v->watch == RO_OPEN)
+			return 0;
+		if (v->watch == RO_HELD)
+			mask |= UINT64_C(1) << i;
+	}
+	return mask;
 }
 
 /*
  * Returns the versions that may take one more request.  Each version in
- * roll-out owns its own interval of the draw, as wide as its stage.
+ * roll-out owns its own interval of the draw, as wide as its stage.  A hold
+ * leaves at least one released version open.
  */
 uint64_t
 ro_open(const struct ro *ro, uint16_t draw_permille)
 {
-	uint64_t mask = 0;
+	uint64_t mask = all_held(ro);
 	uint32_t from = 0;
 	bool in_share;
 	uint16_t i;
@@ -214,23 +249,19 @@
 	v->unrated_count--;
 }
 
-static void
-unrated_expire(struct version *v, int64_t now_us)
-{
-	if (now_us > v->now_us)
-		v->now_us = now_us;
-	while (v->unrated_count > 0 &&
-	       v->now_us - v->unrated_us[v->unrated_head] >= UNRATED_EXPIRY_US)
-		unrated_pop(v);
-}
-
 static struct version *
 version_at(struct ro *ro, uint16_t version, int64_t now_us)
 {
+	struct version *v;
+
+	if (now_us > ro->now_us)
+		ro->now_us = now_us;
 	if (version >= ro->count)
 		return NULL;
-	unrated_expire(&ro->versions[version], now_us);
-	return &ro->versions[version];
+	v = &ro->versions[version];
+	while (v->unrated_count > unrated_now(ro, v))
+		unrated_pop(v);
+	return v;
 }
 
 /* Counts an answer of this instance that is not rated yet. */
@@ -249,6 +280,15 @@
 	v->unrated_count++;
 }
 
+/* Starts the trickle of a suspected version. */
+static void
+hold(struct version *v)
+{
+	if (v->watch != RO_HELD)
+		v->unrated_count = 0;
+	v->watch = RO_HELD;
+}
+
 /* Compares the sums with the thresholds. */
 static void
 judge(struct ro *ro, struct version *v)
@@ -265,7 +305,7 @@
 	if (top >= stop_at)
 		v->watch = RO_STOPPED;
 	else if (top >= HOLD_AT && !ro->options.unsafe_no_hold)
-		v->watch = RO_HELD;
+		hold(v);
 	else if (top <= RELEASE_AT)
 		v->watch = RO_OPEN;
 }
@@ -504,7 +544,8 @@
 uint16_t
 ro_unrated(const struct ro *ro, uint16_t version)
 {
-	return version < ro->count ? ro->versions[version].unrated_count : 0;
+	return version < ro->count ? unrated_now(ro, &ro->versions[version])
+				   : 0;
 }
 
 /* Returns the largest sum of log-likelihood ratios, in nats. */
