Keep estimates apart by place, and test against settled evidence

A rating now says whether its answer stood alone, was kept although it could have escalated, or was an escalation; mixing them made a change of chain look like a change of a version. The reference of the sequential test moves only while nothing speaks against the version: before, a version in roll-out that dropped by 30 points pulled its own reference down and was never stopped.

--- a/bench/policy/policies.c
+++ b/bench/policy/policies.c
@@ -316,6 +316,14 @@
 	dispatch(b, q, CF_NO_SERVER, now_us, actions);
 }
 
+/* Evidence becomes the reference while nothing speaks against a version. */
+static void
+settle(struct baseline *b, uint16_t version)
+{
+	if (b->ro != NULL && ro_statistic(b->ro, version) == 0)
+		qual_settle(b->qual, version);
+}
+
 static void
 learn_outcome(
     struct baseline *b, const struct open_request *q, bool good, int64_t now_us)
@@ -335,6 +343,7 @@
 	else
 		qual_evidence(
 		    b->qual, q->workspace, v, q->task_class, good, now_us);
+	settle(b, v);
 }
 
 static void
@@ -342,6 +351,7 @@
     struct cf_actions *actions)
 {
 	struct open_request *q = find(b, t->request);
+	struct cf_action *a;
 	bool good;
 
 	if (q == NULL)
@@ -354,7 +364,11 @@
 		dispatch(b, q, CF_NO_SERVER, now_us, actions);
 		return;
 	}
-	act(actions, CF_ACT_ANSWER, q->id)->attempt = t->attempt;
+	a = act(actions, CF_ACT_ANSWER, q->id);
+	a->attempt = t->attempt;
+	a->place = CF_ALONE;
+	if (q->chain.count > 1)
+		a->place = q->at > 0 ? CF_ESCALATED : CF_KEPT;
 	q->used = false;
 }
 
@@ -393,6 +407,7 @@
 		    qual_expect_passed(b->qual, r), now_us);
 	if (b->qual != NULL)
 		qual_rate(b->qual, r, now_us);
+	settle(b, r->version);
 }
 
 static void
--- a/bench/policy/state.h
+++ b/bench/policy/state.h
@@ -118,17 +118,17 @@
 void traffic_answer(struct sim *sim, const struct cf_action *action);
 void traffic_refuse(struct sim *sim, const struct cf_action *action);
 void traffic_cancel(struct sim *sim, const struct cf_action *action);
-void traffic_reached(struct sim *sim, uint32_t attempt);
-void traffic_first_token(struct sim *sim, uint32_t attempt);
-void traffic_ended(struct sim *sim, uint32_t attempt);
-void traffic_done(struct sim *sim, uint32_t attempt);
-void traffic_failed(struct sim *sim, uint32_t attempt);
-void traffic_rating(struct sim *sim, uint32_t rating);
+void traffic_reached(struct sim *sim, uint32_t i);
+void traffic_first_token(struct sim *sim, uint32_t i);
+void traffic_ended(struct sim *sim, uint32_t i);
+void traffic_done(struct sim *sim, uint32_t i);
+void traffic_failed(struct sim *sim, uint32_t i);
+void traffic_rating(struct sim *sim, uint32_t i);
 
 /* faults.c: reports, configuration, the scenario's steps */
 void faults_start(struct sim *sim);
 void faults_announce(struct sim *sim, uint16_t server);
-void faults_report(struct sim *sim, uint32_t report);
+void faults_report(struct sim *sim, uint32_t i);
 void faults_second(struct sim *sim);
 void faults_step(struct sim *sim, uint32_t step);
 void faults_crash(struct sim *sim, uint16_t server, int64_t down_us);
--- a/bench/policy/traffic.c
+++ b/bench/policy/traffic.c
@@ -268,14 +268,15 @@
 }
 
 static void
-rate_later(struct sim *s, const struct request *q, const struct attempt *t)
+rate_later(struct sim *s, const struct request *q, const struct attempt *t,
+    enum cf_place place)
 {
 	struct rating *r = row_add(&s->ratings);
 
 	r->rating.workspace = q->world.workspace;
 	r->rating.version = t->version;
 	r->rating.task_class = q->world.task_class;
-	r->rating.escalated = t->version != q->first_version;
+	r->rating.place = place;
 	r->rating.passed = t->passed;
 	sim_later(s,
 	    1e6 * (RATING_LAG_LOW_S + (RATING_LAG_HIGH_S - RATING_LAG_LOW_S) *
@@ -313,7 +314,7 @@
 		r->useful_slot_s += q->slot_s;
 	}
 	if (rng_unit(&s->rng) < RATED)
-		rate_later(s, q, t);
+		rate_later(s, q, t, a->place);
 }
 
 void
--- a/include/celeryford.h
+++ b/include/celeryford.h
@@ -136,11 +136,18 @@
 	uint16_t score_permille; /* CF_EV_DONE: quick rating; 0xffff none */
 };
 
+/* Where in its chain a rated answer stood. */
+enum cf_place {
+	CF_ALONE, /* a first try, with nothing to escalate to */
+	CF_KEPT, /* a first try that a low quick score would have replaced */
+	CF_ESCALATED /* it replaced another version's answer */
+};
+
 struct cf_rating {
 	uint16_t workspace;
 	uint16_t version;
 	uint16_t task_class;
-	bool escalated; /* the answer replaced one of a cheaper version */
+	enum cf_place place;
 	bool passed;
 };
 
@@ -239,6 +246,7 @@
 	uint64_t key; /* session, fingerprint or incarnation */
 	uint16_t workspace;
 	uint16_t count; /* credits or crashes */
+	enum cf_place place; /* CF_ACT_ANSWER: for the answer's rating */
 	int64_t at_us; /* CF_ACT_WAKE; deadline of a dispatch */
 };
 
--- a/src/core/quality.c
+++ b/src/core/quality.c
@@ -6,9 +6,8 @@
 #include <string.h>
 
 enum {
-	POSITIONS = 2, /* first try, escalation */
-	LEVELS = 3, /* version; with class; with class and workspace */
-	SHARE_WINDOW = 64 /* choices behind the kept share */
+	PLACES = 3, /* of enum cf_place */
+	LEVELS = 3 /* version; with class; with class and workspace */
 };
 
 /* Half-life of evidence. */
@@ -25,14 +24,22 @@
 #define PRICE_HIGH 5.8
 #define PRICE_STEP 0.03 /* per rating and unit of shortfall */
 #define TARGET_MARGIN 0.002
+#define FLOOR_PART 0.5 /* of a standard deviation */
 #define ESCALATED_PRIOR 0.9f /* of the first try's mean */
+#define KEPT_PRIOR 0.4f /* part of failures that quick scores miss */
 
 /* Decayed counts of ratings and of quick evidence. */
-struct cell {
+struct counts {
 	float pass;
 	float fail;
 	float good;
 	float bad;
+};
+
+struct cell {
+	struct counts now;
+	struct counts settled; /* holds if epoch is the version's */
+	uint32_t epoch;
 	int64_t rated_us;
 	int64_t seen_us;
 };
@@ -40,6 +47,7 @@
 struct version {
 	bool usable;
 	bool rolling;
+	uint32_t epoch; /* counts qual_settle() */
 	float cost; /* share of the dearest version's */
 	float prior;
 };
@@ -49,6 +57,19 @@
 	double price; /* natural logarithm */
 };
 
+/* What a cell is about; upper levels leave parts out. */
+struct key {
+	uint16_t workspace;
+	uint16_t class;
+	enum cf_place place;
+	uint16_t version;
+};
+
+enum view {
+	VIEW_NOW,
+	VIEW_SETTLED
+};
+
 struct qual {
 	const struct alloc *alloc;
 	struct qual_options options;
@@ -57,7 +78,6 @@
 	struct version *versions;
 	struct workspace *workspaces;
 	struct cell *cells[LEVELS];
-	float *kept_share; /* of first tries that had a next version */
 };
 
 struct qual *
@@ -94,7 +114,6 @@
 		alloc_free(q->alloc, q->cells[level]);
 	alloc_free(q->alloc, q->versions);
 	alloc_free(q->alloc, q->workspaces);
-	alloc_free(q->alloc, q->kept_share);
 	alloc_free(q->alloc, q);
 }
 
@@ -102,23 +121,22 @@
 static size_t
 level_rows(int level, uint16_t workspaces)
 {
-	static const size_t rows[LEVELS] = {POSITIONS,
-	    POSITIONS * QUAL_CLASSES_MAX, POSITIONS * QUAL_CLASSES_MAX};
+	static const size_t rows[LEVELS] = {
+	    PLACES, PLACES * QUAL_CLASSES_MAX, PLACES * QUAL_CLASSES_MAX};
 
 	return level == LEVELS - 1 ? rows[level] * workspaces : rows[level];
 }
 
 static struct cell *
-cell_at(const struct qual *q, int level, uint16_t workspace, uint16_t class,
-    bool escalated, uint16_t version)
+cell_at(const struct qual *q, int level, const struct key *key)
 {
-	size_t row = escalated;
+	size_t row = (size_t)key->place;
 
 	if (level > 0)
-		row += POSITIONS * (size_t)(class % QUAL_CLASSES_MAX);
+		row += PLACES * (size_t)(key->class % QUAL_CLASSES_MAX);
 	if (level > 1)
-		row += POSITIONS * QUAL_CLASSES_MAX * (size_t)workspace;
-	return &q->cells[level][row * q->version_count + version];
+		row += PLACES * QUAL_CLASSES_MAX * (size_t)key->workspace;
+	return &q->cells[level][row * q->version_count + key->version];
 }
 
 /* Moves rows of old_count elements into rows of new_count elements. */
@@ -147,11 +165,10 @@
 		q->cells[level] = regrow(q->alloc, q->cells[level],
 		    sizeof(struct cell), level_rows(level, q->workspace_count),
 		    q->version_count, level_rows(level, workspaces), versions);
-	q->kept_share = regrow(q->alloc, q->kept_share, sizeof(float),
-	    (size_t)q->workspace_count * QUAL_CLASSES_MAX, q->version_count,
-	    (size_t)workspaces * QUAL_CLASSES_MAX, versions);
 	q->versions = alloc_resize(
 	    q->alloc, q->versions, (versions + 1U) * sizeof(*q->versions));
+	memset(q->versions + q->version_count, 0,
+	    (versions + 1U - q->version_count) * sizeof(*q->versions));
 	q->workspaces = alloc_resize(q->alloc, q->workspaces,
 	    (workspaces + 1U) * sizeof(*q->workspaces));
 	for (w = q->workspace_count; w < workspaces; w++)
@@ -177,7 +194,8 @@
 			 : q->workspace_count;
 	if (versions != q->version_count || workspaces != q->workspace_count)
 		grow(q, versions, workspaces);
-	memset(q->versions, 0, versions * sizeof(*q->versions));
+	for (i = 0; i < versions; i++)
+		q->versions[i].usable = false;
 	for (i = 0; i < cfg->version_count; i++)
 		if (cfg->versions[i].present &&
 		    cfg->versions[i].cost_micro > dearest)
@@ -221,18 +239,35 @@
 }
 
 static float
-mean_pass(const struct qual *q, int level, uint16_t workspace, uint16_t class,
-    bool escalated, uint16_t version)
+prior_pass(const struct version *v, enum cf_place place)
+{
+	if (place == CF_KEPT)
+		return 1 - (1 - v->prior) * KEPT_PRIOR;
+	return place == CF_ESCALATED ? v->prior * ESCALATED_PRIOR : v->prior;
+}
+
+/* Counts as they are, or as they were when the version last settled. */
+static const struct counts *
+counts_of(const struct qual *q, const struct cell *c, uint16_t version,
+    enum view view)
+{
+	if (view == VIEW_NOW || c->epoch != q->versions[version].epoch)
+		return &c->now;
+	return &c->settled;
+}
+
+static float
+mean_pass(const struct qual *q, const struct key *key, enum view view)
 {
-	const struct cell *c;
+	const struct counts *c;
 	float m, k;
 	int i;
 
-	m = q->versions[version].prior * (escalated ? ESCALATED_PRIOR : 1);
-	for (i = 0; i <= level; i++) {
+	m = prior_pass(&q->versions[key->version], key->place);
+	for (i = 0; i < LEVELS; i++) {
 		if (q->options.unsafe_no_pooling && i < LEVELS - 1)
 			continue;
-		c = cell_at(q, i, workspace, class, escalated, version);
+		c = counts_of(q, cell_at(q, i, key), key->version, view);
 		k = prior_weight[i];
 		m = (c->pass + k * m) / (c->pass + c->fail + k);
 	}
@@ -240,16 +275,15 @@
 }
 
 static float
-mean_bad(const struct qual *q, uint16_t workspace, uint16_t class,
-    bool escalated, uint16_t version)
+mean_bad(const struct qual *q, const struct key *key, enum view view)
 {
-	const struct cell *c;
+	const struct counts *c;
 	float m, k;
 	int i;
 
-	m = (1 - q->versions[version].prior) / 2;
+	m = (1 - q->versions[key->version].prior) / 2;
 	for (i = 0; i < LEVELS; i++) {
-		c = cell_at(q, i, workspace, class, escalated, version);
+		c = counts_of(q, cell_at(q, i, key), key->version, view);
 		k = prior_weight[i];
 		m = (c->bad + k * m) / (c->good + c->bad + k);
 	}
@@ -274,46 +308,88 @@
 	w->price = fmin(fmax(w->price, PRICE_LOW), PRICE_HIGH);
 }
 
+static float
+window_of(const struct qual *q, int level)
+{
+	return q->options.unsafe_no_forgetting ? 1e9f : window[level];
+}
+
+/* Keeps the counts as they were when the version settled last. */
+static struct cell *
+cell_touch(struct qual *q, int level, const struct key *key)
+{
+	struct cell *c = cell_at(q, level, key);
+
+	if (c->epoch != q->versions[key->version].epoch) {
+		c->settled = c->now;
+		c->epoch = q->versions[key->version].epoch;
+	}
+	return c;
+}
+
+static struct key
+key_of(const struct cf_rating *r)
+{
+	struct key key;
+
+	key.workspace = r->workspace;
+	key.class = r->task_class;
+	key.place = r->place;
+	key.version = r->version;
+	return key;
+}
+
 /* Takes in the rating of an answer that a caller received. */
 void
 qual_rate(struct qual *q, const struct cf_rating *r, int64_t now_us)
 {
+	struct key key = key_of(r);
 	struct cell *c;
 	int i;
 
 	if (!known(q, r->workspace, r->version))
 		return;
 	for (i = 0; i < LEVELS; i++) {
-		c = cell_at(q, i, r->workspace, r->task_class, r->escalated,
-		    r->version);
+		c = cell_touch(q, i, &key);
 		if (!q->options.unsafe_no_forgetting)
-			forget(&c->pass, &c->fail, &c->rated_us, now_us);
+			forget(
+			    &c->now.pass, &c->now.fail, &c->rated_us, now_us);
 		if (r->passed)
-			observe(&c->pass, &c->fail,
-			    q->options.unsafe_no_forgetting ? 1e9f : window[i]);
+			observe(&c->now.pass, &c->now.fail, window_of(q, i));
 		else
-			observe(&c->fail, &c->pass,
-			    q->options.unsafe_no_forgetting ? 1e9f : window[i]);
+			observe(&c->now.fail, &c->now.pass, window_of(q, i));
 	}
 	price_step(q, r->workspace, r->passed);
 }
 
+/*
+ * Makes the evidence on a version so far the reference of qual_expect_passed()
+ * and qual_expect_good().  The caller settles a version while nothing speaks
+ * against it, so that a turn to the worse does not move what it is tested
+ * against.
+ */
+void
+qual_settle(struct qual *q, uint16_t version)
+{
+	if (version < q->version_count)
+		q->versions[version].epoch++;
+}
+
 static void
-evidence(struct qual *q, uint16_t workspace, uint16_t version, uint16_t class,
-    bool escalated, bool good, int64_t now_us)
+evidence(struct qual *q, const struct key *key, bool good, int64_t now_us)
 {
 	struct cell *c;
 	int i;
 
-	if (!known(q, workspace, version))
+	if (!known(q, key->workspace, key->version))
 		return;
 	for (i = 0; i < LEVELS; i++) {
-		c = cell_at(q, i, workspace, class, escalated, version);
-		forget(&c->good, &c->bad, &c->seen_us, now_us);
+		c = cell_touch(q, i, key);
+		forget(&c->now.good, &c->now.bad, &c->seen_us, now_us);
 		if (good)
-			observe(&c->good, &c->bad, window[i]);
+			observe(&c->now.good, &c->now.bad, window_of(q, i));
 		else
-			observe(&c->bad, &c->good, window[i]);
+			observe(&c->now.bad, &c->now.good, window_of(q, i));
 	}
 }
 
@@ -322,7 +398,9 @@
 qual_evidence(struct qual *q, uint16_t workspace, uint16_t version,
     uint16_t task_class, bool good, int64_t now_us)
 {
-	evidence(q, workspace, version, task_class, false, good, now_us);
+	const struct key key = {workspace, task_class, CF_ALONE, version};
+
+	evidence(q, &key, good, now_us);
 }
 
 /* Takes in the quick verdict on an escalated attempt. */
@@ -330,39 +408,30 @@
 qual_evidence_escalated(struct qual *q, uint16_t workspace, uint16_t version,
     uint16_t task_class, bool good, int64_t now_us)
 {
-	evidence(q, workspace, version, task_class, true, good, now_us);
+	const struct key key = {workspace, task_class, CF_ESCALATED, version};
+
+	evidence(q, &key, good, now_us);
 }
 
-/*
- * Separates what ratings mix.  Where answers that were flagged escalate, only
- * kept ones are rated; elsewhere all are.  share says how often the former
- * held among the rated first tries.
- */
 static void
 estimate_version(const struct qual *q, uint16_t workspace, uint16_t class,
     uint16_t version, struct chain_estimate *e)
 {
-	const struct cell *c;
-	float m, f, share, k, n;
-
-	c = cell_at(q, LEVELS - 1, workspace, class, false, version);
-	share = q->kept_share[((size_t)workspace * QUAL_CLASSES_MAX +
-				  class % QUAL_CLASSES_MAX) *
-				  q->version_count +
-			      version];
-	m = mean_pass(q, LEVELS - 1, workspace, class, false, version);
-	f = mean_bad(q, workspace, class, false, version);
-	k = (m - (1 - share) * f * CHAIN_FLAGGED_PASS) /
-	    fmaxf(share + (1 - share) * (1 - f), 0.01f);
-	k = fminf(fmaxf(k, 0), 1);
+	struct key key = {workspace, class, CF_ALONE, version};
+	const struct counts *c;
+	float n;
+
+	c = &cell_at(q, LEVELS - 1, &key)->now;
 	n = c->pass + c->fail + prior_weight[LEVELS - 1];
 	e->version = version;
 	e->cost = q->versions[version].cost;
-	e->kept = (1 - f) * k;
-	e->flagged = f;
-	e->solo = e->kept + f * CHAIN_FLAGGED_PASS;
-	e->after = mean_pass(q, LEVELS - 1, workspace, class, true, version);
-	e->sigma = sqrtf(m * (1 - m) / n);
+	e->flagged = mean_bad(q, &key, VIEW_NOW);
+	e->solo = mean_pass(q, &key, VIEW_NOW);
+	e->sigma = sqrtf(e->solo * (1 - e->solo) / n);
+	key.place = CF_KEPT;
+	e->kept = (1 - e->flagged) * mean_pass(q, &key, VIEW_NOW);
+	key.place = CF_ESCALATED;
+	e->after = mean_pass(q, &key, VIEW_NOW);
 }
 
 static size_t
@@ -380,20 +449,6 @@
 	return n;
 }
 
-/* Remembers whether the first try's flagged answers will escalate. */
-static void
-note_share(struct qual *q, uint16_t workspace, uint16_t class,
-    const struct qual_chain *chain)
-{
-	float *share;
-
-	share = &q->kept_share[((size_t)workspace * QUAL_CLASSES_MAX +
-				   class % QUAL_CLASSES_MAX) *
-				   q->version_count +
-			       chain->versions[0]];
-	*share += ((float)(chain->count > 1) - *share) / SHARE_WINDOW;
-}
-
 /* Versions in roll-out that take new work at all. */
 static uint64_t
 rolling_mask(const struct qual *q)
@@ -444,8 +499,6 @@
 								      : NULL,
 		    chain);
 	}
-	if (chain->count > 0)
-		note_share(q, ask->workspace, ask->task_class, chain);
 }
 
 /* Returns the expected pass share of a first try; 0 for unknown indices. */
@@ -453,32 +506,33 @@
 qual_mean(const struct qual *q, uint16_t workspace, uint16_t version,
     uint16_t task_class)
 {
+	const struct key key = {workspace, task_class, CF_ALONE, version};
+
 	if (!known(q, workspace, version))
 		return 0;
-	return mean_pass(q, LEVELS - 1, workspace, task_class, false, version);
+	return mean_pass(q, &key, VIEW_NOW);
 }
 
-/* Returns a share less one standard deviation of n observations. */
+/* Returns a share less a part of the standard deviation of n observations. */
 static double
 floor_of(double mean, double n)
 {
-	return fmax(mean - sqrt(mean * (1 - mean) / (n + 1)), 0);
+	return fmax(mean - FLOOR_PART * sqrt(mean * (1 - mean) / (n + 1)), 0);
 }
 
 /* Returns the pass share that a rating is tested against. */
 double
 qual_expect_passed(const struct qual *q, const struct cf_rating *r)
 {
-	const struct cell *c;
-	double m;
+	const struct key key = key_of(r);
+	const struct counts *c;
 
 	if (!known(q, r->workspace, r->version))
 		return 0;
-	c = cell_at(q, LEVELS - 1, r->workspace, r->task_class, r->escalated,
-	    r->version);
-	m = mean_pass(q, LEVELS - 1, r->workspace, r->task_class, r->escalated,
-	    r->version);
-	return floor_of(m, c->pass + c->fail + prior_weight[LEVELS - 1]);
+	c = counts_of(
+	    q, cell_at(q, LEVELS - 1, &key), r->version, VIEW_SETTLED);
+	return floor_of(mean_pass(q, &key, VIEW_SETTLED),
+	    c->pass + c->fail + prior_weight[LEVELS - 1]);
 }
 
 /* Returns the share of good attempts that quick evidence is tested against. */
@@ -486,14 +540,15 @@
 qual_expect_good(const struct qual *q, uint16_t workspace, uint16_t version,
     uint16_t task_class, bool escalated)
 {
-	const struct cell *c;
-	double m;
+	const struct key key = {workspace, task_class,
+	    escalated ? CF_ESCALATED : CF_ALONE, version};
+	const struct counts *c;
 
 	if (!known(q, workspace, version))
 		return 0;
-	c = cell_at(q, LEVELS - 1, workspace, task_class, escalated, version);
-	m = 1 - mean_bad(q, workspace, task_class, escalated, version);
-	return floor_of(m, c->good + c->bad + prior_weight[LEVELS - 1]);
+	c = counts_of(q, cell_at(q, LEVELS - 1, &key), version, VIEW_SETTLED);
+	return floor_of(1 - mean_bad(q, &key, VIEW_SETTLED),
+	    c->good + c->bad + prior_weight[LEVELS - 1]);
 }
 
 double
--- a/src/core/quality.h
+++ b/src/core/quality.h
@@ -20,8 +20,9 @@
  * Two kinds of evidence come in.  qual_evidence() reports every attempt that
  * ended: good unless it failed, was defective or had a quick score below
  * QUAL_SCORE_LOW_PERMILLE.  qual_rate() reports the rating of an answer that a
- * caller received, late and for a part of the answers only.  Escalated answers
- * belong to harder requests and have estimates of their own.
+ * caller received, late and for a part of the answers only.  Estimates are kept
+ * apart by the answer's place in its chain: kept answers are better than those
+ * of the same version alone, and escalated ones belong to harder requests.
  *
  * Each workspace has a price of quality, a cost that one more passing answer
  * is worth.  Ratings raise it while the workspace is below target and lower it
@@ -68,12 +69,16 @@
     uint16_t task_class, bool good, int64_t now_us);
 void qual_evidence_escalated(struct qual *qual, uint16_t workspace,
     uint16_t version, uint16_t task_class, bool good, int64_t now_us);
+void qual_settle(struct qual *qual, uint16_t version);
 void qual_choose(struct qual *qual, struct rng *rng, const struct qual_ask *ask,
     struct qual_chain *chain);
 double qual_mean(const struct qual *qual, uint16_t workspace, uint16_t version,
     uint16_t task_class);
 
-/* Least expected pass and good shares, for the sequential test. */
+/*
+ * Least expected pass and good shares, for the sequential test: as they were
+ * when the version last settled.
+ */
 double qual_expect_passed(
     const struct qual *qual, const struct cf_rating *rating);
 double qual_expect_good(const struct qual *qual, uint16_t workspace,
