Start prices lower and step faster, with a margin that shrinks

The surplus of a workspace is (start - end of the price) / step, whatever its traffic; with a start at 4.6 and steps of 0.03 it cost half as much again. The margin now covers the sampling noise of the ratings and falls with their number.

--- a/src/core/quality.c
+++ b/src/core/quality.c
@@ -19,11 +19,12 @@
 /* Ratings that a cell's memory holds, for each level. */
 static const float window[LEVELS] = {4000, 2000, 600};
 
-#define PRICE_START 4.6 /* prefers the best until ratings say otherwise */
+#define PRICE_START 2.0 /* leans to the better versions */
 #define PRICE_LOW (-2.3)
 #define PRICE_HIGH 5.8
-#define PRICE_STEP 0.03 /* per rating and unit of shortfall */
-#define TARGET_MARGIN 0.002
+#define PRICE_STEP 0.1
+#define MARGIN_SIGMAS 1.0
+#define RATINGS_MAX 1e6
 #define FLOOR_PART 0.5 /* of a standard deviation */
 #define ESCALATED_PRIOR 0.9f /* of the first try's mean */
 #define KEPT_PRIOR 0.4f /* part of failures that quick scores miss */
@@ -55,6 +56,7 @@
 struct workspace {
 	double target;
 	double price; /* natural logarithm */
+	double ratings;
 };
 
 /* What a cell is about; upper levels leave parts out. */
@@ -296,6 +298,18 @@
 	return workspace < q->workspace_count && version < q->version_count;
 }
 
+/*
+ * Excess over the target, so that the total stays above it although only a
+ * part of the answers is rated.  Summed over n ratings it is MARGIN_SIGMAS
+ * standard deviations of n outcomes.
+ */
+static double
+margin_of(const struct workspace *w)
+{
+	return MARGIN_SIGMAS / 2 * sqrt(w->target * (1 - w->target)) /
+	       sqrt(w->ratings);
+}
+
 /* Moves a workspace's price against one rating. */
 static void
 price_step(struct qual *q, uint16_t workspace, bool passed)
@@ -304,7 +318,8 @@
 
 	if (q->options.unsafe_fixed_price)
 		return;
-	w->price += PRICE_STEP * (w->target + TARGET_MARGIN - passed);
+	w->ratings += w->ratings < RATINGS_MAX;
+	w->price += PRICE_STEP * (w->target + margin_of(w) - passed);
 	w->price = fmin(fmax(w->price, PRICE_LOW), PRICE_HIGH);
 }
 
