Watch quality and latency apart; expect slowness under load

One sum for all evidence let punctual first tokens excuse bad answers; each kind has its own sum now, and outcomes and ratings one together. Slow first tokens are judged against the share that is slow lately at other versions.

--- a/bench/policy/policies.c
+++ b/bench/policy/policies.c
@@ -320,7 +320,7 @@
 static void
 settle(struct baseline *b, uint16_t version)
 {
-	if (b->ro != NULL && ro_statistic(b->ro, version) == 0)
+	if (b->ro != NULL && ro_calm(b->ro, version))
 		qual_settle(b->qual, version);
 }
 
--- a/src/core/rollout.c
+++ b/src/core/rollout.c
@@ -10,10 +10,13 @@
 #define SLOW_DROP 0.25f /* rise of the share of slow first tokens */
 #define SLOW_FACTOR 3.0f /* times the version's usual latency */
 #define SLOW_EXPECTED 0.03f
+#define SLOW_EXPECTED_MAX 0.6f
+#define SLOW_SLACK 1.5f
 #define EXPECT_LOW 0.05f
 #define EXPECT_HIGH 0.985f
 #define HOLD_AT 6.0f
 #define RELEASE_AT 2.0f
+#define CALM_BELOW 0.5f
 #define STOP_AT 18.0f
 #define BASELINE_RATE (1 / 512.0f)
 #define RECENT_RATE (1 / 32.0f)
@@ -28,6 +31,14 @@
 #define UNRATED_EXPIRY_US (180 * INT64_C(1000000))
 #define HELD_EXPIRY_US (60 * INT64_C(1000000))
 
+enum stream {
+	QUICK,
+	RATED,
+	QUALITY, /* both of them */
+	SLOW,
+	STREAMS
+};
+
 struct version {
 	bool present;
 	enum cfg_version_state state;
@@ -35,12 +46,13 @@
 	uint16_t stage_permille;
 	uint16_t unrated_max;
 	uint64_t exposure;
-	float sum[RO_DROPS];
-	float own[RO_DROPS]; /* since the last digest */
+	float sums[STREAMS][RO_DROPS];
+	struct ro_digest own; /* since the last digest was taken */
 	float pass; /* usual shares, where the caller gives none */
 	float good;
 	float latency_us; /* usual time to first token */
-	float latency_ratio; /* recent, against the usual */
+	float slow_recent; /* shares of slow first tokens */
+	float slow_usual;
 	uint32_t latency_count;
 	float bad_recent;
 	uint32_t outcome_count;
@@ -96,8 +108,8 @@
 static void
 version_restart(struct version *v)
 {
-	memset(v->sum, 0, sizeof(v->sum));
-	memset(v->own, 0, sizeof(v->own));
+	memset(v->sums, 0, sizeof(v->sums));
+	memset(&v->own, 0, sizeof(v->own));
 	v->watch = RO_OPEN;
 	v->exposure = 0;
 	v->unrated_count = 0;
@@ -289,19 +301,27 @@
 	v->watch = RO_HELD;
 }
 
+static float
+largest_sum(const struct version *v)
+{
+	float top = 0;
+	int i, d;
+
+	for (i = 0; i < STREAMS; i++)
+		for (d = 0; d < RO_DROPS; d++)
+			top = fmaxf(top, v->sums[i][d]);
+	return top;
+}
+
 /* Compares the sums with the thresholds. */
 static void
 judge(struct ro *ro, struct version *v)
 {
-	float top = 0, stop_at = STOP_AT;
-	int d;
+	float top = largest_sum(v);
+	float stop_at = ro->options.unsafe_low_stop ? HOLD_AT : STOP_AT;
 
-	for (d = 0; d < RO_DROPS; d++)
-		top = fmaxf(top, v->sum[d]);
 	if (ro->options.unsafe_no_test || v->watch == RO_STOPPED)
 		return;
-	if (ro->options.unsafe_low_stop)
-		stop_at = HOLD_AT;
 	if (top >= stop_at)
 		v->watch = RO_STOPPED;
 	else if (top >= HOLD_AT && !ro->options.unsafe_no_hold)
@@ -323,9 +343,11 @@
 }
 
 static void
-add(struct version *v, int drop, float llr)
+add(struct version *v, enum stream stream, int drop, float llr)
 {
-	v->sum[drop] = fmaxf(v->sum[drop] + llr, 0);
+	v->sums[stream][drop] = fmaxf(v->sums[stream][drop] + llr, 0);
+	if (stream == QUICK || stream == RATED)
+		v->sums[QUALITY][drop] = fmaxf(v->sums[QUALITY][drop] + llr, 0);
 }
 
 /*
@@ -350,21 +372,6 @@
 	return n > 0 ? sum / (float)n : 0;
 }
 
-static void
-observe_own(struct ro *ro, struct version *v, bool good, float expected,
-    const float *drop, float part)
-{
-	float llr;
-	int d;
-
-	for (d = 0; d < RO_DROPS; d++) {
-		llr = ratio(good, expected, drop[d] * part);
-		v->own[d] += llr;
-		add(v, d, llr);
-	}
-	judge(ro, v);
-}
-
 /*
  * Takes in the quick outcome of an own attempt: good unless it failed, was
  * defective or scored low.  expected is the usual share of good ones.
@@ -374,7 +381,8 @@
     struct ro *ro, uint16_t version, bool good, double expected, int64_t now_us)
 {
 	struct version *v = version_at(ro, version, now_us);
-	float e;
+	float e, llr;
+	int d;
 
 	if (v == NULL)
 		return;
@@ -382,7 +390,12 @@
 	if (v->outcome_count < UINT32_MAX)
 		v->outcome_count++;
 	e = fminf((float)expected, 1 - common_bad(ro, v));
-	observe_own(ro, v, good, e, drops, QUICK_PART);
+	for (d = 0; d < RO_DROPS; d++) {
+		llr = ratio(good, e, drops[d] * QUICK_PART);
+		v->own.quick[d] += llr;
+		add(v, QUICK, d, llr);
+	}
+	judge(ro, v);
 }
 
 /* The same against the version's own usual share. */
@@ -421,7 +434,7 @@
 		return;
 	unrated_rated(ro, v);
 	for (d = 0; d < RO_DROPS; d++)
-		add(v, d, ratio(passed, (float)expected, drops[d]));
+		add(v, RATED, d, ratio(passed, (float)expected, drops[d]));
 	judge(ro, v);
 }
 
@@ -437,34 +450,40 @@
 	v->pass += ((float)passed - v->pass) * BASELINE_RATE;
 }
 
-/* Median-like measure of how much slower than usual the others are. */
+/*
+ * The share of slow first tokens to expect: the version's own in the long run,
+ * or more where other versions are slow lately too, as under load.
+ */
 static float
-common_ratio(const struct ro *ro, const struct version *own)
+slow_expected(const struct ro *ro, const struct version *own)
 {
-	float most = 1;
+	float sum = 0, n = 0, e;
 	uint16_t i;
 
 	for (i = 0; i < ro->count; i++) {
 		const struct version *v = &ro->versions[i];
 
-		if (v != own && v->latency_count >= LATENCY_WARMUP)
-			most = fmaxf(most, v->latency_ratio);
+		if (v == own || v->latency_count < LATENCY_WARMUP)
+			continue;
+		sum += v->slow_recent;
+		n++;
 	}
-	return most;
+	e = fmaxf(SLOW_EXPECTED, SLOW_SLACK * own->slow_usual);
+	if (n > 0)
+		e = fmaxf(e, SLOW_SLACK * sum / n + SLOW_EXPECTED);
+	return fminf(e, SLOW_EXPECTED_MAX);
 }
 
 /*
  * Takes in the time to first token of an own attempt.  It is slow if it takes
- * SLOW_FACTOR of the version's usual time, more where other versions are slow
- * too.
+ * SLOW_FACTOR times the version's usual time.
  */
 void
 ro_latency(
     struct ro *ro, uint16_t version, uint32_t first_token_us, int64_t now_us)
 {
-	static const float slow_drops[RO_DROPS] = {SLOW_DROP, SLOW_DROP};
 	struct version *v = version_at(ro, version, now_us);
-	float us = (float)first_token_us, seen;
+	float us = (float)first_token_us, seen, expected, llr;
 	bool slow;
 
 	if (v == NULL)
@@ -472,15 +491,19 @@
 	if (v->latency_count < LATENCY_WARMUP) {
 		v->latency_count++;
 		v->latency_us += (us - v->latency_us) / (float)v->latency_count;
-		v->latency_ratio = 1;
 		return;
 	}
 	seen = us / fmaxf(v->latency_us, 1);
-	slow = seen > SLOW_FACTOR * common_ratio(ro, v);
-	v->latency_ratio += (seen - v->latency_ratio) * RECENT_RATE;
+	slow = seen > SLOW_FACTOR;
+	expected = slow_expected(ro, v);
+	v->slow_recent += ((float)slow - v->slow_recent) * RECENT_RATE;
+	v->slow_usual += ((float)slow - v->slow_usual) * BASELINE_RATE;
 	if (!slow)
 		v->latency_us += (us - v->latency_us) * BASELINE_RATE;
-	observe_own(ro, v, !slow, 1 - SLOW_EXPECTED, slow_drops, 1);
+	llr = ratio(!slow, 1 - expected, SLOW_DROP);
+	v->own.slow += llr;
+	add(v, SLOW, 0, llr);
+	judge(ro, v);
 }
 
 /*
@@ -496,12 +519,11 @@
 	for (i = 0; i < ro->count && n < max; i++) {
 		struct version *v = &ro->versions[i];
 
-		if (v->own[0] == 0 && v->own[1] == 0)
+		if (v->own.quick[0] == 0 && v->own.slow == 0)
 			continue;
-		out[n].version = i;
-		memcpy(out[n].llr, v->own, sizeof(v->own));
-		memset(v->own, 0, sizeof(v->own));
-		n++;
+		out[n] = v->own;
+		out[n++].version = i;
+		memset(&v->own, 0, sizeof(v->own));
 	}
 	return n;
 }
@@ -516,7 +538,8 @@
 	if (v == NULL)
 		return;
 	for (d = 0; d < RO_DROPS; d++)
-		add(v, d, digest->llr[d]);
+		add(v, QUICK, d, digest->quick[d]);
+	add(v, SLOW, 0, digest->slow);
 	judge(ro, v);
 }
 
@@ -548,12 +571,17 @@
 				   : 0;
 }
 
+/* Whether nothing speaks against the quality of a version for now. */
+bool
+ro_calm(const struct ro *ro, uint16_t version)
+{
+	return version < ro->count &&
+	       ro->versions[version].sums[QUALITY][0] <= CALM_BELOW;
+}
+
 /* Returns the largest sum of log-likelihood ratios, in nats. */
 double
 ro_statistic(const struct ro *ro, uint16_t version)
 {
-	if (version >= ro->count)
-		return 0;
-	return fmaxf(
-	    ro->versions[version].sum[0], ro->versions[version].sum[1]);
+	return version < ro->count ? largest_sum(&ro->versions[version]) : 0;
 }
--- a/src/core/rollout.h
+++ b/src/core/rollout.h
@@ -16,11 +16,13 @@
  * version in roll-out that are not rated yet.
  *
  * Each answer adds its log-likelihood ratio, "worse by one of RO_DROPS drops"
- * against "as expected", to a sum that never falls below zero (CUSUM).  Quick
- * outcomes, ratings and slow first tokens count.  At the lower threshold the
- * version is on hold: it takes no more than a trickle, at the price of some
- * false holds, until the sum falls again.  At the upper one it is stopped
- * until a configuration withdraws it or its state changes.
+ * against "as expected", to sums that never fall below zero (CUSUM).  Quick
+ * outcomes, ratings and slow first tokens have sums of their own, so that a
+ * version which is bad in one of them is not excused by the others, and
+ * outcomes and ratings have one together.  The largest sum counts.  At the
+ * lower threshold the version is on hold: it takes no more than a trickle, at
+ * the price of some false holds, until the sum falls again.  At the upper one
+ * it is stopped until a configuration withdraws it or its state changes.
  *
  * Ratings reach every instance; outcomes and latency are this instance's own,
  * and instances exchange them as digests.
@@ -43,7 +45,8 @@
 /* What one instance observed of one version since its last digest. */
 struct ro_digest {
 	uint16_t version;
-	float llr[RO_DROPS];
+	float quick[RO_DROPS]; /* log-likelihood ratios */
+	float slow;
 };
 
 enum ro_watch {
@@ -83,6 +86,7 @@
 enum ro_watch ro_watch(const struct ro *ro, uint16_t version);
 uint64_t ro_exposure(const struct ro *ro, uint16_t version);
 uint16_t ro_unrated(const struct ro *ro, uint16_t version);
+bool ro_calm(const struct ro *ro, uint16_t version);
 double ro_statistic(const struct ro *ro, uint16_t version);
 
 #ifdef __cplusplus
