Thin latency evidence and stop roll-outs earlier

First tokens that wait in one queue are slow together, so one a second counts and latency stays with its instance; a version in roll-out is stopped at 11 instead of 18 nats.

--- a/src/core/rollout.c
+++ b/src/core/rollout.c
@@ -18,6 +18,7 @@
 #define RELEASE_AT 2.0f
 #define CALM_BELOW 0.5f
 #define STOP_AT 18.0f
+#define STOP_ROLLING_AT 11.0f /* sees far less evidence in a day */
 #define BASELINE_RATE (1 / 512.0f)
 #define RECENT_RATE (1 / 32.0f)
 
@@ -31,6 +32,9 @@
 #define UNRATED_EXPIRY_US (180 * INT64_C(1000000))
 #define HELD_EXPIRY_US (60 * INT64_C(1000000))
 
+/* First tokens closer to each other wait in the same queue. */
+#define LATENCY_PAUSE_US INT64_C(1000000)
+
 enum stream {
 	QUICK,
 	RATED,
@@ -53,6 +57,7 @@
 	float latency_us; /* usual time to first token */
 	float slow_recent; /* shares of slow first tokens */
 	float slow_usual;
+	int64_t latency_next_us; /* no first token counts before */
 	uint32_t latency_count;
 	float bad_recent;
 	uint32_t outcome_count;
@@ -318,10 +323,12 @@
 judge(struct ro *ro, struct version *v)
 {
 	float top = largest_sum(v);
-	float stop_at = ro->options.unsafe_low_stop ? HOLD_AT : STOP_AT;
+	float stop_at = v->state == CFG_ROLLING ? STOP_ROLLING_AT : STOP_AT;
 
 	if (ro->options.unsafe_no_test || v->watch == RO_STOPPED)
 		return;
+	if (ro->options.unsafe_low_stop)
+		stop_at = HOLD_AT;
 	if (top >= stop_at)
 		v->watch = RO_STOPPED;
 	else if (top >= HOLD_AT && !ro->options.unsafe_no_hold)
@@ -476,14 +483,15 @@
 
 /*
  * Takes in the time to first token of an own attempt.  It is slow if it takes
- * SLOW_FACTOR times the version's usual time.
+ * SLOW_FACTOR times the version's usual time.  At most one in LATENCY_PAUSE_US
+ * counts, since what waits in one queue is slow together.
  */
 void
 ro_latency(
     struct ro *ro, uint16_t version, uint32_t first_token_us, int64_t now_us)
 {
 	struct version *v = version_at(ro, version, now_us);
-	float us = (float)first_token_us, seen, expected, llr;
+	float us = (float)first_token_us, seen, expected;
 	bool slow;
 
 	if (v == NULL)
@@ -500,9 +508,10 @@
 	v->slow_usual += ((float)slow - v->slow_usual) * BASELINE_RATE;
 	if (!slow)
 		v->latency_us += (us - v->latency_us) * BASELINE_RATE;
-	llr = ratio(!slow, 1 - expected, SLOW_DROP);
-	v->own.slow += llr;
-	add(v, SLOW, 0, llr);
+	if (now_us < v->latency_next_us)
+		return;
+	v->latency_next_us = now_us + LATENCY_PAUSE_US;
+	add(v, SLOW, 0, ratio(!slow, 1 - expected, SLOW_DROP));
 	judge(ro, v);
 }
 
@@ -519,7 +528,7 @@
 	for (i = 0; i < ro->count && n < max; i++) {
 		struct version *v = &ro->versions[i];
 
-		if (v->own.quick[0] == 0 && v->own.slow == 0)
+		if (v->own.quick[0] == 0)
 			continue;
 		out[n] = v->own;
 		out[n++].version = i;
@@ -539,7 +548,6 @@
 		return;
 	for (d = 0; d < RO_DROPS; d++)
 		add(v, QUICK, d, digest->quick[d]);
-	add(v, SLOW, 0, digest->slow);
 	judge(ro, v);
 }
 
--- a/src/core/rollout.h
+++ b/src/core/rollout.h
@@ -24,8 +24,8 @@
  * the price of some false holds, until the sum falls again.  At the upper one
  * it is stopped until a configuration withdraws it or its state changes.
  *
- * Ratings reach every instance; outcomes and latency are this instance's own,
- * and instances exchange them as digests.
+ * Ratings reach every instance.  Outcomes are this instance's own and are
+ * exchanged as digests; latency stays with the instance that saw it.
  */
 enum {
 	RO_DROPS = 2,
@@ -46,7 +46,6 @@
 struct ro_digest {
 	uint16_t version;
 	float quick[RO_DROPS]; /* log-likelihood ratios */
-	float slow;
 };
 
 enum ro_watch {
