Prove quality and roll-out by scripts and properties

Two properties failed at first. A hold emptied the list of unrated answers of a version in roll-out, so its cap was exceeded (14 instead of 6): a hold now clears it for released versions only.

All tests pass; each property has a counterpart that fails with its mechanism off.

--- a/src/core/chain.c
+++ b/src/core/chain.c
@@ -91,7 +91,7 @@
     bool may_escalate, struct rng *rng, struct qual_chain *chain)
 {
 	const struct chain_estimate *next, *first = &all[0], *follow = NULL, *e;
-	const struct chain_estimate *top = &all[0];
+	const struct chain_estimate *top = &all[0], *cheapest = &all[0];
 	float price, value, best = -INFINITY;
 	size_t i;
 
@@ -106,9 +106,11 @@
 		}
 		if (all[i].solo > top->solo)
 			top = &all[i];
+		if (all[i].cost < cheapest->cost)
+			cheapest = &all[i];
 	}
-	chain_set(
-	    chain, first, follow, first == top ? CF_WHY_BEST : CF_WHY_CHEAPEST);
+	chain_set(chain, first, follow,
+	    first == top && first != cheapest ? CF_WHY_BEST : CF_WHY_CHEAPEST);
 	if (n == 1)
 		chain->reason = CF_WHY_ONLY;
 	if (rng == NULL || rng_below(rng, EXPLORE_ONE_IN) != 0)
@@ -127,8 +129,10 @@
     struct qual_chain *chain)
 {
 	const struct chain_estimate *next = NULL;
+	struct chain_estimate unproved = *first;
 
+	unproved.solo = 0;
 	if (may_escalate)
-		best_next(all, n, first, expf((float)price_log), &next);
+		best_next(all, n, &unproved, expf((float)price_log), &next);
 	chain_set(chain, first, next, CF_WHY_ROLLOUT);
 }
--- a/src/core/rollout.c
+++ b/src/core/rollout.c
@@ -17,8 +17,8 @@
 #define HOLD_AT 6.0f
 #define RELEASE_AT 2.0f
 #define CALM_BELOW 0.5f
-#define STOP_AT 18.0f
-#define STOP_ROLLING_AT 11.0f /* sees far less evidence in a day */
+#define STOP_AT 21.0f
+#define STOP_ROLLING_AT 17.0f /* sees far less evidence in a day */
 #define BASELINE_RATE (1 / 512.0f)
 #define RECENT_RATE (1 / 32.0f)
 
@@ -176,7 +176,9 @@
 static int64_t
 expiry_us(const struct version *v)
 {
-	return v->watch == RO_HELD ? HELD_EXPIRY_US : UNRATED_EXPIRY_US;
+	if (v->watch == RO_HELD && v->state == CFG_RELEASED)
+		return HELD_EXPIRY_US;
+	return UNRATED_EXPIRY_US;
 }
 
 /* Counts the answers of this instance that a rating may still come for. */
@@ -301,7 +303,7 @@
 static void
 hold(struct version *v)
 {
-	if (v->watch != RO_HELD)
+	if (v->watch != RO_HELD && v->state == CFG_RELEASED)
 		v->unrated_count = 0;
 	v->watch = RO_HELD;
 }
--- /dev/null
+++ b/test/unit/rollout_test.cc
@@ -0,0 +1,219 @@
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <cstdlib>
+#include <deque>
+
+#include "quality_world.h"
+
+enum {
+	INSTANCES = 4,
+	CAP = 24, /* of all instances */
+	EXPIRY_S = 180
+};
+
+static void
+fill(quality_world &w, ro_options options)
+{
+	w.add_version("stable", 700, 900);
+	w.add_version("next", 700, 900, CFG_ROLLING, 1000, CAP);
+	w.add_workspace("w", 900);
+	options.instances = INSTANCES;
+	w.start({}, options);
+}
+
+/*
+ * Random events on a version in roll-out.  Returns the most answers of one
+ * instance that neither a rating's share nor time has freed.
+ */
+static size_t
+most_unrated(uint64_t seed, ro_options options)
+{
+	quality_world w;
+	struct rng rng;
+	std::deque<int64_t> unrated;
+	int64_t now_us = 0;
+	size_t most = 0;
+	int ratings = 0;
+
+	fill(w, options);
+	rng_init(&rng, seed);
+	for (int i = 0; i < 2000; i++) {
+		now_us += rng_below(&rng, 3000000);
+		while (!unrated.empty() &&
+		       now_us - unrated.front() >= EXPIRY_S * 1000000LL)
+			unrated.pop_front();
+		if (rng_below(&rng, 3) == 0) {
+			ro_rated_against(
+			    w.ro, 1, rng_below(&rng, 9) != 0, 0.9, now_us);
+			if (++ratings % INSTANCES == 0 && !unrated.empty())
+				unrated.pop_front();
+		} else if (ro_open(w.ro, rng_below(&rng, 1000)) >> 1 & 1) {
+			ro_served(w.ro, 1, now_us);
+			unrated.push_back(now_us);
+		}
+		most = std::max(most, unrated.size());
+	}
+	return most;
+}
+
+RC_GTEST_PROP(Rollout, UnratedCapIsNeverExceeded, ())
+{
+	const auto seed = *rc::gen::arbitrary<uint64_t>();
+
+	RC_ASSERT(most_unrated(seed, {}) <= CAP / INSTANCES);
+}
+
+TEST(Rollout, UnratedCapIsExceededWithoutTheCheck)
+{
+	ro_options options = {};
+
+	options.unsafe_no_cap = true;
+	EXPECT_GT(most_unrated(1, options), (size_t)CAP / INSTANCES);
+}
+
+/* Random evidence and revisions; returns how often a stopped version opened. */
+static int
+stopped_but_open(uint64_t seed, int *stops)
+{
+	quality_world w;
+	struct rng rng;
+	int64_t now_us = 0;
+	bool stopped[2] = {false, false};
+	int wrong = 0;
+
+	fill(w, {});
+	rng_init(&rng, seed);
+	for (int i = 0; i < 3000; i++) {
+		uint16_t v = (uint16_t)rng_below(&rng, 2);
+		bool good = rng_below(&rng, 10) < (i / 300 % 2 ? 4 : 9);
+
+		now_us += rng_below(&rng, 1000000);
+		switch (rng_below(&rng, 8)) {
+		case 0:
+			ro_outcome_against(w.ro, v, good, 0.9, now_us);
+			break;
+		case 1:
+			ro_latency(w.ro, v, good ? 100 : 900, now_us);
+			break;
+		case 2:
+			ro_served(w.ro, v, now_us);
+			break;
+		case 3:
+			if (rng_below(&rng, 100) != 0)
+				break;
+			w.versions[v].state = CFG_WITHDRAWN;
+			w.configure();
+			w.versions[v].state = v ? CFG_ROLLING : CFG_RELEASED;
+			w.configure();
+			stopped[v] = false;
+			break;
+		default:
+			ro_rated_against(w.ro, v, good, 0.9, now_us);
+		}
+		for (int k = 0; k < 2; k++) {
+			*stops += !stopped[k] && ro_stopped(w.ro, k);
+			wrong += stopped[k] && !ro_stopped(w.ro, k);
+			stopped[k] |= ro_stopped(w.ro, k);
+			wrong +=
+			    stopped[k] &&
+			    (ro_open(w.ro, rng_below(&rng, 1000)) >> k & 1);
+		}
+	}
+	return wrong;
+}
+
+RC_GTEST_PROP(Rollout, StoppedVersionNeverOpens, ())
+{
+	const auto seed = *rc::gen::arbitrary<uint64_t>();
+	int stops = 0;
+
+	RC_ASSERT(stopped_but_open(seed, &stops) == 0);
+	RC_ASSERT(stops > 0);
+}
+
+/* Ratings that a released version takes after a drop until it is stopped. */
+static int
+ratings_to_stop(uint64_t seed, double share, ro_options options)
+{
+	quality_world w;
+	struct rng rng;
+	int n;
+
+	fill(w, options);
+	rng_init(&rng, seed);
+	for (n = 0; n < 2000 && !ro_stopped(w.ro, 0); n++)
+		ro_rated_against(
+		    w.ro, 0, rng_unit(&rng) < share, 0.9, n * 1000000LL);
+	return n;
+}
+
+RC_GTEST_PROP(Rollout, DropOfThirtyPointsIsStopped, ())
+{
+	const auto seed = *rc::gen::arbitrary<uint64_t>();
+
+	RC_ASSERT(ratings_to_stop(seed, 0.6, {}) < 400);
+}
+
+TEST(Rollout, BadVersionStaysOpenWithoutTheTest)
+{
+	ro_options options = {};
+
+	options.unsafe_no_test = true;
+	EXPECT_EQ(ratings_to_stop(1, 0.6, options), 2000);
+}
+
+/* Stops in quiet days of 100,000 rated answers and as many quick outcomes. */
+static int
+false_stops(uint64_t seed, int days, ro_options options)
+{
+	quality_world w;
+	struct rng rng;
+	int64_t now_us = 0;
+	int stops = 0;
+
+	fill(w, options);
+	rng_init(&rng, seed);
+	for (int i = 0; i < days * 100000; i++) {
+		now_us += 864000;
+		ro_outcome_against(
+		    w.ro, 0, rng_unit(&rng) < 0.92, 0.92, now_us);
+		ro_rated_against(w.ro, 0, rng_unit(&rng) < 0.9, 0.9, now_us);
+		if (!ro_stopped(w.ro, 0))
+			continue;
+		stops++;
+		w.versions[0].state = CFG_WITHDRAWN;
+		w.configure();
+		w.versions[0].state = CFG_RELEASED;
+		w.configure();
+	}
+	return stops;
+}
+
+TEST(Rollout, QuietDaysStopNothing)
+{
+	ro_options low = {};
+	int days = getenv("CF_TEST_SHORT") != nullptr ? 5 : 100;
+
+	low.unsafe_low_stop = true;
+	EXPECT_EQ(false_stops(1, days, {}), 0);
+	EXPECT_GT(false_stops(1, 5, low), 10);
+}
+
+TEST(Rollout, DigestsCarryOutcomesToOtherInstances)
+{
+	quality_world a, b;
+	struct ro_digest digests[2];
+	size_t n;
+
+	fill(a, {});
+	fill(b, {});
+	for (int i = 0; i < 60; i++)
+		ro_outcome_against(a.ro, 0, false, 0.9, i);
+	n = ro_digest_take(a.ro, digests, 2);
+	ASSERT_EQ(n, 1u);
+	EXPECT_EQ(ro_digest_take(a.ro, digests + 1, 1), 0u);
+	EXPECT_FALSE(ro_stopped(b.ro, 0));
+	ro_digest_merge(b.ro, &digests[0], 100);
+	EXPECT_TRUE(ro_stopped(b.ro, 0));
+}
