--- a/include/celeryford.h
+++ b/include/celeryford.h
@@ -26,6 +26,18 @@
  * retry or an escalation to a better version), CF_ACT_ANSWER or
  * CF_ACT_REFUSE.  After either of the last two the request is forgotten.
  *
+ * A forwarded request is an attempt like any other and is reported by its
+ * number.  The receiving instance does not claim it again and does not forward
+ * it on.  CF_ACT_ANSWER may name an earlier attempt than the last, so the whole
+ * answer of an attempt that was followed by an escalation is kept until then.
+ * Warm-up credits: CF_ACT_CREDIT_ASK and CF_ACT_CREDIT_GIVE reach the granter
+ *in their order.  Each ask is answered by one CF_EV_CREDIT, with 0 credits when
+ * it is denied; until_us is the time of the ask plus the granter's lease.
+ *
+ * CF_EV_CALLER_GONE cancels what runs, but not a call that must not be
+ * repeated: that one goes on until its outcome is known, and ends with
+ * CF_ACT_ANSWER or CF_ACT_REFUSE as if the caller were there.
+ *
  * Times are microseconds of a monotonic clock.  Names become indices of the
  * compiled configuration (core/cfg.h); backend servers become indices that
  * CF_EV_ANNOUNCE carries and the caller chooses, each below max_servers.
@@ -57,6 +69,21 @@
 	uint16_t max_servers; /* backend servers of the data centre */
 	uint32_t max_requests; /* open at once, queued ones included */
 	uint32_t max_sessions; /* bindings kept */
+	uint32_t unsafe; /* tests only: CF_UNSAFE_* rules left out */
+};
+
+/* Rules that a test may leave out, to show what each of them prevents. */
+enum cf_unsafe {
+	CF_UNSAFE_ALLOWED = 1 << 0, /* no last check of the configuration */
+	CF_UNSAFE_STICKY = 1 << 1, /* sessions are not bound */
+	CF_UNSAFE_CREDIT = 1 << 2, /* cold servers are sent to as warm */
+	CF_UNSAFE_LEAVING = 1 << 3, /* leaving is not looked at */
+	CF_UNSAFE_ONCE = 1 << 4, /* unknown outcomes are retried */
+	CF_UNSAFE_RUN_STATE = 1
+			      << 5, /* a cancelled attempt counts as not run */
+	CF_UNSAFE_MARKS = 1 << 6, /* crash marks are not looked at */
+	CF_UNSAFE_END = 1 << 7, /* a request stays open after its answer */
+	CF_UNSAFE_DEADLINE = 1 << 8 /* waits are not held to deadlines */
 };
 
 enum cf_event_kind {
@@ -75,7 +102,9 @@
 	CF_EV_CREDIT, /* the granter gave or took warm-up credits */
 	CF_EV_CACHE, /* a backend server's prefix cache changed */
 	CF_EV_ISOLATED, /* the configuration lease ended or returned */
-	CF_EV_WAKE /* the time that CF_ACT_WAKE asked for has come */
+	CF_EV_WAKE, /* the time that CF_ACT_WAKE asked for has come */
+	CF_EV_NEIGHBOUR, /* another data centre reported its spare capacity */
+	CF_EV_INSTANCES /* entry instances alive in this data centre */
 };
 
 enum cf_warmth {
@@ -122,6 +151,7 @@
 	uint32_t prompt_tokens;
 	uint32_t output_tokens_max;
 	int64_t deadline_us; /* the first token is due */
+	uint64_t session_birth; /* revision the session began at; 0 unknown */
 };
 
 /* Reports about attempts name the request and the attempt of the dispatch. */
@@ -192,6 +222,14 @@
 			bool stored; /* false: evicted */
 		} cache;
 		bool isolated;
+		struct {
+			uint16_t data_centre;
+			uint16_t spare_slots; /* requests it can take now */
+			uint64_t versions; /* mask of versions with room */
+			uint64_t services;
+			bool cut_off; /* not in reach */
+		} neighbour;
+		uint16_t instances;
 	} u;
 };
 
@@ -228,7 +266,8 @@
 	CF_WHY_CRASHES, /* refused: crash marks */
 	CF_WHY_BUDGET, /* refused: retry budget spent */
 	CF_WHY_OUTCOME, /* refused: an earlier run's outcome is unknown */
-	CF_WHY_ABSORB /* another data centre has room */
+	CF_WHY_ABSORB, /* another data centre has room */
+	CF_WHY_REBOUND /* the session's version ended; it got this one */
 };
 
 struct cf_action {
