--- a/bench/policy/agenda.h
+++ b/bench/policy/agenda.h
@@ -22,7 +22,7 @@
 
 void agenda_add(
     struct agenda *agenda, int64_t at_us, uint32_t kind, uint32_t a);
-struct agenda_item agenda_take(struct agenda *agenda);
-void agenda_free(struct agenda *agenda);
+struct agenda_item agenda_take(struct agenda *h);
+void agenda_free(struct agenda *h);
 
 #endif
--- a/bench/policy/policy.h
+++ b/bench/policy/policy.h
@@ -30,6 +30,7 @@
 	bool adapts; /* takes stops, ratings and digests */
 };
 
+extern const struct policy_kind policy_router;
 extern const struct policy_kind *const policy_kinds[];
 extern const size_t policy_kind_count;
 
@@ -38,7 +39,8 @@
 	    const struct cf_event *event, struct cf_actions *actions);
 	void (*release)(struct policy *policy);
 	struct ro *(*watch)(struct policy *policy); /* NULL: none */
-	struct qual *(*quality)(struct policy *policy);
+	size_t (*digests)(
+	    struct policy *policy, struct cf_digest *out, size_t max);
 };
 
 struct policy {
--- a/bench/policy/sim.c
+++ b/bench/policy/sim.c
@@ -54,6 +54,17 @@
 	case CF_ACT_STOP_VERSION:
 		s->stopped[a->version] = true;
 		break;
+	case CF_ACT_CREDIT_ASK:
+		faults_credit_ask(s, instance, a);
+		break;
+	case CF_ACT_CREDIT_GIVE:
+		gr_give(s->granters[instance % WORLD_DATA_CENTRES],
+		    instance / WORLD_DATA_CENTRES, a->server, a->count,
+		    s->now_us);
+		break;
+	case CF_ACT_CRASH_MARK:
+		faults_mark(s, instance, a);
+		break;
 	case CF_ACT_WAKE:
 		agenda_add(&s->agenda, a->at_us, AT_WAKE, instance);
 		break;
@@ -107,6 +118,20 @@
 	}
 }
 
+static void
+start_granters(struct sim *s)
+{
+	struct gr_options options;
+	uint32_t i;
+
+	memset(&options, 0, sizeof(options));
+	options.max_servers = s->per_centre;
+	options.max_instances = WORLD_INSTANCES / WORLD_DATA_CENTRES;
+	options.now_us = -GR_LEASE_US;
+	for (i = 0; i < WORLD_DATA_CENTRES; i++)
+		s->granters[i] = gr_new(&options);
+}
+
 static void
 start(struct sim *s)
 {
@@ -120,6 +145,8 @@
 	s->attempts.size = sizeof(struct attempt);
 	s->ratings.size = sizeof(struct rating);
 	s->reports.size = sizeof(struct report);
+	s->credits.size = sizeof(struct credit);
+	start_granters(s);
 	s->cfg = world_cfg_new(s->options->user);
 	if (strstr(s->options->policy->name, "oracle") != NULL)
 		oracle_prices(&s->world, s->options->seed,
@@ -175,6 +202,9 @@
 	case AT_CRASHER:
 		traffic_resend(s, e->a);
 		break;
+	case AT_CREDIT:
+		faults_credit(s, e->a);
+		break;
 	case AT_WAKE:
 		memset(&wake, 0, sizeof(wake));
 		wake.kind = CF_EV_WAKE;
@@ -210,6 +240,9 @@
 	free(s->attempts.items);
 	free(s->ratings.items);
 	free(s->reports.items);
+	free(s->credits.items);
+	for (i = 0; i < WORLD_DATA_CENTRES; i++)
+		gr_free(s->granters[i]);
 }
 
 /* Runs one scenario under one policy to its end. */
--- a/bench/policy/state.h
+++ b/bench/policy/state.h
@@ -5,6 +5,7 @@
 #include "policy/server.h"
 #include "policy/sim.h"
 #include "policy/tally.h"
+#include "core/granter.h"
 
 /* The inside of a run, shared by sim.c, traffic.c and faults.c. */
 enum {
@@ -24,6 +25,7 @@
 	AT_SECOND, /* digests, stops */
 	AT_SCENARIO, /* step a of the scenario */
 	AT_CRASHER, /* request a, which crashes its server, is sent */
+	AT_CREDIT, /* answer a of the granter */
 	AT_WAKE /* of instance a */
 };
 
@@ -59,6 +61,11 @@
 	uint16_t data_centre;
 };
 
+struct credit {
+	uint16_t instance;
+	struct cf_event event;
+};
+
 /* A growing array of one element type. */
 struct rows {
 	void *items;
@@ -79,6 +86,8 @@
 	struct rows attempts;
 	struct rows ratings;
 	struct rows reports;
+	struct rows credits;
+	struct gr *granters[WORLD_DATA_CENTRES];
 	struct policy *policies[WORLD_INSTANCES];
 	struct server_fake servers[SIM_SERVERS_MAX];
 	uint16_t per_centre;
@@ -132,6 +141,11 @@
 void faults_second(struct sim *sim);
 void faults_step(struct sim *sim, uint32_t step);
 void faults_crash(struct sim *sim, uint16_t server, int64_t down_us);
+void faults_credit_ask(
+    struct sim *sim, uint16_t instance, const struct cf_action *action);
+void faults_credit(struct sim *sim, uint32_t i);
+void faults_mark(
+    struct sim *sim, uint16_t instance, const struct cf_action *action);
 void faults_stop(struct sim *sim, uint16_t version);
 
 #endif
--- a/include/celeryford.h
+++ b/include/celeryford.h
@@ -104,7 +104,8 @@
 	CF_EV_ISOLATED, /* the configuration lease ended or returned */
 	CF_EV_WAKE, /* the time that CF_ACT_WAKE asked for has come */
 	CF_EV_NEIGHBOUR, /* another data centre reported its spare capacity */
-	CF_EV_INSTANCES /* entry instances alive in this data centre */
+	CF_EV_INSTANCES, /* entry instances alive in this data centre */
+	CF_EV_DIGEST /* another instance's quick outcomes of a version */
 };
 
 enum cf_warmth {
@@ -181,6 +182,20 @@
 	bool passed;
 };
 
+enum {
+	CF_DROPS = 2 /* drops of quality that are tested for */
+};
+
+/*
+ * Log-likelihood ratios of the quick outcomes of a version at one instance.
+ * Instances exchange them about each second, so that all know of a turn to the
+ * worse after the outcomes that any of them saw.
+ */
+struct cf_digest {
+	uint16_t version;
+	float quick[CF_DROPS];
+};
+
 struct cf_event {
 	enum cf_event_kind kind;
 	union {
@@ -230,6 +245,7 @@
 			bool cut_off; /* not in reach */
 		} neighbour;
 		uint16_t instances;
+		struct cf_digest digest;
 	} u;
 };
 
@@ -309,6 +325,10 @@
 void cf_router_step(struct cf_router *router, int64_t now_us,
     const struct cf_event *event, struct cf_actions *actions);
 
+/* Outcomes since the last call, for CF_EV_DIGEST at the other instances. */
+size_t cf_router_digests(
+    struct cf_router *router, struct cf_digest *out, size_t max);
+
 /* Plain accessors, for status pages and tests. */
 uint32_t cf_router_open(const struct cf_router *router);
 uint32_t cf_router_queued(const struct cf_router *router);
--- a/src/core/attempt.c
+++ b/src/core/attempt.c
@@ -5,7 +5,6 @@
 enum {
 	HEDGE_MIN_US = 400000, /* no hedge before */
 	HEDGE_FACTOR = 3, /* times the expected time to the first token */
-	LOW_SCORE_PERMILLE = 500, /* a quick rating below this escalates */
 	SCORE_NONE = 0xffff,
 	COST_BASE = 64, /* fair-share cost of any request */
 	COST_PROMPT_PARTS = 8, /* prompt tokens that cost as much as one more */
@@ -261,14 +260,33 @@
 	router_watch_version(r, t->version);
 }
 
+/* Counts the quick outcome of an attempt on a version. */
+static void
+attempt_learn(
+    struct cf_router *r, const struct request *q, uint16_t version, bool good)
+{
+	uint16_t workspace = q->asked.workspace, class = q->asked.task_class;
+	bool escalated = q->step > 0;
+
+	ro_outcome_against(r->ro, version, good,
+	    qual_expect_good(r->qual, workspace, version, class, escalated),
+	    r->now_us);
+	(escalated ? qual_evidence_escalated : qual_evidence)(
+	    r->qual, workspace, version, class, good, r->now_us);
+	if (ro_calm(r->ro, version))
+		qual_settle(r->qual, version);
+	router_watch_version(r, version);
+}
+
 /* Learns from a whole answer; returns whether it is good enough. */
 static bool
 attempt_judge(struct cf_router *r, const struct request *q,
     const struct attempt *t, const struct cf_attempt *report)
 {
 	bool rated = report->score_permille != SCORE_NONE;
-	bool good = !report->defective &&
-		    (!rated || report->score_permille >= LOW_SCORE_PERMILLE);
+	bool good =
+	    !report->defective &&
+	    (!rated || report->score_permille >= QUAL_SCORE_LOW_PERMILLE);
 	int64_t took_us = r->now_us - t->started_us;
 	int64_t *average = &r->service_us[place_lane(q, t->version)];
 
@@ -280,11 +298,7 @@
 	*average += (took_us - *average) / 32;
 	if (t->version == CFG_NONE)
 		return good;
-	ro_outcome(r->ro, t->version, !report->defective, r->now_us);
-	if (rated || report->defective)
-		qual_evidence(r->qual, q->asked.workspace, t->version,
-		    q->asked.task_class, good, r->now_us);
-	router_watch_version(r, t->version);
+	attempt_learn(r, q, t->version, good);
 	return good;
 }
 
@@ -348,8 +362,8 @@
 
 /* Learns from a failed attempt. */
 static void
-attempt_blame(struct cf_router *r, const struct attempt *t,
-    const struct cf_attempt *report)
+attempt_blame(struct cf_router *r, const struct request *q,
+    const struct attempt *t, const struct cf_attempt *report)
 {
 	if (t->server == CF_NO_SERVER)
 		return;
@@ -359,8 +373,7 @@
 	if (t->version == CFG_NONE || report->run_state == ERR_NOT_RUN ||
 	    !err_answer(report->error)->try_again)
 		return;
-	ro_outcome(r->ro, t->version, false, r->now_us);
-	router_watch_version(r, t->version);
+	attempt_learn(r, q, t->version, false);
 }
 
 /* Tries a request again after a failure, or ends it. */
@@ -399,7 +412,7 @@
 		return;
 	server = t->server;
 	began = t->first_token_us != 0;
-	attempt_blame(r, t, report);
+	attempt_blame(r, q, t, report);
 	attempt_end(r, q, t, ATTEMPT_FAILED);
 	t->run_state = report->run_state;
 	if (request_running(q) == 0) {
--- a/src/core/chain.c
+++ b/src/core/chain.c
@@ -8,6 +8,8 @@
 };
 
 #define DEBT_PRICE 4.0 /* natural logarithm */
+#define HOPE 2.0f /* standard deviations above the mean */
+#define HOPE_IN_DEBT 4.0f
 #define UNSURE 0.03f /* standard deviation worth exploring */
 
 /* Finds the escalation that adds most to a first try; returns its value. */
@@ -64,7 +66,7 @@
  */
 static const struct chain_estimate *
 explore(const struct chain_estimate *all, size_t n, float best, float price,
-    bool may_escalate, struct rng *rng)
+    float sigmas, bool may_escalate, struct rng *rng)
 {
 	const struct chain_estimate *pick = NULL, *next;
 	uint32_t seen = 0;
@@ -74,7 +76,7 @@
 	for (i = 0; i < n; i++) {
 		value =
 		    chain_value(all, n, &all[i], price, may_escalate, &next) +
-		    price * 2 * all[i].sigma;
+		    price * sigmas * all[i].sigma;
 		if (all[i].sigma < UNSURE || value <= best)
 			continue;
 		if (rng_below(rng, ++seen) == 0)
@@ -114,12 +116,11 @@
 	}
 	chain_set(chain, first, follow,
 	    first == top && first != cheapest ? CF_WHY_BEST : CF_WHY_CHEAPEST);
-	if (n == 1)
-		chain->reason = CF_WHY_ONLY;
 	one_in = price_log > DEBT_PRICE ? EXPLORE_ONE_IN_DEBT : EXPLORE_ONE_IN;
-	if (rng_below(rng, one_in) != 0)
+	if (n == 1 || rng_below(rng, one_in) != 0)
 		return;
-	e = explore(all, n, best, price, may_escalate, rng);
+	e = explore(all, n, best, price,
+	    price_log > DEBT_PRICE ? HOPE_IN_DEBT : HOPE, may_escalate, rng);
 	if (e != NULL && e != first) {
 		chain_value(all, n, e, price, may_escalate, &next);
 		chain_set(chain, e, next, CF_WHY_EXPLORE);
--- a/src/core/place.c
+++ b/src/core/place.c
@@ -132,7 +132,7 @@
 {
 	struct session_key key = {
 	    q->asked.workspace, q->asked.session, q->asked.session_birth};
-	uint64_t open = ro_open(r->ro, 0);
+	uint64_t open = ro_room(r->ro);
 	uint64_t rolling = 0, loaded;
 	uint16_t version = session_get(r->session, &key);
 	uint16_t i;
@@ -158,22 +158,29 @@
 	q->bind = !router_unsafe(r, CF_UNSAFE_STICKY);
 }
 
+/*
+ * Lets the estimates choose.  A version on hold is left out, unless nothing
+ * else may run.
+ */
 static void
 place_choose_quality(
     struct cf_router *r, struct request *q, uint64_t candidates)
 {
 	uint64_t loaded = candidates & fl_versions(r->fl);
-	uint16_t draw = (uint16_t)rng_below(&r->rng, 1000);
+	struct qual_ask ask;
 
 	if (loaded != 0)
 		candidates = loaded;
-	qual_choose(r->qual, &r->rng, q->asked.workspace, q->asked.task_class,
-	    candidates, ro_open(r->ro, draw), !q->asked.streaming, r->now_us,
-	    &q->chain);
-	if (q->chain.count == 0 && loaded != 0)
-		qual_choose(r->qual, &r->rng, q->asked.workspace,
-		    q->asked.task_class, candidates, 0, false, r->now_us,
-		    &q->chain);
+	ask.workspace = q->asked.workspace;
+	ask.task_class = q->asked.task_class;
+	ask.rolling_open = ro_open(r->ro, (uint16_t)rng_below(&r->rng, 1000));
+	ask.candidates = candidates & ask.rolling_open;
+	ask.may_escalate = !q->asked.streaming;
+	qual_choose(r->qual, &r->rng, &ask, &q->chain);
+	if (q->chain.count != 0)
+		return;
+	ask.candidates = candidates;
+	qual_choose(r->qual, &r->rng, &ask, &q->chain);
 }
 
 /*
--- a/src/core/request.c
+++ b/src/core/request.c
@@ -162,6 +162,17 @@
 	request_end(r, q);
 }
 
+/* Returns where in its chain an answer stood. */
+static enum cf_place
+request_place(const struct request *q, uint8_t attempt)
+{
+	const struct attempt *t = &q->attempts[attempt];
+
+	if (q->chain.count < 2 || q->asked.streaming || q->pinned)
+		return CF_ALONE;
+	return t->version == q->chain.versions[0] ? CF_KEPT : CF_ESCALATED;
+}
+
 /* Ends a request with the answer of one of its attempts. */
 void
 request_answer(struct cf_router *r, struct request *q, uint8_t attempt)
@@ -177,6 +188,7 @@
 	a->data_centre = t->data_centre;
 	a->run_state = ERR_RAN;
 	a->reason = q->why;
+	a->place = request_place(q, attempt);
 	limit_success(r->limit, q->asked.workspace);
 	request_end(r, q);
 }
--- a/src/core/rollout.c
+++ b/src/core/rollout.c
@@ -51,7 +51,7 @@
 	uint16_t unrated_max;
 	uint64_t exposure;
 	float sums[STREAMS][RO_DROPS];
-	struct ro_digest own; /* since the last digest was taken */
+	struct cf_digest own; /* since the last digest was taken */
 	float pass; /* usual shares, where the caller gives none */
 	float good;
 	float latency_us; /* usual time to first token */
@@ -230,13 +230,9 @@
 	return mask;
 }
 
-/*
- * Returns the versions that may take one more request.  Each version in
- * roll-out owns its own interval of the draw, as wide as its stage.  A hold
- * leaves at least one released version open.
- */
-uint64_t
-ro_open(const struct ro *ro, uint16_t draw_permille)
+/* Versions that may take one more request of draws in [low, high). */
+static uint64_t
+open_mask(const struct ro *ro, uint32_t low, uint32_t high)
 {
 	uint64_t mask = all_held(ro);
 	uint32_t from = 0;
@@ -250,8 +246,8 @@
 			continue;
 		in_share = true;
 		if (v->state == CFG_ROLLING) {
-			in_share = draw_permille >= from &&
-				   draw_permille < from + v->stage_permille;
+			in_share =
+			    high > from && low < from + v->stage_permille;
 			from += v->stage_permille;
 		}
 		if (in_share && v->watch != RO_STOPPED &&
@@ -261,6 +257,24 @@
 	return mask;
 }
 
+/*
+ * Returns the versions that may take one more request.  Each version in
+ * roll-out owns its own interval of the draw, as wide as its stage.  A hold
+ * leaves at least one released version open.
+ */
+uint64_t
+ro_open(const struct ro *ro, uint16_t draw_permille)
+{
+	return open_mask(ro, draw_permille, draw_permille + 1U);
+}
+
+/* Returns the versions that may take one more request of some draw. */
+uint64_t
+ro_room(const struct ro *ro)
+{
+	return open_mask(ro, 0, UINT32_MAX);
+}
+
 static void
 unrated_pop(struct version *v)
 {
@@ -522,7 +536,7 @@
  * digests for the other instances; returns their number.
  */
 size_t
-ro_digest_take(struct ro *ro, struct ro_digest *out, size_t max)
+ro_digest_take(struct ro *ro, struct cf_digest *out, size_t max)
 {
 	size_t n = 0;
 	uint16_t i;
@@ -541,7 +555,7 @@
 
 /* Adds what another instance observed. */
 void
-ro_digest_merge(struct ro *ro, const struct ro_digest *digest, int64_t now_us)
+ro_digest_merge(struct ro *ro, const struct cf_digest *digest, int64_t now_us)
 {
 	struct version *v = version_at(ro, digest->version, now_us);
 	int d;
--- a/src/core/rollout.h
+++ b/src/core/rollout.h
@@ -28,7 +28,7 @@
  * exchanged as digests; latency stays with the instance that saw it.
  */
 enum {
-	RO_DROPS = 2,
+	RO_DROPS = CF_DROPS,
 	RO_UNRATED_MAX = 64, /* per version and instance */
 	RO_INSTANCES_DEFAULT = 8
 };
@@ -42,12 +42,6 @@
 	bool unsafe_low_stop; /* tests: stop at the threshold for holds */
 };
 
-/* What one instance observed of one version since its last digest. */
-struct ro_digest {
-	uint16_t version;
-	float quick[RO_DROPS]; /* log-likelihood ratios */
-};
-
 enum ro_watch {
 	RO_OPEN,
 	RO_HELD, /* suspected: a trickle only */
@@ -63,6 +57,7 @@
 
 /* Mask of versions that may take one more request of this draw [0, 1000). */
 uint64_t ro_open(const struct ro *ro, uint16_t draw_permille);
+uint64_t ro_room(const struct ro *ro);
 void ro_served(struct ro *ro, uint16_t version, int64_t now_us);
 void ro_outcome(struct ro *ro, uint16_t version, bool good, int64_t now_us);
 void ro_rated(struct ro *ro, uint16_t version, bool passed, int64_t now_us);
@@ -76,9 +71,9 @@
     double expected, int64_t now_us);
 
 /* Own observations for the other instances, and theirs for this one. */
-size_t ro_digest_take(struct ro *ro, struct ro_digest *out, size_t max);
+size_t ro_digest_take(struct ro *ro, struct cf_digest *out, size_t max);
 void ro_digest_merge(
-    struct ro *ro, const struct ro_digest *digest, int64_t now_us);
+    struct ro *ro, const struct cf_digest *digest, int64_t now_us);
 
 /* Whether the sequential test has stopped a version; true until configured. */
 bool ro_stopped(const struct ro *ro, uint16_t version);
--- a/src/core/router.c
+++ b/src/core/router.c
@@ -150,8 +150,11 @@
 	if (r->cfg == NULL || rating->version >= r->cfg->version_count ||
 	    rating->workspace >= r->cfg->workspace_count)
 		return;
+	ro_rated_against(r->ro, rating->version, rating->passed,
+	    qual_expect_passed(r->qual, rating), r->now_us);
 	qual_rate(r->qual, rating, r->now_us);
-	ro_rated(r->ro, rating->version, rating->passed, r->now_us);
+	if (ro_calm(r->ro, rating->version))
+		qual_settle(r->qual, rating->version);
 	router_watch_version(r, rating->version);
 }
 
@@ -167,6 +170,15 @@
 	session_bind(r->session, &key, event->u.bind.version);
 }
 
+static void
+router_digest(struct cf_router *r, const struct cf_digest *digest)
+{
+	if (r->cfg == NULL || digest->version >= r->cfg->version_count)
+		return;
+	ro_digest_merge(r->ro, digest, r->now_us);
+	router_watch_version(r, digest->version);
+}
+
 /* Takes in what concerns backend servers and other data centres. */
 static void
 router_fleet_event(struct cf_router *r, const struct cf_event *event)
@@ -230,6 +242,9 @@
 	case CF_EV_RATING:
 		router_rated(r, &event->u.rating);
 		break;
+	case CF_EV_DIGEST:
+		router_digest(r, &event->u.digest);
+		break;
 	case CF_EV_BIND:
 		router_bound(r, event);
 		break;
@@ -292,6 +307,16 @@
 	return s != NULL ? s->in_flight : 0;
 }
 
+/*
+ * Moves the quick outcomes since the last call into at most max digests, one
+ * for a version; returns their number.
+ */
+size_t
+cf_router_digests(struct cf_router *r, struct cf_digest *out, size_t max)
+{
+	return ro_digest_take(r->ro, out, max);
+}
+
 /* Returns how many answers of a version count against its exposure. */
 uint64_t
 cf_router_exposure(const struct cf_router *r, uint16_t version)
--- a/test/unit/router_property_test.cc
+++ b/test/unit/router_property_test.cc
@@ -180,6 +180,7 @@
 		memset(&ev, 0, sizeof(ev));
 		ev.kind = CF_EV_DONE;
 		ev.u.attempt.request = id;
+		ev.u.attempt.score_permille = 0xffff;
 		cf_router_step(router, 1, &ev, &actions);
 	}
 	cf_router_free(router);
