--- a/src/http/server.c
+++ b/src/http/server.c
@@ -92,13 +92,21 @@
 	hs->tick = loop_after(hs->options.loop, HS_TICK_US, run_tick, hs);
 }
 
+/*
+ * Lets libmicrohttpd go on with a connection.  Without a thread of its own it
+ * has nothing that wakes it for that, so a run is due at once.
+ */
 static void
 resume(struct hs_exchange *x)
 {
+	struct hs *hs = x->hs;
+
 	if (!x->suspended)
 		return;
 	x->suspended = false;
 	MHD_resume_connection(x->connection);
+	if (hs->again == NULL)
+		hs->again = loop_after(hs->options.loop, 0, run_again, hs);
 }
 
 /* The socket became readable while the handler works: closed, or pipelined. */
