--- a/src/state/bill_store.c
+++ b/src/state/bill_store.c
@@ -350,20 +350,20 @@
 
 /* Replays one journal record; 0 or ERR_MALFORMED. */
 int
-bl_store_restore(struct bl_store *store, const uint8_t *data, size_t len)
+bl_store_restore(struct bl_store *store, const uint8_t *record, size_t len)
 {
-	struct bl_record record;
+	struct bl_record parsed;
 	int error;
 
-	buf_init(&record.ids, store->options.alloc);
-	error = bl_record_decode(&record, data, len);
-	if (error == 0 && record.kind == BL_RECORD_BILL)
-		restore_bill(store, &record.bill);
-	else if (error == 0 && record.kind == BL_RECORD_SEAL)
-		bl_seal_restore_waiting(store, &record.seal);
+	buf_init(&parsed.ids, store->options.alloc);
+	error = bl_record_decode(&parsed, record, len);
+	if (error == 0 && parsed.kind == BL_RECORD_BILL)
+		restore_bill(store, &parsed.bill);
+	else if (error == 0 && parsed.kind == BL_RECORD_SEAL)
+		bl_seal_restore_waiting(store, &parsed.seal);
 	else if (error == 0)
-		bl_seal_restore_tail(store, &record.tail);
-	buf_free(&record.ids);
+		bl_seal_restore_tail(store, &parsed.tail);
+	buf_free(&parsed.ids);
 	return error;
 }
 
--- a/src/state/bill_table.c
+++ b/src/state/bill_table.c
@@ -60,7 +60,7 @@
 	table->bucket_count = table->bucket_count > 0 ? table->bucket_count * 2
 						      : TABLE_FIRST_BUCKETS;
 	table->buckets = alloc_zero(
-	    table->alloc, table->bucket_count, sizeof(*table->buckets));
+	    table->alloc, table->bucket_count, sizeof(struct bl_node *));
 	for (node = table->oldest; node != NULL; node = node->newer) {
 		bucket = bucket_of(table, &node->bill.id);
 		node->chain = *bucket;
--- a/src/state/bill_wire.c
+++ b/src/state/bill_wire.c
@@ -244,7 +244,7 @@
 	cfw__bl_record__init(&wire);
 	cfw__bl_tail__init(&part);
 	ids = alloc_zero(out->alloc, tail->count + 1, sizeof(*ids));
-	pointers = alloc_zero(out->alloc, tail->count + 1, sizeof(*pointers));
+	pointers = alloc_zero(out->alloc, tail->count + 1, sizeof(Cfw__BlId *));
 	for (i = 0; i < tail->count; i++) {
 		cfw__bl_id__init(&ids[i]);
 		ids[i].owner = tail->upto[i].owner;
--- a/src/state/claim.h
+++ b/src/state/claim.h
@@ -273,26 +273,27 @@
 void cl_client_tick(struct cl_client *client, int64_t now_us);
 int64_t cl_client_due_us(const struct cl_client *client);
 
-/* op is chosen by the caller, another for each request. */
-void cl_client_claim(struct cl_client *client, int64_t now_us, uint64_t op,
+/* op_id is chosen by the caller, another for each request. */
+void cl_client_claim(struct cl_client *client, int64_t now_us, uint64_t op_id,
     const struct cl_key *key, int64_t deadline_us);
-void cl_client_mark(
-    struct cl_client *client, int64_t now_us, uint64_t op, int64_t deadline_us);
-void cl_client_done(struct cl_client *client, int64_t now_us, uint64_t op,
+void cl_client_mark(struct cl_client *client, int64_t now_us, uint64_t op_id,
+    int64_t deadline_us);
+void cl_client_done(struct cl_client *client, int64_t now_us, uint64_t op_id,
     int32_t status, const uint8_t digest[CL_DIGEST_BYTES]);
-void cl_client_halt(struct cl_client *client, int64_t now_us, uint64_t op);
-void cl_client_release(struct cl_client *client, int64_t now_us, uint64_t op);
-void cl_client_resolve(struct cl_client *client, int64_t now_us, uint64_t op,
+void cl_client_halt(struct cl_client *client, int64_t now_us, uint64_t op_id);
+void cl_client_release(
+    struct cl_client *client, int64_t now_us, uint64_t op_id);
+void cl_client_resolve(struct cl_client *client, int64_t now_us, uint64_t op_id,
     const struct cl_key *key, const struct cl_resolution *order,
     int64_t deadline_us);
-void cl_client_read(struct cl_client *client, int64_t now_us, uint64_t op,
+void cl_client_read(struct cl_client *client, int64_t now_us, uint64_t op_id,
     const struct cl_key *key, int64_t deadline_us);
 void cl_client_halts(
     struct cl_client *client, uint32_t replica, uint64_t cursor);
 
 /* Checked just before every dispatch; false: mark again first. */
 bool cl_client_may_dispatch(
-    const struct cl_client *client, int64_t now_us, uint64_t op);
+    const struct cl_client *client, int64_t now_us, uint64_t op_id);
 uint32_t cl_client_open(const struct cl_client *client);
 
 #ifdef __cplusplus
--- a/src/state/claim_client.c
+++ b/src/state/claim_client.c
@@ -28,7 +28,8 @@
 	if (options->resend_ms == 0)
 		client->options.resend_ms = RESEND_DEFAULT_MS;
 	client->ops_size = client->options.ops_max;
-	client->ops = alloc_zero(alloc, client->ops_size, sizeof(*client->ops));
+	client->ops =
+	    alloc_zero(alloc, client->ops_size, sizeof(struct cl_op *));
 	rng_init(&client->rng, options->seed);
 	return client;
 }
@@ -251,12 +252,12 @@
 }
 
 static void
-refuse(struct cl_client *client, uint64_t id, enum cl_step step, int error)
+refuse(struct cl_client *client, uint64_t op_id, enum cl_step step, int error)
 {
 	struct cl_client_action action = {0};
 
 	action.kind = CL_CLIENT_ANSWER;
-	action.op = id;
+	action.op = op_id;
 	action.step = step;
 	action.error = error;
 	client->options.emit(client->options.ctx, &action);
@@ -264,21 +265,21 @@
 
 /* Claims a key for op; answered by CL_STEP_CLAIM at the deadline at latest. */
 void
-cl_client_claim(struct cl_client *client, int64_t now_us, uint64_t id,
+cl_client_claim(struct cl_client *client, int64_t now_us, uint64_t op_id,
     const struct cl_key *key, int64_t deadline_us)
 {
 	struct cl_op *op;
 
 	op = cl_op_of_key(client, key);
 	if (op != NULL && !op->silent) {
-		refuse(client, id, CL_STEP_CLAIM, ERR_IN_PROGRESS);
+		refuse(client, op_id, CL_STEP_CLAIM, ERR_IN_PROGRESS);
 		return;
 	}
 	if (op != NULL)
 		cl_op_free(client, op);
-	op = cl_op_new(client, id, key);
+	op = cl_op_new(client, op_id, key);
 	if (op == NULL) {
-		refuse(client, id, CL_STEP_CLAIM, ERR_NO_CAPACITY);
+		refuse(client, op_id, CL_STEP_CLAIM, ERR_NO_CAPACITY);
 		return;
 	}
 	op->deadline_us = deadline_us;
@@ -291,14 +292,14 @@
  * answer 0 may the call be dispatched.
  */
 void
-cl_client_mark(
-    struct cl_client *client, int64_t now_us, uint64_t id, int64_t deadline_us)
+cl_client_mark(struct cl_client *client, int64_t now_us, uint64_t op_id,
+    int64_t deadline_us)
 {
 	struct cl_op *op;
 
-	op = cl_op_find(client, id);
+	op = cl_op_find(client, op_id);
 	if (op == NULL || !waits_for_caller(op)) {
-		refuse(client, id, CL_STEP_MARK, ERR_NOT_FOUND);
+		refuse(client, op_id, CL_STEP_MARK, ERR_NOT_FOUND);
 		return;
 	}
 	op->deadline_us = deadline_us;
@@ -313,14 +314,14 @@
 }
 
 static void
-finish(struct cl_client *client, int64_t now_us, uint64_t id,
+finish(struct cl_client *client, int64_t now_us, uint64_t op_id,
     enum cl_phase phase, int32_t status, const uint8_t *digest)
 {
 	struct cl_op *op;
 
-	op = cl_op_find(client, id);
+	op = cl_op_find(client, op_id);
 	if (op == NULL || op->state != CL_OP_MARKED) {
-		refuse(client, id, CL_STEP_DONE, ERR_NOT_FOUND);
+		refuse(client, op_id, CL_STEP_DONE, ERR_NOT_FOUND);
 		return;
 	}
 	op->outcome = phase;
@@ -333,28 +334,28 @@
 
 /* Records the outcome of a marked claim, with a digest of its answer. */
 void
-cl_client_done(struct cl_client *client, int64_t now_us, uint64_t id,
+cl_client_done(struct cl_client *client, int64_t now_us, uint64_t op_id,
     int32_t status, const uint8_t digest[CL_DIGEST_BYTES])
 {
-	finish(client, now_us, id, CL_DONE, status, digest);
+	finish(client, now_us, op_id, CL_DONE, status, digest);
 }
 
 /* Records that the outcome of a marked claim is unknown. */
 void
-cl_client_halt(struct cl_client *client, int64_t now_us, uint64_t id)
+cl_client_halt(struct cl_client *client, int64_t now_us, uint64_t op_id)
 {
-	finish(client, now_us, id, CL_HALTED, 0, NULL);
+	finish(client, now_us, op_id, CL_HALTED, 0, NULL);
 }
 
 /* Gives a claim back.  The caller knows that the call has not run. */
 void
-cl_client_release(struct cl_client *client, int64_t now_us, uint64_t id)
+cl_client_release(struct cl_client *client, int64_t now_us, uint64_t op_id)
 {
 	struct cl_op *op;
 
-	op = cl_op_find(client, id);
+	op = cl_op_find(client, op_id);
 	if (op == NULL || !waits_for_caller(op)) {
-		refuse(client, id, CL_STEP_RELEASE, ERR_NOT_FOUND);
+		refuse(client, op_id, CL_STEP_RELEASE, ERR_NOT_FOUND);
 		return;
 	}
 	op->deadline_us = now_us + RELEASE_MS * (int64_t)1000;
@@ -363,7 +364,7 @@
 
 /* Carries out an operator's order about a halted attempt. */
 void
-cl_client_resolve(struct cl_client *client, int64_t now_us, uint64_t id,
+cl_client_resolve(struct cl_client *client, int64_t now_us, uint64_t op_id,
     const struct cl_key *key, const struct cl_resolution *order,
     int64_t deadline_us)
 {
@@ -372,12 +373,12 @@
 	if (order->change_id == 0 || cl_ballot_zero(&order->attempt) ||
 	    (order->verdict != CL_RESOLVED_RAN &&
 		order->verdict != CL_RESOLVED_NOT_RUN)) {
-		refuse(client, id, CL_STEP_RESOLVE, ERR_MALFORMED);
+		refuse(client, op_id, CL_STEP_RESOLVE, ERR_MALFORMED);
 		return;
 	}
-	op = cl_op_new(client, id, key);
+	op = cl_op_new(client, op_id, key);
 	if (op == NULL) {
-		refuse(client, id, CL_STEP_RESOLVE, ERR_NO_CAPACITY);
+		refuse(client, op_id, CL_STEP_RESOLVE, ERR_NO_CAPACITY);
 		return;
 	}
 	op->order = *order;
@@ -388,14 +389,14 @@
 
 /* Reads what a majority knows of a key. */
 void
-cl_client_read(struct cl_client *client, int64_t now_us, uint64_t id,
+cl_client_read(struct cl_client *client, int64_t now_us, uint64_t op_id,
     const struct cl_key *key, int64_t deadline_us)
 {
 	struct cl_op *op;
 
-	op = cl_op_new(client, id, key);
+	op = cl_op_new(client, op_id, key);
 	if (op == NULL) {
-		refuse(client, id, CL_STEP_READ, ERR_NO_CAPACITY);
+		refuse(client, op_id, CL_STEP_READ, ERR_NO_CAPACITY);
 		return;
 	}
 	op->deadline_us = deadline_us;
@@ -421,11 +422,11 @@
 /* Whether the marker of an op is young enough to dispatch under it. */
 bool
 cl_client_may_dispatch(
-    const struct cl_client *client, int64_t now_us, uint64_t id)
+    const struct cl_client *client, int64_t now_us, uint64_t op_id)
 {
 	const struct cl_op *op;
 
-	op = cl_op_find(client, id);
+	op = cl_op_find(client, op_id);
 	if (op == NULL || op->state != CL_OP_MARKED)
 		return false;
 	return client->options.unsafe_dispatch_late ||
--- a/src/state/claim_op.c
+++ b/src/state/claim_op.c
@@ -22,7 +22,7 @@
 	struct cl_op **bucket, *op;
 	uint32_t slot;
 
-	if (client->open >= client->options.ops_max)
+	if (client->ops_size == 0 || client->open >= client->ops_size)
 		return NULL;
 	for (slot = 0; slot < client->ops_size; slot++)
 		if (client->ops[(slot + id) % client->ops_size] == NULL)
--- a/src/state/claim_resolve.c
+++ b/src/state/claim_resolve.c
@@ -74,6 +74,8 @@
 		if (op->votes[i].arrived && op->votes[i].error == 0 &&
 		    (best == NULL || cl_entry_newer(&op->votes[i].entry, best)))
 			best = &op->votes[i].entry;
+	if (best == NULL)
+		return;
 	op->best = *best;
 	c = cl_ballot_compare(&best->accepted, &op->order.attempt);
 	if (resolves(best, op)) {
--- a/src/state/member.c
+++ b/src/state/member.c
@@ -3,7 +3,7 @@
 #include <string.h>
 
 enum {
-	PERIOD_MS = 1200,
+	PERIOD_MS = 1500,
 	ACK_MS = 300,
 	SUSPECT_MS = 3000,
 	JUMP_MS = 1000,
@@ -12,7 +12,7 @@
 	HELPERS = 3,
 	SYNC_PERIODS = 30, /* between two looks at lost or unknown members */
 	SENDS_FACTOR = 3, /* times the logarithm of the members */
-	LEASE_MS = 8000, /* of a role */
+	LEASE_MS = 9000, /* of a role */
 	LEAVE_MS = 2000,
 	LEAVE_ACKS = 3
 };
--- a/src/state/member.h
+++ b/src/state/member.h
@@ -159,7 +159,7 @@
 	uint32_t instance;
 	uint64_t incarnation;
 	uint16_t data_centre;
-	uint32_t period_ms; /* between probes; 0: 1,200 */
+	uint32_t period_ms; /* between probes; 0: 1,500 */
 	uint32_t ack_ms; /* 0: 300; helpers are asked after it */
 	uint32_t suspect_ms; /* 0: 3,000 */
 	uint32_t jump_ms; /* a longer gap is an own pause; 0: 1,000 */
@@ -167,7 +167,7 @@
 	uint32_t summary_ms; /* 0: 2,000 */
 	uint32_t voter_count;
 	uint32_t voters[MB_VOTERS_MAX];
-	struct ls_options lease; /* lease_ms 0: 8,000 */
+	struct ls_options lease; /* lease_ms 0: 9,000 */
 	/* For tests that show what each mechanism is for. */
 	bool unsafe_skip_pause;
 	bool unsafe_skip_helpers;
--- a/src/state/member_relay.c
+++ b/src/state/member_relay.c
@@ -4,7 +4,7 @@
 
 enum {
 	IDLE_MS = 10000, /* between two summaries that say the same */
-	MEMBER_MS = 50, /* more members, longer between two shares */
+	MEMBER_MS = 100, /* more members, longer between two shares */
 	SPARE_PERIODS = 4, /* a share older than so many periods is void */
 	SUMMARY_HEAD_BYTES = 12,
 	REORDER_MAX = 16 /* a number further back is of a restarted relay */
--- a/src/wire/member.pb-c.h
+++ b/src/wire/member.pb-c.h
@@ -29,8 +29,8 @@
 struct  Cfw__MbRecord
 {
   ProtobufCMessage base;
-  uint32_t instance;
   uint64_t incarnation;
+  uint32_t instance;
   uint32_t version;
   uint32_t state;
   uint32_t roles;
