--- /dev/null
+++ b/test/unit/dbg_test.cc
@@ -0,0 +1,298 @@
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include "bill_world.h"
+
+TEST(Bill, SettlesRetriesIntoOneBill)
+{
+	Bills b(1);
+
+	b.start();
+	int64_t s = b.open(11);
+	EXPECT_FALSE(b.durable(11, s, BL_INTENT));
+	b.step(10);
+	EXPECT_TRUE(b.durable(11, s, BL_INTENT));
+	b.settle(11, s);
+	b.step(10);
+	EXPECT_TRUE(b.durable(11, s, BL_SETTLED));
+	EXPECT_EQ(0u, bl_client_open(b.entries[11].client));
+	b.note(11, s);
+	b.finish();
+	EXPECT_EQ("", b.verdict());
+	EXPECT_EQ(1u, b.replicas[1].archive.size());
+	EXPECT_EQ("1:11001/1=1101", b.replicas[1].archive[0]);
+	EXPECT_EQ(0u, bl_store_count(b.replicas[1].store));
+}
+
+TEST(Bill, MergeHasNoOrder)
+{
+	struct bl_bill a = {}, c = {}, x, y;
+
+	a.id = c.id = {5, 6};
+	a.state = BL_SETTLED;
+	c.state = BL_INTENT;
+	a.item_count = c.item_count = 2;
+	a.items[0] = {1, 1, 1, 1, 10};
+	a.items[1] = {4, 1, 1, 1, 20};
+	c.items[0] = {2, 1, 1, 1, 40};
+	c.items[1] = {4, 1, 1, 1, 20};
+	x = a;
+	y = c;
+	EXPECT_TRUE(bl_bill_merge(&x, &c));
+	EXPECT_TRUE(bl_bill_merge(&y, &a));
+	EXPECT_EQ(70u, bl_bill_cost_micro(&x));
+	EXPECT_EQ(0, memcmp(x.items, y.items, sizeof(x.items)));
+	EXPECT_EQ(x.state, y.state);
+	EXPECT_FALSE(bl_bill_merge(&x, &c));
+}
+
+TEST(Bill, AuditListsAndOperatorsClose)
+{
+	struct bl_bill list[2], closed;
+	struct bl_id none = {9, 9};
+	Bills b(1);
+
+	b.start();
+	b.open(11);
+	b.step(1000);
+	int64_t late = b.open(11);
+	b.step(10);
+	b.settle(11, late);
+	b.step(2000);
+	b.entries[11].down = true;
+	ASSERT_EQ(
+	    1u, bl_store_unsettled(b.replicas[1].store, INT64_MAX, list, 2));
+	EXPECT_EQ(1u, list[0].id.sequence);
+	EXPECT_EQ(0u,
+	    bl_store_unsettled(b.replicas[1].store, list[0].born_s, list, 2));
+	b.finish();
+	EXPECT_EQ(0u, b.replicas[1].archive.size()) << "no gap is exported";
+	EXPECT_EQ(
+	    ERR_NOT_FOUND, bl_store_close(b.replicas[1].store, &none, &closed));
+	ASSERT_EQ(0, bl_store_close(b.replicas[1].store, &list[0].id, &closed));
+	for (auto &r : b.replicas)
+		bl_store_closed(r.second.store, &closed);
+	b.finish();
+	EXPECT_EQ(2u, b.replicas[2].archive.size());
+	EXPECT_EQ("", b.verdict());
+}
+
+TEST(Bill, CutOffUsesAPeerAndMergesLater)
+{
+	Bills b(1);
+
+	b.start();
+	for (int r = 1; r <= 3; r++)
+		for (int e = 11; e <= 12; e++) {
+			b.net.cut(r, e);
+			b.net.cut(e, r);
+		}
+	int64_t s = b.open(11);
+	b.step(500);
+	EXPECT_FALSE(b.durable(11, s, BL_INTENT));
+	b.step(1500);
+	EXPECT_TRUE(b.durable(11, s, BL_INTENT));
+	b.settle(11, s);
+	b.step(2000);
+	ASSERT_TRUE(b.durable(11, s, BL_SETTLED));
+	b.note(11, s);
+	b.entries[11].down = true; /* its copy is the only one left but 12's */
+	b.finish();
+	EXPECT_EQ("", b.verdict());
+	EXPECT_EQ(0u, bl_client_open(b.entries[12].client));
+}
+
+static std::string
+loses_unsynced_tail(bool skip_sync)
+{
+	Bills b(1);
+
+	b.store_options.unsafe_skip_sync = skip_sync;
+	b.start();
+	int64_t s = b.open(11);
+	b.step(10);
+	for (auto &r : b.replicas)
+		r.second.sync_hangs = true;
+	b.settle(11, s);
+	b.step(10);
+	b.note(11, s);
+	for (int r = 1; r <= 3; r++) {
+		b.kill_replica(r);
+		b.start_replica(r);
+	}
+	b.entries[11].down = true;
+	b.finish();
+	return b.verdict();
+}
+
+TEST(Bill, NothingIsAcknowledgedBeforeItIsSynced)
+{
+	EXPECT_EQ("", loses_unsynced_tail(false));
+	EXPECT_NE("", loses_unsynced_tail(true)) << "mechanism off";
+}
+
+static std::string
+peer_merges_later(bool forget)
+{
+	Bills b(1);
+
+	b.client_options.unsafe_forget_unacked = forget;
+	b.start();
+	for (int r = 1; r <= 3; r++)
+		b.net.isolate(r, 20);
+	int64_t s = b.open(11);
+	b.step(2000);
+	b.settle(11, s);
+	b.step(2000);
+	b.note(11, s);
+	b.entries[12].down = true;
+	b.finish();
+	return b.verdict();
+}
+
+TEST(Bill, KeptUntilReplicasHaveIt)
+{
+	EXPECT_EQ("", peer_merges_later(false));
+	EXPECT_NE("", peer_merges_later(true)) << "mechanism off";
+}
+
+TEST(Bill, ImageRestores)
+{
+	struct bl_store_options options = {};
+	struct buf image, again;
+	Bills b(1);
+
+	b.start();
+	for (int i = 0; i < 40; i++) {
+		int64_t s = b.open(11);
+
+		if (i % 5 != 4)
+			b.settle(11, s);
+		b.step(5);
+	}
+	b.step(2000);
+	b.seal(1);
+	b.step(100);
+	buf_init(&image, NULL);
+	buf_init(&again, NULL);
+	bl_store_image(b.replicas[1].store, &image);
+	options.emit = [](void *, const bl_store_action *) {};
+	struct bl_store *copy = bl_store_new(&options);
+	ASSERT_EQ(0, bl_store_restore_image(copy, image.data, image.len));
+	bl_store_image(copy, &again);
+	ASSERT_EQ(image.len, again.len);
+	EXPECT_EQ(0, memcmp(image.data, again.data, image.len));
+	EXPECT_EQ(4u, bl_store_exported(copy));
+	EXPECT_EQ(36u, bl_store_count(copy));
+	EXPECT_EQ(ERR_MALFORMED,
+	    bl_store_restore_image(copy, image.data, image.len - 1));
+	bl_store_free(copy);
+	buf_free(&image);
+	buf_free(&again);
+}
+
+/* Random schedules of requests, losses, cuts and seals. */
+static std::string
+schedule(uint64_t seed, const std::function<void(Bills &)> &set)
+{
+	std::mt19937_64 random(seed);
+	std::vector<std::pair<int, int64_t>> open;
+	Bills b(seed);
+
+	set(b);
+	b.net.lose_percent = 3;
+	b.net.duplicate_percent = 10;
+	b.net.delay_max_us = 20000;
+	b.start();
+	for (int i = 0; i < 120; i++) {
+		int id = 11 + random() % 2, r = 1 + random() % 3;
+
+		switch (random() % 12) {
+		case 0:
+			b.net.cut(r, id);
+			break;
+		case 1:
+			b.net.mend_all();
+			break;
+		case 2:
+			b.kill_replica(r);
+			b.start_replica(r);
+			break;
+		case 3:
+			b.step(2500);
+			b.kill_replica(r);
+			b.lose_disk(r);
+			b.step(2500);
+			break;
+		case 4:
+		case 5:
+			b.seal(r);
+			break;
+		case 6:
+		case 7:
+		case 8:
+			open.push_back({id, b.open(id)});
+			break;
+		default:
+			if (open.empty())
+				break;
+			b.settle(open.back().first, open.back().second);
+			open.pop_back();
+			break;
+		}
+		b.step(1 + random() % 40);
+		for (int e = 11; e <= 12; e++)
+			for (auto &d : b.entries[e].durable)
+				b.note(e, d.first);
+	}
+	for (auto &o : open)
+		b.settle(o.first, o.second);
+	b.finish();
+	if (b.verdict() != "") {
+		for (auto &r : b.replicas) { struct bl_seal s; bool p=bl_store_propose(r.second.store,&s);
+			struct bl_bill u[50]; size_t n=bl_store_unsettled(r.second.store, INT64_MAX,u,50);
+			printf("r%d count %u seals %lu exported %lu propose %d arch %zu unsettled %zu log_read %zu of %zu late %lu\n", r.first, bl_store_count(r.second.store), bl_store_seal_number(r.second.store), bl_store_exported(r.second.store), p, r.second.archive.size(), n, r.second.log_read, b.log.size(), bl_store_late(r.second.store));
+			for(size_t i=0;i<n;i++) printf(" %lu/%lu", u[i].id.owner,u[i].id.sequence); printf("\n"); }
+		for (auto &l: b.log) { printf("seal %lu:", l.number); for (unsigned i=0;i<l.count;i++) printf(" %lu/%lu", l.upto[i].owner,l.upto[i].sequence); printf("\n"); }
+		for (auto &e: b.entries) printf("e%d open %u\n", e.first, bl_client_open(e.second.client));
+	}
+	return b.verdict();
+}
+TEST(Dbg, One) { EXPECT_EQ("", schedule(802, [](Bills &) {})); }
+
+/* The cursor of a peer that restarted was believed for its new life. */
+TEST(BillSchedules, CursorEndsWithTheLife)
+{
+	EXPECT_EQ("", schedule(224212, [](Bills &) {}));
+}
+
+RC_GTEST_PROP(BillSchedules, EachBillOnceAndExportStable, ())
+{
+	std::string seen =
+	    schedule(*rc::gen::arbitrary<uint64_t>(), [](Bills &) {});
+
+	RC_ASSERT(seen == "");
+}
+
+TEST(BillSchedules, EachMechanismOff)
+{
+	struct {
+		const char *name;
+		std::function<void(Bills &)> set;
+	} offs[] = {
+	    {"merging",
+		[](Bills &b) { b.store_options.unsafe_skip_merge = true; }},
+	    {"sealing without gaps",
+		[](Bills &b) { b.store_options.unsafe_seal_gaps = true; }},
+	};
+
+	for (auto &off : offs) {
+		int failed = 0;
+
+		for (uint64_t seed = 1; seed <= 10; seed++)
+			failed += schedule(seed, off.set) != "";
+		printf(
+		    "without %s: %d of 10 schedules fail\n", off.name, failed);
+		EXPECT_GT(failed, 0) << off.name;
+	}
+}
