--- /dev/null
+++ b/fakes/tool_loop.c
@@ -0,0 +1,395 @@
+#include "tool_loop.h"
+
+#include <apr_general.h>
+#include <apr_poll.h>
+#include <apr_portable.h>
+#include <apr_time.h>
+#include <stdbool.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/timerfd.h>
+#include <time.h>
+#include <unistd.h>
+
+#include "base/alloc.h"
+
+enum {
+	TL_EVENTS = 512, /* descriptors answered by one poll */
+	TL_KICKS = 2 /* runs that a resumed connection needs */
+};
+
+/* A watched descriptor; kept after its close for the next with its number. */
+struct slot {
+	apr_pollfd_t poll;
+	tl_ready_fn ready;
+	void *ctx;
+};
+
+struct tool_loop {
+	apr_pool_t *pool;
+	apr_pollset_t *pollset;
+	CURLM *multi;
+	struct MHD_Daemon *daemon;
+	int daemon_runs; /* due without a further event */
+	struct slot **slots; /* by descriptor */
+	int slot_count;
+	int timer_fd;
+	int64_t timer_us; /* what the timer is set to */
+	int64_t curl_due_us; /* 0: no timer */
+	unsigned transfers;
+};
+
+/* What CURLOPT_PRIVATE points to while a transfer runs. */
+struct transfer {
+	tl_done_fn done;
+	void *ctx;
+	struct curl_slist *headers;
+	char *body;
+};
+
+/* Returns the monotonic clock in microseconds. */
+int64_t
+tl_now_us(void)
+{
+	struct timespec now;
+
+	clock_gettime(CLOCK_MONOTONIC, &now);
+	return (int64_t)now.tv_sec * 1000000 + now.tv_nsec / 1000;
+}
+
+/* Returns the wall clock in microseconds since 1970. */
+int64_t
+tl_wall_us(void)
+{
+	return (int64_t)apr_time_now();
+}
+
+/* Makes room for a descriptor in the table of slots. */
+static void
+tl_grow(struct tool_loop *loop, int fd)
+{
+	const size_t slot_bytes = sizeof(void *);
+	int count = loop->slot_count;
+
+	while (fd >= count)
+		count = count == 0 ? 64 : count * 2;
+	loop->slots =
+	    alloc_resize(alloc_default(), loop->slots, count * slot_bytes);
+	memset(loop->slots + loop->slot_count, 0,
+	    (count - loop->slot_count) * slot_bytes);
+	loop->slot_count = count;
+}
+
+/* Returns the slot of a descriptor, made at its first use. */
+static struct slot *
+tl_slot(struct tool_loop *loop, int fd)
+{
+	struct slot *slot;
+	apr_os_file_t os_file = fd;
+
+	if (fd >= loop->slot_count)
+		tl_grow(loop, fd);
+	if (loop->slots[fd] != NULL)
+		return loop->slots[fd];
+	slot = alloc_zero(alloc_default(), 1, sizeof(*slot));
+	slot->poll.p = loop->pool;
+	slot->poll.desc_type = APR_POLL_FILE;
+	apr_os_file_put(&slot->poll.desc.f, &os_file, 0, loop->pool);
+	slot->poll.client_data = slot;
+	loop->slots[fd] = slot;
+	return slot;
+}
+
+/*
+ * Watches a descriptor for APR_POLLIN and APR_POLLOUT; events 0 stops
+ * watching it, which must be done before it is closed.
+ */
+void
+tl_watch(struct tool_loop *loop, int fd, apr_int16_t events, tl_ready_fn ready,
+    void *ctx)
+{
+	struct slot *slot = tl_slot(loop, fd);
+
+	slot->ready = ready;
+	slot->ctx = ctx;
+	if (slot->poll.reqevents == events)
+		return;
+	if (slot->poll.reqevents != 0)
+		apr_pollset_remove(loop->pollset, &slot->poll);
+	slot->poll.reqevents = events;
+	if (events != 0)
+		apr_pollset_add(loop->pollset, &slot->poll);
+}
+
+/* Tells libcurl that one of its sockets is ready. */
+static void
+on_curl_ready(void *ctx, int fd, apr_int16_t events)
+{
+	struct tool_loop *loop = ctx;
+	int mask = 0, running;
+
+	if (events & APR_POLLIN)
+		mask |= CURL_CSELECT_IN;
+	if (events & APR_POLLOUT)
+		mask |= CURL_CSELECT_OUT;
+	if (events & (APR_POLLERR | APR_POLLHUP))
+		mask |= CURL_CSELECT_ERR;
+	curl_multi_socket_action(loop->multi, fd, mask, &running);
+}
+
+static void
+on_daemon_ready(void *ctx, int fd, apr_int16_t events)
+{
+	struct tool_loop *loop = ctx;
+
+	if (loop->daemon_runs == 0)
+		loop->daemon_runs = 1;
+}
+
+static void
+on_timer_ready(void *ctx, int fd, apr_int16_t events)
+{
+	struct tool_loop *loop = ctx;
+	uint64_t count;
+
+	loop->timer_us = 0;
+	if (read(fd, &count, sizeof(count)) < 0)
+		return;
+}
+
+static int
+on_socket(CURL *easy, curl_socket_t fd, int what, void *ctx, void *unused)
+{
+	apr_int16_t events = 0;
+
+	if (what == CURL_POLL_IN || what == CURL_POLL_INOUT)
+		events |= APR_POLLIN;
+	if (what == CURL_POLL_OUT || what == CURL_POLL_INOUT)
+		events |= APR_POLLOUT;
+	tl_watch(ctx, fd, events, on_curl_ready, ctx);
+	return 0;
+}
+
+static int
+on_timer(CURLM *multi, long timeout_ms, void *ctx)
+{
+	struct tool_loop *loop = ctx;
+
+	loop->curl_due_us =
+	    timeout_ms < 0 ? 0 : tl_now_us() + timeout_ms * 1000;
+	return 0;
+}
+
+/* Makes a loop; APR and libcurl are initialised on the way. */
+struct tool_loop *
+tl_new(void)
+{
+	struct tool_loop *loop = alloc_zero(alloc_default(), 1, sizeof(*loop));
+
+	apr_initialize();
+	curl_global_init(CURL_GLOBAL_DEFAULT);
+	apr_pool_create(&loop->pool, NULL);
+	if (apr_pollset_create_ex(&loop->pollset, TL_EVENTS, loop->pool,
+		APR_POLLSET_NOCOPY, APR_POLLSET_EPOLL) != APR_SUCCESS)
+		abort();
+	loop->timer_fd =
+	    timerfd_create(CLOCK_MONOTONIC, TFD_NONBLOCK | TFD_CLOEXEC);
+	if (loop->timer_fd < 0)
+		abort();
+	tl_watch(loop, loop->timer_fd, APR_POLLIN, on_timer_ready, loop);
+	loop->multi = curl_multi_init();
+	curl_multi_setopt(loop->multi, CURLMOPT_SOCKETFUNCTION, on_socket);
+	curl_multi_setopt(loop->multi, CURLMOPT_SOCKETDATA, loop);
+	curl_multi_setopt(loop->multi, CURLMOPT_TIMERFUNCTION, on_timer);
+	curl_multi_setopt(loop->multi, CURLMOPT_TIMERDATA, loop);
+	return loop;
+}
+
+/* Frees a loop; every transfer must have ended. */
+void
+tl_free(struct tool_loop *loop)
+{
+	int i;
+
+	curl_multi_cleanup(loop->multi);
+	apr_pollset_destroy(loop->pollset);
+	close(loop->timer_fd);
+	for (i = 0; i < loop->slot_count; i++)
+		alloc_free(alloc_default(), loop->slots[i]);
+	alloc_free(alloc_default(), loop->slots);
+	apr_pool_destroy(loop->pool);
+	alloc_free(alloc_default(), loop);
+}
+
+/* Serves a daemon that was started with MHD_USE_EPOLL and no thread. */
+void
+tl_serve(struct tool_loop *loop, struct MHD_Daemon *daemon)
+{
+	const union MHD_DaemonInfo *info;
+
+	loop->daemon = daemon;
+	info = MHD_get_daemon_info(daemon, MHD_DAEMON_INFO_EPOLL_FD);
+	tl_watch(loop, info->epoll_fd, APR_POLLIN, on_daemon_ready, loop);
+}
+
+/*
+ * Lets the daemon run without waiting for an event.  To be called after
+ * MHD_resume_connection(), which by itself does not wake the poll each time.
+ */
+void
+tl_kick(struct tool_loop *loop)
+{
+	loop->daemon_runs = TL_KICKS;
+}
+
+/* Starts a transfer; done (may be NULL) is called when it ends. */
+void
+tl_start(struct tool_loop *loop, CURL *easy, tl_done_fn done, void *ctx)
+{
+	struct transfer *transfer =
+	    alloc_zero(alloc_default(), 1, sizeof(*transfer));
+
+	transfer->done = done;
+	transfer->ctx = ctx;
+	curl_easy_setopt(easy, CURLOPT_PRIVATE, transfer);
+	curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
+	curl_multi_add_handle(loop->multi, easy);
+	loop->transfers++;
+}
+
+static size_t
+drop_body(char *data, size_t size, size_t count, void *ctx)
+{
+	return size * count;
+}
+
+/* Posts a JSON body and drops the answer; done (may be NULL) sees the end. */
+void
+tl_post(struct tool_loop *loop, const char *url, const char *body,
+    long timeout_ms, tl_done_fn done, void *ctx)
+{
+	CURL *easy = curl_easy_init();
+	struct transfer *transfer;
+	struct curl_slist *headers;
+
+	headers = curl_slist_append(NULL, "Content-Type: application/json");
+	curl_easy_setopt(easy, CURLOPT_URL, url);
+	curl_easy_setopt(easy, CURLOPT_HTTPHEADER, headers);
+	curl_easy_setopt(easy, CURLOPT_COPYPOSTFIELDS, body);
+	curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, timeout_ms);
+	curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, drop_body);
+	tl_start(loop, easy, done, ctx);
+	curl_easy_getinfo(easy, CURLINFO_PRIVATE, (char **)&transfer);
+	transfer->headers = headers;
+}
+
+/* Reports the transfers that have ended and frees them. */
+static void
+tl_reap(struct tool_loop *loop)
+{
+	struct transfer *transfer;
+	CURLMsg *message;
+	CURLcode code;
+	CURL *easy;
+	int left;
+
+	while ((message = curl_multi_info_read(loop->multi, &left)) != NULL) {
+		if (message->msg != CURLMSG_DONE)
+			continue;
+		easy = message->easy_handle;
+		code = message->data.result;
+		curl_easy_getinfo(easy, CURLINFO_PRIVATE, (char **)&transfer);
+		curl_multi_remove_handle(loop->multi, easy);
+		loop->transfers--;
+		if (transfer->done != NULL)
+			transfer->done(transfer->ctx, easy, code);
+		curl_easy_cleanup(easy);
+		curl_slist_free_all(transfer->headers);
+		alloc_free(alloc_default(), transfer);
+	}
+}
+
+/* Sets the timer to a time; a time that has passed is left to the caller. */
+static void
+tl_arm(struct tool_loop *loop, int64_t due_us)
+{
+	struct itimerspec spec = {{0, 0}, {0, 0}};
+
+	if (due_us == loop->timer_us)
+		return;
+	loop->timer_us = due_us;
+	spec.it_value.tv_sec = due_us / 1000000;
+	spec.it_value.tv_nsec = due_us % 1000000 * 1000;
+	timerfd_settime(loop->timer_fd, TFD_TIMER_ABSTIME, &spec, NULL);
+}
+
+/* Returns the earliest time at which the loop has something to do. */
+static int64_t
+tl_due(struct tool_loop *loop, int64_t until_us)
+{
+	MHD_UNSIGNED_LONG_LONG http_ms;
+	int64_t http_us;
+
+	if (loop->curl_due_us != 0 && loop->curl_due_us < until_us)
+		until_us = loop->curl_due_us;
+	if (loop->daemon == NULL ||
+	    MHD_get_timeout(loop->daemon, &http_ms) != MHD_YES)
+		return until_us;
+	if (http_ms == 0 && loop->daemon_runs == 0)
+		loop->daemon_runs = 1;
+	http_us = tl_now_us() + (int64_t)http_ms * 1000;
+	return http_us < until_us ? http_us : until_us;
+}
+
+/* Serves the descriptors that a poll found ready. */
+static void
+tl_dispatch(const apr_pollfd_t *ready, apr_int32_t count)
+{
+	struct slot *slot;
+	apr_int32_t i;
+	apr_os_file_t fd;
+
+	for (i = 0; i < count; i++) {
+		slot = ready[i].client_data;
+		if (slot->poll.reqevents == 0)
+			continue;
+		apr_os_file_get(&fd, ready[i].desc.f);
+		slot->ready(slot->ctx, fd, ready[i].rtnevents);
+	}
+}
+
+/* Polls once, at most until then, and serves what is ready. */
+void
+tl_turn(struct tool_loop *loop, int64_t until_us)
+{
+	const apr_pollfd_t *ready = NULL;
+	int64_t due_us = tl_due(loop, until_us);
+	apr_interval_time_t wait_us = -1;
+	apr_int32_t count = 0;
+	int running;
+
+	if (loop->daemon_runs > 0 || due_us <= tl_now_us())
+		wait_us = 0;
+	else
+		tl_arm(loop, due_us);
+	if (apr_pollset_poll(loop->pollset, wait_us, &count, &ready) ==
+	    APR_SUCCESS)
+		tl_dispatch(ready, count);
+	if (loop->daemon_runs > 0) {
+		loop->daemon_runs--;
+		MHD_run(loop->daemon);
+	}
+	if (loop->curl_due_us != 0 && loop->curl_due_us <= tl_now_us()) {
+		loop->curl_due_us = 0;
+		curl_multi_socket_action(
+		    loop->multi, CURL_SOCKET_TIMEOUT, 0, &running);
+	}
+	tl_reap(loop);
+}
+
+/* Returns how many transfers are running. */
+unsigned
+tl_transfers(const struct tool_loop *loop)
+{
+	return loop->transfers;
+}
--- /dev/null
+++ b/src/core/router.c
@@ -0,0 +1,300 @@
+#include "core/router.h"
+
+#include <string.h>
+
+enum {
+	/* Actions that handling one more request may add to a step. */
+	ROUTER_ROOM = 3 * CF_ATTEMPTS_MAX,
+	ROUTER_MARKS = 4096 /* crash marks remembered */
+};
+
+/* Appends an action to the step's list. */
+struct cf_action *
+router_act(struct cf_router *r, enum cf_action_kind kind)
+{
+	struct cf_action *a = &r->actions->items[r->actions->count++];
+
+	memset(a, 0, sizeof(*a));
+	a->kind = kind;
+	a->server = CF_NO_SERVER;
+	a->version = CFG_NONE;
+	a->data_centre = r->options.data_centre;
+	return a;
+}
+
+/*
+ * Whether the step's list has room for one more request's actions.  Where it
+ * has not, the rest is left for a wake at once.
+ */
+bool
+router_room(struct cf_router *r)
+{
+	if (r->actions->count + 2 * ROUTER_ROOM <= CF_ACTIONS_MAX)
+		return true;
+	r->more = true;
+	return false;
+}
+
+/* Whether a test left out a rule. */
+bool
+router_unsafe(const struct cf_router *r, enum cf_unsafe rule)
+{
+	return (r->options.unsafe & rule) != 0;
+}
+
+/* Returns a router that refuses everything until its first CF_EV_CONFIG. */
+struct cf_router *
+cf_router_new(const struct cf_router_options *options)
+{
+	const struct alloc *alloc =
+	    options->alloc != NULL ? options->alloc : alloc_default();
+	struct fl_options fl = {alloc, options->max_servers,
+	    (options->unsafe & CF_UNSAFE_CREDIT) != 0,
+	    (options->unsafe & CF_UNSAFE_LEAVING) != 0};
+	struct cf_router *r = alloc_zero(alloc, 1, sizeof(*r));
+	uint32_t i;
+
+	r->options = *options;
+	r->alloc = alloc;
+	r->instances = 1;
+	r->wake_us = INT64_MAX;
+	r->fl = fl_new(&fl);
+	r->qual = qual_new(alloc);
+	r->ro = ro_new(alloc);
+	r->queue = queue_new(alloc, options->max_requests);
+	r->limit = limit_new(alloc);
+	r->marks = marks_new(alloc, ROUTER_MARKS);
+	r->session = session_new(alloc, options->max_sessions);
+	r->timers = heap_new(alloc, options->max_requests);
+	r->by_id = map_new(alloc, options->max_requests);
+	r->requests =
+	    alloc_zero(alloc, options->max_requests, sizeof(*r->requests));
+	for (i = 0; i < options->max_requests; i++)
+		r->requests[i].next_free = i + 1;
+	nb_init(&r->nb, options->data_centre);
+	rng_init(&r->rng, options->seed);
+	return r;
+}
+
+void
+cf_router_free(struct cf_router *r)
+{
+	if (r == NULL)
+		return;
+	fl_free(r->fl);
+	qual_free(r->qual);
+	ro_free(r->ro);
+	queue_free(r->queue);
+	limit_free(r->limit);
+	marks_free(r->marks);
+	session_free(r->session);
+	heap_free(r->timers);
+	map_free(r->by_id);
+	alloc_free(r->alloc, r->model_versions);
+	alloc_free(r->alloc, r->requests);
+	alloc_free(r->alloc, r);
+}
+
+/* Says once that the sequential test has stopped a version. */
+void
+router_watch_version(struct cf_router *r, uint16_t version)
+{
+	struct cf_action *a;
+
+	if ((r->stopped >> version & 1) || !ro_stopped(r->ro, version))
+		return;
+	r->stopped |= UINT64_C(1) << version;
+	a = router_act(r, CF_ACT_STOP_VERSION);
+	a->version = version;
+}
+
+/* Whether the own data centre takes work by a configuration. */
+static bool
+router_open_by(const struct cf_router *r, const struct cfg *cfg)
+{
+	uint16_t dc = r->options.data_centre;
+
+	return dc < cfg->data_centre_count && cfg->data_centres[dc].present &&
+	       !cfg->data_centres[dc].out;
+}
+
+static void
+router_configure(struct cf_router *r, const struct cfg *cfg)
+{
+	bool open = router_open_by(r, cfg);
+
+	if (r->cfg != NULL && open && !r->open)
+		r->returned_us = r->now_us;
+	r->open = open;
+	r->cfg = cfg;
+	qual_configure(r->qual, cfg);
+	ro_configure(r->ro, cfg);
+	queue_configure(r->queue, cfg);
+	limit_configure(r->limit, cfg, r->instances);
+	session_configure(r->session, cfg);
+	place_configure(r, cfg);
+	upkeep_drain(r);
+}
+
+static void
+router_set_instances(struct cf_router *r, uint16_t instances)
+{
+	r->instances = instances == 0 ? 1 : instances;
+	if (r->cfg != NULL)
+		limit_configure(r->limit, r->cfg, r->instances);
+}
+
+static void
+router_rated(struct cf_router *r, const struct cf_rating *rating)
+{
+	if (r->cfg == NULL || rating->version >= r->cfg->version_count ||
+	    rating->workspace >= r->cfg->workspace_count)
+		return;
+	qual_rate(r->qual, rating, r->now_us);
+	ro_rated(r->ro, rating->version, rating->passed, r->now_us);
+	router_watch_version(r, rating->version);
+}
+
+static void
+router_bound(struct cf_router *r, const struct cf_event *event)
+{
+	struct session_key key = {
+	    event->u.bind.workspace, event->u.bind.session, 0};
+
+	if (r->cfg == NULL || key.workspace >= r->cfg->workspace_count ||
+	    event->u.bind.version >= r->cfg->version_count)
+		return;
+	session_bind(r->session, &key, event->u.bind.version);
+}
+
+/* Takes in what concerns backend servers and other data centres. */
+static void
+router_fleet_event(struct cf_router *r, const struct cf_event *event)
+{
+	switch (event->kind) {
+	case CF_EV_ANNOUNCE:
+		if (fl_announce(r->fl, &event->u.announce, r->now_us))
+			upkeep_drain_server(r, event->u.announce.server);
+		break;
+	case CF_EV_SERVER_GONE:
+		if (event->u.gone.crashed)
+			upkeep_crash(r, event->u.gone.server);
+		fl_gone(r->fl, event->u.gone.server, r->now_us);
+		break;
+	case CF_EV_CREDIT:
+		fl_credit(r->fl, event->u.credit.server,
+		    event->u.credit.incarnation, event->u.credit.credits,
+		    event->u.credit.until_us);
+		upkeep_drain_server(r, event->u.credit.server);
+		break;
+	case CF_EV_CACHE:
+		cache_event(fl_cache(r->fl), event->u.cache.server,
+		    event->u.cache.sequence, event->u.cache.prefix,
+		    event->u.cache.stored);
+		break;
+	case CF_EV_NEIGHBOUR:
+		nb_heard(&r->nb, event, r->now_us);
+		upkeep_drain(r);
+		break;
+	default:
+		break;
+	}
+}
+
+static void
+router_take(struct cf_router *r, const struct cf_event *event)
+{
+	switch (event->kind) {
+	case CF_EV_CONFIG:
+		router_configure(r, event->u.config);
+		break;
+	case CF_EV_REQUEST:
+		request_arrived(r, &event->u.request);
+		break;
+	case CF_EV_CLAIMED:
+		request_claimed(
+		    r, event->u.claimed.request, event->u.claimed.error);
+		break;
+	case CF_EV_FIRST_TOKEN:
+		attempt_first_token(r, &event->u.attempt);
+		break;
+	case CF_EV_DONE:
+		attempt_done(r, &event->u.attempt);
+		break;
+	case CF_EV_FAILED:
+		attempt_failed(r, &event->u.attempt);
+		break;
+	case CF_EV_CALLER_GONE:
+		request_caller_gone(r, event->u.caller_gone.request);
+		break;
+	case CF_EV_RATING:
+		router_rated(r, &event->u.rating);
+		break;
+	case CF_EV_BIND:
+		router_bound(r, event);
+		break;
+	case CF_EV_CRASH_MARK:
+		marks_merge(r->marks, event->u.crash_mark.fingerprint,
+		    event->u.crash_mark.crashes, r->now_us);
+		break;
+	case CF_EV_ISOLATED:
+		r->isolated = event->u.isolated;
+		break;
+	case CF_EV_INSTANCES:
+		router_set_instances(r, event->u.instances);
+		break;
+	case CF_EV_WAKE:
+		break;
+	default:
+		router_fleet_event(r, event);
+		break;
+	}
+}
+
+/*
+ * Takes in one event at the given time and replaces the list of actions by
+ * those it leads to.  Times never run backwards between steps.
+ */
+void
+cf_router_step(struct cf_router *r, int64_t now_us,
+    const struct cf_event *event, struct cf_actions *actions)
+{
+	actions->count = 0;
+	r->actions = actions;
+	r->now_us = now_us;
+	r->more = false;
+	if (now_us >= r->wake_us)
+		r->wake_us = INT64_MAX;
+	router_take(r, event);
+	upkeep_finish(r);
+}
+
+/* Returns how many requests are open, queued ones included. */
+uint32_t
+cf_router_open(const struct cf_router *r)
+{
+	return map_count(r->by_id);
+}
+
+/* Returns how many requests wait for room. */
+uint32_t
+cf_router_queued(const struct cf_router *r)
+{
+	return queue_count(r->queue);
+}
+
+/* Returns how many attempts this instance runs on a backend server. */
+uint16_t
+cf_router_in_flight(const struct cf_router *r, uint16_t server)
+{
+	const struct fl_server *s = fl_server(r->fl, server);
+
+	return s != NULL ? s->in_flight : 0;
+}
+
+/* Returns how many answers of a version count against its exposure. */
+uint64_t
+cf_router_exposure(const struct cf_router *r, uint16_t version)
+{
+	return ro_exposure(r->ro, version);
+}
--- /dev/null
+++ b/src/daemon/child_entry.c
@@ -0,0 +1,175 @@
+#include <sodium.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "base/err.h"
+#include "base/log.h"
+#include "base/rng.h"
+#include "daemon/node.h"
+
+/* The entry child and its ports to the rest of the instance. */
+
+static void
+claim(void *ctx, const struct entry_claim *c)
+{
+	struct node *node = ctx;
+
+	book_claim(node->book, c);
+}
+
+static void
+mark(void *ctx, uint32_t request)
+{
+	struct node *node = ctx;
+
+	book_mark(node->book, request);
+}
+
+static bool
+may_dispatch(void *ctx, uint32_t request)
+{
+	struct node *node = ctx;
+
+	return book_may_dispatch(node->book, request);
+}
+
+static void
+outcome(void *ctx, const struct entry_claim *c, enum entry_outcome result)
+{
+	struct node *node = ctx;
+
+	book_outcome(node->book, c->request, result);
+}
+
+static bool
+intend(void *ctx, const struct entry_bill *bill)
+{
+	struct node *node = ctx;
+
+	return book_intend(node->book, bill);
+}
+
+static void
+settle(void *ctx, const struct entry_bill *bill)
+{
+	struct node *node = ctx;
+
+	book_settle(node->book, bill);
+}
+
+static void
+spread(void *ctx, const struct cf_action *action)
+{
+	node_spread(ctx, action);
+}
+
+static void
+heard(void *ctx, const struct server_news *news)
+{
+	struct node *node = ctx;
+
+	feed_announced(node->feed, news);
+}
+
+static void
+announced(void *ctx, const struct cf_announce *announce)
+{
+	struct node *node = ctx;
+
+	credits_announced(node->credits, announce);
+}
+
+static void
+rated(void *ctx, const struct cf_rating *rating)
+{
+	node_spread_rating(ctx, rating);
+}
+
+static const char *
+neighbour(void *ctx, uint16_t data_centre)
+{
+	return node_neighbour(ctx, data_centre);
+}
+
+/* Keyed by the newest cluster key, and by the request's id. */
+static void
+forward_tag(void *ctx, const char *id, char tag[ENTRY_TAG_BYTES])
+{
+	const struct node *node = ctx;
+	uint8_t hash[crypto_generichash_BYTES];
+
+	crypto_generichash(hash, sizeof(hash), (const uint8_t *)id, strlen(id),
+	    node->keys.keys[0], SECURE_KEY_BYTES);
+	sodium_bin2hex(tag, ENTRY_TAG_BYTES, hash, sizeof(hash));
+}
+
+static const struct entry_ports entry_ports = {.claim = claim,
+    .mark = mark,
+    .may_dispatch = may_dispatch,
+    .outcome = outcome,
+    .intend = intend,
+    .settle = settle,
+    .spread = spread,
+    .heard = heard,
+    .announced = announced,
+    .rated = rated,
+    .neighbour = neighbour,
+    .forward_tag = forward_tag};
+
+/* What stands beside the entry and lives as long as it. */
+static void
+free_sides(struct node *node)
+{
+	book_free(node->book);
+	node->book = NULL;
+	feed_free(node->feed);
+	node->feed = NULL;
+	credits_free(node->credits);
+	node->credits = NULL;
+}
+
+static int
+start(void *ctx)
+{
+	struct node *node = ctx;
+	const struct settings *s = node->settings;
+	struct entry_options options = {.alloc = node->alloc,
+	    .loop = node->loop,
+	    .metrics = node->metrics,
+	    .host = s->listen.host,
+	    .port = s->listen.port,
+	    .instance = s->instance,
+	    .owner = node->owner,
+	    .data_centre = s->data_centre,
+	    .body_max_bytes = s->body_max_bytes,
+	    .seed = rng_system_seed(),
+	    .ports = &entry_ports,
+	    .ctx = node};
+
+	node->book = book_new(node);
+	node->feed = feed_new(node);
+	node->credits = credits_new(node);
+	node->entry = entry_new(&options);
+	if (node->entry == NULL) {
+		free_sides(node);
+		return ERR_IO;
+	}
+	node_in_force(node);
+	return 0;
+}
+
+static void
+stop(void *ctx)
+{
+	struct node *node = ctx;
+
+	entry_free(node->entry);
+	node->entry = NULL;
+	free_sides(node);
+}
+
+struct sup_child_spec
+child_entry(struct node *node)
+{
+	return (struct sup_child_spec){"entry", start, stop, node};
+}
--- a/src/state/cfgsync_source.c
+++ b/src/state/cfgsync_source.c
@@ -1,87 +1,61 @@
-#include "state/cfgsync_store.h"
+#include "state/cfgsync_feed.h"
 
-#include <string.h>
+/* The replica's side of configuration distribution. */
 
-enum {
-	LEASE_MS = 10000
-};
-
-/* The replica's end: serves relays, and knows who has confirmed what. */
 struct cy_source {
 	struct cy_options options;
-	struct cy_store store;
+	struct cy_feed feed;
 	int64_t fresh_until_us;
-	struct cy_confirm expected[CY_NODES_MAX];
+	int64_t heard_us; /* latest time that a message came */
+	struct cy_fed expected[CY_NODES_MAX];
 	uint32_t expected_count;
-	uint32_t relays[CY_NODES_MAX]; /* who sent a HAVE; pushed to */
-	uint32_t relay_count;
 };
 
+/* Creates a source that knows no revision yet. */
 struct cy_source *
 cy_source_new(const struct cy_options *options)
 {
-	const struct alloc *alloc;
-	struct cy_source *source;
+	const struct alloc *alloc =
+	    options->alloc != NULL ? options->alloc : alloc_default();
+	struct cy_source *source = alloc_zero(alloc, 1, sizeof(*source));
 
-	alloc = options->alloc != NULL ? options->alloc : alloc_default();
-	source = alloc_zero(alloc, 1, sizeof(*source));
 	source->options = *options;
 	source->options.alloc = alloc;
-	if (options->lease_ms == 0)
-		source->options.lease_ms = LEASE_MS;
-	cy_store_init(&source->store, alloc);
+	cy_feed_init(&source->feed, &source->options);
 	return source;
 }
 
+/* Releases a source. */
 void
 cy_source_free(struct cy_source *source)
 {
 	if (source == NULL)
 		return;
-	cy_store_free(&source->store);
+	cy_feed_free(&source->feed);
 	alloc_free(source->options.alloc, source);
 }
 
-static void
-source_send(void *ctx, uint32_t to, struct cy_msg *msg)
-{
-	struct cy_action action = {0};
-	struct cy_source *source;
-
-	source = ctx;
-	msg->instance = source->options.instance;
-	msg->incarnation = source->options.incarnation;
-	action.kind = CY_SEND;
-	action.to = to;
-	action.msg = msg;
-	source->options.emit(source->options.ctx, &action);
-}
-
 /*
- * Takes a revision that the log accepted and pushes it to the relays.  An
- * older one than the last changes nothing.
+ * The replicated log has accepted a revision: it is told to every relay that
+ * asked lately.  An older revision than the newest known changes nothing.
  */
 void
 cy_source_accepted(struct cy_source *source, uint64_t revision,
     const uint8_t *document, size_t document_len, const uint8_t *delta,
     size_t delta_len)
 {
-	uint64_t base;
-	uint32_t i;
+	uint64_t base = source->feed.revision;
 
-	base = source->store.revision;
-	if (revision <= base && !source->options.unsafe_any_revision)
+	if (revision <= base)
 		return;
-	cy_store_set(&source->store, revision, document, document_len);
-	if (delta == NULL)
-		return;
-	cy_store_add_delta(&source->store, base, revision, delta, delta_len);
-	for (i = 0; i < source->relay_count; i++)
-		cy_store_serve(&source->store, source->relays[i], base,
-		    source_send, source);
+	if (delta != NULL && base > 0)
+		cy_feed_add_delta(
+		    &source->feed, base, revision, delta, delta_len);
+	cy_feed_set(&source->feed, revision, document, document_len);
+	cy_feed_push(&source->feed, source->heard_us);
 }
 
-/* The replica is up to date until then; leases given out end by then. */
+/* The replica is up to date until then. */
 void
 cy_source_fresh(struct cy_source *source, int64_t until_us)
 {
@@ -89,130 +63,111 @@
 		source->fresh_until_us = until_us;
 }
 
-static struct cy_confirm *
+static struct cy_fed *
 find_expected(struct cy_source *source, uint32_t instance)
 {
-	uint32_t i;
-
-	for (i = 0; i < source->expected_count; i++)
+	for (uint32_t i = 0; i < source->expected_count; i++) {
 		if (source->expected[i].instance == instance)
 			return &source->expected[i];
+	}
 	return NULL;
 }
 
-/* A life of an instance is up: it is expected to confirm. */
+/* Expects an instance to confirm; a newer life begins unconfirmed. */
 void
 cy_source_expect(
     struct cy_source *source, uint32_t instance, uint64_t incarnation)
 {
-	struct cy_confirm *confirm;
+	struct cy_fed *fed = find_expected(source, instance);
 
-	confirm = find_expected(source, instance);
-	if (confirm == NULL) {
+	if (fed == NULL) {
 		if (source->expected_count == CY_NODES_MAX)
 			return;
-		confirm = &source->expected[source->expected_count++];
-		memset(confirm, 0, sizeof(*confirm));
-		confirm->instance = instance;
+		fed = &source->expected[source->expected_count++];
+		*fed = (struct cy_fed){
+		    .instance = instance, .incarnation = incarnation};
+	} else if (incarnation > fed->incarnation) {
+		fed->incarnation = incarnation;
+		fed->confirmed = 0;
 	}
-	if (confirm->incarnation >= incarnation)
-		return;
-	confirm->incarnation = incarnation;
-	confirm->revision = 0;
 }
 
-/* A life of an instance has ended: nothing is expected of it any more. */
+/* A life of an instance has ended: it is expected no more. */
 void
 cy_source_ended(
     struct cy_source *source, uint32_t instance, uint64_t incarnation)
 {
-	struct cy_confirm *confirm;
+	struct cy_fed *fed = find_expected(source, instance);
 
-	confirm = find_expected(source, instance);
-	if (confirm != NULL && confirm->incarnation <= incarnation)
-		*confirm = source->expected[--source->expected_count];
+	if (fed != NULL && fed->incarnation <= incarnation)
+		*fed = source->expected[--source->expected_count];
+	cy_feed_remove(&source->feed, instance);
 }
 
 static void
-confirm_one(struct cy_source *source, const struct cy_confirm *arrived)
+take_confirm(struct cy_source *source, const struct cy_confirm *confirm)
 {
-	struct cy_confirm *confirm;
-
-	cy_source_expect(source, arrived->instance, arrived->incarnation);
-	confirm = find_expected(source, arrived->instance);
-	if (confirm != NULL && confirm->incarnation == arrived->incarnation &&
-	    arrived->revision > confirm->revision)
-		confirm->revision = arrived->revision;
-}
+	struct cy_fed *fed;
 
-static void
-know_relay(struct cy_source *source, uint32_t instance)
-{
-	uint32_t i;
-
-	for (i = 0; i < source->relay_count; i++)
-		if (source->relays[i] == instance)
-			return;
-	if (source->relay_count < CY_NODES_MAX)
-		source->relays[source->relay_count++] = instance;
+	cy_source_expect(source, confirm->instance, confirm->incarnation);
+	fed = find_expected(source, confirm->instance);
+	if (fed == NULL || fed->incarnation != confirm->incarnation)
+		return;
+	if (confirm->revision > fed->confirmed)
+		fed->confirmed = confirm->revision;
 }
 
 static void
-answer(struct cy_source *source, int64_t now_us, uint32_t from,
-    const struct cy_msg *have)
+answer_have(struct cy_source *source, int64_t now_us, uint32_t from,
+    const struct cy_msg *msg)
 {
-	struct cy_msg msg = {0};
-	int64_t left_ms;
-
-	left_ms = (source->fresh_until_us - now_us) / 1000;
-	if (left_ms > source->options.lease_ms)
-		left_ms = source->options.lease_ms;
-	msg.kind = CY_MSG_ALIVE;
-	msg.round = have->round;
-	msg.revision = source->store.revision;
-	if (left_ms > 0 && have->revision <= source->store.revision)
-		msg.lease_ms = (uint32_t)left_ms;
-	source_send(source, from, &msg);
+	int64_t left_us = source->fresh_until_us - now_us;
+	int64_t longest_us = cy_lease_us(&source->options);
+	struct cy_msg alive = {.kind = CY_MSG_ALIVE,
+	    .round = msg->round,
+	    .instance = source->options.instance,
+	    .incarnation = source->options.incarnation,
+	    .revision = source->feed.revision};
+	struct cy_fed *fed = cy_feed_get(&source->feed, from);
+
+	/*
+	 * Up to date now is known to be up to date for a whole lease: whoever
+	 * hears of it may go on that long without hearing more.
+	 */
+	if (left_us > 0 && source->feed.revision > 0)
+		alive.lease_ms = (uint32_t)(longest_us / 1000);
+	if (fed != NULL) {
+		fed->heard_us = now_us;
+		fed->incarnation = msg->incarnation;
+		fed->revision = msg->revision;
+	}
+	for (uint32_t i = 0; i < msg->confirm_count; i++)
+		take_confirm(source, &msg->confirms[i]);
+	cy_feed_send(&source->feed, from, msg->revision);
+	cy_emit_send(&source->options, from, &alive);
 }
 
-/* Takes a relay's message. */
+/* Takes a relay's or an instance's message. */
 void
 cy_source_message(struct cy_source *source, int64_t now_us, uint32_t from,
     const struct cy_msg *msg)
 {
-	struct cy_confirm own;
-	uint32_t i;
-
-	if (msg->kind == CY_MSG_WANT) {
-		cy_store_chunk(&source->store, from, msg->revision, msg->offset,
-		    source_send, source);
-		return;
-	}
-	if (msg->kind != CY_MSG_HAVE)
-		return;
-	own.instance = msg->instance;
-	own.incarnation = msg->incarnation;
-	own.revision = msg->base;
-	confirm_one(source, &own);
-	for (i = 0; i < msg->confirm_count; i++)
-		confirm_one(source, &msg->confirms[i]);
-	know_relay(source, from);
-	answer(source, now_us, from, msg);
-	cy_store_serve(
-	    &source->store, from, msg->revision, source_send, source);
+	source->heard_us = now_us;
+	if (msg->kind == CY_MSG_HAVE)
+		answer_have(source, now_us, from, msg);
+	else if (msg->kind == CY_MSG_WANT)
+		cy_feed_chunk(&source->feed, from, msg->revision, msg->offset);
 }
 
-/* Lists who has not confirmed a revision; returns how many there are. */
+/* Lists the expected instances that have not confirmed; returns how many. */
 size_t
 cy_source_unconfirmed(const struct cy_source *source, uint64_t revision,
     uint32_t *instances, size_t max)
 {
-	size_t count;
-	uint32_t i;
+	size_t count = 0;
 
-	count = 0;
-	for (i = 0; i < source->expected_count; i++) {
-		if (source->expected[i].revision >= revision)
+	for (uint32_t i = 0; i < source->expected_count; i++) {
+		if (source->expected[i].confirmed >= revision)
 			continue;
 		if (count < max)
 			instances[count] = source->expected[i].instance;
@@ -221,8 +176,9 @@
 	return count;
 }
 
+/* Returns the newest revision accepted here. */
 uint64_t
 cy_source_revision(const struct cy_source *source)
 {
-	return source->store.revision;
+	return source->feed.revision;
 }
--- a/src/state/member_record.c
+++ b/src/state/member_record.c
@@ -1,190 +1,173 @@
-#include "state/member_core.h"
+#include "state/member_i.h"
 
-#include <string.h>
+/* Records: whose word about a member counts, and how it is passed on. */
 
 enum {
-	UNCONFIRMED_FACTOR = 3 /* longer suspicion while nobody else agrees */
+	SUSPECT_MS = 3000
 };
 
-/* Records of the members: which one is newer, suspicion, and passing on. */
+static void
+tell_change(
+    struct mb *mb, enum mb_action_kind kind, const struct mb_record *record)
+{
+	struct mb_action action = {.kind = kind, .record = record};
+
+	mb_emit(mb, &action);
+}
+
+static bool
+ended(enum mb_state state)
+{
+	return state == MB_LEFT || state == MB_GONE;
+}
 
+/* A later life wins; within one, the end; then the version; then suspicion. */
 static bool
-newer(const struct mb_record *a, const struct mb_record *b)
+is_newer(const struct mb_record *a, const struct mb_record *b)
 {
 	if (a->incarnation != b->incarnation)
 		return a->incarnation > b->incarnation;
+	if (ended(a->state) != ended(b->state))
+		return ended(a->state);
 	if (a->version != b->version)
 		return a->version > b->version;
 	return a->state > b->state;
 }
 
-/* Others believe something wrong about this instance: objects. */
+/*
+ * Others' word about this member.  A suspicion is answered by objecting; one
+ * that was given up while it was paused or cut off comes back as a new life.
+ */
 static void
-object(struct mb *mb, const struct mb_record *record)
+take_own_record(struct mb *mb, const struct mb_record *record)
 {
 	if (record->incarnation != mb->self.incarnation ||
-	    record->version < mb->self.version || mb->leaving ||
-	    record->state == MB_ALIVE)
+	    record->state == MB_ALIVE || mb->leave_us != 0)
 		return;
-	mb->self.version = record->version;
-	mb_self_changed(mb);
+	if (ended(record->state)) {
+		mb->self.incarnation++;
+		mb->self.version = 0;
+	} else if (record->version >= mb->self.version) {
+		mb->self.version = record->version + 1;
+	}
 }
 
 static void
-add_peer(struct mb *mb, const struct mb_record *record)
+start_suspicion(struct mb *mb, struct mb_member *m)
 {
-	struct mb_peer *peer;
-	uint32_t i;
+	m->suspect_until_us =
+	    mb->now_us + mb_ms(mb->options.suspect_ms, SUSPECT_MS);
+}
 
-	if (!mb_up(record))
-		return;
-	peer = NULL;
-	if (mb->peer_count < MB_MEMBERS_MAX) {
-		peer = &mb->peers[mb->peer_count++];
-	} else {
-		for (i = 0; i < mb->peer_count && peer == NULL; i++)
-			if (!mb_up(&mb->peers[i].record))
-				peer = &mb->peers[i];
-	}
-	if (peer == NULL)
-		return;
-	memset(peer, 0, sizeof(*peer));
-	peer->record = *record;
-	peer->record.state = MB_ALIVE;
-	peer->sends = mb_sends(mb);
-	mb_emit_record(mb, MB_JOINED, &peer->record);
+/* A life that nobody has ended is over if its successor is here. */
+static void
+end_former_life(
+    struct mb *mb, const struct mb_member *m, const struct mb_record *record)
+{
+	if (record->incarnation > m->record.incarnation &&
+	    !ended(m->record.state))
+		tell_change(mb, MB_ENDED, &m->record);
 }
 
 static void
-replace(struct mb *mb, int64_t now_us, struct mb_peer *peer,
-    const struct mb_record *record)
+add_member(struct mb *mb, const struct mb_record *record)
 {
-	struct mb_record old;
+	struct mb_member *m;
 
-	old = peer->record;
-	peer->record = *record;
-	peer->sends = mb_sends(mb);
-	peer->confirmed = false;
+	if (mb->count == MB_MEMBERS_MAX || ended(record->state))
+		return;
+	m = &mb->members[mb->count++];
+	*m = (struct mb_member){.record = *record, .tell = mb_tell_count(mb)};
 	if (record->state == MB_SUSPECT)
-		peer->suspected_us = now_us;
-	if (mb_up(&old) &&
-	    (!mb_up(record) || old.incarnation != record->incarnation)) {
-		mb_emit_record(mb, MB_ENDED, &old);
-		mb_relay_ended(mb, now_us, &old);
-	}
-	if (mb_up(record) &&
-	    (!mb_up(&old) || old.incarnation != record->incarnation)) {
-		peer->spare_us = 0;
-		mb_emit_record(mb, MB_JOINED, &peer->record);
-	}
+		start_suspicion(mb, m);
+	tell_change(mb, MB_JOINED, &m->record);
 }
 
-/*
- * Takes a record; own: it came from the member itself.  A second suspicion of
- * a suspect confirms it.
- */
+/* Takes what a message says of a member. */
 void
-mb_record_apply(
-    struct mb *mb, int64_t now_us, const struct mb_record *record, bool own)
+mb_take_record(struct mb *mb, const struct mb_record *record)
 {
-	struct mb_peer *peer;
+	struct mb_member *m;
+	struct mb_record before;
 
 	if (record->instance == mb->self.instance) {
-		object(mb, record);
+		take_own_record(mb, record);
 		return;
 	}
-	peer = mb_peer_find(mb, record->instance);
-	if (peer == NULL) {
-		add_peer(mb, record);
+	m = mb_find(mb, record->instance);
+	if (m == NULL) {
+		add_member(mb, record);
 		return;
 	}
-	if (newer(record, &peer->record)) {
-		replace(mb, now_us, peer, record);
+	if (!is_newer(record, &m->record))
 		return;
-	}
-	if (!own && record->state == MB_SUSPECT &&
-	    peer->record.state == MB_SUSPECT &&
-	    record->incarnation == peer->record.incarnation &&
-	    record->version == peer->record.version)
-		peer->confirmed = true;
-	/* The member does not know yet that it has to object. */
-	if (own && newer(&peer->record, record))
-		peer->sends = mb_sends(mb);
+	before = m->record;
+	end_former_life(mb, m, record);
+	m->record = *record;
+	m->tell = mb_tell_count(mb);
+	m->suspect_until_us = 0;
+	if (record->state == MB_SUSPECT)
+		start_suspicion(mb, m);
+	if (ended(record->state) && !ended(before.state))
+		tell_change(mb, MB_ENDED, &m->record);
+	else if (!ended(record->state) &&
+		 (ended(before.state) ||
+		     before.incarnation != record->incarnation))
+		tell_change(mb, MB_JOINED, &m->record);
 }
 
-/* A probe failed: suspects the member. */
+/* A probe failed: the member has some time to object. */
 void
-mb_record_suspect(struct mb *mb, int64_t now_us, struct mb_peer *peer)
+mb_suspect(struct mb *mb, uint32_t instance)
 {
+	struct mb_member *m = mb_find(mb, instance);
 	struct mb_record record;
 
-	record = peer->record;
-	if (record.state == MB_SUSPECT)
-		peer->confirmed =
-		    peer->confirmed || now_us > peer->suspected_us;
-	if (record.state != MB_ALIVE)
+	if (m == NULL || m->record.state != MB_ALIVE)
 		return;
+	record = m->record;
 	record.state = MB_SUSPECT;
-	replace(mb, now_us, peer, &record);
+	mb_take_record(mb, &record);
 }
 
-static uint32_t
-up_count(const struct mb *mb)
-{
-	uint32_t i, n;
-
-	n = 0;
-	for (i = 0; i < mb->peer_count; i++)
-		if (mb_up(&mb->peers[i].record))
-			n++;
-	return n;
-}
-
-/* Suspects that did not object in time are gone. */
+/* Members that did not object in time are gone. */
 void
-mb_record_tick(struct mb *mb, int64_t now_us)
+mb_expire_suspects(struct mb *mb)
 {
-	struct mb_record record;
-	struct mb_peer *peer;
-	int64_t wait_us;
-	bool alone;
-	uint32_t i;
-
-	alone = up_count(mb) <= 1;
-	for (i = 0; i < mb->peer_count; i++) {
-		peer = &mb->peers[i];
-		if (peer->record.state != MB_SUSPECT)
-			continue;
-		wait_us = mb->options.suspect_ms * (int64_t)1000;
-		if (!peer->confirmed && !alone)
-			wait_us *= UNCONFIRMED_FACTOR;
-		if (now_us - peer->suspected_us < wait_us)
+	for (uint32_t i = 0; i < mb->count; i++) {
+		struct mb_member *m = &mb->members[i];
+		struct mb_record record = m->record;
+
+		if (m->suspect_until_us == 0 ||
+		    mb->now_us < m->suspect_until_us)
 			continue;
-		record = peer->record;
 		record.state = MB_GONE;
 		record.roles = 0;
-		replace(mb, now_us, peer, &record);
+		mb_take_record(mb, &record);
 	}
 }
 
-/* Adds the records that were passed on least, each once. */
+/* Puts records that are news on a message, the least told first. */
 void
-mb_record_fill(struct mb *mb, struct mb_msg *msg)
+mb_add_news(struct mb *mb, struct mb_msg *msg)
 {
-	bool taken[MB_MEMBERS_MAX] = {false};
-	struct mb_peer *best;
-	uint32_t i;
-
 	while (msg->record_count < MB_RECORDS_BATCH) {
-		best = NULL;
-		for (i = 0; i < mb->peer_count; i++)
-			if (!taken[i] && mb->peers[i].sends > 0 &&
-			    (best == NULL || mb->peers[i].sends > best->sends))
-				best = &mb->peers[i];
+		struct mb_member *best = NULL;
+
+		for (uint32_t i = 0; i < mb->count; i++) {
+			struct mb_member *m = &mb->members[i];
+			bool listed = false;
+
+			for (uint32_t j = 0; j < msg->record_count; j++)
+				listed |= msg->records[j].instance ==
+					  m->record.instance;
+			if (m->tell > 0 && !listed &&
+			    (best == NULL || m->tell > best->tell))
+				best = m;
+		}
 		if (best == NULL)
 			return;
-		taken[best - mb->peers] = true;
-		best->sends--;
+		best->tell--;
 		msg->records[msg->record_count++] = best->record;
 	}
 }
--- a/src/state/member_role.c
+++ b/src/state/member_role.c
@@ -1,238 +1,176 @@
-#include "state/member_core.h"
+#include "state/member_i.h"
 
-#include <string.h>
+/* Roles of the data centre under leases from a majority of voters. */
 
 enum {
-	ASK_JITTER_US = 200000
+	JITTER_US = 300000,
+	BACKOFF_US = 1000000 /* random, after a split vote */
 };
 
-/* The roles of a data centre, under leases from the voters. */
-
 static uint64_t
-candidate(const struct mb_record *record)
+candidate_id(const struct mb *mb)
 {
-	return (uint64_t)record->instance << 32 | (uint32_t)record->incarnation;
+	/* A life each: a restarted process does not inherit its lease. */
+	return mb->self.incarnation * 0x9e3779b97f4a7c15u ^ mb->self.instance;
 }
 
-static uint32_t
-voter_index(const struct mb *mb, uint32_t instance)
+/* Returns the voter's rank, or -1 if an instance is none. */
+static int
+voter_rank(const struct mb *mb, uint32_t instance)
 {
-	uint32_t i;
-
-	for (i = 0; i < mb->options.voter_count; i++)
+	for (uint32_t i = 0; i < mb->options.voter_count; i++) {
 		if (mb->options.voters[i] == instance)
-			break;
-	return i;
+			return (int)i;
+	}
+	return -1;
 }
 
-/* Prepares the leases; a voter of whatever data centre starts silent. */
-void
-mb_role_init(struct mb *mb, int64_t now_us)
+/* Returns whether this instance holds a role, at a time read just before. */
+bool
+mb_role_held(const struct mb *mb, enum mb_role role, int64_t now_us)
 {
-	uint32_t i, d;
-
-	for (i = 0; i < MB_ROLES; i++) {
-		ls_hold_init(
-		    &mb->holds[i], &mb->options.lease, mb->options.voter_count);
-		for (d = 0; d < MB_DATA_CENTRES_MAX; d++)
-			ls_vote_init(
-			    &mb->votes[d][i], &mb->options.lease, now_us);
-	}
+	return mb->leave_us == 0 &&
+	       ls_hold_valid(&mb->roles[role].hold, now_us);
 }
 
-/* Spreads the roles: the order of preference differs by role. */
-static uint64_t
-preference(uint32_t instance, enum mb_role role)
+/* Returns who is believed to hold a role, 0 if nobody. */
+uint32_t
+mb_role_holder(const struct mb *mb, enum mb_role role)
 {
-	uint64_t h;
+	if (mb->self.roles >> role & 1)
+		return mb->self.instance;
+	for (uint32_t i = 0; i < mb->count; i++) {
+		const struct mb_record *r = &mb->members[i].record;
 
-	h = (instance + 1) * 0x9e3779b97f4a7c15ULL + role * 0x2545f491ULL;
-	h ^= h >> 29;
-	h *= 0xbf58476d1ce4e5b9ULL;
-	return h ^ h >> 32;
+		if (r->state == MB_ALIVE && (r->roles >> role & 1) != 0)
+			return r->instance;
+	}
+	return 0;
 }
 
-/* Whether this instance should ask for a role: nobody has it, nobody is
- * preferred to it. */
-static bool
-wants(const struct mb *mb, enum mb_role role)
+static void
+answer_ask(struct mb *mb, uint32_t from, const struct mb_msg *msg)
 {
-	const struct mb_peer *peer;
-	uint32_t i;
-
-	if (mb->leaving)
-		return false;
-	if ((mb->self.roles >> role & 1) != 0)
-		return true;
-	for (i = 0; i < mb->peer_count; i++) {
-		peer = &mb->peers[i];
-		if (peer->record.state != MB_ALIVE)
-			continue;
-		if ((peer->record.roles >> role & 1) != 0 ||
-		    preference(peer->record.instance, role) >
-			preference(mb->self.instance, role))
-			return false;
-	}
-	return true;
+	struct mb_role_state *r = &mb->roles[msg->role];
+	struct mb_msg answer = {.kind = MB_MSG_LEASE_ANSWER,
+	    .role = msg->role,
+	    .round = msg->round};
+
+	answer.granted =
+	    ls_vote_ask(&r->vote, mb->now_us, msg->fence, &answer.fence);
+	if (answer.granted && r->vote_holder != msg->fence)
+		r->vote_round = 0;
+	if (answer.granted && msg->round > r->vote_round)
+		r->vote_round = msg->round;
+	r->vote_holder = r->vote.holder;
+	mb_send(mb, from, &answer);
 }
 
 static void
-answered(
-    struct mb *mb, int64_t now_us, uint32_t voter, const struct mb_msg *answer)
+ask_voters(struct mb *mb, enum mb_role role)
 {
-	struct mb_action action = {0};
-	struct ls_hold *hold;
-
-	hold = &mb->holds[answer->role];
-	ls_hold_answer(
-	    hold, now_us, voter, answer->round, answer->granted, answer->fence);
-	if ((mb->self.roles >> answer->role & 1) != 0 ||
-	    !ls_hold_valid(hold, now_us))
-		return;
-	mb->self.roles |= (uint8_t)(1U << answer->role);
-	mb_self_changed(mb);
-	action.kind = MB_ROLE_WON;
-	action.role = answer->role;
-	action.fence = hold->fence;
-	mb->options.emit(mb->options.ctx, &action);
+	struct mb_msg msg = {.kind = MB_MSG_LEASE_ASK,
+	    .role = role,
+	    .round = mb->roles[role].hold.round,
+	    .fence = candidate_id(mb)};
+
+	mb->roles[role].asked_round = msg.round;
+	for (uint32_t i = 0; i < mb->options.voter_count; i++)
+		mb_send(mb, mb->options.voters[i], &msg);
 }
 
+/* Notices that a role was won or lost, and lets the others know. */
 static void
-vote(struct mb *mb, int64_t now_us, const struct mb_msg *ask,
-    const struct mb_record *from, struct mb_msg *answer)
+follow_hold(struct mb *mb, enum mb_role role)
 {
-	memset(answer, 0, sizeof(*answer));
-	answer->kind = MB_MSG_LEASE_ANSWER;
-	answer->role = ask->role;
-	answer->round = ask->round;
-	answer->fence = ask->fence;
-	answer->granted = ls_vote_ask(&mb->votes[ask->target][ask->role],
-	    now_us, candidate(from), &answer->fence);
+	struct mb_role_state *r = &mb->roles[role];
+	bool held = mb_role_held(mb, role, mb->now_us);
+	struct mb_action action = {.role = role, .fence = r->hold.fence};
+
+	if (held == r->held)
+		return;
+	r->held = held;
+	action.kind = held ? MB_ROLE_WON : MB_ROLE_LOST;
+	mb->self.roles = (uint8_t)((mb->self.roles & ~(1u << role)) |
+				   (held ? 1u << role : 0));
+	mb->self.version++;
+	mb_emit(mb, &action);
 }
 
-static void
-ask_voters(struct mb *mb, int64_t now_us, enum mb_role role)
+/* Renews what is held, and stands for what nobody seems to hold. */
+void
+mb_role_tick(struct mb *mb)
 {
-	struct mb_msg ask = {0}, answer;
-	uint32_t i;
-
-	ask.kind = MB_MSG_LEASE_ASK;
-	ask.role = role;
-	ask.target = mb->options.data_centre;
-	ask.round = mb->holds[role].round;
-	ask.fence = mb->holds[role].fence;
-	for (i = 0; i < mb->options.voter_count; i++) {
-		if (mb->options.voters[i] != mb->self.instance) {
-			mb_send(mb, mb->options.voters[i], &ask);
+	for (int role = 0; role < MB_ROLES; role++) {
+		uint32_t holder = mb_role_holder(mb, (enum mb_role)role);
+		struct ls_hold *hold = &mb->roles[role].hold;
+
+		follow_hold(mb, (enum mb_role)role);
+		if (mb->leave_us != 0 ||
+		    (holder != 0 && holder != mb->self.instance)) {
+			hold->seen_us = mb->now_us;
 			continue;
 		}
-		vote(mb, now_us, &ask, &mb->self, &answer);
-		answered(mb, now_us, i, &answer);
+		if (ls_hold_tick(
+			hold, mb->now_us, rng_below(&mb->rng, JITTER_US)))
+			ask_voters(mb, (enum mb_role)role);
 	}
 }
 
 static void
-lose(struct mb *mb, enum mb_role role)
+release_votes(struct mb *mb, enum mb_role role)
 {
-	struct mb_action action = {0};
+	struct mb_msg msg = {.kind = MB_MSG_LEASE_RELEASE,
+	    .role = role,
+	    .round = mb->roles[role].asked_round,
+	    .fence = candidate_id(mb)};
 
-	mb->self.roles &= (uint8_t) ~(1U << role);
-	mb_self_changed(mb);
-	action.kind = MB_ROLE_LOST;
-	action.role = role;
-	mb->options.emit(mb->options.ctx, &action);
+	for (uint32_t i = 0; i < mb->options.voter_count; i++)
+		mb_send(mb, mb->options.voters[i], &msg);
 }
 
-/* Renews what is held, asks for what is free, notes what has ended. */
-void
-mb_role_tick(struct mb *mb, int64_t now_us)
-{
-	struct ls_hold *hold;
-	bool ask;
-	uint32_t i;
-
-	for (i = 0; i < MB_ROLES; i++) {
-		hold = &mb->holds[i];
-		if (!wants(mb, (enum mb_role)i))
-			continue;
-		ask = ls_hold_tick(
-		    hold, now_us, rng_below(&mb->rng, ASK_JITTER_US));
-		if ((mb->self.roles >> i & 1) != 0 &&
-		    !ls_hold_valid(hold, now_us))
-			lose(mb, (enum mb_role)i);
-		if (ask)
-			ask_voters(mb, now_us, (enum mb_role)i);
-	}
-}
-
-/* Gives all roles back. */
-void
-mb_role_release(struct mb *mb)
+/* Another candidate was faster with a voter: let it have the others too. */
+static void
+yield_role(struct mb *mb, enum mb_role role)
 {
-	struct mb_msg msg;
-	uint32_t i, v;
+	struct ls_hold *hold = &mb->roles[role].hold;
 
-	for (i = 0; i < MB_ROLES; i++) {
-		if ((mb->self.roles >> i & 1) == 0)
-			continue;
-		ls_hold_drop(&mb->holds[i]);
-		ls_vote_release(&mb->votes[mb->options.data_centre][i],
-		    candidate(&mb->self));
-		lose(mb, (enum mb_role)i);
-		for (v = 0; v < mb->options.voter_count; v++) {
-			if (mb->options.voters[v] == mb->self.instance)
-				continue;
-			memset(&msg, 0, sizeof(msg));
-			msg.kind = MB_MSG_LEASE_RELEASE;
-			msg.role = (enum mb_role)i;
-			msg.target = mb->options.data_centre;
-			mb_send(mb, mb->options.voters[v], &msg);
-		}
-	}
+	ls_hold_drop(hold);
+	hold->due_us = mb->now_us + rng_below(&mb->rng, BACKOFF_US);
+	release_votes(mb, role);
 }
 
-/* Takes a question, an answer or a release. */
+/* Takes a candidate's question, a voter's answer, or a role given back. */
 void
-mb_role_message(
-    struct mb *mb, int64_t now_us, uint32_t from, const struct mb_msg *msg)
+mb_role_message(struct mb *mb, uint32_t from, const struct mb_msg *msg)
 {
-	struct mb_msg answer;
-	uint32_t voter;
+	struct mb_role_state *r = &mb->roles[msg->role];
+	int rank = voter_rank(mb, from);
 
-	if (msg->target >= MB_DATA_CENTRES_MAX)
-		return;
 	if (msg->kind == MB_MSG_LEASE_ASK) {
-		vote(mb, now_us, msg, &msg->self, &answer);
-		mb_send(mb, from, &answer);
+		answer_ask(mb, from, msg);
 	} else if (msg->kind == MB_MSG_LEASE_RELEASE) {
-		ls_vote_release(
-		    &mb->votes[msg->target][msg->role], candidate(&msg->self));
-	} else if (msg->kind == MB_MSG_LEASE_ANSWER && !mb->leaving) {
-		voter = voter_index(mb, from);
-		if (voter < mb->options.voter_count)
-			answered(mb, now_us, voter, msg);
+		/* One that was overtaken must not take back a later vote. */
+		if (msg->round >= r->vote_round)
+			ls_vote_release(&r->vote, msg->fence);
+	} else if (!msg->granted && !r->held && msg->round == r->hold.round) {
+		yield_role(mb, msg->role);
+	} else if (rank >= 0) {
+		ls_hold_answer(&r->hold, mb->now_us, (uint32_t)rank, msg->round,
+		    msg->granted, msg->fence);
+		follow_hold(mb, msg->role);
 	}
 }
 
-/* Whether this instance holds a role, by the clock read just before. */
-bool
-mb_role_held(const struct mb *mb, enum mb_role role, int64_t now_us)
-{
-	return (mb->self.roles >> role & 1) != 0 &&
-	       ls_hold_valid(&mb->holds[role], now_us);
-}
-
-/* Returns the instance that is believed to hold a role; 0: none known. */
-uint32_t
-mb_role_holder(const struct mb *mb, enum mb_role role)
+/* Gives every role back before leaving. */
+void
+mb_role_release(struct mb *mb)
 {
-	uint32_t i;
-
-	if ((mb->self.roles >> role & 1) != 0)
-		return mb->self.instance;
-	for (i = 0; i < mb->peer_count; i++)
-		if (mb_up(&mb->peers[i].record) &&
-		    (mb->peers[i].record.roles >> role & 1) != 0)
-			return mb->peers[i].record.instance;
-	return 0;
+	for (int role = 0; role < MB_ROLES; role++) {
+		if (!mb->roles[role].held)
+			continue;
+		ls_hold_drop(&mb->roles[role].hold);
+		follow_hold(mb, (enum mb_role)role);
+		release_votes(mb, (enum mb_role)role);
+	}
 }
--- a/src/state/member_wire.c
+++ b/src/state/member_wire.c
@@ -5,202 +5,176 @@
 #include "wire/member.pb-c.h"
 
 static void
-record_pack(const struct mb_record *record, Cfw__MbRecord *wire)
+fill_record(Mbpb__Record *pb, const struct mb_record *record)
 {
-	cfw__mb_record__init(wire);
-	wire->instance = record->instance;
-	wire->incarnation = record->incarnation;
-	wire->version = record->version;
-	wire->state = record->state;
-	wire->roles = record->roles;
-}
-
-static int
-record_unpack(const Cfw__MbRecord *wire, struct mb_record *record)
-{
-	if (wire->instance == 0 || wire->state < MB_ALIVE ||
-	    wire->state > MB_GONE)
-		return ERR_MALFORMED;
-	record->instance = wire->instance;
-	record->incarnation = wire->incarnation;
-	record->version = wire->version;
-	record->state = (enum mb_state)wire->state;
-	record->roles = (uint8_t)wire->roles;
-	return 0;
+	mbpb__record__init(pb);
+	pb->instance = record->instance;
+	pb->incarnation = record->incarnation;
+	pb->version = record->version;
+	pb->state = record->state;
+	pb->roles = record->roles;
 }
 
 static void
-item_pack(const struct mb_item *item, Cfw__MbItem *wire)
+fill_item(Mbpb__Item *pb, const struct mb_item *item)
 {
-	cfw__mb_item__init(wire);
-	wire->kind = item->kind;
-	wire->origin = item->origin;
-	wire->incarnation = item->incarnation;
-	wire->number = item->number;
-	wire->wide = item->wide;
-	wire->key = item->key;
-	wire->data.len = item->len;
-	wire->data.data = (uint8_t *)item->data;
-}
-
-static int
-item_unpack(const Cfw__MbItem *wire, struct mb_item *item)
-{
-	if (wire->kind < MB_ITEM_CRASH_MARK || wire->kind > MB_ITEM_SUMMARY ||
-	    wire->data.len > MB_ITEM_BYTES)
-		return ERR_MALFORMED;
-	item->kind = (enum mb_item_kind)wire->kind;
-	item->origin = wire->origin;
-	item->incarnation = wire->incarnation;
-	item->number = wire->number;
-	item->wide = wire->wide;
-	item->key = wire->key;
-	item->len = (uint8_t)wire->data.len;
-	if (item->len > 0)
-		memcpy(item->data, wire->data.data, item->len);
-	return 0;
+	mbpb__item__init(pb);
+	pb->kind = item->kind;
+	pb->origin = item->origin;
+	pb->incarnation = item->incarnation;
+	pb->number = item->number;
+	pb->wide = item->wide;
+	pb->key = item->key;
+	pb->data.data = (uint8_t *)item->data;
+	pb->data.len = item->len;
 }
 
-/* Spare slots after the last version that has any are left out. */
+/* Trailing zeros of the spare slots are left out. */
 static void
-summary_pack(const struct mb_summary *summary, Cfw__MbSummary *wire,
+fill_summary(Mbpb__Summary *pb, const struct mb_summary *summary,
     uint32_t spare[MB_VERSIONS_MAX])
 {
-	size_t i;
-
-	cfw__mb_summary__init(wire);
-	wire->data_centre = summary->data_centre;
-	wire->number = summary->number;
-	wire->instances = summary->instances;
-	wire->relay = summary->relay;
-	wire->spare = spare;
-	for (i = 0; i < MB_VERSIONS_MAX; i++) {
+	mbpb__summary__init(pb);
+	pb->data_centre = summary->data_centre;
+	pb->number = summary->number;
+	pb->instances = summary->instances;
+	pb->relay = summary->relay;
+	for (size_t i = 0; i < MB_VERSIONS_MAX; i++) {
 		spare[i] = summary->spare[i];
 		if (spare[i] != 0)
-			wire->n_spare = i + 1;
+			pb->n_spare = i + 1;
 	}
-}
-
-static int
-summary_unpack(const Cfw__MbSummary *wire, struct mb_summary *summary)
-{
-	size_t i;
-
-	if (wire->n_spare > MB_VERSIONS_MAX ||
-	    wire->data_centre >= MB_DATA_CENTRES_MAX)
-		return ERR_MALFORMED;
-	summary->data_centre = (uint16_t)wire->data_centre;
-	summary->number = wire->number;
-	summary->instances = (uint16_t)wire->instances;
-	summary->relay = wire->relay;
-	for (i = 0; i < wire->n_spare; i++)
-		summary->spare[i] = (uint16_t)wire->spare[i];
-	return 0;
+	pb->spare = spare;
 }
 
 static bool
-has_summary(enum mb_msg_kind kind)
+has_summary(const struct mb_msg *msg)
 {
-	return kind == MB_MSG_SPARE || kind == MB_MSG_SUMMARY;
+	return msg->kind == MB_MSG_SPARE || msg->kind == MB_MSG_SUMMARY;
 }
 
-/* Appends a message. */
+/* Appends a message's bytes. */
 void
 mb_msg_encode(const struct mb_msg *msg, struct buf *out)
 {
-	Cfw__MbRecord self, records[MB_RECORDS_BATCH];
-	Cfw__MbRecord *record_list[MB_RECORDS_BATCH];
-	Cfw__MbItem items[MB_ITEMS_BATCH], *item_list[MB_ITEMS_BATCH];
-	uint32_t i, spare[MB_VERSIONS_MAX];
-	Cfw__MbSummary summary;
-	Cfw__MbMsg wire;
-	size_t size;
-
-	cfw__mb_msg__init(&wire);
-	wire.kind = msg->kind;
-	wire.probe = msg->probe;
-	wire.target = msg->target;
-	record_pack(&msg->self, &self);
-	wire.self = &self;
-	wire.role = msg->role;
-	wire.round = msg->round;
-	wire.fence = msg->fence;
-	wire.granted = msg->granted;
-	if (has_summary(msg->kind)) {
-		summary_pack(&msg->summary, &summary, spare);
-		wire.summary = &summary;
-	}
-	for (i = 0; i < msg->record_count; i++) {
-		record_pack(&msg->records[i], &records[i]);
+	Mbpb__Record self, records[MB_RECORDS_BATCH];
+	Mbpb__Record *record_list[MB_RECORDS_BATCH];
+	Mbpb__Item items[MB_ITEMS_BATCH];
+	Mbpb__Item *item_list[MB_ITEMS_BATCH];
+	Mbpb__Summary summary;
+	uint32_t spare[MB_VERSIONS_MAX];
+	Mbpb__Message pb = MBPB__MESSAGE__INIT;
+
+	fill_record(&self, &msg->self);
+	for (uint32_t i = 0; i < msg->record_count; i++) {
+		fill_record(&records[i], &msg->records[i]);
 		record_list[i] = &records[i];
 	}
-	wire.n_records = i;
-	wire.records = record_list;
-	for (i = 0; i < msg->item_count; i++) {
-		item_pack(&msg->items[i], &items[i]);
+	for (uint32_t i = 0; i < msg->item_count; i++) {
+		fill_item(&items[i], &msg->items[i]);
 		item_list[i] = &items[i];
 	}
-	wire.n_items = i;
-	wire.items = item_list;
-	size = cfw__mb_msg__get_packed_size(&wire);
-	buf_reserve(out, size);
-	cfw__mb_msg__pack(&wire, out->data + out->len);
-	out->len += size;
+	pb.kind = msg->kind;
+	pb.probe = msg->probe;
+	pb.target = msg->target;
+	pb.self = &self;
+	pb.role = msg->role;
+	pb.round = msg->round;
+	pb.fence = msg->fence;
+	pb.granted = msg->granted;
+	pb.n_records = msg->record_count;
+	pb.records = record_list;
+	pb.n_items = msg->item_count;
+	pb.items = item_list;
+	if (has_summary(msg)) {
+		fill_summary(&summary, &msg->summary, spare);
+		pb.summary = &summary;
+	}
+	buf_reserve(out, mbpb__message__get_packed_size(&pb));
+	out->len += mbpb__message__pack(&pb, out->data + out->len);
 }
 
-static int
-lists_unpack(const Cfw__MbMsg *wire, struct mb_msg *msg)
+static bool
+read_record(struct mb_record *record, const Mbpb__Record *pb)
 {
-	size_t i;
+	if (pb == NULL || pb->state < MB_ALIVE || pb->state > MB_GONE)
+		return false;
+	record->instance = pb->instance;
+	record->incarnation = pb->incarnation;
+	record->version = pb->version;
+	record->state = (enum mb_state)pb->state;
+	record->roles = (uint8_t)pb->roles;
+	return true;
+}
 
-	if (wire->n_records > MB_RECORDS_BATCH ||
-	    wire->n_items > MB_ITEMS_BATCH)
-		return ERR_MALFORMED;
-	for (i = 0; i < wire->n_records; i++)
-		if (record_unpack(wire->records[i], &msg->records[i]) != 0)
-			return ERR_MALFORMED;
-	for (i = 0; i < wire->n_items; i++)
-		if (item_unpack(wire->items[i], &msg->items[i]) != 0)
-			return ERR_MALFORMED;
-	msg->record_count = (uint32_t)wire->n_records;
-	msg->item_count = (uint32_t)wire->n_items;
-	return 0;
+static bool
+read_item(struct mb_item *item, const Mbpb__Item *pb)
+{
+	if (pb->data.len > MB_ITEM_BYTES)
+		return false;
+	item->kind = (enum mb_item_kind)pb->kind;
+	item->origin = pb->origin;
+	item->incarnation = pb->incarnation;
+	item->number = pb->number;
+	item->wide = pb->wide;
+	item->key = pb->key;
+	item->len = (uint8_t)pb->data.len;
+	if (pb->data.len > 0)
+		memcpy(item->data, pb->data.data, pb->data.len);
+	return true;
 }
 
-static int
-msg_unpack(const Cfw__MbMsg *wire, struct mb_msg *msg)
+static void
+read_summary(struct mb_summary *summary, const Mbpb__Summary *pb)
 {
-	if (wire->kind < MB_MSG_PING || wire->kind > MB_MSG_LEASE_RELEASE ||
-	    wire->self == NULL || wire->role >= MB_ROLES)
-		return ERR_MALFORMED;
-	msg->kind = (enum mb_msg_kind)wire->kind;
-	msg->probe = wire->probe;
-	msg->target = wire->target;
-	msg->role = (enum mb_role)wire->role;
-	msg->round = wire->round;
-	msg->fence = wire->fence;
-	msg->granted = wire->granted;
-	if (record_unpack(wire->self, &msg->self) != 0 ||
-	    (has_summary(msg->kind) && wire->summary == NULL))
-		return ERR_MALFORMED;
-	if (wire->summary != NULL &&
-	    summary_unpack(wire->summary, &msg->summary) != 0)
-		return ERR_MALFORMED;
-	return lists_unpack(wire, msg);
+	if (pb == NULL)
+		return;
+	summary->data_centre = (uint16_t)pb->data_centre;
+	summary->number = pb->number;
+	summary->instances = (uint16_t)pb->instances;
+	summary->relay = pb->relay;
+	for (size_t i = 0; i < pb->n_spare && i < MB_VERSIONS_MAX; i++)
+		summary->spare[i] = (uint16_t)pb->spare[i];
+}
+
+static bool
+read_lists(struct mb_msg *msg, const Mbpb__Message *pb)
+{
+	if (pb->n_records > MB_RECORDS_BATCH || pb->n_items > MB_ITEMS_BATCH)
+		return false;
+	for (size_t i = 0; i < pb->n_records; i++) {
+		if (!read_record(
+			&msg->records[msg->record_count++], pb->records[i]))
+			return false;
+	}
+	for (size_t i = 0; i < pb->n_items; i++) {
+		if (!read_item(&msg->items[msg->item_count++], pb->items[i]))
+			return false;
+	}
+	return true;
 }
 
-/* Reads a message; 0 or ERR_MALFORMED. */
+/* Reads a message.  0 or ERR_MALFORMED. */
 int
 mb_msg_decode(struct mb_msg *msg, const uint8_t *data, size_t len)
 {
-	Cfw__MbMsg *wire;
-	int error;
+	Mbpb__Message *pb = mbpb__message__unpack(NULL, len, data);
+	bool good;
 
 	memset(msg, 0, sizeof(*msg));
-	wire = cfw__mb_msg__unpack(NULL, len, data);
-	if (wire == NULL)
+	if (pb == NULL)
 		return ERR_MALFORMED;
-	error = msg_unpack(wire, msg);
-	cfw__mb_msg__free_unpacked(wire, NULL);
-	return error;
+	msg->kind = (enum mb_msg_kind)pb->kind;
+	msg->probe = pb->probe;
+	msg->target = pb->target;
+	msg->role = (enum mb_role)pb->role;
+	msg->round = pb->round;
+	msg->fence = pb->fence;
+	msg->granted = pb->granted;
+	read_summary(&msg->summary, pb->summary);
+	good = pb->kind >= MB_MSG_PING && pb->kind <= MB_MSG_LEASE_RELEASE &&
+	       pb->role < MB_ROLES && read_record(&msg->self, pb->self) &&
+	       read_lists(msg, pb);
+	mbpb__message__free_unpacked(pb, NULL);
+	return good ? 0 : ERR_MALFORMED;
 }
