Vote for each data centre apart, and tell the others of ended lives

A voter now keeps a vote for each data centre, the relay publishes the end of a life as a wide item, and an item with a target is not passed on. Members of large data centres send their summaries less often, since the relay hears all.

--- a/src/daemon/child_member.c
+++ b/src/daemon/child_member.c
@@ -137,6 +137,18 @@
 	entry_event(node->entry, &event);
 }
 
+/* A life of an instance of another data centre has ended. */
+static void
+take_gone(struct node *node, const struct mb_item *item)
+{
+	uint64_t incarnation;
+
+	if (item->len != sizeof(incarnation) || node->book == NULL)
+		return;
+	memcpy(&incarnation, item->data, sizeof(incarnation));
+	book_ended(node->book, (uint32_t)item->key, incarnation);
+}
+
 static void
 take_item(struct node *node, const struct mb_item *item)
 {
@@ -157,6 +169,8 @@
 		entry_event(node->entry, &event);
 		break;
 	case MB_ITEM_GONE:
+		take_gone(node, item);
+		break;
 	case MB_ITEM_SUMMARY:
 		break;
 	}
--- a/src/state/member.c
+++ b/src/state/member.c
@@ -85,7 +85,9 @@
 	mb->summary_due_us =
 	    now_us + mb_ms(options->summary_ms, SUMMARY_MS) / 2;
 	for (int role = 0; role < MB_ROLES; role++) {
-		ls_vote_init(&mb->roles[role].vote, &options->lease, now_us);
+		for (int dc = 0; dc < MB_DATA_CENTRES_MAX; dc++)
+			ls_vote_init(&mb->roles[role].votes[dc].lease,
+			    &options->lease, now_us);
 		ls_hold_init(&mb->roles[role].hold, &options->lease,
 		    options->voter_count);
 	}
@@ -234,7 +236,7 @@
 	for (uint32_t i = 0; i < msg->record_count; i++)
 		mb_take_record(mb, &msg->records[i]);
 	for (uint32_t i = 0; i < msg->item_count; i++)
-		mb_take_item(mb, &msg->items[i], msg->kind == MB_MSG_ITEMS);
+		mb_take_item(mb, &msg->items[i], msg);
 	switch (msg->kind) {
 	case MB_MSG_JOIN:
 		send_records(mb, from);
--- a/src/state/member.h
+++ b/src/state/member.h
@@ -100,7 +100,7 @@
 	MB_MSG_PING_REQ, /* probe target for the sender */
 	MB_MSG_JOIN, /* answered by records, all of them */
 	MB_MSG_RECORDS,
-	MB_MSG_ITEMS, /* to one instance, or between relays */
+	MB_MSG_ITEMS, /* to target only, or (target 0) between relays */
 	MB_MSG_SPARE, /* to the relay: summary of the sender's own share */
 	MB_MSG_SUMMARY, /* between relays */
 	MB_MSG_LEASE_ASK,
@@ -111,7 +111,7 @@
 struct mb_msg {
 	enum mb_msg_kind kind;
 	uint32_t probe; /* echoed in ACK */
-	uint32_t target; /* PING_REQ, and PING on behalf of another */
+	uint32_t target; /* PING_REQ, PING on behalf; LEASE_*: data centre */
 	struct mb_record self;
 	enum mb_role role;
 	uint64_t round; /* LEASE_*: echoed */
--- a/src/state/member_i.h
+++ b/src/state/member_i.h
@@ -46,10 +46,15 @@
 	bool silent;
 };
 
+/* A vote on a role of one data centre: a witness votes in several. */
+struct mb_vote {
+	struct ls_vote lease;
+	uint64_t holder; /* whom round belongs to */
+	uint64_t round; /* latest question that was granted */
+};
+
 struct mb_role_state {
-	struct ls_vote vote;
-	uint64_t vote_holder; /* whom vote_round belongs to */
-	uint64_t vote_round; /* latest question that was granted */
+	struct mb_vote votes[MB_DATA_CENTRES_MAX];
 	struct ls_hold hold;
 	uint64_t asked_round; /* latest question of this candidate */
 	bool held;
@@ -110,7 +115,9 @@
 void mb_shift_probes(struct mb *mb, int64_t gap_us);
 
 /* member_item.c */
-void mb_take_item(struct mb *mb, const struct mb_item *item, bool from_wide);
+void mb_tell_gone(struct mb *mb, const struct mb_record *record);
+void mb_take_item(
+    struct mb *mb, const struct mb_item *item, const struct mb_msg *msg);
 void mb_add_items(struct mb *mb, struct mb_msg *msg);
 void mb_summary_tick(struct mb *mb);
 void mb_summary_message(struct mb *mb, uint32_t from, const struct mb_msg *msg);
--- a/src/state/member_item.c
+++ b/src/state/member_item.c
@@ -10,6 +10,7 @@
 
 enum {
 	SUMMARY_MS = 2000,
+	MEMBER_US = 100000, /* of a summary's period, for each member */
 	SILENT_MS = 30000,
 	SPARE_MAX = 255
 };
@@ -71,18 +72,37 @@
 	}
 }
 
+/* The relay tells the other data centres that a life has ended. */
+void
+mb_tell_gone(struct mb *mb, const struct mb_record *record)
+{
+	struct mb_item item = {.kind = MB_ITEM_GONE,
+	    .key = record->instance,
+	    .len = sizeof(record->incarnation)};
+
+	if (!mb_role_held(mb, MB_RELAY, mb->now_us))
+		return;
+	memcpy(item.data, &record->incarnation, sizeof(record->incarnation));
+	mb_publish(mb, mb->now_us, &item, 0, true);
+}
+
 /*
  * Takes an item.  One that crossed from another data centre is spread in this
- * one and goes no further.
+ * one and goes no further; one for this instance alone is not spread at all.
  */
 void
-mb_take_item(struct mb *mb, const struct mb_item *item, bool from_wide)
+mb_take_item(
+    struct mb *mb, const struct mb_item *item, const struct mb_msg *msg)
 {
 	struct mb_action action = {.kind = MB_GOT_ITEM, .item = item};
+	bool from_wide = msg->kind == MB_MSG_ITEMS;
+	bool alone = from_wide && msg->target == mb->self.instance;
 
 	if (item->origin == mb->self.instance || find_item(mb, item) != NULL)
 		return;
 	keep_item(mb, item);
+	if (alone)
+		find_item(mb, item)->tell = 0;
 	if (item->kind == MB_ITEM_SUMMARY) {
 		take_summary_item(mb, item);
 		return;
@@ -130,6 +150,7 @@
 	own.wide = wide;
 	if (to != 0) {
 		msg.items[0] = own;
+		msg.target = to;
 		mb_send(mb, to, &msg);
 		return 0;
 	}
@@ -239,11 +260,16 @@
 void
 mb_summary_tick(struct mb *mb)
 {
+	int64_t period_us;
+
 	find_silent(mb);
 	if (mb->now_us < mb->summary_due_us)
 		return;
-	mb->summary_due_us =
-	    mb->now_us + mb_ms(mb->options.summary_ms, SUMMARY_MS);
+	/* The relay hears every member: many members, seldom each. */
+	period_us = mb->count * (int64_t)MEMBER_US;
+	if (period_us < mb_ms(mb->options.summary_ms, SUMMARY_MS))
+		period_us = mb_ms(mb->options.summary_ms, SUMMARY_MS);
+	mb->summary_due_us = mb->now_us + period_us;
 	if (mb_role_held(mb, MB_RELAY, mb->now_us))
 		send_summary(mb);
 	else
--- a/src/state/member_record.c
+++ b/src/state/member_record.c
@@ -59,6 +59,14 @@
 	    mb->now_us + mb_ms(mb->options.suspect_ms, SUSPECT_MS);
 }
 
+/* A life has ended; the relay tells the other data centres as well. */
+static void
+tell_ended(struct mb *mb, const struct mb_record *record)
+{
+	tell_change(mb, MB_ENDED, record);
+	mb_tell_gone(mb, record);
+}
+
 /* A life that nobody has ended is over if its successor is here. */
 static void
 end_former_life(
@@ -66,7 +74,7 @@
 {
 	if (record->incarnation > m->record.incarnation &&
 	    !ended(m->record.state))
-		tell_change(mb, MB_ENDED, &m->record);
+		tell_ended(mb, &m->record);
 }
 
 static void
@@ -109,7 +117,7 @@
 	if (record->state == MB_SUSPECT)
 		start_suspicion(mb, m);
 	if (ended(record->state) && !ended(before.state))
-		tell_change(mb, MB_ENDED, &m->record);
+		tell_ended(mb, &m->record);
 	else if (!ended(record->state) &&
 		 (ended(before.state) ||
 		     before.incarnation != record->incarnation))
--- a/src/state/member_role.c
+++ b/src/state/member_role.c
@@ -48,21 +48,29 @@
 	return 0;
 }
 
+/* Returns the vote that a message of a candidate is about. */
+static struct mb_vote *
+vote_of(struct mb *mb, const struct mb_msg *msg)
+{
+	return &mb->roles[msg->role].votes[msg->target % MB_DATA_CENTRES_MAX];
+}
+
 static void
 answer_ask(struct mb *mb, uint32_t from, const struct mb_msg *msg)
 {
-	struct mb_role_state *r = &mb->roles[msg->role];
+	struct mb_vote *vote = vote_of(mb, msg);
 	struct mb_msg answer = {.kind = MB_MSG_LEASE_ANSWER,
 	    .role = msg->role,
+	    .target = msg->target,
 	    .round = msg->round};
 
 	answer.granted =
-	    ls_vote_ask(&r->vote, mb->now_us, msg->fence, &answer.fence);
-	if (answer.granted && r->vote_holder != msg->fence)
-		r->vote_round = 0;
-	if (answer.granted && msg->round > r->vote_round)
-		r->vote_round = msg->round;
-	r->vote_holder = r->vote.holder;
+	    ls_vote_ask(&vote->lease, mb->now_us, msg->fence, &answer.fence);
+	if (answer.granted && vote->holder != msg->fence)
+		vote->round = 0;
+	if (answer.granted && msg->round > vote->round)
+		vote->round = msg->round;
+	vote->holder = vote->lease.holder;
 	mb_send(mb, from, &answer);
 }
 
@@ -71,6 +79,7 @@
 {
 	struct mb_msg msg = {.kind = MB_MSG_LEASE_ASK,
 	    .role = role,
+	    .target = mb->options.data_centre,
 	    .round = mb->roles[role].hold.round,
 	    .fence = candidate_id(mb)};
 
@@ -122,6 +131,7 @@
 {
 	struct mb_msg msg = {.kind = MB_MSG_LEASE_RELEASE,
 	    .role = role,
+	    .target = mb->options.data_centre,
 	    .round = mb->roles[role].asked_round,
 	    .fence = candidate_id(mb)};
 
@@ -151,8 +161,8 @@
 		answer_ask(mb, from, msg);
 	} else if (msg->kind == MB_MSG_LEASE_RELEASE) {
 		/* One that was overtaken must not take back a later vote. */
-		if (msg->round >= r->vote_round)
-			ls_vote_release(&r->vote, msg->fence);
+		if (msg->round >= vote_of(mb, msg)->round)
+			ls_vote_release(&vote_of(mb, msg)->lease, msg->fence);
 	} else if (!msg->granted && !r->held && msg->round == r->hold.round) {
 		yield_role(mb, msg->role);
 	} else if (rank >= 0) {
