Stop a failed version through the leader; name a session's birth in its answers

Cause: the sequential test's verdict reached nobody but its own instance, and a session's version was known only to instances that had heard of it.

--- a/src/daemon/child_member.c
+++ b/src/daemon/child_member.c
@@ -10,6 +10,7 @@
 #include "base/rng.h"
 #include "config/compile.h"
 #include "daemon/node.h"
+#include "daemon/operator.h"
 #include "daemon/state.h"
 #include "state/member.h"
 
@@ -461,6 +462,11 @@
 		publish(node, MB_ITEM_BIND, action->key, &bind, sizeof(bind),
 		    false);
 		break;
+	case CF_ACT_STOP_VERSION:
+		operators_tell(node->operators, OPERATOR_STOP,
+		    cfg->versions[action->version].name,
+		    strlen(cfg->versions[action->version].name));
+		break;
 	case CF_ACT_CREDIT_ASK:
 	case CF_ACT_CREDIT_GIVE:
 		if (node->credits != NULL)
--- a/src/daemon/feed.c
+++ b/src/daemon/feed.c
@@ -177,6 +177,8 @@
 		if (alive[i] == self)
 			self_at = i;
 	}
+	if (count == 0)
+		return;
 	self_at = (self_at + count - root_at) % count;
 	for (uint32_t c = 1; c <= FEED_CHILDREN; c++) {
 		uint32_t child = FEED_CHILDREN * self_at + c;
--- a/src/daemon/operator.c
+++ b/src/daemon/operator.c
@@ -79,6 +79,8 @@
 	struct hs_exchange *x = ask->x;
 
 	drop(ask);
+	if (x == NULL)
+		return;
 	if (error == 0 || len > 0)
 		answer_json(x,
 		    error == 0 ? HTTP_OK : err_answer(error)->http_status, body,
@@ -161,6 +163,14 @@
 	ask->retry = loop_after(node->loop, 0, try_next, ask);
 }
 
+/* Tells the leader something; it is sent again until a replica has it. */
+void
+operators_tell(struct operators *operators, enum operator_kind kind,
+    const void *body, size_t len)
+{
+	operators_ask(operators, NULL, kind, "", body, len);
+}
+
 static struct ask *
 find_ask(const struct operators *operators, uint64_t id)
 {
--- a/src/daemon/operator.h
+++ b/src/daemon/operator.h
@@ -22,6 +22,7 @@
 	OPERATOR_UNCONFIRMED, /* who has not confirmed a revision */
 	OPERATOR_BILLS, /* the export after a line number */
 	OPERATOR_UNSETTLED, /* intents without settlement */
+	OPERATOR_STOP, /* the sequential test failed a version */
 	OPERATOR_LOG /* the replicated log's own state */
 };
 
@@ -32,6 +33,8 @@
 void operators_free(struct operators *operators);
 void operators_ask(struct operators *operators, struct hs_exchange *x,
     enum operator_kind kind, const char *team, const void *body, size_t len);
+void operators_tell(struct operators *operators, enum operator_kind kind,
+    const void *body, size_t len);
 void operators_message(struct operators *operators, uint32_t from,
     const uint8_t *data, uint32_t len);
 void operators_reply(struct node *node, uint32_t to, uint64_t id, int error,
--- a/src/daemon/state_config.c
+++ b/src/daemon/state_config.c
@@ -2,6 +2,7 @@
 #include <jansson.h>
 #include <stdlib.h>
 #include <string.h>
+#include <xxhash.h>
 
 #include "base/clock.h"
 #include "base/err.h"
@@ -28,6 +29,10 @@
 };
 
 static const char bootstrap_id[] = "bootstrap";
+static const char stop_team[] = "(sequential test)"; /* no team is named so */
+
+static void change_own(
+    struct state *state, const char *id, const char *team, json_t *items);
 
 /* The first change of a new set has no team; later ones have an owner. */
 static bool
@@ -40,7 +45,7 @@
 	(void)ctx;
 	if (strcmp(path, replica_set_path) == 0)
 		return strcmp(team, replica_set_team) == 0;
-	if (cs_revision(cs) == 0)
+	if (cs_revision(cs) == 0 || strcmp(team, stop_team) == 0)
 		return true;
 	section_list_init(&list, alloc_default());
 	for (size_t i = 0; cs_section_at(cs, i, &section); i++)
@@ -480,6 +485,38 @@
 	buf_free(&text);
 }
 
+/*
+ * An instance's sequential test failed a version: it is withdrawn everywhere.
+ * Several instances may say so; the change id makes it one change.
+ */
+static void
+stop_version(struct state *state, const char *name)
+{
+	const char *slash = strchr(name, '/');
+	struct cs_section section;
+	char path[CS_PATH_BYTES], id[CS_NAME_BYTES];
+	struct buf text;
+
+	snprintf(path, sizeof(path), "versions/%s",
+	    slash != NULL ? slash + 1 : name);
+	if (!cs_section_get(state->cs, path, &section))
+		return;
+	buf_init(&text, state->node->alloc);
+	if (delta_set_key(section.text, "state", "withdrawn", &text) == 0 &&
+	    (text.len != section.len ||
+		memcmp(text.data, section.text, text.len) != 0)) {
+		snprintf(id, sizeof(id), "stop-%016" PRIx64,
+		    XXH64(path, strlen(path), section.revision));
+		log_event(LOG_LEVEL_WARN, "version_stopped",
+		    "version=%s revision=%" PRIu64, name, section.revision);
+		change_own(state, id, stop_team,
+		    json_pack("[{s:s,s:I,s:s%}]", "path", path, "base_revision",
+			(json_int_t)section.revision, "text", text.data,
+			text.len));
+	}
+	buf_free(&text);
+}
+
 static void
 answer_read(struct state *state, struct state_request *request)
 {
@@ -496,6 +533,10 @@
 	case OPERATOR_LOG:
 		reply(state, request, 0, log_json(state));
 		break;
+	case OPERATOR_STOP:
+		stop_version(state, buf_text(&request->body));
+		reply(state, request, 0, NULL);
+		break;
 	case OPERATOR_BILLS:
 	case OPERATOR_UNSETTLED:
 		reply_bills(state, request);
--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -244,6 +244,9 @@
 	}
 	hs_set_data(x, f);
 	f->json = parse->json;
+	if (parse->out.session != 0)
+		snprintf(f->session, sizeof(f->session), "%s@%" PRIu64,
+		    parse->session, parse->out.session_birth);
 	f->request = parse->out;
 	f->request.id = f->id;
 	f->request.forwarded = is_forwarded(entry, x, f);
--- a/src/entry/flight.c
+++ b/src/entry/flight.c
@@ -369,6 +369,9 @@
 	if (f->request.kind == CF_CHAT)
 		headers[n++] = (struct hs_header){
 		    "Celeryford-Version", answer_version(f, slot)};
+	if (f->session[0] != '\0')
+		headers[n++] =
+		    (struct hs_header){"Celeryford-Session", f->session};
 	return n;
 }
 
--- a/src/entry/flight.h
+++ b/src/entry/flight.h
@@ -8,6 +8,7 @@
 #include "celeryford.h"
 #include "entry/attempt.h"
 #include "entry/entry.h"
+#include "entry/request.h"
 #include "entry/servers.h"
 #include "http/client.h"
 #include "http/server.h"
@@ -41,6 +42,7 @@
 	char key[FLIGHT_ID_BYTES + 64]; /* claimed; "" if none */
 	uint64_t sequence;
 	struct cf_request request;
+	char session[REQUEST_SESSION_BYTES + 32]; /* as the answer names it */
 	json_t *json; /* chat: the body */
 	char *method;
 	char *target;
--- a/src/entry/request.c
+++ b/src/entry/request.c
@@ -49,6 +49,34 @@
 	return 0;
 }
 
+/*
+ * Reads "ID" or "ID@REVISION".  The answer names the revision at which the
+ * session began; a caller that sends it back has the same version chosen by
+ * any instance, also by one that never heard of the session.
+ */
+static void
+parse_session(
+    const char *text, const struct cfg *cfg, struct request_parse *parse)
+{
+	const char *at = strrchr(text, '@');
+	struct cf_request *out = &parse->out;
+	char *end = NULL;
+
+	out->session_birth = cfg->revision;
+	if (at != NULL && at[1] >= '0' && at[1] <= '9') {
+		unsigned long long birth = strtoull(at + 1, &end, 10);
+
+		if (*end == '\0' && birth <= cfg->revision)
+			out->session_birth = birth;
+	}
+	snprintf(parse->session, sizeof(parse->session), "%.*s",
+	    (int)(end != NULL && *end == '\0' ? (size_t)(at - text)
+					      : strlen(text)),
+	    text);
+	out->session =
+	    XXH64(parse->session, strlen(parse->session), out->workspace + 1);
+}
+
 static int
 parse_headers(const struct hs_exchange *x, const struct cfg *cfg,
     int64_t now_us, struct request_parse *parse)
@@ -76,8 +104,7 @@
 	if (session != NULL && strlen(session) > REQUEST_SESSION_BYTES)
 		return ERR_HEADER;
 	if (session != NULL)
-		out->session =
-		    XXH64(session, strlen(session), out->workspace + 1);
+		parse_session(session, cfg, parse);
 	parse->key = hs_header(x, "Idempotency-Key");
 	parse->param = "Idempotency-Key";
 	if (parse->key != NULL &&
--- a/src/entry/request.h
+++ b/src/entry/request.h
@@ -25,6 +25,7 @@
 struct request_parse {
 	struct cf_request out;
 	json_t *json; /* chat: the body, to be released by the caller */
+	char session[REQUEST_SESSION_BYTES + 1]; /* without its birth */
 	const char *key; /* Idempotency-Key, or NULL; lives with x */
 	const char *param; /* what an error is about */
 };
--- a/src/wire/peer.c
+++ b/src/wire/peer.c
@@ -179,9 +179,8 @@
 {
 	int64_t unheard_us = link_unheard_us(peer->link);
 
-	if (link_idle_us(peer->link) > PEER_IDLE_US)
-		drop_link(peer);
-	else if (unheard_us > PEER_SILENT_US)
+	if (link_idle_us(peer->link) > PEER_IDLE_US ||
+	    unheard_us > PEER_SILENT_US)
 		drop_link(peer);
 	else if (unheard_us > PEER_PING_US && link_ready(peer->link))
 		send_on(hub, peer->link, PEER_PING, NULL, 0);
