--- a/src/core/attempt.c
+++ b/src/core/attempt.c
@@ -200,8 +200,11 @@
 	if (s == NULL)
 		return;
 	r->running[place_lane(q, t->version)]--;
-	if (s->said.incarnation == t->incarnation)
-		fl_ended(r->fl, t->server, t->suspect, r->now_us);
+	if (s->said.incarnation != t->incarnation)
+		return;
+	fl_ended(r->fl, t->server, t->suspect, r->now_us);
+	if (state == ATTEMPT_CANCELLED)
+		fl_cancelled(r->fl, t->server, r->now_us);
 }
 
 /* Stops a running attempt; whether it ran stays unknown. */
@@ -362,8 +365,10 @@
 	if (t->server == CF_NO_SERVER)
 		return;
 	if (report->server_crashed &&
-	    t->incarnation == fl_server(r->fl, t->server)->said.incarnation)
+	    t->incarnation == fl_server(r->fl, t->server)->said.incarnation) {
 		upkeep_crash(r, t->server);
+		fl_gone(r->fl, t->server, r->now_us);
+	}
 	if (t->version == CFG_NONE || report->run_state == ERR_NOT_RUN ||
 	    !err_answer(report->error)->try_again)
 		return;
--- a/src/core/fleet.c
+++ b/src/core/fleet.c
@@ -5,6 +5,7 @@
 #include "core/fleet_priv.h"
 
 enum {
+	FL_LINGER_US = 500000, /* a cancelled attempt is gone after this */
 	FL_SILENT_US = 3000000, /* without an announcement a server is gone */
 	FL_MEAN_SHARE = 8 /* weight of one announcement in the mean load */
 };
@@ -166,6 +167,8 @@
 	uint32_t others = load > own ? load - own : 0;
 	int64_t busy;
 
+	if (s->said.reported_us > s->lingering_us + FL_LINGER_US)
+		s->lingering = 0;
 	s->others = others > UINT16_MAX ? UINT16_MAX : (uint16_t)others;
 	if (s->said.slots == 0)
 		return;
@@ -181,6 +184,7 @@
 
 	s->in_flight = 0;
 	s->suspects = 0;
+	s->lingering = 0;
 	s->others = 0;
 	s->slow = false;
 	s->samples = 0;
@@ -304,6 +308,21 @@
 	fl_note_change(s, now_us);
 }
 
+/*
+ * Notes that an attempt was cancelled.  Its server may go on with it for a
+ * while, so it keeps its warm-up credit until a later report.
+ */
+void
+fl_cancelled(struct fl *fl, uint16_t server, int64_t now_us)
+{
+	struct fl_server *s = &fl->servers[server];
+
+	if (s->said.warmth == CF_WARM)
+		return;
+	s->lingering++;
+	s->lingering_us = now_us;
+}
+
 /* Counts an attempt that ended on a server of the same incarnation. */
 void
 fl_ended(struct fl *fl, uint16_t server, bool suspect, int64_t now_us)
--- a/src/core/fleet.h
+++ b/src/core/fleet.h
@@ -38,6 +38,8 @@
 	bool slow; /* its latency jumped: treated as cold */
 	uint16_t in_flight; /* attempts of this instance */
 	uint16_t suspects; /* of them, requests with a crash mark */
+	uint16_t lingering; /* cancelled ones that may still run there */
+	int64_t lingering_us; /* the last of those cancels */
 	uint16_t others; /* load of other instances when last reported */
 	int64_t heard_us;
 	int64_t gone_us;
@@ -110,6 +112,7 @@
     int64_t now_us, struct fl_choice *choice);
 
 void fl_started(struct fl *fl, uint16_t server, bool suspect, int64_t now_us);
+void fl_cancelled(struct fl *fl, uint16_t server, int64_t now_us);
 void fl_ended(struct fl *fl, uint16_t server, bool suspect, int64_t now_us);
 void fl_first_token(
     struct fl *fl, uint16_t server, int64_t took_us, int64_t expected_us);
--- a/src/core/fleet_pick.c
+++ b/src/core/fleet_pick.c
@@ -52,7 +52,8 @@
 fl_has_credit(const struct fl_server *s, int64_t now_us)
 {
 	return s->credits_incarnation == s->said.incarnation &&
-	       now_us < s->credits_until_us && s->in_flight < s->credits;
+	       now_us < s->credits_until_us &&
+	       s->in_flight + s->lingering < s->credits;
 }
 
 static bool
--- a/src/core/granter.c
+++ b/src/core/granter.c
@@ -1,5 +1,8 @@
 #include "core/granter.h"
 
+/* By then an announcement has reached all instances, and their work it. */
+#define GR_TOLD_US INT64_C(200000)
+
 struct gr_hold {
 	uint16_t credits;
 	int64_t until_us;
@@ -94,14 +97,17 @@
 
 /*
  * Takes in an announcement.  Work without a live lease (sent while the server
- * was warm, or under a lease that ended) counts against the server until a
- * load report measured after the last such lease says that it is gone.
+ * was taken for warm, or under a lease that ended) counts against the server
+ * until a load report says that it is gone.  That report must have been
+ * measured after the last such lease, or after every instance has been told
+ * that the server is cold.
  */
 void
 gr_announce(struct gr *gr, const struct cf_announce *said, int64_t now_us)
 {
 	struct gr_server *s;
 	uint32_t load = (uint32_t)said->running + said->queued;
+	int64_t waited_us = gr->options.now_us + gr->options.lease_us;
 
 	if (said->server >= gr->options.max_servers)
 		return;
@@ -114,10 +120,9 @@
 	if (!s->known || said->incarnation != s->incarnation ||
 	    (s->warmth == CF_WARM && said->warmth == CF_COLD)) {
 		s->unleased = UINT16_MAX;
-		s->lapsed_us = said->reported_us - 1;
-		if (!s->known)
-			s->lapsed_us =
-			    gr->options.now_us + gr->options.lease_us;
+		s->lapsed_us = now_us + GR_TOLD_US;
+		if (!s->known && waited_us > s->lapsed_us)
+			s->lapsed_us = waited_us;
 	}
 	s->known = true;
 	s->incarnation = said->incarnation;
