--- a/src/core/attempt.c
+++ b/src/core/attempt.c
@@ -168,16 +168,22 @@
 	return true;
 }
 
-/* Hands a request to another data centre, as an attempt of its own. */
-void
+/*
+ * Hands a request to another data centre, as an attempt of its own; what may
+ * run there is checked once more by its receiver.  Returns false and does
+ * nothing where it may not be sent again.
+ */
+bool
 attempt_forward(struct cf_router *r, struct request *q, uint16_t data_centre)
 {
 	struct cf_action *a;
 	struct attempt *t;
 	uint16_t version = q->pinned ? q->chain.versions[0] : CFG_NONE;
 
-	if (!attempt_once_allowed(r, q))
-		return;
+	if (q->attempt_count == CF_ATTEMPTS_MAX ||
+	    !attempt_once_allowed(r, q) ||
+	    request_convicted(r, q->asked.fingerprint))
+		return false;
 	t = attempt_start(r, q, version);
 	t->data_centre = data_centre;
 	nb_sent(&r->nb, data_centre);
@@ -186,6 +192,7 @@
 	a->at_us = q->asked.deadline_us;
 	if (q->bind)
 		attempt_bind(r, q, version);
+	return true;
 }
 
 /* Takes an attempt off its server's count. */
--- a/src/core/place.c
+++ b/src/core/place.c
@@ -376,7 +376,10 @@
 			return false;
 		choice.candidates = fl_count(r->fl, &need);
 		choice.expected_us = fl_expect(r->fl, server, &need, r->now_us);
-		return attempt_dispatch(r, q, &choice, version, q->why);
+		if (!attempt_dispatch(r, q, &choice, version, q->why))
+			return false;
+		q->step = i;
+		return true;
 	}
 	return false;
 }
@@ -410,8 +413,7 @@
 	dc = nb_pick(&r->nb, r->cfg, &need);
 	if (dc == CFG_NONE)
 		return false;
-	attempt_forward(r, q, dc);
-	return true;
+	return attempt_forward(r, q, dc);
 }
 
 /* Whether another data centre could take a request once it has room. */
--- a/src/core/router.h
+++ b/src/core/router.h
@@ -173,7 +173,7 @@
 /* attempt.c */
 bool attempt_dispatch(struct cf_router *r, struct request *q,
     const struct fl_choice *choice, uint16_t version, enum cf_reason why);
-void attempt_forward(
+bool attempt_forward(
     struct cf_router *r, struct request *q, uint16_t data_centre);
 void attempt_cancel(struct cf_router *r, struct request *q, uint8_t number);
 void attempt_first_token(struct cf_router *r, const struct cf_attempt *report);
