--- a/src/core/place.c
+++ b/src/core/place.c
@@ -125,27 +125,6 @@
 	q->pinned = pinned;
 }
 
-/*
- * Returns the versions in roll-out that may take one more session.  Which of
- * them a session gets is its hash's matter, so every draw that opens one is
- * asked for.
- */
-static uint64_t
-place_rolling_open(const struct cf_router *r)
-{
-	const struct cfg_version *v = r->cfg->versions;
-	uint64_t open = ro_open(r->ro, 0);
-	uint64_t left = r->rolling;
-	uint32_t draw = 0;
-
-	for (; left != 0; left &= left - 1) {
-		draw += v[__builtin_ctzll(left)].stage_permille;
-		if (draw < 1000)
-			open |= ro_open(r->ro, (uint16_t)draw);
-	}
-	return open & r->rolling;
-}
-
 /*
  * Puts a session's version into the chain: the bound one while it may run, or
  * the one that the rule gives.
@@ -165,7 +144,7 @@
 		return;
 	}
 	lost = version != CFG_NONE && q->asked.model == CFG_NONE;
-	candidates &= ~r->rolling | place_rolling_open(r);
+	candidates &= ~r->rolling | ro_room(r->ro);
 	version = session_rule(r->session, &key, candidates);
 	loaded = candidates & fl_versions(r->fl);
 	if (loaded != 0 && (version == CFG_NONE || !(loaded >> version & 1)))
@@ -177,22 +156,29 @@
 	q->bind = !router_unsafe(r, CF_UNSAFE_STICKY);
 }
 
+/*
+ * Lets the estimates choose.  A version on hold is left out, unless nothing
+ * else may run.
+ */
 static void
 place_choose_quality(
     struct cf_router *r, struct request *q, uint64_t candidates)
 {
 	uint64_t loaded = candidates & fl_versions(r->fl);
-	uint16_t draw = (uint16_t)rng_below(&r->rng, 1000);
+	struct qual_ask ask;
 
 	if (loaded != 0)
 		candidates = loaded;
-	qual_choose(r->qual, &r->rng, q->asked.workspace, q->asked.task_class,
-	    candidates, ro_open(r->ro, draw), !q->asked.streaming, r->now_us,
-	    &q->chain);
-	if (q->chain.count == 0 && loaded != 0)
-		qual_choose(r->qual, &r->rng, q->asked.workspace,
-		    q->asked.task_class, candidates, 0, false, r->now_us,
-		    &q->chain);
+	ask.workspace = q->asked.workspace;
+	ask.task_class = q->asked.task_class;
+	ask.rolling_open = ro_open(r->ro, (uint16_t)rng_below(&r->rng, 1000));
+	ask.candidates = candidates & ask.rolling_open;
+	ask.may_escalate = !q->asked.streaming;
+	qual_choose(r->qual, &r->rng, &ask, &q->chain);
+	if (q->chain.count != 0)
+		return;
+	ask.candidates = candidates;
+	qual_choose(r->qual, &r->rng, &ask, &q->chain);
 }
 
 /*
