Take versions with spare room before a refusal, without passing the queue

Change: only versions that nobody waits for, on servers that run none that somebody waits for; the later versions of a chain are held to the same.

--- a/src/core/attempt.c
+++ b/src/core/attempt.c
@@ -318,7 +318,7 @@
 		return false;
 	q->step++;
 	q->why = CF_WHY_ESCALATE;
-	return place_local(r, q, true) == PLACE_DONE;
+	return place_local(r, q, PLACE_IN_TURN) == PLACE_DONE;
 }
 
 /* Whether a defective answer may be asked for again. */
@@ -331,7 +331,8 @@
 	    !limit_retry(r->limit, q->asked.workspace))
 		return false;
 	q->why = CF_WHY_RETRY;
-	return place_choose(r, q) && place_local(r, q, true) == PLACE_DONE;
+	return place_choose(r, q) &&
+	       place_local(r, q, PLACE_IN_TURN) == PLACE_DONE;
 }
 
 /* Takes in a whole answer: it is the caller's, or a better one is tried. */
--- a/src/core/fleet.h
+++ b/src/core/fleet.h
@@ -73,6 +73,7 @@
 	uint16_t version; /* CFG_NONE: a plain service */
 	uint16_t service;
 	bool suspect; /* must run beside no other suspect */
+	uint64_t reserved; /* no server that runs one of these versions */
 	const uint16_t *avoid; /* servers already tried */
 	uint8_t avoid_count;
 	const uint64_t *prefixes;
--- a/src/core/fleet_pick.c
+++ b/src/core/fleet_pick.c
@@ -92,7 +92,9 @@
 {
 	const struct fl_server *s = &fl->servers[server];
 
-	return fl_runs(fl, s, need) && !(need->suspect && s->suspects > 0) &&
+	return fl_runs(fl, s, need) &&
+	       (s->listed_versions & need->reserved) == 0 &&
+	       !(need->suspect && s->suspects > 0) &&
 	       fl_has_room(fl, s, now_us) && !fl_avoided(need, server);
 }
 
--- a/src/core/place.c
+++ b/src/core/place.c
@@ -6,6 +6,7 @@
 	PLACE_RAMP_US =
 	    30000000, /* a returned data centre's way to its share */
 	PLACE_SERVICE_US = 1000000, /* time of an attempt before any ended */
+	PLACE_BEYOND_TRIES = 3, /* further chains tried when one is full */
 	PLACE_SPILL_PARTS = 4 /* a wait of this part of the time left is long */
 };
 
@@ -249,6 +250,7 @@
 	    !router_unsafe(r, CF_UNSAFE_MARKS);
 	need->avoid = avoid;
 	need->avoid_count = 0;
+	need->reserved = 0;
 	need->prefixes = q->asked.prefixes;
 	need->prefix_count = q->asked.prefix_count;
 	need->prompt_tokens = q->asked.prompt_tokens;
@@ -306,7 +308,7 @@
  * would be long.  Requests that come new do not pass the ones in the queue.
  */
 enum place_result
-place_local(struct cf_router *r, struct request *q, bool queued)
+place_local(struct cf_router *r, struct request *q, enum place_turn turn)
 {
 	enum place_result result = PLACE_NOT_ALLOWED;
 	uint16_t avoid[CF_ATTEMPTS_MAX];
@@ -327,8 +329,11 @@
 		if (fl_count(r->fl, &need) == 0)
 			continue;
 		result = PLACE_FULL;
-		if (!queued && r->waiting[place_lane(q, version)] > 0)
+		if (turn != PLACE_IN_TURN &&
+		    r->waiting[place_lane(q, version)] > 0)
 			continue;
+		if (turn == PLACE_SPARE || (turn == PLACE_NEW && i > q->step))
+			need.reserved = r->wanted_versions;
 		fl_pick(r->fl, &r->rng, &need, r->now_us, &choice);
 		if (choice.cold != CF_NO_SERVER)
 			upkeep_ask(r, choice.cold);
@@ -355,6 +360,39 @@
 	return mask;
 }
 
+/*
+ * Dispatches a request on versions outside its chain that nobody waits for,
+ * chosen like the chain itself, when the wait for those in it would be long.
+ * Leaves the chain as it was where nothing has room.
+ */
+bool
+place_beyond(struct cf_router *r, struct request *q)
+{
+	struct qual_chain chain = q->chain;
+	uint8_t step = q->step;
+	uint64_t left;
+	uint8_t i;
+
+	if (q->pinned || q->asked.kind != CF_CHAT || !place_spills(r, q))
+		return false;
+	left = place_versions_here(r, q, place_versions(r, q)) &
+	       fl_versions(r->fl) & ~r->wanted_versions;
+	for (i = 0; i < PLACE_BEYOND_TRIES; i++) {
+		left &= ~place_wants(q);
+		if (left == 0)
+			break;
+		q->step = 0;
+		place_choose_quality(r, q, left);
+		if (q->chain.count == 0)
+			break;
+		if (place_local(r, q, PLACE_SPARE) == PLACE_DONE)
+			return true;
+	}
+	q->chain = chain;
+	q->step = step;
+	return false;
+}
+
 /* Dispatches a waiting request on one server that got room, if it fits. */
 bool
 place_on(struct cf_router *r, struct request *q, uint16_t server)
--- a/src/core/request.c
+++ b/src/core/request.c
@@ -293,8 +293,9 @@
 	}
 	if (place_ramping(r) && place_forward(r, q))
 		return;
-	result = place_local(r, q, false);
-	if (result == PLACE_DONE || place_forward(r, q))
+	result = place_local(r, q, PLACE_NEW);
+	if (result == PLACE_DONE || place_forward(r, q) ||
+	    (result == PLACE_FULL && place_beyond(r, q)))
 		return;
 	if (result == PLACE_NOT_ALLOWED && !place_reachable(r, q))
 		request_refuse_place(r, q);
--- a/src/core/router.h
+++ b/src/core/router.h
@@ -147,6 +147,13 @@
 void request_caller_gone(struct cf_router *r, uint32_t id);
 
 /* place.c */
+/* Whose turn a request has. */
+enum place_turn {
+	PLACE_NEW, /* it goes behind the ones in the queue */
+	PLACE_IN_TURN, /* it comes from the queue, or has run before */
+	PLACE_SPARE /* only on servers that nobody waits for */
+};
+
 enum place_result {
 	PLACE_DONE,
 	PLACE_FULL, /* servers run it, none has room */
@@ -162,8 +169,9 @@
 void place_need(const struct cf_router *r, const struct request *q,
     uint16_t version, uint16_t avoid[CF_ATTEMPTS_MAX], struct fl_need *need);
 enum place_result place_local(
-    struct cf_router *r, struct request *q, bool queued);
+    struct cf_router *r, struct request *q, enum place_turn turn);
 uint64_t place_wants(const struct request *q);
+bool place_beyond(struct cf_router *r, struct request *q);
 bool place_on(struct cf_router *r, struct request *q, uint16_t server);
 bool place_forward(struct cf_router *r, struct request *q);
 bool place_reachable(const struct cf_router *r, const struct request *q);
--- a/src/core/upkeep.c
+++ b/src/core/upkeep.c
@@ -172,7 +172,7 @@
 	}
 	if (server != CF_NO_SERVER)
 		place_on(r, q, server);
-	else if (place_local(r, q, true) != PLACE_DONE)
+	else if (place_local(r, q, PLACE_IN_TURN) != PLACE_DONE)
 		place_forward(r, q);
 }
 
