--- a/src/core/place.c
+++ b/src/core/place.c
@@ -371,7 +371,7 @@
 	struct qual_chain chain = q->chain;
 	uint8_t step = q->step;
 	uint64_t left;
-	uint8_t i;
+	uint32_t i;
 
 	if (q->pinned || q->asked.kind != CF_CHAT || !place_spills(r, q))
 		return false;
