--- a/src/core/attempt.c
+++ b/src/core/attempt.c
@@ -167,16 +167,22 @@
 	return true;
 }
 
-/* Hands a request to another data centre, as an attempt of its own. */
-void
+/*
+ * Hands a request to another data centre, as an attempt of its own; what may
+ * run there is checked once more by its receiver.  Returns false and does
+ * nothing where it may not be sent again.
+ */
+bool
 attempt_forward(struct cf_router *r, struct request *q, uint16_t data_centre)
 {
 	struct cf_action *a;
 	struct attempt *t;
 	uint16_t version = q->pinned ? q->chain.versions[0] : CFG_NONE;
 
-	if (!attempt_once_allowed(r, q))
-		return;
+	if (q->attempt_count == CF_ATTEMPTS_MAX ||
+	    !attempt_once_allowed(r, q) ||
+	    request_convicted(r, q->asked.fingerprint))
+		return false;
 	t = attempt_start(r, q, version);
 	t->data_centre = data_centre;
 	nb_sent(&r->nb, data_centre);
@@ -185,6 +191,7 @@
 	a->at_us = q->asked.deadline_us;
 	if (q->bind)
 		attempt_bind(r, q, version);
+	return true;
 }
 
 /* Takes an attempt off its server's count. */
@@ -199,8 +206,11 @@
 	if (s == NULL)
 		return;
 	r->running[place_lane(q, t->version)]--;
-	if (s->said.incarnation == t->incarnation)
-		fl_ended(r->fl, t->server, t->suspect, r->now_us);
+	if (s->said.incarnation != t->incarnation)
+		return;
+	fl_ended(r->fl, t->server, t->suspect, r->now_us);
+	if (state == ATTEMPT_CANCELLED)
+		fl_cancelled(r->fl, t->server, r->now_us);
 }
 
 /* Stops a running attempt; whether it ran stays unknown. */
@@ -322,7 +332,7 @@
 		return false;
 	q->step++;
 	q->why = CF_WHY_ESCALATE;
-	return place_local(r, q, true) == PLACE_DONE;
+	return place_local(r, q, PLACE_IN_TURN) == PLACE_DONE;
 }
 
 /* Whether a defective answer may be asked for again. */
@@ -335,7 +345,8 @@
 	    !limit_retry(r->limit, q->asked.workspace))
 		return false;
 	q->why = CF_WHY_RETRY;
-	return place_choose(r, q) && place_local(r, q, true) == PLACE_DONE;
+	return place_choose(r, q) &&
+	       place_local(r, q, PLACE_IN_TURN) == PLACE_DONE;
 }
 
 /* Takes in a whole answer: it is the caller's, or a better one is tried. */
@@ -376,8 +387,10 @@
 	if (t->server == CF_NO_SERVER)
 		return;
 	if (report->server_crashed &&
-	    t->incarnation == fl_server(r->fl, t->server)->said.incarnation)
+	    t->incarnation == fl_server(r->fl, t->server)->said.incarnation) {
 		upkeep_crash(r, t->server);
+		fl_gone(r->fl, t->server, r->now_us);
+	}
 	if (t->version == CFG_NONE || report->run_state == ERR_NOT_RUN ||
 	    !err_answer(report->error)->try_again)
 		return;
--- a/src/core/fleet_pick.c
+++ b/src/core/fleet_pick.c
@@ -52,7 +52,8 @@
 fl_has_credit(const struct fl_server *s, int64_t now_us)
 {
 	return s->credits_incarnation == s->said.incarnation &&
-	       now_us < s->credits_until_us && s->in_flight < s->credits;
+	       now_us < s->credits_until_us &&
+	       s->in_flight + s->lingering < s->credits;
 }
 
 static bool
@@ -91,7 +92,9 @@
 {
 	const struct fl_server *s = &fl->servers[server];
 
-	return fl_runs(fl, s, need) && !(need->suspect && s->suspects > 0) &&
+	return fl_runs(fl, s, need) &&
+	       (s->listed_versions & need->reserved) == 0 &&
+	       !(need->suspect && s->suspects > 0) &&
 	       fl_has_room(fl, s, now_us) && !fl_avoided(need, server);
 }
 
--- a/src/core/place.c
+++ b/src/core/place.c
@@ -6,6 +6,7 @@
 	PLACE_RAMP_US =
 	    30000000, /* a returned data centre's way to its share */
 	PLACE_SERVICE_US = 1000000, /* time of an attempt before any ended */
+	PLACE_BEYOND_TRIES = 3, /* further chains tried when one is full */
 	PLACE_SPILL_PARTS = 4 /* a wait of this part of the time left is long */
 };
 
@@ -125,27 +126,6 @@
 	q->pinned = pinned;
 }
 
-/*
- * Returns the versions in roll-out that may take one more session.  Which of
- * them a session gets is its hash's matter, so every draw that opens one is
- * asked for.
- */
-static uint64_t
-place_rolling_open(const struct cf_router *r)
-{
-	const struct cfg_version *v = r->cfg->versions;
-	uint64_t open = ro_open(r->ro, 0);
-	uint64_t left = r->rolling;
-	uint32_t draw = 0;
-
-	for (; left != 0; left &= left - 1) {
-		draw += v[__builtin_ctzll(left)].stage_permille;
-		if (draw < 1000)
-			open |= ro_open(r->ro, (uint16_t)draw);
-	}
-	return open & r->rolling;
-}
-
 /*
  * Puts a session's version into the chain: the bound one while it may run, or
  * the one that the rule gives.
@@ -165,7 +145,7 @@
 		return;
 	}
 	lost = version != CFG_NONE && q->asked.model == CFG_NONE;
-	candidates &= ~r->rolling | place_rolling_open(r);
+	candidates &= ~r->rolling | ro_room(r->ro);
 	version = session_rule(r->session, &key, candidates);
 	loaded = candidates & fl_versions(r->fl);
 	if (loaded != 0 && (version == CFG_NONE || !(loaded >> version & 1)))
@@ -256,6 +236,7 @@
 	    !router_unsafe(r, CF_UNSAFE_MARKS);
 	need->avoid = avoid;
 	need->avoid_count = 0;
+	need->reserved = 0;
 	need->prefixes = q->asked.prefixes;
 	need->prefix_count = q->asked.prefix_count;
 	need->prompt_tokens = q->asked.prompt_tokens;
@@ -313,7 +294,7 @@
  * would be long.  Requests that come new do not pass the ones in the queue.
  */
 enum place_result
-place_local(struct cf_router *r, struct request *q, bool queued)
+place_local(struct cf_router *r, struct request *q, enum place_turn turn)
 {
 	enum place_result result = PLACE_NOT_ALLOWED;
 	uint16_t avoid[CF_ATTEMPTS_MAX];
@@ -334,8 +315,11 @@
 		if (fl_count(r->fl, &need) == 0)
 			continue;
 		result = PLACE_FULL;
-		if (!queued && r->waiting[place_lane(q, version)] > 0)
+		if (turn != PLACE_IN_TURN &&
+		    r->waiting[place_lane(q, version)] > 0)
 			continue;
+		if (turn == PLACE_SPARE || (turn == PLACE_NEW && i > q->step))
+			need.reserved = r->wanted_versions;
 		fl_pick(r->fl, &r->rng, &need, r->now_us, &choice);
 		if (choice.cold != CF_NO_SERVER)
 			upkeep_ask(r, choice.cold);
@@ -362,6 +346,39 @@
 	return mask;
 }
 
+/*
+ * Dispatches a request on versions outside its chain that nobody waits for,
+ * chosen like the chain itself, when the wait for those in it would be long.
+ * Leaves the chain as it was where nothing has room.
+ */
+bool
+place_beyond(struct cf_router *r, struct request *q)
+{
+	struct qual_chain chain = q->chain;
+	uint8_t step = q->step;
+	uint64_t left;
+	uint32_t i;
+
+	if (q->pinned || q->asked.kind != CF_CHAT || !place_spills(r, q))
+		return false;
+	left = place_versions_here(r, q, place_versions(r, q)) &
+	       fl_versions(r->fl) & ~r->wanted_versions;
+	for (i = 0; i < PLACE_BEYOND_TRIES; i++) {
+		left &= ~place_wants(q);
+		if (left == 0)
+			break;
+		q->step = 0;
+		place_choose_quality(r, q, left);
+		if (q->chain.count == 0)
+			break;
+		if (place_local(r, q, PLACE_SPARE) == PLACE_DONE)
+			return true;
+	}
+	q->chain = chain;
+	q->step = step;
+	return false;
+}
+
 /* Dispatches a waiting request on one server that got room, if it fits. */
 bool
 place_on(struct cf_router *r, struct request *q, uint16_t server)
@@ -383,7 +400,10 @@
 			return false;
 		choice.candidates = fl_count(r->fl, &need);
 		choice.expected_us = fl_expect(r->fl, server, &need, r->now_us);
-		return attempt_dispatch(r, q, &choice, version, q->why);
+		if (!attempt_dispatch(r, q, &choice, version, q->why))
+			return false;
+		q->step = i;
+		return true;
 	}
 	return false;
 }
@@ -417,8 +437,7 @@
 	dc = nb_pick(&r->nb, r->cfg, &need);
 	if (dc == CFG_NONE)
 		return false;
-	attempt_forward(r, q, dc);
-	return true;
+	return attempt_forward(r, q, dc);
 }
 
 /* Whether another data centre could take a request once it has room. */
