Answer each question for credits, also with none

Cause: the router waits for an answer to each question for warm-up credits; a refusal or a lost message gave none, so a cold server could be left alone until it was warm.

Change: the granter answers a refusal with no credits; a question unanswered for 500 ms counts as none; an answer that comes later is not believed.

--- a/src/daemon/credits.c
+++ b/src/daemon/credits.c
@@ -18,6 +18,7 @@
 	CREDIT_LEASE,
 	CREDIT_INSTANCES_MAX = 128,
 	CREDIT_SERVERS_MAX = 256,
+	CREDIT_ANSWER_US = 500000, /* unanswered for this long: none */
 	US_PER_MS = 1000
 };
 
@@ -26,8 +27,43 @@
 	struct gr *granter; /* while this instance has the role */
 	uint32_t instances[CREDIT_INSTANCES_MAX];
 	uint16_t instance_count;
+	int64_t asked_us[CREDIT_SERVERS_MAX]; /* open questions; 0: none */
+	uint64_t asked_of[CREDIT_SERVERS_MAX]; /* incarnation */
+	struct loop_timer *tick;
 };
 
+/* Tells the router what it holds of a server, from its own question on. */
+static void
+tell_router(struct credits *credits, uint16_t server, uint64_t incarnation,
+    uint16_t count, int64_t until_us)
+{
+	struct cf_event event = {.kind = CF_EV_CREDIT};
+
+	event.u.credit.server = server;
+	event.u.credit.incarnation = incarnation;
+	event.u.credit.credits = count;
+	event.u.credit.until_us = until_us;
+	credits->asked_us[server] = 0;
+	entry_event(credits->node->entry, &event);
+}
+
+/* The router waits for an answer to each question: a lost one means none. */
+static void
+expire_questions(void *ctx)
+{
+	struct credits *credits = ctx;
+	int64_t now_us = loop_now_us(credits->node->loop);
+
+	for (uint16_t i = 0; i < CREDIT_SERVERS_MAX; i++) {
+		if (credits->asked_us[i] != 0 &&
+		    now_us - credits->asked_us[i] > CREDIT_ANSWER_US)
+			tell_router(
+			    credits, i, credits->asked_of[i], 0, now_us);
+	}
+	credits->tick = loop_after(
+	    credits->node->loop, CREDIT_ANSWER_US, expire_questions, credits);
+}
+
 /* Creates the credits' side of an instance. */
 struct credits *
 credits_new(struct node *node)
@@ -35,6 +71,8 @@
 	struct credits *credits = alloc_zero(node->alloc, 1, sizeof(*credits));
 
 	credits->node = node;
+	credits->tick =
+	    loop_after(node->loop, CREDIT_ANSWER_US, expire_questions, credits);
 	return credits;
 }
 
@@ -45,6 +83,7 @@
 	if (credits == NULL)
 		return;
 	gr_free(credits->granter);
+	loop_cancel(credits->tick);
 	alloc_free(credits->node->alloc, credits);
 }
 
@@ -92,6 +131,11 @@
 	uint32_t granter = node_granter(credits->node);
 	Feedpb__Credit credit = FEEDPB__CREDIT__INIT;
 
+	if (action->kind == CF_ACT_CREDIT_ASK) {
+		credits->asked_us[action->server] =
+		    loop_now_us(credits->node->loop);
+		credits->asked_of[action->server] = action->key;
+	}
 	if (granter == 0)
 		return;
 	credit.kind =
@@ -133,15 +177,16 @@
 		    (uint16_t)asked->count, now_us);
 		return;
 	}
-	if (!gr_ask(credits->granter, instance, (uint16_t)server,
-		asked->incarnation, (uint16_t)asked->count, now_us, &lease))
-		return;
 	answer.kind = CREDIT_LEASE;
 	answer.server = asked->server;
-	answer.incarnation = lease.incarnation;
-	answer.count = lease.credits;
+	answer.incarnation = asked->incarnation;
 	answer.asked_us = asked->asked_us;
-	answer.lease_ms = (uint32_t)((lease.until_us - now_us) / US_PER_MS);
+	if (gr_ask(credits->granter, instance, (uint16_t)server,
+		asked->incarnation, (uint16_t)asked->count, now_us, &lease)) {
+		answer.count = lease.credits;
+		answer.lease_ms =
+		    (uint32_t)((lease.until_us - now_us) / US_PER_MS);
+	}
 	send_credit(credits, from, &answer);
 }
 
@@ -149,16 +194,13 @@
 take_lease(struct credits *credits, const Feedpb__Credit *lease)
 {
 	int server = entry_server_by_hash(credits->node->entry, lease->server);
-	struct cf_event event = {.kind = CF_EV_CREDIT};
 
-	if (server < 0)
+	/* An answer that was given up on, or overtaken by a new question. */
+	if (server < 0 || credits->asked_us[server] != lease->asked_us)
 		return;
-	event.u.credit.server = (uint16_t)server;
-	event.u.credit.incarnation = lease->incarnation;
-	event.u.credit.credits = (uint16_t)lease->count;
-	event.u.credit.until_us =
-	    lease->asked_us + (int64_t)lease->lease_ms * US_PER_MS;
-	entry_event(credits->node->entry, &event);
+	tell_router(credits, (uint16_t)server, lease->incarnation,
+	    (uint16_t)lease->count,
+	    lease->asked_us + (int64_t)lease->lease_ms * US_PER_MS);
 }
 
 /* Takes a message about credits. */
