Tell the pollset of changed watches once a turn; watch for hang-ups after 20 ms

Cause: each exchange cost several epoll_ctl calls that were taken back within the same turn or a few milliseconds later.

--- a/src/base/loop.c
+++ b/src/base/loop.c
@@ -20,7 +20,10 @@
 	apr_pollfd_t pollfd;
 	loop_ready_fn ready;
 	void *ctx;
+	int wanted; /* LOOP_READ, LOOP_WRITE */
 	bool added;
+	bool changed; /* on loop->changed */
+	struct loop_watch *next_changed;
 	bool closed; /* an event of this turn may still point here */
 	struct loop_watch *next;
 };
@@ -39,6 +42,7 @@
 	apr_pollset_t *pollset;
 	struct loop_watch *spare; /* closed watches, free for use */
 	struct loop_watch *closed; /* closed in this turn */
+	struct loop_watch *changed; /* the pollset does not know yet */
 	struct loop_timer **heap;
 	size_t timers;
 	size_t heap_size;
@@ -154,23 +158,52 @@
 	return watch;
 }
 
-/* Changes the events asked for; 0 keeps the watch and reports nothing. */
-void
-loop_rewatch(struct loop_watch *watch, int events)
+/* Makes the pollset ask for what the watch wants. */
+static void
+apply_wanted(struct loop_watch *watch)
 {
 	if (watch->added) {
-		if (to_apr(events) == watch->pollfd.reqevents)
+		if (to_apr(watch->wanted) == watch->pollfd.reqevents)
 			return;
 		apr_pollset_remove(watch->loop->pollset, &watch->pollfd);
 		watch->added = false;
 	}
-	watch->pollfd.reqevents = to_apr(events);
-	if (events == 0)
+	watch->pollfd.reqevents = to_apr(watch->wanted);
+	if (watch->wanted == 0)
 		return;
 	watch->added = apr_pollset_add(watch->loop->pollset, &watch->pollfd) ==
 		       APR_SUCCESS;
 }
 
+/*
+ * Changes the events asked for; 0 keeps the watch and reports nothing.  The
+ * pollset learns of it before the next wait: what is changed back until then
+ * costs no system call.
+ */
+void
+loop_rewatch(struct loop_watch *watch, int events)
+{
+	watch->wanted = events;
+	if (watch->changed)
+		return;
+	watch->changed = true;
+	watch->next_changed = watch->loop->changed;
+	watch->loop->changed = watch;
+}
+
+static void
+apply_changes(struct loop *loop)
+{
+	while (loop->changed != NULL) {
+		struct loop_watch *watch = loop->changed;
+
+		loop->changed = watch->next_changed;
+		watch->changed = false;
+		if (!watch->closed)
+			apply_wanted(watch);
+	}
+}
+
 /* Ends a watch; its ready() is not called again, not even in this turn. */
 void
 loop_unwatch(struct loop_watch *watch)
@@ -180,7 +213,8 @@
 	if (watch == NULL)
 		return;
 	loop = watch->loop;
-	loop_rewatch(watch, 0);
+	watch->wanted = 0;
+	apply_wanted(watch);
 	watch->closed = true;
 	watch->next = loop->closed;
 	loop->closed = watch;
@@ -309,6 +343,7 @@
 static void
 reuse_closed(struct loop *loop)
 {
+	apply_changes(loop); /* none of the closed may stay on that list */
 	while (loop->closed != NULL) {
 		struct loop_watch *watch = loop->closed;
 
@@ -336,10 +371,14 @@
 	while (!loop->stop) {
 		const apr_pollfd_t *ready = NULL;
 		apr_int32_t count = 0;
-		int64_t wait_us = time_to_sleep_us(loop);
-		int64_t before_us = clock_monotonic_us();
+		int64_t wait_us;
+		int64_t before_us;
 		apr_status_t status;
 
+		apply_changes(loop);
+		wait_us = time_to_sleep_us(loop);
+		before_us = clock_monotonic_us();
+
 		/* Rounded up: a wait of 0.3 ms as 0 ms would spin. */
 		if (wait_us > 0)
 			wait_us = (wait_us + 999) / 1000 * 1000;
--- a/src/http/server.c
+++ b/src/http/server.c
@@ -13,6 +13,7 @@
 enum {
 	HS_CONNECTION_BYTES = 12 * 1024, /* libmicrohttpd's pool a connection */
 	HS_IDLE_TIMEOUT_S = 120,
+	HS_HANGUP_US = 20000, /* shorter exchanges need no watch */
 	HS_TICK_US = 1000000, /* idle connections are closed this often */
 	HS_STREAM_BLOCK_BYTES = 4096,
 	HS_DRAINED_BYTES = 16 * 1024 /* the handler may write on below this */
@@ -38,7 +39,7 @@
 	struct MHD_Response *response;
 	unsigned int status;
 	struct loop_watch *hangup;
-	struct loop_timer *late;
+	struct loop_timer *timer;
 	void *data;
 	int refusal;
 	size_t header_bytes;
@@ -138,11 +139,14 @@
 	resume(x);
 }
 
+/* A request that takes its time is watched for its caller's going away. */
 static void
-watch_hangup(struct hs_exchange *x)
+watch_hangup(void *ctx)
 {
+	struct hs_exchange *x = ctx;
 	const union MHD_ConnectionInfo *info;
 
+	x->timer = NULL;
 	info = MHD_get_connection_info(
 	    x->connection, MHD_CONNECTION_INFO_CONNECTION_FD);
 	x->hangup = loop_watch(
@@ -165,7 +169,7 @@
 	struct hs_exchange *x = ctx;
 	const union MHD_ConnectionInfo *info;
 
-	x->late = NULL;
+	x->timer = NULL;
 	x->gone = true;
 	info = MHD_get_connection_info(
 	    x->connection, MHD_CONNECTION_INFO_CONNECTION_FD);
@@ -220,7 +224,7 @@
 	if (length != NULL &&
 	    strtoull(length, NULL, 10) > hs->options.body_max_bytes)
 		x->refusal = ERR_TOO_LARGE;
-	x->late = loop_after(hs->options.loop,
+	x->timer = loop_after(hs->options.loop,
 	    (int64_t)hs->options.body_timeout_ms * 1000, request_late, x);
 }
 
@@ -244,15 +248,15 @@
 
 	x->handed = true;
 	x->owned = true;
-	loop_cancel(x->late);
-	x->late = NULL;
+	loop_cancel(x->timer);
+	x->timer = NULL;
 	if (x->refusal != 0)
 		options->handler->refused(options->ctx, x, x->refusal);
 	else
 		options->handler->request(options->ctx, x);
 	if (x->response != NULL)
 		return queue_response(x);
-	watch_hangup(x);
+	x->timer = loop_after(options->loop, HS_HANGUP_US, watch_hangup, x);
 	x->suspended = true;
 	MHD_suspend_connection(x->connection);
 	return MHD_YES;
@@ -307,7 +311,7 @@
 		x->owned = false;
 		hs->options.handler->gone(hs->options.ctx, x);
 	}
-	loop_cancel(x->late);
+	loop_cancel(x->timer);
 	loop_unwatch(x->hangup);
 	if (x->response != NULL)
 		MHD_destroy_response(x->response);
