Ask for an image by what was applied since the last one

Ruled out: the cut itself; it must not pass the durable index. Change: the bytes applied since the last image decide; the log is cut in any step where durable entries lie below it. After: ASlowDiskAsksForNoImageTwice fails on the old code and passes.

--- a/src/state/rlog_client.c
+++ b/src/state/rlog_client.c
@@ -146,18 +146,44 @@
 	return false;
 }
 
-/* Asks for an image once the log has grown; a transfer under way goes first. */
+/*
+ * Forgets entries that the snapshot covers and that are durable here.  A
+ * quarter of compact_bytes stays, for followers that lag a little.
+ */
+static void
+cut_covered(struct rl *rl)
+{
+	uint64_t cut =
+	    rl->snapshot.index < rl->durable ? rl->snapshot.index : rl->durable;
+
+	if (rl_bytes_between(rl, rl->base_index, cut) <
+	    rl->options.compact_bytes / 2)
+		return;
+	while (cut > rl->base_index &&
+	       rl_bytes_between(rl, cut, rl_last_index(rl)) <
+		   rl->options.compact_bytes / 4)
+		cut--;
+	rl_log_cut(rl, cut);
+}
+
+/*
+ * Asks for an image once the log has grown since the last one; a transfer under
+ * way goes first.
+ */
 void
 rl_ask_snapshot(struct rl *rl)
 {
-	uint64_t bytes = rl_bytes_between(rl, rl->base_index,
-	    rl->applied < rl->durable ? rl->applied : rl->durable);
+	uint64_t since = rl->snapshot.index > rl->base_index
+			     ? rl->snapshot.index
+			     : rl->base_index;
 	uint64_t limit = rl->options.compact_bytes;
 	struct rl_action *action;
 
+	cut_covered(rl);
 	if (is_transferring(rl))
 		limit *= 8;
-	if (rl->snapshot_asked || bytes < limit)
+	if (rl->snapshot_asked ||
+	    rl_bytes_between(rl, since, rl->applied) < limit)
 		return;
 	rl->snapshot_asked = true;
 	action = rl_emit(rl, RL_ACT_TAKE_SNAPSHOT);
@@ -177,15 +203,11 @@
 	return config;
 }
 
-/*
- * Takes an image of the applied state and forgets old entries.  A quarter of
- * compact_bytes stays, for followers that lag a little.
- */
+/* Takes an image of the applied state in place of the last one. */
 void
 rl_on_snapshot_taken(
     struct rl *rl, uint64_t index, const void *data, size_t len)
 {
-	uint64_t cut = index < rl->durable ? index : rl->durable;
 	uint64_t term;
 
 	rl->snapshot_asked = false;
@@ -197,9 +219,4 @@
 	rl->snapshot.config = config_at(rl, index);
 	buf_clear(&rl->snapshot.data);
 	buf_add(&rl->snapshot.data, data, len);
-	while (cut > rl->base_index &&
-	       rl_bytes_between(rl, cut, rl_last_index(rl)) <
-		   rl->options.compact_bytes / 4)
-		cut--;
-	rl_log_cut(rl, cut);
 }
--- a/test/rlog_sim.h
+++ b/test/rlog_sim.h
@@ -359,6 +359,7 @@
       private:
 	std::mt19937_64 rng;
 	uint64_t tokens = 0;
+	int depth = 0; /* images asked for by the taking of an image */
 	std::map<uint64_t, Op *> owners;
 	std::map<uint64_t, uint64_t> leaders; /* term to identity */
 	std::map<uint64_t, std::string> applied; /* index to entry */
@@ -540,7 +541,7 @@
 		buf image;
 
 		if (node.disk.size() < options.image_records ||
-		    node.disk.size() > node.synced + 1 || node.sync_due_us != 0)
+		    node.disk.size() != node.synced || node.sync_due_us != 0)
 			return;
 		buf_init(&image, nullptr);
 		rl_image(node.rl, &image);
@@ -558,6 +559,11 @@
 		rl_event event = {};
 		buf image;
 
+		if (depth > 3) {
+			fail("node %d asks for images without end", n);
+			return;
+		}
+		depth++;
 		buf_init(&image, nullptr);
 		cs_image(node.cs, &image);
 		event.kind = RL_EV_SNAPSHOT_TAKEN;
@@ -566,6 +572,7 @@
 		event.u.snapshot.len = image.len;
 		step(n, event);
 		buf_free(&image);
+		depth--;
 	}
 
 	bool carry_out(int n, const rl_action &action)
--- a/test/unit/rlog_test.cc
+++ b/test/unit/rlog_test.cc
@@ -163,3 +163,64 @@
 	EXPECT_EQ(sim.status(sim.leader()).member_count, 2u);
 	EXPECT_TRUE(sim.accept("c", "limits"));
 }
+
+/* Through the image of a journal snapshot, and the records after it. */
+TEST(Rlog, AllRestartFromTheirImages)
+{
+	RlogSim::Options options = replicas(3);
+
+	options.image_records = 20;
+	options.rl.compact_bytes = 3000;
+	RlogSim sim(options);
+	ASSERT_TRUE(sim.settle());
+	for (int i = 0; i < 60; i++) {
+		ASSERT_TRUE(sim.accept("c" + std::to_string(i),
+		    "p" + std::to_string(i), 0, std::string(200, 'x')));
+		sim.run_for(30000);
+	}
+	for (int n = 0; n < 3; n++) {
+		sim.lose_tail(n);
+		bool has_image = false;
+		for (const auto &record : sim.nodes[n].disk)
+			has_image |= record.number == 0;
+		EXPECT_TRUE(has_image);
+		EXPECT_LT(sim.nodes[n].disk.size(), 60u);
+	}
+	for (int n = 0; n < 3; n++) {
+		sim.start(n);
+		EXPECT_EQ(cs_revision(sim.nodes[n].cs), 60u);
+	}
+	EXPECT_TRUE(sim.accept("last", "last"));
+	sim.run_for(2000000);
+	EXPECT_EQ(sim.check_end(), "");
+}
+
+/*
+ * An image may be newer than what is durable here; once the rest is durable
+ * too, the log is cut without another image.
+ */
+TEST(Rlog, ASlowDiskAsksForNoImageTwice)
+{
+	RlogSim::Options options = replicas(3);
+
+	options.rl.compact_bytes = 2000;
+	RlogSim sim(options);
+	ASSERT_TRUE(sim.settle());
+	sim.run_for(1000000);
+	for (int i = 0; i < 100; i++) {
+		sim.change("c" + std::to_string(i), "p" + std::to_string(i), 0,
+		    std::string(300, 'x'));
+		if (i % 10 != 9)
+			continue;
+		/* Of twenty changes, the first ten are durable first. */
+		sim.run_for(2000);
+		if (i % 20 == 9)
+			sim.nodes[sim.leader()].sync_due_us =
+			    sim.now() + 100000;
+		else
+			sim.run_for(300000);
+	}
+	sim.run_for(3000000);
+	EXPECT_EQ(sim.check_end(), "");
+	EXPECT_EQ(sim.answered_revision, 100u);
+}
