Judge a schedule once the replicas have converged

Ruled out: a fault of the log; the same schedule ends well once given its time. A replica that operators removed is none.

--- a/test/rlog_schedule.h
+++ b/test/rlog_schedule.h
@@ -118,12 +118,15 @@
 		if (!sim.run_until([this] { return all_answered(); }, us) &&
 		    sim.broken.empty())
 			sim.broken = "a client had no answer";
-		sim.run_for(4000000);
+		if (!sim.run_until([this] { return converged(); }, us) &&
+		    sim.broken.empty())
+			sim.broken = "the replicas did not converge";
 		return sim.check_end();
 	}
 
       private:
 	std::set<int> lost;
+	std::set<int> removed;
 	int changes = 0;
 
 	void calm()
@@ -141,6 +144,23 @@
 		return true;
 	}
 
+	/* Every replica that takes part has applied all that the leader has. */
+	bool converged() const
+	{
+		int leader = sim.leader();
+
+		if (leader < 0 ||
+		    rl_lease_until_us(sim.nodes[leader].rl) <= sim.now())
+			return false;
+		uint64_t last = sim.status(leader).last_index;
+		for (size_t n = 0; n < sim.nodes.size(); n++)
+			if ((removed.count((int)n) == 0 ||
+				sim.is_member((int)n)) &&
+			    sim.status((int)n).applied != last)
+				return false;
+		return true;
+	}
+
 	/* Operators race: the base is what some replica shows just now. */
 	void change(int path)
 	{
@@ -191,6 +211,7 @@
 		if (leader < 0 || !lost.empty())
 			return;
 		lost.insert(n);
+		removed.insert(n);
 		sim.remove(leader, n);
 	}
 
@@ -201,6 +222,7 @@
 		    lost.count(n) == 0)
 			return;
 		lost.insert(n);
+		removed.erase(n); /* it may join anew */
 		sim.lose_disk(n);
 	}
 };
--- a/test/rlog_sim.h
+++ b/test/rlog_sim.h
@@ -316,7 +316,7 @@
 	}
 
 	/*
-	 * After everything is mended: each replica has every accepted change
+	 * After everything is mended: each member has every accepted change
 	 * under its revision, and replicas at one index hold the same bytes.
 	 */
 	std::string check_end()
@@ -327,7 +327,7 @@
 			Node &node = nodes[n];
 			buf image;
 
-			if (!node.up() || rl_leader(node.rl) == RL_NO_INSTANCE)
+			if (!node.up() || !is_member((int)n))
 				continue;
 			check_accepted((int)n);
 			buf_init(&image, nullptr);
@@ -342,6 +342,17 @@
 		return broken;
 	}
 
+	/* A replica that operators have removed is none. */
+	bool is_member(int n) const
+	{
+		struct rl_status s = status(leader() >= 0 ? leader() : n);
+
+		for (size_t i = 0; i < s.member_count; i++)
+			if (s.members[i].id == rl_id(nodes[n].rl))
+				return true;
+		return false;
+	}
+
 	void fail(const char *format, int n)
 	{
 		char text[128];
