--- a/src/core/place.c
+++ b/src/core/place.c
@@ -177,22 +177,29 @@
 	q->bind = !router_unsafe(r, CF_UNSAFE_STICKY);
 }
 
+/*
+ * Lets the estimates choose.  A version on hold is left out, unless nothing
+ * else may run.
+ */
 static void
 place_choose_quality(
     struct cf_router *r, struct request *q, uint64_t candidates)
 {
 	uint64_t loaded = candidates & fl_versions(r->fl);
-	uint16_t draw = (uint16_t)rng_below(&r->rng, 1000);
+	struct qual_ask ask;
 
 	if (loaded != 0)
 		candidates = loaded;
-	qual_choose(r->qual, &r->rng, q->asked.workspace, q->asked.task_class,
-	    candidates, ro_open(r->ro, draw), !q->asked.streaming, r->now_us,
-	    &q->chain);
-	if (q->chain.count == 0 && loaded != 0)
-		qual_choose(r->qual, &r->rng, q->asked.workspace,
-		    q->asked.task_class, candidates, 0, false, r->now_us,
-		    &q->chain);
+	ask.workspace = q->asked.workspace;
+	ask.task_class = q->asked.task_class;
+	ask.rolling_open = ro_open(r->ro, (uint16_t)rng_below(&r->rng, 1000));
+	ask.candidates = candidates & ask.rolling_open;
+	ask.may_escalate = !q->asked.streaming;
+	qual_choose(r->qual, &r->rng, &ask, &q->chain);
+	if (q->chain.count != 0)
+		return;
+	ask.candidates = candidates;
+	qual_choose(r->qual, &r->rng, &ask, &q->chain);
 }
 
 /*
@@ -341,19 +348,18 @@
 	return result;
 }
 
-/* Whether a server runs a version of a request's chain, or its service. */
-bool
-place_runs(const struct cf_router *r, const struct request *q, uint16_t server)
+/* Returns the versions that may still serve a request, or its service. */
+uint64_t
+place_wants(const struct request *q)
 {
-	const struct fl_server *s = fl_server(r->fl, server);
+	uint64_t mask = 0;
 	uint8_t i;
 
 	if (q->asked.kind == CF_SERVICE)
-		return (s->listed_services >> q->asked.service & 1) != 0;
+		return UINT64_C(1) << q->asked.service;
 	for (i = q->step; i < q->chain.count; i++)
-		if (s->listed_versions >> q->chain.versions[i] & 1)
-			return true;
-	return false;
+		mask |= UINT64_C(1) << q->chain.versions[i];
+	return mask;
 }
 
 /* Dispatches a waiting request on one server that got room, if it fits. */
@@ -389,6 +395,7 @@
 	need->workspace = q->asked.workspace;
 	need->service = q->asked.service;
 	need->now_us = r->now_us;
+	need->unsafe_anywhere = router_unsafe(r, CF_UNSAFE_ALLOWED);
 	need->versions = 0;
 	if (q->asked.kind == CF_CHAT)
 		need->versions = q->pinned ? UINT64_C(1) << q->chain.versions[0]
