Ask the relay less often in large data centres

Cause: at 420 instances configuration distribution took 19,453 bytes/s of a relay at one question a second, 6,089 at one in four seconds (cfgsync schedules).

Change: above 16 instances a data centre the period is 4 s and the lease 12 s.

--- a/src/daemon/child_config.c
+++ b/src/daemon/child_config.c
@@ -19,7 +19,10 @@
 enum {
 	CONFIG_TICK_US = 100000,
 	NAMES_MAX = 4096, /* workspaces and versions ever named here */
-	REVISION_BYTES = 8
+	REVISION_BYTES = 8,
+	LARGE_INSTANCES = 16, /* of one data centre, then: */
+	LARGE_PERIOD_MS = 4000, /* between questions to the relay */
+	LARGE_LEASE_MS = 12000 /* unheard for this long: isolated */
 };
 
 struct name {
@@ -323,6 +326,22 @@
 		    cy_node_document(node->config->node_side), out);
 }
 
+/* Counts the instances of this data centre. */
+static uint32_t
+count_here(const struct node *node)
+{
+	uint32_t count = 0;
+
+	for (uint32_t i = 0; i < directory_count(node->directory); i++) {
+		const struct directory_entry *e =
+		    directory_at(node->directory, i);
+
+		count +=
+		    strcmp(e->data_centre, node->settings->data_centre) == 0;
+	}
+	return count;
+}
+
 static struct config *
 config_new(struct node *node)
 {
@@ -335,6 +354,11 @@
 	    .incarnation = node->incarnation,
 	    .disk = node->settings->data_dir[0] != '\0'};
 
+	/* A relay answers each instance once a period. */
+	if (count_here(node) > LARGE_INSTANCES) {
+		options.period_ms = LARGE_PERIOD_MS;
+		options.lease_ms = LARGE_LEASE_MS;
+	}
 	config->node = node;
 	config->names = alloc_zero(node->alloc, NAMES_MAX, sizeof(struct name));
 	section_list_init(&config->sections, node->alloc);
