--- a/src/core/rollout.c
+++ b/src/core/rollout.c
@@ -24,6 +24,7 @@
 
 enum {
 	LATENCY_WARMUP = 64, /* first tokens before slowness is judged */
+	LEARNING_RATINGS = 600,
 	RECENT_MIN = 16, /* outcomes before a version is a comparison */
 	HELD_UNRATED = 3 /* trickle of one instance while on hold */
 };
@@ -61,6 +62,7 @@
 	uint32_t latency_count;
 	float bad_recent;
 	uint32_t outcome_count;
+	uint32_t rated_count; /* up to LEARNING_RATINGS */
 	float rating_share; /* part of a rating that has not freed a slot */
 	uint16_t unrated_head;
 	uint16_t unrated_count;
@@ -445,7 +447,10 @@
 		unrated_pop(v);
 }
 
-/* Takes in a rating of any instance's answer. */
+/*
+ * Takes in a rating of any instance's answer.  The first ones of a released
+ * version only teach what to expect of it.
+ */
 void
 ro_rated_against(struct ro *ro, uint16_t version, bool passed, double expected,
     int64_t now_us)
@@ -456,6 +461,10 @@
 	if (v == NULL)
 		return;
 	unrated_rated(ro, v);
+	if (v->state == CFG_RELEASED && v->rated_count < LEARNING_RATINGS) {
+		v->rated_count++;
+		return;
+	}
 	for (d = 0; d < RO_DROPS; d++)
 		add(v, RATED, d, ratio(passed, (float)expected, drops[d]));
 	judge(ro, v);
