--- a/bench/policy/agenda.h
+++ b/bench/policy/agenda.h
@@ -20,8 +20,7 @@
 	uint64_t order;
 };
 
-void agenda_add(
-    struct agenda *agenda, int64_t at_us, uint32_t kind, uint32_t a);
+void agenda_add(struct agenda *h, int64_t at_us, uint32_t kind, uint32_t a);
 struct agenda_item agenda_take(struct agenda *h);
 void agenda_free(struct agenda *h);
 
