--- a/src/core/attempt.c
+++ b/src/core/attempt.c
@@ -6,6 +6,7 @@
 	HEDGE_MIN_US = 400000, /* no hedge before */
 	HEDGE_FACTOR = 3, /* times the expected time to the first token */
 	SCORE_NONE = 0xffff,
+	AVERAGE_SHARE = 32, /* weight of one sample in an average */
 	COST_BASE = 64, /* fair-share cost of any request */
 	COST_PROMPT_PARTS = 8, /* prompt tokens that cost as much as one more */
 	COST_OUTPUT_UNKNOWN = 256
@@ -166,16 +167,22 @@
 	return true;
 }
 
-/* Hands a request to another data centre, as an attempt of its own. */
-void
+/*
+ * Hands a request to another data centre, as an attempt of its own; what may
+ * run there is checked once more by its receiver.  Returns false and does
+ * nothing where it may not be sent again.
+ */
+bool
 attempt_forward(struct cf_router *r, struct request *q, uint16_t data_centre)
 {
 	struct cf_action *a;
 	struct attempt *t;
 	uint16_t version = q->pinned ? q->chain.versions[0] : CFG_NONE;
 
-	if (!attempt_once_allowed(r, q))
-		return;
+	if (q->attempt_count == CF_ATTEMPTS_MAX ||
+	    !attempt_once_allowed(r, q) ||
+	    request_convicted(r, q->asked.fingerprint))
+		return false;
 	t = attempt_start(r, q, version);
 	t->data_centre = data_centre;
 	nb_sent(&r->nb, data_centre);
@@ -184,6 +191,7 @@
 	a->at_us = q->asked.deadline_us;
 	if (q->bind)
 		attempt_bind(r, q, version);
+	return true;
 }
 
 /* Takes an attempt off its server's count. */
@@ -198,8 +206,11 @@
 	if (s == NULL)
 		return;
 	r->running[place_lane(q, t->version)]--;
-	if (s->said.incarnation == t->incarnation)
-		fl_ended(r->fl, t->server, t->suspect, r->now_us);
+	if (s->said.incarnation != t->incarnation)
+		return;
+	fl_ended(r->fl, t->server, t->suspect, r->now_us);
+	if (state == ATTEMPT_CANCELLED)
+		fl_cancelled(r->fl, t->server, r->now_us);
 }
 
 /* Stops a running attempt; whether it ran stays unknown. */
@@ -232,6 +243,15 @@
 	return t->state == ATTEMPT_RUNNING ? t : NULL;
 }
 
+/* Moves an average by one sample; the first one sets it. */
+static void
+attempt_average(int64_t *average_us, int64_t took_us)
+{
+	if (*average_us == 0)
+		*average_us = took_us;
+	*average_us += (took_us - *average_us) / AVERAGE_SHARE;
+}
+
 /* Takes in the first token of an attempt; its hedge is no longer needed. */
 void
 attempt_first_token(struct cf_router *r, const struct cf_attempt *report)
@@ -249,6 +269,7 @@
 	if (t->server == CF_NO_SERVER)
 		return;
 	took_us = r->now_us - t->started_us;
+	attempt_average(&r->first_us[place_lane(q, t->version)], took_us);
 	if (t->incarnation == fl_server(r->fl, t->server)->said.incarnation)
 		fl_first_token(r->fl, t->server, took_us, t->expected_us);
 	for (i = 0; i < q->asked.prefix_count; i++)
@@ -288,14 +309,11 @@
 	    !report->defective &&
 	    (!rated || report->score_permille >= QUAL_SCORE_LOW_PERMILLE);
 	int64_t took_us = r->now_us - t->started_us;
-	int64_t *average = &r->service_us[place_lane(q, t->version)];
 
 	if (t->server == CF_NO_SERVER)
 		return good;
 	fl_served(r->fl, t->server, took_us);
-	if (*average == 0)
-		*average = took_us;
-	*average += (took_us - *average) / 32;
+	attempt_average(&r->service_us[place_lane(q, t->version)], took_us);
 	if (t->version == CFG_NONE)
 		return good;
 	attempt_learn(r, q, t->version, good);
@@ -314,7 +332,7 @@
 		return false;
 	q->step++;
 	q->why = CF_WHY_ESCALATE;
-	return place_local(r, q, true) == PLACE_DONE;
+	return place_local(r, q, PLACE_IN_TURN) == PLACE_DONE;
 }
 
 /* Whether a defective answer may be asked for again. */
@@ -327,7 +345,8 @@
 	    !limit_retry(r->limit, q->asked.workspace))
 		return false;
 	q->why = CF_WHY_RETRY;
-	return place_choose(r, q) && place_local(r, q, true) == PLACE_DONE;
+	return place_choose(r, q) &&
+	       place_local(r, q, PLACE_IN_TURN) == PLACE_DONE;
 }
 
 /* Takes in a whole answer: it is the caller's, or a better one is tried. */
@@ -368,8 +387,10 @@
 	if (t->server == CF_NO_SERVER)
 		return;
 	if (report->server_crashed &&
-	    t->incarnation == fl_server(r->fl, t->server)->said.incarnation)
+	    t->incarnation == fl_server(r->fl, t->server)->said.incarnation) {
 		upkeep_crash(r, t->server);
+		fl_gone(r->fl, t->server, r->now_us);
+	}
 	if (t->version == CFG_NONE || report->run_state == ERR_NOT_RUN ||
 	    !err_answer(report->error)->try_again)
 		return;
--- a/src/core/fleet.h
+++ b/src/core/fleet.h
@@ -38,6 +38,8 @@
 	bool slow; /* its latency jumped: treated as cold */
 	uint16_t in_flight; /* attempts of this instance */
 	uint16_t suspects; /* of them, requests with a crash mark */
+	uint16_t lingering; /* cancelled ones that may still run there */
+	int64_t lingering_us; /* the last of those cancels */
 	uint16_t others; /* load of other instances when last reported */
 	int64_t heard_us;
 	int64_t gone_us;
@@ -71,6 +73,7 @@
 	uint16_t version; /* CFG_NONE: a plain service */
 	uint16_t service;
 	bool suspect; /* must run beside no other suspect */
+	uint64_t reserved; /* no server that runs one of these versions */
 	const uint16_t *avoid; /* servers already tried */
 	uint8_t avoid_count;
 	const uint64_t *prefixes;
@@ -101,6 +104,7 @@
 uint16_t fl_count(const struct fl *fl, const struct fl_need *need);
 uint32_t fl_slots(const struct fl *fl, const struct fl_need *need);
 
+bool fl_open(const struct fl *fl, uint16_t server, int64_t now_us);
 bool fl_can_take(const struct fl *fl, uint16_t server,
     const struct fl_need *need, int64_t now_us);
 int64_t fl_expect(const struct fl *fl, uint16_t server,
@@ -109,6 +113,7 @@
     int64_t now_us, struct fl_choice *choice);
 
 void fl_started(struct fl *fl, uint16_t server, bool suspect, int64_t now_us);
+void fl_cancelled(struct fl *fl, uint16_t server, int64_t now_us);
 void fl_ended(struct fl *fl, uint16_t server, bool suspect, int64_t now_us);
 void fl_first_token(
     struct fl *fl, uint16_t server, int64_t took_us, int64_t expected_us);
--- a/src/core/fleet_pick.c
+++ b/src/core/fleet_pick.c
@@ -20,14 +20,15 @@
 {
 	int64_t age_ms = (now_us - s->said.reported_us) / 1000;
 	int64_t mean = fl->others_mean * s->said.slots / 1024;
+	int64_t others;
 
 	if (age_ms < 0)
 		age_ms = 0;
 	if (age_ms > FL_AGE_MAX_MS)
 		age_ms = FL_AGE_MAX_MS;
-	return s->in_flight + (uint32_t)((s->others * (int64_t)FL_AGE_HALF_MS +
-					     mean * age_ms) /
-					 (FL_AGE_HALF_MS + age_ms));
+	others = s->others * (int64_t)FL_AGE_HALF_MS + mean * age_ms;
+	age_ms += FL_AGE_HALF_MS;
+	return s->in_flight + (uint32_t)((others + age_ms / 2) / age_ms);
 }
 
 static bool
@@ -51,7 +52,8 @@
 fl_has_credit(const struct fl_server *s, int64_t now_us)
 {
 	return s->credits_incarnation == s->said.incarnation &&
-	       now_us < s->credits_until_us && s->in_flight < s->credits;
+	       now_us < s->credits_until_us &&
+	       s->in_flight + s->lingering < s->credits;
 }
 
 static bool
@@ -75,6 +77,14 @@
 		   : (s->listed_services >> need->service & 1) != 0;
 }
 
+/* Whether a server has room for any request. */
+bool
+fl_open(const struct fl *fl, uint16_t server, int64_t now_us)
+{
+	return server < fl->options.max_servers && fl->servers[server].known &&
+	       fl_has_room(fl, &fl->servers[server], now_us);
+}
+
 /* Whether a server may be given this request now. */
 bool
 fl_can_take(const struct fl *fl, uint16_t server, const struct fl_need *need,
@@ -82,7 +92,9 @@
 {
 	const struct fl_server *s = &fl->servers[server];
 
-	return fl_runs(fl, s, need) && !(need->suspect && s->suspects > 0) &&
+	return fl_runs(fl, s, need) &&
+	       (s->listed_versions & need->reserved) == 0 &&
+	       !(need->suspect && s->suspects > 0) &&
 	       fl_has_room(fl, s, now_us) && !fl_avoided(need, server);
 }
 
--- a/src/core/router.h
+++ b/src/core/router.h
@@ -71,6 +71,7 @@
 	uint8_t kept; /* attempt with an answer that may do */
 	uint8_t step; /* position in the chain */
 	uint16_t lane; /* counted in waiting[]; CFG_NONE: not */
+	uint64_t wants; /* versions, or the service, counted in wanted[] */
 	enum cf_reason why; /* of the next dispatch */
 	uint64_t elsewhere; /* versions other data centres may run */
 	struct qual_chain chain;
@@ -102,12 +103,17 @@
 	bool open; /* the own data centre takes work */
 	int64_t returned_us; /* own data centre came back; 0: never */
 	uint64_t stopped; /* versions reported as stopped */
+	uint64_t rolling; /* versions in roll-out */
 	uint64_t usable; /* versions present and not withdrawn */
 	uint64_t when_isolated; /* versions served while isolated */
 	uint64_t *model_versions; /* mask of versions of each model */
 	uint32_t running[FL_LISTS]; /* attempts by version or service */
 	uint32_t waiting[FL_LISTS]; /* queued requests by first choice */
+	uint32_t wanted[FL_LISTS]; /* queued requests by any choice */
+	uint64_t wanted_versions; /* mask of those above zero */
+	uint64_t wanted_services;
 	int64_t service_us[FL_LISTS]; /* average time of an attempt */
+	int64_t first_us[FL_LISTS]; /* average time to the first token */
 
 	int64_t now_us;
 	int64_t sweep_us;
@@ -141,6 +147,13 @@
 void request_caller_gone(struct cf_router *r, uint32_t id);
 
 /* place.c */
+/* Whose turn a request has. */
+enum place_turn {
+	PLACE_NEW, /* it goes behind the ones in the queue */
+	PLACE_IN_TURN, /* it comes from the queue, or has run before */
+	PLACE_SPARE /* only on servers that nobody waits for */
+};
+
 enum place_result {
 	PLACE_DONE,
 	PLACE_FULL, /* servers run it, none has room */
@@ -156,7 +169,9 @@
 void place_need(const struct cf_router *r, const struct request *q,
     uint16_t version, uint16_t avoid[CF_ATTEMPTS_MAX], struct fl_need *need);
 enum place_result place_local(
-    struct cf_router *r, struct request *q, bool queued);
+    struct cf_router *r, struct request *q, enum place_turn turn);
+uint64_t place_wants(const struct request *q);
+bool place_beyond(struct cf_router *r, struct request *q);
 bool place_on(struct cf_router *r, struct request *q, uint16_t server);
 bool place_forward(struct cf_router *r, struct request *q);
 bool place_reachable(const struct cf_router *r, const struct request *q);
@@ -166,7 +181,7 @@
 /* attempt.c */
 bool attempt_dispatch(struct cf_router *r, struct request *q,
     const struct fl_choice *choice, uint16_t version, enum cf_reason why);
-void attempt_forward(
+bool attempt_forward(
     struct cf_router *r, struct request *q, uint16_t data_centre);
 void attempt_cancel(struct cf_router *r, struct request *q, uint8_t number);
 void attempt_first_token(struct cf_router *r, const struct cf_attempt *report);
--- a/test/unit/router_property_test.cc
+++ b/test/unit/router_property_test.cc
@@ -72,9 +72,10 @@
 }
 
 INSTANTIATE_TEST_SUITE_P(Rule, RouterWithout,
-    testing::Values(Without{"allowed", CF_UNSAFE_ALLOWED, false,
-			{"version not allowed", "withdrawn version",
-			    "data centre out", "isolated"}},
+    testing::Values(
+	Without{"allowed", CF_UNSAFE_ALLOWED, false,
+	    {"version not allowed", "withdrawn version", "data centre out",
+		"forwarded where it may not run", "isolated"}},
 	Without{"sticky", CF_UNSAFE_STICKY, false, {"session moved"}},
 	Without{"credit", CF_UNSAFE_CREDIT, false, {"cold server"}},
 	Without{"granter_wait", 0, true, {"cold server"}},
@@ -154,7 +155,7 @@
 					   (op / 8 % 4) &
 				       1)) {
 				v.state = CFG_ROLLING;
-				v.stage_permille = 500;
+				v.stage_permille = 200;
 			}
 			ev.kind = CF_EV_CONFIG;
 			ev.u.config = cfg.next();
@@ -182,6 +183,12 @@
 		ev.u.attempt.request = id;
 		ev.u.attempt.score_permille = 0xffff;
 		cf_router_step(router, 1, &ev, &actions);
+		/* Rated at once, so that the cap of a roll-out stays open. */
+		memset(&ev, 0, sizeof(ev));
+		ev.kind = CF_EV_RATING;
+		ev.u.rating.version = version;
+		ev.u.rating.passed = true;
+		cf_router_step(router, 1, &ev, &actions);
 	}
 	cf_router_free(router);
 	return moved;
