--- a/src/core/place.c
+++ b/src/core/place.c
@@ -126,6 +126,17 @@
 	q->pinned = pinned;
 }
 
+/*
+ * Returns the versions in roll-out that may take one more session.  Which of
+ * them a session gets is its hash's matter, so every draw that opens one is
+ * asked for.
+ */
+static uint64_t
+place_rolling_open(const struct cf_router *r)
+{
+	return ro_room(r->ro) & r->rolling;
+}
+
 /*
  * Puts a session's version into the chain: the bound one while it may run, or
  * the one that the rule gives.
@@ -145,7 +156,7 @@
 		return;
 	}
 	lost = version != CFG_NONE && q->asked.model == CFG_NONE;
-	candidates &= ~r->rolling | ro_room(r->ro);
+	candidates &= ~r->rolling | place_rolling_open(r);
 	version = session_rule(r->session, &key, candidates);
 	loaded = candidates & fl_versions(r->fl);
 	if (loaded != 0 && (version == CFG_NONE || !(loaded >> version & 1)))
