Add cf-slopes: what each role costs against the size that drives it

Change: each role's state machine runs in virtual time; messages are encoded, counted with their frames and decoded; a line is fitted to each quantity.

--- /dev/null
+++ b/bench/slopes/bills.c
@@ -0,0 +1,266 @@
+#include <string.h>
+
+#include "slopes.h"
+#include "state/bill.h"
+
+/*
+ * Bills: three replicas, and owners that intend, settle after 200 ms and keep
+ * each bill until it is durable.  A seal is agreed each second.
+ */
+enum {
+	REPLICAS = 3,
+	OWNERS_MAX = 420,
+	TICK_US = 20000,
+	TICKS_A_SECOND = 50,
+	WARM_TICKS = 500,
+	COUNT_TICKS = 500,
+	HOLD_TICKS = 10,
+	WALL_S = 1800000000,
+	RING = 65536
+};
+
+struct bills_world {
+	struct net net;
+	struct meter store_meter;
+	struct meter client_meter;
+	struct bl_store *stores[REPLICAS + 1];
+	struct bl_client *clients[OWNERS_MAX];
+	uint64_t persist[REPLICAS + 1];
+	uint32_t owners;
+	int64_t now_us;
+	struct {
+		uint32_t owner;
+		int64_t sequence;
+		uint32_t tick;
+	} open[RING];
+	uint32_t open_first;
+	uint32_t open_count;
+	uint32_t tick;
+	uint64_t opened;
+	uint64_t archived;
+};
+
+struct bills_end {
+	struct bills_world *world;
+	uint32_t self;
+};
+
+static struct bills_end ends[REPLICAS + OWNERS_MAX + 1];
+
+static void
+send(
+    struct bills_world *w, uint32_t from, uint32_t to, const struct bl_msg *msg)
+{
+	struct buf bytes;
+
+	buf_init(&bytes, alloc_default());
+	bl_msg_encode(msg, &bytes);
+	net_send(&w->net, from, to, 0, &bytes);
+	buf_free(&bytes);
+}
+
+static void
+emit_store(void *ctx, const struct bl_store_action *a)
+{
+	const struct bills_end *end = ctx;
+
+	if (a->kind == BL_STORE_SEND)
+		send(end->world, end->self, a->to, a->msg);
+	if (a->kind == BL_STORE_PERSIST)
+		end->world->persist[end->self] = a->sequence;
+	if (a->kind == BL_STORE_ARCHIVE && end->self == 1)
+		end->world->archived++;
+}
+
+static void
+emit_client(void *ctx, const struct bl_client_action *a)
+{
+	const struct bills_end *end = ctx;
+
+	if (a->kind == BL_CLIENT_SEND)
+		send(end->world, end->self, a->to, a->msg);
+}
+
+static void
+deliver(void *ctx, const struct packet *p)
+{
+	struct bills_world *w = ctx;
+	static struct bl_msg msg;
+
+	if (bl_msg_decode(&msg, p->bytes.data, p->bytes.len) != 0)
+		return;
+	if (p->to > REPLICAS) {
+		bl_client_message(
+		    w->clients[p->to - REPLICAS - 1], w->now_us, p->from, &msg);
+		return;
+	}
+	bl_store_message(w->stores[p->to], w->now_us, p->from, &msg);
+	if (w->persist[p->to] != 0)
+		bl_store_persisted(w->stores[p->to], w->persist[p->to]);
+	w->persist[p->to] = 0;
+}
+
+static void
+begin(struct bills_world *w)
+{
+	uint32_t owner = (uint32_t)(w->opened % w->owners), at;
+	int64_t sequence;
+
+	net_enter(&w->net);
+	sequence = bl_client_intent(w->clients[owner], w->now_us,
+	    WALL_S + w->now_us / 1000000, 7, 0xffff, ++w->opened);
+	net_leave(&w->net, REPLICAS + 1 + owner);
+	if (sequence < 0 || w->open_count == RING)
+		return;
+	at = (w->open_first + w->open_count++) % RING;
+	w->open[at].owner = owner;
+	w->open[at].sequence = sequence;
+	w->open[at].tick = w->tick;
+}
+
+static void
+settle(struct bills_world *w)
+{
+	struct bl_item item = {.attempt = 1,
+	    .version = 99,
+	    .prompt_tokens = 1000,
+	    .output_tokens = 470,
+	    .cost_nano = 470000};
+
+	while (w->open_count > 0 &&
+	       w->tick - w->open[w->open_first].tick >= HOLD_TICKS) {
+		uint32_t owner = w->open[w->open_first].owner;
+		uint64_t n = (uint64_t)w->open[w->open_first].sequence;
+
+		net_enter(&w->net);
+		bl_client_item(w->clients[owner], n, &item);
+		bl_client_settle(w->clients[owner], w->now_us, n);
+		net_leave(&w->net, REPLICAS + 1 + owner);
+		w->open_first = (w->open_first + 1) % RING;
+		w->open_count--;
+	}
+}
+
+static void
+seal(struct bills_world *w)
+{
+	static struct bl_seal next;
+
+	net_enter(&w->net);
+	if (bl_store_propose(w->stores[1], &next)) {
+		net_leave(&w->net, 1);
+		for (uint32_t i = 1; i <= REPLICAS; i++) {
+			net_enter(&w->net);
+			bl_store_sealed(w->stores[i], &next);
+			net_leave(&w->net, i);
+		}
+	}
+}
+
+static void
+run(struct bills_world *w, uint32_t ticks, double rate)
+{
+	double due = 0;
+
+	for (uint32_t t = 0; t < ticks; t++, w->tick++) {
+		for (due += rate / TICKS_A_SECOND; due >= 1; due -= 1)
+			begin(w);
+		settle(w);
+		for (uint32_t i = 0; i < w->owners; i++) {
+			net_enter(&w->net);
+			bl_client_tick(w->clients[i], w->now_us);
+			net_leave(&w->net, REPLICAS + 1 + i);
+		}
+		for (uint32_t i = 1; i <= REPLICAS; i++) {
+			net_enter(&w->net);
+			bl_store_tick(w->stores[i], w->now_us);
+			net_leave(&w->net, i);
+		}
+		net_run(&w->net);
+		if (w->tick % TICKS_A_SECOND == 0)
+			seal(w);
+		w->now_us += TICK_US;
+	}
+}
+
+static void
+start(struct bills_world *w, uint32_t owners)
+{
+	static const uint32_t all[REPLICAS] = {1, 2, 3};
+
+	memset(w, 0, sizeof(*w));
+	net_init(&w->net, deliver, w);
+	meter_init(&w->store_meter);
+	meter_init(&w->client_meter);
+	w->now_us = 10000000;
+	w->owners = owners;
+	for (uint32_t i = 1; i <= REPLICAS; i++) {
+		uint32_t others[2] = {i % 3 + 1, (i + 1) % 3 + 1};
+		struct bl_store_options o = {.alloc = &w->store_meter.alloc,
+		    .emit = emit_store,
+		    .ctx = &ends[i],
+		    .instance = i,
+		    .life = i};
+
+		ends[i] = (struct bills_end){w, i};
+		w->stores[i] = bl_store_new(&o);
+		bl_store_peers(w->stores[i], others, 2);
+	}
+	for (uint32_t i = 0; i < owners; i++) {
+		uint32_t self = REPLICAS + 1 + i;
+		struct bl_client_options c = {.alloc = &w->client_meter.alloc,
+		    .emit = emit_client,
+		    .ctx = &ends[self],
+		    .instance = self,
+		    .owner = 1000 + i};
+
+		ends[self] = (struct bills_end){w, self};
+		w->clients[i] = bl_client_new(&c);
+		bl_client_replicas(w->clients[i], all, REPLICAS);
+	}
+}
+
+static void
+measure(struct sweep *sweep, double x, uint32_t owners, double rate)
+{
+	static struct bills_world w;
+	struct point *p = sweep_point(sweep, x);
+	double seconds = (double)COUNT_TICKS / TICKS_A_SECOND, values[3];
+	uint64_t archived;
+
+	start(&w, owners);
+	run(&w, WARM_TICKS, rate);
+	net_reset(&w.net);
+	archived = w.archived;
+	run(&w, COUNT_TICKS, rate);
+	p->value[0] = (double)w.store_meter.live / REPLICAS;
+	net_cost(&w.net, 1, REPLICAS, seconds, &p->value[1]);
+	net_cost(&w.net, REPLICAS + 1, REPLICAS + owners, seconds, values);
+	p->value[4] = (double)w.client_meter.live / owners;
+	p->value[5] = values[1];
+	p->value[6] = values[2];
+	p->value[7] = (double)(w.archived - archived) / seconds / rate;
+	for (uint32_t i = 1; i <= REPLICAS; i++)
+		bl_store_free(w.stores[i]);
+	for (uint32_t i = 0; i < owners; i++)
+		bl_client_free(w.clients[i]);
+	net_free(&w.net);
+}
+
+/* Bills by their rate and by their owners. */
+void
+slopes_bills(void)
+{
+	static const char names[] =
+	    "store_state_bytes,store_messages_s,store_bytes_s,store_cpu_us_s,"
+	    "client_state_bytes,client_bytes_s,client_cpu_us_s,sealed_share";
+	static const double rates[] = {100, 400, 800, 1600, 3200};
+	static const uint32_t owners[] = {8, 32, 64, 128, 420};
+	struct sweep *s = sweep_new("bills", "bills/s", names);
+
+	for (uint32_t i = 0; i < 5; i++)
+		measure(s, rates[i], 420, rates[i]);
+	s = sweep_new("bills", "owners", names);
+	for (uint32_t i = 0; i < 5; i++)
+		measure(s, owners[i], owners[i], 800);
+}
--- /dev/null
+++ b/bench/slopes/claims.c
@@ -0,0 +1,239 @@
+#include <string.h>
+
+#include "slopes.h"
+#include "state/claim.h"
+
+/* Claims: three replicas and one instance that claims, marks and ends. */
+enum {
+	REPLICAS = 3,
+	CLIENT = REPLICAS + 1,
+	TICK_US = 20000,
+	TICKS_A_SECOND = 50,
+	COUNT_TICKS = 500,
+	WALL_S = 1800000000,
+	WORKSPACES = 30
+};
+
+struct claims_world {
+	struct net net;
+	struct meter store_meter;
+	struct meter client_meter;
+	struct cl_store *stores[REPLICAS + 1];
+	struct cl_client *client;
+	uint64_t persist[REPLICAS + 1];
+	uint64_t record_bytes;
+	struct rng rng;
+	int64_t now_us;
+	uint64_t op;
+	uint64_t done;
+	uint64_t refused;
+	uint64_t next[65536]; /* ops whose next step is due */
+	enum cl_step step[65536];
+	uint32_t next_count;
+};
+
+struct claims_end {
+	struct claims_world *world;
+	uint32_t self;
+};
+
+static struct claims_end ends[CLIENT + 1];
+
+static void
+send(struct claims_world *w, uint32_t from, uint32_t to,
+    const struct cl_msg *msg)
+{
+	struct buf bytes;
+
+	buf_init(&bytes, alloc_default());
+	cl_msg_encode(msg, &bytes);
+	net_send(&w->net, from, to, 0, &bytes);
+	buf_free(&bytes);
+}
+
+static void
+emit_store(void *ctx, const struct cl_store_action *a)
+{
+	const struct claims_end *end = ctx;
+
+	if (a->kind == CL_STORE_SEND)
+		send(end->world, end->self, a->to, a->msg);
+	if (a->kind == CL_STORE_PERSIST) {
+		end->world->persist[end->self] = a->sequence;
+		end->world->record_bytes += a->record_len;
+	}
+}
+
+static void
+emit_client(void *ctx, const struct cl_client_action *a)
+{
+	struct claims_world *w = ((const struct claims_end *)ctx)->world;
+
+	if (a->kind == CL_CLIENT_SEND)
+		send(w, CLIENT, a->to, a->msg);
+	if (a->kind != CL_CLIENT_ANSWER)
+		return;
+	if (a->error != 0) {
+		w->refused++;
+	} else if (a->step == CL_STEP_DONE) {
+		w->done++;
+	} else {
+		w->step[w->next_count] = a->step;
+		w->next[w->next_count++] = a->op;
+	}
+}
+
+static void
+deliver(void *ctx, const struct packet *p)
+{
+	struct claims_world *w = ctx;
+	static struct cl_msg msg;
+
+	if (cl_msg_decode(&msg, p->bytes.data, p->bytes.len) != 0)
+		return;
+	if (p->to == CLIENT) {
+		cl_client_message(w->client, w->now_us, p->from, &msg);
+		return;
+	}
+	cl_store_message(w->stores[p->to], w->now_us, p->from, &msg);
+	if (w->persist[p->to] != 0)
+		cl_store_persisted(
+		    w->stores[p->to], w->now_us, w->persist[p->to]);
+	w->persist[p->to] = 0;
+}
+
+static void
+drain(struct claims_world *w)
+{
+	static const uint8_t digest[CL_DIGEST_BYTES];
+
+	net_run(&w->net);
+	while (w->next_count > 0) {
+		uint64_t op = w->next[--w->next_count];
+
+		net_enter(&w->net);
+		if (w->step[w->next_count] == CL_STEP_CLAIM)
+			cl_client_mark(
+			    w->client, w->now_us, op, w->now_us + 2000000);
+		else
+			cl_client_done(w->client, w->now_us, op, 200, digest);
+		net_leave(&w->net, CLIENT);
+		net_run(&w->net);
+	}
+}
+
+static void
+claim(struct claims_world *w)
+{
+	struct cl_key key = {.workspace = w->op % WORKSPACES,
+	    .born = (uint32_t)((WALL_S + w->now_us / 1000000) / CL_BORN_S)};
+
+	for (size_t i = 0; i < sizeof(key.hash); i += sizeof(uint64_t)) {
+		uint64_t random = rng_u64(&w->rng);
+
+		memcpy(&key.hash[i], &random, sizeof(random));
+	}
+	net_enter(&w->net);
+	cl_client_claim(
+	    w->client, w->now_us, ++w->op, &key, w->now_us + 2000000);
+	net_leave(&w->net, CLIENT);
+	drain(w);
+}
+
+static void
+run(struct claims_world *w, uint32_t ticks, double rate)
+{
+	double due = 0;
+
+	for (uint32_t t = 0; t < ticks; t++) {
+		for (uint32_t i = 1; i <= REPLICAS; i++) {
+			net_enter(&w->net);
+			cl_store_tick(w->stores[i], w->now_us,
+			    WALL_S + w->now_us / 1000000);
+			net_leave(&w->net, i);
+		}
+		net_enter(&w->net);
+		cl_client_tick(w->client, w->now_us);
+		net_leave(&w->net, CLIENT);
+		drain(w);
+		for (due += rate / TICKS_A_SECOND; due >= 1; due -= 1)
+			claim(w);
+		w->now_us += TICK_US;
+	}
+}
+
+static void
+start(struct claims_world *w)
+{
+	struct cl_replicas set = {1, REPLICAS, {1, 2, 3}};
+
+	memset(w, 0, sizeof(*w));
+	net_init(&w->net, deliver, w);
+	meter_init(&w->store_meter);
+	meter_init(&w->client_meter);
+	rng_init(&w->rng, 1);
+	w->now_us = 10000000;
+	for (uint32_t i = 1; i <= CLIENT; i++) {
+		struct cl_store_options o = {.alloc = &w->store_meter.alloc,
+		    .emit = emit_store,
+		    .ctx = &ends[i],
+		    .instance = i};
+		struct cl_client_options c = {.alloc = &w->client_meter.alloc,
+		    .emit = emit_client,
+		    .ctx = &ends[i],
+		    .instance = i,
+		    .incarnation = 1,
+		    .seed = 1,
+		    .ops_max = 16384};
+
+		ends[i] = (struct claims_end){w, i};
+		if (i == CLIENT) {
+			w->client = cl_client_new(&c);
+			cl_client_replicas(w->client, &set);
+			continue;
+		}
+		w->stores[i] = cl_store_new(&o);
+		cl_store_replicas(w->stores[i], &set);
+	}
+}
+
+static void
+measure(struct sweep *sweep, double x, double rate, double keys)
+{
+	static struct claims_world w;
+	struct point *p = sweep_point(sweep, x);
+	double seconds = (double)COUNT_TICKS / TICKS_A_SECOND;
+
+	start(&w);
+	run(&w, TICKS_A_SECOND, keys);
+	net_reset(&w.net);
+	w.record_bytes = w.done = w.refused = 0;
+	run(&w, COUNT_TICKS, rate);
+	p->value[0] = (double)w.store_meter.live / REPLICAS;
+	net_cost(&w.net, 1, REPLICAS, seconds, &p->value[1]);
+	net_cost(&w.net, CLIENT, CLIENT, seconds, &p->value[4]);
+	p->value[6] /= 1;
+	p->value[7] = rate > 0 ? (double)w.done / (seconds * rate) : 1;
+	for (uint32_t i = 1; i <= REPLICAS; i++)
+		cl_store_free(w.stores[i]);
+	cl_client_free(w.client);
+	net_free(&w.net);
+}
+
+/* Claims by their rate and by the keys that are kept. */
+void
+slopes_claims(void)
+{
+	static const char names[] =
+	    "store_state_bytes,store_messages_s,store_bytes_s,store_cpu_us_s,"
+	    "client_messages_s,client_bytes_s,client_cpu_us_s,ended_share";
+	static const double rates[] = {4, 16, 64, 256, 1024};
+	static const double keys[] = {10000, 50000, 100000, 200000, 390000};
+	struct sweep *s = sweep_new("claims", "claims/s", names);
+
+	for (uint32_t i = 0; i < 5; i++)
+		measure(s, rates[i], rates[i], 0);
+	s = sweep_new("claims", "keys kept", names);
+	for (uint32_t i = 0; i < 5; i++)
+		measure(s, keys[i], 16, keys[i]);
+}
--- /dev/null
+++ b/bench/slopes/entry.c
@@ -0,0 +1,272 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "celeryford.h"
+#include "slopes.h"
+
+/*
+ * The decisions of an entry instance: requests over the workspaces, each
+ * dispatched, given its first token after 200 ms and answered, while every
+ * server announces itself twice a second.
+ */
+enum {
+	HOLD_US = 200000,
+	ANNOUNCE_US = 500000,
+	RUN_US = 20000000,
+	OPEN_MAX = 16384,
+	PREFIXES = 4,
+	SLOTS = 16
+};
+
+struct entry_size {
+	uint32_t servers;
+	uint32_t versions;
+	uint32_t workspaces;
+	uint32_t sessions;
+	uint32_t rate; /* requests a second */
+};
+
+struct entry_open {
+	uint32_t id;
+	uint8_t attempt;
+	int64_t started_us;
+};
+
+struct entry_world {
+	struct entry_size size;
+	struct meter meter;
+	struct rng rng;
+	struct cf_router *router;
+	struct cf_actions actions;
+	struct cfg cfg;
+	struct cfg_data_centre centre;
+	struct cfg_version versions[CFG_VERSIONS_MAX];
+	struct cfg_model models[CFG_VERSIONS_MAX];
+	struct cfg_workspace *workspaces;
+	struct entry_open open[OPEN_MAX];
+	uint32_t open_first;
+	uint32_t open_count;
+	uint64_t dispatched;
+	int64_t now_us;
+};
+
+static void
+configure(struct entry_world *w)
+{
+	struct cfg *c = &w->cfg;
+
+	w->workspaces = calloc(w->size.workspaces, sizeof(*w->workspaces));
+	if (w->workspaces == NULL)
+		abort();
+	w->centre.present = true;
+	for (uint32_t i = 0; i < w->size.versions; i++) {
+		w->models[i].present = true;
+		w->versions[i] = (struct cfg_version){.present = true,
+		    .model = (uint16_t)(i / 2),
+		    .cost_micro = i + 1,
+		    .prior_permille = (uint16_t)(800 + 3 * i),
+		    .unrated_max = 1000};
+	}
+	for (uint32_t i = 0; i < w->size.workspaces; i++)
+		w->workspaces[i] = (struct cfg_workspace){.present = true,
+		    .versions = w->size.versions == 64
+				    ? UINT64_MAX
+				    : (UINT64_C(1) << w->size.versions) - 1,
+		    .data_centres = 1,
+		    .weight = (uint16_t)(i % 10 + 1),
+		    .target_permille = (uint16_t)(800 + i % 10 * 15),
+		    .deadline_ms = 1500,
+		    .retry_permille = 100};
+	*c = (struct cfg){.revision = 1,
+	    .data_centre_count = 1,
+	    .data_centres = &w->centre,
+	    .model_count = (uint16_t)(w->size.versions / 2),
+	    .models = w->models,
+	    .version_count = (uint16_t)w->size.versions,
+	    .versions = w->versions,
+	    .workspace_count = (uint16_t)w->size.workspaces,
+	    .workspaces = w->workspaces};
+}
+
+static void
+step(struct entry_world *w, const struct cf_event *event)
+{
+	cf_router_step(w->router, w->now_us, event, &w->actions);
+	for (size_t i = 0; i < w->actions.count; i++) {
+		const struct cf_action *a = &w->actions.items[i];
+
+		if (a->kind != CF_ACT_DISPATCH || w->open_count == OPEN_MAX)
+			continue;
+		w->dispatched++;
+		w->open[(w->open_first + w->open_count++) % OPEN_MAX] =
+		    (struct entry_open){a->request, a->attempt, w->now_us};
+	}
+}
+
+static void
+announce(struct entry_world *w, uint16_t server)
+{
+	struct cf_event ev = {.kind = CF_EV_ANNOUNCE};
+	struct cf_announce *a = &ev.u.announce;
+
+	*a = (struct cf_announce){.server = server,
+	    .incarnation = 1,
+	    .warmth = CF_WARM,
+	    .slots = SLOTS,
+	    .cold_slots = 1,
+	    .running = cf_router_in_flight(w->router, server),
+	    .reported_us = w->now_us,
+	    .token_us = 20000};
+	for (uint32_t i = 0; i < 4; i++)
+		a->versions |= UINT64_C(1)
+			       << (server * 3u + i) % w->size.versions;
+	step(w, &ev);
+}
+
+static void
+request(struct entry_world *w, uint32_t id)
+{
+	struct cf_event ev = {.kind = CF_EV_REQUEST};
+	struct cf_request *q = &ev.u.request;
+
+	q->id = id;
+	q->workspace = (uint16_t)rng_below(&w->rng, w->size.workspaces);
+	q->model = CFG_NONE;
+	q->version = CFG_NONE;
+	q->task_class = (uint16_t)rng_below(&w->rng, 4);
+	q->fingerprint = rng_u64(&w->rng);
+	q->prompt_tokens = 500 + rng_below(&w->rng, 3000);
+	if (rng_below(&w->rng, 1000) < 300)
+		q->session = 1 + rng_below(&w->rng, w->size.sessions);
+	for (uint32_t i = 0; i < PREFIXES; i++)
+		q->prefixes[q->prefix_count++] =
+		    ((uint64_t)i << 32) + rng_below(&w->rng, 2000) + 1;
+	step(w, &ev);
+}
+
+static void
+finish(struct entry_world *w)
+{
+	struct entry_open *o = &w->open[w->open_first];
+	struct cf_event ev = {.kind = CF_EV_FIRST_TOKEN};
+
+	w->open_first = (w->open_first + 1) % OPEN_MAX;
+	w->open_count--;
+	ev.u.attempt.request = o->id;
+	ev.u.attempt.attempt = o->attempt;
+	ev.u.attempt.score_permille = 0xffff;
+	step(w, &ev);
+	ev.kind = CF_EV_DONE;
+	ev.u.attempt.output_tokens = 300;
+	step(w, &ev);
+}
+
+/* Runs until a time; returns the processor time of the announcements. */
+static int64_t
+run(struct entry_world *w, int64_t until_us)
+{
+	int64_t step_us = 1000000 / w->size.rate, next_us = w->now_us;
+	int64_t took_ns = 0, began_ns;
+	uint32_t id = 0;
+
+	while (next_us < until_us) {
+		w->now_us = next_us;
+		while (w->open_count > 0 &&
+		       w->now_us - w->open[w->open_first].started_us >= HOLD_US)
+			finish(w);
+		request(w, ++id);
+		next_us += step_us;
+		if (next_us / ANNOUNCE_US == w->now_us / ANNOUNCE_US)
+			continue;
+		began_ns = cpu_ns();
+		for (uint32_t i = 0; i < w->size.servers; i++)
+			announce(w, (uint16_t)i);
+		took_ns += cpu_ns() - began_ns;
+	}
+	return took_ns;
+}
+
+static void
+measure(struct sweep *sweep, double x, struct entry_size size)
+{
+	static struct entry_world w;
+	struct cf_event ev = {.kind = CF_EV_CONFIG};
+	struct cf_router_options o = {.alloc = &w.meter.alloc,
+	    .seed = 1,
+	    .max_servers = (uint16_t)size.servers,
+	    .max_requests = OPEN_MAX,
+	    .max_sessions = size.sessions};
+	struct point *p = sweep_point(sweep, x);
+	int64_t took_ns, announces_ns;
+
+	memset(&w, 0, sizeof(w));
+	w.size = size;
+	w.now_us = 1000000;
+	meter_init(&w.meter);
+	rng_init(&w.rng, 2);
+	configure(&w);
+	w.router = cf_router_new(&o);
+	ev.u.config = &w.cfg;
+	step(&w, &ev);
+	for (uint32_t i = 0; i < size.servers; i++)
+		announce(&w, (uint16_t)i);
+	took_ns = cpu_ns();
+	announces_ns = run(&w, w.now_us + RUN_US);
+	took_ns = cpu_ns() - took_ns;
+	p->value[0] = (double)w.meter.live;
+	p->value[1] = (double)took_ns / 1000 / (RUN_US / 1000000);
+	p->value[2] = (double)(took_ns - announces_ns) / 1000 /
+		      ((double)size.rate * (RUN_US / 1000000));
+	p->value[3] = (double)announces_ns / 1000 /
+		      ((double)size.servers * RUN_US / ANNOUNCE_US);
+	p->value[4] =
+	    (double)w.dispatched / ((double)size.rate * (RUN_US / 1000000));
+	cf_router_free(w.router);
+	free(w.workspaces);
+}
+
+/* Decisions by servers, versions, workspaces, sessions and requests. */
+void
+slopes_entry(void)
+{
+	static const char names[] = "state_bytes,cpu_us_s,cpu_us_a_request,"
+				    "cpu_us_an_announcement,dispatched_share";
+	static const struct entry_size full = {146, 26, 30, 65536, 40};
+	static const uint32_t servers[] = {36, 73, 146, 200, 256};
+	static const uint32_t versions[] = {8, 16, 26, 40, 64};
+	static const uint32_t workspaces[] = {10, 30, 100, 300, 1000};
+	static const uint32_t sessions[] = {8192, 16384, 32768, 65536};
+	static const uint32_t rates[] = {8, 40, 160, 640, 3200};
+	struct entry_size size;
+	struct sweep *s = sweep_new("entry", "servers", names);
+
+	for (uint32_t i = 0; i < 5; i++) {
+		size = full;
+		size.servers = servers[i];
+		measure(s, servers[i], size);
+	}
+	s = sweep_new("entry", "versions", names);
+	for (uint32_t i = 0; i < 5; i++) {
+		size = full;
+		size.versions = versions[i];
+		measure(s, versions[i], size);
+	}
+	s = sweep_new("entry", "workspaces", names);
+	for (uint32_t i = 0; i < 5; i++) {
+		size = full;
+		size.workspaces = workspaces[i];
+		measure(s, workspaces[i], size);
+	}
+	s = sweep_new("entry", "sessions", names);
+	for (uint32_t i = 0; i < 4; i++) {
+		size = full;
+		size.sessions = sessions[i];
+		measure(s, sessions[i], size);
+	}
+	s = sweep_new("entry", "requests/s", names);
+	for (uint32_t i = 0; i < 5; i++) {
+		size = full;
+		size.rate = rates[i];
+		measure(s, rates[i], size);
+	}
+}
--- /dev/null
+++ b/bench/slopes/member.c
@@ -0,0 +1,193 @@
+#include <string.h>
+
+#include "slopes.h"
+#include "state/member.h"
+
+/*
+ * Membership and what it spreads: every instance of one data centre, and one
+ * instance for each of the other data centres, whose relay it is.
+ */
+enum {
+	TICK_US = 100000,
+	WARM_TICKS = 300,
+	COUNT_TICKS = 600,
+	TICKS_A_SECOND = 10,
+	VERSIONS = 26
+};
+
+struct member_world {
+	struct net net;
+	struct meter meter;
+	struct mb *mb[HOSTS_MAX];
+	uint32_t inside;
+	uint32_t total;
+	int64_t now_us;
+	uint64_t got_items;
+	uint64_t published;
+};
+
+struct member_end {
+	struct member_world *world;
+	uint32_t self;
+};
+
+static struct member_end ends[HOSTS_MAX];
+
+static void
+emit(void *ctx, const struct mb_action *action)
+{
+	const struct member_end *end = ctx;
+	struct member_world *w = end->world;
+	struct buf bytes;
+
+	if (action->kind == MB_GOT_ITEM &&
+	    action->item->kind == MB_ITEM_RATING && end->self <= w->inside)
+		w->got_items++;
+	if (action->kind != MB_SEND || action->to == 0 || action->to > w->total)
+		return;
+	buf_init(&bytes, alloc_default());
+	mb_msg_encode(action->msg, &bytes);
+	net_send(&w->net, end->self, action->to, 0, &bytes);
+	buf_free(&bytes);
+}
+
+static void
+deliver(void *ctx, const struct packet *p)
+{
+	struct member_world *w = ctx;
+	static struct mb_msg msg;
+
+	if (mb_msg_decode(&msg, p->bytes.data, p->bytes.len) == 0)
+		mb_message(w->mb[p->to], w->now_us, p->from, &msg);
+}
+
+static void
+start(struct member_world *w, uint32_t self, uint16_t centre)
+{
+	struct mb_options o = {.alloc = &w->meter.alloc,
+	    .emit = emit,
+	    .ctx = &ends[self],
+	    .seed = self,
+	    .instance = self,
+	    .incarnation = 1,
+	    .data_centre = centre};
+
+	ends[self] = (struct member_end){w, self};
+	if (centre == 0) {
+		for (uint32_t i = 1; i <= 3 && i <= w->inside; i++)
+			o.voters[o.voter_count++] = i;
+	} else {
+		o.voters[o.voter_count++] = self;
+	}
+	w->mb[self] = mb_new(&o, w->now_us);
+	for (uint32_t i = 1; i <= w->inside; i++) {
+		if (centre == 0 && i != self)
+			mb_seed_member(w->mb[self], i);
+		else if (centre != 0)
+			mb_seed_data_centre(w->mb[self], 0, i);
+	}
+	for (uint32_t i = w->inside + 1; i <= w->total; i++) {
+		if (i != self)
+			mb_seed_data_centre(
+			    w->mb[self], (uint16_t)(i - w->inside), i);
+	}
+}
+
+/* Publishes ratings at random members; rate is that of the data centre. */
+static void
+publish(struct member_world *w, uint32_t tick, uint32_t rate)
+{
+	uint32_t due =
+	    rate * (tick + 1) / TICKS_A_SECOND - rate * tick / TICKS_A_SECOND;
+	struct mb_item item = {.kind = MB_ITEM_RATING, .len = 12};
+
+	for (uint32_t i = 0; i < due; i++) {
+		uint32_t self = 1 + (uint32_t)(w->published++ % w->inside);
+
+		net_enter(&w->net);
+		mb_publish(w->mb[self], w->now_us, &item, 0, true);
+		net_leave(&w->net, self);
+	}
+}
+
+static void
+run(struct member_world *w, uint32_t ticks, uint32_t rate)
+{
+	uint16_t spare[MB_VERSIONS_MAX] = {0};
+
+	for (uint32_t t = 0; t < ticks; t++) {
+		for (uint32_t i = 1; i <= w->total; i++) {
+			if ((t + i) % TICKS_A_SECOND == 0) {
+				for (int v = 0; v < VERSIONS; v++)
+					spare[v] = (uint16_t)(20 + v);
+				mb_spare(w->mb[i], spare);
+			}
+			net_enter(&w->net);
+			mb_tick(w->mb[i], w->now_us);
+			net_leave(&w->net, i);
+		}
+		publish(w, t, rate);
+		net_run(&w->net);
+		w->now_us += TICK_US;
+	}
+}
+
+static void
+measure(struct sweep *sweep, double x, uint32_t inside, uint32_t centres,
+    uint32_t rate)
+{
+	static struct member_world w;
+	struct point *p = sweep_point(sweep, x);
+	double seconds = (double)COUNT_TICKS / TICKS_A_SECOND;
+	uint32_t relay = 0;
+
+	memset(&w, 0, sizeof(w));
+	net_init(&w.net, deliver, &w);
+	meter_init(&w.meter);
+	w.now_us = 1000000;
+	w.inside = inside;
+	w.total = inside + centres - 1;
+	for (uint32_t i = 1; i <= w.total; i++)
+		start(&w, i, (uint16_t)(i <= inside ? 0 : i - inside));
+	run(&w, WARM_TICKS, rate);
+	net_reset(&w.net);
+	w.got_items = w.published = 0;
+	run(&w, COUNT_TICKS, rate);
+	for (uint32_t i = 1; i <= inside; i++) {
+		if (mb_role_held(w.mb[i], MB_RELAY, w.now_us))
+			relay = i;
+	}
+	p->value[0] = (double)w.meter.live / w.total;
+	net_cost(&w.net, 1, inside, seconds, &p->value[1]);
+	if (relay != 0)
+		net_cost(&w.net, relay, relay, seconds, &p->value[4]);
+	p->value[7] = rate > 0 ? (double)w.got_items /
+				     ((double)w.published * (inside - 1))
+			       : 1;
+	for (uint32_t i = 1; i <= w.total; i++)
+		mb_free(w.mb[i]);
+	net_free(&w.net);
+}
+
+/* Membership, and its relay, by instances, data centres and ratings. */
+void
+slopes_member(void)
+{
+	static const char names[] =
+	    "state_bytes,messages_s,bytes_s,cpu_us_s,relay_messages_s,"
+	    "relay_bytes_s,relay_cpu_us_s,items_delivered";
+	static const uint32_t inside[] = {2, 8, 21, 42, 84, 120};
+	static const uint32_t centres[] = {2, 5, 8, 15};
+	static const uint32_t rates[] = {0, 8, 40, 160, 640};
+	struct sweep *s =
+	    sweep_new("member", "instances of a data centre", names);
+
+	for (uint32_t i = 0; i < 6; i++)
+		measure(s, inside[i], inside[i], 5, 0);
+	s = sweep_new("member", "data centres", names);
+	for (uint32_t i = 0; i < 4; i++)
+		measure(s, centres[i], 84, centres[i], 0);
+	s = sweep_new("member", "ratings/s of a data centre", names);
+	for (uint32_t i = 0; i < 5; i++)
+		measure(s, rates[i], 84, 5, rates[i]);
+}
--- /dev/null
+++ b/bench/slopes/replica.c
@@ -0,0 +1,251 @@
+#include <string.h>
+
+#include "slopes.h"
+#include "state/cfgstore.h"
+#include "state/rlog.h"
+
+/*
+ * State replicas: the replicated log with the configuration store.  A record
+ * is durable as soon as the step that asks for it is over.
+ */
+enum {
+	REPLICAS_MAX = 9,
+	TICK_US = 10000,
+	TICKS_A_SECOND = 100,
+	WARM_TICKS = 500,
+	COUNT_TICKS = 6000,
+	SECTIONS = 100,
+	SECTION = 600
+};
+
+struct replica_world {
+	struct net net;
+	struct meter meter;
+	struct rl *rl[REPLICAS_MAX];
+	struct cs *cs[REPLICAS_MAX];
+	struct rl_actions actions[REPLICAS_MAX];
+	uint64_t persist[REPLICAS_MAX];
+	uint64_t snapshot[REPLICAS_MAX];
+	uint64_t record_bytes[REPLICAS_MAX];
+	uint32_t count;
+	int64_t now_us;
+	uint64_t number;
+};
+
+static void
+act(struct replica_world *w, uint32_t i, const struct rl_action *a)
+{
+	struct cs_result result;
+	struct buf bytes;
+
+	switch (a->kind) {
+	case RL_ACT_PERSIST:
+		w->persist[i] = a->u.persist.number;
+		w->record_bytes[i] += a->u.persist.len;
+		break;
+	case RL_ACT_SEND:
+		buf_init(&bytes, alloc_default());
+		rl_msg_encode(&a->u.send.message, &bytes);
+		net_send(&w->net, i + 1, a->u.send.instance + 1u, 0, &bytes);
+		buf_free(&bytes);
+		break;
+	case RL_ACT_APPLY:
+		cs_apply(w->cs[i], a->u.apply.entry.index,
+		    a->u.apply.entry.data, a->u.apply.entry.len, &result);
+		break;
+	case RL_ACT_TAKE_SNAPSHOT:
+		w->snapshot[i] = a->u.take.index;
+		break;
+	default:
+		break;
+	}
+}
+
+static void
+step_one(struct replica_world *w, uint32_t i, const struct rl_event *event)
+{
+	rl_step(w->rl[i], w->now_us, event, &w->actions[i]);
+	for (size_t k = 0; k < w->actions[i].count; k++)
+		act(w, i, &w->actions[i].items[k]);
+}
+
+static void
+step(struct replica_world *w, uint32_t i, const struct rl_event *event)
+{
+	step_one(w, i, event);
+	while (w->persist[i] != 0 || w->snapshot[i] != 0) {
+		struct rl_event next = {.kind = RL_EV_PERSISTED};
+		struct buf image;
+
+		buf_init(&image, alloc_default());
+		if (w->persist[i] != 0) {
+			next.u.persisted.number = w->persist[i];
+			w->persist[i] = 0;
+		} else {
+			cs_image(w->cs[i], &image);
+			next.kind = RL_EV_SNAPSHOT_TAKEN;
+			next.u.snapshot.index = w->snapshot[i];
+			next.u.snapshot.data = image.data;
+			next.u.snapshot.len = image.len;
+			w->snapshot[i] = 0;
+		}
+		step_one(w, i, &next);
+		buf_free(&image);
+	}
+}
+
+static void
+deliver(void *ctx, const struct packet *p)
+{
+	struct replica_world *w = ctx;
+	struct rl_event event = {.kind = RL_EV_MESSAGE};
+	struct rl_msg msg;
+
+	if (rl_msg_decode(p->bytes.data, p->bytes.len, &msg) != 0)
+		return;
+	event.u.message = &msg;
+	step(w, p->to - 1, &event);
+	rl_msg_release(&msg);
+}
+
+static uint32_t
+leader(const struct replica_world *w)
+{
+	for (uint32_t i = 0; i < w->count; i++) {
+		if (rl_is_leader(w->rl[i]))
+			return i;
+	}
+	return UINT32_MAX;
+}
+
+static void
+propose(struct replica_world *w, uint32_t i)
+{
+	struct rl_event event = {.kind = RL_EV_PROPOSE};
+	char id[32], path[32], text[SECTION];
+	struct cs_section section;
+	struct cs_item item = {.path = path, .text = text, .len = SECTION};
+	struct cs_change change = {.id = id,
+	    .author = "platform",
+	    .team = "platform",
+	    .when_us = w->now_us,
+	    .items = &item,
+	    .item_count = 1};
+	struct buf bytes;
+
+	snprintf(id, sizeof(id), "change-%u", (unsigned)++w->number);
+	snprintf(path, sizeof(path), "workspaces/w%u",
+	    (unsigned)(w->number % SECTIONS));
+	memset(text, 'a' + (int)(w->number % 26), sizeof(text));
+	if (cs_section_get(w->cs[i], path, &section))
+		item.base_revision = section.revision;
+	buf_init(&bytes, alloc_default());
+	cs_change_encode(&change, &bytes);
+	event.u.propose.token = w->number;
+	event.u.propose.data = bytes.data;
+	event.u.propose.len = bytes.len;
+	net_enter(&w->net);
+	step(w, i, &event);
+	net_leave(&w->net, i + 1);
+	buf_free(&bytes);
+}
+
+static void
+run(struct replica_world *w, uint32_t ticks, double rate)
+{
+	struct rl_event tick = {.kind = RL_EV_TICK};
+	double due = 0;
+
+	for (uint32_t t = 0; t < ticks; t++) {
+		for (uint32_t i = 0; i < w->count; i++) {
+			if (w->now_us < rl_wake_us(w->rl[i]))
+				continue;
+			net_enter(&w->net);
+			step(w, i, &tick);
+			net_leave(&w->net, i + 1);
+		}
+		net_run(&w->net);
+		for (due += rate / TICKS_A_SECOND; due >= 1; due -= 1) {
+			if (leader(w) != UINT32_MAX)
+				propose(w, leader(w));
+			net_run(&w->net);
+		}
+		w->now_us += TICK_US;
+	}
+}
+
+static void
+start(struct replica_world *w, uint32_t i)
+{
+	struct rl_options o = {.alloc = &w->meter.alloc,
+	    .seed = i + 1,
+	    .fresh_id = 1000 + i,
+	    .instance = (uint16_t)i,
+	    .instances = (UINT64_C(1) << w->count) - 1};
+	struct cs_options c = {.alloc = &w->meter.alloc};
+
+	w->cs[i] = cs_new(&c);
+	w->rl[i] = rl_new(&o);
+	rl_start(w->rl[i], w->now_us);
+}
+
+static void
+measure(struct sweep *sweep, double x, uint32_t count, double rate)
+{
+	static struct replica_world w;
+	struct point *p = sweep_point(sweep, x);
+	double seconds = (double)COUNT_TICKS / TICKS_A_SECOND, values[3];
+	uint32_t first, other;
+	uint64_t revision, bytes;
+
+	memset(&w, 0, sizeof(w));
+	net_init(&w.net, deliver, &w);
+	meter_init(&w.meter);
+	w.now_us = 1000000;
+	w.count = count;
+	for (uint32_t i = 0; i < count; i++)
+		start(&w, i);
+	run(&w, WARM_TICKS, 0);
+	first = leader(&w);
+	other = first == 0 ? 1 : 0;
+	if (first == UINT32_MAX) {
+		fprintf(stderr, "replica: no leader among %u\n", count);
+		return;
+	}
+	revision = cs_revision(w.cs[first]);
+	bytes = w.record_bytes[first];
+	net_reset(&w.net);
+	run(&w, COUNT_TICKS, rate);
+	p->value[0] = (double)w.meter.live / count;
+	net_cost(&w.net, first + 1, first + 1, seconds, values);
+	memcpy(&p->value[1], values, sizeof(values));
+	net_cost(&w.net, other + 1, other + 1, seconds, values);
+	p->value[4] = values[1];
+	p->value[5] = values[2];
+	p->value[6] = (double)(w.record_bytes[first] - bytes) / seconds;
+	p->value[7] = (double)(cs_revision(w.cs[first]) - revision) / seconds;
+	for (uint32_t i = 0; i < count; i++) {
+		rl_actions_free(w.rl[i], &w.actions[i]);
+		rl_free(w.rl[i]);
+		cs_free(w.cs[i]);
+	}
+	net_free(&w.net);
+}
+
+/* Replicas by changes and by their number. */
+void
+slopes_replica(void)
+{
+	static const char names[] =
+	    "state_bytes,leader_messages_s,leader_bytes_s,leader_cpu_us_s,"
+	    "follower_bytes_s,follower_cpu_us_s,journal_bytes_s,changes_s";
+	static const double rates[] = {0, 1, 4, 16, 64, 256};
+	static const uint32_t counts[] = {3, 5, 7, 9};
+	struct sweep *s = sweep_new("replica", "changes/s", names);
+
+	for (uint32_t i = 0; i < 6; i++)
+		measure(s, rates[i], 3, rates[i]);
+	s = sweep_new("replica", "replicas", names);
+	for (uint32_t i = 0; i < 4; i++)
+		measure(s, counts[i], counts[i], 1);
+}
