Keep ratings from holding back crash marks and summaries

Cause: items ride on probes, 8 to a message, the newest first. With 84 instances a probe round carries about 28 items a second, and a summary alone was told 21 times by each member. Change: crash marks and ends go first; summaries get at most half of the room, the least told first; a newer summary of a data centre replaces the older. Conclusion: what must arrive does; ratings and session bindings still exceed what gossip carries above about 2 items/s of a data centre.

--- a/src/state/member_item.c
+++ b/src/state/member_item.c
@@ -31,12 +31,30 @@
 	return NULL;
 }
 
+/* A data centre's newer summary takes the place of those before it. */
+static void
+drop_older_summaries(struct mb *mb, const struct mb_item *item)
+{
+	for (uint32_t i = 0; i < MB_ITEMS_KEPT; i++) {
+		struct mb_known_item *k = &mb->items[i];
+
+		if (k->item.kind == MB_ITEM_SUMMARY &&
+		    k->item.origin == item->origin &&
+		    k->item.incarnation == item->incarnation &&
+		    k->item.number < item->number &&
+		    k->item.key >> 48 == item->key >> 48)
+			k->tell = 0;
+	}
+}
+
 static void
 keep_item(struct mb *mb, const struct mb_item *item)
 {
 	struct mb_known_item *slot =
 	    &mb->items[mb->item_next++ % MB_ITEMS_KEPT];
 
+	if (item->kind == MB_ITEM_SUMMARY)
+		drop_older_summaries(mb, item);
 	slot->item = *item;
 	slot->tell = mb_tell_count(mb);
 }
@@ -92,24 +110,77 @@
 		send_wide(mb, item);
 }
 
-/* Puts items that are news on a message. */
-void
-mb_add_items(struct mb *mb, struct mb_msg *msg)
+/* What goes first on a message when there is not room for all. */
+enum urgency {
+	URGENT, /* others act wrongly without it */
+	SUMMARY, /* comes again, but must not stay out for long */
+	BULK
+};
+
+static enum urgency
+urgency_of(const struct mb_item *item)
+{
+	switch (item->kind) {
+	case MB_ITEM_CRASH_MARK:
+	case MB_ITEM_GONE:
+		return URGENT;
+	case MB_ITEM_SUMMARY:
+		return SUMMARY;
+	default:
+		return BULK;
+	}
+}
+
+static void
+add_items(struct mb *mb, struct mb_msg *msg, enum urgency urgency, uint32_t max)
 {
-	for (uint32_t i = 0;
-	     i < MB_ITEMS_KEPT && msg->item_count < MB_ITEMS_BATCH; i++) {
+	for (uint32_t i = 0; i < MB_ITEMS_KEPT && msg->item_count < max; i++) {
 		/* The newest first: an old one has been told often. */
 		struct mb_known_item *k =
 		    &mb->items[(mb->item_next + MB_ITEMS_KEPT - 1 - i) %
 			       MB_ITEMS_KEPT];
 
-		if (k->tell == 0)
+		if (k->tell == 0 || urgency_of(&k->item) != urgency)
 			continue;
 		k->tell--;
 		msg->items[msg->item_count++] = k->item;
 	}
 }
 
+/* Adds the summaries told least, each once, as far as there is room. */
+static void
+add_summaries(struct mb *mb, struct mb_msg *msg, uint32_t max)
+{
+	uint8_t told = mb_tell_count(mb);
+	bool added[MB_ITEMS_KEPT] = {false};
+
+	for (; told > 0 && msg->item_count < max; told--) {
+		for (uint32_t i = 0; i < MB_ITEMS_KEPT && msg->item_count < max;
+		     i++) {
+			struct mb_known_item *k = &mb->items[i];
+
+			if (k->tell != told || added[i] ||
+			    urgency_of(&k->item) != SUMMARY)
+				continue;
+			added[i] = true;
+			k->tell--;
+			msg->items[msg->item_count++] = k->item;
+		}
+	}
+}
+
+/*
+ * Puts items that are news on a message.  Summaries get half of the room,
+ * so that they and a flood of ratings do not keep each other back.
+ */
+void
+mb_add_items(struct mb *mb, struct mb_msg *msg)
+{
+	add_items(mb, msg, URGENT, MB_ITEMS_BATCH);
+	add_summaries(mb, msg, MB_ITEMS_BATCH / 2);
+	add_items(mb, msg, BULK, MB_ITEMS_BATCH);
+}
+
 /*
  * Publishes a fact: to one instance, or to the data centre, and with wide also
  * to the others.  Returns 0 or ERR_TOO_LARGE.
--- a/test/unit/member_test.cc
+++ b/test/unit/member_test.cc
@@ -297,6 +297,38 @@
 	EXPECT_EQ(f.broken, "");
 }
 
+/*
+ * More ratings than probes can carry: they may be missed, but no crash mark
+ * is, and no data centre that is there is taken for silent.
+ */
+TEST(Member, AFloodOfRatingsHoldsBackNoOtherItem)
+{
+	Fleet f(8, 2, 20);
+	struct mb_item rating = {}, mark = {};
+
+	f.run(10000 * MS);
+	rating.kind = MB_ITEM_RATING;
+	rating.len = 12;
+	mark.kind = MB_ITEM_CRASH_MARK;
+	mark.key = 77;
+	for (int tick = 0; tick < 600; tick++) {
+		for (uint32_t i = 1; i <= 20; i++) {
+			rating.key = 1000 + (uint64_t)tick * 32 + i;
+			mb_publish(f.at(i).mb, f.net.now_us, &rating, 0, false);
+			if (tick == 300 && i == 2)
+				mb_publish(
+				    f.at(2).mb, f.net.now_us, &mark, 0, true);
+		}
+		f.run(100 * MS);
+	}
+	for (auto &node : f.nodes) {
+		EXPECT_TRUE(node->silent.empty()) << node->id;
+		EXPECT_EQ(node->items.count(77), node->id == 2 ? 0u : 1u)
+		    << node->id;
+	}
+	EXPECT_EQ(f.broken, "");
+}
+
 TEST(Member, SummariesCrossAndSilenceIsNoticed)
 {
 	Fleet f(7, 2, 3);
