--- a/bench/slopes/bills.c
+++ b/bench/slopes/bills.c
@@ -16,7 +16,10 @@
 	COUNT_TICKS = 500,
 	HOLD_TICKS = 10,
 	WALL_S = 1800000000,
-	RING = 65536
+	RING = 65536,
+	CUT_OWNERS = 8,
+	CUT_RATE = 61, /* of all; 7.6 a second each */
+	MERGE_TICKS = 3000
 };
 
 struct bills_world {
@@ -38,6 +41,7 @@
 	uint32_t tick;
 	uint64_t opened;
 	uint64_t archived;
+	bool cut; /* no replica is in reach */
 };
 
 struct bills_end {
@@ -53,6 +57,8 @@
 {
 	struct buf bytes;
 
+	if (w->cut && (from <= REPLICAS || to <= REPLICAS))
+		return;
 	buf_init(&bytes, alloc_default());
 	bl_msg_encode(msg, &bytes);
 	net_send(&w->net, from, to, 0, &bytes);
@@ -247,6 +253,54 @@
 	net_free(&w.net);
 }
 
+static uint32_t
+open_bills(const struct bills_world *w)
+{
+	uint32_t count = 0;
+
+	for (uint32_t i = 0; i < w->owners; i++)
+		count += bl_client_open(w->clients[i]);
+	return count;
+}
+
+/* Eight owners without any replica for some minutes, then the merge. */
+static void
+measure_cut(struct sweep *sweep, uint32_t minutes)
+{
+	static struct bills_world w;
+	struct point *p = sweep_point(sweep, minutes);
+	uint32_t peers[CUT_OWNERS - 1], ticks = 0;
+	double values[3];
+
+	start(&w, CUT_OWNERS);
+	for (uint32_t i = 0; i < CUT_OWNERS; i++) {
+		for (uint32_t k = 0; k < CUT_OWNERS - 1; k++)
+			peers[k] = REPLICAS + 1 + (i + k + 1) % CUT_OWNERS;
+		bl_client_peers(w.clients[i], peers, CUT_OWNERS - 1);
+	}
+	run(&w, WARM_TICKS, CUT_RATE);
+	w.cut = true;
+	net_reset(&w.net);
+	run(&w, minutes * 60 * TICKS_A_SECOND, CUT_RATE);
+	p->value[0] = (double)w.client_meter.live / CUT_OWNERS;
+	net_cost(&w.net, REPLICAS + 1, REPLICAS + CUT_OWNERS, minutes * 60.0,
+	    &p->value[1]);
+	p->value[4] = open_bills(&w);
+	w.cut = false;
+	net_reset(&w.net);
+	for (; ticks < MERGE_TICKS && open_bills(&w) > 0; ticks++)
+		run(&w, 1, 0);
+	p->value[5] = (double)ticks / TICKS_A_SECOND;
+	net_cost(&w.net, REPLICAS + 1, REPLICAS + CUT_OWNERS, 1, values);
+	p->value[6] = values[1];
+	p->value[7] = (double)w.store_meter.live / REPLICAS;
+	for (uint32_t i = 1; i <= REPLICAS; i++)
+		bl_store_free(w.stores[i]);
+	for (uint32_t i = 0; i < CUT_OWNERS; i++)
+		bl_client_free(w.clients[i]);
+	net_free(&w.net);
+}
+
 /* Bills by their rate and by their owners. */
 void
 slopes_bills(void)
@@ -256,6 +310,7 @@
 	    "client_state_bytes,client_bytes_s,client_cpu_us_s,sealed_share";
 	static const double rates[] = {100, 400, 800, 1600, 3200};
 	static const uint32_t owners[] = {8, 32, 64, 128, 420};
+	static const uint32_t minutes[] = {1, 2, 4, 8};
 	struct sweep *s = sweep_new("bills", "bills/s", names);
 
 	for (uint32_t i = 0; i < 5; i++)
@@ -263,4 +318,10 @@
 	s = sweep_new("bills", "owners", names);
 	for (uint32_t i = 0; i < 5; i++)
 		measure(s, owners[i], owners[i], 800);
+	s = sweep_new("bills", "minutes without a replica",
+	    "client_state_bytes,client_messages_s,client_bytes_s,"
+	    "client_cpu_us_s,open_bills,merge_s,merge_bytes,"
+	    "store_state_bytes");
+	for (uint32_t i = 0; i < 4; i++)
+		measure_cut(s, minutes[i]);
 }
