Spread evidence on versions, and carry an answer's place to its rating

Cause: the sequential test sums quick outcomes over the fleet, but each instance saw only its own; a rating did not say whether its answer was an escalation.

Change: evidence gathers until it matters and then spreads as an item to all data centres; Celeryford-Place goes out with the answer and back as place.

--- a/src/daemon/child_member.c
+++ b/src/daemon/child_member.c
@@ -1,5 +1,6 @@
 #include <inttypes.h>
 #include <jansson.h>
+#include <math.h>
 #include <stdlib.h>
 #include <string.h>
 #include <xxhash.h>
@@ -20,12 +21,22 @@
  * ratings, crash marks, session bindings, spare capacity.
  */
 
+static const float digest_least = 0.5f; /* evidence worth telling of */
+
+static void publish(struct node *node, enum mb_item_kind kind, uint64_t key,
+    const void *data, size_t len, bool wide);
+
 enum {
 	MEMBER_TICK_US = 100000,
 	VOTERS = 3,
 	SPARE_TICKS = 10 /* ticks between looks at the spare capacity */
 };
 
+/* Evidence is gathered here until there is enough to tell of. */
+struct digest_item {
+	float quick[CF_DROPS];
+};
+
 struct member {
 	struct node *node;
 	struct mb *mb;
@@ -33,6 +44,7 @@
 	bool is_relay;
 	uint32_t relay;
 	uint32_t ticks;
+	struct digest_item digests[CFG_VERSIONS_MAX]; /* not yet told */
 	bool silent[MB_DATA_CENTRES_MAX];
 };
 
@@ -42,6 +54,7 @@
 	uint32_t version;
 	uint16_t task_class;
 	uint8_t passed;
+	uint8_t place;
 };
 
 struct bind_item {
@@ -114,6 +127,22 @@
 	event.u.rating.version = (uint16_t)version;
 	event.u.rating.task_class = rating.task_class;
 	event.u.rating.passed = rating.passed != 0;
+	event.u.rating.place = (enum cf_place)(rating.place % 3);
+	entry_event(node->entry, &event);
+}
+
+static void
+take_digest(struct node *node, const struct mb_item *item)
+{
+	int version = find_version(node_cfg(node), (uint32_t)item->key);
+	struct cf_event event = {.kind = CF_EV_DIGEST};
+	struct digest_item digest;
+
+	if (version < 0 || item->len < sizeof(digest))
+		return;
+	memcpy(&digest, item->data, sizeof(digest));
+	event.u.digest.version = (uint16_t)version;
+	memcpy(event.u.digest.quick, digest.quick, sizeof(digest.quick));
 	entry_event(node->entry, &event);
 }
 
@@ -169,6 +198,9 @@
 		event.u.crash_mark.crashes = item->data[0];
 		entry_event(node->entry, &event);
 		break;
+	case MB_ITEM_DIGEST:
+		take_digest(node, item);
+		break;
 	case MB_ITEM_GONE:
 		take_gone(node, item);
 		break;
@@ -302,6 +334,34 @@
 	node_config_relay(member->node, is_relay, relay);
 }
 
+/*
+ * Spreads this instance's evidence on versions.  What is too little to matter
+ * waits and adds up, so that a quiet fleet tells nothing.
+ */
+static void
+spread_digests(struct member *member)
+{
+	struct cf_digest found[CFG_VERSIONS_MAX];
+	const struct cfg *cfg = node_cfg(member->node);
+	size_t n = entry_digests(member->node->entry, found, CFG_VERSIONS_MAX);
+
+	for (size_t i = 0; i < n; i++) {
+		struct digest_item *sum = &member->digests[found[i].version];
+		float largest = 0;
+
+		for (int d = 0; d < CF_DROPS; d++) {
+			sum->quick[d] += found[i].quick[d];
+			largest = fmaxf(largest, fabsf(sum->quick[d]));
+		}
+		if (largest < digest_least)
+			continue;
+		publish(member->node, MB_ITEM_DIGEST,
+		    hash_name(cfg->versions[found[i].version].name), sum,
+		    sizeof(*sum), true);
+		memset(sum, 0, sizeof(*sum));
+	}
+}
+
 static void
 on_tick(void *ctx)
 {
@@ -313,6 +373,9 @@
 		uint16_t spare[MB_VERSIONS_MAX] = {0};
 
 		tell_instances(member);
+		if (member->node->entry != NULL &&
+		    node_cfg(member->node) != NULL)
+			spread_digests(member);
 		if (member->node->entry != NULL && !member->node->draining)
 			entry_spare(
 			    member->node->entry, spare, MB_VERSIONS_MAX);
@@ -486,7 +549,8 @@
 	    .workspace = hash_name(cfg->workspaces[rating->workspace].name),
 	    .version = hash_name(cfg->versions[rating->version].name),
 	    .task_class = rating->task_class,
-	    .passed = rating->passed};
+	    .passed = rating->passed,
+	    .place = (uint8_t)rating->place};
 
 	publish(node, MB_ITEM_RATING, 0, &item, sizeof(item), true);
 }
--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -430,6 +430,10 @@
 		rating->workspace = i;
 		rating->task_class = (uint16_t)json_integer_value(
 		    json_object_get(root, "task_class"));
+		rating->place = (enum cf_place)json_integer_value(
+		    json_object_get(root, "place"));
+		if (rating->place > CF_ESCALATED)
+			rating->place = CF_ALONE;
 		rating->passed = json_is_true(json_object_get(root, "passed"));
 		return 0;
 	}
@@ -728,6 +732,15 @@
 		flight_marked(f, error);
 }
 
+/* Takes the evidence on versions that has gathered since the last call. */
+size_t
+entry_digests(struct entry *entry, struct cf_digest *out, size_t max)
+{
+	return entry->router != NULL
+		   ? cf_router_digests(entry->router, out, max)
+		   : 0;
+}
+
 /* Returns the name of a server by its index. */
 const char *
 entry_server_name(const struct entry *entry, uint16_t server)
--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -98,6 +98,7 @@
 void entry_marked(struct entry *entry, uint32_t request, int error);
 void entry_settled(struct entry *entry, uint32_t request);
 void entry_drain(struct entry *entry);
+size_t entry_digests(struct entry *entry, struct cf_digest *out, size_t max);
 int entry_announced(struct entry *entry, const struct server_news *news);
 const char *entry_server_name(const struct entry *entry, uint16_t server);
 int entry_server_by_hash(const struct entry *entry, uint32_t hash);
--- a/src/entry/flight.c
+++ b/src/entry/flight.c
@@ -369,6 +369,9 @@
 	if (f->request.kind == CF_CHAT)
 		headers[n++] = (struct hs_header){
 		    "Celeryford-Version", answer_version(f, slot)};
+	if (f->request.kind == CF_CHAT && f->place != CF_ALONE)
+		headers[n++] = (struct hs_header){
+		    "Celeryford-Place", f->place == CF_KEPT ? "1" : "2"};
 	if (f->session[0] != '\0')
 		headers[n++] =
 		    (struct hs_header){"Celeryford-Session", f->session};
@@ -543,6 +546,7 @@
 {
 	f->routed = false;
 	f->winner = action->attempt;
+	f->place = action->place;
 	f->waiting = 1;
 	settle(f, ENTRY_DONE);
 	flight_durable(f);
--- a/src/entry/flight.h
+++ b/src/entry/flight.h
@@ -51,6 +51,7 @@
 	uint32_t output_tokens;
 	uint64_t cost_nano;
 	int64_t arrived_us;
+	enum cf_place place; /* of the answer, for its rating */
 	int winner; /* attempt answered with, or -1 */
 	int streaming_from; /* attempt whose tokens pass on, or -1 */
 	uint8_t waiting; /* what must be durable before the answer ends */
--- a/src/state/member.h
+++ b/src/state/member.h
@@ -71,7 +71,8 @@
 	MB_ITEM_BIND,
 	MB_ITEM_RATING,
 	MB_ITEM_GONE, /* wide: key is the instance, data its incarnation */
-	MB_ITEM_SUMMARY /* wide: key is the data centre */
+	MB_ITEM_SUMMARY, /* wide: key is the data centre */
+	MB_ITEM_DIGEST /* wide: key is the version, data its evidence */
 };
 
 struct mb_item {
