--- /dev/null
+++ b/test/process/faults.sh
@@ -0,0 +1,13 @@
+#!/bin/bash
+# A deployment under load while instances and engines are lost: every promise
+# that bench/faults judges must be kept.
+set -u
+build=$(cd "$1" && pwd)
+dir=$(mktemp -d)
+bench/faults --build "$build" --dir "$dir/faults" --port 28000 --rate 150 \
+    --seconds 10 >"$dir/out" 2>&1
+status=$?
+grep -E '^(kept|BROKEN)' "$dir/out"
+[ "$status" -eq 0 ] || cat "$dir/out"
+rm -rf "$dir"
+exit "$status"
--- /dev/null
+++ b/test/process/system.bash
@@ -0,0 +1,107 @@
+# Shared by the process tests of a whole deployment: starts bench/local in a
+# temporary folder and stops it at the end.  CF_KEEP=FOLDER keeps its logs.
+. "$(dirname "$0")/tools.bash"
+system_dir=$dir/system
+names="curepe-1 curepe-2 arima-1 arima-2 tunapuna-1 tunapuna-2 chaguanas-1 chaguanas-2"
+replicas="curepe-1 arima-1 tunapuna-1"
+
+system() { bench/local "$@" --dir "$system_dir" --build "$build" --port "$port"; }
+address() { awk -v n="$1" '$2 == n { print $5 }' "$system_dir/processes"; }
+http_of() { echo "http://$(address "$1")"; }
+ops_of() { local a; a=$(address "$1"); echo "http://${a%:*}:$((${a##*:} + 1))"; }
+pid_of() { awk -v n="$1" '$2 == n { print $4 }' "$system_dir/processes"; }
+
+end() {
+	[ ! -s "$system_dir/processes" ] || system down
+	[ -z "${CF_KEEP:-}" ] || cp -r "$dir" "$CF_KEEP"
+	finish
+}
+
+# system_up PORT FLAGS...
+system_up() {
+	port=$1
+	shift
+	trap end EXIT
+	if ! system up "$@" >"$dir/up.out" 2>&1; then
+		cat "$dir/up.out"
+		exit 1
+	fi
+}
+
+# ops INSTANCE PATH CURL-FLAGS...: an operator's request.
+ops() {
+	curl -s -m 9 -H 'Authorization: Bearer platform-key' "${@:3}" \
+	    "$(ops_of "$1")/ops/$2"
+}
+
+# ctl INSTANCE COMMAND...
+ctl() { "$build/celeryfordctl" --ops "$(ops_of "$1")" --key platform-key "${@:2}"; }
+
+# metric INSTANCE NAME
+metric() { curl -s -m 2 "$(ops_of "$1")/metrics" | sed -n "s/^$2 //p"; }
+
+# until_true SECONDS COMMAND...: polls until the command succeeds.
+until_true() {
+	local end=$(($(date +%s) + $1))
+	shift
+	until "$@"; do
+		[ "$(date +%s)" -lt "$end" ] || return 1
+		sleep 0.1
+	done
+}
+
+all_ready() {
+	local name
+	for name in $names; do
+		curl -sf -m 1 -o /dev/null "$(ops_of "$name")/readyz" || return 1
+	done
+}
+
+# all_at REVISION: whether it, or a later one, is in force at every instance.
+all_at() {
+	local name got
+	for name in $names; do
+		got=$(metric "$name" celeryford_config_revision)
+		[ "${got:-0}" -ge "$1" ] || return 1
+	done
+}
+
+# apply CHANGE-ID PATH BASE TEXT INSTANCE: sets $status and $answer.
+apply() {
+	answer=$(ops "$5" config -w '\n%{http_code}' -d "{\"change_id\":\"$1\",
+	    \"items\":[{\"path\":\"$2\",\"base_revision\":$3,\"text\":\"$4\"}]}")
+	status=${answer##*$'\n'}
+	answer=${answer%$'\n'*}
+}
+
+# Whether each whole answer in FILE has one bill in every replica's export.
+billed_once() {
+	local replica
+	sort "$1" >"$dir/answered.sorted"
+	for replica in $replicas; do
+		sed -n 's/.*"request": *"\([^"]*\)".*/\1/p' \
+		    "$system_dir/$replica/bills-export.jsonl" | sort >"$dir/$replica.billed"
+		[ -z "$(uniq -d "$dir/$replica.billed")" ] || return 1
+		[ -z "$(comm -23 "$dir/answered.sorted" "$dir/$replica.billed")" ] || return 1
+	done
+}
+
+# How many answers of FILE have no bill, and how many bills are double, at each.
+bills_report() {
+	local replica
+	for replica in $replicas; do
+		echo "$replica: unbilled $(comm -23 "$dir/answered.sorted" "$dir/$replica.billed" | wc -l)," \
+		    "double $(uniq -d "$dir/$replica.billed" | wc -l)"
+	done
+}
+
+# load_flags: targets and counters for cf-load.
+load_flags() {
+	local name
+	for name in $names; do
+		echo "--target $(http_of "$name")"
+	done
+	awk '$1 == "engine" || $1 == "service" { print "--engine-stats http://" $5 }' \
+	    "$system_dir/processes"
+}
+says() { sed -n "s/^$1: //p" "$dir/load.out"; }
