--- a/test/process/changes.sh
+++ b/test/process/changes.sh
@@ -11,7 +11,7 @@
 RANDOM=${CF_SEED:-7}
 read -r -a name_of <<<"$names"
 
-system_up 28000
+system_up ${CF_PORT:-28000}
 # Every round adds one workspace a change; all have this API key's hash.
 key_hash() { printf '%s' "$1" | "$build/celeryfordctl" hash-key; }
 
@@ -64,7 +64,7 @@
 	done
 	while :; do
 		curl -s -m 1 -w '@%{url}\n' "${urls[@]}" |
-		    sed -n -e 's/^celeryford_config_revision /revision /p' -e '/^@/p'
+		    sed -n -e 's/^celeryford_config_revision{} /revision /p' -e '/^@/p'
 		sleep 0.05
 	done >"$dir/revisions"
 }
@@ -119,6 +119,8 @@
 check 'the last accepted revision is in force everywhere' 0 $?
 kill $poller
 wait $poller 2>/dev/null
+check 'revisions were read throughout' yes \
+    "$([ "$(grep -c '^revision' "$dir/revisions")" -ge 200 ] && echo yes)"
 check 'no revision went back' '' "$(awk '
     $1 == "revision" { r = $2 }
     /^@/ { if (r != "" && r > 0 && r < high[$0]) print $0, high[$0], r
--- /dev/null
+++ b/test/process/cold.sh
@@ -0,0 +1,70 @@
+#!/bin/bash
+# Engines that turn cold under load get no more than they bear, and a request
+# that crashes engines is convicted, others are not.
+. "$(dirname "$0")/system.bash"
+system_up ${CF_PORT:-28000}
+# The engines of one data centre are replaced: one bears one request while
+# cold, the other crashes on a marked request.
+replace() {
+	local name=$1
+	at=$(address "$name")
+	system signal "$name" TERM
+	until_true 10 gone "$(pid_of "$name")"
+	start "$name" cf-fake-engine --name "$name" --data-centre curepe \
+	    --listen "$at" --stats-file "$dir/$name.json" \
+	    --announce "$(http_of curepe-1)" --announce "$(http_of curepe-2)" "${@:2}"
+}
+gone() { ! grep -q '^State:[[:space:]]*[^Z]' "/proc/$1/status" 2>/dev/null; }
+flags="--version drafter/small-1 --token-us 2000 --first-token-us 20000 --slots 16"
+# shellcheck disable=SC2086
+replace curepe-engine-1 $flags --cold-slots 1 --cold-ms 2500
+cold=$at cold_pid=$pid
+"$build/cf-load" --target "$(http_of curepe-1)" --target "$(http_of curepe-2)" \
+    --key permits-1-key --model drafter/small-1 --rate 120 --seconds 8 \
+    --settle-ms 500 >"$dir/load.out" 2>&1 &
+load=$!
+for _ in 1 2; do
+	sleep 3
+	curl -s -o /dev/null -X POST "http://$cold/fake/set?cold_ms=1500"
+done
+wait $load
+check 'the load tool saw no broken promise' 0 $?
+grep -E '^(sent|answered_whole|lost|error|status|first_token)' "$dir/load.out"
+kill -0 "$cold_pid" 2>/dev/null
+check 'the cold engine did not crash' 0 $?
+stats=$(curl -s -m 5 "http://$cold/fake/stats")
+check 'it never had more than it bears while cold' yes \
+    "$([ "$(field cold_peak "$stats")" -le 1 ] && echo yes)"
+echo "cold_peak $(field cold_peak "$stats") of 1, requests $(field requests "$stats")"
+
+# A request that crashes engines: every small engine of curepe does.
+crashing=
+for n in 1 2 3; do
+	# shellcheck disable=SC2086
+	if [ $n = 1 ]; then kill "$cold_pid"; until_true 10 gone "$cold_pid"; fi
+	[ $n = 1 ] && { start poison-1 cf-fake-engine --name curepe-engine-1 --data-centre curepe \
+	    --listen "$cold" --stats-file "$dir/poison-1.json" --crash-on poison \
+	    --announce "$(http_of curepe-1)" --announce "$(http_of curepe-2)" $flags; } ||
+	    replace curepe-engine-$n $flags --crash-on poison
+	crashing="$crashing $pid"
+done
+sleep 2
+ask() {
+	curl -s -m 8 -H 'Authorization: Bearer permits-1-key' -d "{\"model\":\"drafter/small-1\",
+	    \"max_tokens\":5,\"messages\":[{\"role\":\"user\",\"content\":\"$1\"}]}" \
+	    "$(http_of "$2")/v1/chat/completions"
+}
+# It is sent again by its caller, to any instance of the data centre.
+for n in 1 2 3 4; do
+	got=$(ask 'poison pill' curepe-$((n % 2 + 1)))
+	echo "sending $n: $got"
+	case $got in *'"crashes"'*) break ;; esac
+done
+has 'it is refused as one that crashes servers' '"crashes"' "$got"
+dead=0
+for p in $crashing; do
+	gone "$p" && dead=$((dead + 1))
+done
+check 'no third engine crashed' 2 "$dead"
+has 'another request is answered' '"finish_reason"' "$(ask 'harmless' curepe-1)"
+has 'and at the other instance' '"finish_reason"' "$(ask 'harmless too' curepe-2)"
--- /dev/null
+++ b/test/process/losses.sh
@@ -0,0 +1,128 @@
+#!/bin/bash
+# A replica that loses its disk, a second loss right after its repair, a
+# replica that is frozen past its lease, and a data centre that is cut off.
+. "$(dirname "$0")/system.bash"
+system_up ${CF_PORT:-28000} --relays
+centres="curepe arima tunapuna chaguanas"
+
+# add ID INSTANCE: an accepted change, tried until it is answered for good.
+add() {
+	local try
+	for try in $(seq 40); do
+		apply "$1" "workspaces/$1" 0 "key_hash: $(printf '%s' "$1" |
+		    "$build/celeryfordctl" hash-key)\\nversions: [drafter/*]\\n" "$2"
+		[ "$status" = 200 ] && break
+		sleep 0.25
+	done
+	[ "$status" = 200 ] && echo "$1 $(field revision "$answer")" >>"$dir/accepted"
+}
+models_as() { curl -s -m 5 -o /dev/null -w '%{http_code}' -H "Authorization: Bearer $1" "$(http_of "$2")/v1/models"; }
+# Accepted changes that an instance of NAMES does not know.
+unknown_at() {
+	local name id
+	for name in $1; do
+		while read -r id _; do
+			[ "$(models_as "$id" "$name")" = 200 ] || echo "$name:$id"
+		done <"$dir/accepted"
+	done
+}
+call() {
+	curl -s -m 9 -H 'Authorization: Bearer permits-1-key' \
+	    -H "Idempotency-Key: $1" -d x "$(http_of "$2")/v1/services/filing/submit"
+}
+chat_at() {
+	curl -s -m 5 -H 'Authorization: Bearer permits-1-key' -D "$dir/head" -d '{"model":"auto",
+	    "max_tokens":5,"messages":[{"role":"user","content":"a"}]}' \
+	    "$(http_of "$1")/v1/chat/completions"
+}
+runs_of() {
+	local c total=0 n
+	for c in $centres; do
+		n=$(curl -s -m 5 "$(http_of "$c-filing")/fake/stats?keys=1" | sed -n "s/.*\"$1\":\([0-9]*\).*/\1/p")
+		total=$((total + ${n:-0}))
+	done
+	echo $total
+}
+voters_known() { ops arima-1 log | grep -q '"curepe-1"'; }
+
+# Loss of a disk.
+add before curepe-1
+check 'a change before the loss' 200 "$status"
+key=$(date +%s)-before
+has 'a call before the loss' '"run":1' "$(call "$key" arima-2)"
+system signal curepe-1 KILL
+sleep 0.3
+rm -rf "$system_dir/curepe-1"
+system restart curepe-1
+add during arima-2
+check 'a change while a replica is without disk' 200 "$status"
+until_true 20 curl -sf -m 1 -o /dev/null "$(ops_of curepe-1)/readyz"
+check 'the replica comes back' 0 $?
+ctl arima-1 log >"$dir/log" 2>&1
+sleep 3
+ctl arima-1 log
+system signal arima-1 KILL
+sleep 0.3
+rm -rf "$system_dir/arima-1"
+add after tunapuna-2
+check 'a change after a second loss' 200 "$status"
+system restart arima-1
+until_true 20 all_ready
+check 'both are back' 0 $?
+sleep 2
+check 'nothing accepted is missing' '' "$(unknown_at "$names")"
+has 'a used key stays used' '"kind":"duplicate"' "$(call "$key" tunapuna-1 | tr -d ' ')"
+check 'its call ran once' 1 "$(runs_of "$key")"
+ctl tunapuna-1 log
+
+# A frozen replica: the leader, if it can be told.
+leader=$(ops curepe-2 log | sed -n 's/.*"leader": *"\([^"]*\)".*/\1/p')
+echo "leader $leader"
+other=tunapuna-2
+system signal "$leader" STOP
+sleep 4
+add frozen $other
+check 'a change while the leader is frozen' 200 "$status"
+newest=$(field revision "$answer")
+system signal "$leader" CONT
+# The write that it must not serve: the same section from the old base.
+apply stale workspaces/frozen 0 'key_hash: 00\n' "$leader"
+check 'the frozen leader accepts no write on an old base' no \
+    "$([ "$status" = 200 ] && echo yes || echo no)"
+got=$(ops "$leader" config | grep -c 'workspaces/frozen')
+check 'it serves no old document' 1 "$got"
+until_true 10 all_at "$newest"
+check 'it catches up' 0 $?
+
+# A data centre cut off.
+cut=arima
+for c in $centres; do
+	[ $c = $cut ] || system link $cut "$c" freeze >/dev/null
+done
+isolated() { [ "$(metric $cut-2 celeryford_isolated)" = 1 ]; }
+start_s=$(date +%s)
+until_true 30 isolated
+check 'the cut-off data centre knows that it is isolated' 0 $?
+echo "isolated after $(($(date +%s) - start_s)) s"
+has 'it goes on serving' '"finish_reason"' "$(chat_at $cut-2)"
+sed -n 's/^[Cc]eleryford-[Rr]equest: *//p' "$dir/head" | tr -d '\r' >"$dir/answered"
+key=$(date +%s)-cut
+has 'a call that may not be repeated is refused' '"kind":"no_quorum"' "$(call "$key" $cut-2 | tr -d ' ')"
+check 'and did not run' 0 "$(runs_of "$key")"
+add elsewhere tunapuna-2
+check 'changes go on elsewhere' 200 "$status"
+newest=$(field revision "$answer")
+check 'they do not reach the cut-off side' 401 "$(models_as elsewhere $cut-2)"
+for c in $centres; do
+	[ $c = $cut ] || system link $cut "$c" mend >/dev/null
+done
+start_s=$(date +%s)
+until_true 20 all_at "$newest"
+check 'after the mend it catches up' 0 $?
+echo "caught up after $(($(date +%s) - start_s)) s"
+check 'nothing accepted is missing after the mend' '' "$(unknown_at "$names")"
+check 'the cut-off side answered one request' 1 "$(grep -c . "$dir/answered")"
+until_true 20 billed_once "$dir/answered"
+check 'its bill is at every replica once' 0 $?
+bills_report
+has 'the refused call can run now' '"run":1' "$(call "$key" $cut-2)"
--- a/test/process/system.bash
+++ b/test/process/system.bash
@@ -38,7 +38,7 @@
 ctl() { "$build/celeryfordctl" --ops "$(ops_of "$1")" --key platform-key "${@:2}"; }
 
 # metric INSTANCE NAME
-metric() { curl -s -m 2 "$(ops_of "$1")/metrics" | sed -n "s/^$2 //p"; }
+metric() { curl -s -m 2 "$(ops_of "$1")/metrics" | sed -n "s/^$2{} //p"; }
 
 # until_true SECONDS COMMAND...: polls until the command succeeds.
 until_true() {
