Count a peer's copy of a bill when the peer is a replica and the rest is cut off

In a data centre of one replica and one more instance the replica's store answered the copy that is meant for a peer, as one replica of two: the end of each answer was held back until the partition was over. test/process/losses.sh 'it goes on serving' failed before and passes now; bill tests pass.

--- a/src/state/bill_client.c
+++ b/src/state/bill_client.c
@@ -255,8 +255,24 @@
 		bl_table_remove(&client->table, node);
 }
 
+static bool
+is_peer(const struct bl_client *client, uint32_t instance)
+{
+	uint32_t i;
+
+	for (i = 0; i < client->peer_count; i++)
+		if (client->peers[i] == instance)
+			return true;
+	return false;
+}
+
+/*
+ * Counts an acknowledgement.  Once cut off, a peer's copy suffices; a peer that
+ * is itself a replica holds one on disk.
+ */
 static void
-take_ack(struct bl_client *client, uint32_t from, const struct bl_msg *msg)
+take_ack(struct bl_client *client, int64_t now_us, uint32_t from,
+    const struct bl_msg *msg)
 {
 	struct bl_node *node;
 	struct bl_id id;
@@ -267,7 +283,8 @@
 	node = bl_table_find(&client->table, &id);
 	if (node == NULL || node->op != msg->op)
 		return;
-	if (!msg->replica)
+	if (!msg->replica ||
+	    (is_peer(client, from) && is_cut(client, node, now_us)))
 		node->peer_ack = true;
 	for (i = 0; msg->replica && i < client->replica_count; i++)
 		if (client->replicas[i] == from)
@@ -308,7 +325,7 @@
     const struct bl_msg *msg)
 {
 	if (msg->kind == BL_MSG_ACK)
-		take_ack(client, from, msg);
+		take_ack(client, now_us, from, msg);
 	else if (msg->kind == BL_MSG_PUT)
 		hold(client, now_us, from, msg);
 }
