Split what operators read from what they change; keep team names plain

Cause: state_config.c had two jobs; a team named as the system's own teams could have changed what only the system may.

--- a/src/config/compile.c
+++ b/src/config/compile.c
@@ -1,5 +1,6 @@
 #include "config/compile.h"
 
+#include <ctype.h>
 #include <fnmatch.h>
 #include <sodium.h>
 #include <stdio.h>
@@ -369,6 +370,20 @@
 	compile_masks(c, s, in, w);
 }
 
+/* A team with another name could pass for one of the system's own. */
+static bool
+name_is_plain(const char *name)
+{
+	if (*name == '\0')
+		return false;
+	for (; *name != '\0'; name++) {
+		if (!isalnum((unsigned char)*name) &&
+		    strchr("-_.", *name) == NULL)
+			return false;
+	}
+	return true;
+}
+
 static void
 compile_one(
     struct compiler *c, enum schema_group group, const struct section *section)
@@ -427,6 +442,9 @@
 		if (schema_group_of(s->path) < 0)
 			section_problem(problems, s->line, s->path,
 			    "there is no such group of sections");
+		else if (!name_is_plain(name_of(s)))
+			section_problem(problems, s->line, s->path,
+			    "a name may hold letters, digits, '-', '_' and '.'");
 	}
 	if (problems->count == before)
 		return c.cfg;
--- a/src/daemon/state.h
+++ b/src/daemon/state.h
@@ -1,6 +1,7 @@
 #ifndef CF_STATE_H
 #define CF_STATE_H
 
+#include <jansson.h>
 #include <stdio.h>
 
 #include "daemon/node.h"
@@ -22,6 +23,7 @@
  *	child_state.c	start, replay, stop; the journal and its snapshots
  *	state_log.c	the replicated log's actions
  *	state_config.c	the configuration store and operators' changes
+ *	state_read.c	what operators read
  *	state_claims.c	claims kept for the claimants of all instances
  *	state_bills.c	bills, their seals and the export
  */
@@ -122,6 +124,13 @@
     uint32_t kind, const char *team, const char *author, const void *body,
     size_t len);
 
+void state_reply(struct state *state, struct state_request *request, int error,
+    json_t *body);
+void state_drop_request(struct state *state, struct state_request *request);
+
+/* state_read.c */
+void state_read(struct state *state, struct state_request *request);
+
 /* state_claims.c */
 void state_claims_members(struct state *state);
 void state_claims_set(struct state *state, const struct cl_replicas *set);
--- a/src/daemon/state_config.c
+++ b/src/daemon/state_config.c
@@ -23,9 +23,7 @@
  */
 
 enum {
-	REQUESTS_MAX = 64, /* waiting at the leader; more are refused */
-	UNCONFIRMED_MAX = 512,
-	HISTORY_MAX = 200
+	REQUESTS_MAX = 64 /* waiting at the leader; more are refused */
 };
 
 static const char bootstrap_id[] = "bootstrap";
@@ -77,8 +75,9 @@
 		    state->source, directory_at(node->directory, i)->number, 0);
 }
 
-static void
-drop_request(struct state *state, struct state_request *request)
+/* Forgets a request. */
+void
+state_drop_request(struct state *state, struct state_request *request)
 {
 	struct state_request **at = &state->requests;
 
@@ -94,7 +93,7 @@
 state_config_free(struct state *state)
 {
 	while (state->requests != NULL)
-		drop_request(state, state->requests);
+		state_drop_request(state, state->requests);
 	cs_free(state->cs);
 	cy_source_free(state->source);
 }
@@ -134,8 +133,9 @@
 	buf_free(&delta);
 }
 
-static void
-reply(
+/* Answers a request and forgets it; takes the body over. */
+void
+state_reply(
     struct state *state, struct state_request *request, int error, json_t *body)
 {
 	char *text = body != NULL ? json_dumps(body, JSON_COMPACT) : NULL;
@@ -144,7 +144,7 @@
 	    text, text != NULL ? strlen(text) : 0);
 	free(text);
 	json_decref(body);
-	drop_request(state, request);
+	state_drop_request(state, request);
 }
 
 static json_t *
@@ -194,7 +194,7 @@
 		publish(state, before);
 	}
 	if (request != NULL)
-		reply(state, request, result.error, result_json(&result));
+		state_reply(state, request, result.error, result_json(&result));
 	advance(state);
 }
 
@@ -218,7 +218,7 @@
 	if (token == state->seal_token)
 		state->seal_token = 0;
 	if (request != NULL)
-		reply(state, request,
+		state_reply(state, request,
 		    error == ERR_NOT_LEADER ? ERR_NO_QUORUM : error, NULL);
 }
 
@@ -342,7 +342,7 @@
 	/* The token must be known before the step that may refuse it. */
 	request->token = state->next_token + 1;
 	if (cs_change_encode(change, &bytes) != 0)
-		reply(state, request, ERR_MALFORMED, NULL);
+		state_reply(state, request, ERR_MALFORMED, NULL);
 	else
 		state_log_propose(state, ENTRY_CHANGE, &bytes);
 	buf_free(&bytes);
@@ -359,11 +359,12 @@
 
 	buf_init(&report, state->node->alloc);
 	if (error != 0)
-		reply(state, request, error, NULL);
+		state_reply(state, request, error, NULL);
 	else if (cs_answer(state->cs, parsed.change.id, &earlier))
-		reply(state, request, earlier.error, result_json(&earlier));
+		state_reply(
+		    state, request, earlier.error, result_json(&earlier));
 	else if (check_change(state, &parsed.change, &report) != 0)
-		reply(state, request, ERR_INVALID,
+		state_reply(state, request, ERR_INVALID,
 		    problems_json(buf_text(&report)));
 	else
 		propose(state, request, &parsed.change);
@@ -371,120 +372,6 @@
 	buf_free(&report);
 }
 
-static json_t *
-section_json(const struct cs_section *s)
-{
-	return json_pack("{s:s,s:s%,s:I,s:s,s:I}", "path", s->path, "text",
-	    s->text, s->len, "revision", (json_int_t)s->revision, "author",
-	    s->author, "when_us", (json_int_t)s->when_us);
-}
-
-static json_t *
-document_json(const struct state *state)
-{
-	struct cs_section section;
-	json_t *list = json_array();
-
-	for (size_t i = 0; cs_section_at(state->cs, i, &section); i++)
-		json_array_append_new(list, section_json(&section));
-	return json_pack("{s:I,s:o}", "revision",
-	    (json_int_t)cs_revision(state->cs), "sections", list);
-}
-
-static json_t *
-history_json(const struct state *state)
-{
-	size_t count = cs_history_count(state->cs);
-	size_t first = count > HISTORY_MAX ? count - HISTORY_MAX : 0;
-	struct cs_history entry;
-	json_t *list = json_array();
-
-	for (size_t i = first; cs_history_at(state->cs, i, &entry); i++)
-		json_array_append_new(
-		    list, json_pack("{s:I,s:I,s:s,s:s,s:s,s:s}", "revision",
-			      (json_int_t)entry.revision, "when_us",
-			      (json_int_t)entry.when_us, "change_id", entry.id,
-			      "author", entry.author, "team", entry.team,
-			      "sections", entry.paths));
-	return list;
-}
-
-static json_t *
-unconfirmed_json(const struct state *state, const struct state_request *request)
-{
-	uint32_t numbers[UNCONFIRMED_MAX];
-	json_t *body =
-	    json_loadb(buf_text(&request->body), request->body.len, 0, NULL);
-	uint64_t revision =
-	    (uint64_t)json_integer_value(json_object_get(body, "revision"));
-	size_t count = cy_source_unconfirmed(
-	    state->source, revision, numbers, UNCONFIRMED_MAX);
-	json_t *list = json_array();
-
-	for (size_t i = 0; i < count && i < UNCONFIRMED_MAX; i++) {
-		const struct directory_entry *entry =
-		    directory_find(state->node->directory, numbers[i]);
-
-		if (entry != NULL)
-			json_array_append_new(list, json_string(entry->name));
-	}
-	json_decref(body);
-	return json_pack(
-	    "{s:I,s:o}", "revision", (json_int_t)revision, "unconfirmed", list);
-}
-
-static json_t *
-log_json(const struct state *state)
-{
-	static const char *const roles[] = {
-	    "follower", "precandidate", "candidate", "leader"};
-	struct rl_status status;
-	json_t *members = json_array();
-
-	rl_status(state->rl, &status);
-	for (size_t i = 0; i < status.member_count; i++) {
-		const struct directory_entry *entry = directory_find_rank(
-		    state->node->directory, status.members[i].instance);
-
-		json_array_append_new(
-		    members, json_pack("{s:s,s:b}", "instance",
-				 entry != NULL ? entry->name : "?", "voter",
-				 status.members[i].voter));
-	}
-	return json_pack("{s:s,s:I,s:I,s:I,s:I,s:o}", "role",
-	    roles[status.role], "term", (json_int_t)status.term, "commit",
-	    (json_int_t)status.commit, "applied", (json_int_t)status.applied,
-	    "log_bytes", (json_int_t)status.log_bytes, "members", members);
-}
-
-static void
-reply_text(
-    struct state *state, struct state_request *request, const struct buf *text)
-{
-	operators_reply(state->node, request->from, request->id, 0, "",
-	    text->data, text->len);
-	drop_request(state, request);
-}
-
-static void
-reply_bills(struct state *state, struct state_request *request)
-{
-	json_t *body =
-	    json_loadb(buf_text(&request->body), request->body.len, 0, NULL);
-	uint64_t after =
-	    (uint64_t)json_integer_value(json_object_get(body, "after"));
-	struct buf text;
-
-	json_decref(body);
-	buf_init(&text, state->node->alloc);
-	if (request->kind == OPERATOR_BILLS)
-		state_bills_export(state, after, &text);
-	else
-		state_bills_unsettled(state, &text);
-	reply_text(state, request, &text);
-	buf_free(&text);
-}
-
 /*
  * An instance's sequential test failed a version: it is withdrawn everywhere.
  * Several instances may say so; the change id makes it one change.
@@ -517,36 +404,6 @@
 	buf_free(&text);
 }
 
-static void
-answer_read(struct state *state, struct state_request *request)
-{
-	switch (request->kind) {
-	case OPERATOR_DOCUMENT:
-		reply(state, request, 0, document_json(state));
-		break;
-	case OPERATOR_HISTORY:
-		reply(state, request, 0, history_json(state));
-		break;
-	case OPERATOR_UNCONFIRMED:
-		reply(state, request, 0, unconfirmed_json(state, request));
-		break;
-	case OPERATOR_LOG:
-		reply(state, request, 0, log_json(state));
-		break;
-	case OPERATOR_STOP:
-		stop_version(state, buf_text(&request->body));
-		reply(state, request, 0, NULL);
-		break;
-	case OPERATOR_BILLS:
-	case OPERATOR_UNSETTLED:
-		reply_bills(state, request);
-		break;
-	default:
-		reply(state, request, ERR_MALFORMED, NULL);
-		break;
-	}
-}
-
 static bool
 change_under_way(const struct state *state)
 {
@@ -577,10 +434,14 @@
 	struct state_request *request;
 
 	while ((request = next_request(state)) != NULL) {
-		if (request->kind == OPERATOR_APPLY)
+		if (request->kind == OPERATOR_APPLY) {
 			start_change(state, request);
-		else
-			answer_read(state, request);
+		} else if (request->kind == OPERATOR_STOP) {
+			stop_version(state, buf_text(&request->body));
+			state_reply(state, request, 0, NULL);
+		} else {
+			state_read(state, request);
+		}
 	}
 }
 
@@ -706,7 +567,7 @@
 		operators_reply(state->node, request->from, request->id,
 		    request->token == 0 ? ERR_NOT_LEADER : ERR_TIMEOUT,
 		    leader_name(state), NULL, 0);
-		drop_request(state, request);
+		state_drop_request(state, request);
 	}
 }
 
--- a/test/unit/config_test.cc
+++ b/test/unit/config_test.cc
@@ -69,6 +69,16 @@
 	compile_free(alloc_default(), cfg);
 }
 
+TEST_F(Config, NoTeamCanBeNamedAsTheSystemIs)
+{
+	split("teams:\n  (replicas): {key_hash: \"" + std::string(64, '0') +
+	      "\"}\n");
+	EXPECT_EQ(compile(nullptr), nullptr);
+	ASSERT_EQ(problems.count, 1u);
+	EXPECT_EQ(
+	    std::string(problems.items[0].text).find("a name may hold"), 0u);
+}
+
 TEST_F(Config, TablesGrowWhileTheyAreFilled)
 {
 	std::string text = "workspaces:\n";
