--- a/src/daemon/child_member.c
+++ b/src/daemon/child_member.c
@@ -23,7 +23,8 @@
 enum {
 	MEMBER_TICK_US = 100000,
 	VOTERS = 3,
-	SPARE_TICKS = 10 /* ticks between looks at the spare capacity */
+	SPARE_TICKS = 10, /* ticks between looks at the spare capacity */
+	EARLIER_TICKS = 20 /* ticks after the start, and twice that */
 };
 
 struct member {
@@ -302,6 +303,35 @@
 	node_config_relay(member->node, is_relay, relay);
 }
 
+static void
+publish(struct node *node, enum mb_item_kind kind, uint64_t key,
+    const void *data, size_t len, bool wide)
+{
+	struct mb_item item = {.kind = kind, .key = key, .len = (uint8_t)len};
+
+	if (node->member == NULL)
+		return;
+	memcpy(item.data, data, len);
+	mb_publish(node->member->mb, loop_now_us(node->loop), &item, 0, wide);
+}
+
+/*
+ * Tells every instance that the earlier lives of this one have ended.  Where
+ * the relay of the data centre is what ended, nobody else tells the others.
+ */
+static void
+tell_earlier_lives(const struct member *member)
+{
+	struct node *node = member->node;
+	uint64_t earlier = node->incarnation - 1;
+
+	if (member->ticks == EARLIER_TICKS ||
+	    member->ticks == 2 * EARLIER_TICKS)
+		publish(node, MB_ITEM_GONE,
+		    directory_self(node->directory)->number, &earlier,
+		    sizeof(earlier), true);
+}
+
 static void
 on_tick(void *ctx)
 {
@@ -309,6 +339,7 @@
 
 	mb_tick(member->mb, loop_now_us(member->node->loop));
 	follow_relay(member);
+	tell_earlier_lives(member);
 	if (member->ticks++ % SPARE_TICKS == 0) {
 		uint16_t spare[MB_VERSIONS_MAX] = {0};
 
@@ -430,18 +461,6 @@
 		    node->member->mb, loop_now_us(node->loop), from, &msg);
 }
 
-static void
-publish(struct node *node, enum mb_item_kind kind, uint64_t key,
-    const void *data, size_t len, bool wide)
-{
-	struct mb_item item = {.kind = kind, .key = key, .len = (uint8_t)len};
-
-	if (node->member == NULL)
-		return;
-	memcpy(item.data, data, len);
-	mb_publish(node->member->mb, loop_now_us(node->loop), &item, 0, wide);
-}
-
 /* Spreads what the router asks to be told to others. */
 void
 node_spread(struct node *node, const struct cf_action *action)
