Bound what bills cost an instance without state replicas

Cause: a bill that no replica acknowledged was sent again each 200 ms however many there were, and was put to every other instance of the data centre, each of which kept it and sent it on as well. Ruled out: sending fewer bills that a caller still waits for. Change: one other instance holds the copy, the next one is tried if it is silent; a bill with a second copy waits longer the older it is, 10 s at most.

--- a/bench/slopes/main.c
+++ b/bench/slopes/main.c
@@ -14,6 +14,7 @@
     {"replica", slopes_replica},
     {"claims", slopes_claims},
     {"bills", slopes_bills},
+    {"cut", slopes_cut},
     {"granter", slopes_granter},
     {"feed", slopes_feed},
 };
@@ -26,7 +27,7 @@
 
 static const struct argp_option options[] = {
     {"role", 'r', "NAME", 0,
-	"only entry, member, config, replica, claims, bills, granter or feed",
+	"only entry, member, config, replica, claims, bills, cut, granter or feed",
 	0},
     {"json", 'j', "FILE", 0, "write the table as JSON", 0},
     {"plot", 'p', "DIR", 0, "write data and a gnuplot script", 0},
--- a/bench/slopes/slopes.h
+++ b/bench/slopes/slopes.h
@@ -106,6 +106,7 @@
 void slopes_replica(void);
 void slopes_claims(void);
 void slopes_bills(void);
+void slopes_cut(void);
 void slopes_granter(void);
 void slopes_feed(void);
 
--- a/src/state/bill_client.c
+++ b/src/state/bill_client.c
@@ -7,6 +7,7 @@
 	COPIES = 2,
 	BILLS_MAX = 65536,
 	RESEND_MS = 200,
+	RESEND_SAFE_MS = 10000, /* longest, of a bill with a second copy */
 	CUT_MS = 1000
 };
 
@@ -118,6 +119,41 @@
 	       client->options.cut_ms * (int64_t)1000;
 }
 
+/*
+ * How long to wait before a bill is sent again.  One that the caller waits for
+ * is sent at a steady rate.  One that has a second copy already waits longer
+ * the older it is: in an hour without replicas there are many of them.
+ */
+static int64_t
+resend_us(
+    const struct bl_client *client, const struct bl_node *node, int64_t now_us)
+{
+	int64_t us = client->options.resend_ms * (int64_t)1000;
+	int64_t age_us = now_us - node->since_us;
+	int64_t longest_us = RESEND_SAFE_MS * (int64_t)1000;
+
+	if (!node->foreign && !node->durable && !node->peer_ack)
+		return us;
+	if (age_us > longest_us)
+		age_us = longest_us;
+	return age_us > us ? age_us : us;
+}
+
+/* One other instance holds a copy; the next one is tried if it is silent. */
+static void
+put_peer(struct bl_client *client, const struct bl_node *node, int64_t now_us,
+    const struct bl_msg *msg)
+{
+	int64_t tries = (now_us - node->since_us) /
+			(client->options.resend_ms * (int64_t)1000);
+
+	if (client->peer_count > 0)
+		send(client,
+		    client->peers[(node->bill.id.sequence + (uint64_t)tries) %
+				  client->peer_count],
+		    msg);
+}
+
 /*
  * Sends a bill to the replicas that have not acknowledged it: at first only to
  * as many as must, from one that its sequence chooses on, later to all.
@@ -142,9 +178,8 @@
 	}
 	if (!node->foreign && !node->durable && !node->peer_ack &&
 	    is_cut(client, node, now_us))
-		for (i = 0; i < client->peer_count; i++)
-			send(client, client->peers[i], &msg);
-	node->due_us = now_us + client->options.resend_ms * (int64_t)1000;
+		put_peer(client, node, now_us, &msg);
+	node->due_us = now_us + resend_us(client, node, now_us);
 }
 
 /* Begins to hand out a bill whose content is new. */
