--- a/src/daemon/child_member.c
+++ b/src/daemon/child_member.c
@@ -1,9 +1,7 @@
 #include <inttypes.h>
 #include <jansson.h>
-#include <math.h>
 #include <stdlib.h>
 #include <string.h>
-#include <xxhash.h>
 
 #include "base/clock.h"
 #include "base/err.h"
@@ -21,11 +19,6 @@
  * ratings, crash marks, session bindings, spare capacity.
  */
 
-static const float digest_least = 0.5f; /* evidence worth telling of */
-
-static void publish(struct node *node, enum mb_item_kind kind, uint64_t key,
-    const void *data, size_t len, bool wide);
-
 enum {
 	MEMBER_TICK_US = 100000,
 	VOTERS = 3,
@@ -33,11 +26,6 @@
 	EARLIER_TICKS = 20 /* ticks after the start, and twice that */
 };
 
-/* Evidence is gathered here until there is enough to tell of. */
-struct digest_item {
-	float quick[CF_DROPS];
-};
-
 struct member {
 	struct node *node;
 	struct mb *mb;
@@ -45,50 +33,9 @@
 	bool is_relay;
 	uint32_t relay;
 	uint32_t ticks;
-	struct digest_item digests[CFG_VERSIONS_MAX]; /* not yet told */
 	bool silent[MB_DATA_CENTRES_MAX];
 };
 
-/* What a rating says, as it travels between instances. */
-struct rating_item {
-	uint32_t workspace; /* hashes of the names */
-	uint32_t version;
-	uint16_t task_class;
-	uint8_t passed;
-	uint8_t place;
-};
-
-struct bind_item {
-	uint32_t workspace;
-	uint32_t version;
-};
-
-static uint32_t
-hash_name(const char *name)
-{
-	return XXH32(name, strlen(name), 0);
-}
-
-static int
-find_workspace(const struct cfg *cfg, uint32_t hash)
-{
-	for (uint16_t i = 0; i < cfg->workspace_count; i++) {
-		if (hash_name(cfg->workspaces[i].name) == hash)
-			return i;
-	}
-	return -1;
-}
-
-static int
-find_version(const struct cfg *cfg, uint32_t hash)
-{
-	for (uint16_t i = 0; i < cfg->version_count; i++) {
-		if (hash_name(cfg->versions[i].name) == hash)
-			return i;
-	}
-	return -1;
-}
-
 static void
 send_message(struct node *node, uint32_t to, const struct mb_msg *msg)
 {
@@ -109,107 +56,6 @@
 	return e != NULL ? e->name : "?";
 }
 
-static void
-take_rating(struct node *node, const struct mb_item *item)
-{
-	const struct cfg *cfg = node_cfg(node);
-	struct cf_event event = {.kind = CF_EV_RATING};
-	struct rating_item rating;
-	int workspace, version;
-
-	if (item->len < sizeof(rating))
-		return;
-	memcpy(&rating, item->data, sizeof(rating));
-	workspace = find_workspace(cfg, rating.workspace);
-	version = find_version(cfg, rating.version);
-	if (workspace < 0 || version < 0)
-		return;
-	event.u.rating.workspace = (uint16_t)workspace;
-	event.u.rating.version = (uint16_t)version;
-	event.u.rating.task_class = rating.task_class;
-	event.u.rating.passed = rating.passed != 0;
-	event.u.rating.place = (enum cf_place)(rating.place % 3);
-	entry_event(node->entry, &event);
-}
-
-static void
-take_digest(struct node *node, const struct mb_item *item)
-{
-	int version = find_version(node_cfg(node), (uint32_t)item->key);
-	struct cf_event event = {.kind = CF_EV_DIGEST};
-	struct digest_item digest;
-
-	if (version < 0 || item->len < sizeof(digest))
-		return;
-	memcpy(&digest, item->data, sizeof(digest));
-	event.u.digest.version = (uint16_t)version;
-	memcpy(event.u.digest.quick, digest.quick, sizeof(digest.quick));
-	entry_event(node->entry, &event);
-}
-
-static void
-take_bind(struct node *node, const struct mb_item *item)
-{
-	const struct cfg *cfg = node_cfg(node);
-	struct cf_event event = {.kind = CF_EV_BIND};
-	struct bind_item bind;
-	int workspace, version;
-
-	if (item->len < sizeof(bind))
-		return;
-	memcpy(&bind, item->data, sizeof(bind));
-	workspace = find_workspace(cfg, bind.workspace);
-	version = find_version(cfg, bind.version);
-	if (workspace < 0 || version < 0)
-		return;
-	event.u.bind.session = item->key;
-	event.u.bind.workspace = (uint16_t)workspace;
-	event.u.bind.version = (uint16_t)version;
-	entry_event(node->entry, &event);
-}
-
-/* A life of an instance of another data centre has ended. */
-static void
-take_gone(struct node *node, const struct mb_item *item)
-{
-	uint64_t incarnation;
-
-	if (item->len != sizeof(incarnation) || node->book == NULL)
-		return;
-	memcpy(&incarnation, item->data, sizeof(incarnation));
-	book_ended(node->book, (uint32_t)item->key, incarnation);
-}
-
-static void
-take_item(struct node *node, const struct mb_item *item)
-{
-	struct cf_event event = {.kind = CF_EV_CRASH_MARK};
-
-	if (node->entry == NULL || node_cfg(node) == NULL)
-		return;
-	switch (item->kind) {
-	case MB_ITEM_RATING:
-		take_rating(node, item);
-		break;
-	case MB_ITEM_BIND:
-		take_bind(node, item);
-		break;
-	case MB_ITEM_CRASH_MARK:
-		event.u.crash_mark.fingerprint = item->key;
-		event.u.crash_mark.crashes = item->data[0];
-		entry_event(node->entry, &event);
-		break;
-	case MB_ITEM_DIGEST:
-		take_digest(node, item);
-		break;
-	case MB_ITEM_GONE:
-		take_gone(node, item);
-		break;
-	case MB_ITEM_SUMMARY:
-		break;
-	}
-}
-
 /* A data centre's spare slots, or that nothing is heard of it. */
 static void
 tell_neighbour(
@@ -298,7 +144,7 @@
 		take_record(member, action);
 		break;
 	case MB_GOT_ITEM:
-		take_item(member->node, action->item);
+		spread_take(member->node, action->item);
 		break;
 	case MB_GOT_SUMMARY:
 		member->silent[action->data_centre % MB_DATA_CENTRES_MAX] =
@@ -335,36 +181,9 @@
 	node_config_relay(member->node, is_relay, relay);
 }
 
-/*
- * Spreads this instance's evidence on versions.  What is too little to matter
- * waits and adds up, so that a quiet fleet tells nothing.
- */
-static void
-spread_digests(struct member *member)
-{
-	struct cf_digest found[CFG_VERSIONS_MAX];
-	const struct cfg *cfg = node_cfg(member->node);
-	size_t n = entry_digests(member->node->entry, found, CFG_VERSIONS_MAX);
-
-	for (size_t i = 0; i < n; i++) {
-		struct digest_item *sum = &member->digests[found[i].version];
-		float largest = 0;
-
-		for (int d = 0; d < CF_DROPS; d++) {
-			sum->quick[d] += found[i].quick[d];
-			largest = fmaxf(largest, fabsf(sum->quick[d]));
-		}
-		if (largest < digest_least)
-			continue;
-		publish(member->node, MB_ITEM_DIGEST,
-		    hash_name(cfg->versions[found[i].version].name), sum,
-		    sizeof(*sum), true);
-		memset(sum, 0, sizeof(*sum));
-	}
-}
-
-static void
-publish(struct node *node, enum mb_item_kind kind, uint64_t key,
+/* Publishes a fact to the data centre, and with wide to the others too. */
+void
+node_publish(struct node *node, enum mb_item_kind kind, uint64_t key,
     const void *data, size_t len, bool wide)
 {
 	struct mb_item item = {.kind = kind, .key = key, .len = (uint8_t)len};
@@ -387,7 +206,7 @@
 
 	if (member->ticks == EARLIER_TICKS ||
 	    member->ticks == 2 * EARLIER_TICKS)
-		publish(node, MB_ITEM_GONE,
+		node_publish(node, MB_ITEM_GONE,
 		    directory_self(node->directory)->number, &earlier,
 		    sizeof(earlier), true);
 }
@@ -406,7 +225,7 @@
 		tell_instances(member);
 		if (member->node->entry != NULL &&
 		    node_cfg(member->node) != NULL)
-			spread_digests(member);
+			spread_digests(member->node);
 		if (member->node->entry != NULL && !member->node->draining)
 			entry_spare(
 			    member->node->entry, spare, MB_VERSIONS_MAX);
@@ -524,56 +343,6 @@
 		    node->member->mb, loop_now_us(node->loop), from, &msg);
 }
 
-/* Spreads what the router asks to be told to others. */
-void
-node_spread(struct node *node, const struct cf_action *action)
-{
-	const struct cfg *cfg = node_cfg(node);
-	uint8_t crashes = (uint8_t)action->count;
-	struct bind_item bind;
-
-	switch (action->kind) {
-	case CF_ACT_CRASH_MARK:
-		publish(
-		    node, MB_ITEM_CRASH_MARK, action->key, &crashes, 1, true);
-		break;
-	case CF_ACT_BIND:
-		bind.workspace =
-		    hash_name(cfg->workspaces[action->workspace].name);
-		bind.version = hash_name(cfg->versions[action->version].name);
-		publish(node, MB_ITEM_BIND, action->key, &bind, sizeof(bind),
-		    false);
-		break;
-	case CF_ACT_STOP_VERSION:
-		operators_tell(node->operators, OPERATOR_STOP,
-		    cfg->versions[action->version].name,
-		    strlen(cfg->versions[action->version].name));
-		break;
-	case CF_ACT_CREDIT_ASK:
-	case CF_ACT_CREDIT_GIVE:
-		if (node->credits != NULL)
-			credits_act(node->credits, action);
-		break;
-	default:
-		break;
-	}
-}
-
-/* Spreads a rating that the rating service gave to this instance. */
-void
-node_spread_rating(struct node *node, const struct cf_rating *rating)
-{
-	const struct cfg *cfg = node_cfg(node);
-	struct rating_item item = {
-	    .workspace = hash_name(cfg->workspaces[rating->workspace].name),
-	    .version = hash_name(cfg->versions[rating->version].name),
-	    .task_class = rating->task_class,
-	    .passed = rating->passed,
-	    .place = (uint8_t)rating->place};
-
-	publish(node, MB_ITEM_RATING, 0, &item, sizeof(item), true);
-}
-
 /* Tells the others that this instance leaves; node->left follows. */
 void
 node_leave(struct node *node)
--- a/src/daemon/node.h
+++ b/src/daemon/node.h
@@ -14,6 +14,7 @@
 #include "state/bill.h"
 #include "state/cfgsync.h"
 #include "state/claim.h"
+#include "state/member.h"
 #include "sup/sup.h"
 #include "wire/peer.h"
 
@@ -104,8 +105,8 @@
 /* child_member.c: who is alive, and what is spread among them. */
 void node_member_message(
     struct node *node, uint32_t from, const uint8_t *data, uint32_t len);
-void node_spread(struct node *node, const struct cf_action *action);
-void node_spread_rating(struct node *node, const struct cf_rating *rating);
+void node_publish(struct node *node, enum mb_item_kind kind, uint64_t key,
+    const void *data, size_t len, bool wide);
 bool node_is_relay(const struct node *node);
 bool node_is_granter(const struct node *node);
 uint32_t node_granter(const struct node *node);
@@ -114,6 +115,12 @@
 const char *node_neighbour(struct node *node, uint16_t data_centre);
 void node_member_status(const struct node *node, struct buf *out);
 
+/* spread.c: what instances tell each other. */
+void node_spread(struct node *node, const struct cf_action *action);
+void node_spread_rating(struct node *node, const struct cf_rating *rating);
+void spread_take(struct node *node, const struct mb_item *item);
+void spread_digests(struct node *node);
+
 /* feed.c: announcements within the data centre. */
 struct feed *feed_new(struct node *node);
 void feed_free(struct feed *feed);
