--- a/src/daemon/book.c
+++ b/src/daemon/book.c
@@ -278,12 +278,6 @@
 	alloc_free(alloc, book);
 }
 
-static uint32_t
-hash_name(const char *name)
-{
-	return name[0] != '\0' ? XXH32(name, strlen(name), 0) : 0;
-}
-
 /* Claims a request's key; entry_claimed() follows. */
 void
 book_claim(struct book *book, const struct entry_claim *claim)
@@ -292,7 +286,7 @@
 	int64_t now_us = loop_now_us(book->node->loop);
 	struct cl_key key;
 
-	if (cl_key_parse(hash_name(claim->workspace), claim->key, &key) != 0) {
+	if (cl_key_parse(node_hash_name(claim->workspace), claim->key, &key) != 0) {
 		tell(book, TOLD_CLAIM, claim->request, ERR_MALFORMED);
 		return;
 	}
@@ -357,7 +351,7 @@
 {
 	int64_t sequence = bl_client_intent(book->bills,
 	    loop_now_us(book->node->loop), clock_wall_us() / US_PER_S,
-	    hash_name(bill->workspace), UINT16_MAX, bill->sequence);
+	    node_hash_name(bill->workspace), UINT16_MAX, bill->sequence);
 
 	if (sequence < 0)
 		return false;
@@ -371,7 +365,7 @@
 book_settle(struct book *book, const struct entry_bill *bill)
 {
 	uint64_t sequence = (uint64_t)book->bill_sequences[bill->request];
-	struct bl_item item = {.version = hash_name(bill->version),
+	struct bl_item item = {.version = node_hash_name(bill->version),
 	    .prompt_tokens = bill->prompt_tokens,
 	    .output_tokens = bill->output_tokens,
 	    .cost_nano = bill->cost_nano};
--- a/src/daemon/child_config.c
+++ b/src/daemon/child_config.c
@@ -73,6 +73,13 @@
 		   : 0;
 }
 
+/* Names a workspace, version or server between instances; 0 for no name. */
+uint32_t
+node_hash_name(const char *name)
+{
+	return name[0] != '\0' ? XXH32(name, strlen(name), 0) : 0;
+}
+
 /* Returns the name behind a hash of a workspace or version, or "?". */
 const char *
 node_name_of(const struct node *node, uint32_t hash)
@@ -89,7 +96,7 @@
 static void
 learn_name(struct config *config, const char *text)
 {
-	uint32_t hash = XXH32(text, strlen(text), 0);
+	uint32_t hash = node_hash_name(text);
 
 	for (uint32_t i = 0; i < config->name_count; i++) {
 		if (config->names[i].hash == hash)
--- a/src/daemon/credits.c
+++ b/src/daemon/credits.c
@@ -1,5 +1,4 @@
 #include <string.h>
-#include <xxhash.h>
 
 #include "base/log.h"
 #include "core/granter.h"
@@ -140,7 +139,7 @@
 		return;
 	credit.kind =
 	    action->kind == CF_ACT_CREDIT_ASK ? CREDIT_ASK : CREDIT_GIVE;
-	credit.server = XXH32(name, strlen(name), 0);
+	credit.server = node_hash_name(name);
 	credit.incarnation = action->key;
 	credit.count = action->count;
 	credit.asked_us = loop_now_us(credits->node->loop);
--- a/src/daemon/feed.c
+++ b/src/daemon/feed.c
@@ -35,12 +35,6 @@
 	struct loop_timer *flush;
 };
 
-static uint32_t
-hash_name(const char *name)
-{
-	return XXH32(name, strlen(name), 0);
-}
-
 /* Creates a feed with nothing to send. */
 struct feed *
 feed_new(struct node *node)
@@ -232,7 +226,7 @@
 void
 feed_announced(struct feed *feed, const struct server_news *news)
 {
-	struct feed_entry *e = entry_of(feed, hash_name(news->server.name));
+	struct feed_entry *e = entry_of(feed, node_hash_name(news->server.name));
 	struct server_news merged = *news;
 	uint64_t text_hash = hash_text(&news->server);
 
--- a/src/daemon/node.h
+++ b/src/daemon/node.h
@@ -90,6 +90,7 @@
 /* child_config.c: the configuration in force here. */
 const struct cfg *node_cfg(const struct node *node);
 const struct section_list *node_sections(const struct node *node);
+uint32_t node_hash_name(const char *name);
 const char *node_name_of(const struct node *node, uint32_t hash);
 bool node_isolated(const struct node *node);
 uint64_t node_revision(const struct node *node);
--- a/src/daemon/spread.c
+++ b/src/daemon/spread.c
@@ -1,6 +1,5 @@
 #include <math.h>
 #include <string.h>
-#include <xxhash.h>
 
 #include "daemon/node.h"
 #include "daemon/operator.h"
@@ -33,17 +32,11 @@
 	uint32_t version;
 };
 
-static uint32_t
-hash_name(const char *name)
-{
-	return XXH32(name, strlen(name), 0);
-}
-
 static int
 find_workspace(const struct cfg *cfg, uint32_t hash)
 {
 	for (uint16_t i = 0; i < cfg->workspace_count; i++) {
-		if (hash_name(cfg->workspaces[i].name) == hash)
+		if (node_hash_name(cfg->workspaces[i].name) == hash)
 			return i;
 	}
 	return -1;
@@ -53,7 +46,7 @@
 find_version(const struct cfg *cfg, uint32_t hash)
 {
 	for (uint16_t i = 0; i < cfg->version_count; i++) {
-		if (hash_name(cfg->versions[i].name) == hash)
+		if (node_hash_name(cfg->versions[i].name) == hash)
 			return i;
 	}
 	return -1;
@@ -184,7 +177,7 @@
 		if (largest < digest_least)
 			continue;
 		node_publish(node, MB_ITEM_DIGEST,
-		    hash_name(cfg->versions[found[i].version].name), sum,
+		    node_hash_name(cfg->versions[found[i].version].name), sum,
 		    sizeof(*sum), true);
 		memset(sum, 0, sizeof(*sum));
 	}
@@ -205,8 +198,8 @@
 		break;
 	case CF_ACT_BIND:
 		bind.workspace =
-		    hash_name(cfg->workspaces[action->workspace].name);
-		bind.version = hash_name(cfg->versions[action->version].name);
+		    node_hash_name(cfg->workspaces[action->workspace].name);
+		bind.version = node_hash_name(cfg->versions[action->version].name);
 		node_publish(node, MB_ITEM_BIND, action->key, &bind,
 		    sizeof(bind), false);
 		break;
@@ -231,8 +224,8 @@
 {
 	const struct cfg *cfg = node_cfg(node);
 	struct rating_item item = {
-	    .workspace = hash_name(cfg->workspaces[rating->workspace].name),
-	    .version = hash_name(cfg->versions[rating->version].name),
+	    .workspace = node_hash_name(cfg->workspaces[rating->workspace].name),
+	    .version = node_hash_name(cfg->versions[rating->version].name),
 	    .task_class = rating->task_class,
 	    .passed = rating->passed,
 	    .place = (uint8_t)rating->place};
