--- a/bench/slopes/net.c
+++ b/bench/slopes/net.c
@@ -172,3 +172,13 @@
 	values[1] = bytes / n;
 	values[2] = cpu / n;
 }
+
+/* How many events of a rate a second fall into a tick. */
+uint32_t
+rate_due(uint32_t tick, uint32_t ticks_a_second, double rate)
+{
+	double each = rate / ticks_a_second;
+
+	return (
+	    uint32_t)((uint64_t)(each * (tick + 1)) - (uint64_t)(each * tick));
+}
--- a/bench/slopes/slopes.h
+++ b/bench/slopes/slopes.h
@@ -87,6 +87,7 @@
 
 void meter_init(struct meter *meter);
 int64_t cpu_ns(void);
+uint32_t rate_due(uint32_t tick, uint32_t ticks_a_second, double rate);
 
 void net_init(
     struct net *net, void (*deliver)(void *, const struct packet *), void *ctx);
--- a/bench/slopes/sweep.c
+++ b/bench/slopes/sweep.c
@@ -13,8 +13,8 @@
 	NAMES_SIZE = 256
 };
 
-static const double BEND_FAULT = 1.5; /* slope of the upper half */
-static const double RISE_FAULT = 1.2; /* last value over first */
+static const double bend_fault = 1.5; /* slope of the upper half */
+static const double rise_fault = 1.2; /* last value over first */
 
 static struct sweep sweeps[SWEEPS_MAX];
 static uint32_t sweep_count;
@@ -85,9 +85,9 @@
 	low = secant(sweep, value, 0, middle);
 	high = secant(sweep, value, middle, last);
 	fit->bend = low > 0 ? high / low : (high > 0 ? INFINITY : 1);
-	fit->faster = fit->bend > BEND_FAULT &&
+	fit->faster = fit->bend > bend_fault &&
 		      sweep->points[last].value[value] >
-			  RISE_FAULT * sweep->points[0].value[value];
+			  rise_fault * sweep->points[0].value[value];
 }
 
 /* Prints the points and the lines. */
@@ -195,6 +195,7 @@
 	fprintf(script,
 	    "set terminal svg size 1300,%u font ',9'\n"
 	    "set output 'plots.svg'\nset logscale xy\n"
+	    "set mxtics 1\nset mytics 1\n"
 	    "set key left top\nset multiplot layout %u,3\n",
 	    (sweep_count + 2) / 3 * 280, (sweep_count + 2) / 3);
 	for (uint32_t i = 0; i < sweep_count && error == 0; i++)
