Give a replica that lost its disk the bills' export back; keep reports longer

Cause: nobody read bl_store_behind(): a replica whose peers had dropped what they had archived made no export any more. Reports of neighbours ended after 5 s, though a summary may take longer to spread, so a drained data centre refused.

--- a/src/core/neighbour.c
+++ b/src/core/neighbour.c
@@ -3,7 +3,7 @@
 #include <string.h>
 
 enum {
-	NB_STALE_US = 5000000, /* a report not renewed for this long ends */
+	NB_STALE_US = 15000000, /* a report not renewed for this long ends */
 	NB_RESERVE_PERMILLE = 100, /* kept back for each better priority */
 	NB_RESERVE_PRIORITIES = 4
 };
--- a/src/daemon/book.c
+++ b/src/daemon/book.c
@@ -286,7 +286,8 @@
 	int64_t now_us = loop_now_us(book->node->loop);
 	struct cl_key key;
 
-	if (cl_key_parse(node_hash_name(claim->workspace), claim->key, &key) != 0) {
+	if (cl_key_parse(node_hash_name(claim->workspace), claim->key, &key) !=
+	    0) {
 		tell(book, TOLD_CLAIM, claim->request, ERR_MALFORMED);
 		return;
 	}
--- a/src/daemon/child_peer.c
+++ b/src/daemon/child_peer.c
@@ -85,6 +85,11 @@
 		if (node->operators != NULL)
 			operators_message(node->operators, from, data, len);
 		break;
+	case PEER_EXPORT:
+		if (node->state != NULL)
+			state_bills_export_message(
+			    node->state, from, data, len);
+		break;
 	case PEER_PING:
 	case PEER_PONG:
 	case PEER_CHANNELS:
--- a/src/daemon/feed.c
+++ b/src/daemon/feed.c
@@ -226,7 +226,8 @@
 void
 feed_announced(struct feed *feed, const struct server_news *news)
 {
-	struct feed_entry *e = entry_of(feed, node_hash_name(news->server.name));
+	struct feed_entry *e =
+	    entry_of(feed, node_hash_name(news->server.name));
 	struct server_news merged = *news;
 	uint64_t text_hash = hash_text(&news->server);
 
--- a/src/daemon/spread.c
+++ b/src/daemon/spread.c
@@ -199,7 +199,8 @@
 	case CF_ACT_BIND:
 		bind.workspace =
 		    node_hash_name(cfg->workspaces[action->workspace].name);
-		bind.version = node_hash_name(cfg->versions[action->version].name);
+		bind.version =
+		    node_hash_name(cfg->versions[action->version].name);
 		node_publish(node, MB_ITEM_BIND, action->key, &bind,
 		    sizeof(bind), false);
 		break;
@@ -223,8 +224,8 @@
 node_spread_rating(struct node *node, const struct cf_rating *rating)
 {
 	const struct cfg *cfg = node_cfg(node);
-	struct rating_item item = {
-	    .workspace = node_hash_name(cfg->workspaces[rating->workspace].name),
+	struct rating_item item = {.workspace = node_hash_name(
+				       cfg->workspaces[rating->workspace].name),
 	    .version = node_hash_name(cfg->versions[rating->version].name),
 	    .task_class = rating->task_class,
 	    .passed = rating->passed,
--- a/src/daemon/state.h
+++ b/src/daemon/state.h
@@ -96,6 +96,7 @@
 	FILE *archive;
 	uint64_t archived; /* lines in it */
 	int64_t next_seal_us;
+	int64_t next_export_us; /* a replica that is behind asks again */
 	uint64_t seal_token;
 };
 
@@ -147,6 +148,8 @@
 void state_bills_message(
     struct state *state, uint32_t from, const struct bl_msg *msg);
 void state_bills_tick(struct state *state);
+void state_bills_export_message(
+    struct state *state, uint32_t from, const uint8_t *data, uint32_t len);
 void state_bills_export(struct state *state, uint64_t after, struct buf *out);
 void state_bills_unsettled(struct state *state, struct buf *out);
 
--- a/src/daemon/state_bills.c
+++ b/src/daemon/state_bills.c
@@ -7,8 +7,10 @@
 #include "base/clock.h"
 #include "base/err.h"
 #include "base/log.h"
+#include "base/rng.h"
 #include "daemon/directory.h"
 #include "daemon/state.h"
+#include "wire/operator.pb-c.h"
 
 /*
  * The bills that this replica keeps, and the export: one JSON object a line in
@@ -194,6 +196,104 @@
 	buf_free(&bytes);
 }
 
+static void
+send_export(struct state *state, uint32_t to, const Opr__Export *message)
+{
+	struct buf bytes;
+
+	buf_init(&bytes, state->node->alloc);
+	buf_reserve(&bytes, opr__export__get_packed_size(message));
+	bytes.len = opr__export__pack(message, bytes.data);
+	node_send(state->node, to, PEER_EXPORT, &bytes);
+	buf_free(&bytes);
+}
+
+/*
+ * Asks another replica for the lines that this one lacks.  A replica that lost
+ * its disk, or was away while the others dropped what they had archived, can't
+ * make them from bills any more.
+ */
+static void
+ask_for_lines(struct state *state)
+{
+	const struct directory *directory = state->node->directory;
+	Opr__Export wanted = OPR__EXPORT__INIT;
+	uint32_t first = (uint32_t)rng_system_seed();
+	uint32_t count = directory_count(directory);
+
+	wanted.wanted = true;
+	wanted.after = state->archived;
+	for (uint32_t i = 0; i < count; i++) {
+		const struct directory_entry *e =
+		    directory_at(directory, (first + i) % count);
+
+		if (!e->self && e->rank != DIRECTORY_NO_RANK) {
+			send_export(state, e->number, &wanted);
+			return;
+		}
+	}
+}
+
+/* Answers with lines; with the last of them goes the store's tail. */
+static void
+answer_lines(struct state *state, uint32_t from, uint64_t after)
+{
+	Opr__Export answer = OPR__EXPORT__INIT;
+	struct buf lines, tail;
+
+	if (bl_store_behind(state->bills))
+		return;
+	buf_init(&lines, state->node->alloc);
+	buf_init(&tail, state->node->alloc);
+	state_bills_export(state, after, &lines);
+	if (lines.len < EXPORT_MAX_BYTES)
+		bl_store_tail(state->bills, &tail);
+	answer.after = after;
+	answer.lines.data = lines.data;
+	answer.lines.len = lines.len;
+	answer.tail.data = tail.data;
+	answer.tail.len = tail.len;
+	send_export(state, from, &answer);
+	buf_free(&lines);
+	buf_free(&tail);
+}
+
+static void
+take_lines(struct state *state, const Opr__Export *answer)
+{
+	if (!bl_store_behind(state->bills) || answer->after != state->archived)
+		return;
+	if (fwrite(answer->lines.data, 1, answer->lines.len, state->archive) !=
+		answer->lines.len ||
+	    fflush(state->archive) != 0 || fsync(fileno(state->archive)) != 0)
+		return;
+	for (size_t i = 0; i < answer->lines.len; i++)
+		state->archived += answer->lines.data[i] == '\n';
+	state->next_export_us = 0;
+	if (answer->tail.len == 0)
+		return;
+	if (bl_store_adopt(state->bills, answer->tail.data, answer->tail.len) ==
+	    0)
+		log_event(LOG_LEVEL_INFO, "export_adopted", "lines=%" PRIu64,
+		    state->archived);
+}
+
+/* Takes another replica's question for lines, or its answer. */
+void
+state_bills_export_message(
+    struct state *state, uint32_t from, const uint8_t *data, uint32_t len)
+{
+	Opr__Export *message = opr__export__unpack(NULL, len, data);
+
+	if (message == NULL)
+		return;
+	if (message->wanted)
+		answer_lines(state, from, message->after);
+	else
+		take_lines(state, message);
+	opr__export__free_unpacked(message, NULL);
+}
+
 /* Lets time pass. */
 void
 state_bills_tick(struct state *state)
@@ -201,6 +301,10 @@
 	int64_t now_us = loop_now_us(state->node->loop);
 
 	bl_store_tick(state->bills, now_us);
+	if (bl_store_behind(state->bills) && now_us >= state->next_export_us) {
+		state->next_export_us = now_us + SEAL_EVERY_US;
+		ask_for_lines(state);
+	}
 	if (now_us < state->next_seal_us || !rl_is_leader(state->rl))
 		return;
 	state->next_seal_us = now_us + SEAL_EVERY_US;
--- a/src/wire/operator.pb-c.c
+++ b/src/wire/operator.pb-c.c
@@ -187,6 +187,51 @@
   assert(message->base.descriptor == &opr__sections__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   opr__export__init
+                     (Opr__Export         *message)
+{
+  static const Opr__Export init_value = OPR__EXPORT__INIT;
+  *message = init_value;
+}
+size_t opr__export__get_packed_size
+                     (const Opr__Export *message)
+{
+  assert(message->base.descriptor == &opr__export__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t opr__export__pack
+                     (const Opr__Export *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &opr__export__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t opr__export__pack_to_buffer
+                     (const Opr__Export *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &opr__export__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Opr__Export *
+       opr__export__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Opr__Export *)
+     protobuf_c_message_unpack (&opr__export__descriptor,
+                                allocator, len, data);
+}
+void   opr__export__free_unpacked
+                     (Opr__Export *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &opr__export__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 static const ProtobufCFieldDescriptor opr__request__field_descriptors[5] =
 {
   {
@@ -456,3 +501,80 @@
   (ProtobufCMessageInit) opr__sections__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor opr__export__field_descriptors[4] =
+{
+  {
+    "wanted",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Opr__Export, wanted),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "after",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Opr__Export, after),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "lines",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Opr__Export, lines),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "tail",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Opr__Export, tail),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned opr__export__field_indices_by_name[] = {
+  1,   /* field[1] = after */
+  2,   /* field[2] = lines */
+  3,   /* field[3] = tail */
+  0,   /* field[0] = wanted */
+};
+static const ProtobufCIntRange opr__export__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor opr__export__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "opr.Export",
+  "Export",
+  "Opr__Export",
+  "opr",
+  sizeof(Opr__Export),
+  4,
+  opr__export__field_descriptors,
+  opr__export__field_indices_by_name,
+  1,  opr__export__number_ranges,
+  (ProtobufCMessageInit) opr__export__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
--- a/src/wire/operator.pb-c.h
+++ b/src/wire/operator.pb-c.h
@@ -19,6 +19,7 @@
 typedef struct Opr__Reply Opr__Reply;
 typedef struct Opr__Section Opr__Section;
 typedef struct Opr__Sections Opr__Sections;
+typedef struct Opr__Export Opr__Export;
 
 
 /* --- enums --- */
@@ -97,6 +98,28 @@
     , 0,NULL }
 
 
+/*
+ * Lines of the bills' export from one replica to another that lost its disk.
+ */
+struct  Opr__Export
+{
+  ProtobufCMessage base;
+  /*
+   * a question; else the lines after it
+   */
+  protobuf_c_boolean wanted;
+  uint64_t after;
+  ProtobufCBinaryData lines;
+  /*
+   * with the last lines: what the store goes on from
+   */
+  ProtobufCBinaryData tail;
+};
+#define OPR__EXPORT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&opr__export__descriptor) \
+    , 0, 0, {0,NULL}, {0,NULL} }
+
+
 /* Opr__Request methods */
 void   opr__request__init
                      (Opr__Request         *message);
@@ -173,6 +196,25 @@
 void   opr__sections__free_unpacked
                      (Opr__Sections *message,
                       ProtobufCAllocator *allocator);
+/* Opr__Export methods */
+void   opr__export__init
+                     (Opr__Export         *message);
+size_t opr__export__get_packed_size
+                     (const Opr__Export   *message);
+size_t opr__export__pack
+                     (const Opr__Export   *message,
+                      uint8_t             *out);
+size_t opr__export__pack_to_buffer
+                     (const Opr__Export   *message,
+                      ProtobufCBuffer     *buffer);
+Opr__Export *
+       opr__export__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   opr__export__free_unpacked
+                     (Opr__Export *message,
+                      ProtobufCAllocator *allocator);
 /* --- per-message closures --- */
 
 typedef void (*Opr__Request_Closure)
@@ -187,6 +229,9 @@
 typedef void (*Opr__Sections_Closure)
                  (const Opr__Sections *message,
                   void *closure_data);
+typedef void (*Opr__Export_Closure)
+                 (const Opr__Export *message,
+                  void *closure_data);
 
 /* --- services --- */
 
@@ -197,6 +242,7 @@
 extern const ProtobufCMessageDescriptor opr__reply__descriptor;
 extern const ProtobufCMessageDescriptor opr__section__descriptor;
 extern const ProtobufCMessageDescriptor opr__sections__descriptor;
+extern const ProtobufCMessageDescriptor opr__export__descriptor;
 
 PROTOBUF_C__END_DECLS
 
--- a/src/wire/peer.h
+++ b/src/wire/peer.h
@@ -36,7 +36,8 @@
 	PEER_PING = 9, /* answered by PEER_PONG on the same link */
 	PEER_PONG = 10,
 	PEER_FEED = 11, /* announcements within a data centre */
-	PEER_CHANNELS = 12
+	PEER_EXPORT = 12, /* the bills' export between replicas */
+	PEER_CHANNELS = 13
 };
 
 enum {
