--- a/test/process/system.bash
+++ b/test/process/system.bash
@@ -24,6 +24,8 @@
 	trap end EXIT
 	if ! system up "$@" >"$dir/up.out" 2>&1; then
 		cat "$dir/up.out"
+		cat "$system_dir"/*.log | grep -i error
+		failures=1
 		exit 1
 	fi
 }
