Gather loads for a second before they go down the tree; what is urgent goes at once

Change: loads are gathered for 1 s instead of 200 ms; a new incarnation, warmth, slots, names or leaving goes out within 20 ms; slots travel with the names.

--- a/src/daemon/feed.c
+++ b/src/daemon/feed.c
@@ -14,8 +14,9 @@
  */
 
 enum {
-	FEED_FLUSH_US = 200000, /* announcements are gathered this long */
-	FEED_FULL_US = 5000000, /* names and address again after this */
+	FEED_FLUSH_US = 1000000, /* loads are gathered this long */
+	FEED_URGENT_US = 20000, /* what changes where work may go is not */
+	FEED_FULL_US = 10000000, /* names, address and slots again after this */
 	FEED_SERVERS_MAX = 256,
 	FEED_CHILDREN = 2
 };
@@ -33,6 +34,7 @@
 	struct feed_entry *entries;
 	uint32_t count;
 	struct loop_timer *flush;
+	int64_t flush_us; /* when it expires */
 };
 
 /* Creates a feed with nothing to send. */
@@ -103,8 +105,6 @@
 	p->pb.token_us = a->token_us;
 	p->pb.warm = a->warmth == CF_WARM;
 	p->pb.leaving = a->leaving;
-	p->pb.slots = a->slots;
-	p->pb.cold_slots = a->cold_slots;
 	for (uint8_t i = 0; i < e->news.cache_count; i++) {
 		feedpb__cache_event__init(&p->cache[i]);
 		p->cache[i].sequence = e->news.cache[i].sequence;
@@ -121,6 +121,8 @@
 {
 	struct server *s = &e->news.server;
 
+	p->pb.slots = s->last.slots;
+	p->pb.cold_slots = s->last.cold_slots;
 	p->pb.name = s->name;
 	p->pb.address = s->address;
 	for (uint8_t i = 0; i < s->version_count; i++)
@@ -222,6 +224,30 @@
 	merged->cache_count = (uint8_t)(kept + added);
 }
 
+/* Whether what a server says changes where work may go, not just how much. */
+static bool
+is_urgent(const struct server *was, const struct server *is)
+{
+	return was->last.incarnation != is->last.incarnation ||
+	       was->last.warmth != is->last.warmth ||
+	       was->last.leaving != is->last.leaving ||
+	       was->last.slots != is->last.slots ||
+	       was->last.cold_slots != is->last.cold_slots;
+}
+
+/* Sets when the gathered announcements go out; sooner for urgent ones. */
+static void
+set_flush(struct feed *feed, int64_t delay_us)
+{
+	int64_t at_us = loop_now_us(feed->node->loop) + delay_us;
+
+	if (feed->flush != NULL && feed->flush_us <= at_us)
+		return;
+	loop_cancel(feed->flush);
+	feed->flush_us = at_us;
+	feed->flush = loop_after(feed->node->loop, delay_us, flush, feed);
+}
+
 /* A server announced itself to this instance. */
 void
 feed_announced(struct feed *feed, const struct server_news *news)
@@ -230,20 +256,20 @@
 	    entry_of(feed, node_hash_name(news->server.name));
 	struct server_news merged = *news;
 	uint64_t text_hash = hash_text(&news->server);
+	bool urgent;
 
 	if (e == NULL)
 		return;
 	if (e->waiting)
 		keep_cache(&e->news, &merged);
-	if (text_hash != e->text_hash ||
-	    news->server.last.incarnation != e->news.server.last.incarnation)
+	urgent = text_hash != e->text_hash ||
+		 is_urgent(&e->news.server, &news->server);
+	if (urgent)
 		e->full_us = INT64_MIN / 2;
 	e->text_hash = text_hash;
 	e->news = merged;
 	e->waiting = true;
-	if (feed->flush == NULL)
-		feed->flush =
-		    loop_after(feed->node->loop, FEED_FLUSH_US, flush, feed);
+	set_flush(feed, urgent ? FEED_URGENT_US : FEED_FLUSH_US);
 }
 
 static void
@@ -266,8 +292,6 @@
 	a->token_us = pb->token_us;
 	a->warmth = pb->warm ? CF_WARM : CF_COLD;
 	a->leaving = pb->leaving;
-	a->slots = (uint16_t)pb->slots;
-	a->cold_slots = (uint16_t)pb->cold_slots;
 	news->cache_count = 0;
 	for (size_t i = 0; i < pb->n_cache && i < SERVERS_CACHE_MAX; i++) {
 		struct server_cache_event *event =
@@ -291,6 +315,8 @@
 	if (pb->name[0] != '\0') {
 		struct server *s = &news.server;
 
+		s->last.slots = (uint16_t)pb->slots;
+		s->last.cold_slots = (uint16_t)pb->cold_slots;
 		snprintf(s->name, sizeof(s->name), "%s", pb->name);
 		snprintf(s->address, sizeof(s->address), "%s", pb->address);
 		copy_names(s->versions, &s->version_count, pb->versions,
