--- a/bench/slopes/slopes.h
+++ b/bench/slopes/slopes.h
@@ -31,6 +31,7 @@
 struct sweep {
 	const char *role;
 	const char *by;
+	char *text; /* that the names are parts of */
 	const char *names[VALUES_MAX];
 	struct point points[POINTS_MAX];
 	uint32_t count;
--- a/bench/slopes/sweep.c
+++ b/bench/slopes/sweep.c
@@ -31,6 +31,7 @@
 	if (sweep_count == SWEEPS_MAX || copy == NULL)
 		abort();
 	sweep_count++;
+	s->text = copy;
 	s->role = role;
 	s->by = by;
 	for (char *t = strtok_r(copy, ",", &save); t != NULL && n < VALUES_MAX;
