--- a/src/daemon/credits.c
+++ b/src/daemon/credits.c
@@ -53,7 +53,7 @@
 	struct credits *credits = ctx;
 	int64_t now_us = loop_now_us(credits->node->loop);
 
-	for (uint16_t i = 0; i < CREDIT_SERVERS_MAX; i++) {
+	for (int i = 0; i < CREDIT_SERVERS_MAX; i++) {
 		if (credits->asked_us[i] != 0 &&
 		    now_us - credits->asked_us[i] > CREDIT_ANSWER_US)
 			tell_router(
