--- a/src/entry/attempt.c
+++ b/src/entry/attempt.c
@@ -374,6 +374,13 @@
 	return a->content_type;
 }
 
+/* Returns the HTTP status of the answer. */
+unsigned int
+attempt_status(const struct attempt *a)
+{
+	return a->status > 0 ? (unsigned int)a->status : 200;
+}
+
 /* Returns the version that a forwarded answer names, or "". */
 const char *
 attempt_version(const struct attempt *a)
--- a/src/entry/attempt.h
+++ b/src/entry/attempt.h
@@ -71,6 +71,7 @@
 const struct buf *attempt_body(const struct attempt *attempt);
 const struct buf *attempt_terminator(const struct attempt *attempt);
 const char *attempt_content_type(const struct attempt *attempt);
+unsigned int attempt_status(const struct attempt *attempt);
 const char *attempt_version(const struct attempt *attempt);
 bool attempt_was_sent(const struct attempt *attempt);
 
--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -244,6 +244,9 @@
 	}
 	hs_set_data(x, f);
 	f->json = parse->json;
+	/* A call that must not be repeated may outlive its caller. */
+	if (parse->out.kind == CF_SERVICE || parse->out.once)
+		buf_add(&f->body, hs_body(x)->data, hs_body(x)->len);
 	if (parse->out.session != 0)
 		snprintf(f->session, sizeof(f->session), "%s@%" PRIu64,
 		    parse->session, parse->out.session_birth);
--- a/src/entry/flight.c
+++ b/src/entry/flight.c
@@ -41,6 +41,7 @@
 	f->winner = -1;
 	f->streaming_from = -1;
 	f->arrived_us = loop_now_us(entry->options.loop);
+	buf_init(&f->body, entry->options.alloc);
 	f->method = alloc_strdup(entry->options.alloc, hs_method(x));
 	f->target = alloc_strdup(entry->options.alloc, hs_target(x));
 	f->sequence = ++entry->sequence;
@@ -63,6 +64,7 @@
 	if (f->x != NULL)
 		hs_set_data(f->x, NULL);
 	json_decref(f->json);
+	buf_free(&f->body);
 	alloc_free(entry->options.alloc, f->method);
 	alloc_free(entry->options.alloc, f->target);
 	entry->flights[f->id] = NULL;
@@ -214,8 +216,9 @@
 	    .handler = &flight_attempt_handler,
 	    .ctx = f};
 
-	if (body->len == 0 && f->x != NULL)
-		body = hs_body(f->x);
+	if (body->len == 0)
+		body =
+		    f->body.len == 0 && f->x != NULL ? hs_body(f->x) : &f->body;
 	options.body = body->data;
 	options.len = body->len;
 	snprintf(correlation, sizeof(correlation), "%s/%u", f->name,
@@ -500,7 +503,8 @@
 	size_t n = answer_headers(f, slot,
 	    type[0] != '\0' ? type : "application/octet-stream", headers);
 
-	hs_answer(f->x, 200, headers, n, body->data, body->len);
+	hs_answer(f->x, attempt_status(slot->attempt), headers, n, body->data,
+	    body->len);
 }
 
 static void
--- a/src/entry/flight.h
+++ b/src/entry/flight.h
@@ -44,6 +44,7 @@
 	struct cf_request request;
 	char session[REQUEST_SESSION_BYTES + 32]; /* as the answer names it */
 	json_t *json; /* chat: the body */
+	struct buf body; /* as the caller sent it, where it is passed on */
 	char *method;
 	char *target;
 	struct flight_attempt attempts[CF_ATTEMPTS_MAX];
--- a/src/http/client.c
+++ b/src/http/client.c
@@ -341,6 +341,10 @@
 {
 	if (strcmp(request->method, "GET") == 0)
 		return;
+	if (strcmp(request->method, "HEAD") == 0) {
+		curl_easy_setopt(easy, CURLOPT_NOBODY, 1L);
+		return;
+	}
 	curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, request->method);
 	if (request->body == NULL && request->len == 0)
 		return;
--- a/src/state/cfgstore.c
+++ b/src/state/cfgstore.c
@@ -74,6 +74,8 @@
 void
 cs_free(struct cs *cs)
 {
+	if (cs == NULL)
+		return;
 	cs_clear(cs);
 	alloc_free(cs->alloc, cs->sections);
 	alloc_free(cs->alloc, cs->history);
