--- /dev/null
+++ b/src/route/table.c
@@ -0,0 +1,340 @@
+#include "route/table.h"
+
+#include <apr_hash.h>
+#include <apr_strings.h>
+#include <apr_tables.h>
+#include <ctype.h>
+#include <string.h>
+
+#include "base/err.h"
+
+enum {
+	KEY_MAX_BYTES = 1024 /* host and path of a lookup; longer has no route */
+};
+
+struct rt_table {
+	apr_pool_t *pool;
+	apr_array_header_t *services; /* of struct rt_service * */
+	apr_array_header_t *routes;
+	apr_array_header_t *workspaces;
+	apr_hash_t *by_service; /* name */
+	apr_hash_t *by_place; /* host and prefix */
+	apr_hash_t *by_key; /* API key to workspace */
+	struct rt_limits limits;
+};
+
+/* Creates an empty table. */
+struct rt_table *
+rt_new(void)
+{
+	apr_pool_t *pool;
+	struct rt_table *table;
+
+	apr_pool_create(&pool, NULL);
+	table = apr_pcalloc(pool, sizeof(*table));
+	table->pool = pool;
+	table->services = apr_array_make(pool, 8, sizeof(void *));
+	table->routes = apr_array_make(pool, 16, sizeof(void *));
+	table->workspaces = apr_array_make(pool, 16, sizeof(void *));
+	table->by_service = apr_hash_make(pool);
+	table->by_place = apr_hash_make(pool);
+	table->by_key = apr_hash_make(pool);
+	return table;
+}
+
+/* Releases a table and all that it points to. */
+void
+rt_free(struct rt_table *table)
+{
+	if (table != NULL)
+		apr_pool_destroy(table->pool);
+}
+
+/* Returns the pool that a table's strings come from. */
+apr_pool_t *
+rt_pool(struct rt_table *table)
+{
+	return table->pool;
+}
+
+/* Adds a service; NULL if there are too many. */
+struct rt_service *
+rt_add_service(struct rt_table *table, const char *name)
+{
+	struct rt_service *service;
+
+	if (table->services->nelts >= RT_NONE)
+		return NULL;
+	service = apr_pcalloc(table->pool, sizeof(*service));
+	service->name = apr_pstrdup(table->pool, name);
+	service->index = (uint16_t)table->services->nelts;
+	APR_ARRAY_PUSH(table->services, struct rt_service *) = service;
+	apr_hash_set(table->by_service, service->name, APR_HASH_KEY_STRING,
+	    service);
+	return service;
+}
+
+/* Adds a route; NULL if there are too many. */
+struct rt_route *
+rt_add_route(struct rt_table *table, const char *name)
+{
+	struct rt_route *route;
+
+	if (table->routes->nelts >= RT_NONE)
+		return NULL;
+	route = apr_pcalloc(table->pool, sizeof(*route));
+	route->name = apr_pstrdup(table->pool, name);
+	route->attempts_max = 1;
+	route->index = (uint16_t)table->routes->nelts;
+	APR_ARRAY_PUSH(table->routes, struct rt_route *) = route;
+	return route;
+}
+
+/* Adds a service to a route; ERR_TOO_LARGE if there are too many. */
+int
+rt_add_target(struct rt_table *table, struct rt_route *route,
+    const char *service, uint32_t weight)
+{
+	struct rt_target *target;
+
+	if (route->target_count == RT_TARGETS_MAX)
+		return ERR_TOO_LARGE;
+	target = &route->targets[route->target_count++];
+	target->service_name = apr_pstrdup(table->pool, service);
+	target->service = RT_NONE;
+	target->weight = weight;
+	return 0;
+}
+
+/* Adds a model to a route's list; ERR_TOO_LARGE if there are too many. */
+int
+rt_add_model(struct rt_table *table, struct rt_route *route, const char *model)
+{
+	if (route->model_count == RT_MODELS_MAX)
+		return ERR_TOO_LARGE;
+	route->models[route->model_count++] = apr_pstrdup(table->pool, model);
+	return 0;
+}
+
+/* Adds a workspace; NULL if there are too many. */
+struct rt_workspace *
+rt_add_workspace(struct rt_table *table, const char *name)
+{
+	struct rt_workspace *workspace;
+
+	if (table->workspaces->nelts >= RT_NONE)
+		return NULL;
+	workspace = apr_pcalloc(table->pool, sizeof(*workspace));
+	workspace->name = apr_pstrdup(table->pool, name);
+	workspace->priority = RT_PRIORITY_NONE;
+	workspace->index = (uint16_t)table->workspaces->nelts;
+	APR_ARRAY_PUSH(table->workspaces, struct rt_workspace *) = workspace;
+	return workspace;
+}
+
+/* Gives a workspace an API key; ERR_INVALID if another one holds it. */
+int
+rt_add_key(struct rt_table *table, const struct rt_workspace *workspace,
+    const char *key, struct buf *why)
+{
+	const struct rt_workspace *holder =
+	    apr_hash_get(table->by_key, key, APR_HASH_KEY_STRING);
+
+	if (key[0] == '\0') {
+		buf_addf(why, "workspace %s has an empty API key",
+		    workspace->name);
+		return ERR_INVALID;
+	}
+	if (holder != NULL && holder != workspace) {
+		buf_addf(why, "workspaces %s and %s share an API key",
+		    holder->name, workspace->name);
+		return ERR_INVALID;
+	}
+	apr_hash_set(table->by_key, apr_pstrdup(table->pool, key),
+	    APR_HASH_KEY_STRING, workspace);
+	return 0;
+}
+
+/* Sets what a caller may send. */
+void
+rt_set_limits(struct rt_table *table, const struct rt_limits *limits)
+{
+	table->limits = *limits;
+}
+
+/* Writes the lookup key of a host (without its port) and a path. */
+static bool
+place_key(char key[KEY_MAX_BYTES], const char *host, const char *path,
+    size_t *host_len, size_t *len)
+{
+	size_t n = strcspn(host, ":");
+	size_t p = strcspn(path, "?#");
+
+	if (n + p + 1 >= KEY_MAX_BYTES)
+		return false;
+	for (size_t i = 0; i < n; i++)
+		key[i] = (char)tolower((unsigned char)host[i]);
+	key[n] = ' ';
+	memcpy(key + n + 1, path, p);
+	*host_len = n + 1;
+	*len = n + 1 + p;
+	return true;
+}
+
+static int
+check_prefix(const struct rt_route *route, struct buf *why)
+{
+	size_t len = route->prefix != NULL ? strlen(route->prefix) : 0;
+
+	if (route->host == NULL || route->host[0] == '\0')
+		buf_addf(why, "route %s has no host", route->name);
+	else if (len == 0 || route->prefix[0] != '/' ||
+		 route->prefix[len - 1] != '/')
+		buf_addf(why,
+		    "route %s: its prefix must begin and end with a slash",
+		    route->name);
+	else if (route->timeout_ms == 0)
+		buf_addf(why, "route %s has a timeout of 0", route->name);
+	else
+		return 0;
+	return ERR_INVALID;
+}
+
+static int
+check_targets(struct rt_table *table, struct rt_route *route, struct buf *why)
+{
+	for (uint16_t i = 0; i < route->target_count; i++) {
+		struct rt_target *target = &route->targets[i];
+		const struct rt_service *service =
+		    rt_service_named(table, target->service_name);
+
+		if (service == NULL) {
+			buf_addf(why, "route %s names the unknown service %s",
+			    route->name, target->service_name);
+			return ERR_INVALID;
+		}
+		target->service = service->index;
+		route->weight_sum += target->weight;
+	}
+	if (route->weight_sum == 0) {
+		buf_addf(why, "the weights of route %s add up to 0",
+		    route->name);
+		return ERR_INVALID;
+	}
+	return 0;
+}
+
+static int
+index_place(struct rt_table *table, struct rt_route *route, struct buf *why)
+{
+	char key[KEY_MAX_BYTES];
+	size_t host_len, len;
+	const struct rt_route *other;
+
+	if (!place_key(key, route->host, route->prefix, &host_len, &len)) {
+		buf_addf(why, "route %s: host and prefix are too long",
+		    route->name);
+		return ERR_INVALID;
+	}
+	other = apr_hash_get(table->by_place, key, (apr_ssize_t)len);
+	if (other != NULL) {
+		buf_addf(why, "routes %s and %s have the same host and prefix",
+		    other->name, route->name);
+		return ERR_INVALID;
+	}
+	apr_hash_set(table->by_place,
+	    apr_pmemdup(table->pool, key, len), (apr_ssize_t)len, route);
+	return 0;
+}
+
+/*
+ * Checks the whole table and prepares its lookups.  Returns 0, or ERR_INVALID
+ * with the first place that is wrong in why.
+ */
+int
+rt_finish(struct rt_table *table, struct buf *why)
+{
+	if (apr_hash_count(table->by_service) !=
+	    (unsigned int)table->services->nelts) {
+		buf_adds(why, "two services have the same name");
+		return ERR_INVALID;
+	}
+	for (int i = 0; i < table->routes->nelts; i++) {
+		struct rt_route *route =
+		    APR_ARRAY_IDX(table->routes, i, struct rt_route *);
+
+		if (check_prefix(route, why) != 0 ||
+		    check_targets(table, route, why) != 0 ||
+		    index_place(table, route, why) != 0)
+			return ERR_INVALID;
+	}
+	return 0;
+}
+
+/* Returns the route with the longest prefix of a path, or NULL. */
+const struct rt_route *
+rt_route_of(const struct rt_table *table, const char *host, const char *path)
+{
+	char key[KEY_MAX_BYTES];
+	size_t host_len, len;
+
+	if (!place_key(key, host, path, &host_len, &len))
+		return NULL;
+	while (len > host_len) {
+		const struct rt_route *route = NULL;
+
+		if (key[len - 1] == '/')
+			route = apr_hash_get(
+			    table->by_place, key, (apr_ssize_t)len);
+		if (route != NULL)
+			return route;
+		len--;
+	}
+	return NULL;
+}
+
+/* Returns the workspace that holds an API key, or NULL. */
+const struct rt_workspace *
+rt_workspace_of(const struct rt_table *table, const char *key)
+{
+	return apr_hash_get(table->by_key, key, APR_HASH_KEY_STRING);
+}
+
+/* Returns a service by its name, or NULL. */
+const struct rt_service *
+rt_service_named(const struct rt_table *table, const char *name)
+{
+	return apr_hash_get(table->by_service, name, APR_HASH_KEY_STRING);
+}
+
+/* Returns a service by its index. */
+const struct rt_service *
+rt_service_at(const struct rt_table *table, uint16_t index)
+{
+	return APR_ARRAY_IDX(table->services, index, struct rt_service *);
+}
+
+/* Tells whether requests need an API key at all. */
+bool
+rt_has_workspaces(const struct rt_table *table)
+{
+	return table->workspaces->nelts > 0;
+}
+
+const struct rt_limits *
+rt_limits_of(const struct rt_table *table)
+{
+	return &table->limits;
+}
+
+uint32_t
+rt_route_count(const struct rt_table *table)
+{
+	return (uint32_t)table->routes->nelts;
+}
+
+uint32_t
+rt_service_count(const struct rt_table *table)
+{
+	return (uint32_t)table->services->nelts;
+}
--- a/src/state/rlog.c
+++ b/src/state/rlog.c
@@ -47,6 +47,7 @@
 	rl->options = *options;
 	rl->alloc = alloc;
 	fill_defaults(&rl->options);
+	rl_set_founders(rl);
 	rng_init(&rl->rng, options->seed);
 	rl->leader_instance = RL_NO_INSTANCE;
 	buf_init(&rl->snapshot.data, alloc);
@@ -160,7 +161,7 @@
 
 /* Sends a message now. */
 void
-rl_send(struct rl *rl, uint16_t instance, const struct rl_msg *msg)
+rl_send(struct rl *rl, uint64_t instance, const struct rl_msg *msg)
 {
 	struct rl_action *action = rl_emit(rl, RL_ACT_SEND);
 
@@ -174,7 +175,7 @@
  */
 void
 rl_send_after(
-    struct rl *rl, uint64_t number, uint16_t instance, const struct rl_msg *msg)
+    struct rl *rl, uint64_t number, uint64_t instance, const struct rl_msg *msg)
 {
 	struct rl_held *held;
 
--- a/src/state/rlog.h
+++ b/src/state/rlog.h
@@ -25,11 +25,11 @@
  * goes out to other instances once that covers its index.
  *
  * A replica is named by its identity, 64 random bits that live and die with
- * its data folder, and reached through its instance, a small number from the
- * settings.  A replica that lost its disk comes back under a new identity: it
+ * its data folder, and reached through its instance, a number that the caller
+ * gives: from its settings, or made of the address that it is reached at.  A replica that lost its disk comes back under a new identity: it
  * joins as a learner, without a vote; once it has caught up, the old identity
  * of its instance is removed and it becomes a voter.  The log is
- * formed once, by the lowest instance, when every instance in `instances`
+ * formed once, by the lowest founder, when every founder
  * says that its folder is new.
  *
  * The term is the fencing number of orders.  rl_lease_until_us() bounds
@@ -70,8 +70,16 @@
 	const struct alloc *alloc; /* NULL: the C library's */
 	uint64_t seed; /* of the random election times */
 	uint64_t fresh_id; /* identity to take if the folder has none */
-	uint16_t instance; /* this instance's number */
-	uint64_t instances; /* mask of the instances that keep a replica */
+	uint64_t instance; /* this instance's number */
+	/*
+	 * The instances that form the log: a mask of numbers below
+	 * RL_INSTANCES_MAX, or a list of any numbers.  With neither, this
+	 * replica never forms a log and only joins one that it is introduced
+	 * to (rl_introduce()).
+	 */
+	uint64_t instances;
+	const uint64_t *founders; /* copied; RL_MEMBERS_MAX at most */
+	size_t founder_count;
 	int64_t heartbeat_us; /* 0: 250 ms */
 	int64_t election_min_us; /* 0: 900 ms */
 	int64_t election_max_us; /* 0: 1,400 ms */
@@ -116,7 +124,7 @@
 
 struct rl_member {
 	uint64_t id;
-	uint16_t instance;
+	uint64_t instance;
 	bool voter; /* false: a learner */
 };
 
@@ -137,7 +145,7 @@
 	enum rl_msg_kind kind;
 	uint64_t from_id;
 	uint64_t to_id; /* 0: whoever keeps that instance */
-	uint16_t from_instance;
+	uint64_t from_instance;
 	uint64_t term;
 	uint64_t log_index; /* last or previous entry; snapshot's last */
 	uint64_t log_term;
@@ -190,7 +198,7 @@
 			size_t len;
 		} snapshot;
 		struct {
-			uint16_t instance;
+			uint64_t instance;
 			uint64_t token;
 		} remove;
 	} u;
@@ -218,7 +226,7 @@
 			size_t len;
 		} persist;
 		struct {
-			uint16_t instance;
+			uint64_t instance;
 			struct rl_msg message;
 		} send;
 		struct {
@@ -241,14 +249,14 @@
 			 * the same change id asks again.
 			 */
 			int error;
-			uint16_t leader; /* instance or RL_NO_INSTANCE */
+			uint64_t leader; /* instance or RL_NO_INSTANCE */
 		} refuse;
 		struct {
 			uint64_t token;
 		} done;
 		struct {
 			uint64_t term;
-			uint16_t instance; /* or RL_NO_INSTANCE */
+			uint64_t instance; /* or RL_NO_INSTANCE */
 			bool is_self;
 		} leader;
 		struct {
@@ -294,7 +302,8 @@
 
 bool rl_is_leader(const struct rl *rl);
 uint64_t rl_term(const struct rl *rl);
-uint16_t rl_leader(const struct rl *rl);
+uint64_t rl_leader(const struct rl *rl);
+void rl_introduce(struct rl *rl, const uint64_t *instances, size_t count);
 int64_t rl_lease_until_us(const struct rl *rl);
 int64_t rl_wake_us(const struct rl *rl);
 uint64_t rl_id(const struct rl *rl);
--- a/src/state/rlog_elect.c
+++ b/src/state/rlog_elect.c
@@ -43,7 +43,7 @@
  */
 void
 rl_become_follower(
-    struct rl *rl, uint64_t term, uint64_t leader_id, uint16_t leader_instance)
+    struct rl *rl, uint64_t term, uint64_t leader_id, uint64_t leader_instance)
 {
 	bool was_follower = rl->role == RL_FOLLOWER;
 
@@ -62,7 +62,7 @@
 		set_term(rl, term, 0);
 	rl->leader_id = leader_id;
 	rl->leader_instance =
-	    leader_id != 0 ? leader_instance : (uint16_t)RL_NO_INSTANCE;
+	    leader_id != 0 ? leader_instance : (uint64_t)RL_NO_INSTANCE;
 	if (!was_follower)
 		rl_rest_election(rl);
 }
--- a/src/state/rlog_i.h
+++ b/src/state/rlog_i.h
@@ -49,7 +49,7 @@
 	uint64_t rewound_round; /* when it last went back */
 	uint64_t told_commit; /* highest commit index sent to it */
 	enum rl_peer_state state;
-	uint16_t instance;
+	uint64_t instance;
 	bool probing; /* RL_PROBE: a message is under way */
 	bool granted; /* of this vote or pre-vote */
 };
@@ -57,7 +57,7 @@
 /* A message that waits for a journal record to be durable. */
 struct rl_held {
 	uint64_t number;
-	uint16_t instance;
+	uint64_t instance;
 	struct rl_msg message; /* without entries or chunk */
 };
 
@@ -68,6 +68,7 @@
 };
 
 struct rl_hello {
+	uint64_t instance;
 	uint64_t id; /* 0: none heard */
 	int64_t heard_us;
 	bool empty;
@@ -119,7 +120,7 @@
 	size_t held_count;
 
 	enum rl_role role;
-	uint16_t leader_instance;
+	uint64_t leader_instance;
 	bool was_voter; /* durable */
 	bool started;
 	bool restore_due;
@@ -146,6 +147,11 @@
 	uint64_t incoming_term;
 	int64_t hello_us;
 	struct rl_hello hellos[RL_INSTANCES_MAX];
+	size_t hello_count;
+	uint64_t founders[RL_INSTANCES_MAX];
+	size_t founder_count;
+	uint64_t known[RL_INSTANCES_MAX]; /* introductions go to these */
+	size_t known_count;
 
 	/* candidates and leaders */
 	struct rl_peer peers[RL_MEMBERS_MAX];
@@ -169,8 +175,8 @@
 /* rlog.c */
 struct rl_action *rl_emit(struct rl *rl, enum rl_action_kind kind);
 void rl_discard(struct rl *rl, void *block);
-void rl_send(struct rl *rl, uint16_t instance, const struct rl_msg *msg);
-void rl_send_after(struct rl *rl, uint64_t number, uint16_t instance,
+void rl_send(struct rl *rl, uint64_t instance, const struct rl_msg *msg);
+void rl_send_after(struct rl *rl, uint64_t number, uint64_t instance,
     const struct rl_msg *msg);
 struct rl_msg rl_msg_to(
     const struct rl *rl, enum rl_msg_kind kind, uint64_t to_id);
@@ -202,7 +208,7 @@
 
 /* rlog_elect.c */
 void rl_become_follower(
-    struct rl *rl, uint64_t term, uint64_t leader_id, uint16_t leader_instance);
+    struct rl *rl, uint64_t term, uint64_t leader_id, uint64_t leader_instance);
 void rl_campaign(struct rl *rl, bool transfer);
 void rl_count_votes(struct rl *rl);
 void rl_elect_tick(struct rl *rl);
@@ -239,9 +245,10 @@
 void rl_member_tick(struct rl *rl);
 void rl_hello_tick(struct rl *rl);
 void rl_on_hello(struct rl *rl, const struct rl_msg *msg);
-void rl_on_remove(struct rl *rl, uint16_t instance, uint64_t token);
+void rl_on_remove(struct rl *rl, uint64_t instance, uint64_t token);
 void rl_member_committed(struct rl *rl);
 bool rl_is_empty(const struct rl *rl);
+void rl_set_founders(struct rl *rl);
 
 /* rlog_client.c */
 void rl_on_propose(struct rl *rl, uint64_t token, const void *data, size_t len);
--- a/src/state/rlog_member.c
+++ b/src/state/rlog_member.c
@@ -2,6 +2,69 @@
 
 #include "state/rlog_i.h"
 
+static struct rl_hello *
+find_hello(struct rl *rl, uint64_t instance)
+{
+	for (size_t i = 0; i < rl->hello_count; i++)
+		if (rl->hellos[i].instance == instance)
+			return &rl->hellos[i];
+	return NULL;
+}
+
+/* Returns the row of an instance; a new one takes the oldest when full. */
+static struct rl_hello *
+get_hello(struct rl *rl, uint64_t instance)
+{
+	struct rl_hello *hello = find_hello(rl, instance);
+
+	if (hello != NULL)
+		return hello;
+	if (rl->hello_count < RL_INSTANCES_MAX) {
+		hello = &rl->hellos[rl->hello_count++];
+	} else {
+		hello = &rl->hellos[0];
+		for (size_t i = 1; i < RL_INSTANCES_MAX; i++)
+			if (rl->hellos[i].heard_us < hello->heard_us)
+				hello = &rl->hellos[i];
+	}
+	memset(hello, 0, sizeof(*hello));
+	hello->instance = instance;
+	return hello;
+}
+
+/* Takes the founders from the options; they are known from the beginning. */
+void
+rl_set_founders(struct rl *rl)
+{
+	const struct rl_options *options = &rl->options;
+
+	for (size_t i = 0; i < options->founder_count && i < RL_MEMBERS_MAX;
+	     i++)
+		rl->founders[rl->founder_count++] = options->founders[i];
+	for (uint64_t i = 0; rl->founder_count < RL_INSTANCES_MAX &&
+			     i < RL_INSTANCES_MAX;
+	     i++)
+		if (options->instances >> i & 1)
+			rl->founders[rl->founder_count++] = i;
+	for (size_t i = 0; i < rl->founder_count; i++)
+		(void)get_hello(rl, rl->founders[i]);
+	memcpy(rl->known, rl->founders, sizeof(rl->known));
+	rl->known_count = rl->founder_count;
+}
+
+/*
+ * Sets the instances that this replica introduces itself to while it is no
+ * voter: those that are known to keep a replica, or may do so.
+ */
+void
+rl_introduce(struct rl *rl, const uint64_t *instances, size_t count)
+{
+	if (count > RL_INSTANCES_MAX)
+		count = RL_INSTANCES_MAX;
+	memcpy(rl->known, instances, count * sizeof(*instances));
+	rl->known_count = count;
+}
+
 /* Tells whether an identity is a voter in the latest configuration. */
 bool
 rl_is_voter(const struct rl *rl, uint64_t id)
@@ -88,10 +151,10 @@
 
 	for (i = 0; i < rl->config.count; i++) {
 		member = &rl->config.members[i];
-		if (!member->voter || member->instance >= RL_INSTANCES_MAX)
+		if (!member->voter)
 			continue;
-		hello = &rl->hellos[member->instance];
-		if (hello->id == member->id)
+		hello = find_hello(rl, member->instance);
+		if (hello != NULL && hello->id == member->id)
 			hello->was_voter = true;
 	}
 }
@@ -139,25 +202,27 @@
 	rl_persist_entry(rl, rl_last_index(rl));
 }
 
-static uint16_t
+static uint64_t
 lowest_instance(const struct rl *rl)
 {
-	return rl->options.instances != 0
-		   ? (uint16_t)__builtin_ctzll(rl->options.instances)
-		   : (uint16_t)RL_NO_INSTANCE;
+	uint64_t lowest = UINT64_MAX;
+
+	for (size_t i = 0; i < rl->founder_count; i++)
+		if (rl->founders[i] < lowest)
+			lowest = rl->founders[i];
+	return rl->founder_count > 0 ? lowest : (uint64_t)RL_NO_INSTANCE;
 }
 
 static bool
-all_empty(const struct rl *rl)
+all_empty(struct rl *rl)
 {
 	const struct rl_hello *hello;
 	size_t i;
 
-	for (i = 0; i < RL_INSTANCES_MAX; i++) {
-		if ((rl->options.instances >> i & 1) == 0 ||
-		    i == rl->options.instance)
+	for (i = 0; i < rl->founder_count; i++) {
+		if (rl->founders[i] == rl->options.instance)
 			continue;
-		hello = &rl->hellos[i];
+		hello = get_hello(rl, rl->founders[i]);
 		if (hello->id == 0 || !hello->empty ||
 		    hello->heard_us + RL_HELLO_FRESH_US < rl->now_us)
 			return false;
@@ -166,7 +231,7 @@
 }
 
 /*
- * Forms the log with every instance as a voter.  Any replica that has ever
+ * Forms the log with every founder as a voter.  Any replica that has ever
  * taken part keeps silent about being empty, so a lost disk forms no second
  * log while another holds the first.
  */
@@ -176,15 +241,15 @@
 	struct rl_config config = {0};
 	size_t i;
 
-	for (i = 0; i < RL_INSTANCES_MAX && config.count < RL_MEMBERS_MAX;
+	for (i = 0; i < rl->founder_count && config.count < RL_MEMBERS_MAX;
 	     i++) {
 		struct rl_member *member = &config.members[config.count];
+		uint64_t founder = rl->founders[i];
 
-		if ((rl->options.instances >> i & 1) == 0)
-			continue;
-		member->id =
-		    i == rl->options.instance ? rl->id : rl->hellos[i].id;
-		member->instance = (uint16_t)i;
+		member->id = founder == rl->options.instance
+				 ? rl->id
+				 : get_hello(rl, founder)->id;
+		member->instance = founder;
 		member->voter = true;
 		config.count++;
 	}
@@ -196,7 +261,7 @@
 }
 
 static void
-send_hello(struct rl *rl, uint16_t instance, uint64_t to_id)
+send_hello(struct rl *rl, uint64_t instance, uint64_t to_id)
 {
 	struct rl_msg msg = rl_msg_to(rl, RL_MSG_HELLO, to_id);
 
@@ -226,10 +291,9 @@
 	rl->hello_us = rl->now_us + 2 * rl->options.heartbeat_us;
 	if (is_member(rl, rl->id) && rl->leader_id != 0)
 		return;
-	for (i = 0; i < RL_INSTANCES_MAX; i++)
-		if ((rl->options.instances >> i & 1) != 0 &&
-		    i != rl->options.instance)
-			send_hello(rl, (uint16_t)i, 0);
+	for (i = 0; i < rl->known_count; i++)
+		if (rl->known[i] != rl->options.instance)
+			send_hello(rl, rl->known[i], 0);
 	if (rl_is_empty(rl) && lowest_instance(rl) == rl->options.instance &&
 	    all_empty(rl))
 		form(rl);
@@ -245,10 +309,12 @@
 {
 	struct rl_hello *hello;
 
-	if (msg->from_instance >= RL_INSTANCES_MAX ||
-	    (rl->options.instances >> msg->from_instance & 1) == 0)
+	/* A fixed set takes in nobody from outside of it. */
+	if (rl->options.instances != 0 &&
+	    (msg->from_instance >= RL_INSTANCES_MAX ||
+		(rl->options.instances >> msg->from_instance & 1) == 0))
 		return;
-	hello = &rl->hellos[msg->from_instance];
+	hello = get_hello(rl, msg->from_instance);
 	if (hello->id != msg->from_id)
 		hello->was_voter = false;
 	if (hello->id != msg->from_id || !msg->ok)
@@ -285,15 +351,15 @@
 {
 	const struct rl_hello *hello;
 	struct rl_member *member;
-	size_t instance;
+	size_t h;
 	size_t i;
 
-	for (instance = 0; instance < RL_INSTANCES_MAX; instance++) {
-		hello = &rl->hellos[instance];
+	for (h = 0; h < rl->hello_count; h++) {
+		hello = &rl->hellos[h];
 		if (!is_fresh(rl, hello) || is_member(rl, hello->id))
 			continue;
 		for (i = 0; i < config->count; i++) {
-			if (config->members[i].instance == instance &&
+			if (config->members[i].instance == hello->instance &&
 			    !config->members[i].voter) {
 				remove_at(config, i);
 				return true;
@@ -303,7 +369,7 @@
 			return false;
 		member = &config->members[config->count++];
 		member->id = hello->id;
-		member->instance = (uint16_t)instance;
+		member->instance = hello->instance;
 		member->voter = rl->options.unsafe_vote_uncaught;
 		return true;
 	}
@@ -383,7 +449,7 @@
 
 /* Removes every replica of an instance for good, at an operator's word. */
 void
-rl_on_remove(struct rl *rl, uint16_t instance, uint64_t token)
+rl_on_remove(struct rl *rl, uint64_t instance, uint64_t token)
 {
 	struct rl_config config = rl->config;
 	size_t i = config.count;
--- a/src/state/rlog_msg.c
+++ b/src/state/rlog_msg.c
@@ -31,7 +31,7 @@
 	msg->kind = (enum rl_msg_kind)in->kind;
 	msg->from_id = in->from_id;
 	msg->to_id = in->to_id;
-	msg->from_instance = (uint16_t)in->from_instance;
+	msg->from_instance = in->from_instance;
 	msg->term = in->term;
 	msg->log_index = in->log_index;
 	msg->log_term = in->log_term;
@@ -105,7 +105,7 @@
 	size_t i;
 
 	if (in->kind < RL_MSG_HELLO || in->kind > RL_MSG_TIMEOUT_NOW ||
-	    in->from_instance >= RL_INSTANCES_MAX || in->from_id == 0 ||
+	    in->from_instance == RL_NO_INSTANCE || in->from_id == 0 ||
 	    in->n_member > RL_MEMBERS_MAX)
 		return false;
 	for (i = 0; i < in->n_entry; i++)
@@ -140,7 +140,7 @@
 	members = alloc_zero(alloc, in->n_member + 1, sizeof(*members));
 	for (i = 0; i < in->n_member; i++) {
 		members[i].id = in->member[i]->id;
-		members[i].instance = (uint16_t)in->member[i]->instance;
+		members[i].instance = in->member[i]->instance;
 		members[i].voter = in->member[i]->voter;
 	}
 	msg->members = members;
--- a/src/state/rlog_status.c
+++ b/src/state/rlog_status.c
@@ -17,7 +17,7 @@
 }
 
 /* Returns the instance of the known leader, or RL_NO_INSTANCE. */
-uint16_t
+uint64_t
 rl_leader(const struct rl *rl)
 {
 	return rl->leader_instance;
--- a/src/state/rlog_store.c
+++ b/src/state/rlog_store.c
@@ -54,7 +54,7 @@
 	config->count = count;
 	for (i = 0; i < count; i++) {
 		config->members[i].id = members[i]->id;
-		config->members[i].instance = (uint16_t)members[i]->instance;
+		config->members[i].instance = members[i]->instance;
 		config->members[i].voter = members[i]->voter;
 	}
 	return 0;
--- a/src/wire/rlog.pb-c.c
+++ b/src/wire/rlog.pb-c.c
@@ -430,7 +430,7 @@
     "instance",
     2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
     offsetof(Rlpb__Member, instance),
     NULL,
@@ -646,7 +646,7 @@
     "from_instance",
     4,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
     offsetof(Rlpb__Message, from_instance),
     NULL,
--- a/src/wire/rlog.pb-c.h
+++ b/src/wire/rlog.pb-c.h
@@ -35,7 +35,7 @@
 {
   ProtobufCMessage base;
   uint64_t id;
-  uint32_t instance;
+  uint64_t instance;
   protobuf_c_boolean voter;
 };
 #define RLPB__MEMBER__INIT \
@@ -77,7 +77,7 @@
   uint32_t kind;
   uint64_t from_id;
   uint64_t to_id;
-  uint32_t from_instance;
+  uint64_t from_instance;
   uint64_t term;
   uint64_t log_index;
   uint64_t log_term;
--- a/test/rlog_schedule.h
+++ b/test/rlog_schedule.h
@@ -184,7 +184,7 @@
 		if (!sim.nodes[n].up())
 			return false;
 		for (size_t i = 0; i < s.member_count; i++) {
-			if (s.members[i].instance != n)
+			if (s.members[i].instance != (uint64_t)n)
 				continue;
 			if (s.members[i].id == sim.nodes[n].id)
 				voters += s.members[i].voter;
