--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 BUILD ?= build
 PACKAGES = cmake make gcc g++ pkg-config libmicrohttpd-dev libapr1-dev \
 	libcurl4-openssl-dev libprotobuf-c-dev libcyaml-dev libjansson-dev \
-	libxxhash-dev libsodium-dev liblog4c-dev libgtest-dev librapidcheck-dev
+	libhttp-parser-dev libxxhash-dev libsodium-dev liblog4c-dev libgtest-dev librapidcheck-dev
 SOURCES = $(shell git ls-files -co --exclude-standard '*.c' '*.h' '*.cc' | \
 	grep -v '\.pb-c\.')
 C_SOURCES = $(shell git ls-files -co --exclude-standard '*.c' | \
--- a/src/daemon/child_peer.c
+++ b/src/daemon/child_peer.c
@@ -92,6 +92,8 @@
 		break;
 	case PEER_PING:
 	case PEER_PONG:
+	case PEER_HELLO:
+	case PEER_NEWS:
 	case PEER_CHANNELS:
 		break;
 	}
--- /dev/null
+++ b/src/gateway/entry.c
@@ -0,0 +1,430 @@
+#include "gateway/entry.h"
+
+#include <inttypes.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "base/clock.h"
+#include "base/err.h"
+#include "base/log.h"
+#include "gateway/follow.h"
+
+enum {
+	CONNECTIONS_MAX = 3000,
+	CONNECT_TIMEOUT_MS = 400, /* a server in reach answers far sooner */
+	IDLE_TIMEOUT_MS = 20000, /* connections to servers */
+	COMPILE_US = 20000, /* changes that come together are compiled once */
+	WAITING_US = 20000, /* those that wait are looked at this often */
+	READY_CONNECTIONS_MAX = 64,
+	HTTP_OK = 200
+};
+
+static const struct hf_limits first_limits = {16384, 4194304, 3000, 15000};
+
+/* A request that was open when its table was replaced lets go of it. */
+void
+ge_table_release(struct ge_table *table)
+{
+	if (table == NULL || --table->users > 0)
+		return;
+	rt_free(table->routes);
+	alloc_free(alloc_default(), table);
+}
+
+static void
+on_compile(void *ctx)
+{
+	struct ge *ge = ctx;
+	const struct ord *ord = gf_orders(ge->gw->follow);
+	const struct dl_dialect *dialect = ge->gw->dialect;
+	const struct rt_limits *limits;
+	struct ge_table *next;
+	struct buf why;
+
+	ge->compile = NULL;
+	if (ord_number(ord) != 0 &&
+	    (ge->table == NULL || ge->table->number != ord_number(ord))) {
+		buf_init(&why, ge->gw->alloc);
+		next = alloc_zero(alloc_default(), 1, sizeof(*next));
+		next->users = 1;
+		if (dialect->ops->read_document(dialect,
+			buf_text(ord_text(ord)), ord_text(ord)->len,
+			&next->routes, &next->number, &why) != 0) {
+			log_event(LOG_LEVEL_ERROR, "document_unreadable",
+			    "number=%" PRIu64 " why=\"%s\"", ord_number(ord),
+			    buf_text(&why));
+			alloc_free(alloc_default(), next);
+		} else {
+			ge_table_release(ge->table);
+			ge->table = next;
+			limits = rt_limits_of(next->routes);
+			hf_set_limits(ge->front,
+			    &(struct hf_limits){limits->header_max_bytes,
+				limits->body_max_bytes,
+				limits->header_timeout_ms,
+				limits->idle_timeout_ms});
+		}
+		buf_free(&why);
+	}
+	if (ge->table != NULL)
+		pl_configure(ge->pool, ge->table->routes, ord);
+	ge_wake_waiting(ge);
+}
+
+/* The orders changed: routes are compiled anew in a moment. */
+void
+ge_orders_changed(struct ge *ge)
+{
+	pl_configure(ge->pool,
+	    ge->table != NULL ? ge->table->routes : NULL,
+	    gf_orders(ge->gw->follow));
+	if (ge->compile == NULL)
+		ge->compile =
+		    loop_after(ge->gw->loop, COMPILE_US, on_compile, ge);
+}
+
+/* A server announced itself, here or elsewhere. */
+void
+ge_server_changed(struct ge *ge, const struct rg_server *server)
+{
+	uint16_t place;
+
+	place = pl_take(ge->pool, server, loop_now_us(ge->gw->loop));
+	if (server->state == RG_GONE && place != RT_NONE)
+		hu_forget(ge->client, &pl_at(ge->pool, place)->address);
+	ge_wake_waiting(ge);
+}
+
+/* Sets how many instances share what servers bear and what may be repeated. */
+void
+ge_instances(struct ge *ge, uint32_t entry_instances)
+{
+	const struct gs *s = ge->gw->settings;
+
+	if (entry_instances == 0)
+		entry_instances = 1;
+	pl_set_instances(ge->pool, entry_instances);
+	for (struct ge_service *v = ge->services; v != NULL; v = v->next)
+		bu_set(&v->budget, s->retry_permille,
+		    s->retry_slack / entry_instances);
+}
+
+/* A request crashed servers elsewhere. */
+void
+ge_crash_mark(struct ge *ge, uint64_t fingerprint, uint32_t crashes)
+{
+	(void)ge;
+	(void)fingerprint;
+	(void)crashes;
+}
+
+/* Returns what belongs to a service, made on first use. */
+struct ge_service *
+ge_service_of(struct ge *ge, const char *name)
+{
+	const struct gs *s = ge->gw->settings;
+	struct bu_options budget = {.permille = s->retry_permille,
+	    .slack = s->retry_slack / gw_entry_instances(ge->gw),
+	    .window_ms = s->retry_window_ms};
+	struct ge_service *v;
+
+	for (v = ge->services; v != NULL; v = v->next) {
+		if (strcmp(v->name, name) == 0)
+			return v;
+	}
+	v = alloc_zero(ge->gw->alloc, 1, sizeof(*v));
+	snprintf(v->name, sizeof(v->name), "%s", name);
+	bu_init(&v->budget, &budget, loop_now_us(ge->gw->loop));
+	v->next = ge->services;
+	ge->services = v;
+	return v;
+}
+
+/*
+ * Returns the services with what their versions answered since the last call;
+ * counts of services without a roll-out are dropped.
+ */
+struct ge_service *
+ge_take_outcomes(struct ge *ge)
+{
+	const struct ord *ord = gf_orders(ge->gw->follow);
+
+	for (struct ge_service *v = ge->services; v != NULL; v = v->next) {
+		const struct ord_rollout *r = ord_rollout_of(ord, v->name);
+		const char *target =
+		    r != NULL && r->state < ORD_COMPLETED ? r->target : "";
+
+		if (strcmp(v->fresh_version, target) != 0) {
+			snprintf(v->fresh_version, sizeof(v->fresh_version),
+			    "%s", target);
+			memset(&v->fresh, 0, sizeof(v->fresh));
+			memset(&v->known, 0, sizeof(v->known));
+		}
+	}
+	return ge->services;
+}
+
+/* Tells whether any service has a roll-out under way. */
+bool
+ge_has_outcomes(const struct ge *ge)
+{
+	const struct ord *ord = gf_orders(ge->gw->follow);
+
+	for (size_t i = 0; i < ord_rollout_count(ord); i++) {
+		if (ord_rollout_at(ord, i)->state < ORD_COMPLETED)
+			return true;
+	}
+	return false;
+}
+
+static void
+on_waiting(void *ctx)
+{
+	struct ge *ge = ctx;
+
+	ge->retry = NULL;
+	ge_wake_waiting(ge);
+}
+
+/* Puts a request among those that wait, in its place. */
+void
+ge_wait(struct ge *ge, struct gx *gx)
+{
+	struct gx **at = &ge->waiting;
+
+	while (*at != NULL && gx_rank(*at) <= gx_rank(gx))
+		at = gx_next_waiting(*at);
+	*gx_next_waiting(gx) = *at;
+	*at = gx;
+	gx_set_waiting(gx, true);
+	if (ge->retry == NULL)
+		ge->retry =
+		    loop_after(ge->gw->loop, WAITING_US, on_waiting, ge);
+}
+
+/* Tries those that wait again, the most urgent first. */
+void
+ge_wake_waiting(struct ge *ge)
+{
+	struct gx *list = ge->waiting;
+
+	ge->waiting = NULL;
+	for (struct gx *gx = list; gx != NULL; gx = *gx_next_waiting(gx))
+		gx_set_waiting(gx, false);
+	while (list != NULL) {
+		struct gx *gx = list;
+
+		list = *gx_next_waiting(gx);
+		*gx_next_waiting(gx) = NULL;
+		gx_try(gx);
+	}
+}
+
+static void
+on_request(void *ctx, struct hf_exchange *x)
+{
+	gx_start(ctx, x);
+}
+
+static void
+on_gone(void *ctx, struct hf_exchange *x)
+{
+	struct gx *gx = hf_data(x);
+
+	(void)ctx;
+	if (gx != NULL)
+		gx_gone(gx);
+}
+
+static void
+on_refused(void *ctx, int error)
+{
+	struct ge *ge = ctx;
+
+	ge->refusals->value++;
+	log_event(LOG_LEVEL_INFO, "request_unreadable", "error=%s",
+	    err_name(error));
+}
+
+static const struct hf_handler front_handler = {
+    on_request, on_gone, on_refused};
+
+/* Ready: the balancer may send new connections here. */
+static bool
+is_ready(const struct ge *ge)
+{
+	return !ge->draining && ge->table != NULL;
+}
+
+static void
+on_ready_request(void *ctx, struct hf_exchange *x)
+{
+	struct ge *ge = ctx;
+	const struct dl_dialect *dialect = ge->gw->dialect;
+	bool ready = is_ready(ge);
+
+	if (!dialect->ops->is_ready_probe(
+		dialect, hf_method(x), hf_target(x)))
+		hf_answer(x, err_answer(ERR_NOT_FOUND)->http_status, NULL, 0,
+		    NULL, 0);
+	else
+		hf_answer(x,
+		    ready ? HTTP_OK : err_answer(ERR_SHUTDOWN)->http_status,
+		    NULL, 0, NULL, 0);
+}
+
+static void
+on_ready_gone(void *ctx, struct hf_exchange *x)
+{
+	(void)ctx;
+	(void)x;
+}
+
+static const struct hf_handler ready_handler = {
+    on_ready_request, on_ready_gone, on_refused};
+
+/* Begins to leave: unready, and every answer ends its connection. */
+void
+ge_drain(struct ge *ge)
+{
+	ge->draining = true;
+	hf_drain(ge->front);
+}
+
+/* Closes the connections that no request is on. */
+void
+ge_close_idle(struct ge *ge)
+{
+	hf_close_idle(ge->front);
+}
+
+/* Returns how many callers wait for an answer. */
+uint32_t
+ge_open_requests(const struct ge *ge)
+{
+	return hf_open_exchanges(ge->front);
+}
+
+static void
+make_series(struct ge *ge)
+{
+	struct metrics *m = ge->gw->metrics;
+
+	ge->requests = metrics_get(
+	    m, METRICS_COUNTER, "celeryford_requests_total", "");
+	ge->answers = metrics_get(
+	    m, METRICS_COUNTER, "celeryford_answers_total", "");
+	ge->refusals = metrics_get(
+	    m, METRICS_COUNTER, "celeryford_refusals_total", "");
+	ge->failures = metrics_get(
+	    m, METRICS_COUNTER, "celeryford_failures_total", "");
+	ge->repeats = metrics_get(
+	    m, METRICS_COUNTER, "celeryford_repeats_total", "");
+	ge->queue_us = metrics_get(
+	    m, METRICS_HISTOGRAM, "celeryford_queue_seconds", "");
+	ge->first_us = metrics_get(
+	    m, METRICS_HISTOGRAM, "celeryford_first_byte_seconds", "");
+	ge->whole_us = metrics_get(
+	    m, METRICS_HISTOGRAM, "celeryford_answer_seconds", "");
+	ge->pass_us = metrics_get(
+	    m, METRICS_HISTOGRAM, "celeryford_event_pass_seconds", "");
+}
+
+static void
+take_known(void *ctx, const struct rg_server *server)
+{
+	ge_server_changed(ctx, server);
+}
+
+static int
+open_servers(struct ge *ge)
+{
+	const struct gs *s = ge->gw->settings;
+	struct hf_options options = {.alloc = ge->gw->alloc,
+	    .loop = ge->gw->loop,
+	    .host = s->listen.host,
+	    .port = s->listen.port,
+	    .connections_max = CONNECTIONS_MAX,
+	    .limits = first_limits,
+	    .handler = &front_handler,
+	    .ctx = ge};
+
+	ge->front = hf_new(&options);
+	if (ge->front == NULL)
+		return ERR_IO;
+	if (s->ready_listen.host[0] == '\0')
+		return 0;
+	options.host = s->ready_listen.host;
+	options.port = s->ready_listen.port;
+	options.connections_max = READY_CONNECTIONS_MAX;
+	options.handler = &ready_handler;
+	ge->ready = hf_new(&options);
+	return ge->ready != NULL ? 0 : ERR_IO;
+}
+
+static void
+stop(void *ctx)
+{
+	struct gw *gw = ctx;
+	struct ge *ge = gw->entry;
+
+	if (ge == NULL)
+		return;
+	gw->entry = NULL;
+	loop_cancel(ge->compile);
+	loop_cancel(ge->retry);
+	hf_free(ge->ready);
+	hf_free(ge->front);
+	while (ge->open != NULL)
+		gx_drop(ge->open);
+	hu_free(ge->client);
+	pl_free(ge->pool);
+	while (ge->services != NULL) {
+		struct ge_service *v = ge->services;
+
+		ge->services = v->next;
+		alloc_free(gw->alloc, v);
+	}
+	ge_table_release(ge->table);
+	alloc_free(gw->alloc, ge);
+}
+
+static int
+start(void *ctx)
+{
+	struct gw *gw = ctx;
+	struct ge *ge;
+	struct hu_options client = {.alloc = gw->alloc,
+	    .loop = gw->loop,
+	    .connect_timeout_ms = CONNECT_TIMEOUT_MS,
+	    .idle_timeout_ms = IDLE_TIMEOUT_MS};
+	struct pl_options pool = {.alloc = gw->alloc,
+	    .seed = rng_system_seed(),
+	    .data_centre = gw->settings->data_centre,
+	    .cold_permille = gw->settings->cold_permille,
+	    .cold_slack = gw->settings->cold_slack,
+	    .silent_us = (int64_t)gw->settings->announce_ms * 1000 * 5};
+
+	if (gw->settings->listen.host[0] == '\0')
+		return 0;
+	ge = alloc_zero(gw->alloc, 1, sizeof(*ge));
+	ge->gw = gw;
+	rng_init(&ge->rng, rng_system_seed());
+	make_series(ge);
+	ge->client = hu_new(&client);
+	ge->pool = pl_new(&pool);
+	gw->entry = ge;
+	if (open_servers(ge) != 0) {
+		stop(gw);
+		return ERR_IO;
+	}
+	rg_since(gw->registry, 0, take_known, ge);
+	ge_orders_changed(ge);
+	return 0;
+}
+
+struct sup_child_spec
+gw_child_entry(struct gw *gw)
+{
+	return (struct sup_child_spec){"entry", start, stop, gw};
+}
--- /dev/null
+++ b/src/gateway/entry.h
@@ -0,0 +1,91 @@
+#ifndef CF_GATEWAY_ENTRY_H
+#define CF_GATEWAY_ENTRY_H
+
+#include "gateway/gateway.h"
+#include "http/front.h"
+#include "http/upstream.h"
+#include "route/budget.h"
+#include "route/pool.h"
+#include "route/verdict.h"
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+/* The entry of an instance: callers' requests and what they are routed by. */
+struct gx;
+
+/* A table of routes in use; requests keep the one they began with. */
+struct ge_table {
+	struct rt_table *routes;
+	uint64_t number; /* of its document */
+	uint32_t users;
+};
+
+/* What one service has at this instance. */
+struct ge_service {
+	char name[RG_NAME_BYTES];
+	struct bu budget;
+	struct vd_counts fresh; /* of a roll-out's target, not reported yet */
+	struct vd_counts known; /* of the version before */
+	char fresh_version[RG_NAME_BYTES];
+	struct ge_service *next;
+};
+
+struct ge {
+	struct gw *gw;
+	struct hf *front;
+	struct hf *ready;
+	struct hu *client;
+	struct pl *pool;
+	struct rng rng;
+	struct ge_table *table; /* NULL: no document is known */
+	struct ge_service *services;
+	struct gx *open; /* every request under way */
+	struct gx *waiting; /* those without a server, most urgent first */
+	struct loop_timer *retry; /* looks at those that wait */
+	struct loop_timer *compile;
+	struct loop_timer *tick;
+	bool draining;
+	struct metrics_series *requests;
+	struct metrics_series *answers;
+	struct metrics_series *refusals;
+	struct metrics_series *failures;
+	struct metrics_series *repeats;
+	struct metrics_series *queue_us;
+	struct metrics_series *first_us;
+	struct metrics_series *whole_us;
+	struct metrics_series *pass_us;
+};
+
+/* For links.c and follow.c */
+void ge_orders_changed(struct ge *ge);
+void ge_server_changed(struct ge *ge, const struct rg_server *server);
+void ge_instances(struct ge *ge, uint32_t entry_instances);
+void ge_crash_mark(struct ge *ge, uint64_t fingerprint, uint32_t crashes);
+struct ge_service *ge_take_outcomes(struct ge *ge);
+bool ge_has_outcomes(const struct ge *ge);
+void ge_drain(struct ge *ge);
+void ge_close_idle(struct ge *ge);
+uint32_t ge_open_requests(const struct ge *ge);
+
+/* For exchange.c */
+struct ge_service *ge_service_of(struct ge *ge, const char *name);
+void ge_wait(struct ge *ge, struct gx *gx);
+void ge_wake_waiting(struct ge *ge);
+void ge_table_release(struct ge_table *table);
+
+/* exchange.c */
+void gx_start(struct ge *ge, struct hf_exchange *x);
+void gx_gone(struct gx *gx);
+void gx_try(struct gx *gx);
+void gx_drop(struct gx *gx);
+void gx_set_waiting(struct gx *gx, bool waiting);
+uint64_t gx_rank(const struct gx *gx);
+struct gx **gx_next_waiting(struct gx *gx);
+
+#ifdef __cplusplus
+}
+#endif
+
+#endif
--- /dev/null
+++ b/src/gateway/gateway.h
@@ -0,0 +1,82 @@
+#ifndef CF_GATEWAY_H
+#define CF_GATEWAY_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "base/loop.h"
+#include "base/metrics.h"
+#include "gateway/dialect.h"
+#include "gateway/settings.h"
+#include "state/orders.h"
+#include "state/registry.h"
+#include "sup/sup.h"
+#include "wire/peer.h"
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+/*
+ * One gateway process: links to the other instances, what all of them know of
+ * backend servers and orders, and by its settings an entry for callers, a
+ * state replica with the control interface, or both.
+ *
+ *	main.c		settings, children, signals
+ *	links.c		messages between instances, who is known
+ *	replica.c	the replicated log and its journal
+ *	control.c	operators' and backend servers' calls
+ *	follow.c	orders at instances without a replica
+ *	entry.c		callers' requests
+ *	exchange.c	one caller's request and its attempts
+ *
+ * An instance's number is its IPv4 address in host byte order.
+ */
+struct gw_links;
+struct gr;
+struct gc;
+struct gf;
+struct ge;
+
+struct gw {
+	const struct alloc *alloc;
+	struct loop *loop;
+	struct sup *sup;
+	struct gs *settings;
+	const struct dl_dialect *dialect;
+	struct metrics *metrics;
+	uint32_t self; /* number of this instance */
+	uint64_t incarnation;
+	struct gw_links *links;
+	struct rg *registry;
+	struct gr *replica; /* NULL: none here */
+	struct gc *control;
+	struct gf *follow; /* NULL: the replica knows the orders */
+	struct ge *entry;
+	bool stopping;
+};
+
+/* links.c */
+struct sup_child_spec gw_child_links(struct gw *gw);
+void gw_send(struct gw *gw, uint32_t to, enum peer_channel channel,
+    const struct buf *bytes);
+uint32_t gw_control_instances(const struct gw *gw, uint32_t *out, uint32_t max);
+uint32_t gw_entry_instances(const struct gw *gw);
+void gw_server_heard(struct gw *gw, const struct rg_server *server);
+void gw_reseed(struct gw *gw);
+void gw_address_text(uint32_t instance, char out[GS_NAME_BYTES]);
+
+/* A request crashed a backend server, here or at another instance. */
+void gw_crash_mark(struct gw *gw, uint64_t fingerprint, uint32_t crashes);
+
+/* replica.c */
+struct sup_child_spec gw_child_replica(struct gw *gw);
+struct sup_child_spec gw_child_control(struct gw *gw);
+struct sup_child_spec gw_child_follow(struct gw *gw);
+struct sup_child_spec gw_child_entry(struct gw *gw);
+
+#ifdef __cplusplus
+}
+#endif
+
+#endif
--- /dev/null
+++ b/src/gateway/links.c
@@ -0,0 +1,792 @@
+#include <arpa/inet.h>
+#include <inttypes.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "base/err.h"
+#include "base/log.h"
+#include "gateway/control.h"
+#include "gateway/entry.h"
+#include "gateway/follow.h"
+#include "gateway/gateway.h"
+#include "gateway/replica.h"
+#include "wire/cluster.pb-c.h"
+
+/*
+ * Messages between instances.  Every instance greets those that serve control,
+ * which it knows from its seeds and from each other's answers; these answer
+ * with what has changed among the backend servers, and push it to those that
+ * subscribe.  So instances come, go and move without any list of them.
+ */
+
+enum {
+	KNOWN_MAX = 64, /* instances that serve control */
+	SEEN_MAX = 1024, /* instances that greet */
+	SUBSCRIBED = 3, /* registries that an instance listens to */
+	MARKS_MAX = 256,
+	HELLO_FIRST_US = 100000, /* until somebody has answered */
+	HELLO_US = 1000000,
+	REPORT_US = 250000, /* outcomes of a roll-out go out this often */
+	PUSH_URGENT_US = 10000,
+	PUSH_US = 500000,
+	ALIVE_US = 4000000, /* unheard for longer: not listed any more */
+	FORGET_US = 30000000, /* an instance that may still send requests */
+	MARK_US = 60000000,
+	REGISTRY_TICK_US = 1000000,
+	KEY_HEX_BYTES = 64
+};
+
+/* An instance that serves control. */
+struct known {
+	uint32_t instance;
+	bool seed;
+	int64_t heard_us; /* 0: never */
+	uint64_t feed; /* its registry's incarnation, and */
+	uint64_t change; /* the last change that arrived from there */
+};
+
+/* An instance that greets this one. */
+struct seen {
+	uint32_t instance;
+	int64_t heard_us;
+	bool serves_control;
+	bool subscribed;
+	uint64_t sent; /* last change of our registry sent there */
+};
+
+struct mark {
+	uint64_t fingerprint;
+	uint32_t crashes;
+	int64_t at_us;
+};
+
+struct gw_links {
+	struct gw *gw;
+	struct peer_hub *hub;
+	struct known known[KNOWN_MAX];
+	uint32_t known_count;
+	struct seen seen[SEEN_MAX];
+	uint32_t seen_count;
+	uint32_t told_entries; /* entry instances, as others count them */
+	struct mark marks[MARKS_MAX];
+	uint32_t mark_count;
+	bool marks_due;
+	struct loop_timer *hello;
+	struct loop_timer *push;
+	int64_t push_us;
+	struct loop_timer *tick;
+};
+
+static void set_push(struct gw_links *links, int64_t delay_us);
+static void on_hello_timer(void *ctx);
+
+/* Writes an instance's address as text. */
+void
+gw_address_text(uint32_t instance, char out[GS_NAME_BYTES])
+{
+	struct in_addr address = {htonl(instance)};
+
+	inet_ntop(AF_INET, &address, out, GS_NAME_BYTES);
+}
+
+static uint32_t
+address_of(const char *text)
+{
+	struct in_addr address;
+
+	return inet_pton(AF_INET, text, &address) == 1
+		   ? ntohl(address.s_addr)
+		   : 0;
+}
+
+/* Sends a message to an instance; best effort. */
+void
+gw_send(struct gw *gw, uint32_t to, enum peer_channel channel,
+    const struct buf *bytes)
+{
+	struct gw_links *links = gw->links;
+	char name[GS_NAME_BYTES];
+
+	if (links == NULL || to == 0 || to == gw->self)
+		return;
+	gw_address_text(to, name);
+	if (peer_send(links->hub, name, channel, bytes->data,
+		(uint32_t)bytes->len) != ERR_NOT_FOUND)
+		return;
+	peer_add(
+	    links->hub, name, name, (uint16_t)gw->settings->link_port);
+	peer_send(links->hub, name, channel, bytes->data,
+	    (uint32_t)bytes->len);
+}
+
+static struct known *
+get_known(struct gw_links *links, uint32_t instance)
+{
+	struct known *k;
+
+	for (uint32_t i = 0; i < links->known_count; i++) {
+		if (links->known[i].instance == instance)
+			return &links->known[i];
+	}
+	if (instance == 0 || links->known_count == KNOWN_MAX)
+		return NULL;
+	k = &links->known[links->known_count++];
+	memset(k, 0, sizeof(*k));
+	k->instance = instance;
+	return k;
+}
+
+/* Lists the instances that serve control, this one included if it does. */
+uint32_t
+gw_control_instances(const struct gw *gw, uint32_t *out, uint32_t max)
+{
+	uint32_t count = 0;
+
+	for (uint32_t i = 0; i < gw->links->known_count && count < max; i++)
+		out[count++] = gw->links->known[i].instance;
+	return count;
+}
+
+/* Returns how many instances may send requests to backend servers. */
+uint32_t
+gw_entry_instances(const struct gw *gw)
+{
+	const struct gw_links *links = gw->links;
+	uint32_t count = 0;
+
+	for (uint32_t i = 0; i < links->seen_count; i++)
+		count += !links->seen[i].serves_control;
+	return count > links->told_entries ? count : links->told_entries;
+}
+
+static void
+known_changed(struct gw_links *links)
+{
+	uint32_t list[KNOWN_MAX];
+	uint32_t count = gw_control_instances(links->gw, list, KNOWN_MAX);
+
+	if (links->gw->follow != NULL)
+		gf_upstream(links->gw->follow, list, count);
+	if (links->gw->replica != NULL)
+		gr_known(links->gw->replica, list, count);
+}
+
+/* Takes the seeds of the settings, which may have changed. */
+void
+gw_reseed(struct gw *gw)
+{
+	struct gw_links *links = gw->links;
+
+	for (uint32_t i = 0; i < links->known_count; i++)
+		links->known[i].seed = false;
+	for (uint32_t i = 0; i < gw->settings->seed_count; i++) {
+		struct known *k = get_known(
+		    links, address_of(gw->settings->seeds[i].host));
+
+		if (k != NULL)
+			k->seed = true;
+	}
+	known_changed(links);
+}
+
+/* Forgets instances that serve control no longer, as far as one can tell. */
+static void
+forget_silent(struct gw_links *links, int64_t now_us)
+{
+	uint32_t kept = 0;
+
+	for (uint32_t i = 0; i < links->known_count; i++) {
+		const struct known *k = &links->known[i];
+
+		if (k->seed || k->instance == links->gw->self ||
+		    now_us - k->heard_us < FORGET_US)
+			links->known[kept++] = *k;
+	}
+	if (kept != links->known_count) {
+		links->known_count = kept;
+		known_changed(links);
+	}
+	kept = 0;
+	for (uint32_t i = 0; i < links->seen_count; i++) {
+		if (now_us - links->seen[i].heard_us < FORGET_US)
+			links->seen[kept++] = links->seen[i];
+	}
+	links->seen_count = kept;
+	kept = 0;
+	for (uint32_t i = 0; i < links->mark_count; i++) {
+		if (now_us - links->marks[i].at_us < MARK_US)
+			links->marks[kept++] = links->marks[i];
+	}
+	links->mark_count = kept;
+}
+
+/* Whether an instance is among those whose registries this one listens to. */
+static bool
+is_subscribed(const struct gw_links *links, uint32_t instance)
+{
+	int64_t now_us = loop_now_us(links->gw->loop);
+	uint32_t before = 0;
+
+	/* Those heard lately, by a hash that differs at each instance. */
+	for (uint32_t i = 0; i < links->known_count; i++) {
+		const struct known *k = &links->known[i];
+		uint32_t a = (k->instance ^ links->gw->self) * 2654435761U;
+		uint32_t b = (instance ^ links->gw->self) * 2654435761U;
+
+		if (k->instance != instance &&
+		    k->instance != links->gw->self &&
+		    now_us - k->heard_us < ALIVE_US && a < b)
+			before++;
+	}
+	return before < SUBSCRIBED;
+}
+
+static void
+add_outcome(Clpb__Outcome *pb, const char *service, const char *version,
+    const struct vd_counts *counts)
+{
+	clpb__outcome__init(pb);
+	pb->service = (char *)service;
+	pb->version = (char *)version;
+	pb->answers = counts->answers;
+	pb->failures = counts->failures;
+	pb->seconds = counts->seconds;
+	pb->work = counts->work;
+}
+
+enum {
+	OUTCOMES_MAX = 64
+};
+
+struct report {
+	Clpb__Outcome outcomes[OUTCOMES_MAX];
+	Clpb__Outcome *outcome_list[OUTCOMES_MAX];
+	size_t outcome_count;
+	Clpb__CrashMark marks[MARKS_MAX];
+	Clpb__CrashMark *mark_list[MARKS_MAX];
+	size_t mark_count;
+};
+
+static void
+collect_outcomes(struct gw_links *links, struct report *report)
+{
+	struct ge_service *s;
+
+	report->outcome_count = 0;
+	if (links->gw->entry == NULL)
+		return;
+	for (s = ge_take_outcomes(links->gw->entry);
+	     s != NULL && report->outcome_count + 2 <= OUTCOMES_MAX;
+	     s = s->next) {
+		if (s->fresh_version[0] == '\0' ||
+		    s->fresh.answers + s->known.answers == 0)
+			continue;
+		add_outcome(&report->outcomes[report->outcome_count++],
+		    s->name, s->fresh_version, &s->fresh);
+		add_outcome(&report->outcomes[report->outcome_count++],
+		    s->name, "", &s->known);
+		memset(&s->fresh, 0, sizeof(s->fresh));
+		memset(&s->known, 0, sizeof(s->known));
+	}
+	for (size_t i = 0; i < report->outcome_count; i++)
+		report->outcome_list[i] = &report->outcomes[i];
+}
+
+static void
+collect_marks(struct gw_links *links, struct report *report)
+{
+	report->mark_count = links->mark_count;
+	for (uint32_t i = 0; i < links->mark_count; i++) {
+		clpb__crash_mark__init(&report->marks[i]);
+		report->marks[i].fingerprint = links->marks[i].fingerprint;
+		report->marks[i].crashes = links->marks[i].crashes;
+		report->mark_list[i] = &report->marks[i];
+	}
+}
+
+static void
+send_hello(
+    struct gw_links *links, const struct known *k, const struct report *report)
+{
+	Clpb__Hello hello = CLPB__HELLO__INIT;
+	struct buf bytes;
+
+	hello.incarnation = links->gw->incarnation;
+	hello.keeps_state = links->gw->settings->data_dir[0] != '\0';
+	hello.feed = k->feed;
+	hello.change = k->change;
+	hello.subscribe = is_subscribed(links, k->instance);
+	hello.n_outcomes = report->outcome_count;
+	hello.outcomes = (Clpb__Outcome **)report->outcome_list;
+	hello.n_marks = report->mark_count;
+	hello.marks = (Clpb__CrashMark **)report->mark_list;
+	buf_init(&bytes, links->gw->alloc);
+	buf_reserve(&bytes, clpb__hello__get_packed_size(&hello));
+	bytes.len = clpb__hello__pack(&hello, bytes.data);
+	gw_send(links->gw, k->instance, PEER_HELLO, &bytes);
+	buf_free(&bytes);
+}
+
+static void
+greet_all(struct gw_links *links)
+{
+	static struct report report;
+
+	collect_outcomes(links, &report);
+	collect_marks(links, &report);
+	for (uint32_t i = 0; i < links->known_count; i++) {
+		if (links->known[i].instance != links->gw->self)
+			send_hello(links, &links->known[i], &report);
+	}
+}
+
+static bool
+anybody_heard(const struct gw_links *links)
+{
+	for (uint32_t i = 0; i < links->known_count; i++) {
+		if (links->known[i].heard_us != 0)
+			return true;
+	}
+	return false;
+}
+
+static void
+on_hello_timer(void *ctx)
+{
+	struct gw_links *links = ctx;
+	int64_t wait_us = HELLO_US;
+
+	greet_all(links);
+	if (!anybody_heard(links))
+		wait_us = HELLO_FIRST_US;
+	else if (links->gw->entry != NULL && ge_has_outcomes(links->gw->entry))
+		wait_us = REPORT_US;
+	links->hello =
+	    loop_after(links->gw->loop, wait_us, on_hello_timer, links);
+}
+
+enum {
+	NEWS_SERVERS_MAX = 256 /* in one message */
+};
+
+struct news {
+	Clpb__News pb;
+	Clpb__Server servers[NEWS_SERVERS_MAX];
+	Clpb__Server *server_list[NEWS_SERVERS_MAX];
+	Clpb__Model models[NEWS_SERVERS_MAX][RG_MODELS_MAX];
+	Clpb__Model *model_list[NEWS_SERVERS_MAX][RG_MODELS_MAX];
+	uint64_t control[KNOWN_MAX];
+	struct report marks;
+	int64_t now_us;
+};
+
+static void
+add_server(void *ctx, const struct rg_server *server)
+{
+	struct news *news = ctx;
+	size_t n = news->pb.n_servers;
+	Clpb__Server *pb = &news->servers[n];
+
+	if (n == NEWS_SERVERS_MAX)
+		return;
+	clpb__server__init(pb);
+	pb->id = (char *)server->id;
+	pb->service = (char *)server->service;
+	pb->ip = server->ip;
+	pb->port = server->port;
+	pb->data_centre = (char *)server->data_centre;
+	pb->version = (char *)server->version;
+	pb->slots = server->slots;
+	pb->state = server->state;
+	pb->born_ms = server->born_ms;
+	pb->seq = server->seq;
+	pb->cold_left_ms = server->cold_left_ms;
+	pb->age_ms = (uint32_t)((news->now_us - server->heard_us) / 1000);
+	for (uint8_t i = 0; i < server->model_count; i++) {
+		Clpb__Model *model = &news->models[n][i];
+
+		clpb__model__init(model);
+		model->name = (char *)server->models[i].name;
+		model->version = server->models[i].version;
+		news->model_list[n][i] = model;
+	}
+	pb->n_models = server->model_count;
+	pb->models = news->model_list[n];
+	news->server_list[n] = pb;
+	news->pb.n_servers++;
+}
+
+/* Sends what has changed after a change, and who serves control. */
+static void
+send_news(struct gw_links *links, struct seen *to, uint64_t after)
+{
+	static struct news news;
+	const struct rg *registry = links->gw->registry;
+	struct buf bytes;
+
+	clpb__news__init(&news.pb);
+	news.now_us = loop_now_us(links->gw->loop);
+	news.pb.incarnation = links->gw->incarnation;
+	news.pb.after = after;
+	news.pb.change = rg_change(registry);
+	news.pb.servers = news.server_list;
+	rg_since(registry, after, add_server, &news);
+	for (uint32_t i = 0; i < links->known_count; i++) {
+		const struct known *k = &links->known[i];
+
+		if (k->instance == links->gw->self ||
+		    (k->heard_us != 0 &&
+			news.now_us - k->heard_us < ALIVE_US))
+			news.control[news.pb.n_control++] = k->instance;
+	}
+	news.pb.control = news.control;
+	news.pb.entry_instances = gw_entry_instances(links->gw);
+	collect_marks(links, &news.marks);
+	news.pb.n_marks = news.marks.mark_count;
+	news.pb.marks = news.marks.mark_list;
+	buf_init(&bytes, links->gw->alloc);
+	buf_reserve(&bytes, clpb__news__get_packed_size(&news.pb));
+	bytes.len = clpb__news__pack(&news.pb, bytes.data);
+	gw_send(links->gw, to->instance, PEER_NEWS, &bytes);
+	buf_free(&bytes);
+	to->sent = news.pb.change;
+}
+
+static void
+on_push(void *ctx)
+{
+	struct gw_links *links = ctx;
+	int64_t now_us = loop_now_us(links->gw->loop);
+
+	links->push = NULL;
+	for (uint32_t i = 0; i < links->seen_count; i++) {
+		struct seen *s = &links->seen[i];
+
+		if (s->subscribed && now_us - s->heard_us < ALIVE_US &&
+		    (s->sent < rg_change(links->gw->registry) ||
+			links->marks_due))
+			send_news(links, s, s->sent);
+	}
+	links->marks_due = false;
+}
+
+static void
+set_push(struct gw_links *links, int64_t delay_us)
+{
+	int64_t at_us = loop_now_us(links->gw->loop) + delay_us;
+
+	if (links->push != NULL && links->push_us <= at_us)
+		return;
+	loop_cancel(links->push);
+	links->push_us = at_us;
+	links->push = loop_after(links->gw->loop, delay_us, on_push, links);
+}
+
+static struct seen *
+get_seen(struct gw_links *links, uint32_t instance)
+{
+	struct seen *s;
+
+	for (uint32_t i = 0; i < links->seen_count; i++) {
+		if (links->seen[i].instance == instance)
+			return &links->seen[i];
+	}
+	if (links->seen_count == SEEN_MAX)
+		return NULL;
+	s = &links->seen[links->seen_count++];
+	memset(s, 0, sizeof(*s));
+	s->instance = instance;
+	return s;
+}
+
+static void
+take_marks(struct gw_links *links, Clpb__CrashMark **marks, size_t count)
+{
+	for (size_t i = 0; i < count; i++)
+		gw_crash_mark(links->gw, marks[i]->fingerprint,
+		    marks[i]->crashes);
+}
+
+/* Notes that a request crashed a server, here or elsewhere. */
+void
+gw_crash_mark(struct gw *gw, uint64_t fingerprint, uint32_t crashes)
+{
+	struct gw_links *links = gw->links;
+	struct mark *mark = NULL;
+
+	for (uint32_t i = 0; i < links->mark_count; i++) {
+		if (links->marks[i].fingerprint == fingerprint)
+			mark = &links->marks[i];
+	}
+	if (mark != NULL && mark->crashes >= crashes)
+		return;
+	if (mark == NULL) {
+		if (links->mark_count == MARKS_MAX)
+			return;
+		mark = &links->marks[links->mark_count++];
+	}
+	mark->fingerprint = fingerprint;
+	mark->crashes = crashes;
+	mark->at_us = loop_now_us(gw->loop);
+	log_event(LOG_LEVEL_WARN, "crash_mark",
+	    "fingerprint=%016" PRIx64 " crashes=%u", fingerprint, crashes);
+	if (gw->entry != NULL)
+		ge_crash_mark(gw->entry, fingerprint, crashes);
+	links->marks_due = true;
+	set_push(links, PUSH_URGENT_US);
+	/* An instance without subscribers tells those that have some. */
+	if (gw->control == NULL) {
+		loop_cancel(links->hello);
+		links->hello = loop_after(
+		    gw->loop, PUSH_URGENT_US, on_hello_timer, links);
+	}
+}
+
+static void
+take_outcomes(struct gw_links *links, const Clpb__Hello *hello)
+{
+	if (links->gw->control == NULL)
+		return;
+	for (size_t i = 0; i < hello->n_outcomes; i++) {
+		const Clpb__Outcome *pb = hello->outcomes[i];
+		struct vd_counts counts = {
+		    pb->answers, pb->failures, pb->seconds, pb->work};
+
+		gc_outcome(
+		    links->gw->control, pb->service, pb->version, &counts);
+	}
+}
+
+static void
+on_hello(struct gw_links *links, uint32_t from, const uint8_t *data,
+    uint32_t len)
+{
+	Clpb__Hello *hello = clpb__hello__unpack(NULL, len, data);
+	struct seen *s = get_seen(links, from);
+	struct known *k;
+	uint64_t after = 0;
+
+	if (hello == NULL || s == NULL) {
+		clpb__hello__free_unpacked(hello, NULL);
+		return;
+	}
+	s->heard_us = loop_now_us(links->gw->loop);
+	s->serves_control = hello->keeps_state;
+	s->subscribed = hello->subscribe;
+	if (hello->keeps_state) {
+		uint32_t before = links->known_count;
+
+		k = get_known(links, from);
+		if (k != NULL)
+			k->heard_us = s->heard_us;
+		if (links->known_count != before)
+			known_changed(links);
+	}
+	take_outcomes(links, hello);
+	take_marks(links, hello->marks, hello->n_marks);
+	if (hello->feed == links->gw->incarnation)
+		after = hello->change;
+	if (hello->subscribe)
+		send_news(links, s, after);
+	else
+		send_news(links, s, rg_change(links->gw->registry));
+	clpb__hello__free_unpacked(hello, NULL);
+}
+
+static bool
+unpack_server(const Clpb__Server *pb, int64_t now_us, struct rg_server *out)
+{
+	memset(out, 0, sizeof(*out));
+	if (strlen(pb->id) >= sizeof(out->id) ||
+	    strlen(pb->service) >= sizeof(out->service) ||
+	    strlen(pb->data_centre) >= sizeof(out->data_centre) ||
+	    strlen(pb->version) >= sizeof(out->version) ||
+	    pb->state > RG_GONE || pb->n_models > RG_MODELS_MAX)
+		return false;
+	memcpy(out->id, pb->id, strlen(pb->id) + 1);
+	memcpy(out->service, pb->service, strlen(pb->service) + 1);
+	memcpy(out->data_centre, pb->data_centre, strlen(pb->data_centre) + 1);
+	memcpy(out->version, pb->version, strlen(pb->version) + 1);
+	out->ip = pb->ip;
+	out->port = (uint16_t)pb->port;
+	out->slots = (uint16_t)pb->slots;
+	out->state = (enum rg_state)pb->state;
+	out->born_ms = pb->born_ms;
+	out->seq = pb->seq;
+	out->cold_left_ms = pb->cold_left_ms;
+	out->heard_us = now_us - (int64_t)pb->age_ms * 1000;
+	for (size_t i = 0; i < pb->n_models; i++) {
+		struct rg_model *model = &out->models[out->model_count++];
+
+		snprintf(model->name, sizeof(model->name), "%s",
+		    pb->models[i]->name);
+		model->version = pb->models[i]->version;
+	}
+	return true;
+}
+
+static void
+on_news(struct gw_links *links, uint32_t from, const uint8_t *data,
+    uint32_t len)
+{
+	Clpb__News *news = clpb__news__unpack(NULL, len, data);
+	struct known *k = get_known(links, from);
+	int64_t now_us = loop_now_us(links->gw->loop);
+	uint32_t before = links->known_count;
+	struct rg_server server;
+
+	if (news == NULL || k == NULL) {
+		clpb__news__free_unpacked(news, NULL);
+		return;
+	}
+	k->heard_us = now_us;
+	if (k->feed != news->incarnation) {
+		k->feed = news->incarnation;
+		k->change = 0;
+	}
+	for (size_t i = 0; i < news->n_servers; i++) {
+		if (unpack_server(news->servers[i], now_us, &server))
+			(void)rg_take(links->gw->registry, &server, now_us);
+	}
+	/* A gap, after a message that was lost, is asked for again. */
+	if (news->after <= k->change && news->change > k->change)
+		k->change = news->change;
+	for (size_t i = 0; i < news->n_control; i++)
+		(void)get_known(links, (uint32_t)news->control[i]);
+	if (links->known_count != before)
+		known_changed(links);
+	take_marks(links, news->marks, news->n_marks);
+	links->told_entries = news->entry_instances;
+	if (links->gw->entry != NULL)
+		ge_instances(links->gw->entry, gw_entry_instances(links->gw));
+	clpb__news__free_unpacked(news, NULL);
+}
+
+static void
+on_message(void *ctx, const struct secure_peer *from, enum peer_channel channel,
+    const uint8_t *data, uint32_t len)
+{
+	struct gw *gw = ctx;
+	uint32_t instance = address_of(from->instance);
+
+	if (instance == 0)
+		return;
+	switch (channel) {
+	case PEER_RLOG:
+		if (gw->replica != NULL)
+			gr_log_message(gw->replica, data, len);
+		break;
+	case PEER_CONFIG:
+		if (gw->follow != NULL)
+			gf_message(gw->follow, instance, data, len);
+		else if (gw->replica != NULL)
+			gr_config_message(gw->replica, instance, data, len);
+		break;
+	case PEER_HELLO:
+		on_hello(gw->links, instance, data, len);
+		break;
+	case PEER_NEWS:
+		on_news(gw->links, instance, data, len);
+		break;
+	default:
+		break;
+	}
+}
+
+static const struct peer_handler hub_handler = {on_message};
+
+/* A server announced itself to this instance. */
+void
+gw_server_heard(struct gw *gw, const struct rg_server *server)
+{
+	enum rg_verdict verdict =
+	    rg_take(gw->registry, server, loop_now_us(gw->loop));
+
+	if (verdict != RG_STALE)
+		set_push(gw->links,
+		    verdict == RG_CHANGED ? PUSH_URGENT_US : PUSH_US);
+}
+
+static void
+server_changed(void *ctx, const struct rg_server *server)
+{
+	struct gw *gw = ctx;
+
+	if (gw->entry != NULL)
+		ge_server_changed(gw->entry, server);
+	/* What another instance passed on goes to our own subscribers too. */
+	if (gw->links != NULL)
+		set_push(gw->links, PUSH_URGENT_US);
+}
+
+static void
+on_tick(void *ctx)
+{
+	struct gw_links *links = ctx;
+	int64_t now_us = loop_now_us(links->gw->loop);
+
+	rg_tick(links->gw->registry, now_us);
+	forget_silent(links, now_us);
+	links->tick =
+	    loop_after(links->gw->loop, REGISTRY_TICK_US, on_tick, links);
+}
+
+static int
+start(void *ctx)
+{
+	struct gw *gw = ctx;
+	struct gw_links *links = alloc_zero(gw->alloc, 1, sizeof(*links));
+	struct rg_options registry = {gw->alloc, server_changed, gw};
+	struct peer_options options = {.alloc = gw->alloc,
+	    .loop = gw->loop,
+	    .host = gw->settings->link_host,
+	    .port = (uint16_t)gw->settings->link_port,
+	    .handler = &hub_handler,
+	    .ctx = gw};
+
+	if (secure_keys_parse(gw->settings->cluster_key, &options.keys) != 0) {
+		alloc_free(gw->alloc, links);
+		return ERR_SETTING;
+	}
+	snprintf(options.self.instance, sizeof(options.self.instance), "%s",
+	    gw->settings->link_host);
+	snprintf(options.self.data_centre, sizeof(options.self.data_centre),
+	    "%s", gw->settings->data_centre);
+	options.self.incarnation = gw->incarnation;
+	links->gw = gw;
+	links->hub = peer_hub_new(&options);
+	if (links->hub == NULL) {
+		alloc_free(gw->alloc, links);
+		return ERR_IO;
+	}
+	gw->registry = rg_new(&registry);
+	gw->links = links;
+	if (gw->settings->control_listen.host[0] != '\0')
+		(void)get_known(links, gw->self);
+	gw_reseed(gw);
+	links->hello = loop_after(gw->loop, 0, on_hello_timer, links);
+	links->tick = loop_after(gw->loop, REGISTRY_TICK_US, on_tick, links);
+	return 0;
+}
+
+static void
+stop(void *ctx)
+{
+	struct gw *gw = ctx;
+	struct gw_links *links = gw->links;
+
+	gw->links = NULL;
+	loop_cancel(links->hello);
+	loop_cancel(links->push);
+	loop_cancel(links->tick);
+	peer_hub_free(links->hub);
+	rg_free(gw->registry);
+	gw->registry = NULL;
+	alloc_free(gw->alloc, links);
+}
+
+struct sup_child_spec
+gw_child_links(struct gw *gw)
+{
+	return (struct sup_child_spec){"links", start, stop, gw};
+}
--- /dev/null
+++ b/src/gateway/main.c
@@ -0,0 +1,253 @@
+#include <apr_general.h>
+#include <arpa/inet.h>
+#include <signal.h>
+#include <sodium.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <sys/signalfd.h>
+#include <sys/stat.h>
+#include <unistd.h>
+
+#include "base/err.h"
+#include "base/log.h"
+#include "base/rng.h"
+#include "gateway/entry.h"
+#include "gateway/gateway.h"
+#include "gateway/replica.h"
+#include "platform/dialect.h"
+
+/*
+ * celeryford-gateway: routes requests to backend servers by a table of routes.
+ * It reads the settings, builds the supervisor tree and runs until SIGTERM asks
+ * it to leave: unready at once, connections ended with their answers, idle ones
+ * closed late, and the process over before its grace is.
+ */
+
+enum {
+	EXIT_FAILURE_TO_START = 1,
+	EXIT_USAGE = 2,
+	RESTARTS_MAX = 5,
+	RESTART_WINDOW_MS = 60000,
+	RESTART_DELAY_MS = 200,
+	SETTINGS_US = 500000, /* the file is looked at this often */
+	DRAIN_TICK_US = 50000,
+	QUIET_US = 2500000, /* unready for the balancer, before idle ones close */
+	END_MARGIN_MS = 700 /* of the grace, for the last answers to leave */
+};
+
+struct process {
+	struct gw gw;
+	struct gs settings;
+	struct loop_watch *signals;
+	int signal_fd;
+	struct timespec settings_changed;
+	int64_t stopping_us;
+	bool idle_closed;
+};
+
+static void
+reload(struct process *p)
+{
+	struct buf why;
+
+	buf_init(&why, p->gw.alloc);
+	if (gs_reload(&p->settings, &why) != 0) {
+		log_event(LOG_LEVEL_ERROR, "settings_refused", "why=\"%s\"",
+		    buf_text(&why));
+	} else {
+		gw_reseed(&p->gw);
+		log_event(LOG_LEVEL_INFO, "settings_reloaded", "seeds=%u",
+		    p->settings.seed_count);
+	}
+	buf_free(&why);
+}
+
+static bool
+file_changed(struct process *p)
+{
+	struct stat now;
+
+	if (p->settings.settings[0] == '\0' ||
+	    stat(p->settings.settings, &now) != 0)
+		return false;
+	if (now.st_mtim.tv_sec == p->settings_changed.tv_sec &&
+	    now.st_mtim.tv_nsec == p->settings_changed.tv_nsec)
+		return false;
+	p->settings_changed = now.st_mtim;
+	return true;
+}
+
+static void
+on_settings(void *ctx)
+{
+	struct process *p = ctx;
+
+	if (file_changed(p))
+		reload(p);
+	loop_after(p->gw.loop, SETTINGS_US, on_settings, p);
+}
+
+static void
+on_drain(void *ctx)
+{
+	struct process *p = ctx;
+	int64_t now_us = loop_now_us(p->gw.loop);
+	int64_t end_us =
+	    p->stopping_us +
+	    ((int64_t)p->settings.grace_ms - END_MARGIN_MS) * 1000;
+	uint32_t open =
+	    p->gw.entry != NULL ? ge_open_requests(p->gw.entry) : 0;
+
+	if (p->gw.entry != NULL && !p->idle_closed &&
+	    now_us - p->stopping_us >= QUIET_US && open == 0) {
+		p->idle_closed = true;
+		ge_close_idle(p->gw.entry);
+	}
+	if (now_us >= end_us || (p->idle_closed && open == 0) ||
+	    (p->gw.entry == NULL &&
+		now_us - p->stopping_us >= DRAIN_TICK_US)) {
+		log_event(LOG_LEVEL_INFO, "stop", "open=%u", open);
+		loop_stop(p->gw.loop);
+		return;
+	}
+	loop_after(p->gw.loop, DRAIN_TICK_US, on_drain, p);
+}
+
+static void
+leave(struct process *p)
+{
+	if (p->gw.stopping)
+		return;
+	p->gw.stopping = true;
+	p->stopping_us = loop_now_us(p->gw.loop);
+	log_event(LOG_LEVEL_INFO, "stopping", "grace_ms=%u",
+	    p->settings.grace_ms);
+	if (p->gw.entry != NULL)
+		ge_drain(p->gw.entry);
+	if (p->gw.replica != NULL)
+		gr_hand_over(p->gw.replica);
+	loop_after(p->gw.loop, DRAIN_TICK_US, on_drain, p);
+}
+
+static void
+on_signal(void *ctx, int events)
+{
+	struct process *p = ctx;
+	struct signalfd_siginfo info;
+
+	(void)events;
+	while (read(p->signal_fd, &info, sizeof(info)) ==
+	       (ssize_t)sizeof(info)) {
+		if (info.ssi_signo == SIGHUP)
+			reload(p);
+		else
+			leave(p);
+	}
+}
+
+static void
+watch_signals(struct process *p)
+{
+	sigset_t set;
+
+	sigemptyset(&set);
+	sigaddset(&set, SIGTERM);
+	sigaddset(&set, SIGINT);
+	sigaddset(&set, SIGHUP);
+	sigprocmask(SIG_BLOCK, &set, NULL);
+	signal(SIGPIPE, SIG_IGN);
+	p->signal_fd = signalfd(-1, &set, SFD_NONBLOCK | SFD_CLOEXEC);
+	p->signals = loop_watch(
+	    p->gw.loop, p->signal_fd, LOOP_READ, on_signal, p);
+}
+
+static void
+child_failed(void *ctx, const char *child, int error)
+{
+	(void)ctx;
+	log_event(LOG_LEVEL_ERROR, "child_failed", "child=%s error=%s", child,
+	    err_name(error));
+}
+
+static int
+start_children(struct process *p)
+{
+	struct gw *gw = &p->gw;
+	struct sup_options options = {.alloc = gw->alloc,
+	    .loop = gw->loop,
+	    .name = "root",
+	    .restarts_max = RESTARTS_MAX,
+	    .window_ms = RESTART_WINDOW_MS,
+	    .delay_ms = RESTART_DELAY_MS,
+	    .failed = child_failed,
+	    .ctx = p};
+	struct sup_child_spec children[] = {gw_child_links(gw),
+	    gw_child_replica(gw), gw_child_follow(gw), gw_child_control(gw),
+	    gw_child_entry(gw)};
+
+	gw->sup = sup_new(&options);
+	for (size_t i = 0; i < sizeof(children) / sizeof(children[0]); i++)
+		sup_add(gw->sup, &children[i]);
+	return sup_start(gw->sup);
+}
+
+static int
+read_settings(struct process *p, int argc, char **argv)
+{
+	struct in_addr address;
+	struct buf why;
+	int error;
+
+	buf_init(&why, p->gw.alloc);
+	error = gs_read(&p->settings, argc, argv, &why);
+	if (error == 0 &&
+	    inet_pton(AF_INET, p->settings.link_host, &address) != 1) {
+		buf_adds(&why, "link-host: an IP number is needed");
+		error = ERR_SETTING;
+	}
+	if (error != 0)
+		fprintf(stderr, "celeryford-gateway: %s\n", buf_text(&why));
+	else
+		p->gw.self = ntohl(address.s_addr);
+	buf_free(&why);
+	return error;
+}
+
+int
+main(int argc, char **argv)
+{
+	static struct process p;
+	int error;
+
+	p.gw.alloc = alloc_default();
+	apr_initialize();
+	if (sodium_init() < 0 || read_settings(&p, argc, argv) != 0)
+		return EXIT_USAGE;
+	log_open((enum log_level)p.settings.log_level);
+	p.gw.settings = &p.settings;
+	p.gw.dialect = platform_dialect();
+	p.gw.incarnation = rng_system_seed();
+	p.gw.metrics = metrics_new(p.gw.alloc);
+	p.gw.loop = loop_new(p.gw.alloc);
+	if (p.gw.loop == NULL)
+		return EXIT_FAILURE_TO_START;
+	watch_signals(&p);
+	log_event(LOG_LEVEL_INFO, "start",
+	    "version=%s instance=%s data_centre=%s bootstrap=%d seeds=%u",
+	    CF_VERSION, p.settings.instance, p.settings.data_centre,
+	    p.settings.bootstrap, p.settings.seed_count);
+	(void)file_changed(&p);
+	error = start_children(&p);
+	if (error != 0) {
+		log_event(LOG_LEVEL_ERROR, "start_failed", "error=%s",
+		    err_name(error));
+		return EXIT_FAILURE_TO_START;
+	}
+	loop_after(p.gw.loop, SETTINGS_US, on_settings, &p);
+	error = loop_run(p.gw.loop);
+	sup_stop(p.gw.sup);
+	sup_free(p.gw.sup);
+	metrics_free(p.gw.metrics);
+	log_close();
+	return error == 0 ? 0 : EXIT_FAILURE_TO_START;
+}
--- /dev/null
+++ b/src/gateway/settings.c
@@ -0,0 +1,400 @@
+#include "gateway/settings.h"
+
+#include <argp.h>
+#include <ctype.h>
+#include <errno.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/err.h"
+#include "base/log.h"
+
+enum {
+	LINE_BYTES = 1024,
+	FIRST_KEY = 256 /* argp keys below are short options */
+};
+
+enum setting_type {
+	SETTING_TEXT,
+	SETTING_NUMBER,
+	SETTING_BOOL,
+	SETTING_ADDRESS,
+	SETTING_SEEDS,
+	SETTING_LEVEL
+};
+
+struct setting {
+	const char *name;
+	enum setting_type type;
+	size_t offset;
+	size_t size; /* of a text */
+	const char *doc;
+};
+
+#define TEXT(name, field, doc)                                                 \
+	{name, SETTING_TEXT, offsetof(struct gs, field),                       \
+	    sizeof(((struct gs *)0)->field), doc}
+#define OTHER(name, type, field, doc)                                          \
+	{name, type, offsetof(struct gs, field), 0, doc}
+
+static const struct setting table[] = {
+    TEXT("settings", settings, "file with more settings, a line each"),
+    TEXT("instance", instance, "name of this instance"),
+    TEXT("data-centre", data_centre, "data centre that it stands in"),
+    TEXT("dialect", dialect, "what callers, servers and operators speak"),
+    TEXT("link-host", link_host, "IP number for links between instances"),
+    OTHER("link-port", SETTING_NUMBER, link_port,
+	"port for links, the same on every instance"),
+    TEXT("cluster-key", cluster_key, "64 hexadecimal digits, shared by all"),
+    OTHER("listen", SETTING_ADDRESS, listen, "IP:PORT for callers"),
+    OTHER("ready-listen", SETTING_ADDRESS, ready_listen,
+	"IP:PORT where the balancer asks"),
+    OTHER("control-listen", SETTING_ADDRESS, control_listen,
+	"IP:PORT for operators and backend servers"),
+    OTHER("metrics-listen", SETTING_ADDRESS, metrics_listen,
+	"IP:PORT of the metrics page"),
+    TEXT("data-dir", data_dir, "folder of the state replica"),
+    OTHER("bootstrap", SETTING_BOOL, bootstrap,
+	"true only when the whole system starts for the first time"),
+    OTHER("seeds", SETTING_SEEDS, seeds,
+	"IP:PORT,... of instances that serve control"),
+    OTHER("log-level", SETTING_LEVEL, log_level, "error, warn, info or debug"),
+    OTHER("contact-ms", SETTING_NUMBER, contact_ms,
+	"silence after which an instance counts as lost"),
+    OTHER("drain-ms", SETTING_NUMBER, drain_ms,
+	"time in which a leaving server gets its last request"),
+    OTHER("grace-ms", SETTING_NUMBER, grace_ms,
+	"time from SIGTERM to the end of the process"),
+    OTHER("revoke-ms", SETTING_NUMBER, revoke_ms,
+	"time in which a key taken away is refused everywhere"),
+    OTHER("retry-permille", SETTING_NUMBER, retry_permille,
+	"repeats allowed per 1,000 requests of a service"),
+    OTHER("retry-slack", SETTING_NUMBER, retry_slack,
+	"repeats allowed on top in each window, over all instances"),
+    OTHER("retry-window-ms", SETTING_NUMBER, retry_window_ms,
+	"length of that window"),
+    OTHER("exposure-permille", SETTING_NUMBER, exposure_permille,
+	"most requests per 1,000 that a bad version may get"),
+    OTHER("cold-permille", SETTING_NUMBER, cold_permille,
+	"what a cold server may get, per 1,000 of what it bears"),
+    OTHER("cold-slack", SETTING_NUMBER, cold_slack,
+	"requests a second on top of that"),
+    OTHER("announce-ms", SETTING_NUMBER, announce_ms,
+	"time between two announcements of a backend server"),
+    OTHER("session-ms", SETTING_NUMBER, session_ms,
+	"longest pause between requests of one session"),
+};
+
+enum {
+	SETTINGS = sizeof(table) / sizeof(table[0])
+};
+
+/* Sets what holds where nothing else is said. */
+void
+gs_defaults(struct gs *gs)
+{
+	memset(gs, 0, sizeof(*gs));
+	snprintf(gs->dialect, sizeof(gs->dialect), "platform");
+	gs->log_level = LOG_LEVEL_INFO;
+	gs->contact_ms = 3000;
+	gs->drain_ms = 2000;
+	gs->grace_ms = 8000;
+	gs->revoke_ms = 5000;
+	gs->retry_permille = 200;
+	gs->retry_slack = 50;
+	gs->retry_window_ms = 10000;
+	gs->exposure_permille = 150;
+	gs->cold_permille = 1000;
+	gs->cold_slack = 5;
+	gs->announce_ms = 1200;
+	gs->session_ms = 5000;
+}
+
+static bool
+read_number(const char *text, uint32_t *out)
+{
+	char *end;
+	double value;
+
+	errno = 0;
+	value = strtod(text, &end);
+	if (end == text || *end != '\0' || errno != 0 || value < 0 ||
+	    value > UINT32_MAX)
+		return false;
+	*out = (uint32_t)value;
+	return true;
+}
+
+static bool
+read_address(const char *text, struct gs_address *out)
+{
+	const char *colon = strrchr(text, ':');
+	uint32_t port;
+
+	if (text[0] == '\0') {
+		memset(out, 0, sizeof(*out));
+		return true;
+	}
+	if (colon == NULL || (size_t)(colon - text) >= sizeof(out->host) ||
+	    !read_number(colon + 1, &port) || port > UINT16_MAX)
+		return false;
+	memcpy(out->host, text, (size_t)(colon - text));
+	out->host[colon - text] = '\0';
+	out->port = (uint16_t)port;
+	return true;
+}
+
+static bool
+read_seeds(const char *text, struct gs *gs)
+{
+	char copy[LINE_BYTES];
+	char *rest, *word;
+
+	if (strlen(text) >= sizeof(copy))
+		return false;
+	memcpy(copy, text, strlen(text) + 1);
+	gs->seed_count = 0;
+	for (word = strtok_r(copy, ", ", &rest); word != NULL;
+	     word = strtok_r(NULL, ", ", &rest)) {
+		if (gs->seed_count == GS_SEEDS_MAX ||
+		    !read_address(word, &gs->seeds[gs->seed_count]))
+			return false;
+		gs->seed_count++;
+	}
+	return true;
+}
+
+static bool
+read_value(struct gs *gs, const struct setting *setting, const char *text)
+{
+	char *field = (char *)gs + setting->offset;
+	int level;
+
+	switch (setting->type) {
+	case SETTING_TEXT:
+		if (strlen(text) >= setting->size)
+			return false;
+		memcpy(field, text, strlen(text) + 1);
+		return true;
+	case SETTING_NUMBER:
+		return read_number(text, (uint32_t *)(void *)field);
+	case SETTING_BOOL:
+		*(bool *)field = strcmp(text, "true") == 0;
+		return *(bool *)field || strcmp(text, "false") == 0;
+	case SETTING_ADDRESS:
+		return read_address(text, (struct gs_address *)(void *)field);
+	case SETTING_SEEDS:
+		return read_seeds(text, gs);
+	case SETTING_LEVEL:
+		level = log_level_from_name(text);
+		if (level >= 0)
+			gs->log_level = (uint32_t)level;
+		return level >= 0;
+	}
+	return false;
+}
+
+static int
+set_value(struct gs *gs, const struct setting *setting, const char *text,
+    struct buf *why)
+{
+	if (read_value(gs, setting, text))
+		return 0;
+	buf_addf(why, "%s: \"%s\" is not accepted: %s", setting->name, text,
+	    setting->doc);
+	return ERR_SETTING;
+}
+
+static char *
+trim(char *text)
+{
+	size_t len;
+
+	while (isspace((unsigned char)*text))
+		text++;
+	len = strlen(text);
+	while (len > 0 && isspace((unsigned char)text[len - 1]))
+		text[--len] = '\0';
+	return text;
+}
+
+/* Takes one line "name = value"; empty lines and "# ..." are passed over. */
+int
+gs_read_line(struct gs *gs, const char *line, struct buf *why)
+{
+	char copy[LINE_BYTES];
+	char *name, *value;
+
+	if (strlen(line) >= sizeof(copy)) {
+		buf_adds(why, "a line is too long");
+		return ERR_SETTING;
+	}
+	memcpy(copy, line, strlen(line) + 1);
+	name = trim(copy);
+	if (name[0] == '\0' || name[0] == '#')
+		return 0;
+	value = strchr(name, '=');
+	if (value == NULL) {
+		buf_addf(why, "\"%s\" is no \"name = value\"", name);
+		return ERR_SETTING;
+	}
+	*value++ = '\0';
+	name = trim(name);
+	for (size_t i = 0; i < SETTINGS; i++) {
+		if (strcmp(table[i].name, name) == 0)
+			return set_value(gs, &table[i], trim(value), why);
+	}
+	buf_addf(why, "there is no setting \"%s\"", name);
+	return ERR_SETTING;
+}
+
+static int
+read_file(struct gs *gs, struct buf *why)
+{
+	char line[LINE_BYTES];
+	FILE *file;
+	int error = 0;
+
+	if (gs->settings[0] == '\0')
+		return 0;
+	file = fopen(gs->settings, "re");
+	if (file == NULL) {
+		buf_addf(why, "settings: \"%s\": %s", gs->settings,
+		    strerror(errno));
+		return ERR_SETTING;
+	}
+	while (error == 0 && fgets(line, sizeof(line), file) != NULL)
+		error = gs_read_line(gs, line, why);
+	fclose(file);
+	return error;
+}
+
+static int
+read_environment(struct gs *gs, struct buf *why)
+{
+	for (size_t i = 0; i < SETTINGS; i++) {
+		char name[GS_NAME_BYTES] = "CELERYFORD_";
+		size_t n = strlen(name);
+		const char *value;
+
+		for (const char *c = table[i].name; *c != '\0'; c++)
+			name[n++] = *c == '-'
+					? '_'
+					: (char)toupper((unsigned char)*c);
+		name[n] = '\0';
+		value = getenv(name);
+		if (value != NULL && set_value(gs, &table[i], value, why) != 0)
+			return ERR_SETTING;
+	}
+	return 0;
+}
+
+struct parse {
+	struct gs *gs;
+	struct buf *why;
+	bool only_file; /* the first pass looks for the file's name */
+};
+
+static error_t
+parse_option(int key, char *arg, struct argp_state *state)
+{
+	struct parse *parse = state->input;
+	const struct setting *setting;
+
+	if (key < FIRST_KEY || key >= FIRST_KEY + SETTINGS)
+		return ARGP_ERR_UNKNOWN;
+	setting = &table[key - FIRST_KEY];
+	if (parse->only_file && strcmp(setting->name, "settings") != 0)
+		return 0;
+	if (set_value(parse->gs, setting, arg, parse->why) != 0)
+		argp_error(state, "%s", buf_text(parse->why));
+	return 0;
+}
+
+static void
+parse_flags(struct gs *gs, int argc, char **argv, bool only_file,
+    struct buf *why)
+{
+	struct argp_option options[SETTINGS + 1] = {{0}};
+	struct argp argp = {options, parse_option, NULL,
+	    "Routes requests to backend servers by a table of routes.\v"
+	    "Each flag has an environment variable: --link-port and "
+	    "CELERYFORD_LINK_PORT.  Lines \"link-port = 7340\" in the file "
+	    "of --settings hold where neither is given.",
+	    NULL, NULL, NULL};
+	struct parse parse = {gs, why, only_file};
+
+	for (size_t i = 0; i < SETTINGS; i++) {
+		options[i].name = table[i].name;
+		options[i].key = FIRST_KEY + (int)i;
+		options[i].arg = "VALUE";
+		options[i].doc = table[i].doc;
+	}
+	argp_parse(&argp, argc, argv, 0, NULL, &parse);
+}
+
+static int
+check(const struct gs *gs, struct buf *why)
+{
+	if (gs->instance[0] == '\0' || gs->data_centre[0] == '\0' ||
+	    gs->link_host[0] == '\0' || gs->link_port == 0 ||
+	    gs->link_port > UINT16_MAX || gs->cluster_key[0] == '\0')
+		buf_adds(why, "instance, data-centre, link-host, link-port and "
+			      "cluster-key are needed");
+	else if (gs->listen.host[0] == '\0' &&
+		 gs->control_listen.host[0] == '\0')
+		buf_adds(why, "listen or control-listen is needed");
+	else if (gs->control_listen.host[0] != '\0' &&
+		 gs->data_dir[0] == '\0')
+		buf_adds(why, "control-listen needs a data-dir");
+	else
+		return 0;
+	return ERR_SETTING;
+}
+
+/*
+ * Reads file, environment and flags.  Returns 0, or ERR_SETTING with the
+ * setting that is wrong in why; a wrong flag ends the process.
+ */
+int
+gs_read(struct gs *gs, int argc, char **argv, struct buf *why)
+{
+	int error;
+
+	gs_defaults(gs);
+	error = read_environment(gs, why);
+	if (error == 0)
+		parse_flags(gs, argc, argv, true, why);
+	if (error == 0)
+		error = read_file(gs, why);
+	if (error == 0)
+		error = read_environment(gs, why);
+	if (error == 0)
+		parse_flags(gs, argc, argv, false, why);
+	return error == 0 ? check(gs, why) : error;
+}
+
+/*
+ * Reads the file again.  Only what may change while the process runs is taken
+ * over: seeds, bounds and the log level.  On an error everything stays.
+ */
+int
+gs_reload(struct gs *gs, struct buf *why)
+{
+	struct gs next = *gs;
+	int error = read_file(&next, why);
+
+	if (error != 0)
+		return error;
+	memcpy(next.link_host, gs->link_host, sizeof(next.link_host));
+	next.link_port = gs->link_port;
+	next.listen = gs->listen;
+	next.ready_listen = gs->ready_listen;
+	next.control_listen = gs->control_listen;
+	next.metrics_listen = gs->metrics_listen;
+	memcpy(next.data_dir, gs->data_dir, sizeof(next.data_dir));
+	next.bootstrap = gs->bootstrap;
+	*gs = next;
+	return 0;
+}
--- /dev/null
+++ b/src/route/pool.c
@@ -0,0 +1,512 @@
+#include "route/pool.h"
+
+#include <stdio.h>
+#include <string.h>
+#include <xxhash.h>
+
+enum {
+	DOWN_FIRST_US = 250000, /* after one failure to reach a server */
+	DOWN_MAX_US = 4000000,
+	EJECT_US = 4000000, /* a server that fails far more than others */
+	EJECT_OUTCOMES = 6, /* of its own, before it is judged */
+	FULL_US = 150000, /* a server that refused is left alone */
+	LOAD_AGE_US = 2000000, /* older reports count no more */
+	US_PER_MS = 1000,
+	US_PER_S = 1000000,
+	ORDER_MAX = 1024 /* servers looked at for one request */
+};
+
+static const double failing_weight = 0.15; /* of the newest outcome */
+static const double eject_share = 0.25; /* failures above the mean */
+static const double load_over_mean = 1.25; /* bound of consistent hashing */
+static const uint32_t load_slack = 3; /* requests on top of that bound */
+
+struct pl {
+	struct pl_options options;
+	struct rng rng;
+	struct pl_server *servers;
+	uint16_t count;
+	uint16_t size;
+	uint32_t instances;
+	const struct rt_table *table;
+	const struct ord *orders;
+};
+
+/* Creates a pool without servers. */
+struct pl *
+pl_new(const struct pl_options *options)
+{
+	struct pl *pl = alloc_zero(options->alloc, 1, sizeof(*pl));
+
+	pl->options = *options;
+	pl->instances = 1;
+	rng_init(&pl->rng, options->seed);
+	return pl;
+}
+
+/* Releases a pool. */
+void
+pl_free(struct pl *pl)
+{
+	if (pl == NULL)
+		return;
+	alloc_free(pl->options.alloc, pl->servers);
+	alloc_free(pl->options.alloc, pl);
+}
+
+static struct pl_server *
+find(struct pl *pl, const char *id)
+{
+	for (uint16_t i = 0; i < pl->count; i++) {
+		if (pl->servers[i].used &&
+		    strcmp(pl->servers[i].said.id, id) == 0)
+			return &pl->servers[i];
+	}
+	return NULL;
+}
+
+static struct pl_server *
+make(struct pl *pl)
+{
+	for (uint16_t i = 0; i < pl->count; i++) {
+		struct pl_server *s = &pl->servers[i];
+
+		/* A place is free once its last request has ended. */
+		if (!s->used && s->in_flight == 0) {
+			memset(s, 0, sizeof(*s));
+			return s;
+		}
+	}
+	if (pl->count == UINT16_MAX)
+		return NULL;
+	if (pl->count == pl->size) {
+		pl->size = (uint16_t)(pl->size > 0 ? pl->size * 2 : 32);
+		pl->servers = alloc_resize(pl->options.alloc, pl->servers,
+		    pl->size * sizeof(*pl->servers));
+	}
+	memset(&pl->servers[pl->count], 0, sizeof(*pl->servers));
+	return &pl->servers[pl->count++];
+}
+
+/*
+ * The version that a service's servers have when no roll-out ever ended: that
+ * of the oldest server.  Others were started for an order not heard of yet.
+ */
+static const char *
+oldest_version(const struct pl *pl, const char *service)
+{
+	const struct pl_server *oldest = NULL;
+
+	for (uint16_t i = 0; i < pl->count; i++) {
+		const struct pl_server *s = &pl->servers[i];
+
+		if (!s->used || strcmp(s->said.service, service) != 0 ||
+		    ord_is_target(pl->orders, service, s->said.version))
+			continue;
+		if (oldest == NULL || s->said.born_ms < oldest->said.born_ms)
+			oldest = s;
+	}
+	return oldest != NULL ? oldest->said.version : NULL;
+}
+
+static enum pl_role
+role_of(const struct pl *pl, const struct rg_server *said)
+{
+	const char *base = NULL;
+
+	if (pl->orders == NULL)
+		return PL_BARRED;
+	for (size_t i = 0; i < ord_rollout_count(pl->orders); i++) {
+		const struct ord_rollout *r = ord_rollout_at(pl->orders, i);
+		bool is_target = strcmp(r->target, said->version) == 0;
+
+		if (strcmp(r->service, said->service) != 0)
+			continue;
+		if (r->state == ORD_ROLLED_BACK && is_target)
+			return PL_BARRED;
+		if (r->state == ORD_RUNNING && is_target)
+			return PL_TARGET;
+		if (r->state == ORD_FINISHING || r->state == ORD_COMPLETED)
+			base = r->target;
+	}
+	if (base == NULL)
+		base = oldest_version(pl, said->service);
+	return base == NULL || strcmp(base, said->version) == 0 ? PL_BASE
+								: PL_BARRED;
+}
+
+static void
+refresh(struct pl *pl)
+{
+	for (uint16_t i = 0; i < pl->count; i++) {
+		struct pl_server *s = &pl->servers[i];
+
+		if (!s->used)
+			continue;
+		s->role = role_of(pl, &s->said);
+		s->out = pl->orders != NULL &&
+			 ord_is_out(pl->orders, s->said.data_centre);
+	}
+}
+
+/* Takes a server's announcement; returns its place, or RT_NONE. */
+uint16_t
+pl_take(struct pl *pl, const struct rg_server *server, int64_t now_us)
+{
+	struct pl_server *s = find(pl, server->id);
+	bool reborn;
+
+	if (s == NULL) {
+		if (server->state == RG_GONE || (s = make(pl)) == NULL)
+			return RT_NONE;
+		s->used = true;
+		s->said = *server;
+		s->cold_us = now_us;
+	}
+	reborn = s->said.born_ms != server->born_ms;
+	s->said = *server;
+	if (reborn) {
+		s->has_load = false;
+		s->failures = 0;
+		s->down_until_us = s->ejected_until_us = 0;
+		s->failing = 0;
+		s->outcomes = 0;
+	}
+	s->address.sin_family = AF_INET;
+	s->address.sin_addr.s_addr = server->ip;
+	s->address.sin_port = htons(server->port);
+	if (server->cold_left_ms > 0)
+		s->cold_until_us = server->heard_us +
+				   (int64_t)server->cold_left_ms * US_PER_MS;
+	if (server->state == RG_GONE)
+		s->used = false;
+	refresh(pl);
+	return (uint16_t)(s - pl->servers);
+}
+
+/* Uses other routes and orders; both are kept until the next call. */
+void
+pl_configure(
+    struct pl *pl, const struct rt_table *table, const struct ord *orders)
+{
+	pl->table = table;
+	pl->orders = orders;
+	refresh(pl);
+}
+
+/* Sets how many instances may send to the same servers. */
+void
+pl_set_instances(struct pl *pl, uint32_t entry_instances)
+{
+	pl->instances = entry_instances > 0 ? entry_instances : 1;
+}
+
+/* Returns a server; its place stays as long as requests are there. */
+const struct pl_server *
+pl_at(const struct pl *pl, uint16_t server)
+{
+	return &pl->servers[server];
+}
+
+uint16_t
+pl_count(const struct pl *pl)
+{
+	return pl->count;
+}
+
+/* Tells whether any server of a service has a role. */
+bool
+pl_has_role(const struct pl *pl, const char *service, enum pl_role role)
+{
+	for (uint16_t i = 0; i < pl->count; i++) {
+		const struct pl_server *s = &pl->servers[i];
+
+		if (s->used && s->role == role &&
+		    s->said.state == RG_READY && !s->out &&
+		    strcmp(s->said.service, service) == 0)
+			return true;
+	}
+	return false;
+}
+
+/* Requests at a server: its last report and what was sent since. */
+static uint32_t
+load_of(const struct pl_server *s, int64_t now_us)
+{
+	int64_t load;
+
+	if (!s->has_load || now_us - s->load_us > LOAD_AGE_US)
+		return s->in_flight;
+	load = (int64_t)s->running + s->waiting + s->since;
+	return load > s->in_flight ? (uint32_t)load : s->in_flight;
+}
+
+/* Whether a cold server bears one more request of this instance. */
+static bool
+cold_allows(struct pl *pl, struct pl_server *s, int64_t now_us)
+{
+	const struct rt_service *service;
+	double per_s, most;
+
+	if (now_us >= s->cold_until_us || pl->table == NULL)
+		return true;
+	service = rt_service_named(pl->table, s->said.service);
+	if (service == NULL || service->cold_per_s <= 0)
+		return true;
+	per_s = service->cold_per_s * pl->options.cold_permille / 1000 /
+		pl->instances;
+	most = (double)pl->options.cold_slack / pl->instances;
+	if (most < 1)
+		most = 1;
+	s->cold_tokens += per_s * (double)(now_us - s->cold_us) / US_PER_S;
+	s->cold_us = now_us;
+	if (s->cold_tokens > most)
+		s->cold_tokens = most;
+	return s->cold_tokens >= 1;
+}
+
+static bool
+is_avoided(const struct pl_query *query, uint16_t server)
+{
+	for (uint8_t i = 0; i < query->avoid_count; i++) {
+		if (query->avoid[i] == server)
+			return true;
+	}
+	return false;
+}
+
+static bool
+may_run(const struct pl_server *s, const struct pl_query *query)
+{
+	return s->used && s->said.state == RG_READY && !s->out &&
+	       s->role != PL_BARRED && strcmp(s->said.service,
+					   query->service) == 0;
+}
+
+static bool
+has_room(const struct pl_server *s, const struct pl_query *query,
+    int64_t now_us)
+{
+	return s->said.slots == 0 ||
+	       load_of(s, now_us) < s->said.slots + query->slots_more;
+}
+
+static uint64_t
+rank(uint64_t affinity, const struct pl_server *s)
+{
+	return XXH64(s->said.id, strlen(s->said.id), affinity);
+}
+
+/* The first server in a prefix's order that is not loaded over the bound. */
+static uint16_t
+pick_by_affinity(struct pl *pl, const struct pl_query *query,
+    const uint16_t *list, uint16_t count, int64_t now_us)
+{
+	uint32_t total = 0, bound;
+	uint16_t best = RT_NONE, least = list[0];
+	uint64_t best_rank = 0;
+
+	for (uint16_t i = 0; i < count; i++)
+		total += load_of(&pl->servers[list[i]], now_us);
+	bound = (uint32_t)(load_over_mean * total / count) + load_slack;
+	for (uint16_t i = 0; i < count; i++) {
+		const struct pl_server *s = &pl->servers[list[i]];
+		uint64_t r = rank(query->affinity, s);
+
+		if (load_of(s, now_us) <
+		    load_of(&pl->servers[least], now_us))
+			least = list[i];
+		if (load_of(s, now_us) <= bound &&
+		    (best == RT_NONE || r > best_rank)) {
+			best = list[i];
+			best_rank = r;
+		}
+	}
+	return best != RT_NONE ? best : least;
+}
+
+/* The less loaded of two; the own data centre goes before another. */
+static uint16_t
+pick_by_load(struct pl *pl, const uint16_t *list, uint16_t count,
+    int64_t now_us)
+{
+	uint16_t a = list[rng_below(&pl->rng, count)];
+	uint16_t b = list[rng_below(&pl->rng, count)];
+	const struct pl_server *sa = &pl->servers[a], *sb = &pl->servers[b];
+	uint32_t la = load_of(sa, now_us), lb = load_of(sb, now_us);
+	bool here_a = strcmp(sa->said.data_centre, pl->options.data_centre) == 0;
+	bool here_b = strcmp(sb->said.data_centre, pl->options.data_centre) == 0;
+
+	if (la != lb)
+		return la < lb ? a : b;
+	return here_b && !here_a ? b : a;
+}
+
+/* Servers that may take the request, in the best tier that has any. */
+static uint16_t
+list_tier(struct pl *pl, const struct pl_query *query, int64_t now_us,
+    enum pl_role role, int tier, uint16_t list[ORDER_MAX])
+{
+	uint16_t count = 0;
+
+	for (uint16_t i = 0; i < pl->count && count < ORDER_MAX; i++) {
+		struct pl_server *s = &pl->servers[i];
+		bool suspect = s->down_until_us > now_us ||
+			       s->ejected_until_us > now_us ||
+			       now_us - s->said.heard_us >
+				   pl->options.silent_us ||
+			       is_avoided(query, i);
+
+		if (!may_run(s, query) || s->role != role ||
+		    !cold_allows(pl, s, now_us) ||
+		    (tier == 0 && (suspect || !has_room(s, query, now_us))) ||
+		    (tier == 1 && (s->down_until_us > now_us ||
+				      is_avoided(query, i) ||
+				      !has_room(s, query, now_us))))
+			continue;
+		list[count++] = i;
+	}
+	return count;
+}
+
+static bool
+any_may_run(const struct pl *pl, const struct pl_query *query)
+{
+	for (uint16_t i = 0; i < pl->count; i++) {
+		if (may_run(&pl->servers[i], query) &&
+		    (query->any_role || pl->servers[i].role == query->role))
+			return true;
+	}
+	return false;
+}
+
+/* Chooses a server for a request. */
+enum pl_result
+pl_pick(struct pl *pl, const struct pl_query *query, int64_t now_us,
+    uint16_t *server)
+{
+	uint16_t list[ORDER_MAX];
+	uint16_t count = 0;
+	enum pl_role other = query->role == PL_BASE ? PL_TARGET : PL_BASE;
+
+	for (int tier = 0; tier < 2 && count == 0; tier++) {
+		count = list_tier(pl, query, now_us, query->role, tier, list);
+		if (count == 0 && query->any_role)
+			count = list_tier(
+			    pl, query, now_us, other, tier, list);
+	}
+	if (count == 0)
+		return any_may_run(pl, query) ? PL_FULL : PL_NONE;
+	*server = query->affinity != 0
+		      ? pick_by_affinity(pl, query, list, count, now_us)
+		      : pick_by_load(pl, list, count, now_us);
+	return PL_CHOSEN;
+}
+
+/* A request goes out to a server. */
+void
+pl_sent(struct pl *pl, uint16_t server, int64_t now_us)
+{
+	struct pl_server *s = &pl->servers[server];
+
+	s->in_flight++;
+	s->since++;
+	if (now_us < s->cold_until_us)
+		s->cold_tokens -= 1;
+}
+
+/* A request at a server is over, however it ended. */
+void
+pl_ended(struct pl *pl, uint16_t server)
+{
+	struct pl_server *s = &pl->servers[server];
+
+	if (s->in_flight > 0)
+		s->in_flight--;
+	s->since--;
+}
+
+/* An answer said how many requests a server has. */
+void
+pl_load(struct pl *pl, uint16_t server, uint16_t running, uint16_t waiting,
+    int64_t now_us)
+{
+	struct pl_server *s = &pl->servers[server];
+
+	s->has_load = true;
+	s->running = running;
+	s->waiting = waiting;
+	s->load_us = now_us;
+	s->since = 0;
+}
+
+/* An answer said how long a server stays cold. */
+void
+pl_cold(struct pl *pl, uint16_t server, uint32_t cold_left_ms, int64_t now_us)
+{
+	pl->servers[server].cold_until_us =
+	    now_us + (int64_t)cold_left_ms * US_PER_MS;
+}
+
+/* No connection could be made, or it ended without an answer. */
+void
+pl_unreachable(struct pl *pl, uint16_t server, int64_t now_us)
+{
+	struct pl_server *s = &pl->servers[server];
+	int64_t wait_us = DOWN_FIRST_US;
+
+	for (uint8_t i = 0; i < s->failures && wait_us < DOWN_MAX_US; i++)
+		wait_us *= 2;
+	if (s->failures < UINT8_MAX)
+		s->failures++;
+	s->down_until_us =
+	    now_us + (wait_us < DOWN_MAX_US ? wait_us : DOWN_MAX_US);
+}
+
+static double
+mean_failing(const struct pl *pl, const char *service)
+{
+	double sum = 0;
+	uint32_t count = 0;
+
+	for (uint16_t i = 0; i < pl->count; i++) {
+		const struct pl_server *s = &pl->servers[i];
+
+		if (s->used && s->outcomes > 0 &&
+		    strcmp(s->said.service, service) == 0) {
+			sum += s->failing;
+			count++;
+		}
+	}
+	return count > 0 ? sum / count : 0;
+}
+
+/*
+ * Notes how a request ended.  A server that fails far more of them than its
+ * like is left alone for a while, whatever its health check says.
+ */
+void
+pl_outcome(struct pl *pl, uint16_t server, bool failed, int64_t now_us)
+{
+	struct pl_server *s = &pl->servers[server];
+
+	if (!failed)
+		s->failures = 0;
+	s->outcomes++;
+	s->failing += failing_weight * ((failed ? 1.0 : 0.0) - s->failing);
+	if (failed && s->outcomes >= EJECT_OUTCOMES &&
+	    s->failing > mean_failing(pl, s->said.service) + eject_share) {
+		s->ejected_until_us = now_us + EJECT_US;
+		s->failing /= 2; /* it is tried again, and judged anew */
+	}
+}
+
+/* A server refused a request because it is full. */
+void
+pl_full(struct pl *pl, uint16_t server, int64_t now_us)
+{
+	struct pl_server *s = &pl->servers[server];
+
+	if (s->down_until_us < now_us + FULL_US)
+		s->down_until_us = now_us + FULL_US;
+}
--- /dev/null
+++ b/src/route/pool.h
@@ -0,0 +1,121 @@
+#ifndef CF_ROUTE_POOL_H
+#define CF_ROUTE_POOL_H
+
+#include <netinet/in.h>
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "base/alloc.h"
+#include "base/rng.h"
+#include "route/table.h"
+#include "state/orders.h"
+#include "state/registry.h"
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+/*
+ * The backend servers as one entry instance sees them, and the choice among
+ * them.  No I/O.
+ *
+ * What is known of a server is what it announced, what its answers said of
+ * its load, and how this instance's own requests fared there.  Its load is
+ * reckoned as the last report and what was sent since.
+ *
+ * Requests that share a prompt prefix go to the same few servers: each prefix
+ * ranks the servers by a hash that is the same at every instance, and the
+ * first one in that order that is not loaded well above the mean takes the
+ * request (consistent hashing with bounded loads).  So no instance needs to
+ * know what the others have sent where.  Other requests take the less loaded
+ * of two, own data centre first.
+ *
+ * A cold server's requests come out of a share of what it bears: each of the
+ * instances that may send at all has the same part, whether it is in reach of
+ * the others or not.
+ */
+enum pl_role {
+	PL_BASE, /* gets what is not given to a new version */
+	PL_TARGET, /* the new version of a roll-out under way */
+	PL_BARRED /* gets nothing */
+};
+
+enum pl_result {
+	PL_CHOSEN,
+	PL_NONE, /* no server is known that may run this */
+	PL_FULL, /* all that may are full, cold or out of reach just now */
+};
+
+struct pl_server {
+	struct rg_server said; /* its last announcement */
+	struct sockaddr_in address;
+	bool used;
+	enum pl_role role;
+	bool out; /* operators took its data centre out of use */
+	uint16_t in_flight; /* own requests there */
+	uint32_t dials; /* own connections would be counted by the client */
+	bool has_load;
+	uint16_t running; /* as its last answer said */
+	uint16_t waiting;
+	int64_t load_us; /* when that came */
+	int32_t since; /* own sends less own ends since then */
+	int64_t cold_until_us;
+	double cold_tokens;
+	int64_t cold_us; /* when they were last filled up */
+	uint8_t failures; /* in a row that say it is not there */
+	int64_t down_until_us;
+	double failing; /* moving share of failed answers */
+	uint32_t outcomes;
+	int64_t ejected_until_us;
+};
+
+struct pl_query {
+	const char *service;
+	uint32_t slots_more; /* waiting requests a server may have */
+	enum pl_role role;
+	bool any_role; /* the other version will do where this one has none */
+	uint64_t affinity; /* hash of the shared prefix; 0: none */
+	uint16_t avoid[8]; /* servers already tried */
+	uint8_t avoid_count;
+};
+
+struct pl_options {
+	const struct alloc *alloc;
+	uint64_t seed;
+	const char *data_centre;
+	uint32_t cold_permille; /* of what a cold server bears */
+	uint32_t cold_slack; /* requests a second on top */
+	int64_t silent_us; /* unheard for so long: only if no other is left */
+};
+
+struct pl;
+
+struct pl *pl_new(const struct pl_options *options);
+void pl_free(struct pl *pl);
+uint16_t pl_take(struct pl *pl, const struct rg_server *server, int64_t now_us);
+void pl_configure(
+    struct pl *pl, const struct rt_table *table, const struct ord *orders);
+void pl_set_instances(struct pl *pl, uint32_t entry_instances);
+enum pl_result pl_pick(struct pl *pl, const struct pl_query *query,
+    int64_t now_us, uint16_t *server);
+const struct pl_server *pl_at(const struct pl *pl, uint16_t server);
+uint16_t pl_count(const struct pl *pl);
+bool pl_has_role(const struct pl *pl, const char *service, enum pl_role role);
+
+/* What became of a request that pl_pick() placed. */
+void pl_sent(struct pl *pl, uint16_t server, int64_t now_us);
+void pl_ended(struct pl *pl, uint16_t server);
+void pl_load(struct pl *pl, uint16_t server, uint16_t running,
+    uint16_t waiting, int64_t now_us);
+void pl_cold(
+    struct pl *pl, uint16_t server, uint32_t cold_left_ms, int64_t now_us);
+void pl_unreachable(struct pl *pl, uint16_t server, int64_t now_us);
+void pl_outcome(struct pl *pl, uint16_t server, bool failed, int64_t now_us);
+void pl_full(struct pl *pl, uint16_t server, int64_t now_us);
+
+#ifdef __cplusplus
+}
+#endif
+
+#endif
--- /dev/null
+++ b/src/route/verdict.h
@@ -0,0 +1,47 @@
+#ifndef CF_ROUTE_VERDICT_H
+#define CF_ROUTE_VERDICT_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "state/orders.h"
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+/*
+ * The judgement of a new version of a service, from how its answers compare
+ * with those of the old one at the same time.  No I/O.
+ *
+ * A version is rolled back once its share of failures, or its times, are worse
+ * beyond chance.  One that is not gets everything after half of the roll-out's
+ * time, and the old servers may be stopped somewhat later, when what they had
+ * been sent has ended.
+ */
+struct vd_counts {
+	uint32_t answers;
+	uint32_t failures;
+	double seconds; /* sum of the times to the first byte */
+	double work; /* sum of what the requests ask for */
+};
+
+struct vd_input {
+	enum ord_rollout_state state;
+	int64_t elapsed_ms; /* since the order */
+	int64_t finishing_ms; /* in ORD_FINISHING so long */
+	uint32_t duration_ms;
+	struct vd_counts fresh; /* the new version */
+	struct vd_counts known; /* the old one */
+	bool has_servers; /* of the new version */
+};
+
+enum ord_rollout_state vd_next(const struct vd_input *in);
+bool vd_is_worse(
+    const struct vd_counts *fresh, const struct vd_counts *known);
+
+#ifdef __cplusplus
+}
+#endif
+
+#endif
--- /dev/null
+++ b/src/state/orders.h
@@ -0,0 +1,81 @@
+#ifndef CF_ORDERS_H
+#define CF_ORDERS_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "base/alloc.h"
+#include "base/buf.h"
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+/*
+ * What operators have ordered, as the state machine that the replicated log
+ * feeds: one document under its operator's own number, roll-outs, and data
+ * centres taken out of use.  The same entries in the same order give the same
+ * state on every replica; instances without a replica get it as an image.
+ *
+ * The document with the highest number is in force.  One with a number that
+ * is not higher changes nothing, whatever its text.
+ */
+enum ord_rollout_state {
+	ORD_RUNNING, /* the new version gets a small share */
+	ORD_FINISHING, /* the new version gets everything */
+	ORD_COMPLETED, /* the old servers may be stopped */
+	ORD_ROLLED_BACK /* the new version gets nothing */
+};
+
+enum {
+	ORD_NAME_BYTES = 64,
+	ORD_ROLLOUTS_MAX = 256,
+	ORD_OUT_MAX = 64
+};
+
+struct ord_rollout {
+	char service[ORD_NAME_BYTES];
+	char target[ORD_NAME_BYTES]; /* the new version */
+	uint32_t duration_ms; /* from the order to the time limit */
+	enum ord_rollout_state state;
+	int64_t ordered_wall_ms; /* time of day at the leader that took it */
+	int64_t ordered_us; /* as well as this process can tell, own clock */
+};
+
+struct ord;
+
+struct ord *ord_new(const struct alloc *alloc);
+void ord_free(struct ord *ord);
+
+void ord_encode_document(
+    uint64_t number, const void *text, size_t len, struct buf *out);
+void ord_encode_rollout(const struct ord_rollout *rollout, struct buf *out);
+void ord_encode_out(const char *data_centre, bool out, struct buf *bytes);
+int ord_apply(struct ord *ord, uint64_t index, const void *data, size_t len,
+    int64_t now_us, int64_t wall_us, bool *changed);
+void ord_image(const struct ord *ord, struct buf *out);
+int ord_restore(struct ord *ord, const void *data, size_t len, int64_t now_us,
+    int64_t wall_us);
+
+uint64_t ord_revision(const struct ord *ord);
+uint64_t ord_number(const struct ord *ord);
+const struct buf *ord_text(const struct ord *ord);
+size_t ord_rollout_count(const struct ord *ord);
+const struct ord_rollout *ord_rollout_at(const struct ord *ord, size_t i);
+const struct ord_rollout *ord_rollout_of(
+    const struct ord *ord, const char *service);
+bool ord_is_target(
+    const struct ord *ord, const char *service, const char *version);
+bool ord_is_out(const struct ord *ord, const char *data_centre);
+
+/* Differences between two images; for cfgsync. */
+void ord_diff(const struct buf *from, const struct buf *to, struct buf *out);
+int ord_patch(void *ctx, const struct buf *from, const uint8_t *diff,
+    size_t len, struct buf *out);
+
+#ifdef __cplusplus
+}
+#endif
+
+#endif
--- /dev/null
+++ b/src/state/registry.c
@@ -0,0 +1,227 @@
+#include "state/registry.h"
+
+#include <string.h>
+
+enum {
+	GONE_KEPT_US = 60000000, /* longer than any announcement is under way */
+	SILENT_US = 30000000, /* unheard: forgotten without a word */
+	REFRESH_US = 2000000 /* what only repeats itself is spread this often */
+};
+
+struct row {
+	struct rg_server server;
+	uint64_t change;
+	int64_t shared_us; /* when it last got a change number */
+	bool used;
+};
+
+struct rg {
+	struct rg_options options;
+	struct row *rows;
+	size_t count;
+	uint64_t change;
+};
+
+/* Creates an empty registry. */
+struct rg *
+rg_new(const struct rg_options *options)
+{
+	struct rg *rg = alloc_zero(options->alloc, 1, sizeof(*rg));
+
+	rg->options = *options;
+	return rg;
+}
+
+/* Releases a registry. */
+void
+rg_free(struct rg *rg)
+{
+	if (rg == NULL)
+		return;
+	alloc_free(rg->options.alloc, rg->rows);
+	alloc_free(rg->options.alloc, rg);
+}
+
+static struct row *
+find_row(const struct rg *rg, const char *id)
+{
+	for (size_t i = 0; i < rg->count; i++) {
+		if (rg->rows[i].used && strcmp(rg->rows[i].server.id, id) == 0)
+			return &rg->rows[i];
+	}
+	return NULL;
+}
+
+static struct row *
+make_row(struct rg *rg)
+{
+	for (size_t i = 0; i < rg->count; i++) {
+		if (!rg->rows[i].used)
+			return &rg->rows[i];
+	}
+	if (rg->count == RG_SERVERS_MAX)
+		return NULL;
+	/* Grown by doubling; rows are found by id, never by address. */
+	if ((rg->count & (rg->count - 1)) == 0)
+		rg->rows = alloc_resize(rg->options.alloc, rg->rows,
+		    (rg->count > 0 ? rg->count * 2 : 1) * sizeof(*rg->rows));
+	memset(&rg->rows[rg->count], 0, sizeof(*rg->rows));
+	return &rg->rows[rg->count++];
+}
+
+static void
+share(struct rg *rg, struct row *row, int64_t now_us)
+{
+	row->change = ++rg->change;
+	row->shared_us = now_us;
+	if (rg->options.changed != NULL)
+		rg->options.changed(rg->options.ctx, &row->server);
+}
+
+/* A later life at an address ends what was there. */
+static bool
+settle_address(struct rg *rg, const struct rg_server *server, int64_t now_us)
+{
+	for (size_t i = 0; i < rg->count; i++) {
+		struct row *row = &rg->rows[i];
+
+		if (!row->used || row->server.state == RG_GONE ||
+		    row->server.ip != server->ip ||
+		    row->server.port != server->port ||
+		    strcmp(row->server.id, server->id) == 0)
+			continue;
+		if (row->server.born_ms > server->born_ms)
+			return false;
+		row->server.state = RG_GONE;
+		row->server.heard_us = now_us;
+		share(rg, row, now_us);
+	}
+	return true;
+}
+
+static bool
+is_same(const struct rg_server *a, const struct rg_server *b)
+{
+	if (a->born_ms != b->born_ms || a->state != b->state ||
+	    a->ip != b->ip || a->port != b->port || a->slots != b->slots ||
+	    a->model_count != b->model_count ||
+	    (a->cold_left_ms > 0) != (b->cold_left_ms > 0) ||
+	    strcmp(a->service, b->service) != 0 ||
+	    strcmp(a->version, b->version) != 0 ||
+	    strcmp(a->data_centre, b->data_centre) != 0)
+		return false;
+	for (uint8_t i = 0; i < a->model_count; i++) {
+		if (a->models[i].version != b->models[i].version ||
+		    strcmp(a->models[i].name, b->models[i].name) != 0)
+			return false;
+	}
+	return true;
+}
+
+/* Within one life, what is gone stays gone and what leaves keeps leaving. */
+static bool
+is_newer(const struct rg_server *server, const struct rg_server *known)
+{
+	if (server->born_ms != known->born_ms)
+		return server->born_ms > known->born_ms;
+	if (server->state != known->state)
+		return server->state > known->state;
+	return server->seq > known->seq;
+}
+
+/* Takes an announcement, from the server itself or from another instance. */
+enum rg_verdict
+rg_take(struct rg *rg, const struct rg_server *server, int64_t now_us)
+{
+	struct row *row = find_row(rg, server->id);
+	bool same;
+
+	if (row != NULL && !is_newer(server, &row->server))
+		return RG_STALE;
+	if (row == NULL && server->state == RG_GONE && server->ip == 0)
+		return RG_STALE;
+	if (server->state != RG_GONE && !settle_address(rg, server, now_us))
+		return RG_STALE;
+	if (row == NULL)
+		row = make_row(rg);
+	if (row == NULL)
+		return RG_STALE;
+	same = row->used && is_same(server, &row->server);
+	/* A farewell may say no more than who leaves. */
+	if (row->used && server->state == RG_GONE && server->ip == 0) {
+		row->server.state = RG_GONE;
+		row->server.heard_us = server->heard_us;
+		if (server->seq > row->server.seq)
+			row->server.seq = server->seq;
+	} else {
+		row->server = *server;
+	}
+	row->used = true;
+	if (!same) {
+		share(rg, row, now_us);
+		return RG_CHANGED;
+	}
+	if (now_us - row->shared_us >= REFRESH_US) {
+		share(rg, row, now_us);
+		return RG_REFRESHED;
+	}
+	return RG_STALE;
+}
+
+/* Forgets what has been gone or silent for long. */
+void
+rg_tick(struct rg *rg, int64_t now_us)
+{
+	for (size_t i = 0; i < rg->count; i++) {
+		struct row *row = &rg->rows[i];
+		int64_t age_us = now_us - row->server.heard_us;
+
+		if (!row->used)
+			continue;
+		if (row->server.state == RG_GONE) {
+			row->used = age_us < GONE_KEPT_US;
+		} else if (age_us > SILENT_US) {
+			row->server.state = RG_GONE;
+			row->server.heard_us = now_us;
+			share(rg, row, now_us);
+		}
+	}
+}
+
+/* Returns the number of the last change. */
+uint64_t
+rg_change(const struct rg *rg)
+{
+	return rg->change;
+}
+
+/* Calls visit for each server that changed after a change. */
+void
+rg_since(const struct rg *rg, uint64_t change, rg_visit_fn visit, void *ctx)
+{
+	for (size_t i = 0; i < rg->count; i++) {
+		if (rg->rows[i].used && rg->rows[i].change > change)
+			visit(ctx, &rg->rows[i].server);
+	}
+}
+
+/* Returns what is known of a server, or NULL. */
+const struct rg_server *
+rg_find(const struct rg *rg, const char *id)
+{
+	const struct row *row = find_row(rg, id);
+
+	return row != NULL ? &row->server : NULL;
+}
+
+/* Returns how many servers are known and not gone. */
+size_t
+rg_count(const struct rg *rg)
+{
+	size_t count = 0;
+
+	for (size_t i = 0; i < rg->count; i++)
+		count += rg->rows[i].used &&
+			 rg->rows[i].server.state != RG_GONE;
+	return count;
+}
--- a/src/wire/peer.h
+++ b/src/wire/peer.h
@@ -37,7 +37,9 @@
 	PEER_PONG = 10,
 	PEER_FEED = 11, /* announcements within a data centre */
 	PEER_EXPORT = 12, /* the bills' export between replicas */
-	PEER_CHANNELS = 13
+	PEER_HELLO = 13, /* greetings to instances that serve control */
+	PEER_NEWS = 14, /* their answers: backend servers, instances */
+	PEER_CHANNELS = 15
 };
 
 enum {
