Begin with the smallest model and replace answers of low confidence

The header of an answer carries the model's own confidence before any event, so a small model's answer is dropped where it is low and the largest answers.

--- a/src/gateway/exchange.c
+++ b/src/gateway/exchange.c
@@ -9,6 +9,7 @@
 #include "base/log.h"
 #include "gateway/entry.h"
 #include "gateway/follow.h"
+#include "route/cascade.h"
 #include "route/course.h"
 
 /*
@@ -40,6 +41,7 @@
 	bool answered; /* the header has come */
 	bool not_run; /* the server says so */
 	bool defective;
+	bool dropped; /* a larger model answers instead */
 	unsigned int status;
 };
 
@@ -59,6 +61,7 @@
 	int64_t first_us; /* 0: no byte has come yet */
 	struct loop_timer *timer;
 	struct attempt now;
+	uint16_t model; /* index in the route's list */
 	uint16_t tried[TRIED_MAX];
 	uint8_t tried_count;
 	uint8_t sends;
@@ -215,7 +218,7 @@
 
 	if (!gx->request.any_model || route->model_count == 0)
 		return NULL;
-	return route->models[route->model_count - 1];
+	return route->models[gx->model];
 }
 
 /* Whether this request is of the part that a new version gets. */
@@ -379,6 +382,31 @@
 	gx->begun = true;
 }
 
+/* Whether the answer that begins now is dropped for a larger model's. */
+static bool
+should_escalate(struct gx *gx, int confidence)
+{
+	int64_t now_us = now_of(gx);
+	struct ca_input in = {.model_count = gx->route->model_count,
+	    .model = gx->model,
+	    .confidence = confidence,
+	    .may_repeat = gx->runs + 1 < gx->route->attempts_max &&
+			  bu_may_repeat(&gx->service->budget, now_us),
+	    .spent_us = now_us - gx->arrived_us,
+	    .goal_us = (int64_t)gx->route->goal_ms * US_PER_MS,
+	    .left_us = gx->deadline_us - now_us};
+
+	if (!gx->request.any_model || gx->begun || gx->x == NULL ||
+	    !ca_should_escalate(&in))
+		return false;
+	gx->model = ca_next(gx->route->model_count, gx->model);
+	log_event(LOG_LEVEL_INFO, "escalate",
+	    "request=%s confidence=%d model=%s spent_ms=%" PRId64,
+	    gx->request.id, confidence, gx->route->models[gx->model],
+	    in.spent_us / US_PER_MS);
+	return true;
+}
+
 static int
 on_head(void *ctx, struct hu_call *call, unsigned int status,
     const struct hh *headers)
@@ -412,6 +440,10 @@
 		gx->now.defective = true;
 		return ERR_UPSTREAM;
 	}
+	if (status < 300 && should_escalate(gx, answer.confidence)) {
+		gx->now.dropped = true;
+		return ERR_UPSTREAM;
+	}
 	if (!gx->begun) {
 		buf_clear(&gx->lines);
 		dialect->ops->write_answer(dialect, headers, &gx->lines);
@@ -603,6 +635,14 @@
 
 	gx->now.call = NULL;
 	pl_ended(ge->pool, gx->now.server);
+	if (gx->now.dropped) {
+		gx->runs++;
+		gx->may_have_run = true;
+		gx->tried_count = 0; /* its server may run the larger one */
+		gx_try(gx);
+		ge_wake_waiting(ge);
+		return;
+	}
 	note_outcome(gx, end, result->status);
 	if (end != CS_UNREACHABLE && end != CS_NOT_RUN) {
 		gx->runs++;
--- a/src/gateway/settings.c
+++ b/src/gateway/settings.c
@@ -18,6 +18,7 @@
 enum setting_type {
 	SETTING_TEXT,
 	SETTING_NUMBER,
+	SETTING_PERMILLE, /* written as a fraction */
 	SETTING_BOOL,
 	SETTING_ADDRESS,
 	SETTING_SEEDS,
@@ -68,16 +69,16 @@
 	"time from SIGTERM to the end of the process"),
     OTHER("revoke-ms", SETTING_NUMBER, revoke_ms,
 	"time in which a key taken away is refused everywhere"),
-    OTHER("retry-permille", SETTING_NUMBER, retry_permille,
-	"repeats allowed per 1,000 requests of a service"),
+    OTHER("retry-share", SETTING_PERMILLE, retry_permille,
+	"repeats allowed for each request of a service, a fraction"),
     OTHER("retry-slack", SETTING_NUMBER, retry_slack,
 	"repeats allowed on top in each window, over all instances"),
     OTHER("retry-window-ms", SETTING_NUMBER, retry_window_ms,
 	"length of that window"),
-    OTHER("exposure-permille", SETTING_NUMBER, exposure_permille,
-	"most requests per 1,000 that a bad version may get"),
-    OTHER("cold-permille", SETTING_NUMBER, cold_permille,
-	"what a cold server may get, per 1,000 of what it bears"),
+    OTHER("exposure-share", SETTING_PERMILLE, exposure_permille,
+	"most of a service's requests that a bad version may get, a fraction"),
+    OTHER("cold-share", SETTING_PERMILLE, cold_permille,
+	"what a cold server may get, as a multiple of what it bears"),
     OTHER("cold-slack", SETTING_NUMBER, cold_slack,
 	"requests a second on top of that"),
     OTHER("announce-ms", SETTING_NUMBER, announce_ms,
@@ -126,6 +127,18 @@
 	return true;
 }
 
+static bool
+read_permille(const char *text, uint32_t *out)
+{
+	char *end;
+	double value = strtod(text, &end);
+
+	if (end == text || *end != '\0' || !(value >= 0) || value > 1000)
+		return false;
+	*out = (uint32_t)(value * 1000 + 0.5);
+	return true;
+}
+
 static bool
 read_address(const char *text, struct gs_address *out)
 {
@@ -179,6 +192,8 @@
 		return true;
 	case SETTING_NUMBER:
 		return read_number(text, (uint32_t *)(void *)field);
+	case SETTING_PERMILLE:
+		return read_permille(text, (uint32_t *)(void *)field);
 	case SETTING_BOOL:
 		*(bool *)field = strcmp(text, "true") == 0;
 		return *(bool *)field || strcmp(text, "false") == 0;
