--- a/src/gateway/dialect.h
+++ b/src/gateway/dialect.h
@@ -64,6 +64,7 @@
 	uint32_t output_tokens_guess; /* the caller's estimate; 0: none */
 	struct dl_part parts[DL_PARTS_MAX]; /* of the prompt, in order */
 	uint8_t part_count;
+	uint64_t session; /* hash of the session's name; 0: none */
 	bool any_model; /* the gateway chooses the model */
 	bool resumes; /* goes on after this event: */
 	uint64_t last_event;
--- a/src/gateway/entry.c
+++ b/src/gateway/entry.c
@@ -291,10 +291,14 @@
 	hf_drain(ge->front);
 }
 
-/* Closes the connections that no request is on. */
+/*
+ * Takes no request any more: one that came now might not end in time.  It is
+ * refused as not run, and connections without a request are closed.
+ */
 void
-ge_close_idle(struct ge *ge)
+ge_refuse_new(struct ge *ge)
 {
+	ge->closed = true;
 	hf_close_idle(ge->front);
 }
 
@@ -379,6 +383,7 @@
 		gx_drop(ge->open);
 	hu_free(ge->client);
 	pl_free(ge->pool);
+	se_free(ge->sessions);
 	while (ge->services != NULL) {
 		struct ge_service *v = ge->services;
 
@@ -413,6 +418,8 @@
 	make_series(ge);
 	ge->client = hu_new(&client);
 	ge->pool = pl_new(&pool);
+	ge->sessions = se_new(
+	    gw->alloc, (int64_t)gw->settings->session_ms * 1000);
 	gw->entry = ge;
 	if (open_servers(ge) != 0) {
 		stop(gw);
--- a/src/gateway/entry.h
+++ b/src/gateway/entry.h
@@ -6,6 +6,7 @@
 #include "http/upstream.h"
 #include "route/budget.h"
 #include "route/pool.h"
+#include "route/sessions.h"
 #include "route/verdict.h"
 
 #ifdef __cplusplus
@@ -38,6 +39,7 @@
 	struct hf *ready;
 	struct hu *client;
 	struct pl *pool;
+	struct se *sessions;
 	struct rng rng;
 	struct ge_table *table; /* NULL: no document is known */
 	struct ge_service *services;
@@ -46,7 +48,8 @@
 	struct loop_timer *retry; /* looks at those that wait */
 	struct loop_timer *compile;
 	struct loop_timer *tick;
-	bool draining;
+	bool draining; /* unready; connections end with their answers */
+	bool closed; /* new requests are refused */
 	struct metrics_series *requests;
 	struct metrics_series *answers;
 	struct metrics_series *refusals;
@@ -66,7 +69,7 @@
 struct ge_service *ge_take_outcomes(struct ge *ge);
 bool ge_has_outcomes(const struct ge *ge);
 void ge_drain(struct ge *ge);
-void ge_close_idle(struct ge *ge);
+void ge_refuse_new(struct ge *ge);
 uint32_t ge_open_requests(const struct ge *ge);
 
 /* For exchange.c */
--- a/src/gateway/exchange.c
+++ b/src/gateway/exchange.c
@@ -221,17 +221,23 @@
 	return route->models[gx->model];
 }
 
-/* Whether this request is of the part that a new version gets. */
+/* The version of the service that this request runs on. */
 static enum pl_role
-role_of(struct gx *gx)
+role_of(struct gx *gx, bool *bound)
 {
-	const struct ord_rollout *rollout = ord_rollout_of(
-	    gf_orders(gx->ge->gw->follow), gx->target->name);
-
+	struct ge *ge = gx->ge;
+	const struct ord_rollout *rollout =
+	    ord_rollout_of(gf_orders(ge->gw->follow), gx->target->name);
+	struct se_query query = {.session = gx->request.session,
+	    .now_us = now_of(gx),
+	    .permille = TARGET_PERMILLE,
+	    .draw = rng_below(&ge->rng, 1000)};
+
+	*bound = false;
 	if (rollout == NULL || rollout->state != ORD_RUNNING)
 		return PL_BASE;
-	return rng_below(&gx->ge->rng, 1000) < TARGET_PERMILLE ? PL_TARGET
-							       : PL_BASE;
+	query.order_age_us = query.now_us - rollout->ordered_us;
+	return se_role(ge->sessions, &query, bound);
 }
 
 static void
@@ -290,6 +296,7 @@
 	buf_init(&head, ge->gw->alloc);
 	write_head(gx, s, &head);
 	pl_sent(ge->pool, server, now_us);
+	se_note(ge->sessions, gx->request.session, s->role, now_us);
 	gx->now.call = hu_start(ge->client, &request);
 	buf_free(&head);
 	if (gx->now.call == NULL) {
@@ -317,12 +324,13 @@
 {
 	struct ge *ge = gx->ge;
 	struct pl_query query = {.service = gx->target->name,
-	    .role = role_of(gx),
-	    .any_role = true,
 	    .affinity = affinity_of(gx),
 	    .slots_more = gx->target->is_engine ? gx->target->slots / 2 : 6};
 	uint16_t server = RT_NONE;
+	bool bound;
 
+	query.role = role_of(gx, &bound);
+	query.any_role = !bound;
 	if (gx->workspace != NULL && !gf_is_fresh(ge->gw->follow)) {
 		refuse(gx, ERR_ISOLATED, RETRY_UNKNOWN_MS);
 		return;
@@ -709,7 +717,9 @@
 	const char *host = hh_get(hf_headers(gx->x), "Host");
 	bool fresh = gf_is_fresh(ge->gw->follow);
 
-	*retry_ms = RETRY_UNKNOWN_MS;
+	*retry_ms = ge->closed ? RETRY_MIN_MS : RETRY_UNKNOWN_MS;
+	if (ge->closed)
+		return ERR_SHUTDOWN;
 	if (gx->table == NULL)
 		return ERR_NO_SERVER;
 	gx->route = host != NULL
--- a/src/gateway/main.c
+++ b/src/gateway/main.c
@@ -19,8 +19,9 @@
 /*
  * celeryford-gateway: routes requests to backend servers by a table of routes.
  * It reads the settings, builds the supervisor tree and runs until SIGTERM asks
- * it to leave: unready at once, connections ended with their answers, idle ones
- * closed late, and the process over before its grace is.
+ * it to leave: unready at once, connections ended with their answers, then idle
+ * ones closed and new requests refused, and the process over before its grace
+ * is.
  */
 
 enum {
@@ -31,7 +32,8 @@
 	RESTART_DELAY_MS = 200,
 	SETTINGS_US = 500000, /* the file is looked at this often */
 	DRAIN_TICK_US = 50000,
-	QUIET_US = 2500000, /* unready for the balancer, before idle ones close */
+	/* The balancer has seen it unready: what still comes goes elsewhere. */
+	QUIET_US = 2500000,
 	END_MARGIN_MS = 700 /* of the grace, for the last answers to leave */
 };
 
@@ -98,10 +100,9 @@
 	uint32_t open =
 	    p->gw.entry != NULL ? ge_open_requests(p->gw.entry) : 0;
 
-	if (p->gw.entry != NULL && !p->idle_closed &&
-	    now_us - p->stopping_us >= QUIET_US && open == 0) {
+	if (p->gw.entry != NULL && now_us - p->stopping_us >= QUIET_US) {
 		p->idle_closed = true;
-		ge_close_idle(p->gw.entry);
+		ge_refuse_new(p->gw.entry);
 	}
 	if (now_us >= end_us || (p->idle_closed && open == 0) ||
 	    (p->gw.entry == NULL &&
