Hold sessions to the version they began on, at every instance

The instances that saw such a session before the order make it known (through those that serve control) and all hold it.

--- a/src/gateway/entry.c
+++ b/src/gateway/entry.c
@@ -71,18 +71,6 @@
 	ge_wake_waiting(ge);
 }
 
-/* The orders changed: routes are compiled anew in a moment. */
-void
-ge_orders_changed(struct ge *ge)
-{
-	pl_configure(ge->pool,
-	    ge->table != NULL ? ge->table->routes : NULL,
-	    gf_orders(ge->gw->follow));
-	if (ge->compile == NULL)
-		ge->compile =
-		    loop_after(ge->gw->loop, COMPILE_US, on_compile, ge);
-}
-
 /* A server announced itself, here or elsewhere. */
 void
 ge_server_changed(struct ge *ge, const struct rg_server *server)
@@ -109,13 +97,55 @@
 		    s->retry_slack / entry_instances);
 }
 
-/* A request crashed servers elsewhere. */
+/* Another instance, or this one, made something known. */
 void
-ge_crash_mark(struct ge *ge, uint64_t fingerprint, uint32_t crashes)
+ge_note(struct ge *ge, enum gw_note kind, uint64_t key, uint32_t value)
+{
+	(void)value;
+	if (kind == GW_NOTE_HELD)
+		se_hold(ge->sessions, key, loop_now_us(ge->gw->loop));
+}
+
+static void
+hold_session(void *ctx, uint64_t session)
 {
-	(void)ge;
-	(void)fingerprint;
-	(void)crashes;
+	struct ge *ge = ctx;
+
+	gw_spread(ge->gw, GW_NOTE_HELD, session, 1);
+}
+
+/*
+ * A roll-out begins: sessions that would get the new version by their names
+ * but have begun on the old one are held there, at every instance.
+ */
+static void
+hold_sessions(struct ge *ge)
+{
+	const struct ord *ord = gf_orders(ge->gw->follow);
+	const struct ord_rollout *running = NULL;
+
+	for (size_t i = 0; i < ord_rollout_count(ord); i++) {
+		if (ord_rollout_at(ord, i)->state == ORD_RUNNING)
+			running = ord_rollout_at(ord, i);
+	}
+	if (running == NULL || strcmp(running->target, ge->rollout) == 0)
+		return;
+	snprintf(ge->rollout, sizeof(ge->rollout), "%s", running->target);
+	se_begin(ge->sessions, GE_TARGET_PERMILLE, loop_now_us(ge->gw->loop),
+	    hold_session, ge);
+}
+
+/* The orders changed: routes are compiled anew in a moment. */
+void
+ge_orders_changed(struct ge *ge)
+{
+	pl_configure(ge->pool,
+	    ge->table != NULL ? ge->table->routes : NULL,
+	    gf_orders(ge->gw->follow));
+	hold_sessions(ge);
+	if (ge->compile == NULL)
+		ge->compile =
+		    loop_after(ge->gw->loop, COMPILE_US, on_compile, ge);
 }
 
 /* Returns what belongs to a service, made on first use. */
--- a/src/gateway/entry.h
+++ b/src/gateway/entry.h
@@ -16,6 +16,10 @@
 /* The entry of an instance: callers' requests and what they are routed by. */
 struct gx;
 
+enum {
+	GE_TARGET_PERMILLE = 80 /* of a service's requests, to a new version */
+};
+
 /* A table of routes in use; requests keep the one they began with. */
 struct ge_table {
 	struct rt_table *routes;
@@ -45,6 +49,7 @@
 	struct ge_service *services;
 	struct gx *open; /* every request under way */
 	struct gx *waiting; /* those without a server, most urgent first */
+	char rollout[RG_NAME_BYTES]; /* target that sessions are held from */
 	struct loop_timer *retry; /* looks at those that wait */
 	struct loop_timer *compile;
 	struct loop_timer *tick;
@@ -65,7 +70,7 @@
 void ge_orders_changed(struct ge *ge);
 void ge_server_changed(struct ge *ge, const struct rg_server *server);
 void ge_instances(struct ge *ge, uint32_t entry_instances);
-void ge_crash_mark(struct ge *ge, uint64_t fingerprint, uint32_t crashes);
+void ge_note(struct ge *ge, enum gw_note kind, uint64_t key, uint32_t value);
 struct ge_service *ge_take_outcomes(struct ge *ge);
 bool ge_has_outcomes(const struct ge *ge);
 void ge_drain(struct ge *ge);
--- a/src/gateway/exchange.c
+++ b/src/gateway/exchange.c
@@ -27,7 +27,6 @@
 	RETRY_FULL_MS = 300,
 	RETRY_UNKNOWN_MS = 500, /* while no document or server is known */
 	LEFT_MIN_MS = 10, /* less is no offer to a server */
-	TARGET_PERMILLE = 80, /* of a service's requests, to a new version */
 	US_PER_MS = 1000,
 	STATUS_MISDIRECTED = 421
 };
@@ -221,6 +220,15 @@
 	return route->models[gx->model];
 }
 
+static bool
+rollout_runs(const struct gx *gx)
+{
+	const struct ord_rollout *rollout = ord_rollout_of(
+	    gf_orders(gx->ge->gw->follow), gx->target->name);
+
+	return rollout != NULL && rollout->state == ORD_RUNNING;
+}
+
 /* The version of the service that this request runs on. */
 static enum pl_role
 role_of(struct gx *gx, bool *bound)
@@ -230,7 +238,7 @@
 	    ord_rollout_of(gf_orders(ge->gw->follow), gx->target->name);
 	struct se_query query = {.session = gx->request.session,
 	    .now_us = now_of(gx),
-	    .permille = TARGET_PERMILLE,
+	    .permille = GE_TARGET_PERMILLE,
 	    .draw = rng_below(&ge->rng, 1000)};
 
 	*bound = false;
@@ -296,7 +304,9 @@
 	buf_init(&head, ge->gw->alloc);
 	write_head(gx, s, &head);
 	pl_sent(ge->pool, server, now_us);
-	se_note(ge->sessions, gx->request.session, s->role, now_us);
+	if (se_note(ge->sessions, gx->request.session, s->role,
+		rollout_runs(gx) ? GE_TARGET_PERMILLE : 0, now_us))
+		gw_spread(ge->gw, GW_NOTE_HELD, gx->request.session, 1);
 	gx->now.call = hu_start(ge->client, &request);
 	buf_free(&head);
 	if (gx->now.call == NULL) {
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -66,8 +66,13 @@
 void gw_reseed(struct gw *gw);
 void gw_address_text(uint32_t instance, char out[GS_NAME_BYTES]);
 
-/* A request crashed a backend server, here or at another instance. */
-void gw_crash_mark(struct gw *gw, uint64_t fingerprint, uint32_t crashes);
+/* What every entry instance should know soon, and not for long. */
+enum gw_note {
+	GW_NOTE_CRASH = 1, /* a request (fingerprint) crashed so many servers */
+	GW_NOTE_HELD = 2 /* a session stays with the version it began on */
+};
+
+void gw_spread(struct gw *gw, enum gw_note kind, uint64_t key, uint32_t value);
 
 /* replica.c */
 struct sup_child_spec gw_child_replica(struct gw *gw);
--- a/src/gateway/links.c
+++ b/src/gateway/links.c
@@ -23,7 +23,7 @@
 	KNOWN_MAX = 64, /* instances that serve control */
 	SEEN_MAX = 1024, /* instances that greet */
 	SUBSCRIBED = 3, /* registries that an instance listens to */
-	MARKS_MAX = 256,
+	NOTES_MAX = 512,
 	HELLO_FIRST_US = 100000, /* until somebody has answered */
 	HELLO_US = 1000000,
 	REPORT_US = 250000, /* outcomes of a roll-out go out this often */
@@ -31,7 +31,8 @@
 	PUSH_US = 500000,
 	ALIVE_US = 4000000, /* unheard for longer: not listed any more */
 	FORGET_US = 30000000, /* an instance that may still send requests */
-	MARK_US = 60000000,
+	NOTE_KEPT_US = 60000000,
+	NOTE_SPREAD_US = 3000000, /* repeated so long, in case one is lost */
 	REGISTRY_TICK_US = 1000000,
 	KEY_HEX_BYTES = 64
 };
@@ -54,9 +55,10 @@
 	uint64_t sent; /* last change of our registry sent there */
 };
 
-struct mark {
-	uint64_t fingerprint;
-	uint32_t crashes;
+struct note {
+	enum gw_note kind;
+	uint64_t key;
+	uint32_t value;
 	int64_t at_us;
 };
 
@@ -68,9 +70,9 @@
 	struct seen seen[SEEN_MAX];
 	uint32_t seen_count;
 	uint32_t told_entries; /* entry instances, as others count them */
-	struct mark marks[MARKS_MAX];
-	uint32_t mark_count;
-	bool marks_due;
+	struct note notes[NOTES_MAX];
+	uint32_t note_count;
+	bool notes_due;
 	struct loop_timer *hello;
 	struct loop_timer *push;
 	int64_t push_us;
@@ -213,11 +215,11 @@
 	}
 	links->seen_count = kept;
 	kept = 0;
-	for (uint32_t i = 0; i < links->mark_count; i++) {
-		if (now_us - links->marks[i].at_us < MARK_US)
-			links->marks[kept++] = links->marks[i];
+	for (uint32_t i = 0; i < links->note_count; i++) {
+		if (now_us - links->notes[i].at_us < NOTE_KEPT_US)
+			links->notes[kept++] = links->notes[i];
 	}
-	links->mark_count = kept;
+	links->note_count = kept;
 }
 
 /* Whether an instance is among those whose registries this one listens to. */
@@ -262,9 +264,9 @@
 	Clpb__Outcome outcomes[OUTCOMES_MAX];
 	Clpb__Outcome *outcome_list[OUTCOMES_MAX];
 	size_t outcome_count;
-	Clpb__CrashMark marks[MARKS_MAX];
-	Clpb__CrashMark *mark_list[MARKS_MAX];
-	size_t mark_count;
+	Clpb__Note notes[NOTES_MAX];
+	Clpb__Note *note_list[NOTES_MAX];
+	size_t note_count;
 };
 
 static void
@@ -292,15 +294,24 @@
 		report->outcome_list[i] = &report->outcomes[i];
 }
 
+/* Notes that are new go out again and again for a while. */
 static void
-collect_marks(struct gw_links *links, struct report *report)
-{
-	report->mark_count = links->mark_count;
-	for (uint32_t i = 0; i < links->mark_count; i++) {
-		clpb__crash_mark__init(&report->marks[i]);
-		report->marks[i].fingerprint = links->marks[i].fingerprint;
-		report->marks[i].crashes = links->marks[i].crashes;
-		report->mark_list[i] = &report->marks[i];
+collect_notes(struct gw_links *links, struct report *report)
+{
+	int64_t now_us = loop_now_us(links->gw->loop);
+
+	report->note_count = 0;
+	for (uint32_t i = 0; i < links->note_count; i++) {
+		const struct note *note = &links->notes[i];
+		Clpb__Note *pb = &report->notes[report->note_count];
+
+		if (now_us - note->at_us > NOTE_SPREAD_US)
+			continue;
+		clpb__note__init(pb);
+		pb->kind = note->kind;
+		pb->key = note->key;
+		pb->value = note->value;
+		report->note_list[report->note_count++] = pb;
 	}
 }
 
@@ -318,8 +329,8 @@
 	hello.subscribe = is_subscribed(links, k->instance);
 	hello.n_outcomes = report->outcome_count;
 	hello.outcomes = (Clpb__Outcome **)report->outcome_list;
-	hello.n_marks = report->mark_count;
-	hello.marks = (Clpb__CrashMark **)report->mark_list;
+	hello.n_notes = report->note_count;
+	hello.notes = (Clpb__Note **)report->note_list;
 	buf_init(&bytes, links->gw->alloc);
 	buf_reserve(&bytes, clpb__hello__get_packed_size(&hello));
 	bytes.len = clpb__hello__pack(&hello, bytes.data);
@@ -333,7 +344,7 @@
 	static struct report report;
 
 	collect_outcomes(links, &report);
-	collect_marks(links, &report);
+	collect_notes(links, &report);
 	for (uint32_t i = 0; i < links->known_count; i++) {
 		if (links->known[i].instance != links->gw->self)
 			send_hello(links, &links->known[i], &report);
@@ -376,7 +387,7 @@
 	Clpb__Model models[NEWS_SERVERS_MAX][RG_MODELS_MAX];
 	Clpb__Model *model_list[NEWS_SERVERS_MAX][RG_MODELS_MAX];
 	uint64_t control[KNOWN_MAX];
-	struct report marks;
+	struct report notes;
 	int64_t now_us;
 };
 
@@ -441,9 +452,9 @@
 	}
 	news.pb.control = news.control;
 	news.pb.entry_instances = gw_entry_instances(links->gw);
-	collect_marks(links, &news.marks);
-	news.pb.n_marks = news.marks.mark_count;
-	news.pb.marks = news.marks.mark_list;
+	collect_notes(links, &news.notes);
+	news.pb.n_notes = news.notes.note_count;
+	news.pb.notes = news.notes.note_list;
 	buf_init(&bytes, links->gw->alloc);
 	buf_reserve(&bytes, clpb__news__get_packed_size(&news.pb));
 	bytes.len = clpb__news__pack(&news.pb, bytes.data);
@@ -464,10 +475,10 @@
 
 		if (s->subscribed && now_us - s->heard_us < ALIVE_US &&
 		    (s->sent < rg_change(links->gw->registry) ||
-			links->marks_due))
+			links->notes_due))
 			send_news(links, s, s->sent);
 	}
-	links->marks_due = false;
+	links->notes_due = false;
 }
 
 static void
@@ -500,39 +511,44 @@
 }
 
 static void
-take_marks(struct gw_links *links, Clpb__CrashMark **marks, size_t count)
+take_notes(struct gw_links *links, Clpb__Note **notes, size_t count)
 {
 	for (size_t i = 0; i < count; i++)
-		gw_crash_mark(links->gw, marks[i]->fingerprint,
-		    marks[i]->crashes);
+		gw_spread(links->gw, (enum gw_note)notes[i]->kind,
+		    notes[i]->key, notes[i]->value);
 }
 
-/* Notes that a request crashed a server, here or elsewhere. */
+static struct note *
+find_note(struct gw_links *links, enum gw_note kind, uint64_t key)
+{
+	for (uint32_t i = 0; i < links->note_count; i++) {
+		if (links->notes[i].kind == kind && links->notes[i].key == key)
+			return &links->notes[i];
+	}
+	return NULL;
+}
+
+/* Makes something known to every entry instance, this one included. */
 void
-gw_crash_mark(struct gw *gw, uint64_t fingerprint, uint32_t crashes)
+gw_spread(struct gw *gw, enum gw_note kind, uint64_t key, uint32_t value)
 {
 	struct gw_links *links = gw->links;
-	struct mark *mark = NULL;
+	struct note *note = find_note(links, kind, key);
 
-	for (uint32_t i = 0; i < links->mark_count; i++) {
-		if (links->marks[i].fingerprint == fingerprint)
-			mark = &links->marks[i];
-	}
-	if (mark != NULL && mark->crashes >= crashes)
+	if (note != NULL && note->value >= value)
 		return;
-	if (mark == NULL) {
-		if (links->mark_count == MARKS_MAX)
+	if (note == NULL) {
+		if (links->note_count == NOTES_MAX)
 			return;
-		mark = &links->marks[links->mark_count++];
+		note = &links->notes[links->note_count++];
 	}
-	mark->fingerprint = fingerprint;
-	mark->crashes = crashes;
-	mark->at_us = loop_now_us(gw->loop);
-	log_event(LOG_LEVEL_WARN, "crash_mark",
-	    "fingerprint=%016" PRIx64 " crashes=%u", fingerprint, crashes);
+	*note = (struct note){kind, key, value, loop_now_us(gw->loop)};
+	if (kind == GW_NOTE_CRASH)
+		log_event(LOG_LEVEL_WARN, "crash_mark",
+		    "fingerprint=%016" PRIx64 " crashes=%u", key, value);
 	if (gw->entry != NULL)
-		ge_crash_mark(gw->entry, fingerprint, crashes);
-	links->marks_due = true;
+		ge_note(gw->entry, kind, key, value);
+	links->notes_due = true;
 	set_push(links, PUSH_URGENT_US);
 	/* An instance without subscribers tells those that have some. */
 	if (gw->control == NULL) {
@@ -583,7 +599,7 @@
 			known_changed(links);
 	}
 	take_outcomes(links, hello);
-	take_marks(links, hello->marks, hello->n_marks);
+	take_notes(links, hello->notes, hello->n_notes);
 	if (hello->feed == links->gw->incarnation)
 		after = hello->change;
 	if (hello->subscribe)
@@ -655,7 +671,7 @@
 		(void)get_known(links, (uint32_t)news->control[i]);
 	if (links->known_count != before)
 		known_changed(links);
-	take_marks(links, news->marks, news->n_marks);
+	take_notes(links, news->notes, news->n_notes);
 	links->told_entries = news->entry_instances;
 	if (links->gw->entry != NULL)
 		ge_instances(links->gw->entry, gw_entry_instances(links->gw));
--- a/src/route/sessions.h
+++ b/src/route/sessions.h
@@ -12,11 +12,12 @@
 #endif
 
 /*
- * Which version the sessions of this instance run on while a roll-out is under
- * way.  A session that was seen before stays with its version.  One that was
- * not gets its version by a hash of its name, which is the same at every
- * instance, and only once the order is older than a session's longest pause:
- * before that, an unknown session may have begun on the old version elsewhere.
+ * Which version the sessions run on while a roll-out is under way.  A session
+ * that is not known gets its version by a hash of its name, which is the same
+ * at every instance.  One that the hash gives to the new version though it has
+ * begun on the old one is held there: the instance that knows so tells the
+ * others.  Until they have heard of all such sessions, unknown ones stay with
+ * the old version.
  */
 struct se;
 
@@ -32,8 +33,11 @@
 void se_free(struct se *se);
 enum pl_role se_role(
     const struct se *se, const struct se_query *query, bool *bound);
-void se_note(
-    struct se *se, uint64_t session, enum pl_role role, int64_t now_us);
+bool se_note(struct se *se, uint64_t session, enum pl_role role,
+    uint32_t permille, int64_t now_us);
+void se_hold(struct se *se, uint64_t session, int64_t now_us);
+void se_begin(struct se *se, uint32_t permille, int64_t now_us,
+    void (*hold)(void *ctx, uint64_t session), void *ctx);
 
 #ifdef __cplusplus
 }
--- a/src/wire/cluster.pb-c.c
+++ b/src/wire/cluster.pb-c.c
@@ -142,49 +142,49 @@
   assert(message->base.descriptor == &clpb__outcome__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void   clpb__crash_mark__init
-                     (Clpb__CrashMark         *message)
+void   clpb__note__init
+                     (Clpb__Note         *message)
 {
-  static const Clpb__CrashMark init_value = CLPB__CRASH_MARK__INIT;
+  static const Clpb__Note init_value = CLPB__NOTE__INIT;
   *message = init_value;
 }
-size_t clpb__crash_mark__get_packed_size
-                     (const Clpb__CrashMark *message)
+size_t clpb__note__get_packed_size
+                     (const Clpb__Note *message)
 {
-  assert(message->base.descriptor == &clpb__crash_mark__descriptor);
+  assert(message->base.descriptor == &clpb__note__descriptor);
   return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t clpb__crash_mark__pack
-                     (const Clpb__CrashMark *message,
+size_t clpb__note__pack
+                     (const Clpb__Note *message,
                       uint8_t       *out)
 {
-  assert(message->base.descriptor == &clpb__crash_mark__descriptor);
+  assert(message->base.descriptor == &clpb__note__descriptor);
   return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t clpb__crash_mark__pack_to_buffer
-                     (const Clpb__CrashMark *message,
+size_t clpb__note__pack_to_buffer
+                     (const Clpb__Note *message,
                       ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &clpb__crash_mark__descriptor);
+  assert(message->base.descriptor == &clpb__note__descriptor);
   return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
-Clpb__CrashMark *
-       clpb__crash_mark__unpack
+Clpb__Note *
+       clpb__note__unpack
                      (ProtobufCAllocator  *allocator,
                       size_t               len,
                       const uint8_t       *data)
 {
-  return (Clpb__CrashMark *)
-     protobuf_c_message_unpack (&clpb__crash_mark__descriptor,
+  return (Clpb__Note *)
+     protobuf_c_message_unpack (&clpb__note__descriptor,
                                 allocator, len, data);
 }
-void   clpb__crash_mark__free_unpacked
-                     (Clpb__CrashMark *message,
+void   clpb__note__free_unpacked
+                     (Clpb__Note *message,
                       ProtobufCAllocator *allocator)
 {
   if(!message)
     return;
-  assert(message->base.descriptor == &clpb__crash_mark__descriptor);
+  assert(message->base.descriptor == &clpb__note__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
 void   clpb__hello__init
@@ -760,55 +760,68 @@
   (ProtobufCMessageInit) clpb__outcome__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor clpb__crash_mark__field_descriptors[2] =
+static const ProtobufCFieldDescriptor clpb__note__field_descriptors[3] =
 {
   {
-    "fingerprint",
+    "kind",
     1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_FIXED64,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Clpb__CrashMark, fingerprint),
+    offsetof(Clpb__Note, kind),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "crashes",
+    "key",
     2,
     PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Clpb__Note, key),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "value",
+    3,
+    PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Clpb__CrashMark, crashes),
+    offsetof(Clpb__Note, value),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned clpb__crash_mark__field_indices_by_name[] = {
-  1,   /* field[1] = crashes */
-  0,   /* field[0] = fingerprint */
+static const unsigned clpb__note__field_indices_by_name[] = {
+  1,   /* field[1] = key */
+  0,   /* field[0] = kind */
+  2,   /* field[2] = value */
 };
-static const ProtobufCIntRange clpb__crash_mark__number_ranges[1 + 1] =
+static const ProtobufCIntRange clpb__note__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 3 }
 };
-const ProtobufCMessageDescriptor clpb__crash_mark__descriptor =
+const ProtobufCMessageDescriptor clpb__note__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "clpb.CrashMark",
-  "CrashMark",
-  "Clpb__CrashMark",
+  "clpb.Note",
+  "Note",
+  "Clpb__Note",
   "clpb",
-  sizeof(Clpb__CrashMark),
-  2,
-  clpb__crash_mark__field_descriptors,
-  clpb__crash_mark__field_indices_by_name,
-  1,  clpb__crash_mark__number_ranges,
-  (ProtobufCMessageInit) clpb__crash_mark__init,
+  sizeof(Clpb__Note),
+  3,
+  clpb__note__field_descriptors,
+  clpb__note__field_indices_by_name,
+  1,  clpb__note__number_ranges,
+  (ProtobufCMessageInit) clpb__note__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
 static const ProtobufCFieldDescriptor clpb__hello__field_descriptors[7] =
@@ -886,13 +899,13 @@
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "marks",
+    "notes",
     7,
     PROTOBUF_C_LABEL_REPEATED,
     PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Clpb__Hello, n_marks),
-    offsetof(Clpb__Hello, marks),
-    &clpb__crash_mark__descriptor,
+    offsetof(Clpb__Hello, n_notes),
+    offsetof(Clpb__Hello, notes),
+    &clpb__note__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
@@ -903,7 +916,7 @@
   2,   /* field[2] = feed */
   0,   /* field[0] = incarnation */
   1,   /* field[1] = keeps_state */
-  6,   /* field[6] = marks */
+  6,   /* field[6] = notes */
   5,   /* field[5] = outcomes */
   4,   /* field[4] = subscribe */
 };
@@ -1002,13 +1015,13 @@
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "marks",
+    "notes",
     7,
     PROTOBUF_C_LABEL_REPEATED,
     PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Clpb__News, n_marks),
-    offsetof(Clpb__News, marks),
-    &clpb__crash_mark__descriptor,
+    offsetof(Clpb__News, n_notes),
+    offsetof(Clpb__News, notes),
+    &clpb__note__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
@@ -1020,7 +1033,7 @@
   4,   /* field[4] = control */
   5,   /* field[5] = entry_instances */
   0,   /* field[0] = incarnation */
-  6,   /* field[6] = marks */
+  6,   /* field[6] = notes */
   3,   /* field[3] = servers */
 };
 static const ProtobufCIntRange clpb__news__number_ranges[1 + 1] =
--- a/src/wire/cluster.pb-c.h
+++ b/src/wire/cluster.pb-c.h
@@ -18,7 +18,7 @@
 typedef struct Clpb__Model Clpb__Model;
 typedef struct Clpb__Server Clpb__Server;
 typedef struct Clpb__Outcome Clpb__Outcome;
-typedef struct Clpb__CrashMark Clpb__CrashMark;
+typedef struct Clpb__Note Clpb__Note;
 typedef struct Clpb__Hello Clpb__Hello;
 typedef struct Clpb__News Clpb__News;
 typedef struct Clpb__Rollout Clpb__Rollout;
@@ -104,15 +104,22 @@
     , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0 }
 
 
-struct  Clpb__CrashMark
+/*
+ * Something that every entry instance should know soon, and not for long.
+ */
+struct  Clpb__Note
 {
   ProtobufCMessage base;
-  uint64_t fingerprint;
-  uint32_t crashes;
+  /*
+   * enum gw_note
+   */
+  uint32_t kind;
+  uint64_t key;
+  uint32_t value;
 };
-#define CLPB__CRASH_MARK__INIT \
- { PROTOBUF_C_MESSAGE_INIT (&clpb__crash_mark__descriptor) \
-    , 0, 0 }
+#define CLPB__NOTE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&clpb__note__descriptor) \
+    , 0, 0, 0 }
 
 
 /*
@@ -134,8 +141,8 @@
   protobuf_c_boolean subscribe;
   size_t n_outcomes;
   Clpb__Outcome **outcomes;
-  size_t n_marks;
-  Clpb__CrashMark **marks;
+  size_t n_notes;
+  Clpb__Note **notes;
 };
 #define CLPB__HELLO__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&clpb__hello__descriptor) \
@@ -162,8 +169,8 @@
   size_t n_control;
   uint64_t *control;
   uint32_t entry_instances;
-  size_t n_marks;
-  Clpb__CrashMark **marks;
+  size_t n_notes;
+  Clpb__Note **notes;
 };
 #define CLPB__NEWS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&clpb__news__descriptor) \
@@ -289,24 +296,24 @@
 void   clpb__outcome__free_unpacked
                      (Clpb__Outcome *message,
                       ProtobufCAllocator *allocator);
-/* Clpb__CrashMark methods */
-void   clpb__crash_mark__init
-                     (Clpb__CrashMark         *message);
-size_t clpb__crash_mark__get_packed_size
-                     (const Clpb__CrashMark   *message);
-size_t clpb__crash_mark__pack
-                     (const Clpb__CrashMark   *message,
+/* Clpb__Note methods */
+void   clpb__note__init
+                     (Clpb__Note         *message);
+size_t clpb__note__get_packed_size
+                     (const Clpb__Note   *message);
+size_t clpb__note__pack
+                     (const Clpb__Note   *message,
                       uint8_t             *out);
-size_t clpb__crash_mark__pack_to_buffer
-                     (const Clpb__CrashMark   *message,
+size_t clpb__note__pack_to_buffer
+                     (const Clpb__Note   *message,
                       ProtobufCBuffer     *buffer);
-Clpb__CrashMark *
-       clpb__crash_mark__unpack
+Clpb__Note *
+       clpb__note__unpack
                      (ProtobufCAllocator  *allocator,
                       size_t               len,
                       const uint8_t       *data);
-void   clpb__crash_mark__free_unpacked
-                     (Clpb__CrashMark *message,
+void   clpb__note__free_unpacked
+                     (Clpb__Note *message,
                       ProtobufCAllocator *allocator);
 /* Clpb__Hello methods */
 void   clpb__hello__init
@@ -414,8 +421,8 @@
 typedef void (*Clpb__Outcome_Closure)
                  (const Clpb__Outcome *message,
                   void *closure_data);
-typedef void (*Clpb__CrashMark_Closure)
-                 (const Clpb__CrashMark *message,
+typedef void (*Clpb__Note_Closure)
+                 (const Clpb__Note *message,
                   void *closure_data);
 typedef void (*Clpb__Hello_Closure)
                  (const Clpb__Hello *message,
@@ -441,7 +448,7 @@
 extern const ProtobufCMessageDescriptor clpb__model__descriptor;
 extern const ProtobufCMessageDescriptor clpb__server__descriptor;
 extern const ProtobufCMessageDescriptor clpb__outcome__descriptor;
-extern const ProtobufCMessageDescriptor clpb__crash_mark__descriptor;
+extern const ProtobufCMessageDescriptor clpb__note__descriptor;
 extern const ProtobufCMessageDescriptor clpb__hello__descriptor;
 extern const ProtobufCMessageDescriptor clpb__news__descriptor;
 extern const ProtobufCMessageDescriptor clpb__rollout__descriptor;
