Place requests by the reading that waits at each server, shared between instances

Instances now report every 100 ms what they have sent that has not begun, to one that serves control, and get the sum of the others; a request goes where its first event is due soonest, its shared prefix counted as read at one server that a hash names.

--- a/src/daemon/child_peer.c
+++ b/src/daemon/child_peer.c
@@ -94,6 +94,7 @@
 	case PEER_PONG:
 	case PEER_HELLO:
 	case PEER_NEWS:
+	case PEER_LOADS:
 	case PEER_CHANNELS:
 		break;
 	}
--- a/src/gateway/entry.h
+++ b/src/gateway/entry.h
@@ -5,6 +5,7 @@
 #include "http/front.h"
 #include "http/upstream.h"
 #include "route/budget.h"
+#include "route/pace.h"
 #include "route/pool.h"
 #include "route/sessions.h"
 #include "route/verdict.h"
@@ -31,6 +32,7 @@
 struct ge_service {
 	char name[RG_NAME_BYTES];
 	struct bu budget;
+	struct pc paces[RT_MODELS_MAX]; /* by place in a route's list */
 	struct vd_counts fresh; /* of a roll-out's target, not reported yet */
 	struct vd_counts known; /* of the version before */
 	char fresh_version[RG_NAME_BYTES];
--- a/src/gateway/exchange.c
+++ b/src/gateway/exchange.c
@@ -26,6 +26,7 @@
 	RETRY_MIN_MS = 50,
 	RETRY_FULL_MS = 300,
 	RETRY_UNKNOWN_MS = 500, /* while no document or server is known */
+	BACKLOG_NONE_MS = 10, /* a server counts as idle below this */
 	LEFT_MIN_MS = 10, /* less is no offer to a server */
 	US_PER_MS = 1000,
 	STATUS_MISDIRECTED = 421
@@ -41,6 +42,9 @@
 	bool not_run; /* the server says so */
 	bool defective;
 	bool dropped; /* a larger model answers instead */
+	double work_ms; /* expected, until its first byte; then 0 */
+	double backlog_ms; /* at the server when it was sent */
+	uint32_t tokens; /* of the prompt that the server has to read */
 	unsigned int status;
 };
 
@@ -92,6 +96,14 @@
 	return loop_now_us(gx->ge->gw->loop);
 }
 
+/* Work has begun at the server, or never will. */
+static void
+begin_work(struct gx *gx)
+{
+	pl_begun(gx->ge->pool, gx->now.server, gx->now.work_ms);
+	gx->now.work_ms = 0;
+}
+
 static void
 gx_free(struct gx *gx)
 {
@@ -109,6 +121,7 @@
 	}
 	if (gx->now.call != NULL) {
 		hu_cancel(gx->now.call);
+		begin_work(gx);
 		pl_ended(ge->pool, gx->now.server);
 	}
 	if (gx->prev != NULL)
@@ -207,7 +220,9 @@
 
 	if (!gx->route->sticky || r->part_count == 0)
 		return 0;
-	return r->parts[r->part_count > 1 ? r->part_count - 2 : 0].id | 1;
+	return (r->parts[r->part_count > 1 ? r->part_count - 2 : 0].id +
+		   gx->model) |
+	       1;
 }
 
 static const char *
@@ -271,8 +286,19 @@
 	buf_adds(out, "\r\n");
 }
 
+/* Tokens of the prompt but for the caller's own last part. */
+static uint32_t
+shared_tokens(const struct gx *gx)
+{
+	uint32_t tokens = 0;
+
+	for (uint8_t i = 0; i + 1 < gx->request.part_count; i++)
+		tokens += gx->request.parts[i].tokens;
+	return tokens;
+}
+
 static void
-dispatch(struct gx *gx, uint16_t server)
+dispatch(struct gx *gx, uint16_t server, const struct pl_query *query)
 {
 	struct ge *ge = gx->ge;
 	const struct pl_server *s = pl_at(ge->pool, server);
@@ -303,7 +329,15 @@
 	    (gx->deadline_us - now_us) / US_PER_MS, gx->table->number);
 	buf_init(&head, ge->gw->alloc);
 	write_head(gx, s, &head);
-	pl_sent(ge->pool, server, now_us);
+	if (query->by_work) {
+		gx->now.tokens = gx->request.prompt_tokens;
+		if (pl_is_home(ge->pool, server, query))
+			gx->now.tokens -= shared_tokens(gx);
+		gx->now.work_ms = pc_work_ms(
+		    &gx->service->paces[gx->model], gx->now.tokens);
+		gx->now.backlog_ms = pl_backlog_ms(ge->pool, server, now_us);
+	}
+	pl_sent(ge->pool, server, gx->now.work_ms, now_us);
 	if (se_note(ge->sessions, gx->request.session, s->role,
 		rollout_runs(gx) ? GE_TARGET_PERMILLE : 0, now_us))
 		gw_spread(ge->gw, GW_NOTE_HELD, gx->request.session, 1);
@@ -335,12 +369,16 @@
 	struct ge *ge = gx->ge;
 	struct pl_query query = {.service = gx->target->name,
 	    .affinity = affinity_of(gx),
+	    .by_work = gx->target->is_engine,
 	    .slots_more = gx->target->is_engine ? gx->target->slots / 2 : 6};
 	uint16_t server = RT_NONE;
 	bool bound;
 
 	query.role = role_of(gx, &bound);
 	query.any_role = !bound;
+	if (query.affinity != 0)
+		query.shared_ms = pc_work_ms(
+		    &gx->service->paces[gx->model], shared_tokens(gx));
 	if (gx->workspace != NULL && !gf_is_fresh(ge->gw->follow)) {
 		refuse(gx, ERR_ISOLATED, RETRY_UNKNOWN_MS);
 		return;
@@ -349,7 +387,7 @@
 	memcpy(query.avoid, gx->tried, sizeof(query.avoid));
 	switch (pl_pick(ge->pool, &query, now_of(gx), &server)) {
 	case PL_CHOSEN:
-		dispatch(gx, server);
+		dispatch(gx, server, &query);
 		break;
 	case PL_NONE:
 		refuse(gx, ERR_NO_SERVER, RETRY_UNKNOWN_MS);
@@ -444,6 +482,11 @@
 		    pl_at(ge->pool, gx->now.server)->said.id);
 		return HU_NOT_OURS;
 	}
+	if (!gx->now.answered && gx->now.backlog_ms < BACKLOG_NONE_MS &&
+	    gx->now.tokens > 0 && status < 300)
+		pc_sample(&gx->service->paces[gx->model], gx->now.tokens,
+		    now_us - gx->now.sent_us);
+	begin_work(gx);
 	gx->now.answered = true;
 	gx->now.status = status;
 	gx->now.not_run = answer.not_run || status == STATUS_MISDIRECTED;
@@ -652,6 +695,7 @@
 	    .left_us = gx->deadline_us - now_of(gx)};
 
 	gx->now.call = NULL;
+	begin_work(gx);
 	pl_ended(ge->pool, gx->now.server);
 	if (gx->now.dropped) {
 		gx->runs++;
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -29,10 +29,12 @@
  *	follow.c	orders at instances without a replica
  *	entry.c		callers' requests
  *	exchange.c	one caller's request and its attempts
+ *	loads.c		what the instances have under way at the servers
  *
  * An instance's number is its IPv4 address in host byte order.
  */
 struct gw_links;
+struct gl;
 struct gr;
 struct gc;
 struct gf;
@@ -48,6 +50,7 @@
 	uint32_t self; /* number of this instance */
 	uint64_t incarnation;
 	struct gw_links *links;
+	struct gl *loads;
 	struct rg *registry;
 	struct gr *replica; /* NULL: none here */
 	struct gc *control;
@@ -62,6 +65,7 @@
     const struct buf *bytes);
 uint32_t gw_control_instances(const struct gw *gw, uint32_t *out, uint32_t max);
 uint32_t gw_entry_instances(const struct gw *gw);
+uint32_t gw_nearest_control(const struct gw *gw);
 void gw_server_heard(struct gw *gw, const struct rg_server *server);
 void gw_reseed(struct gw *gw);
 void gw_address_text(uint32_t instance, char out[GS_NAME_BYTES]);
--- a/src/gateway/links.c
+++ b/src/gateway/links.c
@@ -9,6 +9,7 @@
 #include "gateway/entry.h"
 #include "gateway/follow.h"
 #include "gateway/gateway.h"
+#include "gateway/loads.h"
 #include "gateway/replica.h"
 #include "wire/cluster.pb-c.h"
 
@@ -42,6 +43,7 @@
 	uint32_t instance;
 	bool seed;
 	int64_t heard_us; /* 0: never */
+	bool near; /* in this data centre */
 	uint64_t feed; /* its registry's incarnation, and */
 	uint64_t change; /* the last change that arrived from there */
 };
@@ -161,6 +163,26 @@
 	return count > links->told_entries ? count : links->told_entries;
 }
 
+/* Returns an instance in reach that serves control, a near one first. */
+uint32_t
+gw_nearest_control(const struct gw *gw)
+{
+	const struct gw_links *links = gw->links;
+	const struct known *best = NULL;
+	int64_t now_us = loop_now_us(gw->loop);
+
+	for (uint32_t i = 0; i < links->known_count; i++) {
+		const struct known *k = &links->known[i];
+
+		if (k->heard_us == 0 || now_us - k->heard_us > ALIVE_US)
+			continue;
+		if (best == NULL || (k->near && !best->near) ||
+		    (k->near == best->near && k->instance < best->instance))
+			best = k;
+	}
+	return best != NULL ? best->instance : 0;
+}
+
 static void
 known_changed(struct gw_links *links)
 {
@@ -642,7 +664,7 @@
 }
 
 static void
-on_news(struct gw_links *links, uint32_t from, const uint8_t *data,
+on_news(struct gw_links *links, uint32_t from, bool near, const uint8_t *data,
     uint32_t len)
 {
 	Clpb__News *news = clpb__news__unpack(NULL, len, data);
@@ -656,6 +678,7 @@
 		return;
 	}
 	k->heard_us = now_us;
+	k->near = near;
 	if (k->feed != news->incarnation) {
 		k->feed = news->incarnation;
 		k->change = 0;
@@ -702,7 +725,12 @@
 		on_hello(gw->links, instance, data, len);
 		break;
 	case PEER_NEWS:
-		on_news(gw->links, instance, data, len);
+		on_news(gw->links, instance,
+		    strcmp(from->data_centre, gw->settings->data_centre) == 0,
+		    data, len);
+		break;
+	case PEER_LOADS:
+		gl_message(gw->loads, instance, data, len);
 		break;
 	default:
 		break;
@@ -777,6 +805,7 @@
 	}
 	gw->registry = rg_new(&registry);
 	gw->links = links;
+	gw->loads = gl_new(gw);
 	if (gw->settings->control_listen.host[0] != '\0')
 		(void)get_known(links, gw->self);
 	gw_reseed(gw);
@@ -791,6 +820,8 @@
 	struct gw *gw = ctx;
 	struct gw_links *links = gw->links;
 
+	gl_free(gw->loads);
+	gw->loads = NULL;
 	gw->links = NULL;
 	loop_cancel(links->hello);
 	loop_cancel(links->push);
--- /dev/null
+++ b/src/gateway/loads.h
@@ -0,0 +1,27 @@
+#ifndef CF_GATEWAY_LOADS_H
+#define CF_GATEWAY_LOADS_H
+
+#include "gateway/gateway.h"
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+/*
+ * Entry instances tell one that serves control what they have under way at the
+ * backend servers, several times a second while that changes; it sums up what
+ * all have, with the sums of the others that serve control, and tells each
+ * instance what the rest has.
+ */
+struct gl;
+
+struct gl *gl_new(struct gw *gw);
+void gl_free(struct gl *gl);
+void gl_message(
+    struct gl *gl, uint32_t from, const uint8_t *data, uint32_t len);
+
+#ifdef __cplusplus
+}
+#endif
+
+#endif
--- a/src/route/pool.c
+++ b/src/route/pool.c
@@ -18,8 +18,9 @@
 
 static const double failing_weight = 0.15; /* of the newest outcome */
 static const double eject_share = 0.25; /* failures above the mean */
-static const double load_over_mean = 1.25; /* bound of consistent hashing */
-static const uint32_t load_slack = 3; /* requests on top of that bound */
+static const double running_ms = 1.5; /* a running request slows reading by */
+static const double abroad_ms = 4; /* bytes to another data centre cost */
+static const double noise_ms = 6; /* keeps instances from choosing alike */
 
 struct pl {
 	struct pl_options options;
@@ -297,32 +298,84 @@
 	return XXH64(s->said.id, strlen(s->said.id), affinity);
 }
 
-/* The first server in a prefix's order that is not loaded over the bound. */
+/* Returns the work that waits at a server, as far as this instance knows. */
+double
+pl_backlog_ms(const struct pl *pl, uint16_t server, int64_t now_us)
+{
+	const struct pl_server *s = &pl->servers[server];
+	double others = s->others_ms -
+			(double)(now_us - s->others_us) / US_PER_MS;
+
+	return s->own_ms + (others > 0 ? others : 0);
+}
+
+/* Whether requests with a prefix meet at a server. */
+bool
+pl_is_home(const struct pl *pl, uint16_t server, const struct pl_query *query)
+{
+	uint64_t own = rank(query->affinity, &pl->servers[server]);
+
+	if (query->affinity == 0)
+		return false;
+	for (uint16_t i = 0; i < pl->count; i++) {
+		const struct pl_server *s = &pl->servers[i];
+
+		if (i != server && may_run(s, query) &&
+		    s->role == pl->servers[server].role &&
+		    rank(query->affinity, s) > own)
+			return false;
+	}
+	return true;
+}
+
 static uint16_t
-pick_by_affinity(struct pl *pl, const struct pl_query *query,
-    const uint16_t *list, uint16_t count, int64_t now_us)
+highest_rank(const struct pl *pl, const struct pl_query *query, enum pl_role role)
 {
-	uint32_t total = 0, bound;
-	uint16_t best = RT_NONE, least = list[0];
+	uint16_t best = RT_NONE;
 	uint64_t best_rank = 0;
 
-	for (uint16_t i = 0; i < count; i++)
-		total += load_of(&pl->servers[list[i]], now_us);
-	bound = (uint32_t)(load_over_mean * total / count) + load_slack;
+	for (uint16_t i = 0; i < pl->count && query->affinity != 0; i++) {
+		const struct pl_server *s = &pl->servers[i];
+		uint64_t r;
+
+		if (!may_run(s, query) || s->role != role)
+			continue;
+		r = rank(query->affinity, s);
+		if (best == RT_NONE || r > best_rank) {
+			best = i;
+			best_rank = r;
+		}
+	}
+	return best;
+}
+
+/* The server at which the first event is due soonest. */
+static uint16_t
+pick_by_work(struct pl *pl, const struct pl_query *query,
+    const uint16_t *list, uint16_t count, int64_t now_us)
+{
+	uint16_t best = list[0];
+	uint16_t home =
+	    highest_rank(pl, query, pl->servers[list[0]].role);
+	double least = 0;
+
 	for (uint16_t i = 0; i < count; i++) {
 		const struct pl_server *s = &pl->servers[list[i]];
-		uint64_t r = rank(query->affinity, s);
-
-		if (load_of(s, now_us) <
-		    load_of(&pl->servers[least], now_us))
-			least = list[i];
-		if (load_of(s, now_us) <= bound &&
-		    (best == RT_NONE || r > best_rank)) {
+		uint32_t running = s->in_flight + s->others_running;
+		double ms = pl_backlog_ms(pl, list[i], now_us) +
+			    running_ms * running +
+			    noise_ms * rng_unit(&pl->rng);
+
+		if (list[i] != home)
+			ms += query->shared_ms;
+		if (strcmp(s->said.data_centre, pl->options.data_centre) != 0)
+			ms += abroad_ms;
+		if (i == 0 || ms < least) {
+			least = ms;
 			best = list[i];
-			best_rank = r;
 		}
 	}
-	return best != RT_NONE ? best : least;
+	return best;
 }
 
 /* The less loaded of two; the own data centre goes before another. */
@@ -397,24 +450,73 @@
 	}
 	if (count == 0)
 		return any_may_run(pl, query) ? PL_FULL : PL_NONE;
-	*server = query->affinity != 0
-		      ? pick_by_affinity(pl, query, list, count, now_us)
+	*server = query->by_work
+		      ? pick_by_work(pl, query, list, count, now_us)
 		      : pick_by_load(pl, list, count, now_us);
 	return PL_CHOSEN;
 }
 
 /* A request goes out to a server. */
 void
-pl_sent(struct pl *pl, uint16_t server, int64_t now_us)
+pl_sent(struct pl *pl, uint16_t server, double work_ms, int64_t now_us)
 {
 	struct pl_server *s = &pl->servers[server];
 
 	s->in_flight++;
 	s->since++;
+	s->own_ms += work_ms;
 	if (now_us < s->cold_until_us)
 		s->cold_tokens -= 1;
 }
 
+/* A request's work has begun, or never will. */
+void
+pl_begun(struct pl *pl, uint16_t server, double work_ms)
+{
+	struct pl_server *s = &pl->servers[server];
+
+	s->own_ms = s->own_ms > work_ms ? s->own_ms - work_ms : 0;
+}
+
+/* Lists what own requests are under way, for the other instances. */
+size_t
+pl_own_loads(const struct pl *pl, struct ld_load *out, size_t max)
+{
+	size_t count = 0;
+
+	for (uint16_t i = 0; i < pl->count && count < max; i++) {
+		const struct pl_server *s = &pl->servers[i];
+
+		if (s->used && s->in_flight > 0)
+			out[count++] = (struct ld_load){
+			    ld_server_hash(s->said.id), (uint32_t)s->own_ms,
+			    s->in_flight};
+	}
+	return count;
+}
+
+/* Takes what the other instances have under way. */
+void
+pl_others_loads(struct pl *pl, const struct ld_load *loads, size_t count,
+    int64_t now_us)
+{
+	for (uint16_t i = 0; i < pl->count; i++) {
+		struct pl_server *s = &pl->servers[i];
+		uint32_t hash = ld_server_hash(s->said.id);
+
+		s->others_ms = 0;
+		s->others_running = 0;
+		s->others_us = now_us;
+		for (size_t k = 0; s->used && k < count; k++) {
+			if (loads[k].server != hash)
+				continue;
+			s->others_ms = loads[k].pending_ms;
+			s->others_running = loads[k].running;
+			break;
+		}
+	}
+}
+
 /* A request at a server is over, however it ended. */
 void
 pl_ended(struct pl *pl, uint16_t server)
--- a/src/route/pool.h
+++ b/src/route/pool.h
@@ -8,6 +8,7 @@
 
 #include "base/alloc.h"
 #include "base/rng.h"
+#include "route/loads.h"
 #include "route/table.h"
 #include "state/orders.h"
 #include "state/registry.h"
@@ -24,12 +25,13 @@
  * its load, and how this instance's own requests fared there.  Its load is
  * reckoned as the last report and what was sent since.
  *
- * Requests that share a prompt prefix go to the same few servers: each prefix
- * ranks the servers by a hash that is the same at every instance, and the
- * first one in that order that is not loaded well above the mean takes the
- * request (consistent hashing with bounded loads).  So no instance needs to
- * know what the others have sent where.  Other requests take the less loaded
- * of two, own data centre first.
+ * Requests whose prompts take long to read go where the first event is due
+ * soonest: after the reading that waits there, by own sends and by what the
+ * other instances report of theirs, and the reading of their own prompt.  A
+ * shared prefix counts as read already at the one server that a hash of the
+ * prefix names at every instance, so that requests with the same prefix meet
+ * there while it has time.  Other requests take the less loaded of two, own
+ * data centre first.
  *
  * A cold server's requests come out of a share of what it bears: each of the
  * instances that may send at all has the same part, whether it is in reach of
@@ -68,6 +70,10 @@
 	double failing; /* moving share of failed answers */
 	uint32_t outcomes;
 	int64_t ejected_until_us;
+	double own_ms; /* work of own requests there that has not begun */
+	double others_ms; /* the same of the other instances, at others_us */
+	uint32_t others_running;
+	int64_t others_us;
 };
 
 struct pl_query {
@@ -76,6 +82,8 @@
 	enum pl_role role;
 	bool any_role; /* the other version will do where this one has none */
 	uint64_t affinity; /* hash of the shared prefix; 0: none */
+	double shared_ms; /* work that is saved where the prefix is kept */
+	bool by_work; /* the prompt's work decides */
 	uint16_t avoid[8]; /* servers already tried */
 	uint8_t avoid_count;
 };
@@ -104,8 +112,17 @@
 bool pl_has_role(const struct pl *pl, const char *service, enum pl_role role);
 
 /* What became of a request that pl_pick() placed. */
-void pl_sent(struct pl *pl, uint16_t server, int64_t now_us);
+void pl_sent(struct pl *pl, uint16_t server, double work_ms, int64_t now_us);
+void pl_begun(struct pl *pl, uint16_t server, double work_ms);
 void pl_ended(struct pl *pl, uint16_t server);
+double pl_backlog_ms(const struct pl *pl, uint16_t server, int64_t now_us);
+bool pl_is_home(
+    const struct pl *pl, uint16_t server, const struct pl_query *query);
+
+/* Loads as instances tell each other. */
+size_t pl_own_loads(const struct pl *pl, struct ld_load *out, size_t max);
+void pl_others_loads(struct pl *pl, const struct ld_load *loads, size_t count,
+    int64_t now_us);
 void pl_load(struct pl *pl, uint16_t server, uint16_t running,
     uint16_t waiting, int64_t now_us);
 void pl_cold(
--- a/src/wire/cluster.pb-c.c
+++ b/src/wire/cluster.pb-c.c
@@ -412,6 +412,51 @@
   assert(message->base.descriptor == &clpb__orders__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   clpb__loads__init
+                     (Clpb__Loads         *message)
+{
+  static const Clpb__Loads init_value = CLPB__LOADS__INIT;
+  *message = init_value;
+}
+size_t clpb__loads__get_packed_size
+                     (const Clpb__Loads *message)
+{
+  assert(message->base.descriptor == &clpb__loads__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t clpb__loads__pack
+                     (const Clpb__Loads *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &clpb__loads__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t clpb__loads__pack_to_buffer
+                     (const Clpb__Loads *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &clpb__loads__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Clpb__Loads *
+       clpb__loads__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Clpb__Loads *)
+     protobuf_c_message_unpack (&clpb__loads__descriptor,
+                                allocator, len, data);
+}
+void   clpb__loads__free_unpacked
+                     (Clpb__Loads *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &clpb__loads__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 static const ProtobufCFieldDescriptor clpb__model__field_descriptors[2] =
 {
   {
@@ -1326,3 +1371,80 @@
   (ProtobufCMessageInit) clpb__orders__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor clpb__loads__field_descriptors[4] =
+{
+  {
+    "servers",
+    1,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED32,
+    offsetof(Clpb__Loads, n_servers),
+    offsetof(Clpb__Loads, servers),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "pending_ms",
+    2,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Clpb__Loads, n_pending_ms),
+    offsetof(Clpb__Loads, pending_ms),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "running",
+    3,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Clpb__Loads, n_running),
+    offsetof(Clpb__Loads, running),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "of_entry",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Clpb__Loads, of_entry),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned clpb__loads__field_indices_by_name[] = {
+  3,   /* field[3] = of_entry */
+  1,   /* field[1] = pending_ms */
+  2,   /* field[2] = running */
+  0,   /* field[0] = servers */
+};
+static const ProtobufCIntRange clpb__loads__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor clpb__loads__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "clpb.Loads",
+  "Loads",
+  "Clpb__Loads",
+  "clpb",
+  sizeof(Clpb__Loads),
+  4,
+  clpb__loads__field_descriptors,
+  clpb__loads__field_indices_by_name,
+  1,  clpb__loads__number_ranges,
+  (ProtobufCMessageInit) clpb__loads__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
--- a/src/wire/cluster.pb-c.h
+++ b/src/wire/cluster.pb-c.h
@@ -24,6 +24,7 @@
 typedef struct Clpb__Rollout Clpb__Rollout;
 typedef struct Clpb__Change Clpb__Change;
 typedef struct Clpb__Orders Clpb__Orders;
+typedef struct Clpb__Loads Clpb__Loads;
 
 
 /* --- enums --- */
@@ -239,6 +240,31 @@
     , 0, {0,NULL}, 0,NULL, 0,NULL, 0 }
 
 
+/*
+ * What entry instances have under way: three columns of the same length.
+ */
+struct  Clpb__Loads
+{
+  ProtobufCMessage base;
+  /*
+   * hashes of their ids
+   */
+  size_t n_servers;
+  uint32_t *servers;
+  size_t n_pending_ms;
+  uint32_t *pending_ms;
+  size_t n_running;
+  uint32_t *running;
+  /*
+   * from the instance itself, not summed
+   */
+  protobuf_c_boolean of_entry;
+};
+#define CLPB__LOADS__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&clpb__loads__descriptor) \
+    , 0,NULL, 0,NULL, 0,NULL, 0 }
+
+
 /* Clpb__Model methods */
 void   clpb__model__init
                      (Clpb__Model         *message);
@@ -410,6 +436,25 @@
 void   clpb__orders__free_unpacked
                      (Clpb__Orders *message,
                       ProtobufCAllocator *allocator);
+/* Clpb__Loads methods */
+void   clpb__loads__init
+                     (Clpb__Loads         *message);
+size_t clpb__loads__get_packed_size
+                     (const Clpb__Loads   *message);
+size_t clpb__loads__pack
+                     (const Clpb__Loads   *message,
+                      uint8_t             *out);
+size_t clpb__loads__pack_to_buffer
+                     (const Clpb__Loads   *message,
+                      ProtobufCBuffer     *buffer);
+Clpb__Loads *
+       clpb__loads__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   clpb__loads__free_unpacked
+                     (Clpb__Loads *message,
+                      ProtobufCAllocator *allocator);
 /* --- per-message closures --- */
 
 typedef void (*Clpb__Model_Closure)
@@ -439,6 +484,9 @@
 typedef void (*Clpb__Orders_Closure)
                  (const Clpb__Orders *message,
                   void *closure_data);
+typedef void (*Clpb__Loads_Closure)
+                 (const Clpb__Loads *message,
+                  void *closure_data);
 
 /* --- services --- */
 
@@ -454,6 +502,7 @@
 extern const ProtobufCMessageDescriptor clpb__rollout__descriptor;
 extern const ProtobufCMessageDescriptor clpb__change__descriptor;
 extern const ProtobufCMessageDescriptor clpb__orders__descriptor;
+extern const ProtobufCMessageDescriptor clpb__loads__descriptor;
 
 PROTOBUF_C__END_DECLS
 
--- a/src/wire/peer.h
+++ b/src/wire/peer.h
@@ -39,7 +39,8 @@
 	PEER_EXPORT = 12, /* the bills' export between replicas */
 	PEER_HELLO = 13, /* greetings to instances that serve control */
 	PEER_NEWS = 14, /* their answers: backend servers, instances */
-	PEER_CHANNELS = 15
+	PEER_LOADS = 15, /* what entry instances have under way */
+	PEER_CHANNELS = 16
 };
 
 enum {
