Send plain requests to a near server first; drop links to an earlier life

Cause (links): an instance that came back with an empty disk was dialled by the others only after 3 s of silence and up to 3 s more; the log could not take its new identity in before the next outage. A link whose other end is of an earlier life is dropped as soon as the new one is heard, silence counts after 1.25 s.

--- a/src/route/pool.c
+++ b/src/route/pool.c
@@ -19,7 +19,8 @@
 static const double failing_weight = 0.15; /* of the newest outcome */
 static const double eject_share = 0.25; /* failures above the mean */
 static const double running_ms = 1.5; /* a running request slows reading by */
-static const double abroad_ms = 4; /* bytes to another data centre cost */
+static const double abroad_ms = 60; /* bytes to another data centre cost */
+static const uint32_t abroad_load = 2; /* requests; see pick_by_load() */
 static const double noise_ms = 6; /* keeps instances from choosing alike */
 
 struct pl {
@@ -378,21 +379,41 @@
 	return best;
 }
 
-/* The less loaded of two; the own data centre goes before another. */
+/* A server drawn from those of the own data centre, or from all. */
+static uint16_t
+nearest(struct pl *pl, const uint16_t *list, uint16_t count)
+{
+	uint16_t found = RT_NONE;
+	uint32_t seen = 0;
+
+	for (uint16_t i = 0; i < count; i++) {
+		const struct pl_server *s = &pl->servers[list[i]];
+
+		if (strcmp(s->said.data_centre, pl->options.data_centre) == 0 &&
+		    rng_below(&pl->rng, ++seen) == 0)
+			found = list[i];
+	}
+	return found != RT_NONE ? found : list[rng_below(&pl->rng, count)];
+}
+
+/*
+ * The less loaded of two.  A server in another data centre counts as having
+ * somewhat more, so that it gets what the near ones have no room for.
+ */
 static uint16_t
 pick_by_load(struct pl *pl, const uint16_t *list, uint16_t count,
     int64_t now_us)
 {
-	uint16_t a = list[rng_below(&pl->rng, count)];
+	uint16_t a = nearest(pl, list, count);
 	uint16_t b = list[rng_below(&pl->rng, count)];
 	const struct pl_server *sa = &pl->servers[a], *sb = &pl->servers[b];
 	uint32_t la = load_of(sa, now_us), lb = load_of(sb, now_us);
-	bool here_a = strcmp(sa->said.data_centre, pl->options.data_centre) == 0;
-	bool here_b = strcmp(sb->said.data_centre, pl->options.data_centre) == 0;
 
-	if (la != lb)
-		return la < lb ? a : b;
-	return here_b && !here_a ? b : a;
+	if (strcmp(sa->said.data_centre, pl->options.data_centre) != 0)
+		la += abroad_load;
+	if (strcmp(sb->said.data_centre, pl->options.data_centre) != 0)
+		lb += abroad_load;
+	return la <= lb ? a : b;
 }
 
 /* Servers that may take the request, in the best tier that has any. */
--- a/src/wire/link.c
+++ b/src/wire/link.c
@@ -11,7 +11,7 @@
 	LINK_LENGTH_BYTES = 4,
 	LINK_READ_BYTES = 16 * 1024,
 	LINK_HELLO_MAX_BYTES = 1024, /* before the other end is known */
-	LINK_HANDSHAKE_US = 5000000
+	LINK_HANDSHAKE_US = 1000000
 };
 
 enum link_state {
--- a/src/wire/peer.c
+++ b/src/wire/peer.c
@@ -12,11 +12,11 @@
 
 enum {
 	PEER_IDLE_US = 60000000,
-	PEER_TICK_US = 500000,
-	PEER_PING_US = 1000000, /* unheard for this long: ask */
-	PEER_SILENT_US = 3000000, /* unheard for this long: dead */
+	PEER_TICK_US = 250000,
+	PEER_PING_US = 500000, /* unheard for this long: ask */
+	PEER_SILENT_US = 1250000, /* unheard for this long: dead */
 	PEER_REDIAL_FIRST_US = 100000,
-	PEER_REDIAL_MAX_US = 3000000,
+	PEER_REDIAL_MAX_US = 500000,
 	PEER_BACKLOG = 128,
 	PEER_OVERHEAD_BYTES = 64 /* envelope and encryption of a frame */
 };
@@ -94,6 +94,52 @@
 	hub->stats.sent_frames++;
 }
 
+static void
+drop_link(struct peer *peer)
+{
+	link_free(peer->link);
+	peer->link = NULL;
+}
+
+static struct peer *
+find_peer(const struct peer_hub *hub, const char *instance)
+{
+	struct peer *p;
+
+	for (p = hub->peers; p != NULL; p = p->next) {
+		if (strcmp(p->instance, instance) == 0)
+			break;
+	}
+	return p;
+}
+
+static bool
+is_incoming(const struct peer_hub *hub, const struct link *link)
+{
+	for (struct incoming *in = hub->incoming; in != NULL; in = in->next) {
+		if (in->link == link)
+			return true;
+	}
+	return false;
+}
+
+/*
+ * An instance that is heard from is up: it is dialled without delay, and a
+ * link to an earlier life of it, which may not know that it ended, is dropped.
+ */
+static void
+note_alive(struct peer_hub *hub, const struct secure_peer *from)
+{
+	struct peer *peer = find_peer(hub, from->instance);
+
+	if (peer == NULL)
+		return;
+	peer->dial_after_us = 0;
+	if (peer->link != NULL && link_ready(peer->link) &&
+	    link_peer(peer->link)->incarnation != from->incarnation)
+		drop_link(peer);
+}
+
 static void
 on_frame(void *ctx, struct link *link, const uint8_t *data, uint32_t len)
 {
@@ -103,6 +149,8 @@
 	if (envelope == NULL)
 		return;
 	hub->stats.received_frames++;
+	if (is_incoming(hub, link))
+		note_alive(hub, link_peer(link));
 	if (envelope->channel == PEER_PING)
 		send_on(hub, link, PEER_PONG, NULL, 0);
 	/* A channel of a newer release is passed over. */
@@ -166,13 +214,6 @@
 	hub->incoming = in;
 }
 
-static void
-drop_link(struct peer *peer)
-{
-	link_free(peer->link);
-	peer->link = NULL;
-}
-
 /* Finds out whether a link still reaches the other end. */
 static void
 watch_link(struct peer_hub *hub, struct peer *peer)
@@ -273,18 +314,6 @@
 	alloc_free(hub->options.alloc, hub);
 }
 
-static struct peer *
-find_peer(const struct peer_hub *hub, const char *instance)
-{
-	struct peer *p;
-
-	for (p = hub->peers; p != NULL; p = p->next) {
-		if (strcmp(p->instance, instance) == 0)
-			break;
-	}
-	return p;
-}
-
 /* Adds an instance that may be sent to.  Returns 0, or ERR_SETTING. */
 int
 peer_add(
