Move requests whose server makes no progress; unready while no leader confirms

An attempt that may run again is closed and sent elsewhere once it is silent for longer than its work explains. Cause (ready): an instance whose lease had ended refused what needs a key for 4 s while the balancer kept sending to it.

--- a/src/gateway/entry.c
+++ b/src/gateway/entry.c
@@ -16,6 +16,7 @@
 	COMPILE_US = 20000, /* changes that come together are compiled once */
 	WAITING_US = 20000, /* those that wait are looked at this often */
 	READY_CONNECTIONS_MAX = 64,
+	READY_LEFT_US = 1500000, /* of the time the orders count as fresh */
 	HTTP_OK = 200
 };
 
@@ -279,11 +280,16 @@
 static const struct hf_handler front_handler = {
     on_request, on_gone, on_refused};
 
-/* Ready: the balancer may send new connections here. */
+/*
+ * Ready: the balancer may send new connections here.  An instance that no
+ * leader confirms any more will soon have to refuse what needs an API key, so
+ * callers had better go to others.
+ */
 static bool
 is_ready(const struct ge *ge)
 {
-	return !ge->draining && ge->table != NULL;
+	return !ge->draining && ge->table != NULL &&
+	       gf_left_us(ge->gw->follow) > READY_LEFT_US;
 }
 
 static void
--- a/src/gateway/exchange.c
+++ b/src/gateway/exchange.c
@@ -11,6 +11,7 @@
 #include "gateway/follow.h"
 #include "route/cascade.h"
 #include "route/course.h"
+#include "route/patience.h"
 
 /*
  * One caller's request: checked, placed, sent, answered.  The decisions are
@@ -25,7 +26,8 @@
 	SLOW_CALLER_BYTES = 512 * 1024, /* not taken yet: reading stops */
 	RETRY_MIN_MS = 50,
 	RETRY_FULL_MS = 300,
-	RETRY_UNKNOWN_MS = 500, /* while no document or server is known */
+	RETRY_UNKNOWN_MS = 1500, /* while no document or server is known */
+	UNKNOWN_LEFT_MS = 1500, /* a caller's time, where no route is known */
 	BACKLOG_NONE_MS = 10, /* a server counts as idle below this */
 	LEFT_MIN_MS = 10, /* less is no offer to a server */
 	US_PER_MS = 1000,
@@ -42,6 +44,8 @@
 	bool not_run; /* the server says so */
 	bool defective;
 	bool dropped; /* a larger model answers instead */
+	int64_t progress_us; /* when it was sent, or a byte came */
+	double expected_ms; /* until the first byte */
 	double work_ms; /* expected, until its first byte; then 0 */
 	double backlog_ms; /* at the server when it was sent */
 	uint32_t tokens; /* of the prompt that the server has to read */
@@ -197,12 +201,10 @@
 	gx_free(gx);
 }
 
+/* The caller's time, or the route's, is over. */
 static void
-on_deadline(void *ctx)
+time_out(struct gx *gx)
 {
-	struct gx *gx = ctx;
-
-	gx->timer = NULL;
 	if (gx->now.call != NULL && hu_was_sent(gx->now.call))
 		gx->may_have_run = true;
 	if (gx->begun)
@@ -212,6 +214,82 @@
 		    gx, gx->may_have_run ? ERR_TIMEOUT : ERR_NO_CAPACITY, 0);
 }
 
+/* How long the attempt under way may go on without progress; 0: forever. */
+static int64_t
+patience_us(const struct gx *gx)
+{
+	struct pa_input in = {.kind = gx->route->kind,
+	    .resumable = gx->route->resumable,
+	    .begun = gx->begun,
+	    .can_move = gx->x != NULL &&
+			gx->runs + 1 < gx->route->attempts_max &&
+			bu_may_repeat(&gx->service->budget, now_of(gx)),
+	    .goal_ms = gx->route->goal_ms,
+	    .gap_goal_ms = gx->route->gap_goal_ms,
+	    .expected_ms = gx->now.expected_ms};
+
+	return gx->now.call != NULL ? pa_limit_us(&in) : 0;
+}
+
+/*
+ * The attempt makes no progress: its connection is closed, as are those that
+ * were kept to the same server, and the request goes to another one.
+ */
+static void
+move_on(struct gx *gx)
+{
+	struct ge *ge = gx->ge;
+	const struct pl_server *s = pl_at(ge->pool, gx->now.server);
+
+	log_event(LOG_LEVEL_WARN, "attempt_silent",
+	    "request=%s server=%s begun=%d silent_ms=%" PRId64
+	    " expected_ms=%.0f",
+	    gx->request.id, s->said.id, gx->begun,
+	    (now_of(gx) - gx->now.progress_us) / US_PER_MS,
+	    gx->now.expected_ms);
+	gx->may_have_run |= hu_was_sent(gx->now.call);
+	gx->runs += hu_was_sent(gx->now.call);
+	hu_cancel(gx->now.call);
+	gx->now.call = NULL;
+	begin_work(gx);
+	pl_ended(ge->pool, gx->now.server);
+	pl_outcome(ge->pool, gx->now.server, true, now_of(gx));
+	hu_forget(ge->client, &s->address);
+	gx_try(gx);
+}
+
+static void on_timer(void *ctx);
+
+/* Sets the timer to what is due first: the deadline, or lost patience. */
+static void
+set_timer(struct gx *gx)
+{
+	int64_t at_us = gx->deadline_us;
+	int64_t patience = patience_us(gx);
+
+	if (patience > 0 && gx->now.progress_us + patience < at_us)
+		at_us = gx->now.progress_us + patience;
+	loop_cancel(gx->timer);
+	gx->timer = loop_after(
+	    gx->ge->gw->loop, at_us - now_of(gx), on_timer, gx);
+}
+
+static void
+on_timer(void *ctx)
+{
+	struct gx *gx = ctx;
+	int64_t patience = patience_us(gx);
+	int64_t now_us = now_of(gx);
+
+	gx->timer = NULL;
+	if (now_us >= gx->deadline_us)
+		time_out(gx);
+	else if (patience > 0 && now_us >= gx->now.progress_us + patience)
+		move_on(gx);
+	else
+		set_timer(gx);
+}
+
 /* Hash of the prompt prefix that other requests share; 0: none. */
 static uint64_t
 affinity_of(const struct gx *gx)
@@ -313,7 +391,10 @@
 	    .ctx = gx};
 
 	gx->now = (struct attempt){
-	    .server = server, .role = s->role, .sent_us = now_us};
+	    .server = server,
+	    .role = s->role,
+	    .sent_us = now_us,
+	    .progress_us = now_us};
 	if (gx->sends > 0) {
 		bu_repeat(&gx->service->budget, now_us);
 		ge->repeats->value++;
@@ -336,6 +417,7 @@
 		gx->now.work_ms = pc_work_ms(
 		    &gx->service->paces[gx->model], gx->now.tokens);
 		gx->now.backlog_ms = pl_backlog_ms(ge->pool, server, now_us);
+		gx->now.expected_ms = gx->now.work_ms + gx->now.backlog_ms;
 	}
 	pl_sent(ge->pool, server, gx->now.work_ms, now_us);
 	if (se_note(ge->sessions, gx->request.session, s->role,
@@ -348,7 +430,9 @@
 		    .error = ERR_IO, .unreachable = true};
 
 		attempt_done(gx, &failed);
+		return;
 	}
+	set_timer(gx);
 }
 
 /* What has not been sent may be refused; the caller learns when to return. */
@@ -438,6 +522,15 @@
 	gx->begun = true;
 }
 
+/* Tokens that the answer will probably have. */
+static uint32_t
+output_guess(const struct gx *gx)
+{
+	return gx->request.output_tokens_guess > 0
+		   ? gx->request.output_tokens_guess
+		   : gx->request.output_tokens_max / 3;
+}
+
 /* Whether the answer that begins now is dropped for a larger model's. */
 static bool
 should_escalate(struct gx *gx, int confidence)
@@ -446,6 +539,8 @@
 	struct ca_input in = {.model_count = gx->route->model_count,
 	    .model = gx->model,
 	    .confidence = confidence,
+	    .prompt_tokens = gx->request.prompt_tokens,
+	    .output_tokens = output_guess(gx),
 	    .may_repeat = gx->runs + 1 < gx->route->attempts_max &&
 			  bu_may_repeat(&gx->service->budget, now_us),
 	    .spent_us = now_us - gx->arrived_us,
@@ -487,6 +582,7 @@
 		pc_sample(&gx->service->paces[gx->model], gx->now.tokens,
 		    now_us - gx->now.sent_us);
 	begin_work(gx);
+	gx->now.progress_us = now_us;
 	gx->now.answered = true;
 	gx->now.status = status;
 	gx->now.not_run = answer.not_run || status == STATUS_MISDIRECTED;
@@ -594,6 +690,7 @@
 	struct gx *gx = ctx;
 
 	(void)call;
+	gx->now.progress_us = now_of(gx);
 	if (gx->now.not_run)
 		return 0;
 	if (gx->route->kind == RT_STREAM && gx->now.status < 300)
@@ -827,15 +924,16 @@
 		gx->table->users++;
 	hf_set_data(x, gx);
 	ge->requests->value++;
-	gx->deadline_us = gx->arrived_us + RETRY_UNKNOWN_MS * 3 * US_PER_MS;
+	gx->deadline_us = gx->arrived_us + UNKNOWN_LEFT_MS * US_PER_MS;
 	error = ge->gw->dialect->ops->read_request(
 	    ge->gw->dialect, hf_headers(x), &gx->request);
 	retry_ms = 0;
 	if (error == 0)
 		error = admit(gx, &retry_ms);
 	left_ms = gx->route != NULL ? gx->route->timeout_ms
-				    : 3 * RETRY_UNKNOWN_MS;
-	if (gx->request.has_deadline && gx->request.deadline_ms < left_ms)
+				    : UNKNOWN_LEFT_MS;
+	if (gx->request.has_deadline &&
+	    (gx->route == NULL || gx->request.deadline_ms < left_ms))
 		left_ms = gx->request.deadline_ms;
 	gx->deadline_us = gx->arrived_us + left_ms * US_PER_MS;
 	if (error == 0 && left_ms < LEFT_MIN_MS)
@@ -851,7 +949,6 @@
 	gx->last_event = gx->request.last_event;
 	gx->has_event = gx->request.resumes;
 	choose_target(gx);
-	gx->timer = loop_after(ge->gw->loop,
-	    gx->deadline_us - loop_now_us(ge->gw->loop), on_deadline, gx);
+	set_timer(gx);
 	gx_try(gx);
 }
--- a/src/gateway/follow.c
+++ b/src/gateway/follow.c
@@ -115,6 +115,13 @@
 	return !cy_node_isolated(gf->node, clock_monotonic_us());
 }
 
+/* Returns how long the orders still count as fresh without a word. */
+int64_t
+gf_left_us(const struct gf *gf)
+{
+	return cy_node_lease_until_us(gf->node) - clock_monotonic_us();
+}
+
 /* Takes a message of a replica. */
 void
 gf_message(struct gf *gf, uint32_t from, const uint8_t *data, uint32_t len)
@@ -167,6 +174,7 @@
 	    .instance = gw->self,
 	    .incarnation = gw->incarnation,
 	    .period_ms = PERIOD_MS,
+	    .keen = true,
 	    .lease_ms = gw->settings->revoke_ms > 2 * LEASE_MARGIN_MS
 			    ? gw->settings->revoke_ms - LEASE_MARGIN_MS
 			    : gw->settings->revoke_ms / 2};
--- a/src/route/cascade.c
+++ b/src/route/cascade.c
@@ -1,10 +1,17 @@
 #include "route/cascade.h"
 
 enum {
-	CONFIDENT = 50, /* answers rated lower by their model are replaced */
 	LEFT_MIN_US = 1000000 /* a larger model would come too late */
 };
 
+/* Tokens read count as so much of one generated, in cost and in use. */
+static const double read_cost = 0.25;
+static const double read_use = 0.1;
+
+/* Confidence that is enough, were another run free, and less by its cost. */
+static const double enough_free = 82;
+static const double enough_per_cost = 13;
+
 /* Returns the model that a request begins with. */
 uint16_t
 ca_first(uint16_t model_count)
@@ -13,11 +20,22 @@
 	return 0;
 }
 
+/* The confidence that an answer needs to be kept. */
+static double
+enough(const struct ca_input *in)
+{
+	double cost = in->output_tokens + read_cost * in->prompt_tokens;
+	double use = in->output_tokens + read_use * in->prompt_tokens;
+
+	return use > 0 ? enough_free - enough_per_cost * cost / use
+		       : enough_free - enough_per_cost;
+}
+
 /* Tells whether a larger model should answer instead. */
 bool
 ca_should_escalate(const struct ca_input *in)
 {
-	if (in->confidence < 0 || in->confidence >= CONFIDENT ||
+	if (in->confidence < 0 || in->confidence >= enough(in) ||
 	    in->model + 1 >= in->model_count || !in->may_repeat)
 		return false;
 	return in->left_us > LEFT_MIN_US;
--- a/src/route/cascade.h
+++ b/src/route/cascade.h
@@ -14,12 +14,17 @@
  * Which size of model answers a request: a small one first, and a larger one
  * instead where the small one's own confidence in its answer is low.  An
  * answer comes with its confidence before its first event, so one that is
- * dropped costs the reading of the prompt and no more.  No I/O and no state.
+ * dropped costs the reading of the prompt and no more.  How much confidence is
+ * enough depends on what another run costs against what its answer is good
+ * for: reading is cheaper than writing, and an answer's use grows more with
+ * what is written than with what is read.  No I/O and no state.
  */
 struct ca_input {
 	uint16_t model_count; /* of the route, smallest first */
 	uint16_t model; /* the one that answers now */
 	int confidence; /* 0 to 100; -1: not said */
+	uint32_t prompt_tokens;
+	uint32_t output_tokens; /* as far as can be told before */
 	bool may_repeat; /* attempts and budget allow another run */
 	int64_t spent_us; /* since the request came */
 	int64_t goal_us; /* an answer is worth most until then */
--- /dev/null
+++ b/src/route/patience.c
@@ -0,0 +1,30 @@
+#include "route/patience.h"
+
+enum {
+	FIRST_MIN_MS = 1000, /* a first event takes this long now and then */
+	FIRST_FACTOR = 3, /* of the time expected */
+	GAP_MIN_MS = 1000, /* between events, where the route says nothing */
+	GAP_FACTOR = 2, /* of the pause that a stream may have */
+	PLAIN_MIN_MS = 100,
+	US_PER_MS = 1000
+};
+
+int64_t
+pa_limit_us(const struct pa_input *in)
+{
+	double limit_ms = 0;
+
+	if (!in->can_move)
+		return 0;
+	if (in->kind == RT_IDEMPOTENT) {
+		limit_ms = in->goal_ms > PLAIN_MIN_MS ? in->goal_ms
+						      : PLAIN_MIN_MS;
+	} else if (in->kind == RT_STREAM && in->resumable && in->begun) {
+		limit_ms = GAP_FACTOR * in->gap_goal_ms;
+		if (limit_ms < GAP_MIN_MS)
+			limit_ms = GAP_MIN_MS;
+	} else if (in->kind == RT_STREAM && in->resumable) {
+		limit_ms = FIRST_FACTOR * in->expected_ms + FIRST_MIN_MS;
+	}
+	return (int64_t)(limit_ms * US_PER_MS);
+}
--- a/src/state/cfgsync.h
+++ b/src/state/cfgsync.h
@@ -108,6 +108,7 @@
 	uint32_t period_ms; /* between HAVEs; 0: 1,000 */
 	uint32_t lease_ms; /* longest lease; 0: 5,000 */
 	bool disk; /* node: CY_PERSIST is wanted */
+	bool keen; /* node: asks four times as often when its lease is short */
 	/* For tests that show what each mechanism is for. */
 	bool unsafe_any_revision;
 	bool unsafe_lease_from_answer;
@@ -158,6 +159,8 @@
 
 uint64_t cy_node_revision(const struct cy_node *node);
 const struct buf *cy_node_document(const struct cy_node *node);
+/* When the lease ends; 0 before the first one. */
+int64_t cy_node_lease_until_us(const struct cy_node *node);
 /* Asked before every dispatch; true until the first lease. */
 bool cy_node_isolated(const struct cy_node *node, int64_t now_us);
 
--- a/src/state/cfgsync_node.c
+++ b/src/state/cfgsync_node.c
@@ -153,6 +153,10 @@
 
 	node->asked_us[node->round % ROUNDS_KEPT] = now_us;
 	node->due_us = now_us + cy_period_us(&node->options);
+	/* A lease that runs out, or is over, is asked for more often. */
+	if (node->lease_until_us - now_us < cy_lease_us(&node->options) / 2 &&
+	    node->options.keen)
+		node->due_us = now_us + cy_period_us(&node->options) / 4;
 	add_confirms(node, &msg);
 	for (uint32_t i = 0; i < node->upstream_count; i++)
 		cy_emit_send(&node->options, node->upstream[i], &msg);
@@ -428,3 +432,10 @@
 {
 	return now_us >= node->lease_until_us;
 }
+
+/* Returns when the lease ends; 0 before the first one. */
+int64_t
+cy_node_lease_until_us(const struct cy_node *node)
+{
+	return node->lease_until_us;
+}
