--- a/src/gateway/exchange.c
+++ b/src/gateway/exchange.c
@@ -292,14 +292,14 @@
 
 /* Hash of the prompt prefix that other requests share; 0: none. */
 static uint64_t
-affinity_of(const struct gx *gx)
+affinity_of(const struct gx *gx, uint16_t model)
 {
 	const struct dl_request *r = &gx->request;
 
 	if (!gx->route->sticky || r->part_count == 0)
 		return 0;
 	return (r->parts[r->part_count > 1 ? r->part_count - 2 : 0].id +
-		   gx->model) |
+		   model) |
 	       1;
 }
 
@@ -412,10 +412,11 @@
 	write_head(gx, s, &head);
 	if (query->by_work) {
 		gx->now.tokens = gx->request.prompt_tokens;
-		if (pl_is_home(ge->pool, server, query))
+		gx->now.work_ms = query->work_ms;
+		if (pl_is_home(ge->pool, server, query)) {
 			gx->now.tokens -= shared_tokens(gx);
-		gx->now.work_ms = pc_work_ms(
-		    &gx->service->paces[gx->model], gx->now.tokens);
+			gx->now.work_ms -= query->shared_ms;
+		}
 		gx->now.backlog_ms = pl_backlog_ms(ge->pool, server, now_us);
 		gx->now.expected_ms = gx->now.work_ms + gx->now.backlog_ms;
 	}
@@ -446,29 +447,41 @@
 		    retry_ms);
 }
 
-/* Places the request, or has it wait for a server. */
-void
-gx_try(struct gx *gx)
+/* What the request asks of a server, for a model of its route. */
+static struct pl_query
+query_for(struct gx *gx, uint16_t model)
 {
-	struct ge *ge = gx->ge;
 	struct pl_query query = {.service = gx->target->name,
-	    .affinity = affinity_of(gx),
 	    .by_work = gx->target->is_engine,
+	    .affinity = affinity_of(gx, model),
 	    .slots_more = gx->target->is_engine ? gx->target->slots / 2 : 6};
-	uint16_t server = RT_NONE;
+	const struct pc *pace = &gx->service->paces[model];
 	bool bound;
 
 	query.role = role_of(gx, &bound);
 	query.any_role = !bound;
+	if (query.by_work)
+		query.work_ms = pc_work_ms(pace, gx->request.prompt_tokens);
 	if (query.affinity != 0)
-		query.shared_ms = pc_work_ms(
-		    &gx->service->paces[gx->model], shared_tokens(gx));
+		query.shared_ms = pc_work_ms(pace, shared_tokens(gx));
+	query.avoid_count = gx->tried_count;
+	memcpy(query.avoid, gx->tried, sizeof(query.avoid));
+	return query;
+}
+
+/* Places the request, or has it wait for a server. */
+void
+gx_try(struct gx *gx)
+{
+	struct ge *ge = gx->ge;
+	struct pl_query query;
+	uint16_t server = RT_NONE;
+
 	if (gx->workspace != NULL && !gf_is_fresh(ge->gw->follow)) {
 		refuse(gx, ERR_ISOLATED, RETRY_UNKNOWN_MS);
 		return;
 	}
-	query.avoid_count = gx->tried_count;
-	memcpy(query.avoid, gx->tried, sizeof(query.avoid));
+	query = query_for(gx, gx->model);
 	switch (pl_pick(ge->pool, &query, now_of(gx), &server)) {
 	case PL_CHOSEN:
 		dispatch(gx, server, &query);
@@ -531,6 +544,21 @@
 		   : gx->request.output_tokens_max / 3;
 }
 
+/* Time until a model's first event, at the best server; -1: there is none. */
+static int64_t
+expected_us(struct gx *gx, uint16_t model)
+{
+	struct pl_query query = query_for(gx, model);
+	uint16_t server;
+
+	query.avoid_count = 0;
+	if (pl_pick(gx->ge->pool, &query, now_of(gx), &server) != PL_CHOSEN)
+		return -1;
+	return (int64_t)((pl_backlog_ms(gx->ge->pool, server, now_of(gx)) +
+			     query.work_ms) *
+			 US_PER_MS);
+}
+
 /* Whether the answer that begins now is dropped for a larger model's. */
 static bool
 should_escalate(struct gx *gx, int confidence)
@@ -546,15 +574,21 @@
 	    .spent_us = now_us - gx->arrived_us,
 	    .goal_us = (int64_t)gx->route->goal_ms * US_PER_MS,
 	    .left_us = gx->deadline_us - now_us};
+	uint16_t next;
 
 	if (!gx->request.any_model || gx->begun || gx->x == NULL ||
-	    !ca_should_escalate(&in))
+	    gx->model + 1 >= gx->route->model_count)
+		return false;
+	next = ca_next(gx->route->model_count, gx->model);
+	in.expected_us = expected_us(gx, next);
+	if (in.expected_us < 0 || !ca_should_escalate(&in))
 		return false;
-	gx->model = ca_next(gx->route->model_count, gx->model);
+	gx->model = next;
 	log_event(LOG_LEVEL_INFO, "escalate",
-	    "request=%s confidence=%d model=%s spent_ms=%" PRId64,
+	    "request=%s confidence=%d model=%s spent_ms=%" PRId64
+	    " expected_ms=%" PRId64,
 	    gx->request.id, confidence, gx->route->models[gx->model],
-	    in.spent_us / US_PER_MS);
+	    in.spent_us / US_PER_MS, in.expected_us / US_PER_MS);
 	return true;
 }
 
--- a/src/route/cascade.c
+++ b/src/route/cascade.c
@@ -12,6 +12,9 @@
 static const double enough_free = 82;
 static const double enough_per_cost = 13;
 
+/* Confidence that is enough where the other answer would come late. */
+static const double enough_when_late = 8;
+
 /* Returns the model that a request begins with. */
 uint16_t
 ca_first(uint16_t model_count)
@@ -27,6 +30,8 @@
 	double cost = in->output_tokens + read_cost * in->prompt_tokens;
 	double use = in->output_tokens + read_use * in->prompt_tokens;
 
+	if (in->spent_us + in->expected_us > in->goal_us)
+		return enough_when_late;
 	return use > 0 ? enough_free - enough_per_cost * cost / use
 		       : enough_free - enough_per_cost;
 }
--- a/src/route/cascade.h
+++ b/src/route/cascade.h
@@ -17,7 +17,10 @@
  * dropped costs the reading of the prompt and no more.  How much confidence is
  * enough depends on what another run costs against what its answer is good
  * for: reading is cheaper than writing, and an answer's use grows more with
- * what is written than with what is read.  No I/O and no state.
+ * what is written than with what is read.  Where the larger model's answer would
+ * come late, as all servers are busy, only answers that are of little use at
+ * all are replaced; so a cascade does not add to an overload.  No I/O and no
+ * state.
  */
 struct ca_input {
 	uint16_t model_count; /* of the route, smallest first */
@@ -26,6 +29,7 @@
 	uint32_t prompt_tokens;
 	uint32_t output_tokens; /* as far as can be told before */
 	bool may_repeat; /* attempts and budget allow another run */
+	int64_t expected_us; /* until the larger model's first event */
 	int64_t spent_us; /* since the request came */
 	int64_t goal_us; /* an answer is worth most until then */
 	int64_t left_us; /* until the caller's time is over */
--- a/src/route/pool.h
+++ b/src/route/pool.h
@@ -82,6 +82,7 @@
 	enum pl_role role;
 	bool any_role; /* the other version will do where this one has none */
 	uint64_t affinity; /* hash of the shared prefix; 0: none */
+	double work_ms; /* of reading the whole prompt */
 	double shared_ms; /* work that is saved where the prefix is kept */
 	bool by_work; /* the prompt's work decides */
 	uint16_t avoid[8]; /* servers already tried */
