Doubt a data centre whose servers can't be reached; await orders after a start

Cause: when a data centre is cut off, each of its servers cost every instance a connect timeout of 400 ms; two that fail make the rest doubtful for a second now. After a restart of everything, requests were refused for the second until the first lease; they wait up to 0.7 s for it. Ruled out: the registry's silence as the sign (servers of a cut data centre are missed only after several announcements).

--- a/src/gateway/entry.c
+++ b/src/gateway/entry.c
@@ -11,7 +11,7 @@
 
 enum {
 	CONNECTIONS_MAX = 3000,
-	CONNECT_TIMEOUT_MS = 400, /* a server in reach answers far sooner */
+	CONNECT_TIMEOUT_MS = 250, /* a server in reach answers far sooner */
 	IDLE_TIMEOUT_MS = 20000, /* connections to servers */
 	COMPILE_US = 20000, /* changes that come together are compiled once */
 	WAITING_US = 20000, /* those that wait are looked at this often */
--- a/src/gateway/exchange.c
+++ b/src/gateway/exchange.c
@@ -29,6 +29,7 @@
 	RETRY_UNKNOWN_MS = 1500, /* while no document or server is known */
 	UNKNOWN_LEFT_MS = 1500, /* a caller's time, where no route is known */
 	BACKLOG_NONE_MS = 10, /* a server counts as idle below this */
+	AWAIT_ORDERS_US = 700000, /* after a start */
 	LEFT_MIN_MS = 10, /* less is no offer to a server */
 	US_PER_MS = 1000,
 	STATUS_MISDIRECTED = 421
@@ -85,6 +86,7 @@
 	struct gx *next_waiting;
 };
 
+static void place(struct gx *gx);
 static void attempt_done(void *ctx, const struct hu_result *result);
 static int on_head(void *ctx, struct hu_call *call, unsigned int status,
     const struct hh *headers);
@@ -255,7 +257,7 @@
 	pl_ended(ge->pool, gx->now.server);
 	pl_outcome(ge->pool, gx->now.server, true, now_of(gx));
 	hu_forget(ge->client, &s->address);
-	gx_try(gx);
+	place(gx);
 }
 
 static void on_timer(void *ctx);
@@ -470,8 +472,8 @@
 }
 
 /* Places the request, or has it wait for a server. */
-void
-gx_try(struct gx *gx)
+static void
+place(struct gx *gx)
 {
 	struct ge *ge = gx->ge;
 	struct pl_query query;
@@ -832,7 +834,7 @@
 		gx->runs++;
 		gx->may_have_run = true;
 		gx->tried_count = 0; /* its server may run the larger one */
-		gx_try(gx);
+		place(gx);
 		ge_wake_waiting(ge);
 		return;
 	}
@@ -864,7 +866,7 @@
 		break;
 	case CS_AGAIN:
 	case CS_RESUME:
-		gx_try(gx);
+		place(gx);
 		break;
 	case CS_REFUSE:
 		answer_error(gx, ERR_NO_CAPACITY, RETRY_FULL_MS);
@@ -905,6 +907,10 @@
 	*retry_ms = ge->closed ? RETRY_MIN_MS : RETRY_UNKNOWN_MS;
 	if (ge->closed)
 		return ERR_SHUTDOWN;
+	if (gx->table == NULL && ge->table != NULL) {
+		gx->table = ge->table;
+		gx->table->users++;
+	}
 	if (gx->table == NULL)
 		return ERR_NO_SERVER;
 	gx->route = host != NULL
@@ -936,13 +942,75 @@
 	bu_request(&gx->service->budget, now_of(gx));
 }
 
+/* Sets until when the caller waits, and the route allows. */
+static void
+set_deadline(struct gx *gx)
+{
+	int64_t left_ms =
+	    gx->route != NULL ? gx->route->timeout_ms : UNKNOWN_LEFT_MS;
+
+	if (gx->request.has_deadline &&
+	    (gx->route == NULL || gx->request.deadline_ms < left_ms))
+		left_ms = gx->request.deadline_ms;
+	gx->deadline_us = gx->arrived_us + left_ms * US_PER_MS;
+}
+
+/*
+ * Whether a request that can't be let in yet should wait: this instance has
+ * just started and hears of routes and keys in a moment.
+ */
+static bool
+should_await_orders(const struct gx *gx, int error)
+{
+	return (error == ERR_ISOLATED || error == ERR_NO_SERVER) &&
+	       !gf_was_fresh(gx->ge->gw->follow) &&
+	       now_of(gx) - gx->arrived_us < AWAIT_ORDERS_US &&
+	       now_of(gx) < gx->deadline_us;
+}
+
+/* Lets a request in, or answers why not. */
+static void
+enter(struct gx *gx)
+{
+	int64_t retry_ms = 0;
+	int error = admit(gx, &retry_ms);
+
+	set_deadline(gx);
+	if (error == 0 &&
+	    gx->deadline_us - now_of(gx) < LEFT_MIN_MS * US_PER_MS)
+		error = ERR_NO_CAPACITY;
+	if (error != 0 && should_await_orders(gx, error)) {
+		ge_wait(gx->ge, gx);
+		return;
+	}
+	if (error != 0) {
+		answer_error(gx, error, retry_ms);
+		return;
+	}
+	gx->priority = gx->workspace != NULL &&
+			       gx->workspace->priority != RT_PRIORITY_NONE
+			   ? gx->workspace->priority
+			   : gx->route->priority;
+	choose_target(gx);
+	set_timer(gx);
+	place(gx);
+}
+
+/* Tries again what waits for a server, or for the orders. */
+void
+gx_try(struct gx *gx)
+{
+	if (gx->target == NULL)
+		enter(gx);
+	else
+		place(gx);
+}
+
 /* Takes a caller's request. */
 void
 gx_start(struct ge *ge, struct hf_exchange *x)
 {
 	struct gx *gx = alloc_zero(ge->gw->alloc, 1, sizeof(*gx));
-	int64_t left_ms, retry_ms;
-	int error;
 
 	gx->ge = ge;
 	gx->x = x;
@@ -953,36 +1021,15 @@
 	if (ge->open != NULL)
 		ge->open->prev = gx;
 	ge->open = gx;
-	gx->table = ge->table;
-	if (gx->table != NULL)
-		gx->table->users++;
 	hf_set_data(x, gx);
 	ge->requests->value++;
-	gx->deadline_us = gx->arrived_us + UNKNOWN_LEFT_MS * US_PER_MS;
-	error = ge->gw->dialect->ops->read_request(
-	    ge->gw->dialect, hf_headers(x), &gx->request);
-	retry_ms = 0;
-	if (error == 0)
-		error = admit(gx, &retry_ms);
-	left_ms = gx->route != NULL ? gx->route->timeout_ms
-				    : UNKNOWN_LEFT_MS;
-	if (gx->request.has_deadline &&
-	    (gx->route == NULL || gx->request.deadline_ms < left_ms))
-		left_ms = gx->request.deadline_ms;
-	gx->deadline_us = gx->arrived_us + left_ms * US_PER_MS;
-	if (error == 0 && left_ms < LEFT_MIN_MS)
-		error = ERR_NO_CAPACITY;
-	if (error != 0) {
-		answer_error(gx, error, retry_ms);
+	if (ge->gw->dialect->ops->read_request(ge->gw->dialect, hf_headers(x),
+		&gx->request) != 0) {
+		gx->deadline_us = gx->arrived_us + UNKNOWN_LEFT_MS * US_PER_MS;
+		answer_error(gx, ERR_MALFORMED, 0);
 		return;
 	}
-	gx->priority = gx->workspace != NULL &&
-			       gx->workspace->priority != RT_PRIORITY_NONE
-			   ? gx->workspace->priority
-			   : gx->route->priority;
 	gx->last_event = gx->request.last_event;
 	gx->has_event = gx->request.resumes;
-	choose_target(gx);
-	set_timer(gx);
-	gx_try(gx);
+	enter(gx);
 }
--- a/src/gateway/follow.c
+++ b/src/gateway/follow.c
@@ -71,6 +71,8 @@
 	case CY_REJOINED:
 		log_event(LOG_LEVEL_INFO, "rejoined", "revision=%" PRIu64,
 		    action->revision);
+		if (gf->gw->entry != NULL)
+			ge_wake_waiting(gf->gw->entry);
 		break;
 	case CY_PERSIST:
 		break;
@@ -115,6 +117,13 @@
 	return !cy_node_isolated(gf->node, clock_monotonic_us());
 }
 
+/* Whether the orders ever were fresh in this life of the process. */
+bool
+gf_was_fresh(const struct gf *gf)
+{
+	return cy_node_lease_until_us(gf->node) != 0;
+}
+
 /* Returns how long the orders still count as fresh without a word. */
 int64_t
 gf_left_us(const struct gf *gf)
--- a/src/gateway/follow.h
+++ b/src/gateway/follow.h
@@ -10,6 +10,7 @@
 /* The orders at an instance without a replica, and how fresh they are. */
 const struct ord *gf_orders(const struct gf *gf);
 bool gf_is_fresh(const struct gf *gf);
+bool gf_was_fresh(const struct gf *gf);
 int64_t gf_left_us(const struct gf *gf);
 void gf_message(
     struct gf *gf, uint32_t from, const uint8_t *data, uint32_t len);
--- a/src/route/pool.c
+++ b/src/route/pool.c
@@ -23,8 +23,26 @@
 static const uint32_t abroad_load = 2; /* requests; see pick_by_load() */
 static const double noise_ms = 6; /* keeps instances from choosing alike */
 
+/* A data centre whose servers can't be reached, as far as this one knows. */
+struct centre {
+	char name[RG_NAME_BYTES];
+	uint16_t last; /* server that could not be reached last */
+	uint8_t failures; /* of different servers, without one that answered */
+	int64_t failed_us;
+	int64_t down_until_us;
+};
+
+enum {
+	CENTRES_MAX = 32,
+	CENTRE_FAILURES = 2, /* different servers, before all are doubted */
+	CENTRE_WINDOW_US = 3000000, /* failures further apart are unrelated */
+	CENTRE_DOWN_US = 1000000 /* then one request tries it again */
+};
+
 struct pl {
 	struct pl_options options;
+	struct centre centres[CENTRES_MAX];
+	uint32_t centre_count;
 	struct rng rng;
 	struct pl_server *servers;
 	uint16_t count;
@@ -34,6 +52,22 @@
 	const struct ord *orders;
 };
 
+static struct centre *
+centre_of(struct pl *pl, const char *name)
+{
+	struct centre *c;
+
+	for (uint32_t i = 0; i < pl->centre_count; i++) {
+		if (strcmp(pl->centres[i].name, name) == 0)
+			return &pl->centres[i];
+	}
+	c = &pl->centres[pl->centre_count < CENTRES_MAX ? pl->centre_count++
+							: 0];
+	memset(c, 0, sizeof(*c));
+	snprintf(c->name, sizeof(c->name), "%s", name);
+	return c;
+}
+
 /* Creates a pool without servers. */
 struct pl *
 pl_new(const struct pl_options *options)
@@ -426,6 +460,8 @@
 	for (uint16_t i = 0; i < pl->count && count < ORDER_MAX; i++) {
 		struct pl_server *s = &pl->servers[i];
 		bool suspect = s->down_until_us > now_us ||
+			       centre_of(pl, s->said.data_centre)
+				       ->down_until_us > now_us ||
 			       s->ejected_until_us > now_us ||
 			       now_us - s->said.heard_us >
 				   pl->options.silent_us ||
@@ -571,6 +607,26 @@
 	    now_us + (int64_t)cold_left_ms * US_PER_MS;
 }
 
+/*
+ * Several servers of a data centre that can't be reached mean that it is cut
+ * off: the rest of it is not tried one by one.
+ */
+static void
+doubt_centre(struct pl *pl, uint16_t server, int64_t now_us)
+{
+	struct centre *c =
+	    centre_of(pl, pl->servers[server].said.data_centre);
+
+	if (now_us - c->failed_us > CENTRE_WINDOW_US)
+		c->failures = 0;
+	if (c->failures == 0 || c->last != server)
+		c->failures++;
+	c->last = server;
+	c->failed_us = now_us;
+	if (c->failures >= CENTRE_FAILURES)
+		c->down_until_us = now_us + CENTRE_DOWN_US;
+}
+
 /* No connection could be made, or it ended without an answer. */
 void
 pl_unreachable(struct pl *pl, uint16_t server, int64_t now_us)
@@ -584,6 +640,7 @@
 		s->failures++;
 	s->down_until_us =
 	    now_us + (wait_us < DOWN_MAX_US ? wait_us : DOWN_MAX_US);
+	doubt_centre(pl, server, now_us);
 }
 
 static double
@@ -613,8 +670,13 @@
 {
 	struct pl_server *s = &pl->servers[server];
 
-	if (!failed)
+	if (!failed) {
+		struct centre *c = centre_of(pl, s->said.data_centre);
+
 		s->failures = 0;
+		c->failures = 0;
+		c->down_until_us = 0;
+	}
 	s->outcomes++;
 	s->failing += failing_weight * ((failed ? 1.0 : 0.0) - s->failing);
 	if (failed && s->outcomes >= EJECT_OUTCOMES &&
