Log to standard output in a bounded buffer that never blocks; split the exchange

The engineers on call read standard output. Lines are kept in 256 KB and written while the reader takes them; lines left out are counted and said so. Where more requests come than lines may be written, whole requests are left out, never failed ones. Suspensions and steps of the time of day get a line.

--- a/src/base/log.h
+++ b/src/base/log.h
@@ -1,16 +1,28 @@
 #ifndef CF_LOG_H
 #define CF_LOG_H
 
+#include <stdarg.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "base/buf.h"
+
 #ifdef __cplusplus
 extern "C" {
 #endif
 
 /*
- * One key=value line an event on standard error, through log4c:
+ * One key=value line an event on standard output, through log4c:
  *
  *	ts=2026-11-30T08:00:00.000123Z level=info event=dispatch request=...
  *
  * A value that can hold blanks or quotes goes through log_quote().
+ *
+ * Nothing here waits for whoever reads the lines.  They are kept in a buffer
+ * of LOG_BUFFER_BYTES and written while the reader takes them; when the buffer
+ * is full, lines are left out and their number is logged once there is room.
+ * A process with a loop gathers lines and calls log_flush() now and then;
+ * without log_gather() each line is written at once.
  */
 enum log_level {
 	LOG_LEVEL_ERROR,
@@ -20,13 +32,21 @@
 };
 
 enum {
-	LOG_QUOTED_BYTES = 256
+	LOG_QUOTED_BYTES = 256,
+	LOG_BUFFER_BYTES = 256 * 1024
 };
 
 int log_open(enum log_level level);
 void log_close(void);
 void log_event(enum log_level level, const char *event, const char *format, ...)
     __attribute__((format(printf, 3, 4)));
+void log_add(struct buf *out, enum log_level level, const char *event,
+    const char *format, va_list args);
+void log_lines(const struct buf *lines);
+bool log_is_enabled(enum log_level level);
+void log_gather(bool gather);
+void log_flush(void);
+uint64_t log_left_out(void);
 const char *log_quote(char quoted[LOG_QUOTED_BYTES], const char *text);
 int log_level_from_name(const char *name);
 
--- a/src/gateway/entry.c
+++ b/src/gateway/entry.c
@@ -17,6 +17,7 @@
 	WAITING_US = 20000, /* those that wait are looked at this often */
 	READY_CONNECTIONS_MAX = 64,
 	READY_LEFT_US = 1500000, /* of the time the orders count as fresh */
+	LINES_A_REQUEST = 4, /* in the log, as a rule */
 	HTTP_OK = 200
 };
 
@@ -251,6 +252,23 @@
 	}
 }
 
+/* Whether the lines of one more request may be written as they come. */
+bool
+ge_may_log(struct ge *ge)
+{
+	int64_t now_us = loop_now_us(ge->gw->loop);
+	double most = ge->gw->settings->log_lines;
+
+	ge->log_lines += most * (double)(now_us - ge->log_us) / 1000000;
+	ge->log_us = now_us;
+	if (ge->log_lines > most)
+		ge->log_lines = most;
+	if (ge->log_lines < LINES_A_REQUEST)
+		return false;
+	ge->log_lines -= LINES_A_REQUEST;
+	return true;
+}
+
 static void
 on_request(void *ctx, struct hf_exchange *x)
 {
--- a/src/gateway/entry.h
+++ b/src/gateway/entry.h
@@ -55,6 +55,8 @@
 	struct loop_timer *retry; /* looks at those that wait */
 	struct loop_timer *compile;
 	struct loop_timer *tick;
+	double log_lines; /* that may be written now */
+	int64_t log_us; /* when that was reckoned */
 	bool draining; /* unready; connections end with their answers */
 	bool closed; /* new requests are refused */
 	struct metrics_series *requests;
@@ -83,6 +85,7 @@
 struct ge_service *ge_service_of(struct ge *ge, const char *name);
 void ge_wait(struct ge *ge, struct gx *gx);
 void ge_wake_waiting(struct ge *ge);
+bool ge_may_log(struct ge *ge);
 void ge_table_release(struct ge_table *table);
 
 /* exchange.c */
--- /dev/null
+++ b/src/gateway/exchange_answer.c
@@ -0,0 +1,354 @@
+#include "gateway/exchange.h"
+
+#include <inttypes.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/err.h"
+#include "route/cascade.h"
+#include "route/course.h"
+
+/* A backend server's answer: checked, passed on, or tried again elsewhere. */
+
+enum {
+	ANSWER_MAX_BYTES = 16 * 1024 * 1024, /* of a plain answer, buffered */
+	EVENT_MAX_BYTES = 1024 * 1024,
+	BACKLOG_NONE_MS = 10, /* a server counts as idle below this */
+	STATUS_MISDIRECTED = 421
+};
+
+static void
+begin_answer(struct gx *gx)
+{
+	hf_begin(gx->x, gx->now.status, &gx->lines, true, 0);
+	gx->begun = true;
+}
+
+/* Tokens that the answer will probably have. */
+static uint32_t
+output_guess(const struct gx *gx)
+{
+	return gx->request.output_tokens_guess > 0
+		   ? gx->request.output_tokens_guess
+		   : gx->request.output_tokens_max / 3;
+}
+
+/* Whether the answer that begins now is dropped for a larger model's. */
+static bool
+should_escalate(struct gx *gx, int confidence)
+{
+	int64_t now_us = gx_now(gx);
+	struct ca_input in = {.model_count = gx->route->model_count,
+	    .model = gx->model,
+	    .confidence = confidence,
+	    .prompt_tokens = gx->request.prompt_tokens,
+	    .output_tokens = output_guess(gx),
+	    .may_repeat = gx->runs + 1 < gx->route->attempts_max &&
+			  bu_may_repeat(&gx->service->budget, now_us),
+	    .spent_us = now_us - gx->arrived_us,
+	    .goal_us = (int64_t)gx->route->goal_ms * US_PER_MS,
+	    .left_us = gx->deadline_us - now_us};
+	uint16_t next;
+
+	if (!gx->request.any_model || gx->begun || gx->x == NULL ||
+	    gx->model + 1 >= gx->route->model_count)
+		return false;
+	next = ca_next(gx->route->model_count, gx->model);
+	in.expected_us = gx_expected_us(gx, next);
+	if (in.expected_us < 0 || !ca_should_escalate(&in))
+		return false;
+	gx->model = next;
+	gx_log(gx, LOG_LEVEL_INFO, "escalate",
+	    "confidence=%d model=%s spent_ms=%" PRId64
+	    " expected_ms=%" PRId64,  confidence, gx->route->models[gx->model],
+	    in.spent_us / US_PER_MS, in.expected_us / US_PER_MS);
+	return true;
+}
+
+static int
+on_head(void *ctx, struct hu_call *call, unsigned int status,
+    const struct hh *headers)
+{
+	struct gx *gx = ctx;
+	struct ge *ge = gx->ge;
+	const struct dl_dialect *dialect = ge->gw->dialect;
+	struct dl_answer answer;
+	int64_t now_us = gx_now(gx);
+
+	(void)call;
+	dialect->ops->read_answer(dialect, headers, &answer);
+	if (answer.id != NULL && gx->request.id[0] != '\0' &&
+	    strcmp(answer.id, gx->request.id) != 0) {
+		gx_log(gx, LOG_LEVEL_WARN, "answer_of_another",
+		    "server=%s", 
+		    pl_at(ge->pool, gx->now.server)->said.id);
+		return HU_NOT_OURS;
+	}
+	if (!gx->now.answered && gx->now.backlog_ms < BACKLOG_NONE_MS &&
+	    gx->now.tokens > 0 && status < 300)
+		pc_sample(&gx->service->paces[gx->model], gx->now.tokens,
+		    now_us - gx->now.sent_us);
+	gx_begin_work(gx);
+	gx->now.progress_us = now_us;
+	gx->now.answered = true;
+	gx->now.status = status;
+	gx->now.not_run = answer.not_run || status == STATUS_MISDIRECTED;
+	if (answer.has_load)
+		pl_load(ge->pool, gx->now.server, answer.running,
+		    answer.waiting, now_us);
+	if (answer.has_cold)
+		pl_cold(
+		    ge->pool, gx->now.server, answer.cold_left_ms, now_us);
+	if (status < 300 &&
+	    (!answer.has_proof || answer.encoded || answer.id == NULL)) {
+		gx->now.defective = true;
+		return ERR_UPSTREAM;
+	}
+	if (status < 300 && should_escalate(gx, answer.confidence)) {
+		gx->now.dropped = true;
+		return ERR_UPSTREAM;
+	}
+	if (!gx->begun) {
+		buf_clear(&gx->lines);
+		dialect->ops->write_answer(dialect, headers, &gx->lines);
+	}
+	buf_clear(&gx->body);
+	return 0;
+}
+
+/* Reads "id: N" of an event; false if there is none. */
+static bool
+event_id(const char *event, size_t len, uint64_t *id)
+{
+	size_t at = 0;
+
+	while (at + 3 < len) {
+		const char *end = memchr(event + at, '\n', len - at);
+
+		if (strncmp(event + at, "id:", 3) == 0) {
+			*id = strtoull(event + at + 3, NULL, 10);
+			return true;
+		}
+		if (end == NULL)
+			break;
+		at = (size_t)(end - event) + 1;
+	}
+	return false;
+}
+
+/* Length of the first whole event, its blank line included; 0: none yet. */
+static size_t
+whole_event(const struct buf *buf)
+{
+	for (size_t i = 1; i < buf->len; i++) {
+		if (buf->data[i] != '\n')
+			continue;
+		if (buf->data[i - 1] == '\n' ||
+		    (i >= 3 && buf->data[i - 1] == '\r' &&
+			buf->data[i - 2] == '\n'))
+			return i + 1;
+	}
+	return 0;
+}
+
+static void
+note_first(struct gx *gx)
+{
+	if (gx->first_us != 0)
+		return;
+	gx->first_us = gx_now(gx);
+	metrics_observe_us(gx->ge->first_us, gx->first_us - gx->arrived_us);
+}
+
+/* Passes whole events on as they come; half of one is kept back. */
+static int
+pass_events(struct gx *gx, const void *data, size_t len)
+{
+	size_t n, passed = 0;
+	uint64_t id;
+
+	buf_add(&gx->body, data, len);
+	while ((n = whole_event(&gx->body)) > 0) {
+		bool has_id =
+		    event_id((const char *)gx->body.data, n, &id);
+
+		/* A run that goes on may repeat what the caller has. */
+		if (!(has_id && gx->has_event && id <= gx->last_event)) {
+			if (!gx->begun)
+				begin_answer(gx);
+			if (gx->x != NULL)
+				hf_write(gx->x, gx->body.data, n);
+			if (has_id) {
+				gx->last_event = id;
+				gx->has_event = true;
+			}
+			passed += n;
+		}
+		buf_consume(&gx->body, n);
+	}
+	if (passed > 0)
+		note_first(gx);
+	return gx->body.len > EVENT_MAX_BYTES ? ERR_UPSTREAM : 0;
+}
+
+static int
+on_data(void *ctx, struct hu_call *call, const void *data, size_t len)
+{
+	struct gx *gx = ctx;
+
+	(void)call;
+	gx->now.progress_us = gx_now(gx);
+	if (gx->now.not_run)
+		return 0;
+	if (gx->route->kind == RT_STREAM && gx->now.status < 300)
+		return pass_events(gx, data, len);
+	note_first(gx);
+	buf_add(&gx->body, data, len);
+	return gx->body.len > ANSWER_MAX_BYTES ? ERR_UPSTREAM : 0;
+}
+
+/* Statuses that promise that nothing ran, without the server's word for it. */
+static bool
+promises_not_run(unsigned int status)
+{
+	return status == 408 || status == 429 || status == 503;
+}
+
+static enum cs_end
+classify(const struct gx *gx, const struct hu_result *result)
+{
+	if (gx->now.not_run && result->error == 0)
+		return CS_NOT_RUN;
+	if (gx->now.defective)
+		return CS_DEFECTIVE;
+	if (result->error == 0)
+		return promises_not_run(result->status) ? CS_DEFECTIVE
+							: CS_ANSWERED;
+	if (!result->sent)
+		return CS_UNREACHABLE;
+	return gx->now.not_run ? CS_NOT_RUN : CS_BROKEN;
+}
+
+static void
+note_outcome(struct gx *gx, enum cs_end end, unsigned int status)
+{
+	struct ge *ge = gx->ge;
+	int64_t now_us = gx_now(gx);
+	bool failed = end == CS_BROKEN || end == CS_DEFECTIVE ||
+		      (end == CS_ANSWERED && status >= 500);
+	struct vd_counts *counts = gx->now.role == PL_TARGET
+				       ? &gx->service->fresh
+				       : &gx->service->known;
+
+	if (end == CS_UNREACHABLE)
+		pl_unreachable(ge->pool, gx->now.server, now_us);
+	else if (end == CS_NOT_RUN)
+		pl_full(ge->pool, gx->now.server, now_us);
+	else
+		pl_outcome(ge->pool, gx->now.server, failed, now_us);
+	if (end == CS_UNREACHABLE || end == CS_NOT_RUN)
+		return;
+	counts->answers++;
+	counts->failures += failed;
+	if (!failed && gx->first_us != 0) {
+		counts->seconds += (double)(gx->first_us - gx->now.sent_us) /
+				   1000000;
+		counts->work += 1 + gx->request.prompt_tokens / 4000.0;
+	}
+}
+
+static void
+pass_on(struct gx *gx)
+{
+	struct ge *ge = gx->ge;
+
+	gx_log_end(gx, "answered", gx->now.status);
+	ge->answers->value++;
+	metrics_observe_us(ge->whole_us, gx_now(gx) - gx->arrived_us);
+	if (gx->x == NULL) {
+		gx_free(gx);
+		return;
+	}
+	if (gx->begun) {
+		if (gx->body.len > 0)
+			hf_write(gx->x, gx->body.data, gx->body.len);
+		hf_end(gx->x, true);
+	} else {
+		struct hf_exchange *x = gx->x;
+
+		hf_begin(x, gx->now.status, &gx->lines, false, gx->body.len);
+		hf_write(x, gx->body.data, gx->body.len);
+		hf_end(x, true);
+	}
+	gx->x = NULL;
+	gx_free(gx);
+}
+
+static void
+attempt_done(void *ctx, const struct hu_result *result)
+{
+	struct gx *gx = ctx;
+	struct ge *ge = gx->ge;
+	enum cs_end end = classify(gx, result);
+	struct cs_input in = {.kind = gx->route->kind,
+	    .resumable = gx->route->resumable,
+	    .end = end,
+	    .status = gx->now.status,
+	    .begun = gx->begun,
+	    .runs_max = gx->route->attempts_max,
+	    .left_us = gx->deadline_us - gx_now(gx)};
+
+	gx->now.call = NULL;
+	gx_begin_work(gx);
+	pl_ended(ge->pool, gx->now.server);
+	if (gx->now.dropped) {
+		gx->runs++;
+		gx->may_have_run = true;
+		gx->tried_count = 0; /* its server may run the larger one */
+		gx_place(gx);
+		ge_wake_waiting(ge);
+		return;
+	}
+	note_outcome(gx, end, result->status);
+	if (end != CS_UNREACHABLE && end != CS_NOT_RUN) {
+		gx->runs++;
+		gx->may_have_run = true;
+	}
+	in.may_have_run = gx->may_have_run;
+	in.runs = gx->runs;
+	in.sends = gx->sends;
+	in.budget = bu_may_repeat(&gx->service->budget, gx_now(gx));
+	if (end != CS_ANSWERED)
+		gx_log(gx, LOG_LEVEL_INFO, "attempt_failed",
+		    "server=%s end=%d status=%u error=%s sent=%d "
+		    "closed=%d reused=%d ms=%" PRId64,  pl_at(ge->pool, gx->now.server)->said.id,
+		    end, result->status, err_name(result->error),
+		    result->sent, result->closed, result->reused,
+		    (gx_now(gx) - gx->now.sent_us) / US_PER_MS);
+	if (gx->x == NULL) {
+		gx_free(gx);
+		ge_wake_waiting(ge);
+		return;
+	}
+	switch (cs_next(&in)) {
+	case CS_PASS_ON:
+		pass_on(gx);
+		break;
+	case CS_AGAIN:
+	case CS_RESUME:
+		gx_place(gx);
+		break;
+	case CS_REFUSE:
+		gx_answer_error(gx, ERR_NO_CAPACITY, GX_RETRY_FULL_MS);
+		break;
+	case CS_FAIL:
+		gx_answer_error(gx, ERR_UPSTREAM, 0);
+		break;
+	case CS_CUT:
+		gx_cut(gx);
+		break;
+	}
+	ge_wake_waiting(ge);
+}
+
+const struct hu_handler gx_call_handler = {on_head, on_data, attempt_done};
--- /dev/null
+++ b/src/gateway/exchange_send.c
@@ -0,0 +1,281 @@
+#include "gateway/exchange.h"
+
+#include <inttypes.h>
+#include <string.h>
+
+#include "base/err.h"
+#include "gateway/follow.h"
+#include "route/patience.h"
+
+/* Where a request goes, and how it is sent there. */
+
+enum {
+	PLAIN_WAITING = 6 /* requests that may wait at a plain service's server */
+};
+
+/* Hash of the prompt prefix that other requests share; 0: none. */
+static uint64_t
+affinity_of(const struct gx *gx, uint16_t model)
+{
+	const struct dl_request *r = &gx->request;
+
+	if (!gx->route->sticky || r->part_count == 0)
+		return 0;
+	return (r->parts[r->part_count > 1 ? r->part_count - 2 : 0].id +
+		   model) |
+	       1;
+}
+
+static const char *
+model_of(const struct gx *gx)
+{
+	const struct rt_route *route = gx->route;
+
+	if (!gx->request.any_model || route->model_count == 0)
+		return NULL;
+	return route->models[gx->model];
+}
+
+static bool
+rollout_runs(const struct gx *gx)
+{
+	const struct ord_rollout *rollout = ord_rollout_of(
+	    gf_orders(gx->ge->gw->follow), gx->target->name);
+
+	return rollout != NULL && rollout->state == ORD_RUNNING;
+}
+
+/* The version of the service that this request runs on. */
+static enum pl_role
+role_of(struct gx *gx, bool *bound)
+{
+	struct ge *ge = gx->ge;
+	const struct ord_rollout *rollout =
+	    ord_rollout_of(gf_orders(ge->gw->follow), gx->target->name);
+	struct se_query query = {.session = gx->request.session,
+	    .now_us = gx_now(gx),
+	    .permille = GE_TARGET_PERMILLE,
+	    .draw = rng_below(&ge->rng, 1000)};
+
+	*bound = false;
+	if (rollout == NULL || rollout->state != ORD_RUNNING)
+		return PL_BASE;
+	query.order_age_us = query.now_us - rollout->ordered_us;
+	return se_role(ge->sessions, &query, bound);
+}
+
+/* Tokens of the prompt but for the caller's own last part. */
+static uint32_t
+shared_tokens(const struct gx *gx)
+{
+	uint32_t tokens = 0;
+
+	for (uint8_t i = 0; i + 1 < gx->request.part_count; i++)
+		tokens += gx->request.parts[i].tokens;
+	return tokens;
+}
+
+/* What the request asks of a server, for a model of its route. */
+static struct pl_query
+query_for(struct gx *gx, uint16_t model)
+{
+	struct pl_query query = {.service = gx->target->name,
+	    .by_work = gx->target->is_engine,
+	    .affinity = affinity_of(gx, model),
+	    .slots_more = gx->target->is_engine ? gx->target->slots / 2
+						    : PLAIN_WAITING};
+	const struct pc *pace = &gx->service->paces[model];
+	bool bound;
+
+	query.role = role_of(gx, &bound);
+	query.any_role = !bound;
+	if (query.by_work)
+		query.work_ms = pc_work_ms(pace, gx->request.prompt_tokens);
+	if (query.affinity != 0)
+		query.shared_ms = pc_work_ms(pace, shared_tokens(gx));
+	query.avoid_count = gx->tried_count;
+	memcpy(query.avoid, gx->tried, sizeof(query.avoid));
+	return query;
+}
+
+static void
+write_head(const struct gx *gx, const struct pl_server *server, struct buf *out)
+{
+	const struct dl_dialect *dialect = gx->ge->gw->dialect;
+	int64_t left_ms = (gx->deadline_us - gx_now(gx)) / US_PER_MS;
+	const struct buf *body = hf_body(gx->x);
+	const char *method = hf_method(gx->x);
+	struct dl_send send = {.deadline_ms =
+				   left_ms > 0 ? (uint32_t)left_ms : 0,
+	    .server = server->said.id,
+	    .workspace = gx->workspace != NULL ? gx->workspace->name : NULL,
+	    .model = model_of(gx),
+	    .resumes = gx->has_event || gx->request.resumes,
+	    .last_event = gx->last_event,
+	    .priority = -1};
+
+	buf_addf(out, "%s %s HTTP/1.1\r\n", method, hf_target(gx->x));
+	dialect->ops->write_request(dialect, hf_headers(gx->x), &send, out);
+	if (body->len > 0 || strcmp(method, "GET") != 0)
+		buf_addf(out, "Content-Length: %zu\r\n", body->len);
+	buf_adds(out, "\r\n");
+}
+
+static void
+dispatch(struct gx *gx, uint16_t server, const struct pl_query *query)
+{
+	struct ge *ge = gx->ge;
+	const struct pl_server *s = pl_at(ge->pool, server);
+	int64_t now_us = gx_now(gx);
+	struct buf head;
+	struct hu_request request = {.address = s->address,
+	    .head = &head,
+	    .body = hf_body(gx->x)->data,
+	    .len = hf_body(gx->x)->len,
+	    .is_head = strcmp(hf_method(gx->x), "HEAD") == 0,
+	    .handler = &gx_call_handler,
+	    .ctx = gx};
+
+	gx->now = (struct gx_attempt){
+	    .server = server,
+	    .role = s->role,
+	    .sent_us = now_us,
+	    .progress_us = now_us};
+	if (gx->sends > 0) {
+		bu_repeat(&gx->service->budget, now_us);
+		ge->repeats->value++;
+	}
+	gx->sends++;
+	if (gx->tried_count < GX_TRIED_MAX)
+		gx->tried[gx->tried_count++] = server;
+	gx_log(gx, LOG_LEVEL_INFO, "dispatch",
+	    "route=%s server=%s send=%u role=%d load=%u+%u "
+	    "in_flight=%u left_ms=%" PRId64 " document=%" PRIu64,  gx->route->name, s->said.id, gx->sends, s->role,
+	    s->running, s->waiting, s->in_flight,
+	    (gx->deadline_us - now_us) / US_PER_MS, gx->table->number);
+	buf_init(&head, ge->gw->alloc);
+	write_head(gx, s, &head);
+	if (query->by_work) {
+		gx->now.tokens = gx->request.prompt_tokens;
+		gx->now.work_ms = query->work_ms;
+		if (pl_is_home(ge->pool, server, query)) {
+			gx->now.tokens -= shared_tokens(gx);
+			gx->now.work_ms -= query->shared_ms;
+		}
+		gx->now.backlog_ms = pl_backlog_ms(ge->pool, server, now_us);
+		gx->now.expected_ms = gx->now.work_ms + gx->now.backlog_ms;
+	}
+	pl_sent(ge->pool, server, gx->now.work_ms, now_us);
+	if (se_note(ge->sessions, gx->request.session, s->role,
+		rollout_runs(gx) ? GE_TARGET_PERMILLE : 0, now_us))
+		gw_spread(ge->gw, GW_NOTE_HELD, gx->request.session, 1);
+	gx->now.call = hu_start(ge->client, &request);
+	buf_free(&head);
+	if (gx->now.call == NULL) {
+		struct hu_result failed = {
+		    .error = ERR_IO, .unreachable = true};
+
+		gx_call_handler.done(gx, &failed);
+		return;
+	}
+	gx_set_timer(gx);
+}
+
+/* What has not been sent may be refused; the caller learns when to return. */
+void
+gx_refuse(struct gx *gx, int error, int64_t retry_ms)
+{
+	if (gx->begun)
+		gx_cut(gx);
+	else
+		gx_answer_error(gx, gx->may_have_run ? ERR_UPSTREAM : error,
+		    retry_ms);
+}
+
+/* Places the request, or has it wait for a server. */
+void
+gx_place(struct gx *gx)
+{
+	struct ge *ge = gx->ge;
+	struct pl_query query;
+	uint16_t server = RT_NONE;
+
+	if (gx->workspace != NULL && !gf_is_fresh(ge->gw->follow)) {
+		gx_refuse(gx, ERR_ISOLATED, GX_RETRY_UNKNOWN_MS);
+		return;
+	}
+	query = query_for(gx, gx->model);
+	switch (pl_pick(ge->pool, &query, gx_now(gx), &server)) {
+	case PL_CHOSEN:
+		dispatch(gx, server, &query);
+		break;
+	case PL_NONE:
+		gx_refuse(gx, ERR_NO_SERVER, GX_RETRY_UNKNOWN_MS);
+		break;
+	case PL_FULL:
+		if (gx_now(gx) - gx->arrived_us >
+		    (int64_t)gx->route->goal_ms * US_PER_MS / 2)
+			gx_refuse(gx, ERR_NO_CAPACITY, GX_RETRY_FULL_MS);
+		else if (!gx->waiting)
+			ge_wait(ge, gx);
+		break;
+	}
+}
+
+/* Time until a model's first event, at the best server; -1: there is none. */
+int64_t
+gx_expected_us(struct gx *gx, uint16_t model)
+{
+	struct pl_query query = query_for(gx, model);
+	uint16_t server;
+
+	query.avoid_count = 0;
+	if (pl_pick(gx->ge->pool, &query, gx_now(gx), &server) != PL_CHOSEN)
+		return -1;
+	return (int64_t)((pl_backlog_ms(gx->ge->pool, server, gx_now(gx)) +
+			     query.work_ms) *
+			 US_PER_MS);
+}
+
+/* How long the attempt under way may go on without progress; 0: forever. */
+int64_t
+gx_patience_us(const struct gx *gx)
+{
+	struct pa_input in = {.kind = gx->route->kind,
+	    .resumable = gx->route->resumable,
+	    .begun = gx->begun,
+	    .can_move = gx->x != NULL &&
+			gx->runs + 1 < gx->route->attempts_max &&
+			bu_may_repeat(&gx->service->budget, gx_now(gx)),
+	    .goal_ms = gx->route->goal_ms,
+	    .gap_goal_ms = gx->route->gap_goal_ms,
+	    .expected_ms = gx->now.expected_ms};
+
+	return gx->now.call != NULL ? pa_limit_us(&in) : 0;
+}
+
+/*
+ * The attempt makes no progress: its connection is closed, as are those that
+ * were kept to the same server, and the request goes to another one.
+ */
+void
+gx_move_on(struct gx *gx)
+{
+	struct ge *ge = gx->ge;
+	const struct pl_server *s = pl_at(ge->pool, gx->now.server);
+
+	gx_log(gx, LOG_LEVEL_WARN, "attempt_silent",
+	    "server=%s begun=%d silent_ms=%" PRId64
+	    " expected_ms=%.0f",  s->said.id, gx->begun,
+	    (gx_now(gx) - gx->now.progress_us) / US_PER_MS,
+	    gx->now.expected_ms);
+	gx->may_have_run |= hu_was_sent(gx->now.call);
+	gx->runs += hu_was_sent(gx->now.call);
+	hu_cancel(gx->now.call);
+	gx->now.call = NULL;
+	gx_begin_work(gx);
+	pl_ended(ge->pool, gx->now.server);
+	pl_outcome(ge->pool, gx->now.server, true, gx_now(gx));
+	hu_forget(ge->client, &s->address);
+	gx_place(gx);
+}
--- a/src/gateway/main.c
+++ b/src/gateway/main.c
@@ -1,5 +1,6 @@
 #include <apr_general.h>
 #include <arpa/inet.h>
+#include <inttypes.h>
 #include <signal.h>
 #include <sodium.h>
 #include <stdio.h>
@@ -8,6 +9,7 @@
 #include <sys/stat.h>
 #include <unistd.h>
 
+#include "base/clock.h"
 #include "base/err.h"
 #include "base/log.h"
 #include "base/rng.h"
@@ -30,6 +32,9 @@
 	RESTARTS_MAX = 5,
 	RESTART_WINDOW_MS = 60000,
 	RESTART_DELAY_MS = 200,
+	LOG_US = 100000,
+	CLOCK_US = 500000, /* the clocks are compared this often */
+	CLOCK_SLACK_US = 500000, /* a smaller difference is not worth a line */
 	SETTINGS_US = 500000, /* the file is looked at this often */
 	DRAIN_TICK_US = 50000,
 	/* The balancer has seen it unready: what still comes goes elsewhere. */
@@ -44,6 +49,8 @@
 	int signal_fd;
 	struct timespec settings_changed;
 	int64_t stopping_us;
+	int64_t clock_us; /* last look at both clocks */
+	int64_t wall_us;
 	bool idle_closed;
 };
 
@@ -64,6 +71,39 @@
 	buf_free(&why);
 }
 
+/* Lines are gathered and written a few times a second. */
+static void
+on_log(void *ctx)
+{
+	struct process *p = ctx;
+
+	log_flush();
+	loop_after(p->gw.loop, LOG_US, on_log, p);
+}
+
+/* A machine that was suspended has missed what others agreed meanwhile. */
+static void
+on_clock(void *ctx)
+{
+	struct process *p = ctx;
+	int64_t now_us = loop_now_us(p->gw.loop);
+	int64_t wall_us = clock_wall_us();
+	int64_t slept_us = now_us - p->clock_us - CLOCK_US;
+	int64_t stepped_us =
+	    (wall_us - p->wall_us) - (now_us - p->clock_us);
+
+	if (p->clock_us != 0 && slept_us > CLOCK_SLACK_US)
+		log_event(LOG_LEVEL_WARN, "suspended",
+		    "ms=%" PRId64, slept_us / 1000);
+	if (p->clock_us != 0 && (stepped_us > CLOCK_SLACK_US ||
+				    stepped_us < -CLOCK_SLACK_US))
+		log_event(LOG_LEVEL_WARN, "time_of_day_stepped",
+		    "ms=%" PRId64, stepped_us / 1000);
+	p->clock_us = now_us;
+	p->wall_us = wall_us;
+	loop_after(p->gw.loop, CLOCK_US, on_clock, p);
+}
+
 static bool
 file_changed(struct process *p)
 {
@@ -225,6 +265,7 @@
 	if (sodium_init() < 0 || read_settings(&p, argc, argv) != 0)
 		return EXIT_USAGE;
 	log_open((enum log_level)p.settings.log_level);
+	log_gather(true);
 	p.gw.settings = &p.settings;
 	p.gw.dialect = platform_dialect();
 	p.gw.incarnation = rng_system_seed();
@@ -245,6 +286,8 @@
 		return EXIT_FAILURE_TO_START;
 	}
 	loop_after(p.gw.loop, SETTINGS_US, on_settings, &p);
+	loop_after(p.gw.loop, LOG_US, on_log, &p);
+	loop_after(p.gw.loop, CLOCK_US, on_clock, &p);
 	error = loop_run(p.gw.loop);
 	sup_stop(p.gw.sup);
 	sup_free(p.gw.sup);
--- a/src/gateway/settings.c
+++ b/src/gateway/settings.c
@@ -61,6 +61,8 @@
     OTHER("seeds", SETTING_SEEDS, seeds,
 	"IP:PORT,... of instances that serve control"),
     OTHER("log-level", SETTING_LEVEL, log_level, "error, warn, info or debug"),
+    OTHER("log-lines", SETTING_NUMBER, log_lines,
+	"lines a second about requests that succeed"),
     OTHER("contact-ms", SETTING_NUMBER, contact_ms,
 	"silence after which an instance counts as lost"),
     OTHER("drain-ms", SETTING_NUMBER, drain_ms,
@@ -98,6 +100,7 @@
 	memset(gs, 0, sizeof(*gs));
 	snprintf(gs->dialect, sizeof(gs->dialect), "platform");
 	gs->log_level = LOG_LEVEL_INFO;
+	gs->log_lines = 400;
 	gs->contact_ms = 3000;
 	gs->drain_ms = 2000;
 	gs->grace_ms = 8000;
--- a/src/gateway/settings.h
+++ b/src/gateway/settings.h
@@ -43,6 +43,7 @@
 	struct gs_address seeds[GS_SEEDS_MAX];
 	uint32_t seed_count;
 	uint32_t log_level;
+	uint32_t log_lines; /* a second, of requests that succeed */
 	uint32_t contact_ms; /* silence after which an instance is lost */
 	uint32_t drain_ms; /* nothing more is sent to a server that leaves */
 	uint32_t grace_ms; /* from SIGTERM to the end of the process */
