Refuse requests that crash backend servers; serve a metrics page

A request whose connection a server ended without a word, shortly before that server could not be reached, is marked; marks reach every instance through those that serve control.

--- a/src/gateway/entry.c
+++ b/src/gateway/entry.c
@@ -17,6 +17,7 @@
 	WAITING_US = 20000, /* those that wait are looked at this often */
 	READY_CONNECTIONS_MAX = 64,
 	READY_LEFT_US = 1500000, /* of the time the orders count as fresh */
+	MARKS_MAX = 4096, /* requests that crashed a server lately */
 	LINES_A_REQUEST = 4, /* in the log, as a rule */
 	HTTP_OK = 200
 };
@@ -103,9 +104,35 @@
 void
 ge_note(struct ge *ge, enum gw_note kind, uint64_t key, uint32_t value)
 {
-	(void)value;
-	if (kind == GW_NOTE_HELD)
-		se_hold(ge->sessions, key, loop_now_us(ge->gw->loop));
+	int64_t now_us = loop_now_us(ge->gw->loop);
+
+	switch (kind) {
+	case GW_NOTE_HELD:
+		se_hold(ge->sessions, key, now_us);
+		break;
+	case GW_NOTE_CRASH:
+		marks_merge(ge->marks, key,
+		    (uint8_t)(value < UINT8_MAX ? value : UINT8_MAX), now_us);
+		break;
+	}
+}
+
+static void
+note_crash(void *ctx, uint64_t fingerprint)
+{
+	struct ge *ge = ctx;
+	uint8_t crashes =
+	    marks_get(ge->marks, fingerprint, loop_now_us(ge->gw->loop));
+
+	gw_spread(ge->gw, GW_NOTE_CRASH, fingerprint, crashes + 1U);
+}
+
+/* A server can't be reached: what it ran last may have crashed it. */
+void
+ge_server_down(struct ge *ge, uint16_t server)
+{
+	su_down(ge->suspects, server, loop_now_us(ge->gw->loop), note_crash,
+	    ge);
 }
 
 static void
@@ -438,6 +465,8 @@
 	hu_free(ge->client);
 	pl_free(ge->pool);
 	se_free(ge->sessions);
+	su_free(ge->suspects);
+	marks_free(ge->marks);
 	while (ge->services != NULL) {
 		struct ge_service *v = ge->services;
 
@@ -472,6 +501,8 @@
 	make_series(ge);
 	ge->client = hu_new(&client);
 	ge->pool = pl_new(&pool);
+	ge->suspects = su_new(gw->alloc);
+	ge->marks = marks_new(gw->alloc, MARKS_MAX);
 	ge->sessions = se_new(
 	    gw->alloc, (int64_t)gw->settings->session_ms * 1000);
 	gw->entry = ge;
--- a/src/gateway/entry.h
+++ b/src/gateway/entry.h
@@ -2,12 +2,14 @@
 #define CF_GATEWAY_ENTRY_H
 
 #include "gateway/gateway.h"
+#include "core/marks.h"
 #include "http/front.h"
 #include "http/upstream.h"
 #include "route/budget.h"
 #include "route/pace.h"
 #include "route/pool.h"
 #include "route/sessions.h"
+#include "route/suspects.h"
 #include "route/verdict.h"
 
 #ifdef __cplusplus
@@ -18,6 +20,7 @@
 struct gx;
 
 enum {
+	GE_CRASHES_REFUSED = 3, /* a request that crashed so many servers */
 	GE_TARGET_PERMILLE = 80 /* of a service's requests, to a new version */
 };
 
@@ -46,6 +49,8 @@
 	struct hu *client;
 	struct pl *pool;
 	struct se *sessions;
+	struct su *suspects;
+	struct marks *marks; /* crashes by fingerprint, here and elsewhere */
 	struct rng rng;
 	struct ge_table *table; /* NULL: no document is known */
 	struct ge_service *services;
@@ -86,6 +91,7 @@
 void ge_wait(struct ge *ge, struct gx *gx);
 void ge_wake_waiting(struct ge *ge);
 bool ge_may_log(struct ge *ge);
+void ge_server_down(struct ge *ge, uint16_t server);
 void ge_table_release(struct ge_table *table);
 
 /* exchange.c */
--- a/src/gateway/exchange.c
+++ b/src/gateway/exchange.c
@@ -4,6 +4,7 @@
 #include <stdarg.h>
 #include <stdio.h>
 #include <string.h>
+#include <xxhash.h>
 
 #include "base/err.h"
 #include "gateway/follow.h"
@@ -373,6 +374,17 @@
 		gx_place(gx);
 }
 
+/* What stays the same when the same caller sends the same request again. */
+static uint64_t
+fingerprint_of(const struct gx *gx)
+{
+	const char *target = hf_target(gx->x);
+	uint64_t hash = XXH64(target, strlen(target), 0);
+
+	hash = XXH64(gx->request.key, strlen(gx->request.key), hash);
+	return XXH64(hf_body(gx->x)->data, hf_body(gx->x)->len, hash);
+}
+
 /* Takes a caller's request. */
 void
 gx_start(struct ge *ge, struct hf_exchange *x)
@@ -400,5 +412,6 @@
 	}
 	gx->last_event = gx->request.last_event;
 	gx->has_event = gx->request.resumes;
+	gx->fingerprint = fingerprint_of(gx);
 	enter(gx);
 }
--- a/src/gateway/exchange_answer.c
+++ b/src/gateway/exchange_answer.c
@@ -230,19 +230,25 @@
 }
 
 static void
-note_outcome(struct gx *gx, enum cs_end end, unsigned int status)
+note_outcome(struct gx *gx, enum cs_end end, const struct hu_result *result)
 {
 	struct ge *ge = gx->ge;
 	int64_t now_us = gx_now(gx);
 	bool failed = end == CS_BROKEN || end == CS_DEFECTIVE ||
-		      (end == CS_ANSWERED && status >= 500);
+		      (end == CS_ANSWERED && result->status >= 500);
 	struct vd_counts *counts = gx->now.role == PL_TARGET
 				       ? &gx->service->fresh
 				       : &gx->service->known;
 
-	if (end == CS_UNREACHABLE)
+	if (result->error == 0 || gx->now.answered)
+		su_answered(ge->suspects, gx->now.server);
+	else if (end == CS_BROKEN && result->closed)
+		su_broken(ge->suspects, gx->now.server, gx->fingerprint,
+		    now_us);
+	if (end == CS_UNREACHABLE) {
 		pl_unreachable(ge->pool, gx->now.server, now_us);
-	else if (end == CS_NOT_RUN)
+		ge_server_down(ge, gx->now.server);
+	} else if (end == CS_NOT_RUN)
 		pl_full(ge->pool, gx->now.server, now_us);
 	else
 		pl_outcome(ge->pool, gx->now.server, failed, now_us);
@@ -309,7 +315,7 @@
 		ge_wake_waiting(ge);
 		return;
 	}
-	note_outcome(gx, end, result->status);
+	note_outcome(gx, end, result);
 	if (end != CS_UNREACHABLE && end != CS_NOT_RUN) {
 		gx->runs++;
 		gx->may_have_run = true;
--- a/src/gateway/exchange_send.c
+++ b/src/gateway/exchange_send.c
@@ -204,6 +204,13 @@
 		gx_refuse(gx, ERR_ISOLATED, GX_RETRY_UNKNOWN_MS);
 		return;
 	}
+	if (marks_get(ge->marks, gx->fingerprint, gx_now(gx)) >=
+	    GE_CRASHES_REFUSED) {
+		gx_log(gx, LOG_LEVEL_WARN, "refused_for_crashes",
+		    "fingerprint=%016" PRIx64, gx->fingerprint);
+		gx_refuse(gx, ERR_NO_CAPACITY, gx->route->timeout_ms);
+		return;
+	}
 	query = query_for(gx, gx->model);
 	switch (pl_pick(ge->pool, &query, gx_now(gx), &server)) {
 	case PL_CHOSEN:
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -29,6 +29,7 @@
  *	follow.c	orders at instances without a replica
  *	entry.c		callers' requests
  *	exchange.c	one caller's request and its attempts
+ *	metrics_page.c	counters and histograms for the operators
  *	loads.c		what the instances have under way at the servers
  *
  * An instance's number is its IPv4 address in host byte order.
@@ -39,6 +40,7 @@
 struct gc;
 struct gf;
 struct ge;
+struct gm;
 
 struct gw {
 	const struct alloc *alloc;
@@ -56,6 +58,7 @@
 	struct gc *control;
 	struct gf *follow; /* NULL: the replica knows the orders */
 	struct ge *entry;
+	struct gm *metrics_page;
 	bool stopping;
 };
 
@@ -68,6 +71,7 @@
 uint32_t gw_nearest_control(const struct gw *gw);
 void gw_server_heard(struct gw *gw, const struct rg_server *server);
 void gw_reseed(struct gw *gw);
+void gw_measure_links(struct gw *gw);
 void gw_address_text(uint32_t instance, char out[GS_NAME_BYTES]);
 
 /* What every entry instance should know soon, and not for long. */
--- a/src/gateway/links.c
+++ b/src/gateway/links.c
@@ -763,6 +763,26 @@
 		set_push(gw->links, PUSH_URGENT_US);
 }
 
+/* Sets the counters of the links. */
+void
+gw_measure_links(struct gw *gw)
+{
+	const struct peer_stats *stats = peer_stats(gw->links->hub);
+
+	metrics_get(gw->metrics, METRICS_COUNTER,
+	    "celeryford_peer_sent_bytes_total", "")
+	    ->value = stats->sent_bytes;
+	metrics_get(gw->metrics, METRICS_COUNTER,
+	    "celeryford_peer_received_bytes_total", "")
+	    ->value = stats->received_bytes;
+	metrics_get(gw->metrics, METRICS_COUNTER,
+	    "celeryford_peer_dropped_frames_total", "")
+	    ->value = stats->dropped_frames;
+	metrics_get(gw->metrics, METRICS_COUNTER,
+	    "celeryford_peer_refused_links_total", "")
+	    ->value = stats->refused_links;
+}
+
 static void
 on_tick(void *ctx)
 {
--- a/src/gateway/replica.c
+++ b/src/gateway/replica.c
@@ -612,6 +612,37 @@
 	return gr->ord;
 }
 
+static void
+set_gauge(const struct gr *gr, const char *name, uint64_t value)
+{
+	metrics_get(gr->gw->metrics, METRICS_GAUGE, name, "")->value = value;
+}
+
+/* Sets the gauges of the log; all 0 while the folder is lost. */
+void
+gr_measure(const struct gr *gr)
+{
+	struct rl_status status = {0};
+	struct jn_stats journal = {0};
+
+	if (gr->rl != NULL)
+		rl_status(gr->rl, &status);
+	if (gr->jn != NULL)
+		jn_stats(gr->jn, &journal);
+	set_gauge(gr, "celeryford_log_is_leader", status.role == RL_LEADER);
+	set_gauge(gr, "celeryford_log_term", status.term);
+	set_gauge(gr, "celeryford_log_last_index", status.last_index);
+	set_gauge(gr, "celeryford_log_commit_index", status.commit);
+	set_gauge(gr, "celeryford_log_applied_index", status.applied);
+	set_gauge(gr, "celeryford_log_members", status.member_count);
+	set_gauge(gr, "celeryford_journal_unsynced_records",
+	    journal.appended_seq - journal.durable_seq);
+	set_gauge(gr, "celeryford_journal_syncs", journal.syncs);
+	set_gauge(gr, "celeryford_journal_bytes", journal.bytes_written);
+	set_gauge(gr, "celeryford_orders_revision",
+	    gr->ord != NULL ? ord_revision(gr->ord) : 0);
+}
+
 /* Hands leadership to another replica before this one leaves. */
 void
 gr_hand_over(struct gr *gr)
--- a/src/gateway/replica.h
+++ b/src/gateway/replica.h
@@ -26,7 +26,7 @@
     struct gr *gr, uint32_t from, const uint8_t *data, uint32_t len);
 void gr_known(struct gr *gr, const uint32_t *instances, uint32_t count);
 void gr_hand_over(struct gr *gr);
-void gr_status(const struct gr *gr, struct buf *out);
+void gr_measure(const struct gr *gr);
 
 #ifdef __cplusplus
 }
