--- /dev/null
+++ b/fuzz/fuzz_platform_document.c
@@ -0,0 +1,28 @@
+#include <apr_general.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "platform/dialect.h"
+
+int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size);
+
+/* A document is either read whole, with its number, or refused with a reason. */
+int
+LLVMFuzzerTestOneInput(const uint8_t *data, size_t size)
+{
+	const struct dl_dialect *dialect = platform_dialect();
+	struct rt_table *table = NULL;
+	uint64_t number = 0;
+	struct buf why;
+	int error;
+
+	apr_initialize();
+	buf_init(&why, alloc_default());
+	error = dialect->ops->read_document(
+	    dialect, (const char *)data, size, &table, &number, &why);
+	if ((error == 0) != (table != NULL) || (error == 0 && number == 0))
+		__builtin_trap();
+	rt_free(table);
+	buf_free(&why);
+	return 0;
+}
--- /dev/null
+++ b/fuzz/fuzz_platform_headers.c
@@ -0,0 +1,51 @@
+#include <stddef.h>
+#include <stdint.h>
+#include <string.h>
+
+#include "platform/dialect.h"
+
+int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size);
+
+/*
+ * Lines "NAME: VALUE" become header fields; what goes on from them holds no
+ * line break that a field's value brought in.
+ */
+int
+LLVMFuzzerTestOneInput(const uint8_t *data, size_t size)
+{
+	const struct dl_dialect *dialect = platform_dialect();
+	const struct dl_send send = {
+	    .deadline_ms = 1, .server = "i-1", .model = "m", .priority = -1};
+	static struct dl_request request;
+	struct dl_answer answer;
+	struct buf lines;
+	struct hh hh;
+
+	hh_init(&hh, alloc_default());
+	while (size > 0) {
+		const uint8_t *end = memchr(data, '\n', size);
+		size_t len = end != NULL ? (size_t)(end - data) : size;
+		const uint8_t *colon = memchr(data, ':', len);
+
+		if (colon != NULL && memchr(data, '\0', len) == NULL) {
+			size_t name = (size_t)(colon - data);
+
+			hh_parse_name(&hh, (const char *)data, name);
+			hh_parse_value(&hh, (const char *)colon + 1,
+			    len - name - 1);
+		}
+		data += len + (end != NULL);
+		size -= len + (end != NULL);
+	}
+	hh_finish(&hh);
+	buf_init(&lines, alloc_default());
+	(void)dialect->ops->read_request(dialect, &hh, &request);
+	dialect->ops->read_answer(dialect, &hh, &answer);
+	dialect->ops->write_request(dialect, &hh, &send, &lines);
+	dialect->ops->write_answer(dialect, &hh, &lines);
+	if (request.part_count > DL_PARTS_MAX)
+		__builtin_trap();
+	buf_free(&lines);
+	hh_free(&hh);
+	return 0;
+}
--- a/src/base/loop.c
+++ b/src/base/loop.c
@@ -404,3 +404,10 @@
 {
 	loop->stop = true;
 }
+
+/* Lets a stopped loop run again with its watches and timers. */
+void
+loop_resume(struct loop *loop)
+{
+	loop->stop = false;
+}
--- a/src/base/loop.h
+++ b/src/base/loop.h
@@ -31,6 +31,7 @@
 void loop_free(struct loop *loop);
 int loop_run(struct loop *loop);
 void loop_stop(struct loop *loop);
+void loop_resume(struct loop *loop);
 int64_t loop_now_us(const struct loop *loop);
 int64_t loop_gap_us(const struct loop *loop);
 
--- a/src/gateway/settings.c
+++ b/src/gateway/settings.c
@@ -166,18 +166,20 @@
 {
 	char copy[LINE_BYTES];
 	char *rest, *word;
+	struct gs_address seeds[GS_SEEDS_MAX];
+	uint32_t count = 0;
 
 	if (strlen(text) >= sizeof(copy))
 		return false;
 	memcpy(copy, text, strlen(text) + 1);
-	gs->seed_count = 0;
 	for (word = strtok_r(copy, ", ", &rest); word != NULL;
 	     word = strtok_r(NULL, ", ", &rest)) {
-		if (gs->seed_count == GS_SEEDS_MAX ||
-		    !read_address(word, &gs->seeds[gs->seed_count]))
+		if (count == GS_SEEDS_MAX || !read_address(word, &seeds[count]))
 			return false;
-		gs->seed_count++;
+		count++;
 	}
+	memcpy(gs->seeds, seeds, count * sizeof(seeds[0]));
+	gs->seed_count = count;
 	return true;
 }
 
@@ -198,8 +200,10 @@
 	case SETTING_PERMILLE:
 		return read_permille(text, (uint32_t *)(void *)field);
 	case SETTING_BOOL:
+		if (strcmp(text, "true") != 0 && strcmp(text, "false") != 0)
+			return false;
 		*(bool *)field = strcmp(text, "true") == 0;
-		return *(bool *)field || strcmp(text, "false") == 0;
+		return true;
 	case SETTING_ADDRESS:
 		return read_address(text, (struct gs_address *)(void *)field);
 	case SETTING_SEEDS:
--- /dev/null
+++ b/test/unit/http_wire_test.cc
@@ -0,0 +1,487 @@
+#include <gtest/gtest.h>
+
+#include "apr.h"
+
+#include <arpa/inet.h>
+#include <fcntl.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <functional>
+#include <string>
+#include <vector>
+
+#include "base/err.h"
+#include "http/front.h"
+#include "http/upstream.h"
+
+/* Both HTTP ends on loopback: what a raw peer sends, and what comes of it. */
+class Loop
+{
+      public:
+	struct loop *loop = loop_new(alloc_default());
+
+	~Loop()
+	{
+		loop_free(loop);
+	}
+
+	/* Runs until done() or for two seconds. */
+	bool until(const std::function<bool()> &done)
+	{
+		Check check = {loop, done, 400};
+
+		loop_after(loop, 0, tick, &check);
+		loop_run(loop);
+		loop_resume(loop);
+		return done();
+	}
+
+      private:
+	struct Check {
+		struct loop *loop;
+		const std::function<bool()> &done;
+		int left;
+	};
+
+	static void tick(void *ctx)
+	{
+		auto *check = (Check *)ctx;
+
+		if (check->done() || --check->left == 0) {
+			loop_stop(check->loop);
+			return;
+		}
+		loop_after(check->loop, 5000, tick, ctx);
+	}
+};
+
+static int
+dial(uint16_t port)
+{
+	struct sockaddr_in a = {};
+	int fd = socket(AF_INET, SOCK_STREAM, 0);
+
+	a.sin_family = AF_INET;
+	a.sin_port = htons(port);
+	a.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	EXPECT_EQ(0, connect(fd, (struct sockaddr *)&a, sizeof(a)));
+	fcntl(fd, F_SETFL, O_NONBLOCK);
+	return fd;
+}
+
+static std::string
+drain(int fd, bool *eof = nullptr)
+{
+	std::string text;
+	char bytes[4096];
+	ssize_t n;
+
+	while ((n = recv(fd, bytes, sizeof(bytes), 0)) > 0)
+		text.append(bytes, (size_t)n);
+	if (eof != nullptr)
+		*eof = n == 0 || (errno != EAGAIN && n < 0);
+	return text;
+}
+
+class Front : public testing::Test
+{
+      protected:
+	Loop l;
+	struct hf *hf = nullptr;
+	std::vector<std::string> seen;
+	std::vector<int> refused;
+	int gone = 0;
+	struct hf_exchange *held = nullptr;
+	bool hold = false;
+
+	void SetUp() override
+	{
+		static const struct hf_handler handler = {on_request, on_gone,
+		    on_refused};
+		struct hf_options options = {};
+
+		options.alloc = alloc_default();
+		options.loop = l.loop;
+		options.host = "127.0.0.1";
+		options.connections_max = 10;
+		options.limits = {1000, 2000, 300, 500};
+		options.handler = &handler;
+		options.ctx = this;
+		hf = hf_new(&options);
+		ASSERT_NE(nullptr, hf);
+	}
+
+	void TearDown() override
+	{
+		hf_free(hf);
+	}
+
+	/* Sends bytes and returns what comes back until it ends with end. */
+	std::string talk(const std::string &bytes, const std::string &end)
+	{
+		int fd = dial(hf_port(hf));
+		std::string got;
+
+		EXPECT_EQ((ssize_t)bytes.size(),
+		    send(fd, bytes.data(), bytes.size(), 0));
+		l.until([&] {
+			got += drain(fd);
+			return got.size() >= end.size() &&
+			       got.compare(got.size() - end.size(), end.size(),
+				   end) == 0;
+		});
+		close(fd);
+		return got;
+	}
+
+	static void on_request(void *ctx, struct hf_exchange *x)
+	{
+		auto *t = (Front *)ctx;
+		const struct buf *body = hf_body(x);
+
+		t->seen.push_back(std::string(hf_method(x)) + " " +
+				  hf_target(x) + " " +
+				  std::string((const char *)body->data,
+				      body->len));
+		if (t->hold) {
+			t->held = x;
+			return;
+		}
+		hf_answer(x, 200, nullptr, 0, "ok", 2);
+	}
+
+	static void on_gone(void *ctx, struct hf_exchange *)
+	{
+		((Front *)ctx)->gone++;
+	}
+
+	static void on_refused(void *ctx, int error)
+	{
+		((Front *)ctx)->refused.push_back(error);
+	}
+};
+
+TEST_F(Front, RequestsOnOneConnectionAreAnsweredInTheirOrder)
+{
+	talk("GET /1 HTTP/1.1\r\nHost: a\r\n\r\n"
+	     "POST /2 HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\n\r\nabc"
+	     "POST /3 HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n"
+	     "2\r\nde\r\n1\r\nf\r\n0\r\n\r\n"
+	     "GET /4 HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n",
+	    "close\r\nContent-Length: 2\r\n\r\nok");
+	EXPECT_EQ((std::vector<std::string>{
+		      "GET /1 ", "POST /2 abc", "POST /3 def", "GET /4 "}),
+	    seen);
+}
+
+TEST_F(Front, WhatCantBeReadIsRefusedAndCloses)
+{
+	struct {
+		std::string bytes;
+		int error;
+	} rows[] = {
+	    {"nonsense\r\n\r\n", ERR_MALFORMED},
+	    {"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\n"
+	     "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+		ERR_MALFORMED},
+	    {"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\n"
+	     "Content-Length: 4\r\n\r\nabcd",
+		ERR_MALFORMED},
+	    {"GET / HTTP/1.1\r\nHost: a\r\nHost: b\r\n\r\n", ERR_MALFORMED},
+	    {"GET / HTTP/1.1\r\nHost: a\r\nX: " + std::string(1200, 'x') +
+		    "\r\n\r\n",
+		ERR_HEADER},
+	    {"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 2001\r\n\r\n",
+		ERR_TOO_LARGE},
+	    {"POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n"
+	     "7d1\r\n" +
+		    std::string(2001, 'x'),
+		ERR_TOO_LARGE},
+	    {"GET / HTTP/1.1\r\nHo", ERR_SLOW_SENDER},
+	};
+
+	for (auto &row : rows) {
+		std::string got;
+
+		refused.clear();
+		got = talk(row.bytes,
+		    std::string(err_answer(row.error)->text) + "\n");
+		EXPECT_EQ(std::vector<int>{row.error}, refused) << row.bytes;
+		EXPECT_NE(std::string::npos, got.find("Connection: close"));
+	}
+	EXPECT_TRUE(seen.empty());
+}
+
+TEST_F(Front, ACallerThatLeavesIsNoticedWhileItsRequestWaits)
+{
+	int fd = dial(hf_port(hf));
+	std::string text = "GET / HTTP/1.1\r\nHost: a\r\n\r\n";
+
+	hold = true;
+	send(fd, text.data(), text.size(), 0);
+	ASSERT_TRUE(l.until([&] { return held != nullptr; }));
+	EXPECT_EQ(1u, hf_open_exchanges(hf));
+	close(fd);
+	EXPECT_TRUE(l.until([&] { return gone == 1; }));
+	EXPECT_EQ(0u, hf_open_exchanges(hf));
+}
+
+TEST_F(Front, AnAnswerThatIsCutDoesNotLookComplete)
+{
+	int fd = dial(hf_port(hf));
+	std::string text = "GET / HTTP/1.1\r\nHost: a\r\n\r\n", got;
+	struct buf lines;
+	bool eof = false;
+
+	buf_init(&lines, alloc_default());
+	buf_adds(&lines, "X: 1\r\n");
+	hold = true;
+	send(fd, text.data(), text.size(), 0);
+	ASSERT_TRUE(l.until([&] { return held != nullptr; }));
+	hf_begin(held, 200, &lines, true, 0);
+	hf_write(held, "part", 4);
+	hf_end(held, false);
+	ASSERT_TRUE(l.until([&] {
+		got += drain(fd, &eof);
+		return eof;
+	}));
+	EXPECT_NE(std::string::npos, got.find("4\r\npart\r\n"));
+	EXPECT_EQ(std::string::npos, got.find("\r\n0\r\n"));
+	close(fd);
+	buf_free(&lines);
+}
+
+TEST_F(Front, DrainingEndsConnectionsWithTheirAnswers)
+{
+	hf_drain(hf);
+	EXPECT_NE(std::string::npos,
+	    talk("GET / HTTP/1.1\r\nHost: a\r\n\r\n", "ok")
+		.find("Connection: close"));
+}
+
+/* A raw server that answers each connection's requests from a list. */
+class Upstream : public testing::Test
+{
+      protected:
+	Loop l;
+	int listener = -1;
+	struct hu *hu = nullptr;
+	struct sockaddr_in address = {};
+	std::vector<int> conns;
+	std::vector<std::string> received;
+	struct Seen {
+		unsigned int status = 0;
+		std::string body;
+		bool done = false;
+		struct hu_result result = {};
+		std::string only_id; /* take answers with this X-Id only */
+	};
+
+	void SetUp() override
+	{
+		struct hu_options options = {alloc_default(), l.loop, 200, 5000};
+		socklen_t len = sizeof(address);
+
+		listener = socket(AF_INET, SOCK_STREAM, 0);
+		address.sin_family = AF_INET;
+		address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+		ASSERT_EQ(0, bind(listener, (struct sockaddr *)&address,
+				 sizeof(address)));
+		ASSERT_EQ(0, listen(listener, 8));
+		fcntl(listener, F_SETFL, O_NONBLOCK);
+		getsockname(listener, (struct sockaddr *)&address, &len);
+		hu = hu_new(&options);
+	}
+
+	void TearDown() override
+	{
+		hu_free(hu);
+		for (int fd : conns)
+			close(fd);
+		close(listener);
+	}
+
+	struct hu_call *start(Seen *seen, const std::string &body = "")
+	{
+		static const struct hu_handler handler = {
+		    on_head, on_data, on_done};
+		struct hu_request request = {};
+		struct hu_call *call;
+		struct buf head;
+
+		buf_init(&head, alloc_default());
+		buf_addf(&head,
+		    "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: %zu\r\n\r\n",
+		    body.size());
+		request.address = address;
+		request.head = &head;
+		request.body = body.data();
+		request.len = body.size();
+		request.handler = &handler;
+		request.ctx = seen;
+		call = hu_start(hu, &request);
+		buf_free(&head);
+		return call;
+	}
+
+	/* Waits for a request on any connection, and answers it there. */
+	int answer(const std::string &bytes)
+	{
+		int at = -1;
+
+		l.until([&] {
+			int fd = accept(listener, nullptr, nullptr);
+
+			if (fd >= 0) {
+				fcntl(fd, F_SETFL, O_NONBLOCK);
+				conns.push_back(fd);
+			}
+			for (size_t i = 0; i < conns.size() && at < 0; i++)
+				if (!drain(conns[i]).empty())
+					at = (int)i;
+			return at >= 0;
+		});
+		EXPECT_GE(at, 0);
+		if (at >= 0)
+			send(conns[(size_t)at], bytes.data(), bytes.size(), 0);
+		return at;
+	}
+
+	bool finished(Seen *seen)
+	{
+		return l.until([&] { return seen->done; });
+	}
+
+	static int on_head(void *ctx, struct hu_call *, unsigned int status,
+	    const struct hh *headers)
+	{
+		auto *seen = (Seen *)ctx;
+		const char *id = hh_get(headers, "X-Id");
+
+		if (!seen->only_id.empty() &&
+		    (id == nullptr || seen->only_id != id))
+			return HU_NOT_OURS;
+		seen->status = status;
+		return 0;
+	}
+
+	static int on_data(
+	    void *ctx, struct hu_call *, const void *data, size_t len)
+	{
+		((Seen *)ctx)->body.append((const char *)data, len);
+		return 0;
+	}
+
+	static void on_done(void *ctx, const struct hu_result *result)
+	{
+		((Seen *)ctx)->done = true;
+		((Seen *)ctx)->result = *result;
+	}
+};
+
+static const std::string whole =
+    "HTTP/1.1 200 OK\r\nX-Id: 1\r\nContent-Length: 2\r\n\r\nok";
+
+TEST_F(Upstream, ConnectionsAreKeptForTheNextCall)
+{
+	for (int i = 0; i < 3; i++) {
+		Seen seen;
+
+		start(&seen);
+		EXPECT_EQ(0, answer(whole));
+		ASSERT_TRUE(finished(&seen));
+		EXPECT_EQ(0, seen.result.error);
+		EXPECT_EQ("ok", seen.body);
+		EXPECT_EQ(i > 0, seen.result.reused);
+	}
+	EXPECT_EQ(1u, hu_dialled(hu));
+}
+
+/* What is sent after an answer belongs to no call; neither does a late one. */
+TEST_F(Upstream, ExtraBytesReachNobody)
+{
+	Seen first, second, third;
+
+	start(&first);
+	answer(whole + whole);
+	ASSERT_TRUE(finished(&first));
+	EXPECT_EQ("ok", first.body);
+	start(&second);
+	EXPECT_EQ(1, answer(whole));
+	ASSERT_TRUE(finished(&second));
+	EXPECT_FALSE(second.result.reused);
+	/* Late, at the point where the next answer is expected. */
+	third.only_id = "7";
+	start(&third);
+	answer("HTTP/1.1 200 OK\r\nX-Id: 1\r\nContent-Length: 5\r\n\r\nother"
+	       "HTTP/1.1 200 OK\r\nX-Id: 7\r\nContent-Length: 4\r\n\r\nmine");
+	ASSERT_TRUE(finished(&third));
+	EXPECT_EQ("mine", third.body);
+}
+
+TEST_F(Upstream, EndsAreToldApart)
+{
+	struct {
+		const char *bytes;
+		bool close_after;
+		int error;
+		unsigned int status;
+	} rows[] = {
+	    {"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf", true,
+		ERR_UPSTREAM_CUT, 200},
+	    {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf",
+		true, ERR_UPSTREAM_CUT, 200},
+	    {"HTTP/1.1 200 OK\r\n\r\nto the end", true, 0, 200},
+	    {"garbage garbage\r\n\r\n", false, ERR_UPSTREAM_CUT, 0},
+	    {"", true, ERR_UPSTREAM, 0},
+	    {"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 204 No Content\r\n\r\n",
+		false, 0, 204},
+	};
+
+	for (auto &row : rows) {
+		Seen seen;
+		int at;
+
+		start(&seen);
+		at = answer(row.bytes);
+		if (row.close_after && at >= 0) {
+			close(conns[(size_t)at]);
+			conns[(size_t)at] = dup(listener);
+			fcntl(conns[(size_t)at], F_SETFL, O_NONBLOCK);
+		}
+		ASSERT_TRUE(finished(&seen)) << row.bytes;
+		EXPECT_EQ(row.error, seen.result.error) << row.bytes;
+		EXPECT_EQ(row.status, seen.result.status) << row.bytes;
+		EXPECT_TRUE(seen.result.sent);
+		conns.clear();
+	}
+}
+
+TEST_F(Upstream, NothingIsSentTwiceOnAStaleConnection)
+{
+	Seen first, second;
+	int at;
+
+	start(&first);
+	at = answer(whole);
+	ASSERT_TRUE(finished(&first));
+	close(conns[(size_t)at]);
+	conns.clear();
+	start(&second, "once");
+	ASSERT_TRUE(finished(&second));
+	EXPECT_NE(0, second.result.error);
+	EXPECT_EQ(1u, hu_dialled(hu));
+}
+
+TEST_F(Upstream, AServerThatIsNotThereWasSentNothing)
+{
+	Seen seen;
+
+	close(listener);
+	listener = socket(AF_INET, SOCK_STREAM, 0);
+	start(&seen);
+	ASSERT_TRUE(finished(&seen));
+	EXPECT_TRUE(seen.result.unreachable);
+	EXPECT_FALSE(seen.result.sent);
+}
--- /dev/null
+++ b/test/unit/platform_test.cc
@@ -0,0 +1,365 @@
+#include <gtest/gtest.h>
+
+#include "apr.h"
+#include <rapidcheck/gtest.h>
+
+#include <string>
+
+#include "base/err.h"
+#include "gateway/settings.h"
+#include "platform/dialect.h"
+
+static const struct dl_dialect *const dialect = platform_dialect();
+
+struct Text {
+	struct buf buf;
+
+	explicit Text(const std::string &text = "")
+	{
+		buf_init(&buf, alloc_default());
+		buf_add(&buf, text.data(), text.size());
+	}
+
+	~Text()
+	{
+		buf_free(&buf);
+	}
+
+	std::string str() const
+	{
+		return std::string((const char *)buf.data, buf.len);
+	}
+};
+
+/* Header fields as a parser would hand them on. */
+struct Headers {
+	struct hh hh;
+
+	explicit Headers(
+	    std::initializer_list<std::pair<const char *, std::string>> fields)
+	{
+		hh_init(&hh, alloc_default());
+		for (auto &[name, value] : fields) {
+			hh_parse_name(&hh, name, strlen(name));
+			hh_parse_value(&hh, value.data(), value.size());
+		}
+		hh_finish(&hh);
+	}
+
+	~Headers()
+	{
+		hh_free(&hh);
+	}
+};
+
+static std::string
+document(const std::string &route, const std::string &more = "")
+{
+	return "{\"version\":7,\"routes\":[" + route +
+	       "],\"services\":[{\"name\":\"drafts\",\"health_path\":\"/h\","
+	       "\"max_connections\":360,\"cold_start_s\":3.0,"
+	       "\"cold_per_s\":12.0,\"engine\":{\"slots\":64,"
+	       "\"kv_capacity_tokens\":1000,\"models\":[{\"name\":\"m0\","
+	       "\"cost\":0.5}]}},{\"name\":\"filing\"}]" +
+	       more + "}";
+}
+
+static const std::string good_route =
+    "{\"name\":\"r\",\"host\":\"a.example\",\"path_prefix\":\"/x/\","
+    "\"kind\":\"streaming\",\"timeout_ms\":25000,\"goal_ms\":3000,"
+    "\"priority\":1,\"sizes\":[\"m0\",\"m1\"],\"weighted_backends\":["
+    "{\"service\":\"drafts\",\"weight\":90},{\"service\":\"filing\","
+    "\"weight\":10}],\"max_attempts\":3,\"public\":false,\"sticky\":true,"
+    "\"resumable\":true,\"gap_target_ms\":600}";
+
+static std::string
+read(const std::string &text)
+{
+	struct rt_table *table = nullptr;
+	uint64_t number = 0;
+	Text why;
+	int error = dialect->ops->read_document(
+	    dialect, text.data(), text.size(), &table, &number, &why.buf);
+
+	rt_free(table);
+	return error == 0 ? "ok " + std::to_string(number)
+			  : std::string(err_name(error)) + ": " + why.str();
+}
+
+TEST(PlatformDocument, FieldsBecomeWhatTheyMean)
+{
+	struct rt_table *table = nullptr;
+	uint64_t number = 0;
+	std::string text = document(good_route,
+	    ",\"tenants\":[{\"name\":\"w\",\"api_keys\":[\"k\"],"
+	    "\"priority\":2}],\"limits\":{\"max_body_bytes\":77}");
+	const struct rt_route *route;
+	const struct rt_service *service;
+	Text why;
+
+	ASSERT_EQ(0, dialect->ops->read_document(dialect, text.data(),
+			 text.size(), &table, &number, &why.buf))
+	    << why.str();
+	EXPECT_EQ(7u, number);
+	route = rt_route_of(table, "a.example", "/x/1");
+	ASSERT_NE(nullptr, route);
+	EXPECT_EQ(RT_STREAM, route->kind);
+	EXPECT_EQ(25000u, route->timeout_ms);
+	EXPECT_EQ(3000u, route->goal_ms);
+	EXPECT_EQ(600u, route->gap_goal_ms);
+	EXPECT_EQ(3, route->attempts_max);
+	EXPECT_TRUE(route->sticky && route->resumable && !route->is_public);
+	EXPECT_EQ(100u, route->weight_sum);
+	EXPECT_EQ(2, route->model_count);
+	service = rt_service_at(table, route->targets[0].service);
+	EXPECT_STREQ("drafts", service->name);
+	EXPECT_EQ(3000u, service->cold_ms);
+	EXPECT_EQ(64u, service->slots);
+	EXPECT_STREQ("m0", service->models[0].name);
+	EXPECT_EQ(2, rt_workspace_of(table, "k")->priority);
+	EXPECT_EQ(77u, rt_limits_of(table)->body_max_bytes);
+	EXPECT_EQ(16384u, rt_limits_of(table)->header_max_bytes);
+	rt_free(table);
+}
+
+static std::string
+replaced(std::string text, const std::string &from, const std::string &to)
+{
+	return text.replace(text.find(from), from.size(), to);
+}
+
+TEST(PlatformDocument, WhatIsInvalidIsRefusedWithItsPlace)
+{
+	const std::string &r = good_route;
+
+	EXPECT_EQ("ok 7", read(document(r)));
+	EXPECT_EQ("invalid: route r names the unknown service nowhere",
+	    read(document(replaced(r, "\"filing\"", "\"nowhere\""))));
+	EXPECT_EQ("invalid: routes r and r have the same host and prefix",
+	    read(document(r + "," + r)));
+	EXPECT_EQ("invalid: the weights of route r add up to 0",
+	    read(document(
+		replaced(replaced(r, "90", "0"), "\"weight\":10", "\"weight\":0"))));
+	EXPECT_EQ("invalid: route r has a timeout of 0",
+	    read(document(replaced(r, "25000", "0"))));
+	EXPECT_EQ("malformed: r: \"timeout_ms\" is missing or of the wrong type",
+	    read(document(replaced(r, "25000", "\"long\""))));
+	EXPECT_EQ("malformed: r: \"kind\" is missing or of the wrong type",
+	    read(document(replaced(r, "streaming", "other"))));
+	EXPECT_EQ("invalid: workspaces a and b share an API key",
+	    read(document(r,
+		",\"tenants\":[{\"name\":\"a\",\"api_keys\":[\"k\"]},"
+		"{\"name\":\"b\",\"api_keys\":[\"k\"]}]")));
+	EXPECT_EQ("malformed: the document: \"version\" is missing or of the "
+		  "wrong type",
+	    read(replaced(document(r), "\"version\":7", "\"version\":\"7\"")));
+	EXPECT_EQ(0u, read(document(r).substr(0, 200)).find("malformed: line"));
+	EXPECT_EQ(0u, read("[]").find("malformed: line"));
+}
+
+static std::string
+call(const char *method, const char *target, const std::string &body = "")
+{
+	static const char *const names[] = {"unknown", "put_document",
+	    "get_document", "announce", "leave", "start_rollout",
+	    "get_rollout", "take_out", "take_back"};
+	struct dl_call call;
+	Text text(body), why;
+	int error = dialect->ops->read_call(
+	    dialect, method, target, &text.buf, &call, &why.buf);
+
+	if (error != 0)
+		return err_name(error);
+	switch (call.kind) {
+	case DL_ANNOUNCE:
+	case DL_LEAVE:
+		return std::string(names[call.kind]) + " " + call.server.id +
+		       " " + call.server.service + " born " +
+		       std::to_string(call.server.born_ms) + " seq " +
+		       std::to_string(call.server.seq) + " state " +
+		       std::to_string(call.server.state);
+	case DL_START_ROLLOUT:
+	case DL_GET_ROLLOUT:
+		return std::string(names[call.kind]) + " " +
+		       call.rollout.service + " " + call.rollout.target + " " +
+		       std::to_string(call.rollout.duration_ms);
+	default:
+		return std::string(names[call.kind]) +
+		       (call.data_centre[0] ? " " : "") + call.data_centre;
+	}
+}
+
+static const std::string announcement =
+    "{\"service\":\"drafts\",\"address\":\"10.0.0.9:8080\",\"zone\":\"a\","
+    "\"version\":\"v1\",\"slots\":64,\"state\":\"ready\",\"cold_left_ms\":0,"
+    "\"models\":[{\"name\":\"m0\",\"version\":1}],\"seq\":4,\"born\":1700}";
+
+TEST(PlatformCalls, AreReadOnce)
+{
+	EXPECT_EQ("put_document", call("PUT", "/api/config", "{}"));
+	EXPECT_EQ("get_document", call("GET", "/api/config"));
+	EXPECT_EQ("method", call("POST", "/api/config"));
+	EXPECT_EQ("announce i-7 drafts born 1700 seq 4 state 0",
+	    call("PUT", "/api/instances/i-7", announcement));
+	EXPECT_EQ("announce i-7 drafts born 1700 seq 4 state 1",
+	    call("PUT", "/api/instances/i-7",
+		replaced(announcement, "ready", "draining")));
+	EXPECT_EQ("leave i-7  born 0 seq 0 state 2",
+	    call("DELETE", "/api/instances/i-7"));
+	EXPECT_EQ("leave i-7  born 9 seq 3 state 2",
+	    call("DELETE", "/api/instances/i-7", "{\"born\":9,\"seq\":3}"));
+	EXPECT_EQ("start_rollout drafts v2 12000",
+	    call("POST", "/api/rollouts",
+		"{\"service\":\"drafts\",\"target\":\"v2\",\"duration_s\":12}"));
+	EXPECT_EQ("get_rollout drafts  0", call("GET", "/api/rollouts/drafts"));
+	EXPECT_EQ("take_out a", call("POST", "/api/evacuations/a"));
+	EXPECT_EQ("take_back a", call("DELETE", "/api/evacuations/a"));
+	EXPECT_EQ("not_found", call("GET", "/elsewhere"));
+}
+
+/* An entry of another writer names no server to use. */
+TEST(PlatformCalls, WhatCantBeReadIsRefused)
+{
+	const std::string &a = announcement;
+
+	for (auto &text : {std::string(""), std::string("{"),
+		 std::string("[]"), replaced(a, "64", "\"64\""),
+		 replaced(a, "64", "-1"), replaced(a, "ready", "asleep"),
+		 replaced(a, "10.0.0.9:8080", "10.0.0.9"),
+		 replaced(a, "10.0.0.9:8080", "10.0.0.9:0"),
+		 replaced(a, "10.0.0.9:8080", "host:80"),
+		 replaced(a, "\"seq\":4", "\"seq\":\"4\""),
+		 replaced(a, "1700", "1700.5"),
+		 replaced(a, "\"service\":\"drafts\",", "")})
+		EXPECT_EQ("malformed", call("PUT", "/api/instances/i-7", text))
+		    << text;
+	EXPECT_EQ("malformed", call("POST", "/api/rollouts", "{}"));
+	EXPECT_EQ("malformed", call("PUT", "/api/instances/", a));
+	EXPECT_EQ("malformed", call("POST", "/api/evacuations/"));
+}
+
+TEST(PlatformHeaders, OfARequest)
+{
+	Headers h({{"Host", "a"}, {"Celeryford-Request-Id", "9c41"},
+	    {"Celeryford-Deadline-Ms", "25000"}, {"Authorization", "Bearer k1"},
+	    {"Celeryford-Token-Usage", "1460,80"}, {"Celeryford-Model", "*"},
+	    {"Celeryford-Prompt-Prefix", "5c1e07a2:800,91bd3f06:410"},
+	    {"Celeryford-Length-Hint", "33"}, {"Last-Event-Id", "12"},
+	    {"Session", "s1"}});
+	struct dl_request r;
+
+	ASSERT_EQ(0, dialect->ops->read_request(dialect, &h.hh, &r));
+	EXPECT_STREQ("9c41", r.id);
+	EXPECT_STREQ("k1", r.key);
+	EXPECT_TRUE(r.has_deadline);
+	EXPECT_EQ(25000u, r.deadline_ms);
+	EXPECT_EQ(1460u, r.prompt_tokens);
+	EXPECT_EQ(80u, r.output_tokens_max);
+	EXPECT_EQ(33u, r.output_tokens_guess);
+	ASSERT_EQ(2, r.part_count);
+	EXPECT_EQ(0x91bd3f06u, r.parts[1].id);
+	EXPECT_EQ(410u, r.parts[1].tokens);
+	EXPECT_TRUE(r.any_model);
+	EXPECT_TRUE(r.resumes);
+	EXPECT_EQ(12u, r.last_event);
+	EXPECT_NE(0u, r.session);
+	Headers twice({{"Authorization", "Bearer a"}, {"Authorization", "Bearer b"}});
+	EXPECT_EQ(ERR_MALFORMED,
+	    dialect->ops->read_request(dialect, &twice.hh, &r));
+}
+
+/* Only the gateway sets these; what a caller sends under them is dropped. */
+TEST(PlatformHeaders, ToABackendServer)
+{
+	Headers h({{"Host", "a"}, {"Celeryford-Request-Id", "9c41"},
+	    {"Celeryford-Deadline-Ms", "25000"}, {"Authorization", "Bearer k1"},
+	    {"Celeryford-Tenant", "forged"}, {"Celeryford-Hold", "x"},
+	    {"Celeryford-Pin-Ms", "1"}, {"Kv-From", "1"}, {"Kv-Fetch", "1"},
+	    {"Celeryford-Kv-Backup", "1"}, {"Celeryford-Target-Instance", "x"},
+	    {"Celeryford-Request-Priority", "0"}, {"Celeryford-Model", "*"},
+	    {"Connection", "keep-alive, X-Hop"}, {"X-Hop", "1"},
+	    {"Content-Length", "3"}, {"X-Kept", "yes"}});
+	struct dl_send send = {};
+	Text lines;
+
+	send.deadline_ms = 900;
+	send.server = "i-7";
+	send.workspace = "w";
+	send.model = "m1";
+	send.resumes = true;
+	send.last_event = 4;
+	send.priority = -1;
+	dialect->ops->write_request(dialect, &h.hh, &send, &lines.buf);
+	EXPECT_EQ("Host: a\r\n"
+		  "Celeryford-Request-Id: 9c41\r\n"
+		  "X-Kept: yes\r\n"
+		  "Celeryford-Deadline-Ms: 900\r\n"
+		  "Celeryford-Target-Instance: i-7\r\n"
+		  "Celeryford-Tenant: w\r\n"
+		  "Celeryford-Model: m1\r\n"
+		  "Last-Event-Id: 4\r\n",
+	    lines.str());
+}
+
+TEST(PlatformHeaders, OfAnAnswer)
+{
+	Headers h({{"Celeryford-Request-Id", "9c41"},
+	    {"Celeryford-Response-Signature", "3e"},
+	    {"Celeryford-Server-Load", "3,1,8"}, {"Celeryford-Confidence", "64"},
+	    {"Celeryford-Cold-Ms", "800"}, {"Keep-Alive", "timeout=5"}});
+	Headers shed({{"Celeryford-Not-Executed", "1"},
+	    {"Content-Encoding", "gzip"}, {"Celeryford-Server-Load", "3,x"},
+	    {"Celeryford-Confidence", "101"}});
+	struct dl_answer a;
+	Text lines;
+
+	dialect->ops->read_answer(dialect, &h.hh, &a);
+	EXPECT_STREQ("9c41", a.id);
+	EXPECT_TRUE(a.has_proof && a.has_load && a.has_cold);
+	EXPECT_FALSE(a.not_run || a.encoded);
+	EXPECT_EQ(3, a.running);
+	EXPECT_EQ(8, a.slots);
+	EXPECT_EQ(64, a.confidence);
+	EXPECT_EQ(800u, a.cold_left_ms);
+	dialect->ops->read_answer(dialect, &shed.hh, &a);
+	EXPECT_TRUE(a.not_run && a.encoded);
+	EXPECT_FALSE(a.has_proof || a.has_load);
+	EXPECT_EQ(-1, a.confidence);
+	dialect->ops->write_answer(dialect, &h.hh, &lines.buf);
+	EXPECT_EQ(std::string::npos, lines.str().find("Keep-Alive"));
+	EXPECT_NE(std::string::npos, lines.str().find("Signature: 3e\r\n"));
+}
+
+TEST(GatewaySettings, LinesAreChecked)
+{
+	struct {
+		const char *line, *expected;
+	} rows[] = {
+	    {"", ""}, {"# remark", ""}, {"link-port = 7340", ""},
+	    {"data-dir =", ""}, {"seeds = 10.0.0.1:80,10.0.0.2:80", ""},
+	    {"retry-share = 0.9", ""}, {"bootstrap = true", ""},
+	    {"link-port = x",
+		"link-port: \"x\" is not accepted: port for links, the same on "
+		"every instance"},
+	    {"bootstrap = yes",
+		"bootstrap: \"yes\" is not accepted: true only when the whole "
+		"system starts for the first time"},
+	    {"listen = 10.0.0.1",
+		"listen: \"10.0.0.1\" is not accepted: IP:PORT for callers"},
+	    {"no-such = 1", "there is no setting \"no-such\""},
+	    {"words", "\"words\" is no \"name = value\""},
+	};
+	struct gs gs;
+
+	gs_defaults(&gs);
+	for (auto &row : rows) {
+		Text why;
+
+		gs_read_line(&gs, row.line, &why.buf);
+		EXPECT_EQ(row.expected, why.str()) << row.line;
+	}
+	EXPECT_EQ(7340u, gs.link_port);
+	EXPECT_EQ(2u, gs.seed_count);
+	EXPECT_EQ(900u, gs.retry_permille);
+	EXPECT_TRUE(gs.bootstrap);
+}
--- /dev/null
+++ b/test/unit/registry_test.cc
@@ -0,0 +1,265 @@
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <map>
+#include <string>
+
+#include "base/err.h"
+#include "state/orders.h"
+#include "state/registry.h"
+
+static struct rg_server
+say(const char *id, uint64_t born_ms, uint64_t seq,
+    enum rg_state state = RG_READY, uint16_t port = 80)
+{
+	struct rg_server s = {};
+
+	snprintf(s.id, sizeof(s.id), "%s", id);
+	snprintf(s.service, sizeof(s.service), "engine");
+	snprintf(s.version, sizeof(s.version), "v1");
+	s.ip = 1;
+	s.port = port;
+	s.born_ms = born_ms;
+	s.seq = seq;
+	s.state = state;
+	return s;
+}
+
+struct Registry {
+	struct rg *rg;
+
+	Registry()
+	{
+		struct rg_options options = {alloc_default(), nullptr, nullptr};
+
+		rg = rg_new(&options);
+	}
+
+	~Registry()
+	{
+		rg_free(rg);
+	}
+
+	enum rg_verdict take(struct rg_server s, int64_t now_us = 1000)
+	{
+		s.heard_us = now_us;
+		return rg_take(rg, &s, now_us);
+	}
+
+	enum rg_state state(const char *id)
+	{
+		const struct rg_server *s = rg_find(rg, id);
+
+		return s != nullptr ? s->state : RG_GONE;
+	}
+};
+
+TEST(Registry, OrderIsByBirthAndSequenceNotByArrival)
+{
+	Registry r;
+
+	EXPECT_EQ(RG_CHANGED, r.take(say("a", 10, 5)));
+	EXPECT_EQ(RG_STALE, r.take(say("a", 10, 5)));
+	EXPECT_EQ(RG_STALE, r.take(say("a", 10, 4)));
+	EXPECT_EQ(RG_STALE, r.take(say("a", 9, 99)));
+	EXPECT_EQ(RG_CHANGED, r.take(say("a", 10, 6, RG_DRAINING)));
+	/* Late and out of order: it has not become ready again. */
+	EXPECT_EQ(RG_STALE, r.take(say("a", 10, 7)));
+	EXPECT_EQ(RG_DRAINING, r.state("a"));
+	/* The same id in a new life counts anew. */
+	EXPECT_EQ(RG_CHANGED, r.take(say("a", 11, 1)));
+	EXPECT_EQ(RG_READY, r.state("a"));
+}
+
+TEST(Registry, AnAddressBelongsToItsLatestLife)
+{
+	Registry r;
+
+	r.take(say("old", 10, 5));
+	r.take(say("new", 20, 1));
+	EXPECT_EQ(RG_GONE, r.state("old"));
+	/* What was held up on its way brings nobody back. */
+	EXPECT_EQ(RG_STALE, r.take(say("old", 10, 6)));
+	EXPECT_EQ(RG_STALE, r.take(say("older", 5, 9)));
+	EXPECT_EQ(RG_READY, r.state("new"));
+	EXPECT_EQ(1u, rg_count(r.rg));
+}
+
+TEST(Registry, SilenceEndsALife)
+{
+	Registry r;
+
+	r.take(say("a", 10, 5), 1000);
+	rg_tick(r.rg, 10000000);
+	EXPECT_EQ(RG_READY, r.state("a"));
+	rg_tick(r.rg, 40000000);
+	EXPECT_EQ(RG_GONE, r.state("a"));
+}
+
+/* Whatever the order of messages, all registries come to the same view. */
+RC_GTEST_PROP(Registry, ViewsConverge, ())
+{
+	std::vector<struct rg_server> said;
+	Registry a, b;
+
+	for (int i = 0; i < 30; i++) {
+		uint64_t life = (uint64_t)*rc::gen::inRange(1, 4);
+		int server = *rc::gen::inRange(0, 3);
+		std::string id = "s" + std::to_string(server);
+
+		said.push_back(say(id.c_str(), life * 10 + (uint64_t)server,
+		    (uint64_t)*rc::gen::inRange(1, 6),
+		    (enum rg_state)*rc::gen::inRange(0, 3),
+		    (uint16_t)(80 + server)));
+	}
+	for (auto &s : said)
+		a.take(s);
+	for (auto &s : said)
+		a.take(s);
+	for (size_t i = said.size(); i-- > 0;)
+		b.take(said[i]);
+	for (size_t i = said.size(); i-- > 0;)
+		b.take(said[i]);
+	for (auto &s : said)
+		RC_ASSERT(a.state(s.id) == b.state(s.id));
+}
+
+struct Orders {
+	struct ord *ord = ord_new(alloc_default());
+	uint64_t index = 0;
+
+	~Orders()
+	{
+		ord_free(ord);
+	}
+
+	bool apply(const struct buf *bytes)
+	{
+		bool changed = false;
+
+		EXPECT_EQ(0, ord_apply(ord, ++index, bytes->data, bytes->len,
+				 1000000, 5000000, &changed));
+		return changed;
+	}
+
+	bool document(uint64_t number, const std::string &text)
+	{
+		struct buf bytes;
+		bool changed;
+
+		buf_init(&bytes, alloc_default());
+		ord_encode_document(number, text.data(), text.size(), &bytes);
+		changed = apply(&bytes);
+		buf_free(&bytes);
+		return changed;
+	}
+
+	bool rollout(const char *target, enum ord_rollout_state state)
+	{
+		struct ord_rollout r = {};
+		struct buf bytes;
+		bool changed;
+
+		snprintf(r.service, sizeof(r.service), "s");
+		snprintf(r.target, sizeof(r.target), "%s", target);
+		r.duration_ms = 1000;
+		r.state = state;
+		buf_init(&bytes, alloc_default());
+		ord_encode_rollout(&r, &bytes);
+		changed = apply(&bytes);
+		buf_free(&bytes);
+		return changed;
+	}
+
+	std::string text() const
+	{
+		return std::string(
+		    (const char *)ord_text(ord)->data, ord_text(ord)->len);
+	}
+};
+
+TEST(Orders, TheHighestNumberIsInForce)
+{
+	Orders o;
+
+	EXPECT_TRUE(o.document(7, "seven"));
+	EXPECT_FALSE(o.document(7, "other"));
+	EXPECT_FALSE(o.document(3, "three"));
+	EXPECT_EQ("seven", o.text());
+	EXPECT_EQ(1u, ord_revision(o.ord));
+	EXPECT_TRUE(o.document(8, "eight"));
+	EXPECT_EQ("eight", o.text());
+	EXPECT_EQ(8u, ord_number(o.ord));
+}
+
+TEST(Orders, ARolloutOnlyMovesOn)
+{
+	Orders o;
+
+	EXPECT_TRUE(o.rollout("v2", ORD_RUNNING));
+	EXPECT_FALSE(o.rollout("v2", ORD_RUNNING));
+	EXPECT_TRUE(o.rollout("v2", ORD_ROLLED_BACK));
+	EXPECT_FALSE(o.rollout("v2", ORD_COMPLETED));
+	EXPECT_EQ(ORD_ROLLED_BACK, ord_rollout_of(o.ord, "s")->state);
+	EXPECT_TRUE(o.rollout("v3", ORD_RUNNING));
+	EXPECT_STREQ("v3", ord_rollout_of(o.ord, "s")->target);
+	EXPECT_TRUE(ord_is_target(o.ord, "s", "v2"));
+}
+
+/* An image holds everything, and differences between images fit. */
+RC_GTEST_PROP(Orders, ImagesAndDifferencesAreExact, ())
+{
+	Orders o;
+	struct buf before, after, diff, made;
+	struct ord *copy = ord_new(alloc_default());
+
+	buf_init(&before, alloc_default());
+	buf_init(&after, alloc_default());
+	buf_init(&diff, alloc_default());
+	buf_init(&made, alloc_default());
+	for (int i = 1; i < 12; i++) {
+		std::string text = *rc::gen::arbitrary<std::string>();
+
+		buf_clear(&before);
+		buf_clear(&after);
+		buf_clear(&diff);
+		buf_clear(&made);
+		ord_image(o.ord, &before);
+		if (*rc::gen::arbitrary<bool>())
+			o.document((uint64_t)i, text);
+		else
+			o.rollout(("v" + std::to_string(i)).c_str(),
+			    ORD_RUNNING);
+		ord_image(o.ord, &after);
+		ord_diff(&before, &after, &diff);
+		RC_ASSERT(ord_patch(nullptr, &before, diff.data, diff.len,
+			      &made) == 0);
+		RC_ASSERT(made.len == after.len);
+		RC_ASSERT(made.len == 0 ||
+			  memcmp(made.data, after.data, made.len) == 0);
+		RC_ASSERT(ord_restore(copy, made.data, made.len, 0, 0) == 0);
+		RC_ASSERT(ord_number(copy) == ord_number(o.ord));
+		RC_ASSERT(ord_revision(copy) == ord_revision(o.ord));
+		RC_ASSERT(
+		    ord_rollout_count(copy) == ord_rollout_count(o.ord));
+	}
+	ord_free(copy);
+	buf_free(&before);
+	buf_free(&after);
+	buf_free(&diff);
+	buf_free(&made);
+}
+
+TEST(Orders, WhatDoesNotFitIsRefused)
+{
+	struct buf from, out;
+	uint8_t diff[16] = {200};
+
+	buf_init(&from, alloc_default());
+	buf_init(&out, alloc_default());
+	buf_adds(&from, "short");
+	EXPECT_EQ(ERR_CORRUPT, ord_patch(nullptr, &from, diff, 16, &out));
+	EXPECT_EQ(ERR_CORRUPT, ord_patch(nullptr, &from, diff, 3, &out));
+	buf_free(&from);
+	buf_free(&out);
+}
--- /dev/null
+++ b/test/unit/route_course_test.cc
@@ -0,0 +1,216 @@
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <filesystem>
+#include <fstream>
+#include <sstream>
+
+#include "route/cascade.h"
+#include "route/course.h"
+#include "route/patience.h"
+
+/* Runs test/scripts/course/: a line is an attempt's end, "= STEP" what follows.
+ */
+static const char *const kinds[] = {"idempotent", "once", "stream"};
+static const char *const ends[] = {
+    "answered", "not_run", "unreachable", "broken", "defective"};
+static const char *const steps[] = {
+    "pass_on", "again", "resume", "refuse", "fail", "cut"};
+
+static int
+index_of(const char *const *names, int count, const std::string &name)
+{
+	for (int i = 0; i < count; i++)
+		if (name == names[i])
+			return i;
+	ADD_FAILURE() << "unknown word: " << name;
+	return 0;
+}
+
+static std::string
+run_line(const std::string &line)
+{
+	std::istringstream in(line);
+	std::string kind, resumable, end, begun, ran, budget;
+	struct cs_input input = {};
+	int status, runs, most, sends;
+	long left_ms;
+	char slash;
+
+	in >> kind >> resumable >> end >> status >> begun >> ran >> runs >>
+	    slash >> most >> sends >> budget >> left_ms;
+	input.kind = (enum rt_kind)index_of(kinds, 3, kind);
+	input.resumable = resumable == "yes";
+	input.end = (enum cs_end)index_of(ends, 5, end);
+	input.status = (unsigned)status;
+	input.begun = begun == "yes";
+	input.may_have_run = ran == "yes";
+	input.runs = (uint8_t)runs;
+	input.runs_max = (uint8_t)most;
+	input.sends = (uint8_t)sends;
+	input.budget = budget == "yes";
+	input.left_us = left_ms * 1000;
+	return steps[cs_next(&input)];
+}
+
+TEST(Course, Scripts)
+{
+	int scripts = 0;
+
+	for (auto &entry :
+	    std::filesystem::directory_iterator("test/scripts/course")) {
+		std::ifstream file(entry.path());
+		std::string line, answer;
+		int number = 0;
+
+		scripts++;
+		while (std::getline(file, line)) {
+			number++;
+			if (line.empty() || line[0] == '#')
+				continue;
+			if (line[0] == '=')
+				EXPECT_EQ(line.substr(2), answer)
+				    << entry.path() << ":" << number;
+			else
+				answer = run_line(line);
+		}
+	}
+	EXPECT_GE(scripts, 1);
+}
+
+static struct cs_input
+any_input()
+{
+	struct cs_input in = {};
+
+	in.kind = (enum rt_kind)*rc::gen::inRange(0, 3);
+	in.resumable = *rc::gen::arbitrary<bool>();
+	in.end = (enum cs_end)*rc::gen::inRange(0, 5);
+	in.status = *rc::gen::element(200u, 404u, 500u, 503u, 504u);
+	in.begun = *rc::gen::arbitrary<bool>();
+	in.may_have_run = *rc::gen::arbitrary<bool>();
+	in.runs = (uint8_t)*rc::gen::inRange(0, 5);
+	in.runs_max = (uint8_t)*rc::gen::inRange(1, 5);
+	in.sends = (uint8_t)*rc::gen::inRange(1, 9);
+	in.budget = *rc::gen::arbitrary<bool>();
+	in.left_us = *rc::gen::inRange(-1000000, 10000000);
+	if (in.end == CS_BROKEN || in.end == CS_DEFECTIVE ||
+	    in.end == CS_ANSWERED)
+		in.may_have_run = true;
+	return in;
+}
+
+/* What may run once is never sent again after it may have run. */
+RC_GTEST_PROP(Course, NothingRunsTwiceThatMayRunOnce, ())
+{
+	struct cs_input in = any_input();
+	enum cs_step step = cs_next(&in);
+
+	if (step == CS_AGAIN || step == CS_RESUME)
+		RC_ASSERT(!in.may_have_run || in.kind == RT_IDEMPOTENT ||
+			  (in.kind == RT_STREAM && in.resumable));
+}
+
+/* "Not run" is said only where it is true, and of no answer that has begun. */
+RC_GTEST_PROP(Course, RefusalsAreTrue, ())
+{
+	struct cs_input in = any_input();
+
+	if (cs_next(&in) == CS_REFUSE)
+		RC_ASSERT(!in.may_have_run && !in.begun);
+}
+
+/* Neither limits nor the budget are exceeded, and no time is spent in vain. */
+RC_GTEST_PROP(Course, LimitsHold, ())
+{
+	struct cs_input in = any_input();
+	enum cs_step step = cs_next(&in);
+
+	if (step == CS_AGAIN || step == CS_RESUME)
+		RC_ASSERT(in.budget && in.runs < in.runs_max && in.left_us > 0);
+}
+
+TEST(Patience, OnlyWhatMayRunAgainIsMoved)
+{
+	struct pa_input in = {};
+
+	in.kind = RT_ONCE;
+	in.can_move = true;
+	in.goal_ms = 100;
+	EXPECT_EQ(0, pa_limit_us(&in));
+	in.kind = RT_STREAM;
+	EXPECT_EQ(0, pa_limit_us(&in));
+	in.resumable = true;
+	in.expected_ms = 500;
+	EXPECT_EQ(2500000, pa_limit_us(&in));
+	in.begun = true;
+	in.gap_goal_ms = 800;
+	EXPECT_EQ(1600000, pa_limit_us(&in));
+	in.kind = RT_IDEMPOTENT;
+	EXPECT_EQ(100000, pa_limit_us(&in));
+	in.can_move = false;
+	EXPECT_EQ(0, pa_limit_us(&in));
+}
+
+static struct ca_input
+short_question(int confidence)
+{
+	struct ca_input in = {};
+
+	in.model_count = 3;
+	in.confidence = confidence;
+	in.prompt_tokens = 800;
+	in.output_tokens = 300;
+	in.may_repeat = true;
+	in.goal_us = 1000000;
+	in.left_us = 10000000;
+	in.expected_us = 100000;
+	return in;
+}
+
+TEST(Cascade, LowConfidenceBringsALargerModel)
+{
+	struct ca_input in = short_question(20);
+
+	EXPECT_EQ(0, ca_first(3));
+	EXPECT_TRUE(ca_should_escalate(&in));
+	in.confidence = 95;
+	EXPECT_FALSE(ca_should_escalate(&in));
+	in.confidence = -1;
+	EXPECT_FALSE(ca_should_escalate(&in));
+	in = short_question(20);
+	in.may_repeat = false;
+	EXPECT_FALSE(ca_should_escalate(&in));
+	in = short_question(20);
+	in.model = 2;
+	EXPECT_FALSE(ca_should_escalate(&in));
+}
+
+TEST(Cascade, DearAnswersNeedLessConfidence)
+{
+	int needed[2];
+
+	for (int dear = 0; dear < 2; dear++) {
+		needed[dear] = 0;
+		for (int c = 100; c >= 0; c--) {
+			struct ca_input in = short_question(c);
+
+			if (dear)
+				in.prompt_tokens = 12000;
+			if (!ca_should_escalate(&in))
+				needed[dear] = c;
+		}
+	}
+	EXPECT_LT(needed[1], needed[0]);
+}
+
+/* Under a load that would make the larger model late, the answer is kept. */
+TEST(Cascade, AnOverloadIsNotMadeWorse)
+{
+	struct ca_input in = short_question(30);
+
+	in.expected_us = 1500000;
+	EXPECT_FALSE(ca_should_escalate(&in));
+	in.confidence = 2;
+	EXPECT_TRUE(ca_should_escalate(&in));
+}
--- /dev/null
+++ b/test/unit/route_pool_test.cc
@@ -0,0 +1,345 @@
+#include <gtest/gtest.h>
+
+#include "apr.h"
+#include <rapidcheck/gtest.h>
+
+#include <map>
+#include <string>
+
+#include "route/pool.h"
+
+/* Three data centres of servers, one service with a cold start. */
+class PoolWorld
+{
+      public:
+	struct rt_table *table = rt_new();
+	struct ord *orders = ord_new(alloc_default());
+	struct pl *pl;
+	int64_t now_us = 1000000;
+	uint64_t index = 0;
+
+	explicit PoolWorld(uint32_t instances = 1, uint64_t seed = 1)
+	{
+		struct pl_options options = {};
+		struct rt_service *service = rt_add_service(table, "engine");
+
+		service->is_engine = true;
+		service->slots = 64;
+		service->cold_per_s = 12;
+		options.alloc = alloc_default();
+		options.seed = seed;
+		options.data_centre = "a";
+		options.cold_permille = 1000;
+		options.cold_slack = 5;
+		options.silent_us = 6000000;
+		pl = pl_new(&options);
+		pl_set_instances(pl, instances);
+		pl_configure(pl, table, orders);
+	}
+
+	~PoolWorld()
+	{
+		pl_free(pl);
+		ord_free(orders);
+		rt_free(table);
+	}
+
+	struct rg_server server(const std::string &id, const char *centre,
+	    const char *version = "v1")
+	{
+		struct rg_server s = {};
+
+		snprintf(s.id, sizeof(s.id), "%s", id.c_str());
+		snprintf(s.service, sizeof(s.service), "engine");
+		snprintf(s.data_centre, sizeof(s.data_centre), "%s", centre);
+		snprintf(s.version, sizeof(s.version), "%s", version);
+		s.ip = 1;
+		s.port = 1;
+		s.slots = 64;
+		s.born_ms = 1;
+		s.seq = 1;
+		s.heard_us = now_us;
+		return s;
+	}
+
+	uint16_t add(const std::string &id, const char *centre,
+	    const char *version = "v1", uint64_t born_ms = 1)
+	{
+		struct rg_server s = server(id, centre, version);
+
+		s.born_ms = born_ms;
+		return pl_take(pl, &s, now_us);
+	}
+
+	void rollout(const char *target, enum ord_rollout_state state)
+	{
+		struct ord_rollout r = {};
+		struct buf bytes;
+		bool changed;
+
+		snprintf(r.service, sizeof(r.service), "engine");
+		snprintf(r.target, sizeof(r.target), "%s", target);
+		r.duration_ms = 10000;
+		r.state = state;
+		buf_init(&bytes, alloc_default());
+		ord_encode_rollout(&r, &bytes);
+		ord_apply(orders, ++index, bytes.data, bytes.len, now_us, 0,
+		    &changed);
+		buf_free(&bytes);
+		pl_configure(pl, table, orders);
+	}
+
+	void out(const char *centre, bool is_out)
+	{
+		struct buf bytes;
+		bool changed;
+
+		buf_init(&bytes, alloc_default());
+		ord_encode_out(centre, is_out, &bytes);
+		ord_apply(orders, ++index, bytes.data, bytes.len, now_us, 0,
+		    &changed);
+		buf_free(&bytes);
+		pl_configure(pl, table, orders);
+	}
+
+	struct pl_query query()
+	{
+		struct pl_query q = {};
+
+		q.service = "engine";
+		q.slots_more = 8;
+		q.any_role = true;
+		q.by_work = true;
+		return q;
+	}
+
+	std::string pick(const struct pl_query &q)
+	{
+		uint16_t server;
+
+		switch (pl_pick(pl, &q, now_us, &server)) {
+		case PL_CHOSEN:
+			return pl_at(pl, server)->said.id;
+		case PL_NONE:
+			return "none";
+		case PL_FULL:
+			break;
+		}
+		return "full";
+	}
+
+	std::string pick()
+	{
+		return pick(query());
+	}
+};
+
+TEST(Pool, NothingIsSentWhereNothingMay)
+{
+	PoolWorld w;
+	struct rg_server s;
+
+	EXPECT_EQ("none", w.pick());
+	w.add("s1", "a");
+	EXPECT_EQ("s1", w.pick());
+	w.out("a", true);
+	EXPECT_EQ("none", w.pick());
+	w.out("a", false);
+	EXPECT_EQ("s1", w.pick());
+	s = w.server("s1", "a");
+	s.state = RG_DRAINING;
+	s.seq = 2;
+	pl_take(w.pl, &s, w.now_us);
+	EXPECT_EQ("none", w.pick());
+	s.state = RG_GONE;
+	pl_take(w.pl, &s, w.now_us);
+	EXPECT_EQ("none", w.pick());
+}
+
+TEST(Pool, VersionsGetWhatTheirRolloutAllows)
+{
+	PoolWorld w;
+	struct pl_query target = w.query();
+
+	target.role = PL_TARGET;
+	target.any_role = false;
+	w.add("old", "a", "v1", 1);
+	w.add("new", "a", "v2", 9);
+	/* Started for an order that has not come yet. */
+	EXPECT_EQ("old", w.pick());
+	EXPECT_EQ("none", w.pick(target));
+	w.rollout("v2", ORD_RUNNING);
+	EXPECT_EQ("old", w.pick());
+	EXPECT_EQ("new", w.pick(target));
+	w.rollout("v2", ORD_FINISHING);
+	for (int i = 0; i < 50; i++)
+		EXPECT_EQ("new", w.pick());
+	w.rollout("v2", ORD_COMPLETED);
+	EXPECT_EQ("new", w.pick());
+	w.add("newer", "a", "v3", 20);
+	w.rollout("v3", ORD_RUNNING);
+	EXPECT_EQ("newer", w.pick(target));
+	w.rollout("v3", ORD_ROLLED_BACK);
+	EXPECT_EQ("none", w.pick(target));
+	for (int i = 0; i < 50; i++)
+		EXPECT_EQ("new", w.pick());
+}
+
+/* Instances out of touch spend their part too: the sum keeps the bound. */
+TEST(Pool, AColdServerGetsNoMoreThanItBearsInSum)
+{
+	const int instances = 8;
+	std::vector<std::unique_ptr<PoolWorld>> worlds;
+	std::map<int64_t, int> sent; /* by tenth of a second */
+
+	for (int i = 0; i < instances; i++) {
+		struct rg_server s;
+
+		worlds.push_back(std::make_unique<PoolWorld>(
+		    instances, (uint64_t)i));
+		s = worlds[i]->server("cold", "a");
+		s.cold_left_ms = 5000;
+		pl_take(worlds[i]->pl, &s, worlds[i]->now_us);
+	}
+	for (int ms = 0; ms < 5000; ms += 10) {
+		for (auto &w : worlds) {
+			uint16_t at;
+			struct pl_query q = w->query();
+
+			w->now_us = 1000000 + ms * 1000;
+			if (pl_pick(w->pl, &q, w->now_us, &at) != PL_CHOSEN)
+				continue;
+			pl_sent(w->pl, at, 0, w->now_us);
+			sent[ms / 100]++;
+		}
+	}
+	for (int t = 0; t + 10 <= 50; t++) {
+		int sum = 0;
+
+		for (int i = t; i < t + 10; i++)
+			sum += sent[i];
+		EXPECT_LE(sum, 12 + 5 + instances) << "from " << t * 100 << " ms";
+		EXPECT_GE(sum, 8) << "from " << t * 100 << " ms";
+	}
+}
+
+TEST(Pool, OnePrefixMeetsAtOneServerWhileItHasTime)
+{
+	PoolWorld w, other(1, 99);
+	struct pl_query q = w.query();
+	std::string home;
+
+	for (int i = 0; i < 6; i++) {
+		w.add("s" + std::to_string(i), "a");
+		other.add("s" + std::to_string(5 - i), "a");
+	}
+	q.affinity = 77;
+	q.work_ms = 150;
+	q.shared_ms = 100;
+	home = w.pick(q);
+	for (int i = 0; i < 50; i++) {
+		EXPECT_EQ(home, w.pick(q));
+		EXPECT_EQ(home, other.pick(q));
+	}
+	for (uint16_t i = 0; i < pl_count(w.pl); i++)
+		if (home == pl_at(w.pl, i)->said.id)
+			pl_sent(w.pl, i, 500, w.now_us);
+	EXPECT_NE(home, w.pick(q));
+}
+
+/* A long prompt that another instance sent keeps short ones away. */
+TEST(Pool, OtherInstancesBacklogCounts)
+{
+	PoolWorld w;
+	struct ld_load load = {ld_server_hash("s1"), 5000, 1};
+
+	w.add("s1", "a");
+	w.add("s2", "a");
+	pl_others_loads(w.pl, &load, 1, w.now_us);
+	for (int i = 0; i < 50; i++)
+		EXPECT_EQ("s2", w.pick());
+	w.now_us += 6000000; /* worked off by now */
+	w.add("s1", "a", "v1", 2);
+	w.add("s2", "a", "v1", 2);
+	std::map<std::string, int> seen;
+	for (int i = 0; i < 50; i++)
+		seen[w.pick()]++;
+	EXPECT_EQ(2u, seen.size());
+}
+
+TEST(Pool, AServerThatFailsFarMoreIsLeftAlone)
+{
+	PoolWorld w;
+
+	w.add("good", "a");
+	w.add("bad", "a");
+	for (int i = 0; i < 40; i++) {
+		pl_outcome(w.pl, 0, false, w.now_us);
+		pl_outcome(w.pl, 1, i % 2 == 0, w.now_us);
+	}
+	for (int i = 0; i < 20; i++)
+		EXPECT_EQ("good", w.pick());
+	w.now_us += 5000000;
+	std::map<std::string, int> seen;
+	for (int i = 0; i < 50; i++)
+		seen[w.pick()]++;
+	EXPECT_EQ(2u, seen.size());
+}
+
+TEST(Pool, ADataCentreThatIsCutOffIsNotTriedServerByServer)
+{
+	PoolWorld w;
+
+	for (int i = 0; i < 4; i++)
+		w.add("a" + std::to_string(i), "a");
+	for (int i = 0; i < 4; i++)
+		w.add("b" + std::to_string(i), "b");
+	pl_unreachable(w.pl, 4, w.now_us);
+	pl_unreachable(w.pl, 5, w.now_us);
+	for (int i = 0; i < 200; i++)
+		EXPECT_EQ('a', w.pick()[0]);
+}
+
+/* Whatever happened before, a choice is a server that may run the request. */
+RC_GTEST_PROP(Pool, ChoicesAreAllowed, ())
+{
+	PoolWorld w(1, *rc::gen::arbitrary<uint64_t>());
+	int servers = *rc::gen::inRange(1, 8);
+
+	for (int i = 0; i < servers; i++)
+		w.add("s" + std::to_string(i), i % 2 ? "a" : "b",
+		    i % 3 ? "v1" : "v2", (uint64_t)i + 1);
+	for (int step = 0; step < 60; step++) {
+		uint16_t at = (uint16_t)*rc::gen::inRange(0, servers);
+		struct pl_query q = w.query();
+
+		w.now_us += *rc::gen::inRange(0, 500000);
+		switch (*rc::gen::inRange(0, 7)) {
+		case 0:
+			pl_unreachable(w.pl, at, w.now_us);
+			break;
+		case 1:
+			w.out("a", *rc::gen::arbitrary<bool>());
+			break;
+		case 2:
+			w.rollout("v2", (enum ord_rollout_state)*rc::gen::inRange(
+					    0, 4));
+			break;
+		case 3:
+			pl_full(w.pl, at, w.now_us);
+			break;
+		case 4:
+			pl_outcome(w.pl, at, *rc::gen::arbitrary<bool>(),
+			    w.now_us);
+			break;
+		default:
+			break;
+		}
+		if (pl_pick(w.pl, &q, w.now_us, &at) != PL_CHOSEN)
+			continue;
+		RC_ASSERT(pl_at(w.pl, at)->role != PL_BARRED);
+		RC_ASSERT(!ord_is_out(
+		    w.orders, pl_at(w.pl, at)->said.data_centre));
+		RC_ASSERT(pl_at(w.pl, at)->said.state == RG_READY);
+	}
+}
--- /dev/null
+++ b/test/unit/route_state_test.cc
@@ -0,0 +1,221 @@
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <set>
+
+#include "route/budget.h"
+#include "route/loads.h"
+#include "route/pace.h"
+#include "route/sessions.h"
+#include "route/suspects.h"
+#include "route/verdict.h"
+
+/* Repeats of all instances together stay below the bound in every window. */
+RC_GTEST_PROP(Budget, TheSumOfAllInstancesKeepsTheBound, ())
+{
+	const uint32_t instances = 4, slack = 40, window_ms = 10000;
+	struct bu_options options = {500, slack / instances, window_ms};
+	std::vector<struct bu> budgets(instances);
+	std::vector<std::pair<int64_t, bool>> log; /* time, is a repeat */
+	int64_t now_us = 0;
+
+	for (auto &bu : budgets)
+		bu_init(&bu, &options, now_us);
+	for (int i = 0; i < 1500; i++) {
+		struct bu &bu = budgets[(size_t)*rc::gen::inRange(
+		    0, (int)instances)];
+
+		now_us += *rc::gen::inRange(0, 40000);
+		if (*rc::gen::inRange(0, 3) == 0) {
+			bu_request(&bu, now_us);
+			log.push_back({now_us, false});
+		} else if (bu_may_repeat(&bu, now_us)) {
+			bu_repeat(&bu, now_us);
+			log.push_back({now_us, true});
+		}
+	}
+	for (size_t from = 0; from < log.size(); from += 7) {
+		uint32_t requests = 0, before = 0, repeats = 0;
+
+		for (auto &[at, repeat] : log) {
+			int64_t since = at - log[from].first;
+
+			if (since >= 0 && since < window_ms * 1000LL) {
+				repeats += repeat;
+				requests += !repeat;
+			} else if (since < 0 && since >= -window_ms * 1000LL) {
+				before += !repeat;
+			}
+		}
+		RC_ASSERT(repeats <=
+			  (requests > before ? requests : before) + slack +
+			      instances);
+	}
+}
+
+TEST(Sessions, KeepTheirVersion)
+{
+	struct se *se = se_new(alloc_default(), 5000000);
+	struct se_query q = {};
+	std::set<uint64_t> held;
+	uint64_t fresh = 0, target = 0;
+	bool bound;
+
+	/* Sessions that the hash gives to the new version. */
+	for (uint64_t s = 1; target == 0 || fresh == 0; s++) {
+		q = (struct se_query){s, 60000000, 60000000, 80, 999};
+		if (se_role(se, &q, &bound) != PL_TARGET)
+			continue;
+		if (target == 0)
+			target = s;
+		else
+			fresh = s;
+	}
+	/* Seen on the old version shortly before the order: held there. */
+	se_note(se, target, PL_BASE, 0, 60000000);
+	se_begin(
+	    se, 80, 61000000,
+	    [](void *ctx, uint64_t s) { ((std::set<uint64_t> *)ctx)->insert(s); },
+	    &held);
+	EXPECT_EQ(std::set<uint64_t>{target}, held);
+	se_hold(se, target, 61000000);
+	q = (struct se_query){target, 80000000, 19000000, 80, 0};
+	EXPECT_EQ(PL_BASE, se_role(se, &q, &bound));
+	EXPECT_TRUE(bound);
+	/* Unknown ones wait until all held ones are known everywhere. */
+	q = (struct se_query){fresh, 63000000, 2000000, 80, 0};
+	EXPECT_EQ(PL_BASE, se_role(se, &q, &bound));
+	q = (struct se_query){fresh, 70000000, 9000000, 80, 0};
+	EXPECT_EQ(PL_TARGET, se_role(se, &q, &bound));
+	EXPECT_FALSE(bound);
+	EXPECT_FALSE(se_note(se, fresh, PL_TARGET, 80, 70000000));
+	q.now_us += 3000000;
+	EXPECT_EQ(PL_TARGET, se_role(se, &q, &bound));
+	EXPECT_TRUE(bound);
+	se_free(se);
+}
+
+TEST(Sessions, OneGivenTheOldVersionForLackOfRoomIsToldToOthers)
+{
+	struct se *se = se_new(alloc_default(), 5000000);
+	uint64_t target = 0;
+	bool bound;
+
+	for (uint64_t s = 1; target == 0; s++) {
+		struct se_query q = {s, 60000000, 60000000, 80, 999};
+
+		if (se_role(se, &q, &bound) == PL_TARGET)
+			target = s;
+	}
+	EXPECT_TRUE(se_note(se, target, PL_BASE, 80, 60000000));
+	se_hold(se, target, 60000000);
+	EXPECT_FALSE(se_note(se, target, PL_BASE, 80, 61000000));
+	se_free(se);
+}
+
+static enum ord_rollout_state
+judge(struct vd_counts fresh, struct vd_counts known, int64_t elapsed_ms,
+    enum ord_rollout_state state = ORD_RUNNING, int64_t finishing_ms = 0)
+{
+	struct vd_input in = {};
+
+	in.state = state;
+	in.elapsed_ms = elapsed_ms;
+	in.finishing_ms = finishing_ms;
+	in.duration_ms = 24000;
+	in.fresh = fresh;
+	in.known = known;
+	in.has_servers = true;
+	return vd_next(&in);
+}
+
+TEST(Verdict, AGoodVersionIsCompletedInTime)
+{
+	EXPECT_EQ(ORD_RUNNING, judge({30, 0, 3, 30}, {300, 1, 30, 300}, 5000));
+	EXPECT_EQ(
+	    ORD_FINISHING, judge({30, 0, 3, 30}, {300, 1, 30, 300}, 13000));
+	EXPECT_EQ(ORD_RUNNING, judge({0, 0, 0, 0}, {300, 1, 30, 300}, 20000));
+	EXPECT_EQ(ORD_FINISHING, judge({300, 0, 30, 300}, {300, 1, 30, 300},
+				     14000, ORD_FINISHING, 1000));
+	EXPECT_EQ(ORD_COMPLETED, judge({300, 0, 30, 300}, {300, 1, 30, 300},
+				     19000, ORD_FINISHING, 6000));
+	EXPECT_EQ(ORD_COMPLETED,
+	    judge({300, 200, 30, 300}, {300, 1, 30, 300}, 23000, ORD_COMPLETED));
+}
+
+TEST(Verdict, ABadVersionIsRolledBack)
+{
+	/* Half of its answers fail. */
+	EXPECT_EQ(
+	    ORD_ROLLED_BACK, judge({12, 6, 1, 10}, {100, 1, 10, 100}, 3000));
+	/* Eight times as slow. */
+	EXPECT_EQ(ORD_ROLLED_BACK,
+	    judge({12, 0, 9.6, 12}, {100, 1, 10, 100}, 3000));
+	/* It turns bad only when everything goes there. */
+	EXPECT_EQ(ORD_ROLLED_BACK, judge({200, 60, 20, 200},
+				       {300, 2, 30, 300}, 15000, ORD_FINISHING));
+}
+
+TEST(Verdict, ChanceAloneIsNoReason)
+{
+	EXPECT_EQ(ORD_RUNNING, judge({20, 3, 2, 20}, {100, 1, 10, 100}, 3000));
+	/* A service that fails often anyway. */
+	EXPECT_EQ(
+	    ORD_RUNNING, judge({40, 8, 4, 40}, {400, 56, 40, 400}, 3000));
+}
+
+TEST(Loads, SumsLeaveOutTheOneThatAsks)
+{
+	struct ld *ld = ld_new(alloc_default(), 1000000);
+	struct ld_load a[] = {{1, 100, 2}, {2, 50, 1}}, b[] = {{1, 30, 1}};
+	struct ld_load out[8];
+
+	ld_report(ld, 10, a, 2, 0);
+	ld_report(ld, 11, b, 1, 0);
+	ASSERT_EQ(2u, ld_sum(ld, 0, 500000, out, 8));
+	EXPECT_EQ(130u, out[0].pending_ms);
+	EXPECT_EQ(3u, out[0].running);
+	ASSERT_EQ(1u, ld_sum(ld, 10, 500000, out, 8));
+	EXPECT_EQ(30u, out[0].pending_ms);
+	EXPECT_EQ(0u, ld_sum(ld, 0, 2000000, out, 8));
+	ld_free(ld);
+}
+
+TEST(Pace, FollowsFastSamplesAndDoubtsSlowOnes)
+{
+	struct pc pc = {};
+
+	EXPECT_GT(pc_work_ms(&pc, 1000), 0);
+	for (int i = 0; i < 50; i++)
+		pc_sample(&pc, 10000, 30000 + 100000);
+	double learned = pc_work_ms(&pc, 10000);
+	EXPECT_NEAR(100, learned, 1);
+	pc_sample(&pc, 10000, 5000000);
+	EXPECT_LT(pc_work_ms(&pc, 10000), 4 * learned);
+	pc_sample(&pc, 10, 5000000);
+	EXPECT_GT(pc_work_ms(&pc, 50000), 5 * pc_work_ms(&pc, 10000) * 0.9);
+}
+
+TEST(Suspects, OnlyAServerThatGoesDownMakesCulprits)
+{
+	struct su *su = su_new(alloc_default());
+	std::set<uint64_t> crashed;
+	auto note = [](void *ctx, uint64_t f) {
+		((std::set<uint64_t> *)ctx)->insert(f);
+	};
+
+	su_broken(su, 3, 100, 1000000);
+	su_answered(su, 3);
+	su_down(su, 3, 1100000, note, &crashed);
+	EXPECT_TRUE(crashed.empty());
+	su_broken(su, 3, 100, 2000000);
+	su_broken(su, 3, 101, 2000000);
+	su_broken(su, 4, 102, 2000000);
+	su_down(su, 3, 2500000, note, &crashed);
+	EXPECT_EQ((std::set<uint64_t>{100, 101}), crashed);
+	crashed.clear();
+	su_down(su, 3, 2600000, note, &crashed);
+	su_down(su, 4, 9000000, note, &crashed);
+	EXPECT_TRUE(crashed.empty());
+	su_free(su);
+}
