--- a/src/gateway/control.c
+++ b/src/gateway/control.c
@@ -1,5 +1,3 @@
-#include "gateway/control.h"
-
 #include <inttypes.h>
 #include <stdio.h>
 #include <string.h>
@@ -7,28 +5,20 @@
 #include "base/clock.h"
 #include "base/err.h"
 #include "base/log.h"
+#include "gateway/gateway.h"
 #include "gateway/replica.h"
 #include "http/front.h"
 
 enum {
-	JUDGE_US = 250000, /* roll-outs are looked at this often */
 	CONNECTIONS_MAX = 2000,
 	BODY_MAX_BYTES = 4 * 1024 * 1024,
 	HEADER_MAX_BYTES = 16 * 1024,
 	HEADER_TIMEOUT_MS = 3000,
 	IDLE_TIMEOUT_MS = 60000,
-	VERSIONS_MAX = 256,
 	HTTP_OK = 200,
 	HTTP_REDIRECT = 307
 };
 
-/* What is known of a version's answers since its roll-out was ordered. */
-struct evidence {
-	char service[ORD_NAME_BYTES];
-	char version[ORD_NAME_BYTES];
-	struct vd_counts counts;
-};
-
 /* One order that waits for the log. */
 struct order {
 	struct gc *gc;
@@ -40,14 +30,11 @@
 struct gc {
 	struct gw *gw;
 	struct hf *server;
-	struct loop_timer *judge;
 	struct order *orders;
-	struct evidence evidence[VERSIONS_MAX];
-	size_t evidence_count;
-	int64_t finishing_us; /* when the leader saw ORD_FINISHING first */
-	bool proposing; /* a verdict is under way */
 };
 
+/* Operators' and backend servers' calls. */
+
 static void
 answer_text(struct hf_exchange *x, unsigned int status, const struct buf *body)
 {
@@ -120,9 +107,8 @@
 	alloc_free(gc->gw->alloc, order);
 }
 
-static void
-propose(struct gc *gc, struct hf_exchange *x, const char *what,
-    const struct buf *change)
+static struct order *
+new_order(struct gc *gc, struct hf_exchange *x, const char *what)
 {
 	struct order *order = alloc_zero(gc->gw->alloc, 1, sizeof(*order));
 
@@ -132,7 +118,15 @@
 	order->next = gc->orders;
 	gc->orders = order;
 	hf_set_data(x, order);
-	gr_propose(gc->gw->replica, change, order_done, order);
+	return order;
+}
+
+static void
+propose(struct gc *gc, struct hf_exchange *x, const char *what,
+    const struct buf *change)
+{
+	gr_propose(gc->gw->replica, change, order_done,
+	    new_order(gc, x, what));
 }
 
 static void
@@ -142,7 +136,7 @@
 	const struct buf *text = hf_body(x);
 	struct rt_table *table = NULL;
 	uint64_t number = 0;
-	struct buf why, change;
+	struct buf why;
 	int error;
 
 	buf_init(&why, gc->gw->alloc);
@@ -159,10 +153,8 @@
 		/* A higher one is in force, or this one was taken before. */
 		answer_empty(x);
 	} else {
-		buf_init(&change, gc->gw->alloc);
-		ord_encode_document(number, text->data, text->len, &change);
-		propose(gc, x, "document", &change);
-		buf_free(&change);
+		gr_propose_document(gc->gw->replica, number, text, order_done,
+		    new_order(gc, x, "document"));
 	}
 	buf_free(&why);
 }
@@ -337,127 +329,6 @@
 
 static const struct hf_handler handler = {on_request, on_gone, on_refused};
 
-static struct evidence *
-evidence_of(struct gc *gc, const char *service, const char *version)
-{
-	struct evidence *e;
-
-	for (size_t i = 0; i < gc->evidence_count; i++) {
-		e = &gc->evidence[i];
-		if (strcmp(e->service, service) == 0 &&
-		    strcmp(e->version, version) == 0)
-			return e;
-	}
-	if (gc->evidence_count == VERSIONS_MAX)
-		gc->evidence_count = 0; /* old roll-outs; counted anew */
-	e = &gc->evidence[gc->evidence_count++];
-	memset(e, 0, sizeof(*e));
-	snprintf(e->service, sizeof(e->service), "%s", service);
-	snprintf(e->version, sizeof(e->version), "%s", version);
-	return e;
-}
-
-/*
- * Adds outcomes that an instance reports.  An empty version stands for what a
- * service ran on before its roll-out.
- */
-void
-gc_outcome(struct gc *gc, const char *service, const char *version,
-    const struct vd_counts *counts)
-{
-	struct evidence *e = evidence_of(gc, service, version);
-
-	e->counts.answers += counts->answers;
-	e->counts.failures += counts->failures;
-	e->counts.seconds += counts->seconds;
-	e->counts.work += counts->work;
-}
-
-struct search {
-	const struct ord_rollout *rollout;
-	bool found;
-};
-
-static void
-look_for_target(void *ctx, const struct rg_server *server)
-{
-	struct search *search = ctx;
-
-	if (server->state == RG_READY &&
-	    strcmp(server->service, search->rollout->service) == 0 &&
-	    strcmp(server->version, search->rollout->target) == 0)
-		search->found = true;
-}
-
-static void
-verdict_done(void *ctx, int error)
-{
-	struct gc *gc = ctx;
-
-	(void)error; /* the next look proposes it again */
-	gc->proposing = false;
-}
-
-static void
-judge(struct gc *gc, const struct ord_rollout *rollout)
-{
-	int64_t now_us = loop_now_us(gc->gw->loop);
-	struct evidence *fresh =
-	    evidence_of(gc, rollout->service, rollout->target);
-	struct evidence *known = evidence_of(gc, rollout->service, "");
-	struct search search = {rollout, false};
-	struct vd_input input = {.state = rollout->state,
-	    .elapsed_ms = (now_us - rollout->ordered_us) / 1000,
-	    .duration_ms = rollout->duration_ms,
-	    .fresh = fresh->counts,
-	    .known = known->counts};
-	struct ord_rollout next = *rollout;
-	struct buf change;
-
-	if (rollout->state == ORD_FINISHING && gc->finishing_us == 0)
-		gc->finishing_us = now_us;
-	if (rollout->state == ORD_FINISHING)
-		input.finishing_ms = (now_us - gc->finishing_us) / 1000;
-	rg_since(gc->gw->registry, 0, look_for_target, &search);
-	input.has_servers = search.found;
-	next.state = vd_next(&input);
-	if (next.state == rollout->state)
-		return;
-	log_event(LOG_LEVEL_INFO, "verdict",
-	    "service=%s version=%s state=%d elapsed_ms=%" PRId64
-	    " answers=%u failures=%u base_answers=%u base_failures=%u "
-	    "pace=%.3f base_pace=%.3f",
-	    rollout->service, rollout->target, next.state, input.elapsed_ms,
-	    input.fresh.answers, input.fresh.failures, input.known.answers,
-	    input.known.failures,
-	    input.fresh.work > 0 ? input.fresh.seconds / input.fresh.work : 0,
-	    input.known.work > 0 ? input.known.seconds / input.known.work : 0);
-	gc->finishing_us = 0;
-	gc->proposing = true;
-	buf_init(&change, gc->gw->alloc);
-	ord_encode_rollout(&next, &change);
-	gr_propose(gc->gw->replica, &change, verdict_done, gc);
-	buf_free(&change);
-}
-
-static void
-on_judge(void *ctx)
-{
-	struct gc *gc = ctx;
-	const struct ord *ord;
-
-	gc->judge = loop_after(gc->gw->loop, JUDGE_US, on_judge, gc);
-	if (gc->gw->replica == NULL || !gr_is_current(gc->gw->replica))
-		return;
-	ord = gr_orders(gc->gw->replica);
-	for (size_t i = 0; i < ord_rollout_count(ord) && !gc->proposing; i++) {
-		const struct ord_rollout *rollout = ord_rollout_at(ord, i);
-
-		if (rollout->state < ORD_COMPLETED)
-			judge(gc, rollout);
-	}
-}
-
 static int
 start(void *ctx)
 {
@@ -482,7 +353,6 @@
 		alloc_free(gw->alloc, gc);
 		return ERR_IO;
 	}
-	gc->judge = loop_after(gw->loop, JUDGE_US, on_judge, gc);
 	gw->control = gc;
 	return 0;
 }
@@ -496,7 +366,6 @@
 	if (gc == NULL)
 		return;
 	gw->control = NULL;
-	loop_cancel(gc->judge);
 	hf_free(gc->server);
 	while (gc->orders != NULL) {
 		struct order *order = gc->orders;
@@ -506,8 +375,6 @@
 			gr_forget(gw->replica, order);
 		alloc_free(gw->alloc, order);
 	}
-	if (gw->replica != NULL)
-		gr_forget(gw->replica, gc);
 	alloc_free(gw->alloc, gc);
 }
 
--- a/src/gateway/entry.c
+++ b/src/gateway/entry.c
@@ -164,19 +164,6 @@
 	    hold_session, ge);
 }
 
-/* The orders changed: routes are compiled anew in a moment. */
-void
-ge_orders_changed(struct ge *ge)
-{
-	pl_configure(ge->pool,
-	    ge->table != NULL ? ge->table->routes : NULL,
-	    gf_orders(ge->gw->follow));
-	hold_sessions(ge);
-	if (ge->compile == NULL)
-		ge->compile =
-		    loop_after(ge->gw->loop, COMPILE_US, on_compile, ge);
-}
-
 /* Returns what belongs to a service, made on first use. */
 struct ge_service *
 ge_service_of(struct ge *ge, const char *name)
@@ -199,28 +186,38 @@
 	return v;
 }
 
-/*
- * Returns the services with what their versions answered since the last call;
- * counts of services without a roll-out are dropped.
- */
-struct ge_service *
-ge_take_outcomes(struct ge *ge)
+/* Returns what the versions of roll-outs under way answered so far. */
+const struct ev *
+ge_outcomes(const struct ge *ge)
+{
+	return ge->outcomes;
+}
+
+static void
+drop_outcomes(struct ge *ge)
 {
 	const struct ord *ord = gf_orders(ge->gw->follow);
 
-	for (struct ge_service *v = ge->services; v != NULL; v = v->next) {
-		const struct ord_rollout *r = ord_rollout_of(ord, v->name);
-		const char *target =
-		    r != NULL && r->state < ORD_COMPLETED ? r->target : "";
+	for (size_t i = 0; i < ord_rollout_count(ord); i++) {
+		const struct ord_rollout *r = ord_rollout_at(ord, i);
 
-		if (strcmp(v->fresh_version, target) != 0) {
-			snprintf(v->fresh_version, sizeof(v->fresh_version),
-			    "%s", target);
-			memset(&v->fresh, 0, sizeof(v->fresh));
-			memset(&v->known, 0, sizeof(v->known));
-		}
+		if (r->state >= ORD_COMPLETED)
+			ev_drop(ge->outcomes, r->service, r->target);
 	}
-	return ge->services;
+}
+
+/* The orders changed: routes are compiled anew in a moment. */
+void
+ge_orders_changed(struct ge *ge)
+{
+	pl_configure(ge->pool,
+	    ge->table != NULL ? ge->table->routes : NULL,
+	    gf_orders(ge->gw->follow));
+	hold_sessions(ge);
+	drop_outcomes(ge);
+	if (ge->compile == NULL)
+		ge->compile =
+		    loop_after(ge->gw->loop, COMPILE_US, on_compile, ge);
 }
 
 /* Tells whether any service has a roll-out under way. */
@@ -466,6 +463,7 @@
 	pl_free(ge->pool);
 	se_free(ge->sessions);
 	su_free(ge->suspects);
+	ev_free(ge->outcomes);
 	marks_free(ge->marks);
 	while (ge->services != NULL) {
 		struct ge_service *v = ge->services;
@@ -502,6 +500,7 @@
 	ge->client = hu_new(&client);
 	ge->pool = pl_new(&pool);
 	ge->suspects = su_new(gw->alloc);
+	ge->outcomes = ev_new(gw->alloc);
 	ge->marks = marks_new(gw->alloc, MARKS_MAX);
 	ge->sessions = se_new(
 	    gw->alloc, (int64_t)gw->settings->session_ms * 1000);
--- a/src/gateway/entry.h
+++ b/src/gateway/entry.h
@@ -10,7 +10,7 @@
 #include "route/pool.h"
 #include "route/sessions.h"
 #include "route/suspects.h"
-#include "route/verdict.h"
+#include "route/evidence.h"
 
 #ifdef __cplusplus
 extern "C" {
@@ -21,7 +21,8 @@
 
 enum {
 	GE_CRASHES_REFUSED = 3, /* a request that crashed so many servers */
-	GE_TARGET_PERMILLE = 80 /* of a service's requests, to a new version */
+	/* Of the sessions that begin; what they may get in all is bounded. */
+	GE_TARGET_PERMILLE = 300
 };
 
 /* A table of routes in use; requests keep the one they began with. */
@@ -36,9 +37,9 @@
 	char name[RG_NAME_BYTES];
 	struct bu budget;
 	struct pc paces[RT_MODELS_MAX]; /* by place in a route's list */
-	struct vd_counts fresh; /* of a roll-out's target, not reported yet */
-	struct vd_counts known; /* of the version before */
-	char fresh_version[RG_NAME_BYTES];
+	char trial[RG_NAME_BYTES]; /* target of the roll-out counted here */
+	uint32_t trial_sent; /* requests to it, of so many */
+	uint32_t trial_total;
 	struct ge_service *next;
 };
 
@@ -49,6 +50,7 @@
 	struct hu *client;
 	struct pl *pool;
 	struct se *sessions;
+	struct ev *outcomes; /* of the roll-outs under way, at this instance */
 	struct su *suspects;
 	struct marks *marks; /* crashes by fingerprint, here and elsewhere */
 	struct rng rng;
@@ -80,7 +82,7 @@
 void ge_server_changed(struct ge *ge, const struct rg_server *server);
 void ge_instances(struct ge *ge, uint32_t entry_instances);
 void ge_note(struct ge *ge, enum gw_note kind, uint64_t key, uint32_t value);
-struct ge_service *ge_take_outcomes(struct ge *ge);
+const struct ev *ge_outcomes(const struct ge *ge);
 bool ge_has_outcomes(const struct ge *ge);
 void ge_drain(struct ge *ge);
 void ge_refuse_new(struct ge *ge);
--- a/src/gateway/exchange_answer.c
+++ b/src/gateway/exchange_answer.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #include "base/err.h"
+#include "gateway/follow.h"
 #include "route/cascade.h"
 #include "route/course.h"
 
@@ -13,6 +14,7 @@
 enum {
 	ANSWER_MAX_BYTES = 16 * 1024 * 1024, /* of a plain answer, buffered */
 	EVENT_MAX_BYTES = 1024 * 1024,
+	FIRST_BYTE_MS = 40, /* of any answer, on top of its work */
 	BACKLOG_NONE_MS = 10, /* a server counts as idle below this */
 	STATUS_MISDIRECTED = 421
 };
@@ -229,6 +231,34 @@
 	return gx->now.not_run ? CS_NOT_RUN : CS_BROKEN;
 }
 
+/* Counts an answer for the judgement of a roll-out of its service. */
+static void
+note_version(struct gx *gx, bool failed)
+{
+	const struct ord_rollout *rollout = ord_rollout_of(
+	    gf_orders(gx->ge->gw->follow), gx->target->name);
+	struct vd_counts *counts;
+	struct ev_row *row;
+
+	if (rollout == NULL || rollout->state >= ORD_COMPLETED)
+		return;
+	row = ev_row(gx->ge->outcomes, 0, rollout->service, rollout->target,
+	    gx->route->name);
+	if (row == NULL)
+		return;
+	counts = strcmp(pl_at(gx->ge->pool, gx->now.server)->said.version,
+		     rollout->target) == 0
+		     ? &row->fresh
+		     : &row->known;
+	counts->answers++;
+	counts->failures += failed;
+	if (failed || gx->first_us < gx->now.sent_us)
+		return;
+	counts->seconds +=
+	    (double)(gx->first_us - gx->now.sent_us) / 1000000;
+	counts->work += (gx->now.expected_ms + FIRST_BYTE_MS) / 1000;
+}
+
 static void
 note_outcome(struct gx *gx, enum cs_end end, const struct hu_result *result)
 {
@@ -236,9 +266,6 @@
 	int64_t now_us = gx_now(gx);
 	bool failed = end == CS_BROKEN || end == CS_DEFECTIVE ||
 		      (end == CS_ANSWERED && result->status >= 500);
-	struct vd_counts *counts = gx->now.role == PL_TARGET
-				       ? &gx->service->fresh
-				       : &gx->service->known;
 
 	if (result->error == 0 || gx->now.answered)
 		su_answered(ge->suspects, gx->now.server);
@@ -254,13 +281,7 @@
 		pl_outcome(ge->pool, gx->now.server, failed, now_us);
 	if (end == CS_UNREACHABLE || end == CS_NOT_RUN)
 		return;
-	counts->answers++;
-	counts->failures += failed;
-	if (!failed && gx->first_us != 0) {
-		counts->seconds += (double)(gx->first_us - gx->now.sent_us) /
-				   1000000;
-		counts->work += 1 + gx->request.prompt_tokens / 4000.0;
-	}
+	note_version(gx, failed);
 }
 
 static void
--- a/src/gateway/exchange_send.c
+++ b/src/gateway/exchange_send.c
@@ -1,6 +1,7 @@
 #include "gateway/exchange.h"
 
 #include <inttypes.h>
+#include <stdio.h>
 #include <string.h>
 
 #include "base/err.h"
@@ -10,6 +11,7 @@
 /* Where a request goes, and how it is sent there. */
 
 enum {
+	EXPOSURE_PERCENT = 65, /* of what a bad version may get, to a new one */
 	PLAIN_WAITING = 6 /* requests that may wait at a plain service's server */
 };
 
@@ -45,6 +47,21 @@
 	return rollout != NULL && rollout->state == ORD_RUNNING;
 }
 
+/* Whether the new version may get one more of this instance's requests. */
+static bool
+trial_has_room(struct gx *gx, const struct ord_rollout *rollout)
+{
+	struct ge_service *v = gx->service;
+	uint32_t most = gx->ge->gw->settings->exposure_permille;
+
+	if (strcmp(v->trial, rollout->target) != 0) {
+		snprintf(v->trial, sizeof(v->trial), "%s", rollout->target);
+		v->trial_sent = v->trial_total = 0;
+	}
+	return (uint64_t)v->trial_sent * 1000 <=
+	       (uint64_t)v->trial_total * most * EXPOSURE_PERCENT / 100;
+}
+
 /* The version of the service that this request runs on. */
 static enum pl_role
 role_of(struct gx *gx, bool *bound)
@@ -56,12 +73,16 @@
 	    .now_us = gx_now(gx),
 	    .permille = GE_TARGET_PERMILLE,
 	    .draw = rng_below(&ge->rng, 1000)};
+	enum pl_role role;
 
 	*bound = false;
 	if (rollout == NULL || rollout->state != ORD_RUNNING)
 		return PL_BASE;
 	query.order_age_us = query.now_us - rollout->ordered_us;
-	return se_role(ge->sessions, &query, bound);
+	role = se_role(ge->sessions, &query, bound);
+	if (role == PL_TARGET && !*bound && !trial_has_room(gx, rollout))
+		role = PL_BASE;
+	return role;
 }
 
 /* Tokens of the prompt but for the caller's own last part. */
@@ -89,6 +110,8 @@
 
 	query.role = role_of(gx, &bound);
 	query.any_role = !bound;
+	query.trial_permille =
+	    gx->ge->gw->settings->exposure_permille;
 	if (query.by_work)
 		query.work_ms = pc_work_ms(pace, gx->request.prompt_tokens);
 	if (query.affinity != 0)
@@ -166,6 +189,8 @@
 		gx->now.expected_ms = gx->now.work_ms + gx->now.backlog_ms;
 	}
 	pl_sent(ge->pool, server, gx->now.work_ms, now_us);
+	gx->service->trial_total++;
+	gx->service->trial_sent += s->role == PL_TARGET;
 	if (se_note(ge->sessions, gx->request.session, s->role,
 		rollout_runs(gx) ? GE_TARGET_PERMILLE : 0, now_us))
 		gw_spread(ge->gw, GW_NOTE_HELD, gx->request.session, 1);
--- a/src/gateway/follow.c
+++ b/src/gateway/follow.c
@@ -6,6 +6,7 @@
 #include "base/log.h"
 #include "gateway/entry.h"
 #include "state/cfgsync.h"
+#include "state/diff.h"
 
 enum {
 	PERIOD_MS = 1000,
@@ -179,7 +180,7 @@
 	uint32_t upstream[64];
 	struct cy_options options = {.alloc = gw->alloc,
 	    .emit = emit,
-	    .apply = ord_patch,
+	    .apply = df_apply,
 	    .instance = gw->self,
 	    .incarnation = gw->incarnation,
 	    .period_ms = PERIOD_MS,
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -26,6 +26,7 @@
  *	links.c		messages between instances, who is known
  *	replica.c	the replicated log and its journal
  *	control.c	operators' and backend servers' calls
+ *	judge.c		roll-outs, by what instances report of them
  *	follow.c	orders at instances without a replica
  *	entry.c		callers' requests
  *	exchange.c	one caller's request and its attempts
@@ -38,6 +39,7 @@
 struct gl;
 struct gr;
 struct gc;
+struct gj;
 struct gf;
 struct ge;
 struct gm;
@@ -56,6 +58,7 @@
 	struct rg *registry;
 	struct gr *replica; /* NULL: none here */
 	struct gc *control;
+	struct gj *judge; /* NULL: no replica here */
 	struct gf *follow; /* NULL: the replica knows the orders */
 	struct ge *entry;
 	struct gm *metrics_page;
--- /dev/null
+++ b/src/gateway/judge.c
@@ -0,0 +1,164 @@
+#include "gateway/judge.h"
+
+#include <inttypes.h>
+#include <string.h>
+
+#include "base/log.h"
+#include "gateway/replica.h"
+
+enum {
+	JUDGE_US = 250000 /* roll-outs are looked at this often */
+};
+
+struct gj {
+	struct gw *gw;
+	struct ev *evidence;
+	struct loop_timer *timer;
+	int64_t finishing_us; /* when this replica saw ORD_FINISHING first */
+	bool proposing; /* a verdict is under way */
+};
+
+/* Takes what an instance has seen of a roll-out's versions so far. */
+void
+gj_report(struct gj *gj, const struct ev_row *said)
+{
+	struct ev_row *row = ev_row(gj->evidence, said->source, said->service,
+	    said->target, said->route);
+
+	if (row == NULL || said->fresh.answers < row->fresh.answers ||
+	    said->known.answers < row->known.answers)
+		return;
+	*row = *said;
+}
+
+struct search {
+	const struct ord_rollout *rollout;
+	bool found;
+};
+
+static void
+look_for_target(void *ctx, const struct rg_server *server)
+{
+	struct search *search = ctx;
+
+	if (server->state == RG_READY &&
+	    strcmp(server->service, search->rollout->service) == 0 &&
+	    strcmp(server->version, search->rollout->target) == 0)
+		search->found = true;
+}
+
+static void
+verdict_done(void *ctx, int error)
+{
+	struct gj *gj = ctx;
+
+	(void)error; /* the next look proposes it again */
+	gj->proposing = false;
+}
+
+static void
+propose(struct gj *gj, const struct ord_rollout *rollout,
+    const struct vd_input *input, const char *route)
+{
+	struct buf change;
+
+	log_event(LOG_LEVEL_INFO, "verdict",
+	    "service=%s version=%s state=%d elapsed_ms=%" PRId64
+	    " answers=%u failures=%u base_answers=%u base_failures=%u "
+	    "pace=%.2f base_pace=%.2f worse_on=%s",
+	    rollout->service, rollout->target, rollout->state,
+	    input->elapsed_ms, input->fresh.answers, input->fresh.failures,
+	    input->known.answers, input->known.failures,
+	    input->fresh.work > 0 ? input->fresh.seconds / input->fresh.work
+				  : 0,
+	    input->known.work > 0 ? input->known.seconds / input->known.work
+				  : 0,
+	    route);
+	gj->finishing_us = 0;
+	gj->proposing = true;
+	buf_init(&change, gj->gw->alloc);
+	ord_encode_rollout(rollout, &change);
+	gr_propose(gj->gw->replica, &change, verdict_done, gj);
+	buf_free(&change);
+}
+
+static void
+judge(struct gj *gj, const struct ord_rollout *rollout)
+{
+	int64_t now_us = loop_now_us(gj->gw->loop);
+	struct search search = {rollout, false};
+	struct vd_input input = {.state = rollout->state,
+	    .elapsed_ms = (now_us - rollout->ordered_us) / 1000,
+	    .duration_ms = rollout->duration_ms};
+	struct ord_rollout next = *rollout;
+	const char *route;
+
+	if (rollout->state == ORD_FINISHING && gj->finishing_us == 0)
+		gj->finishing_us = now_us;
+	if (rollout->state == ORD_FINISHING)
+		input.finishing_ms = (now_us - gj->finishing_us) / 1000;
+	rg_since(gj->gw->registry, 0, look_for_target, &search);
+	input.has_servers = search.found;
+	input.is_worse = ev_is_worse(gj->evidence, rollout->service,
+	    rollout->target, &input.fresh, &input.known, &route);
+	next.state = vd_next(&input);
+	if (next.state != rollout->state)
+		propose(gj, &next, &input, route);
+}
+
+static void
+on_timer(void *ctx)
+{
+	struct gj *gj = ctx;
+	const struct ord *ord;
+
+	gj->timer = loop_after(gj->gw->loop, JUDGE_US, on_timer, gj);
+	ord = gr_orders(gj->gw->replica);
+	for (size_t i = 0; ord != NULL && i < ord_rollout_count(ord); i++) {
+		const struct ord_rollout *rollout = ord_rollout_at(ord, i);
+
+		if (rollout->state >= ORD_COMPLETED)
+			ev_drop(gj->evidence, rollout->service,
+			    rollout->target);
+		else if (!gj->proposing && gr_is_current(gj->gw->replica))
+			judge(gj, rollout);
+	}
+}
+
+static int
+start(void *ctx)
+{
+	struct gw *gw = ctx;
+	struct gj *gj;
+
+	if (gw->replica == NULL)
+		return 0;
+	gj = alloc_zero(gw->alloc, 1, sizeof(*gj));
+	gj->gw = gw;
+	gj->evidence = ev_new(gw->alloc);
+	gj->timer = loop_after(gw->loop, JUDGE_US, on_timer, gj);
+	gw->judge = gj;
+	return 0;
+}
+
+static void
+stop(void *ctx)
+{
+	struct gw *gw = ctx;
+	struct gj *gj = gw->judge;
+
+	if (gj == NULL)
+		return;
+	gw->judge = NULL;
+	loop_cancel(gj->timer);
+	if (gw->replica != NULL)
+		gr_forget(gw->replica, gj);
+	ev_free(gj->evidence);
+	alloc_free(gw->alloc, gj);
+}
+
+struct sup_child_spec
+gw_child_judge(struct gw *gw)
+{
+	return (struct sup_child_spec){"judge", start, stop, gw};
+}
--- /dev/null
+++ b/src/gateway/judge.h
@@ -0,0 +1,19 @@
+#ifndef CF_GATEWAY_JUDGE_H
+#define CF_GATEWAY_JUDGE_H
+
+#include "gateway/gateway.h"
+#include "route/evidence.h"
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+/* The judgement of roll-outs, at every instance with a replica. */
+struct sup_child_spec gw_child_judge(struct gw *gw);
+void gj_report(struct gj *gj, const struct ev_row *row);
+
+#ifdef __cplusplus
+}
+#endif
+
+#endif
--- a/src/gateway/links.c
+++ b/src/gateway/links.c
@@ -5,10 +5,10 @@
 
 #include "base/err.h"
 #include "base/log.h"
-#include "gateway/control.h"
 #include "gateway/entry.h"
 #include "gateway/follow.h"
 #include "gateway/gateway.h"
+#include "gateway/judge.h"
 #include "gateway/loads.h"
 #include "gateway/replica.h"
 #include "wire/cluster.pb-c.h"
@@ -265,25 +265,13 @@
 	return before < SUBSCRIBED;
 }
 
-static void
-add_outcome(Clpb__Outcome *pb, const char *service, const char *version,
-    const struct vd_counts *counts)
-{
-	clpb__outcome__init(pb);
-	pb->service = (char *)service;
-	pb->version = (char *)version;
-	pb->answers = counts->answers;
-	pb->failures = counts->failures;
-	pb->seconds = counts->seconds;
-	pb->work = counts->work;
-}
-
 enum {
-	OUTCOMES_MAX = 64
+	OUTCOMES_MAX = 256
 };
 
 struct report {
 	Clpb__Outcome outcomes[OUTCOMES_MAX];
+	Clpb__Counts counts[OUTCOMES_MAX][2];
 	Clpb__Outcome *outcome_list[OUTCOMES_MAX];
 	size_t outcome_count;
 	Clpb__Note notes[NOTES_MAX];
@@ -291,29 +279,40 @@
 	size_t note_count;
 };
 
+static void
+pack_counts(Clpb__Counts *pb, const struct vd_counts *counts)
+{
+	clpb__counts__init(pb);
+	pb->answers = counts->answers;
+	pb->failures = counts->failures;
+	pb->seconds = counts->seconds;
+	pb->work = counts->work;
+}
+
 static void
 collect_outcomes(struct gw_links *links, struct report *report)
 {
-	struct ge_service *s;
+	const struct ev *ev;
 
 	report->outcome_count = 0;
 	if (links->gw->entry == NULL)
 		return;
-	for (s = ge_take_outcomes(links->gw->entry);
-	     s != NULL && report->outcome_count + 2 <= OUTCOMES_MAX;
-	     s = s->next) {
-		if (s->fresh_version[0] == '\0' ||
-		    s->fresh.answers + s->known.answers == 0)
-			continue;
-		add_outcome(&report->outcomes[report->outcome_count++],
-		    s->name, s->fresh_version, &s->fresh);
-		add_outcome(&report->outcomes[report->outcome_count++],
-		    s->name, "", &s->known);
-		memset(&s->fresh, 0, sizeof(s->fresh));
-		memset(&s->known, 0, sizeof(s->known));
+	ev = ge_outcomes(links->gw->entry);
+	for (size_t i = 0; i < ev_count(ev) && i < OUTCOMES_MAX; i++) {
+		const struct ev_row *row = ev_at(ev, i);
+		Clpb__Outcome *pb = &report->outcomes[i];
+
+		clpb__outcome__init(pb);
+		pb->service = (char *)row->service;
+		pb->target = (char *)row->target;
+		pb->route = (char *)row->route;
+		pb->fresh = &report->counts[i][0];
+		pb->known = &report->counts[i][1];
+		pack_counts(pb->fresh, &row->fresh);
+		pack_counts(pb->known, &row->known);
+		report->outcome_list[i] = pb;
+		report->outcome_count++;
 	}
-	for (size_t i = 0; i < report->outcome_count; i++)
-		report->outcome_list[i] = &report->outcomes[i];
 }
 
 /* Notes that are new go out again and again for a while. */
@@ -580,18 +579,36 @@
 	}
 }
 
+static struct vd_counts
+unpack_counts(const Clpb__Counts *pb)
+{
+	struct vd_counts counts = {0};
+
+	if (pb != NULL)
+		counts = (struct vd_counts){
+		    pb->answers, pb->failures, pb->seconds, pb->work};
+	return counts;
+}
+
 static void
-take_outcomes(struct gw_links *links, const Clpb__Hello *hello)
+take_outcomes(
+    struct gw_links *links, uint32_t from, const Clpb__Hello *hello)
 {
-	if (links->gw->control == NULL)
+	if (links->gw->judge == NULL)
 		return;
 	for (size_t i = 0; i < hello->n_outcomes; i++) {
 		const Clpb__Outcome *pb = hello->outcomes[i];
-		struct vd_counts counts = {
-		    pb->answers, pb->failures, pb->seconds, pb->work};
+		struct ev_row row = {.source = hello->incarnation ^ from};
 
-		gc_outcome(
-		    links->gw->control, pb->service, pb->version, &counts);
+		if (snprintf(row.service, sizeof(row.service), "%s",
+			pb->service) >= (int)sizeof(row.service) ||
+		    snprintf(row.target, sizeof(row.target), "%s",
+			pb->target) >= (int)sizeof(row.target))
+			continue;
+		snprintf(row.route, sizeof(row.route), "%s", pb->route);
+		row.fresh = unpack_counts(pb->fresh);
+		row.known = unpack_counts(pb->known);
+		gj_report(links->gw->judge, &row);
 	}
 }
 
@@ -620,7 +637,7 @@
 		if (links->known_count != before)
 			known_changed(links);
 	}
-	take_outcomes(links, hello);
+	take_outcomes(links, from, hello);
 	take_notes(links, hello->notes, hello->n_notes);
 	if (hello->feed == links->gw->incarnation)
 		after = hello->change;
--- a/src/gateway/main.c
+++ b/src/gateway/main.c
@@ -15,6 +15,7 @@
 #include "base/rng.h"
 #include "gateway/entry.h"
 #include "gateway/gateway.h"
+#include "gateway/judge.h"
 #include "gateway/metrics_page.h"
 #include "gateway/replica.h"
 #include "platform/dialect.h"
@@ -224,7 +225,7 @@
 	    .failed = child_failed,
 	    .ctx = p};
 	struct sup_child_spec children[] = {gw_child_links(gw),
-	    gw_child_replica(gw), gw_child_follow(gw), gw_child_control(gw),
+	    gw_child_replica(gw), gw_child_follow(gw), gw_child_control(gw), gw_child_judge(gw),
 	    gw_child_entry(gw), gw_child_metrics(gw)};
 
 	gw->sup = sup_new(&options);
--- a/src/gateway/replica.c
+++ b/src/gateway/replica.c
@@ -9,6 +9,7 @@
 #include "base/log.h"
 #include "base/rng.h"
 #include "state/cfgsync.h"
+#include "state/diff.h"
 #include "state/journal.h"
 #include "state/rlog.h"
 
@@ -56,6 +57,8 @@
 	struct waiting *waiting;
 	struct ord *ord;
 	struct buf image; /* of the orders, as last published */
+	struct ord_base base; /* the document that the last proposal leaves */
+	uint64_t base_term; /* in which that holds */
 	struct cy_source *source;
 	uint32_t known[RL_INSTANCES_MAX];
 	uint32_t known_count;
@@ -88,7 +91,7 @@
 	buf_init(&diff, gr->gw->alloc);
 	ord_image(gr->ord, &image);
 	if (!whole && gr->image.len > 0)
-		ord_diff(&gr->image, &image, &diff);
+		df_make(&gr->image, &image, &diff);
 	cy_source_accepted(gr->source, ord_revision(gr->ord), image.data,
 	    image.len, diff.len > 0 ? diff.data : NULL, diff.len);
 	buf_free(&gr->image);
@@ -115,11 +118,15 @@
 apply(struct gr *gr, const struct rl_entry *entry, uint64_t token)
 {
 	bool changed = false;
+	int error = ord_apply(gr->ord, entry->index, entry->data, entry->len,
+	    loop_now_us(gr->gw->loop), clock_wall_us(), &changed);
 
-	if (ord_apply(gr->ord, entry->index, entry->data, entry->len,
-		loop_now_us(gr->gw->loop), clock_wall_us(), &changed) != 0)
-		log_event(LOG_LEVEL_ERROR, "entry_unreadable",
-		    "index=%" PRIu64, entry->index);
+	if (error != 0) {
+		log_event(LOG_LEVEL_ERROR, "entry_without_effect",
+		    "index=%" PRIu64 " error=%s", entry->index,
+		    err_name(error));
+		gr->base_term = 0;
+	}
 	if (changed) {
 		log_event(LOG_LEVEL_INFO, "orders_changed",
 		    "revision=%" PRIu64 " document=%" PRIu64,
@@ -127,7 +134,7 @@
 		publish(gr, false);
 	}
 	if (token != 0)
-		finish(gr, token, 0);
+		finish(gr, token, error);
 }
 
 static void
@@ -323,6 +330,7 @@
 	cy_source_free(gr->source);
 	gr->source = NULL;
 	buf_clear(&gr->image);
+	gr->base_term = 0;
 }
 
 static void
@@ -451,7 +459,7 @@
 	struct cy_options source = {.alloc = gw->alloc,
 	    .emit = emit_config,
 	    .ctx = gr,
-	    .apply = ord_patch,
+	    .apply = df_apply,
 	    .instance = gw->self,
 	    .incarnation = gw->incarnation,
 	    .period_ms = PERIOD_MS,
@@ -564,6 +572,48 @@
 	step(gr, &event);
 }
 
+/* The document that will be in force once all proposals are applied. */
+static const struct ord_base *
+current_base(struct gr *gr)
+{
+	if (gr->base_term != rl_term(gr->rl) ||
+	    gr->base.number < ord_number(gr->ord)) {
+		buf_clear(&gr->base.text);
+		buf_add(&gr->base.text, ord_text(gr->ord)->data,
+		    ord_text(gr->ord)->len);
+		gr->base.number = ord_number(gr->ord);
+		gr->base_term = rl_term(gr->rl);
+	}
+	return &gr->base;
+}
+
+/*
+ * Proposes a document, as its difference to the one before it.  While a new
+ * leader has not applied all of its log, it may not know that one; then the
+ * proposal has no effect and its outcome says so.
+ */
+void
+gr_propose_document(struct gr *gr, uint64_t number, const struct buf *text,
+    gr_done_fn done, void *ctx)
+{
+	struct buf change;
+
+	if (gr->rl == NULL || !rl_is_leader(gr->rl)) {
+		done(ctx, ERR_NOT_LEADER);
+		return;
+	}
+	buf_init(&change, gr->gw->alloc);
+	ord_encode_document(
+	    number, text->data, text->len, current_base(gr), &change);
+	if (number > gr->base.number) {
+		gr->base.number = number;
+		buf_clear(&gr->base.text);
+		buf_add(&gr->base.text, text->data, text->len);
+	}
+	gr_propose(gr, &change, done, ctx);
+	buf_free(&change);
+}
+
 static void
 ignore(void *ctx, int error)
 {
@@ -663,6 +713,7 @@
 	gr = alloc_zero(gw->alloc, 1, sizeof(*gr));
 	gr->gw = gw;
 	buf_init(&gr->image, gw->alloc);
+	buf_init(&gr->base.text, gw->alloc);
 	gw->replica = gr;
 	gr->known_count =
 	    gw_control_instances(gw, gr->known, RL_INSTANCES_MAX);
@@ -684,6 +735,7 @@
 	close_replica(gr);
 	alloc_free(gw->alloc, gr->records);
 	buf_free(&gr->image);
+	buf_free(&gr->base.text);
 	alloc_free(gw->alloc, gr);
 }
 
--- a/src/gateway/replica.h
+++ b/src/gateway/replica.h
@@ -16,6 +16,8 @@
 
 void gr_propose(
     struct gr *gr, const struct buf *change, gr_done_fn done, void *ctx);
+void gr_propose_document(struct gr *gr, uint64_t number, const struct buf *text,
+    gr_done_fn done, void *ctx);
 void gr_forget(struct gr *gr, void *ctx);
 bool gr_is_current(const struct gr *gr);
 uint32_t gr_leader(const struct gr *gr);
--- a/src/route/pool.c
+++ b/src/route/pool.c
@@ -20,6 +20,7 @@
 static const double eject_share = 0.25; /* failures above the mean */
 static const double running_ms = 1.5; /* a running request slows reading by */
 static const double abroad_ms = 60; /* bytes to another data centre cost */
+static const uint32_t trial_load = 3; /* times the mean, on servers tried */
 static const uint32_t abroad_load = 2; /* requests; see pick_by_load() */
 static const double noise_ms = 6; /* keeps instances from choosing alike */
 
@@ -333,6 +334,24 @@
 	return XXH64(s->said.id, strlen(s->said.id), affinity);
 }
 
+/* Whether a server is among those that a new version is tried on. */
+static bool
+is_trial(const struct pl *pl, const struct pl_query *query, uint16_t server)
+{
+	uint64_t own = rank(0, &pl->servers[server]);
+	uint32_t ready = 0, before = 0;
+
+	for (uint16_t i = 0; i < pl->count; i++) {
+		const struct pl_server *s = &pl->servers[i];
+
+		if (s->role != PL_TARGET || !may_run(s, query))
+			continue;
+		ready++;
+		before += rank(0, s) > own;
+	}
+	return before * 1000 * trial_load < ready * query->trial_permille;
+}
+
 /* Returns the work that waits at a server, as far as this instance knows. */
 double
 pl_backlog_ms(const struct pl *pl, uint16_t server, int64_t now_us)
@@ -468,6 +487,7 @@
 			       is_avoided(query, i);
 
 		if (!may_run(s, query) || s->role != role ||
+		    (role == PL_TARGET && !is_trial(pl, query, i)) ||
 		    !cold_allows(pl, s, now_us) ||
 		    (tier == 0 && (suspect || !has_room(s, query, now_us))) ||
 		    (tier == 1 && (s->down_until_us > now_us ||
--- a/src/route/pool.h
+++ b/src/route/pool.h
@@ -33,6 +33,9 @@
  * there while it has time.  Other requests take the less loaded of two, own
  * data centre first.
  *
+ * A new version is tried on so few of its servers that they get a multiple of
+ * the mean load, so that what fails under load fails in the trial.
+ *
  * A cold server's requests come out of a share of what it bears: each of the
  * instances that may send at all has the same part, whether it is in reach of
  * the others or not.
@@ -80,6 +83,7 @@
 	const char *service;
 	uint32_t slots_more; /* waiting requests a server may have */
 	enum pl_role role;
+	uint32_t trial_permille; /* of a new version's servers, tried first */
 	bool any_role; /* the other version will do where this one has none */
 	uint64_t affinity; /* hash of the shared prefix; 0: none */
 	double work_ms; /* of reading the whole prompt */
--- a/src/route/verdict.c
+++ b/src/route/verdict.c
@@ -22,7 +22,7 @@
 	return c->answers > 0 ? (double)c->failures / c->answers : 0;
 }
 
-/* Time to the first byte for the same work. */
+/* Time to the first byte against the time expected. */
 static double
 pace(const struct vd_counts *c)
 {
@@ -56,7 +56,7 @@
 
 	if (in->state >= ORD_COMPLETED)
 		return in->state;
-	if (vd_is_worse(&in->fresh, &in->known))
+	if (in->is_worse)
 		return ORD_ROLLED_BACK;
 	if (in->state == ORD_FINISHING)
 		return part >= COMPLETE_PERMILLE ||
--- a/src/route/verdict.h
+++ b/src/route/verdict.h
@@ -23,7 +23,7 @@
 	uint32_t answers;
 	uint32_t failures;
 	double seconds; /* sum of the times to the first byte */
-	double work; /* sum of what the requests ask for */
+	double work; /* sum of the times that were expected */
 };
 
 struct vd_input {
@@ -33,6 +33,7 @@
 	uint32_t duration_ms;
 	struct vd_counts fresh; /* the new version */
 	struct vd_counts known; /* the old one */
+	bool is_worse; /* the new version, on some route or on all */
 	bool has_servers; /* of the new version */
 };
 
--- a/src/state/orders.c
+++ b/src/state/orders.c
@@ -4,10 +4,10 @@
 #include <string.h>
 
 #include "base/err.h"
+#include "state/diff.h"
 #include "wire/cluster.pb-c.h"
 
 enum {
-	DIFF_HEAD_BYTES = 16, /* lengths of the common beginning and end */
 	US_PER_MS = 1000
 };
 
@@ -50,17 +50,29 @@
 	out->len += clpb__change__pack(change, out->data + out->len);
 }
 
-/* Appends the entry for a document. */
+/* Appends the entry for a document, against a base if there is one. */
 void
-ord_encode_document(
-    uint64_t number, const void *text, size_t len, struct buf *out)
+ord_encode_document(uint64_t number, const void *text, size_t len,
+    const struct ord_base *base, struct buf *out)
 {
 	Clpb__Change change = CLPB__CHANGE__INIT;
+	struct buf whole, diff;
 
+	buf_init(&whole, out->alloc);
+	buf_init(&diff, out->alloc);
 	change.number = number;
 	change.text.data = (uint8_t *)text;
 	change.text.len = len;
+	if (base != NULL && base->number != 0) {
+		buf_add(&whole, text, len);
+		df_make(&base->text, &whole, &diff);
+		change.base_number = base->number;
+		change.text.data = diff.data;
+		change.text.len = diff.len;
+	}
 	pack_change(&change, out);
+	buf_free(&whole);
+	buf_free(&diff);
 }
 
 static void
@@ -181,26 +193,45 @@
 	return true;
 }
 
-static bool
-apply_document(struct ord *ord, const Clpb__Change *change)
+/* Returns 0, or ERR_STALE if the base is not the document in force. */
+static int
+apply_document(struct ord *ord, const Clpb__Change *change, bool *changed)
 {
+	struct buf text;
+	int error = 0;
+
+	if (change->base_number != 0 && change->base_number != ord->number)
+		return ERR_STALE;
 	if (change->number <= ord->number)
-		return false;
-	ord->number = change->number;
-	buf_clear(&ord->text);
-	buf_add(&ord->text, change->text.data, change->text.len);
-	return true;
+		return 0;
+	buf_init(&text, ord->alloc);
+	if (change->base_number != 0)
+		error = df_apply(NULL, &ord->text, change->text.data,
+		    change->text.len, &text);
+	else
+		buf_add(&text, change->text.data, change->text.len);
+	if (error == 0) {
+		buf_free(&ord->text);
+		ord->text = text;
+		ord->number = change->number;
+		*changed = true;
+	} else {
+		buf_free(&text);
+	}
+	return error;
 }
 
 /*
- * Applies a committed entry.  Returns 0, or ERR_CORRUPT for bytes that are no
- * entry; changed tells whether anything is different now.
+ * Applies a committed entry.  Returns 0, ERR_CORRUPT for bytes that are no
+ * entry, or ERR_STALE for a document against another one than is in force,
+ * which has no effect; changed tells whether anything is different now.
  */
 int
 ord_apply(struct ord *ord, uint64_t index, const void *data, size_t len,
     int64_t now_us, int64_t wall_us, bool *changed)
 {
 	Clpb__Change *change = clpb__change__unpack(NULL, len, data);
+	int error = 0;
 
 	*changed = false;
 	if (change == NULL)
@@ -210,11 +241,11 @@
 	else if (change->data_centre[0] != '\0')
 		*changed = apply_out(ord, change->data_centre, change->out);
 	else
-		*changed = apply_document(ord, change);
+		error = apply_document(ord, change, changed);
 	if (*changed)
 		ord->revision = index;
 	clpb__change__free_unpacked(change, NULL);
-	return 0;
+	return error;
 }
 
 /* Appends an image of the whole state. */
@@ -338,63 +369,3 @@
 	}
 	return false;
 }
-
-static void
-put_u64(struct buf *out, uint64_t value)
-{
-	uint8_t bytes[8];
-
-	for (int i = 0; i < 8; i++)
-		bytes[i] = (uint8_t)(value >> (8 * i));
-	buf_add(out, bytes, sizeof(bytes));
-}
-
-static uint64_t
-get_u64(const uint8_t *bytes)
-{
-	uint64_t value = 0;
-
-	for (int i = 0; i < 8; i++)
-		value |= (uint64_t)bytes[i] << (8 * i);
-	return value;
-}
-
-/*
- * Appends the difference between two images: how much of their beginning and
- * end is the same, and what stands between in the second.
- */
-void
-ord_diff(const struct buf *from, const struct buf *to, struct buf *out)
-{
-	size_t shorter = from->len < to->len ? from->len : to->len;
-	size_t head = 0, tail = 0;
-
-	while (head < shorter && from->data[head] == to->data[head])
-		head++;
-	while (tail < shorter - head && from->data[from->len - 1 - tail] ==
-					    to->data[to->len - 1 - tail])
-		tail++;
-	put_u64(out, head);
-	put_u64(out, tail);
-	buf_add(out, to->data + head, to->len - head - tail);
-}
-
-/* Makes the second image of a difference; ERR_CORRUPT if it doesn't fit. */
-int
-ord_patch(void *ctx, const struct buf *from, const uint8_t *diff, size_t len,
-    struct buf *out)
-{
-	uint64_t head, tail;
-
-	(void)ctx;
-	if (len < DIFF_HEAD_BYTES)
-		return ERR_CORRUPT;
-	head = get_u64(diff);
-	tail = get_u64(diff + 8);
-	if (head > from->len || tail > from->len - head)
-		return ERR_CORRUPT;
-	buf_add(out, from->data, head);
-	buf_add(out, diff + DIFF_HEAD_BYTES, len - DIFF_HEAD_BYTES);
-	buf_add(out, from->data + (from->len - tail), tail);
-	return 0;
-}
--- a/src/state/orders.h
+++ b/src/state/orders.h
@@ -45,11 +45,20 @@
 
 struct ord;
 
+/*
+ * A document that a new one is encoded against, so that a small change makes a
+ * small entry: the one that will be in force when the entry is applied.
+ */
+struct ord_base {
+	uint64_t number; /* 0: none */
+	struct buf text;
+};
+
 struct ord *ord_new(const struct alloc *alloc);
 void ord_free(struct ord *ord);
 
-void ord_encode_document(
-    uint64_t number, const void *text, size_t len, struct buf *out);
+void ord_encode_document(uint64_t number, const void *text, size_t len,
+    const struct ord_base *base, struct buf *out);
 void ord_encode_rollout(const struct ord_rollout *rollout, struct buf *out);
 void ord_encode_out(const char *data_centre, bool out, struct buf *bytes);
 int ord_apply(struct ord *ord, uint64_t index, const void *data, size_t len,
@@ -69,11 +78,6 @@
     const struct ord *ord, const char *service, const char *version);
 bool ord_is_out(const struct ord *ord, const char *data_centre);
 
-/* Differences between two images; for cfgsync. */
-void ord_diff(const struct buf *from, const struct buf *to, struct buf *out);
-int ord_patch(void *ctx, const struct buf *from, const uint8_t *diff,
-    size_t len, struct buf *out);
-
 #ifdef __cplusplus
 }
 #endif
--- a/src/wire/cluster.pb-c.c
+++ b/src/wire/cluster.pb-c.c
@@ -97,6 +97,51 @@
   assert(message->base.descriptor == &clpb__server__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   clpb__counts__init
+                     (Clpb__Counts         *message)
+{
+  static const Clpb__Counts init_value = CLPB__COUNTS__INIT;
+  *message = init_value;
+}
+size_t clpb__counts__get_packed_size
+                     (const Clpb__Counts *message)
+{
+  assert(message->base.descriptor == &clpb__counts__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t clpb__counts__pack
+                     (const Clpb__Counts *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &clpb__counts__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t clpb__counts__pack_to_buffer
+                     (const Clpb__Counts *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &clpb__counts__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Clpb__Counts *
+       clpb__counts__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Clpb__Counts *)
+     protobuf_c_message_unpack (&clpb__counts__descriptor,
+                                allocator, len, data);
+}
+void   clpb__counts__free_unpacked
+                     (Clpb__Counts *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &clpb__counts__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   clpb__outcome__init
                      (Clpb__Outcome         *message)
 {
@@ -702,93 +747,157 @@
   (ProtobufCMessageInit) clpb__server__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor clpb__outcome__field_descriptors[6] =
+static const ProtobufCFieldDescriptor clpb__counts__field_descriptors[4] =
 {
   {
-    "service",
+    "answers",
     1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Clpb__Outcome, service),
+    offsetof(Clpb__Counts, answers),
+    NULL,
     NULL,
-    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "version",
+    "failures",
     2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Clpb__Outcome, version),
+    offsetof(Clpb__Counts, failures),
+    NULL,
     NULL,
-    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "answers",
+    "seconds",
     3,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_DOUBLE,
     0,   /* quantifier_offset */
-    offsetof(Clpb__Outcome, answers),
+    offsetof(Clpb__Counts, seconds),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "failures",
+    "work",
     4,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_DOUBLE,
     0,   /* quantifier_offset */
-    offsetof(Clpb__Outcome, failures),
+    offsetof(Clpb__Counts, work),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+};
+static const unsigned clpb__counts__field_indices_by_name[] = {
+  0,   /* field[0] = answers */
+  1,   /* field[1] = failures */
+  2,   /* field[2] = seconds */
+  3,   /* field[3] = work */
+};
+static const ProtobufCIntRange clpb__counts__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor clpb__counts__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "clpb.Counts",
+  "Counts",
+  "Clpb__Counts",
+  "clpb",
+  sizeof(Clpb__Counts),
+  4,
+  clpb__counts__field_descriptors,
+  clpb__counts__field_indices_by_name,
+  1,  clpb__counts__number_ranges,
+  (ProtobufCMessageInit) clpb__counts__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor clpb__outcome__field_descriptors[5] =
+{
   {
-    "seconds",
-    5,
+    "service",
+    1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_DOUBLE,
+    PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Clpb__Outcome, seconds),
+    offsetof(Clpb__Outcome, service),
     NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "target",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Clpb__Outcome, target),
     NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "work",
-    6,
+    "route",
+    3,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_DOUBLE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Clpb__Outcome, route),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "fresh",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
     0,   /* quantifier_offset */
-    offsetof(Clpb__Outcome, work),
+    offsetof(Clpb__Outcome, fresh),
+    &clpb__counts__descriptor,
     NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "known",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Clpb__Outcome, known),
+    &clpb__counts__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
 static const unsigned clpb__outcome__field_indices_by_name[] = {
-  2,   /* field[2] = answers */
-  3,   /* field[3] = failures */
-  4,   /* field[4] = seconds */
+  3,   /* field[3] = fresh */
+  4,   /* field[4] = known */
+  2,   /* field[2] = route */
   0,   /* field[0] = service */
-  1,   /* field[1] = version */
-  5,   /* field[5] = work */
+  1,   /* field[1] = target */
 };
 static const ProtobufCIntRange clpb__outcome__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor clpb__outcome__descriptor =
 {
@@ -798,7 +907,7 @@
   "Clpb__Outcome",
   "clpb",
   sizeof(Clpb__Outcome),
-  6,
+  5,
   clpb__outcome__field_descriptors,
   clpb__outcome__field_indices_by_name,
   1,  clpb__outcome__number_ranges,
@@ -1191,7 +1300,7 @@
   (ProtobufCMessageInit) clpb__rollout__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor clpb__change__field_descriptors[5] =
+static const ProtobufCFieldDescriptor clpb__change__field_descriptors[6] =
 {
   {
     "number",
@@ -1253,8 +1362,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "base_number",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Clpb__Change, base_number),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned clpb__change__field_indices_by_name[] = {
+  5,   /* field[5] = base_number */
   3,   /* field[3] = data_centre */
   0,   /* field[0] = number */
   4,   /* field[4] = out */
@@ -1264,7 +1386,7 @@
 static const ProtobufCIntRange clpb__change__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor clpb__change__descriptor =
 {
@@ -1274,7 +1396,7 @@
   "Clpb__Change",
   "clpb",
   sizeof(Clpb__Change),
-  5,
+  6,
   clpb__change__field_descriptors,
   clpb__change__field_indices_by_name,
   1,  clpb__change__number_ranges,
--- a/src/wire/cluster.pb-c.h
+++ b/src/wire/cluster.pb-c.h
@@ -17,6 +17,7 @@
 
 typedef struct Clpb__Model Clpb__Model;
 typedef struct Clpb__Server Clpb__Server;
+typedef struct Clpb__Counts Clpb__Counts;
 typedef struct Clpb__Outcome Clpb__Outcome;
 typedef struct Clpb__Note Clpb__Note;
 typedef struct Clpb__Hello Clpb__Hello;
@@ -82,13 +83,11 @@
 
 
 /*
- * Outcomes of one version of a service since the last report.
+ * Answers of one version: since its roll-out was ordered, at one instance.
  */
-struct  Clpb__Outcome
+struct  Clpb__Counts
 {
   ProtobufCMessage base;
-  char *service;
-  char *version;
   uint32_t answers;
   uint32_t failures;
   /*
@@ -96,13 +95,36 @@
    */
   double seconds;
   /*
-   * sum of what a normal server needs for them
+   * sum of the times that were expected
    */
   double work;
 };
+#define CLPB__COUNTS__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&clpb__counts__descriptor) \
+    , 0, 0, 0, 0 }
+
+
+struct  Clpb__Outcome
+{
+  ProtobufCMessage base;
+  char *service;
+  /*
+   * the new version of the roll-out
+   */
+  char *target;
+  char *route;
+  /*
+   * of that version
+   */
+  Clpb__Counts *fresh;
+  /*
+   * of the one before
+   */
+  Clpb__Counts *known;
+};
 #define CLPB__OUTCOME__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&clpb__outcome__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, NULL, NULL }
 
 
 /*
@@ -202,9 +224,12 @@
 {
   ProtobufCMessage base;
   /*
-   * of a document, with its text
+   * of a document
    */
   uint64_t number;
+  /*
+   * the whole, or with a base the difference to it
+   */
   ProtobufCBinaryData text;
   /*
    * a new one, or the next state of one
@@ -215,10 +240,14 @@
    */
   char *data_centre;
   protobuf_c_boolean out;
+  /*
+   * number of the document that text is based on
+   */
+  uint64_t base_number;
 };
 #define CLPB__CHANGE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&clpb__change__descriptor) \
-    , 0, {0,NULL}, NULL, (char *)protobuf_c_empty_string, 0 }
+    , 0, {0,NULL}, NULL, (char *)protobuf_c_empty_string, 0, 0 }
 
 
 /*
@@ -303,6 +332,25 @@
 void   clpb__server__free_unpacked
                      (Clpb__Server *message,
                       ProtobufCAllocator *allocator);
+/* Clpb__Counts methods */
+void   clpb__counts__init
+                     (Clpb__Counts         *message);
+size_t clpb__counts__get_packed_size
+                     (const Clpb__Counts   *message);
+size_t clpb__counts__pack
+                     (const Clpb__Counts   *message,
+                      uint8_t             *out);
+size_t clpb__counts__pack_to_buffer
+                     (const Clpb__Counts   *message,
+                      ProtobufCBuffer     *buffer);
+Clpb__Counts *
+       clpb__counts__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   clpb__counts__free_unpacked
+                     (Clpb__Counts *message,
+                      ProtobufCAllocator *allocator);
 /* Clpb__Outcome methods */
 void   clpb__outcome__init
                      (Clpb__Outcome         *message);
@@ -463,6 +511,9 @@
 typedef void (*Clpb__Server_Closure)
                  (const Clpb__Server *message,
                   void *closure_data);
+typedef void (*Clpb__Counts_Closure)
+                 (const Clpb__Counts *message,
+                  void *closure_data);
 typedef void (*Clpb__Outcome_Closure)
                  (const Clpb__Outcome *message,
                   void *closure_data);
@@ -495,6 +546,7 @@
 
 extern const ProtobufCMessageDescriptor clpb__model__descriptor;
 extern const ProtobufCMessageDescriptor clpb__server__descriptor;
+extern const ProtobufCMessageDescriptor clpb__counts__descriptor;
 extern const ProtobufCMessageDescriptor clpb__outcome__descriptor;
 extern const ProtobufCMessageDescriptor clpb__note__descriptor;
 extern const ProtobufCMessageDescriptor clpb__hello__descriptor;
--- a/test/unit/registry_test.cc
+++ b/test/unit/registry_test.cc
@@ -5,6 +5,7 @@
 #include <string>
 
 #include "base/err.h"
+#include "state/diff.h"
 #include "state/orders.h"
 #include "state/registry.h"
 
@@ -148,7 +149,8 @@
 		bool changed;
 
 		buf_init(&bytes, alloc_default());
-		ord_encode_document(number, text.data(), text.size(), &bytes);
+		ord_encode_document(
+		    number, text.data(), text.size(), nullptr, &bytes);
 		changed = apply(&bytes);
 		buf_free(&bytes);
 		return changed;
@@ -192,6 +194,33 @@
 	EXPECT_EQ(8u, ord_number(o.ord));
 }
 
+/* A small change makes a small entry, and one against another base none. */
+TEST(Orders, ADocumentAgainstItsBase)
+{
+	std::string before(10000, 'x'), after = before;
+	struct ord_base base;
+	struct buf bytes;
+	bool changed;
+	Orders o;
+
+	after[5000] = 'y';
+	base.number = 7;
+	buf_init(&base.text, alloc_default());
+	buf_adds(&base.text, before.c_str());
+	buf_init(&bytes, alloc_default());
+	ord_encode_document(9, after.data(), after.size(), &base, &bytes);
+	EXPECT_LT(bytes.len, 100u);
+	EXPECT_EQ(ERR_STALE,
+	    ord_apply(o.ord, 1, bytes.data, bytes.len, 0, 0, &changed));
+	EXPECT_FALSE(changed);
+	o.document(7, before);
+	EXPECT_TRUE(o.apply(&bytes));
+	EXPECT_EQ(after, o.text());
+	EXPECT_EQ(9u, ord_number(o.ord));
+	buf_free(&bytes);
+	buf_free(&base.text);
+}
+
 TEST(Orders, ARolloutOnlyMovesOn)
 {
 	Orders o;
@@ -231,8 +260,8 @@
 			o.rollout(("v" + std::to_string(i)).c_str(),
 			    ORD_RUNNING);
 		ord_image(o.ord, &after);
-		ord_diff(&before, &after, &diff);
-		RC_ASSERT(ord_patch(nullptr, &before, diff.data, diff.len,
+		df_make(&before, &after, &diff);
+		RC_ASSERT(df_apply(nullptr, &before, diff.data, diff.len,
 			      &made) == 0);
 		RC_ASSERT(made.len == after.len);
 		RC_ASSERT(made.len == 0 ||
@@ -250,16 +279,85 @@
 	buf_free(&made);
 }
 
-TEST(Orders, WhatDoesNotFitIsRefused)
+/* Any two texts, and two of many records that differ in a few. */
+RC_GTEST_PROP(Diff, MakesTheSecondText, ())
+{
+	std::string a, b;
+	struct buf from, to, diff, made;
+
+	if (*rc::gen::arbitrary<bool>()) {
+		a = *rc::gen::arbitrary<std::string>();
+		b = *rc::gen::arbitrary<std::string>();
+	} else {
+		int records = *rc::gen::inRange(1, 60);
+
+		for (int i = 0; i < records; i++) {
+			std::string r = "{\"name\":\"route-" +
+					std::to_string(i) + "\",\"x\":1},";
+
+			a += r;
+			if (*rc::gen::inRange(0, 8) != 0)
+				b += r;
+			else
+				b += "{\"new\":" + std::to_string(i) + "},";
+		}
+	}
+	buf_init(&from, alloc_default());
+	buf_init(&to, alloc_default());
+	buf_init(&diff, alloc_default());
+	buf_init(&made, alloc_default());
+	buf_add(&from, a.data(), a.size());
+	buf_add(&to, b.data(), b.size());
+	df_make(&from, &to, &diff);
+	RC_ASSERT(df_apply(nullptr, &from, diff.data, diff.len, &made) == 0);
+	RC_ASSERT(std::string((const char *)made.data, made.len) == b);
+	buf_free(&from);
+	buf_free(&to);
+	buf_free(&diff);
+	buf_free(&made);
+}
+
+/* Changes at both ends of a long document cost what they change. */
+TEST(Diff, ScatteredChangesStaySmall)
+{
+	std::string a = "{\"version\":7,\"routes\":[", b = a;
+	struct buf from, to, diff;
+
+	b[11] = '8';
+	for (int i = 0; i < 400; i++) {
+		std::string r = "{\"name\":\"r-" + std::to_string(i) +
+				"\",\"timeout_ms\":1000,\"host\":\"h\"},";
+
+		a += r;
+		if (i == 399)
+			r.replace(r.find("1000"), 4, "2000");
+		b += r;
+	}
+	buf_init(&from, alloc_default());
+	buf_init(&to, alloc_default());
+	buf_init(&diff, alloc_default());
+	buf_adds(&from, a.c_str());
+	buf_adds(&to, b.c_str());
+	df_make(&from, &to, &diff);
+	EXPECT_LT(diff.len, 250u);
+	buf_free(&from);
+	buf_free(&to);
+	buf_free(&diff);
+}
+
+TEST(Diff, WhatDoesNotFitIsRefused)
 {
 	struct buf from, out;
 	uint8_t diff[16] = {200};
+	const uint8_t copy[] = {'C', 3, 9}, cut[] = {'N', 9, 'x'};
 
 	buf_init(&from, alloc_default());
 	buf_init(&out, alloc_default());
 	buf_adds(&from, "short");
-	EXPECT_EQ(ERR_CORRUPT, ord_patch(nullptr, &from, diff, 16, &out));
-	EXPECT_EQ(ERR_CORRUPT, ord_patch(nullptr, &from, diff, 3, &out));
+	EXPECT_EQ(ERR_CORRUPT, df_apply(nullptr, &from, diff, 16, &out));
+	EXPECT_EQ(ERR_CORRUPT, df_apply(nullptr, &from, diff, 3, &out));
+	EXPECT_EQ(ERR_CORRUPT, df_apply(nullptr, &from, copy, 3, &out));
+	EXPECT_EQ(ERR_CORRUPT, df_apply(nullptr, &from, cut, 3, &out));
 	buf_free(&from);
 	buf_free(&out);
 }
--- a/test/unit/route_pool_test.cc
+++ b/test/unit/route_pool_test.cc
@@ -109,6 +109,7 @@
 		q.service = "engine";
 		q.slots_more = 8;
 		q.any_role = true;
+		q.trial_permille = 100000;
 		q.by_work = true;
 		return q;
 	}
@@ -185,6 +186,29 @@
 		EXPECT_EQ("new", w.pick());
 }
 
+/* A small share goes to few servers, which then have the usual load. */
+TEST(Pool, ANewVersionIsTriedOnFewServers)
+{
+	PoolWorld w;
+	struct pl_query target = w.query();
+	std::map<std::string, int> seen;
+
+	for (int i = 0; i < 20; i++)
+		w.add("n" + std::to_string(i), "a", "v2", 9);
+	w.add("old", "a", "v1", 1);
+	w.rollout("v2", ORD_RUNNING);
+	target.role = PL_TARGET;
+	target.any_role = false;
+	target.trial_permille = 300;
+	for (int i = 0; i < 100; i++)
+		seen[w.pick(target)]++;
+	EXPECT_EQ(2u, seen.size());
+	w.rollout("v2", ORD_FINISHING);
+	for (int i = 0; i < 300; i++)
+		seen[w.pick()]++;
+	EXPECT_GT(seen.size(), 10u);
+}
+
 /* Instances out of touch spend their part too: the sum keeps the bound. */
 TEST(Pool, AColdServerGetsNoMoreThanItBearsInSum)
 {
--- a/test/unit/route_state_test.cc
+++ b/test/unit/route_state_test.cc
@@ -4,6 +4,7 @@
 #include <set>
 
 #include "route/budget.h"
+#include "route/evidence.h"
 #include "route/loads.h"
 #include "route/pace.h"
 #include "route/sessions.h"
@@ -125,6 +126,7 @@
 	in.duration_ms = 24000;
 	in.fresh = fresh;
 	in.known = known;
+	in.is_worse = vd_is_worse(&fresh, &known);
 	in.has_servers = true;
 	return vd_next(&in);
 }
@@ -219,3 +221,29 @@
 	EXPECT_TRUE(crashed.empty());
 	su_free(su);
 }
+
+TEST(Evidence, OneBadRouteIsSeenAmongGoodOnes)
+{
+	struct ev *ev = ev_new(alloc_default());
+	struct vd_counts fresh, known;
+	const char *route;
+	struct ev_row *row;
+
+	for (uint64_t instance = 0; instance < 4; instance++) {
+		for (const char *r : {"a", "b", "c"}) {
+			row = ev_row(ev, instance, "s", "v2", r);
+			row->fresh = {20, 0, 2, 2};
+			row->known = {200, 2, 20, 20};
+		}
+		row = ev_row(ev, instance, "s", "v2", "d");
+		row->fresh = {2, 1, 0.2, 0.2};
+		row->known = {20, 0, 2, 2};
+	}
+	EXPECT_TRUE(ev_is_worse(ev, "s", "v2", &fresh, &known, &route));
+	EXPECT_STREQ("d", route);
+	EXPECT_EQ(248u, fresh.answers);
+	EXPECT_FALSE(ev_is_worse(ev, "s", "v3", &fresh, &known, &route));
+	ev_drop(ev, "s", "v2");
+	EXPECT_EQ(0u, ev_count(ev));
+	ev_free(ev);
+}
