Count what comes too late when a roll-out is judged; begin the trial after a second

Late answers and gaps are counted now, and since held sessions are known everywhere after a second, the trial begins then.

--- a/src/gateway/entry.h
+++ b/src/gateway/entry.h
@@ -21,8 +21,7 @@
 
 enum {
 	GE_CRASHES_REFUSED = 3, /* a request that crashed so many servers */
-	/* Of the sessions that begin; what they may get in all is bounded. */
-	GE_TARGET_PERMILLE = 300
+	GE_TARGET_PERMILLE = 130 /* of a service's sessions, to a new version */
 };
 
 /* A table of routes in use; requests keep the one they began with. */
@@ -37,6 +36,7 @@
 	char name[RG_NAME_BYTES];
 	struct bu budget;
 	struct pc paces[RT_MODELS_MAX]; /* by place in a route's list */
+	double gap_us[RT_MODELS_MAX]; /* between events, of the old version */
 	char trial[RG_NAME_BYTES]; /* target of the roll-out counted here */
 	uint32_t trial_sent; /* requests to it, of so many */
 	uint32_t trial_total;
--- a/src/gateway/exchange_answer.c
+++ b/src/gateway/exchange_answer.c
@@ -14,11 +14,62 @@
 enum {
 	ANSWER_MAX_BYTES = 16 * 1024 * 1024, /* of a plain answer, buffered */
 	EVENT_MAX_BYTES = 1024 * 1024,
+	SLOW_FACTOR = 3, /* of the time expected: far too late */
 	FIRST_BYTE_MS = 40, /* of any answer, on top of its work */
 	BACKLOG_NONE_MS = 10, /* a server counts as idle below this */
 	STATUS_MISDIRECTED = 421
 };
 
+static const double gap_weight = 0.02; /* of the newest time between events */
+
+/* The counts of the version that answers, while a roll-out judges it. */
+static struct vd_counts *
+version_counts(struct gx *gx)
+{
+	const struct ord_rollout *rollout = ord_rollout_of(
+	    gf_orders(gx->ge->gw->follow), gx->target->name);
+	struct ev_row *row;
+
+	if (rollout == NULL || rollout->state >= ORD_COMPLETED)
+		return NULL;
+	row = ev_row(gx->ge->outcomes, 0, rollout->service, rollout->target,
+	    gx->route->name);
+	if (row == NULL)
+		return NULL;
+	return strcmp(pl_at(gx->ge->pool, gx->now.server)->said.version,
+		   rollout->target) == 0
+		   ? &row->fresh
+		   : &row->known;
+}
+
+/* Counts an answer as it begins: its time, and whether it is a failure. */
+static void
+note_answer(struct gx *gx, bool failed)
+{
+	struct vd_counts *counts = version_counts(gx);
+
+	if (counts == NULL)
+		return;
+	counts->answers++;
+	counts->failures += failed;
+	if (failed)
+		return;
+	counts->slow += (double)(gx_now(gx) - gx->now.sent_us) / US_PER_MS >
+			SLOW_FACTOR * (gx->now.expected_ms + FIRST_BYTE_MS);
+}
+
+/* Counts an answer that failed after its beginning, or never began. */
+static void
+note_broken(struct gx *gx)
+{
+	struct vd_counts *counts = version_counts(gx);
+
+	if (counts == NULL)
+		return;
+	counts->answers += !gx->now.answered;
+	counts->failures++;
+}
+
 static void
 begin_answer(struct gx *gx)
 {
@@ -101,6 +152,8 @@
 	if (answer.has_cold)
 		pl_cold(
 		    ge->pool, gx->now.server, answer.cold_left_ms, now_us);
+	if (!gx->now.not_run)
+		note_answer(gx, status >= 500);
 	if (status < 300 &&
 	    (!answer.has_proof || answer.encoded || answer.id == NULL)) {
 		gx->now.defective = true;
@@ -153,6 +206,26 @@
 	return 0;
 }
 
+/*
+ * Counts the time since the event before for the judgement of a roll-out.  How
+ * long it should be is learned from the old version, for each model.
+ */
+static void
+note_gap(struct gx *gx, int64_t gap_us)
+{
+	double *learned = &gx->service->gap_us[gx->model];
+	struct vd_counts *counts = version_counts(gx);
+
+	if (gx->now.role == PL_BASE)
+		*learned += *learned == 0
+				? (double)gap_us
+				: gap_weight * ((double)gap_us - *learned);
+	if (counts == NULL || *learned == 0)
+		return;
+	counts->gaps++;
+	counts->slow_gaps += (double)gap_us > SLOW_FACTOR * *learned;
+}
+
 static void
 note_first(struct gx *gx)
 {
@@ -199,6 +272,8 @@
 	struct gx *gx = ctx;
 
 	(void)call;
+	if (gx->begun && gx->route->kind == RT_STREAM)
+		note_gap(gx, gx_now(gx) - gx->now.progress_us);
 	gx->now.progress_us = gx_now(gx);
 	if (gx->now.not_run)
 		return 0;
@@ -231,34 +306,6 @@
 	return gx->now.not_run ? CS_NOT_RUN : CS_BROKEN;
 }
 
-/* Counts an answer for the judgement of a roll-out of its service. */
-static void
-note_version(struct gx *gx, bool failed)
-{
-	const struct ord_rollout *rollout = ord_rollout_of(
-	    gf_orders(gx->ge->gw->follow), gx->target->name);
-	struct vd_counts *counts;
-	struct ev_row *row;
-
-	if (rollout == NULL || rollout->state >= ORD_COMPLETED)
-		return;
-	row = ev_row(gx->ge->outcomes, 0, rollout->service, rollout->target,
-	    gx->route->name);
-	if (row == NULL)
-		return;
-	counts = strcmp(pl_at(gx->ge->pool, gx->now.server)->said.version,
-		     rollout->target) == 0
-		     ? &row->fresh
-		     : &row->known;
-	counts->answers++;
-	counts->failures += failed;
-	if (failed || gx->first_us < gx->now.sent_us)
-		return;
-	counts->seconds +=
-	    (double)(gx->first_us - gx->now.sent_us) / 1000000;
-	counts->work += (gx->now.expected_ms + FIRST_BYTE_MS) / 1000;
-}
-
 static void
 note_outcome(struct gx *gx, enum cs_end end, const struct hu_result *result)
 {
@@ -281,7 +328,8 @@
 		pl_outcome(ge->pool, gx->now.server, failed, now_us);
 	if (end == CS_UNREACHABLE || end == CS_NOT_RUN)
 		return;
-	note_version(gx, failed);
+	if (end == CS_BROKEN || (end == CS_DEFECTIVE && !gx->now.answered))
+		note_broken(gx);
 }
 
 static void
--- a/src/gateway/exchange_send.c
+++ b/src/gateway/exchange_send.c
@@ -11,7 +11,7 @@
 /* Where a request goes, and how it is sent there. */
 
 enum {
-	EXPOSURE_PERCENT = 65, /* of what a bad version may get, to a new one */
+	EXPOSURE_PERCENT = 90, /* of what a bad version may get */
 	PLAIN_WAITING = 6 /* requests that may wait at a plain service's server */
 };
 
--- a/src/gateway/links.c
+++ b/src/gateway/links.c
@@ -285,8 +285,9 @@
 	clpb__counts__init(pb);
 	pb->answers = counts->answers;
 	pb->failures = counts->failures;
-	pb->seconds = counts->seconds;
-	pb->work = counts->work;
+	pb->slow = counts->slow;
+	pb->gaps = counts->gaps;
+	pb->slow_gaps = counts->slow_gaps;
 }
 
 static void
@@ -585,8 +586,8 @@
 	struct vd_counts counts = {0};
 
 	if (pb != NULL)
-		counts = (struct vd_counts){
-		    pb->answers, pb->failures, pb->seconds, pb->work};
+		counts = (struct vd_counts){pb->answers, pb->failures,
+		    pb->slow, pb->gaps, pb->slow_gaps};
 	return counts;
 }
 
--- a/src/route/evidence.c
+++ b/src/route/evidence.c
@@ -93,8 +93,9 @@
 {
 	to->answers += from->answers;
 	to->failures += from->failures;
-	to->seconds += from->seconds;
-	to->work += from->work;
+	to->slow += from->slow;
+	to->gaps += from->gaps;
+	to->slow_gaps += from->slow_gaps;
 }
 
 struct sum {
--- a/src/route/sessions.c
+++ b/src/route/sessions.c
@@ -75,7 +75,7 @@
 		*bound = true;
 		return slot->role;
 	}
-	if (query->order_age_us < se->pause_us + SPREAD_US)
+	if (query->order_age_us < SPREAD_US)
 		return PL_BASE;
 	return is_target(query->session, query->permille) ? PL_TARGET
 							  : PL_BASE;
@@ -140,7 +140,7 @@
 		slot->held_until_us = 0;
 		slot->role = PL_BASE;
 		if (slot->session != 0 &&
-		    now_us - slot->seen_us < se->pause_us &&
+		    now_us - slot->seen_us < 2 * se->pause_us &&
 		    is_target(slot->session, permille))
 			hold(ctx, slot->session);
 	}
--- a/src/route/verdict.c
+++ b/src/route/verdict.c
@@ -5,45 +5,50 @@
 enum {
 	FAILURES_MIN = 4, /* of the new version, before it can be judged */
 	TIMES_MIN = 10, /* answers of both, before their times are compared */
-	ANSWERS_MIN = 12, /* of the new version, before it gets everything */
-	FINISHING_PERMILLE = 500, /* of the duration: then everything moves */
-	LATEST_PERMILLE = 650, /* of the duration: then few answers will do */
-	COMPLETE_PERMILLE = 850, /* of the duration: old servers may stop */
-	SETTLE_MS = 6000 /* what was sent to the old servers ends */
+	GAPS_MIN = 100, /* between events of both, the same */
+	ANSWERS_MIN = 20, /* of the new version, before it gets everything */
+	ANSWERS_FEW = 5, /* will do when the time is nearly over */
+	FINISHING_PERMILLE = 620, /* of the duration: then everything moves */
+	LATEST_PERMILLE = 700, /* of the duration: then few answers will do */
+	COMPLETE_PERMILLE = 900, /* of the duration: old servers may stop */
+	SETTLE_MS = 5000 /* what was sent to the old servers ends */
 };
 
 static const double share_worse = 0.08; /* a smaller difference is borne */
+static const double slow_worse = 0.3; /* the same, of what comes late */
 static const double deviations = 3.0; /* beyond chance */
-static const double times_slower = 2.5;
 
 static double
-share(const struct vd_counts *c)
+share(uint32_t part, uint32_t all)
 {
-	return c->answers > 0 ? (double)c->failures / c->answers : 0;
+	return all > 0 ? (double)part / all : 0;
 }
 
-/* Time to the first byte against the time expected. */
-static double
-pace(const struct vd_counts *c)
+/* Whether one share is above another, by a margin and beyond chance. */
+static bool
+is_above(uint32_t part, uint32_t all, double base, double margin)
 {
-	return c->work > 0 ? c->seconds / c->work : 0;
+	double noise = sqrt((base * (1 - base) + 0.01) / all);
+
+	return share(part, all) > base + margin &&
+	       share(part, all) > base + deviations * noise;
 }
 
 /* Tells whether a new version does worse than the old one, beyond chance. */
 bool
 vd_is_worse(const struct vd_counts *fresh, const struct vd_counts *known)
 {
-	double base = share(known);
-	double noise;
-
-	if (fresh->failures >= FAILURES_MIN) {
-		noise = sqrt((base * (1 - base) + 0.01) / fresh->answers);
-		if (share(fresh) > base + share_worse &&
-		    share(fresh) > base + deviations * noise)
-			return true;
-	}
-	return fresh->answers >= TIMES_MIN && known->answers >= TIMES_MIN &&
-	       pace(known) > 0 && pace(fresh) > times_slower * pace(known);
+	if (fresh->failures >= FAILURES_MIN &&
+	    is_above(fresh->failures, fresh->answers,
+		share(known->failures, known->answers), share_worse))
+		return true;
+	if (fresh->answers >= TIMES_MIN && known->answers >= TIMES_MIN &&
+	    is_above(fresh->slow, fresh->answers,
+		share(known->slow, known->answers), slow_worse))
+		return true;
+	return fresh->gaps >= GAPS_MIN && known->gaps >= GAPS_MIN &&
+	       is_above(fresh->slow_gaps, fresh->gaps,
+		   share(known->slow_gaps, known->gaps), slow_worse);
 }
 
 /* Returns the state that a roll-out should be in now. */
@@ -65,7 +70,8 @@
 			   : ORD_FINISHING;
 	if (in->has_servers && part >= FINISHING_PERMILLE &&
 	    (in->fresh.answers >= ANSWERS_MIN ||
-		(part >= LATEST_PERMILLE && in->fresh.answers > 0)))
+		(part >= LATEST_PERMILLE &&
+		    in->fresh.answers >= ANSWERS_FEW)))
 		return ORD_FINISHING;
 	return ORD_RUNNING;
 }
--- a/src/route/verdict.h
+++ b/src/route/verdict.h
@@ -14,16 +14,18 @@
  * The judgement of a new version of a service, from how its answers compare
  * with those of the old one at the same time.  No I/O.
  *
- * A version is rolled back once its share of failures, or its times, are worse
- * beyond chance.  One that is not gets everything after half of the roll-out's
+ * A version is rolled back once its share of failures, or of what comes far too
+ * late, is worse beyond chance.  Late ones are counted, not added up: a single
+ * long pause, as a long prompt beside a stream makes it, says little.  One that is not gets everything after half of the roll-out's
  * time, and the old servers may be stopped somewhat later, when what they had
  * been sent has ended.
  */
 struct vd_counts {
 	uint32_t answers;
 	uint32_t failures;
-	double seconds; /* sum of the times to the first byte */
-	double work; /* sum of the times that were expected */
+	uint32_t slow; /* answers that began far later than expected */
+	uint32_t gaps; /* times between two events of a stream */
+	uint32_t slow_gaps; /* those far longer than expected */
 };
 
 struct vd_input {
--- a/src/wire/cluster.pb-c.c
+++ b/src/wire/cluster.pb-c.c
@@ -747,7 +747,7 @@
   (ProtobufCMessageInit) clpb__server__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor clpb__counts__field_descriptors[4] =
+static const ProtobufCFieldDescriptor clpb__counts__field_descriptors[5] =
 {
   {
     "answers",
@@ -774,24 +774,36 @@
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "seconds",
+    "slow",
     3,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_DOUBLE,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Clpb__Counts, seconds),
+    offsetof(Clpb__Counts, slow),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "work",
+    "gaps",
     4,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_DOUBLE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Clpb__Counts, gaps),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "slow_gaps",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Clpb__Counts, work),
+    offsetof(Clpb__Counts, slow_gaps),
     NULL,
     NULL,
     0,             /* flags */
@@ -801,13 +813,14 @@
 static const unsigned clpb__counts__field_indices_by_name[] = {
   0,   /* field[0] = answers */
   1,   /* field[1] = failures */
-  2,   /* field[2] = seconds */
-  3,   /* field[3] = work */
+  3,   /* field[3] = gaps */
+  2,   /* field[2] = slow */
+  4,   /* field[4] = slow_gaps */
 };
 static const ProtobufCIntRange clpb__counts__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor clpb__counts__descriptor =
 {
@@ -817,7 +830,7 @@
   "Clpb__Counts",
   "clpb",
   sizeof(Clpb__Counts),
-  4,
+  5,
   clpb__counts__field_descriptors,
   clpb__counts__field_indices_by_name,
   1,  clpb__counts__number_ranges,
--- a/src/wire/cluster.pb-c.h
+++ b/src/wire/cluster.pb-c.h
@@ -91,17 +91,21 @@
   uint32_t answers;
   uint32_t failures;
   /*
-   * sum of times to the first byte
+   * answers that began far later than expected
    */
-  double seconds;
+  uint32_t slow;
   /*
-   * sum of the times that were expected
+   * times between two events of a stream
    */
-  double work;
+  uint32_t gaps;
+  /*
+   * those far longer than expected
+   */
+  uint32_t slow_gaps;
 };
 #define CLPB__COUNTS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&clpb__counts__descriptor) \
-    , 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0 }
 
 
 struct  Clpb__Outcome
--- a/test/unit/registry_test.cc
+++ b/test/unit/registry_test.cc
@@ -197,13 +197,16 @@
 /* A small change makes a small entry, and one against another base none. */
 TEST(Orders, ADocumentAgainstItsBase)
 {
-	std::string before(10000, 'x'), after = before;
+	std::string before, after;
 	struct ord_base base;
 	struct buf bytes;
 	bool changed;
 	Orders o;
 
-	after[5000] = 'y';
+	for (int i = 0; i < 300; i++)
+		before += "{\"route\":" + std::to_string(i) + "}";
+	after = before;
+	after[3000] = 'y';
 	base.number = 7;
 	buf_init(&base.text, alloc_default());
 	buf_adds(&base.text, before.c_str());
