Take few errors seriously where the old version makes none

A server's own errors have a margin of 2 in 100; broken connections keep the wider one, as a crash of the server on trial breaks many at once.

--- a/src/gateway/exchange_answer.c
+++ b/src/gateway/exchange_answer.c
@@ -52,6 +52,7 @@
 		return;
 	counts->answers++;
 	counts->failures += failed;
+	counts->errors += failed;
 	if (failed)
 		return;
 	counts->slow += (double)(gx_now(gx) - gx->now.sent_us) / US_PER_MS >
--- a/src/gateway/links.c
+++ b/src/gateway/links.c
@@ -285,6 +285,7 @@
 	clpb__counts__init(pb);
 	pb->answers = counts->answers;
 	pb->failures = counts->failures;
+	pb->errors = counts->errors;
 	pb->slow = counts->slow;
 	pb->gaps = counts->gaps;
 	pb->slow_gaps = counts->slow_gaps;
@@ -587,7 +588,7 @@
 
 	if (pb != NULL)
 		counts = (struct vd_counts){pb->answers, pb->failures,
-		    pb->slow, pb->gaps, pb->slow_gaps};
+		    pb->errors, pb->slow, pb->gaps, pb->slow_gaps};
 	return counts;
 }
 
--- a/src/route/evidence.c
+++ b/src/route/evidence.c
@@ -93,6 +93,7 @@
 {
 	to->answers += from->answers;
 	to->failures += from->failures;
+	to->errors += from->errors;
 	to->slow += from->slow;
 	to->gaps += from->gaps;
 	to->slow_gaps += from->slow_gaps;
--- a/src/route/verdict.c
+++ b/src/route/verdict.c
@@ -3,6 +3,7 @@
 #include <math.h>
 
 enum {
+	ERRORS_MIN = 5, /* the same, of its own errors */
 	FAILURES_MIN = 4, /* of the new version, before it can be judged */
 	TIMES_MIN = 10, /* answers of both, before their times are compared */
 	GAPS_MIN = 100, /* between events of both, the same */
@@ -15,8 +16,10 @@
 };
 
 static const double share_worse = 0.08; /* a smaller difference is borne */
+static const double errors_worse = 0.02; /* a crash makes no errors */
 static const double slow_worse = 0.3; /* the same, of what comes late */
 static const double deviations = 3.0; /* beyond chance */
+static const double least_variance = 0.01; /* where none ever failed so far */
 
 static double
 share(uint32_t part, uint32_t all)
@@ -28,7 +31,7 @@
 static bool
 is_above(uint32_t part, uint32_t all, double base, double margin)
 {
-	double noise = sqrt((base * (1 - base) + 0.01) / all);
+	double noise = sqrt((base * (1 - base) + least_variance) / all);
 
 	return share(part, all) > base + margin &&
 	       share(part, all) > base + deviations * noise;
@@ -42,6 +45,10 @@
 	    is_above(fresh->failures, fresh->answers,
 		share(known->failures, known->answers), share_worse))
 		return true;
+	if (fresh->errors >= ERRORS_MIN &&
+	    is_above(fresh->errors, fresh->answers,
+		share(known->errors, known->answers), errors_worse))
+		return true;
 	if (fresh->answers >= TIMES_MIN && known->answers >= TIMES_MIN &&
 	    is_above(fresh->slow, fresh->answers,
 		share(known->slow, known->answers), slow_worse))
--- a/src/route/verdict.h
+++ b/src/route/verdict.h
@@ -23,6 +23,7 @@
 struct vd_counts {
 	uint32_t answers;
 	uint32_t failures;
+	uint32_t errors; /* failures that the server itself answered with */
 	uint32_t slow; /* answers that began far later than expected */
 	uint32_t gaps; /* times between two events of a stream */
 	uint32_t slow_gaps; /* those far longer than expected */
--- a/src/wire/cluster.pb-c.c
+++ b/src/wire/cluster.pb-c.c
@@ -747,7 +747,7 @@
   (ProtobufCMessageInit) clpb__server__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor clpb__counts__field_descriptors[5] =
+static const ProtobufCFieldDescriptor clpb__counts__field_descriptors[6] =
 {
   {
     "answers",
@@ -809,9 +809,22 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "errors",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Clpb__Counts, errors),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned clpb__counts__field_indices_by_name[] = {
   0,   /* field[0] = answers */
+  5,   /* field[5] = errors */
   1,   /* field[1] = failures */
   3,   /* field[3] = gaps */
   2,   /* field[2] = slow */
@@ -820,7 +833,7 @@
 static const ProtobufCIntRange clpb__counts__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor clpb__counts__descriptor =
 {
@@ -830,7 +843,7 @@
   "Clpb__Counts",
   "clpb",
   sizeof(Clpb__Counts),
-  5,
+  6,
   clpb__counts__field_descriptors,
   clpb__counts__field_indices_by_name,
   1,  clpb__counts__number_ranges,
--- a/src/wire/cluster.pb-c.h
+++ b/src/wire/cluster.pb-c.h
@@ -102,10 +102,14 @@
    * those far longer than expected
    */
   uint32_t slow_gaps;
+  /*
+   * failures that the server itself answered with
+   */
+  uint32_t errors;
 };
 #define CLPB__COUNTS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&clpb__counts__descriptor) \
-    , 0, 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0, 0 }
 
 
 struct  Clpb__Outcome
