--- a/Makefile
+++ b/Makefile
@@ -38,6 +38,7 @@
 	clang-format -i $(SOURCES)
 
 lint: build
+	tools/check-words
 	clang-format --dry-run -Werror $(SOURCES)
 	printf '%s\n' $(C_SOURCES) | xargs -P 8 -n 1 \
 	    clang-tidy --quiet -p $(BUILD) 2>/dev/null
--- a/ctl/ctl.h
+++ b/ctl/ctl.h
@@ -72,6 +72,7 @@
 int ctl_show_status(const struct ctl *ctl, int argc, char **argv);
 int ctl_show_log(const struct ctl *ctl, int argc, char **argv);
 int ctl_explain(const struct ctl *ctl, int argc, char **argv);
+int ctl_explain_log(const char *request, const char *path);
 int ctl_drain(const struct ctl *ctl, int argc, char **argv);
 int ctl_return(const struct ctl *ctl, int argc, char **argv);
 int ctl_rollout_list(const struct ctl *ctl, int argc, char **argv);
--- a/ctl/operate.c
+++ b/ctl/operate.c
@@ -77,7 +77,8 @@
 	struct buf text;
 	int status;
 
-	(void)argc;
+	if (argc > 1)
+		return ctl_explain_log(argv[0], argv[1]);
 	snprintf(path, sizeof(path), "/ops/explain?request=%s", argv[0]);
 	buf_init(&text, alloc_default());
 	status = ctl_get_text(ctl, path, &text);
--- /dev/null
+++ b/fakes/server/main.c
@@ -0,0 +1,190 @@
+#include <apr_general.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/signalfd.h>
+
+#include "base/loop.h"
+#include "http/front.h"
+
+/*
+ * cf-fake-server: a backend server as the users' platform describes it, for
+ * process tests.  It answers with the request's id, a proof and its load.
+ *
+ *	/ok/...		200 with the body it was sent
+ *	/stream/...	events 1 to 5, 20 ms apart; after Last-Event-Id the rest
+ *	/cut/...	the same, cut in the middle of event 3 unless it resumes
+ *	/error/...	500
+ *	/full/...	503, not run
+ *	/hang/...	nothing
+ */
+
+enum {
+	EVENTS = 5,
+	EVENT_US = 20000,
+	STATUS_ERROR = 500,
+	STATUS_FULL = 503
+};
+
+static struct loop *loop;
+static const char *server_id;
+
+struct stream {
+	struct hf_exchange *x;
+	int next;
+	int cut_at; /* 0: none */
+};
+
+static const char *
+header_of(const struct hf_exchange *x, const char *name)
+{
+	const char *value = hh_get(hf_headers(x), name);
+
+	return value != NULL ? value : "";
+}
+
+static void
+add_head(struct buf *lines, const struct hf_exchange *x)
+{
+	buf_addf(lines,
+	    "Celeryford-Request-Id: %s\r\n"
+	    "Celeryford-Response-Signature: fake.%s\r\n"
+	    "Celeryford-Server-Load: 1,0,8\r\n"
+	    "X-Workspace: %s\r\nX-Deadline: %s\r\n",
+	    header_of(x, "Celeryford-Request-Id"), server_id,
+	    header_of(x, "Celeryford-Tenant"),
+	    header_of(x, "Celeryford-Deadline-Ms"));
+}
+
+static void
+answer(struct hf_exchange *x, unsigned int status, const char *more,
+    const struct buf *body)
+{
+	struct buf lines;
+
+	buf_init(&lines, alloc_default());
+	add_head(&lines, x);
+	buf_adds(&lines, more);
+	hf_begin(x, status, &lines, false, body->len);
+	hf_write(x, body->data, body->len);
+	hf_end(x, true);
+	buf_free(&lines);
+}
+
+static void
+on_event(void *ctx)
+{
+	struct stream *s = ctx;
+	char event[64];
+	int n;
+
+	if (s->x == NULL) {
+		free(s);
+		return;
+	}
+	if (s->next > EVENTS || s->next == s->cut_at) {
+		if (s->next == s->cut_at)
+			hf_write(s->x, "id: 3\nda", 8);
+		hf_set_data(s->x, NULL);
+		hf_end(s->x, s->next > EVENTS);
+		free(s);
+		return;
+	}
+	n = snprintf(event, sizeof(event), "id: %d\ndata: %d\n\n", s->next,
+	    s->next);
+	hf_write(s->x, event, (size_t)n);
+	s->next++;
+	loop_after(loop, EVENT_US, on_event, s);
+}
+
+static void
+begin_stream(struct hf_exchange *x, bool cut)
+{
+	struct stream *s = calloc(1, sizeof(*s));
+	const char *last = header_of(x, "Last-Event-Id");
+	struct buf lines;
+
+	s->x = x;
+	s->next = last[0] != '\0' ? atoi(last) + 1 : 1;
+	s->cut_at = cut && last[0] == '\0' ? 3 : 0;
+	hf_set_data(x, s);
+	buf_init(&lines, alloc_default());
+	add_head(&lines, x);
+	buf_adds(&lines, "Content-Type: text/event-stream\r\n");
+	hf_begin(x, 200, &lines, true, 0);
+	buf_free(&lines);
+	on_event(s);
+}
+
+static void
+on_request(void *ctx, struct hf_exchange *x)
+{
+	const char *target = hf_target(x);
+	struct buf none;
+
+	(void)ctx;
+	hf_set_data(x, NULL);
+	buf_init(&none, alloc_default());
+	if (strstr(target, "/stream/") != NULL)
+		begin_stream(x, false);
+	else if (strstr(target, "/cut/") != NULL)
+		begin_stream(x, true);
+	else if (strstr(target, "/error/") != NULL)
+		answer(x, STATUS_ERROR, "", &none);
+	else if (strstr(target, "/full/") != NULL)
+		answer(x, STATUS_FULL, "Celeryford-Not-Executed: 1\r\n", &none);
+	else if (strstr(target, "/hang/") == NULL)
+		answer(x, 200, "", hf_body(x));
+}
+
+static void
+on_gone(void *ctx, struct hf_exchange *x)
+{
+	struct stream *s = hf_data(x);
+
+	(void)ctx;
+	if (s != NULL)
+		s->x = NULL;
+}
+
+static void
+on_refused(void *ctx, int error)
+{
+	(void)ctx;
+	(void)error;
+}
+
+int
+main(int argc, char **argv)
+{
+	static const struct hf_handler handler = {
+	    on_request, on_gone, on_refused};
+	struct hf_options options = {.alloc = alloc_default(),
+	    .connections_max = 1000,
+	    .limits = {65536, 1 << 22, 5000, 60000},
+	    .handler = &handler};
+	char *colon;
+	struct hf *hf;
+
+	if (argc != 3 || (colon = strrchr(argv[2], ':')) == NULL) {
+		fprintf(stderr, "usage: cf-fake-server ID IP:PORT\n");
+		return 2;
+	}
+	signal(SIGPIPE, SIG_IGN);
+	apr_initialize();
+	server_id = argv[1];
+	*colon = '\0';
+	options.host = argv[2];
+	options.port = (uint16_t)atoi(colon + 1);
+	loop = loop_new(alloc_default());
+	options.loop = loop;
+	hf = hf_new(&options);
+	if (hf == NULL) {
+		fprintf(stderr, "cf-fake-server: the address is taken\n");
+		return 1;
+	}
+	printf("serves %s:%u\n", options.host, hf_port(hf));
+	fflush(stdout);
+	return loop_run(loop) == 0 ? 0 : 1;
+}
--- a/src/gateway/dialect.h
+++ b/src/gateway/dialect.h
@@ -93,7 +93,7 @@
 	uint16_t slots;
 	int confidence; /* 0 to 100, the model's own; -1: not said */
 	bool has_cold;
-	uint32_t cold_left_ms;
+	uint32_t cold_ms;
 };
 
 struct dl_dialect;
--- a/src/gateway/exchange_answer.c
+++ b/src/gateway/exchange_answer.c
@@ -152,7 +152,7 @@
 		    answer.waiting, now_us);
 	if (answer.has_cold)
 		pl_cold(
-		    ge->pool, gx->now.server, answer.cold_left_ms, now_us);
+		    ge->pool, gx->now.server, answer.cold_ms, now_us);
 	if (!gx->now.not_run)
 		note_answer(gx, status >= 500);
 	if (status < 300 &&
--- a/src/gateway/links.c
+++ b/src/gateway/links.c
@@ -434,7 +434,7 @@
 	pb->state = server->state;
 	pb->born_ms = server->born_ms;
 	pb->seq = server->seq;
-	pb->cold_left_ms = server->cold_left_ms;
+	pb->cold_ms = server->cold_ms;
 	pb->age_ms = (uint32_t)((news->now_us - server->heard_us) / 1000);
 	for (uint8_t i = 0; i < server->model_count; i++) {
 		Clpb__Model *model = &news->models[n][i];
@@ -670,7 +670,7 @@
 	out->state = (enum rg_state)pb->state;
 	out->born_ms = pb->born_ms;
 	out->seq = pb->seq;
-	out->cold_left_ms = pb->cold_left_ms;
+	out->cold_ms = pb->cold_ms;
 	out->heard_us = now_us - (int64_t)pb->age_ms * 1000;
 	for (size_t i = 0; i < pb->n_models; i++) {
 		struct rg_model *model = &out->models[out->model_count++];
--- a/src/route/pool.c
+++ b/src/route/pool.c
@@ -212,9 +212,9 @@
 	s->address.sin_family = AF_INET;
 	s->address.sin_addr.s_addr = server->ip;
 	s->address.sin_port = htons(server->port);
-	if (server->cold_left_ms > 0)
+	if (server->cold_ms > 0)
 		s->cold_until_us = server->heard_us +
-				   (int64_t)server->cold_left_ms * US_PER_MS;
+				   (int64_t)server->cold_ms * US_PER_MS;
 	if (server->state == RG_GONE)
 		s->used = false;
 	refresh(pl);
@@ -621,10 +621,10 @@
 
 /* An answer said how long a server stays cold. */
 void
-pl_cold(struct pl *pl, uint16_t server, uint32_t cold_left_ms, int64_t now_us)
+pl_cold(struct pl *pl, uint16_t server, uint32_t cold_ms, int64_t now_us)
 {
 	pl->servers[server].cold_until_us =
-	    now_us + (int64_t)cold_left_ms * US_PER_MS;
+	    now_us + (int64_t)cold_ms * US_PER_MS;
 }
 
 /*
--- a/src/route/verdict.c
+++ b/src/route/verdict.c
@@ -6,7 +6,7 @@
 	ERRORS_MIN = 5, /* the same, of its own errors */
 	FAILURES_MIN = 4, /* of the new version, before it can be judged */
 	TIMES_MIN = 10, /* answers of both, before their times are compared */
-	GAPS_MIN = 100, /* between events of both, the same */
+	GAPS_MIN = 400, /* between events of both, the same */
 	ANSWERS_MIN = 20, /* of the new version, before it gets everything */
 	ANSWERS_FEW = 5, /* will do when the time is nearly over */
 	FINISHING_PERMILLE = 620, /* of the duration: then everything moves */
--- a/src/state/registry.c
+++ b/src/state/registry.c
@@ -105,7 +105,7 @@
 	if (a->born_ms != b->born_ms || a->state != b->state ||
 	    a->ip != b->ip || a->port != b->port || a->slots != b->slots ||
 	    a->model_count != b->model_count ||
-	    (a->cold_left_ms > 0) != (b->cold_left_ms > 0) ||
+	    (a->cold_ms > 0) != (b->cold_ms > 0) ||
 	    strcmp(a->service, b->service) != 0 ||
 	    strcmp(a->version, b->version) != 0 ||
 	    strcmp(a->data_centre, b->data_centre) != 0)
--- a/src/state/registry.h
+++ b/src/state/registry.h
@@ -53,7 +53,7 @@
 	enum rg_state state;
 	uint64_t born_ms; /* start of this life */
 	uint64_t seq; /* grows with each announcement of a life */
-	uint32_t cold_left_ms; /* at heard_us */
+	uint32_t cold_ms; /* at heard_us */
 	int64_t heard_us; /* when it was said, our clock */
 	struct rg_model models[RG_MODELS_MAX];
 	uint8_t model_count;
--- a/src/wire/cluster.pb-c.c
+++ b/src/wire/cluster.pb-c.c
@@ -676,12 +676,12 @@
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "cold_left_ms",
+    "cold_ms",
     11,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Clpb__Server, cold_left_ms),
+    offsetof(Clpb__Server, cold_ms),
     NULL,
     NULL,
     0,             /* flags */
@@ -715,7 +715,7 @@
 static const unsigned clpb__server__field_indices_by_name[] = {
   11,   /* field[11] = age_ms */
   8,   /* field[8] = born_ms */
-  10,   /* field[10] = cold_left_ms */
+  10,   /* field[10] = cold_ms */
   4,   /* field[4] = data_centre */
   0,   /* field[0] = id */
   2,   /* field[2] = ip */
--- a/src/wire/cluster.pb-c.h
+++ b/src/wire/cluster.pb-c.h
@@ -69,7 +69,7 @@
   /*
    * when it was heard
    */
-  uint32_t cold_left_ms;
+  uint32_t cold_ms;
   /*
    * since it was heard
    */
