Miss a leader after half a second; doubt a data centre at its first silent server

Cause: after everything was killed, and when a leader was cut off, instances had no lease for 1 to 1.4 s; callers were refused and came back to be refused again. Heartbeats of 120 ms, a lease of 350 ms and elections after 450 to 750 ms; an instance asks eight times as often when its lease is short. While not ready, answers end their connections, so that callers of a cut-off instance move on; a server that does not even refuse a connection casts doubt on its data centre at once.

--- a/src/gateway/entry.c
+++ b/src/gateway/entry.c
@@ -341,6 +341,8 @@
 	const struct dl_dialect *dialect = ge->gw->dialect;
 	bool ready = is_ready(ge);
 
+	/* Callers on open connections move to other instances as well. */
+	hf_drain(ge->front, !ready);
 	if (!dialect->ops->is_ready_probe(
 		dialect, hf_method(x), hf_target(x)))
 		hf_answer(x, err_answer(ERR_NOT_FOUND)->http_status, NULL, 0,
@@ -366,7 +368,7 @@
 ge_drain(struct ge *ge)
 {
 	ge->draining = true;
-	hf_drain(ge->front);
+	hf_drain(ge->front, true);
 }
 
 /*
--- a/src/gateway/exchange.c
+++ b/src/gateway/exchange.c
@@ -257,10 +257,14 @@
 gx_gone(struct gx *gx)
 {
 	gx->x = NULL;
-	gx_log_end(gx, "caller_gone", 0);
 	if (gx->route != NULL && gx->route->kind == RT_ONCE &&
-	    gx->now.call != NULL)
+	    gx->now.call != NULL) {
+		gx_log(gx, LOG_LEVEL_INFO, "caller_gone",
+		    "server=%s goes_on=1",
+		    pl_at(gx->ge->pool, gx->now.server)->said.id);
 		return;
+	}
+	gx_log_end(gx, "caller_gone", 0);
 	gx_free(gx);
 }
 
--- a/src/gateway/exchange_answer.c
+++ b/src/gateway/exchange_answer.c
@@ -321,7 +321,8 @@
 		su_broken(ge->suspects, gx->now.server, gx->fingerprint,
 		    now_us);
 	if (end == CS_UNREACHABLE) {
-		pl_unreachable(ge->pool, gx->now.server, now_us);
+		pl_unreachable(ge->pool, gx->now.server,
+		    result->error == ERR_TIMEOUT, now_us);
 		ge_server_down(ge, gx->now.server);
 	} else if (end == CS_NOT_RUN)
 		pl_full(ge->pool, gx->now.server, now_us);
--- a/src/gateway/replica.c
+++ b/src/gateway/replica.c
@@ -14,6 +14,12 @@
 #include "state/rlog.h"
 
 enum {
+	/* A leader is missed soon: what needs a fresh lease waits for the next. */
+	HEARTBEAT_US = 120000,
+	LOG_LEASE_US = 350000,
+	ELECTION_MIN_US = 450000,
+	ELECTION_MAX_US = 750000,
+	JUMP_US = 250000, /* a gap between two steps that ends a lease */
 	REOPEN_US = 1000000, /* before a folder that failed is tried again */
 	SNAPSHOT_TICK_US = 1000000,
 	LEASE_MARGIN_MS = 1000, /* of revoke-ms, for an answer under way */
@@ -455,7 +461,12 @@
 	    .seed = rng_system_seed(),
 	    .fresh_id = rng_system_seed(),
 	    .instance = gw->self,
-	    .founders = first};
+	    .founders = first,
+	    .heartbeat_us = HEARTBEAT_US,
+	    .lease_us = LOG_LEASE_US,
+	    .election_min_us = ELECTION_MIN_US,
+	    .election_max_us = ELECTION_MAX_US,
+	    .jump_us = JUMP_US};
 	struct cy_options source = {.alloc = gw->alloc,
 	    .emit = emit_config,
 	    .ctx = gr,
--- a/src/http/front.c
+++ b/src/http/front.c
@@ -503,11 +503,11 @@
 	hf->options.limits = *limits;
 }
 
-/* Announces with every answer that its connection closes. */
+/* Has every answer announce that its connection closes, or no longer. */
 void
-hf_drain(struct hf *hf)
+hf_drain(struct hf *hf, bool drain)
 {
-	hf->draining = true;
+	hf->draining = drain;
 }
 
 /*
@@ -601,7 +601,7 @@
 finish(struct hf_exchange *x)
 {
 	x->hf->busy--;
-	if (!x->keep || x->hf->draining) {
+	if (!x->keep) {
 		linger(x);
 		flush(x);
 		return;
--- a/src/http/front.h
+++ b/src/http/front.h
@@ -60,7 +60,7 @@
 struct hf *hf_new(const struct hf_options *options);
 void hf_free(struct hf *hf);
 void hf_set_limits(struct hf *hf, const struct hf_limits *limits);
-void hf_drain(struct hf *hf);
+void hf_drain(struct hf *hf, bool drain);
 void hf_close_idle(struct hf *hf);
 uint32_t hf_open_exchanges(const struct hf *hf);
 uint32_t hf_connections(const struct hf *hf);
--- a/src/route/pool.c
+++ b/src/route/pool.c
@@ -628,11 +628,12 @@
 }
 
 /*
- * Several servers of a data centre that can't be reached mean that it is cut
- * off: the rest of it is not tried one by one.
+ * A server that does not even refuse a connection, or several that can't be
+ * reached, may mean that their data centre is cut off: the rest of it is not
+ * tried one by one while there are others.
  */
 static void
-doubt_centre(struct pl *pl, uint16_t server, int64_t now_us)
+doubt_centre(struct pl *pl, uint16_t server, bool silent, int64_t now_us)
 {
 	struct centre *c =
 	    centre_of(pl, pl->servers[server].said.data_centre);
@@ -643,13 +644,13 @@
 		c->failures++;
 	c->last = server;
 	c->failed_us = now_us;
-	if (c->failures >= CENTRE_FAILURES)
+	if (silent || c->failures >= CENTRE_FAILURES)
 		c->down_until_us = now_us + CENTRE_DOWN_US;
 }
 
-/* No connection could be made, or it ended without an answer. */
+/* No connection could be made; silent: it was not even refused. */
 void
-pl_unreachable(struct pl *pl, uint16_t server, int64_t now_us)
+pl_unreachable(struct pl *pl, uint16_t server, bool silent, int64_t now_us)
 {
 	struct pl_server *s = &pl->servers[server];
 	int64_t wait_us = DOWN_FIRST_US;
@@ -660,7 +661,7 @@
 		s->failures++;
 	s->down_until_us =
 	    now_us + (wait_us < DOWN_MAX_US ? wait_us : DOWN_MAX_US);
-	doubt_centre(pl, server, now_us);
+	doubt_centre(pl, server, silent, now_us);
 }
 
 static double
--- a/src/route/pool.h
+++ b/src/route/pool.h
@@ -132,7 +132,8 @@
     uint16_t waiting, int64_t now_us);
 void pl_cold(
     struct pl *pl, uint16_t server, uint32_t cold_ms, int64_t now_us);
-void pl_unreachable(struct pl *pl, uint16_t server, int64_t now_us);
+void pl_unreachable(
+    struct pl *pl, uint16_t server, bool silent, int64_t now_us);
 void pl_outcome(struct pl *pl, uint16_t server, bool failed, int64_t now_us);
 void pl_full(struct pl *pl, uint16_t server, int64_t now_us);
 
--- a/src/state/cfgsync.h
+++ b/src/state/cfgsync.h
@@ -108,7 +108,7 @@
 	uint32_t period_ms; /* between HAVEs; 0: 1,000 */
 	uint32_t lease_ms; /* longest lease; 0: 5,000 */
 	bool disk; /* node: CY_PERSIST is wanted */
-	bool keen; /* node: asks four times as often when its lease is short */
+	bool keen; /* node: asks eight times as often when its lease is short */
 	/* For tests that show what each mechanism is for. */
 	bool unsafe_any_revision;
 	bool unsafe_lease_from_answer;
--- a/src/state/cfgsync_node.c
+++ b/src/state/cfgsync_node.c
@@ -156,7 +156,7 @@
 	/* A lease that runs out, or is over, is asked for more often. */
 	if (node->lease_until_us - now_us < cy_lease_us(&node->options) / 2 &&
 	    node->options.keen)
-		node->due_us = now_us + cy_period_us(&node->options) / 4;
+		node->due_us = now_us + cy_period_us(&node->options) / 8;
 	add_confirms(node, &msg);
 	for (uint32_t i = 0; i < node->upstream_count; i++)
 		cy_emit_send(&node->options, node->upstream[i], &msg);
--- a/test/unit/http_wire_test.cc
+++ b/test/unit/http_wire_test.cc
@@ -254,7 +254,7 @@
 
 TEST_F(Front, DrainingEndsConnectionsWithTheirAnswers)
 {
-	hf_drain(hf);
+	hf_drain(hf, true);
 	EXPECT_NE(std::string::npos,
 	    talk("GET / HTTP/1.1\r\nHost: a\r\n\r\n", "ok")
 		.find("Connection: close"));
--- a/test/unit/route_pool_test.cc
+++ b/test/unit/route_pool_test.cc
@@ -318,12 +318,34 @@
 		w.add("a" + std::to_string(i), "a");
 	for (int i = 0; i < 4; i++)
 		w.add("b" + std::to_string(i), "b");
-	pl_unreachable(w.pl, 4, w.now_us);
-	pl_unreachable(w.pl, 5, w.now_us);
+	pl_unreachable(w.pl, 4, false, w.now_us);
+	pl_unreachable(w.pl, 5, false, w.now_us);
 	for (int i = 0; i < 200; i++)
 		EXPECT_EQ('a', w.pick()[0]);
 }
 
+/* One that is silent is doubted with its data centre; one that refuses not. */
+TEST(Pool, ASilentServerCastsDoubtOnItsDataCentre)
+{
+	for (bool silent : {false, true}) {
+		PoolWorld w;
+		std::map<char, int> seen;
+
+		w.add("a0", "a");
+		w.add("b0", "b");
+		w.add("b1", "b");
+		pl_unreachable(w.pl, 1, silent, w.now_us);
+		for (int i = 0; i < 60; i++) {
+			struct pl_query q = w.query();
+
+			q.by_work = false;
+			pl_sent(w.pl, 0, 0, w.now_us);
+			seen[w.pick(q)[0]]++;
+		}
+		EXPECT_EQ(silent, seen['b'] == 0);
+	}
+}
+
 /* Whatever happened before, a choice is a server that may run the request. */
 RC_GTEST_PROP(Pool, ChoicesAreAllowed, ())
 {
@@ -340,7 +362,8 @@
 		w.now_us += *rc::gen::inRange(0, 500000);
 		switch (*rc::gen::inRange(0, 7)) {
 		case 0:
-			pl_unreachable(w.pl, at, w.now_us);
+			pl_unreachable(w.pl, at, *rc::gen::arbitrary<bool>(),
+			    w.now_us);
 			break;
 		case 1:
 			w.out("a", *rc::gen::arbitrary<bool>());
