--- a/src/gateway/settings.c
+++ b/src/gateway/settings.c
@@ -115,6 +115,14 @@
 	gs->session_ms = 5000;
 }
 
+/* Appends the names of all settings, a line each. */
+void
+gs_names(struct buf *out)
+{
+	for (size_t i = 0; i < SETTINGS; i++)
+		buf_addf(out, "%s\n", table[i].name);
+}
+
 static bool
 read_number(const char *text, uint32_t *out)
 {
--- a/src/gateway/settings.h
+++ b/src/gateway/settings.h
@@ -62,6 +62,7 @@
 int gs_reload(struct gs *gs, struct buf *why);
 int gs_read_line(struct gs *gs, const char *line, struct buf *why);
 void gs_defaults(struct gs *gs);
+void gs_names(struct buf *out);
 
 #ifdef __cplusplus
 }
--- a/test/unit/platform_test.cc
+++ b/test/unit/platform_test.cc
@@ -3,6 +3,8 @@
 #include "apr.h"
 #include <rapidcheck/gtest.h>
 
+#include <fstream>
+#include <sstream>
 #include <string>
 
 #include "base/err.h"
@@ -363,3 +365,24 @@
 	EXPECT_EQ(900u, gs.retry_permille);
 	EXPECT_TRUE(gs.bootstrap);
 }
+
+/* docs/OPERATIONS.md names every setting of the gateway. */
+TEST(GatewaySettings, AreAllOnTheOperatorsPage)
+{
+	std::ifstream file("docs/OPERATIONS.md");
+	std::stringstream page;
+	Text names;
+
+	page << file.rdbuf();
+	gs_names(&names.buf);
+	std::istringstream lines(names.str());
+	std::string name;
+	int count = 0;
+	while (std::getline(lines, name)) {
+		EXPECT_NE(std::string::npos,
+		    page.str().find("`" + name + "`"))
+		    << name;
+		count++;
+	}
+	EXPECT_GT(count, 20);
+}
