--- a/ctl/explain.c
+++ b/ctl/explain.c
@@ -16,12 +16,12 @@
 is_about(const char *line, const char *request)
 {
 	char wanted[REQUEST_BYTES];
-	size_t len = (size_t)snprintf(
-	    wanted, sizeof(wanted), " request=%s", request);
+	size_t len =
+	    (size_t)snprintf(wanted, sizeof(wanted), " request=%s", request);
 	const char *at = strstr(line, wanted);
 
-	return at != NULL && (at[len] == ' ' || at[len] == '\n' ||
-				 at[len] == '\0');
+	return at != NULL &&
+	       (at[len] == ' ' || at[len] == '\n' || at[len] == '\0');
 }
 
 /* Prints a line without the id that all of them have. */
@@ -49,8 +49,7 @@
 	int found = 0;
 
 	if (file == NULL)
-		return ctl_fail(
-		    CTL_REFUSED, "%s: %s", path, strerror(errno));
+		return ctl_fail(CTL_REFUSED, "%s: %s", path, strerror(errno));
 	while (getline(&line, &size, file) > 0) {
 		if (!is_about(line, request))
 			continue;
@@ -61,7 +60,7 @@
 	if (file != stdin)
 		fclose(file);
 	if (found == 0)
-		return ctl_fail(CTL_REFUSED, "no line about request %s",
-		    request);
+		return ctl_fail(
+		    CTL_REFUSED, "no line about request %s", request);
 	return CTL_OK;
 }
--- a/fakes/server/main.c
+++ b/fakes/server/main.c
@@ -91,8 +91,8 @@
 		free(s);
 		return;
 	}
-	n = snprintf(event, sizeof(event), "id: %d\ndata: %d\n\n", s->next,
-	    s->next);
+	n = snprintf(
+	    event, sizeof(event), "id: %d\ndata: %d\n\n", s->next, s->next);
 	hf_write(s->x, event, (size_t)n);
 	s->next++;
 	loop_after(loop, EVENT_US, on_event, s);
--- a/fuzz/fuzz_platform_call.c
+++ b/fuzz/fuzz_platform_call.c
@@ -27,8 +27,8 @@
 	buf_init(&body, alloc_default());
 	buf_init(&why, alloc_default());
 	buf_add(&body, data + 1, size - 1);
-	if (dialect->ops->read_call(dialect, calls[at].method,
-		calls[at].target, &body, &call, &why) == 0 &&
+	if (dialect->ops->read_call(dialect, calls[at].method, calls[at].target,
+		&body, &call, &why) == 0 &&
 	    call.kind == DL_ANNOUNCE &&
 	    (call.server.port == 0 || call.server.service[0] == '\0'))
 		__builtin_trap();
--- a/fuzz/fuzz_platform_document.c
+++ b/fuzz/fuzz_platform_document.c
@@ -6,7 +6,8 @@
 
 int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size);
 
-/* A document is either read whole, with its number, or refused with a reason. */
+/* A document is either read whole, with its number, or refused with a reason.
+ */
 int
 LLVMFuzzerTestOneInput(const uint8_t *data, size_t size)
 {
--- a/fuzz/fuzz_platform_headers.c
+++ b/fuzz/fuzz_platform_headers.c
@@ -31,8 +31,8 @@
 			size_t name = (size_t)(colon - data);
 
 			hh_parse_name(&hh, (const char *)data, name);
-			hh_parse_value(&hh, (const char *)colon + 1,
-			    len - name - 1);
+			hh_parse_value(
+			    &hh, (const char *)colon + 1, len - name - 1);
 		}
 		data += len + (end != NULL);
 		size -= len + (end != NULL);
--- a/src/base/log.c
+++ b/src/base/log.c
@@ -70,8 +70,7 @@
 	char line[LOG_PREFIX_BYTES * 2];
 	size_t n;
 
-	if (log_missing == log_missing_told ||
-	    log_used > LOG_BUFFER_BYTES / 2)
+	if (log_missing == log_missing_told || log_used > LOG_BUFFER_BYTES / 2)
 		return;
 	n = format_prefix(line, LOG_LEVEL_WARN, "log_lines_left_out");
 	n += (size_t)snprintf(line + n, sizeof(line) - n, "lines=%llu\n",
--- a/src/gateway/control.c
+++ b/src/gateway/control.c
@@ -125,8 +125,7 @@
 propose(struct gc *gc, struct hf_exchange *x, const char *what,
     const struct buf *change)
 {
-	gr_propose(gc->gw->replica, change, order_done,
-	    new_order(gc, x, what));
+	gr_propose(gc->gw->replica, change, order_done, new_order(gc, x, what));
 }
 
 static void
@@ -294,8 +293,8 @@
 	int error;
 
 	buf_init(&why, gc->gw->alloc);
-	error = dialect->ops->read_call(dialect, hf_method(x), hf_target(x),
-	    hf_body(x), &call, &why);
+	error = dialect->ops->read_call(
+	    dialect, hf_method(x), hf_target(x), hf_body(x), &call, &why);
 	if (error != 0) {
 		log_event(LOG_LEVEL_WARN, "call_refused",
 		    "method=%s error=%s why=\"%s\"", hf_method(x),
@@ -323,8 +322,7 @@
 on_refused(void *ctx, int error)
 {
 	(void)ctx;
-	log_event(LOG_LEVEL_WARN, "call_refused", "error=%s",
-	    err_name(error));
+	log_event(LOG_LEVEL_WARN, "call_refused", "error=%s", err_name(error));
 }
 
 static const struct hf_handler handler = {on_request, on_gone, on_refused};
--- a/src/gateway/entry.c
+++ b/src/gateway/entry.c
@@ -131,8 +131,8 @@
 void
 ge_server_down(struct ge *ge, uint16_t server)
 {
-	su_down(ge->suspects, server, loop_now_us(ge->gw->loop), note_crash,
-	    ge);
+	su_down(
+	    ge->suspects, server, loop_now_us(ge->gw->loop), note_crash, ge);
 }
 
 static void
@@ -210,8 +210,7 @@
 void
 ge_orders_changed(struct ge *ge)
 {
-	pl_configure(ge->pool,
-	    ge->table != NULL ? ge->table->routes : NULL,
+	pl_configure(ge->pool, ge->table != NULL ? ge->table->routes : NULL,
 	    gf_orders(ge->gw->follow));
 	hold_sessions(ge);
 	drop_outcomes(ge);
@@ -315,8 +314,8 @@
 	struct ge *ge = ctx;
 
 	ge->refusals->value++;
-	log_event(LOG_LEVEL_INFO, "request_unreadable", "error=%s",
-	    err_name(error));
+	log_event(
+	    LOG_LEVEL_INFO, "request_unreadable", "error=%s", err_name(error));
 }
 
 static const struct hf_handler front_handler = {
@@ -343,8 +342,7 @@
 
 	/* Callers on open connections move to other instances as well. */
 	hf_drain(ge->front, !ready);
-	if (!dialect->ops->is_ready_probe(
-		dialect, hf_method(x), hf_target(x)))
+	if (!dialect->ops->is_ready_probe(dialect, hf_method(x), hf_target(x)))
 		hf_answer(x, err_answer(ERR_NOT_FOUND)->http_status, NULL, 0,
 		    NULL, 0);
 	else
@@ -394,22 +392,22 @@
 {
 	struct metrics *m = ge->gw->metrics;
 
-	ge->requests = metrics_get(
-	    m, METRICS_COUNTER, "celeryford_requests_total", "");
-	ge->answers = metrics_get(
-	    m, METRICS_COUNTER, "celeryford_answers_total", "");
-	ge->refusals = metrics_get(
-	    m, METRICS_COUNTER, "celeryford_refusals_total", "");
-	ge->failures = metrics_get(
-	    m, METRICS_COUNTER, "celeryford_failures_total", "");
-	ge->repeats = metrics_get(
-	    m, METRICS_COUNTER, "celeryford_repeats_total", "");
-	ge->queue_us = metrics_get(
-	    m, METRICS_HISTOGRAM, "celeryford_queue_seconds", "");
+	ge->requests =
+	    metrics_get(m, METRICS_COUNTER, "celeryford_requests_total", "");
+	ge->answers =
+	    metrics_get(m, METRICS_COUNTER, "celeryford_answers_total", "");
+	ge->refusals =
+	    metrics_get(m, METRICS_COUNTER, "celeryford_refusals_total", "");
+	ge->failures =
+	    metrics_get(m, METRICS_COUNTER, "celeryford_failures_total", "");
+	ge->repeats =
+	    metrics_get(m, METRICS_COUNTER, "celeryford_repeats_total", "");
+	ge->queue_us =
+	    metrics_get(m, METRICS_HISTOGRAM, "celeryford_queue_seconds", "");
 	ge->first_us = metrics_get(
 	    m, METRICS_HISTOGRAM, "celeryford_first_byte_seconds", "");
-	ge->whole_us = metrics_get(
-	    m, METRICS_HISTOGRAM, "celeryford_answer_seconds", "");
+	ge->whole_us =
+	    metrics_get(m, METRICS_HISTOGRAM, "celeryford_answer_seconds", "");
 	ge->pass_us = metrics_get(
 	    m, METRICS_HISTOGRAM, "celeryford_event_pass_seconds", "");
 }
@@ -504,8 +502,8 @@
 	ge->suspects = su_new(gw->alloc);
 	ge->outcomes = ev_new(gw->alloc);
 	ge->marks = marks_new(gw->alloc, MARKS_MAX);
-	ge->sessions = se_new(
-	    gw->alloc, (int64_t)gw->settings->session_ms * 1000);
+	ge->sessions =
+	    se_new(gw->alloc, (int64_t)gw->settings->session_ms * 1000);
 	gw->entry = ge;
 	if (open_servers(ge) != 0) {
 		stop(gw);
--- a/src/gateway/exchange.c
+++ b/src/gateway/exchange.c
@@ -119,10 +119,11 @@
 	int64_t now_us = gx_now(gx);
 
 	gx_log(gx, LOG_LEVEL_INFO, "answered",
-	    "route=%s outcome=%s status=%u ms=%" PRId64
-	    " first_ms=%" PRId64 " sends=%u runs=%u may_have_run=%d "
-	    "document=%" PRIu64,  gx->route != NULL ? gx->route->name : "",
-	    outcome, status, (now_us - gx->arrived_us) / US_PER_MS,
+	    "route=%s outcome=%s status=%u ms=%" PRId64 " first_ms=%" PRId64
+	    " sends=%u runs=%u may_have_run=%d "
+	    "document=%" PRIu64,
+	    gx->route != NULL ? gx->route->name : "", outcome, status,
+	    (now_us - gx->arrived_us) / US_PER_MS,
 	    gx->first_us != 0 ? (gx->first_us - gx->arrived_us) / US_PER_MS
 			      : -1,
 	    gx->sends, gx->runs, gx->may_have_run,
@@ -200,8 +201,8 @@
 	if (patience > 0 && gx->now.progress_us + patience < at_us)
 		at_us = gx->now.progress_us + patience;
 	loop_cancel(gx->timer);
-	gx->timer = loop_after(
-	    gx->ge->gw->loop, at_us - gx_now(gx), on_timer, gx);
+	gx->timer =
+	    loop_after(gx->ge->gw->loop, at_us - gx_now(gx), on_timer, gx);
 }
 
 static void
@@ -259,8 +260,7 @@
 	gx->x = NULL;
 	if (gx->route != NULL && gx->route->kind == RT_ONCE &&
 	    gx->now.call != NULL) {
-		gx_log(gx, LOG_LEVEL_INFO, "caller_gone",
-		    "server=%s goes_on=1",
+		gx_log(gx, LOG_LEVEL_INFO, "caller_gone", "server=%s goes_on=1",
 		    pl_at(gx->ge->pool, gx->now.server)->said.id);
 		return;
 	}
@@ -359,10 +359,10 @@
 		gx_answer_error(gx, error, retry_ms);
 		return;
 	}
-	gx->priority = gx->workspace != NULL &&
-			       gx->workspace->priority != RT_PRIORITY_NONE
-			   ? gx->workspace->priority
-			   : gx->route->priority;
+	gx->priority =
+	    gx->workspace != NULL && gx->workspace->priority != RT_PRIORITY_NONE
+		? gx->workspace->priority
+		: gx->route->priority;
 	choose_target(gx);
 	gx_set_timer(gx);
 	gx_place(gx);
@@ -408,8 +408,8 @@
 	ge->open = gx;
 	hf_set_data(x, gx);
 	ge->requests->value++;
-	if (ge->gw->dialect->ops->read_request(ge->gw->dialect, hf_headers(x),
-		&gx->request) != 0) {
+	if (ge->gw->dialect->ops->read_request(
+		ge->gw->dialect, hf_headers(x), &gx->request) != 0) {
 		gx->deadline_us = gx->arrived_us + UNKNOWN_LEFT_MS * US_PER_MS;
 		gx_answer_error(gx, ERR_MALFORMED, 0);
 		return;
--- a/src/gateway/exchange_answer.c
+++ b/src/gateway/exchange_answer.c
@@ -26,8 +26,8 @@
 static struct vd_counts *
 version_counts(struct gx *gx)
 {
-	const struct ord_rollout *rollout = ord_rollout_of(
-	    gf_orders(gx->ge->gw->follow), gx->target->name);
+	const struct ord_rollout *rollout =
+	    ord_rollout_of(gf_orders(gx->ge->gw->follow), gx->target->name);
 	struct ev_row *row;
 
 	if (rollout == NULL || rollout->state >= ORD_COMPLETED)
@@ -113,9 +113,9 @@
 		return false;
 	gx->model = next;
 	gx_log(gx, LOG_LEVEL_INFO, "escalate",
-	    "confidence=%d model=%s spent_ms=%" PRId64
-	    " expected_ms=%" PRId64,  confidence, gx->route->models[gx->model],
-	    in.spent_us / US_PER_MS, in.expected_us / US_PER_MS);
+	    "confidence=%d model=%s spent_ms=%" PRId64 " expected_ms=%" PRId64,
+	    confidence, gx->route->models[gx->model], in.spent_us / US_PER_MS,
+	    in.expected_us / US_PER_MS);
 	return true;
 }
 
@@ -133,8 +133,7 @@
 	dialect->ops->read_answer(dialect, headers, &answer);
 	if (answer.id != NULL && gx->request.id[0] != '\0' &&
 	    strcmp(answer.id, gx->request.id) != 0) {
-		gx_log(gx, LOG_LEVEL_WARN, "answer_of_another",
-		    "server=%s", 
+		gx_log(gx, LOG_LEVEL_WARN, "answer_of_another", "server=%s",
 		    pl_at(ge->pool, gx->now.server)->said.id);
 		return HU_NOT_OURS;
 	}
@@ -151,8 +150,7 @@
 		pl_load(ge->pool, gx->now.server, answer.running,
 		    answer.waiting, now_us);
 	if (answer.has_cold)
-		pl_cold(
-		    ge->pool, gx->now.server, answer.cold_ms, now_us);
+		pl_cold(ge->pool, gx->now.server, answer.cold_ms, now_us);
 	if (!gx->now.not_run)
 		note_answer(gx, status >= 500);
 	if (status < 300 &&
@@ -245,8 +243,7 @@
 
 	buf_add(&gx->body, data, len);
 	while ((n = whole_event(&gx->body)) > 0) {
-		bool has_id =
-		    event_id((const char *)gx->body.data, n, &id);
+		bool has_id = event_id((const char *)gx->body.data, n, &id);
 
 		/* A run that goes on may repeat what the caller has. */
 		if (!(has_id && gx->has_event && id <= gx->last_event)) {
@@ -318,8 +315,8 @@
 	if (result->error == 0 || gx->now.answered)
 		su_answered(ge->suspects, gx->now.server);
 	else if (end == CS_BROKEN && result->closed)
-		su_broken(ge->suspects, gx->now.server, gx->fingerprint,
-		    now_us);
+		su_broken(
+		    ge->suspects, gx->now.server, gx->fingerprint, now_us);
 	if (end == CS_UNREACHABLE) {
 		pl_unreachable(ge->pool, gx->now.server,
 		    result->error == ERR_TIMEOUT, now_us);
@@ -398,9 +395,10 @@
 	if (end != CS_ANSWERED)
 		gx_log(gx, LOG_LEVEL_INFO, "attempt_failed",
 		    "server=%s end=%d status=%u error=%s sent=%d "
-		    "closed=%d reused=%d ms=%" PRId64,  pl_at(ge->pool, gx->now.server)->said.id,
-		    end, result->status, err_name(result->error),
-		    result->sent, result->closed, result->reused,
+		    "closed=%d reused=%d ms=%" PRId64,
+		    pl_at(ge->pool, gx->now.server)->said.id, end,
+		    result->status, err_name(result->error), result->sent,
+		    result->closed, result->reused,
 		    (gx_now(gx) - gx->now.sent_us) / US_PER_MS);
 	if (gx->x == NULL) {
 		gx_free(gx);
--- a/src/gateway/exchange_send.c
+++ b/src/gateway/exchange_send.c
@@ -12,7 +12,8 @@
 
 enum {
 	EXPOSURE_PERCENT = 90, /* of what a bad version may get */
-	PLAIN_WAITING = 6 /* requests that may wait at a plain service's server */
+	PLAIN_WAITING =
+	    6 /* requests that may wait at a plain service's server */
 };
 
 /* Hash of the prompt prefix that other requests share; 0: none. */
@@ -41,8 +42,8 @@
 static bool
 rollout_runs(const struct gx *gx)
 {
-	const struct ord_rollout *rollout = ord_rollout_of(
-	    gf_orders(gx->ge->gw->follow), gx->target->name);
+	const struct ord_rollout *rollout =
+	    ord_rollout_of(gf_orders(gx->ge->gw->follow), gx->target->name);
 
 	return rollout != NULL && rollout->state == ORD_RUNNING;
 }
@@ -103,15 +104,14 @@
 	struct pl_query query = {.service = gx->target->name,
 	    .by_work = gx->target->is_engine,
 	    .affinity = affinity_of(gx, model),
-	    .slots_more = gx->target->is_engine ? gx->target->slots / 2
-						    : PLAIN_WAITING};
+	    .slots_more =
+		gx->target->is_engine ? gx->target->slots / 2 : PLAIN_WAITING};
 	const struct pc *pace = &gx->service->paces[model];
 	bool bound;
 
 	query.role = role_of(gx, &bound);
 	query.any_role = !bound;
-	query.trial_permille =
-	    gx->ge->gw->settings->exposure_permille;
+	query.trial_permille = gx->ge->gw->settings->exposure_permille;
 	if (query.by_work)
 		query.work_ms = pc_work_ms(pace, gx->request.prompt_tokens);
 	if (query.affinity != 0)
@@ -128,8 +128,8 @@
 	int64_t left_ms = (gx->deadline_us - gx_now(gx)) / US_PER_MS;
 	const struct buf *body = hf_body(gx->x);
 	const char *method = hf_method(gx->x);
-	struct dl_send send = {.deadline_ms =
-				   left_ms > 0 ? (uint32_t)left_ms : 0,
+	struct dl_send send = {
+	    .deadline_ms = left_ms > 0 ? (uint32_t)left_ms : 0,
 	    .server = server->said.id,
 	    .workspace = gx->workspace != NULL ? gx->workspace->name : NULL,
 	    .model = model_of(gx),
@@ -159,8 +159,7 @@
 	    .handler = &gx_call_handler,
 	    .ctx = gx};
 
-	gx->now = (struct gx_attempt){
-	    .server = server,
+	gx->now = (struct gx_attempt){.server = server,
 	    .role = s->role,
 	    .sent_us = now_us,
 	    .progress_us = now_us};
@@ -173,9 +172,10 @@
 		gx->tried[gx->tried_count++] = server;
 	gx_log(gx, LOG_LEVEL_INFO, "dispatch",
 	    "route=%s server=%s send=%u role=%d load=%u+%u "
-	    "in_flight=%u left_ms=%" PRId64 " document=%" PRIu64,  gx->route->name, s->said.id, gx->sends, s->role,
-	    s->running, s->waiting, s->in_flight,
-	    (gx->deadline_us - now_us) / US_PER_MS, gx->table->number);
+	    "in_flight=%u left_ms=%" PRId64 " document=%" PRIu64,
+	    gx->route->name, s->said.id, gx->sends, s->role, s->running,
+	    s->waiting, s->in_flight, (gx->deadline_us - now_us) / US_PER_MS,
+	    gx->table->number);
 	buf_init(&head, ge->gw->alloc);
 	write_head(gx, s, &head);
 	if (query->by_work) {
@@ -213,8 +213,8 @@
 	if (gx->begun)
 		gx_cut(gx);
 	else
-		gx_answer_error(gx, gx->may_have_run ? ERR_UPSTREAM : error,
-		    retry_ms);
+		gx_answer_error(
+		    gx, gx->may_have_run ? ERR_UPSTREAM : error, retry_ms);
 }
 
 /* Places the request, or has it wait for a server. */
@@ -297,8 +297,8 @@
 	const struct pl_server *s = pl_at(ge->pool, gx->now.server);
 
 	gx_log(gx, LOG_LEVEL_WARN, "attempt_silent",
-	    "server=%s begun=%d silent_ms=%" PRId64
-	    " expected_ms=%.0f",  s->said.id, gx->begun,
+	    "server=%s begun=%d silent_ms=%" PRId64 " expected_ms=%.0f",
+	    s->said.id, gx->begun,
 	    (gx_now(gx) - gx->now.progress_us) / US_PER_MS,
 	    gx->now.expected_ms);
 	gx->may_have_run |= hu_was_sent(gx->now.call);
--- a/src/gateway/follow.c
+++ b/src/gateway/follow.c
@@ -67,7 +67,8 @@
 	case CY_ISOLATED:
 		log_event(LOG_LEVEL_WARN, "isolated",
 		    "revision=%" PRIu64 " why=\"no leader has confirmed it in "
-		    "time\"", action->revision);
+		    "time\"",
+		    action->revision);
 		break;
 	case CY_REJOINED:
 		log_event(LOG_LEVEL_INFO, "rejoined", "revision=%" PRIu64,
@@ -93,8 +94,7 @@
 static void
 set_tick(struct gf *gf)
 {
-	int64_t wait_us =
-	    cy_node_due_us(gf->node) - loop_now_us(gf->gw->loop);
+	int64_t wait_us = cy_node_due_us(gf->node) - loop_now_us(gf->gw->loop);
 
 	loop_cancel(gf->tick);
 	if (wait_us < 1000)
--- a/src/gateway/judge.c
+++ b/src/gateway/judge.c
@@ -69,9 +69,10 @@
 	    "base_slow_gaps=%u worse_on=%s",
 	    rollout->service, rollout->target, rollout->state,
 	    input->elapsed_ms, input->fresh.answers, input->fresh.failures,
-	    input->fresh.errors, input->fresh.slow, input->fresh.gaps, input->fresh.slow_gaps,
-	    input->known.answers, input->known.failures, input->known.slow,
-	    input->known.gaps, input->known.slow_gaps, route);
+	    input->fresh.errors, input->fresh.slow, input->fresh.gaps,
+	    input->fresh.slow_gaps, input->known.answers, input->known.failures,
+	    input->known.slow, input->known.gaps, input->known.slow_gaps,
+	    route);
 	gj->finishing_us = 0;
 	gj->proposing = true;
 	buf_init(&change, gj->gw->alloc);
@@ -116,8 +117,8 @@
 		const struct ord_rollout *rollout = ord_rollout_at(ord, i);
 
 		if (rollout->state >= ORD_COMPLETED)
-			ev_drop(gj->evidence, rollout->service,
-			    rollout->target);
+			ev_drop(
+			    gj->evidence, rollout->service, rollout->target);
 		else if (!gj->proposing && gr_is_current(gj->gw->replica))
 			judge(gj, rollout);
 	}
--- a/src/gateway/judge.h
+++ b/src/gateway/judge.h
@@ -10,7 +10,7 @@
 
 /* The judgement of roll-outs, at every instance with a replica. */
 struct sup_child_spec gw_child_judge(struct gw *gw);
-void gj_report(struct gj *gj, const struct ev_row *row);
+void gj_report(struct gj *gj, const struct ev_row *said);
 
 #ifdef __cplusplus
 }
--- a/src/gateway/links.c
+++ b/src/gateway/links.c
@@ -98,9 +98,8 @@
 {
 	struct in_addr address;
 
-	return inet_pton(AF_INET, text, &address) == 1
-		   ? ntohl(address.s_addr)
-		   : 0;
+	return inet_pton(AF_INET, text, &address) == 1 ? ntohl(address.s_addr)
+						       : 0;
 }
 
 /* Sends a message to an instance; best effort. */
@@ -117,10 +116,8 @@
 	if (peer_send(links->hub, name, channel, bytes->data,
 		(uint32_t)bytes->len) != ERR_NOT_FOUND)
 		return;
-	peer_add(
-	    links->hub, name, name, (uint16_t)gw->settings->link_port);
-	peer_send(links->hub, name, channel, bytes->data,
-	    (uint32_t)bytes->len);
+	peer_add(links->hub, name, name, (uint16_t)gw->settings->link_port);
+	peer_send(links->hub, name, channel, bytes->data, (uint32_t)bytes->len);
 }
 
 static struct known *
@@ -204,8 +201,8 @@
 	for (uint32_t i = 0; i < links->known_count; i++)
 		links->known[i].seed = false;
 	for (uint32_t i = 0; i < gw->settings->seed_count; i++) {
-		struct known *k = get_known(
-		    links, address_of(gw->settings->seeds[i].host));
+		struct known *k =
+		    get_known(links, address_of(gw->settings->seeds[i].host));
 
 		if (k != NULL)
 			k->seed = true;
@@ -257,8 +254,7 @@
 		uint32_t a = (k->instance ^ links->gw->self) * 2654435761U;
 		uint32_t b = (instance ^ links->gw->self) * 2654435761U;
 
-		if (k->instance != instance &&
-		    k->instance != links->gw->self &&
+		if (k->instance != instance && k->instance != links->gw->self &&
 		    now_us - k->heard_us < ALIVE_US && a < b)
 			before++;
 	}
@@ -469,8 +465,7 @@
 		const struct known *k = &links->known[i];
 
 		if (k->instance == links->gw->self ||
-		    (k->heard_us != 0 &&
-			news.now_us - k->heard_us < ALIVE_US))
+		    (k->heard_us != 0 && news.now_us - k->heard_us < ALIVE_US))
 			news.control[news.pb.n_control++] = k->instance;
 	}
 	news.pb.control = news.control;
@@ -576,8 +571,8 @@
 	/* An instance without subscribers tells those that have some. */
 	if (gw->control == NULL) {
 		loop_cancel(links->hello);
-		links->hello = loop_after(
-		    gw->loop, PUSH_URGENT_US, on_hello_timer, links);
+		links->hello =
+		    loop_after(gw->loop, PUSH_URGENT_US, on_hello_timer, links);
 	}
 }
 
@@ -593,8 +588,7 @@
 }
 
 static void
-take_outcomes(
-    struct gw_links *links, uint32_t from, const Clpb__Hello *hello)
+take_outcomes(struct gw_links *links, uint32_t from, const Clpb__Hello *hello)
 {
 	if (links->gw->judge == NULL)
 		return;
@@ -615,8 +609,8 @@
 }
 
 static void
-on_hello(struct gw_links *links, uint32_t from, const uint8_t *data,
-    uint32_t len)
+on_hello(
+    struct gw_links *links, uint32_t from, const uint8_t *data, uint32_t len)
 {
 	Clpb__Hello *hello = clpb__hello__unpack(NULL, len, data);
 	struct seen *s = get_seen(links, from);
--- a/src/gateway/loads.c
+++ b/src/gateway/loads.c
@@ -17,7 +17,8 @@
 	struct gw *gw;
 	struct ld *entries; /* what entry instances report here */
 	struct ld *sums; /* what the others that serve control have summed */
-	uint32_t listeners[LISTENERS_MAX]; /* entry instances that report here */
+	uint32_t
+	    listeners[LISTENERS_MAX]; /* entry instances that report here */
 	int64_t heard_us[LISTENERS_MAX];
 	uint32_t listener_count;
 	bool was_empty; /* the last report said that nothing is under way */
@@ -53,8 +54,7 @@
 report_own(struct gl *gl)
 {
 	static struct ld_load loads[LD_SERVERS_MAX];
-	size_t count =
-	    pl_own_loads(gl->gw->entry->pool, loads, LD_SERVERS_MAX);
+	size_t count = pl_own_loads(gl->gw->entry->pool, loads, LD_SERVERS_MAX);
 	uint32_t to = gw_nearest_control(gl->gw);
 
 	if (to != 0 && !(count == 0 && gl->was_empty))
@@ -119,8 +119,8 @@
 	static struct ld_load loads[LD_SERVERS_MAX];
 	uint32_t control[64];
 	uint32_t n = gw_control_instances(gl->gw, control, 64);
-	size_t count = ld_sum(gl->entries, 0, loop_now_us(gl->gw->loop), loads,
-	    LD_SERVERS_MAX);
+	size_t count = ld_sum(
+	    gl->entries, 0, loop_now_us(gl->gw->loop), loads, LD_SERVERS_MAX);
 
 	if (count == 0 && gl->was_empty)
 		return;
--- a/src/gateway/main.c
+++ b/src/gateway/main.c
@@ -91,16 +91,15 @@
 	int64_t now_us = loop_now_us(p->gw.loop);
 	int64_t wall_us = clock_wall_us();
 	int64_t slept_us = now_us - p->clock_us - CLOCK_US;
-	int64_t stepped_us =
-	    (wall_us - p->wall_us) - (now_us - p->clock_us);
+	int64_t stepped_us = (wall_us - p->wall_us) - (now_us - p->clock_us);
 
 	if (p->clock_us != 0 && slept_us > CLOCK_SLACK_US)
-		log_event(LOG_LEVEL_WARN, "suspended",
-		    "ms=%" PRId64, slept_us / 1000);
-	if (p->clock_us != 0 && (stepped_us > CLOCK_SLACK_US ||
-				    stepped_us < -CLOCK_SLACK_US))
-		log_event(LOG_LEVEL_WARN, "time_of_day_stepped",
-		    "ms=%" PRId64, stepped_us / 1000);
+		log_event(LOG_LEVEL_WARN, "suspended", "ms=%" PRId64,
+		    slept_us / 1000);
+	if (p->clock_us != 0 &&
+	    (stepped_us > CLOCK_SLACK_US || stepped_us < -CLOCK_SLACK_US))
+		log_event(LOG_LEVEL_WARN, "time_of_day_stepped", "ms=%" PRId64,
+		    stepped_us / 1000);
 	p->clock_us = now_us;
 	p->wall_us = wall_us;
 	loop_after(p->gw.loop, CLOCK_US, on_clock, p);
@@ -136,19 +135,16 @@
 {
 	struct process *p = ctx;
 	int64_t now_us = loop_now_us(p->gw.loop);
-	int64_t end_us =
-	    p->stopping_us +
-	    ((int64_t)p->settings.grace_ms - END_MARGIN_MS) * 1000;
-	uint32_t open =
-	    p->gw.entry != NULL ? ge_open_requests(p->gw.entry) : 0;
+	int64_t end_us = p->stopping_us +
+			 ((int64_t)p->settings.grace_ms - END_MARGIN_MS) * 1000;
+	uint32_t open = p->gw.entry != NULL ? ge_open_requests(p->gw.entry) : 0;
 
 	if (p->gw.entry != NULL && now_us - p->stopping_us >= QUIET_US) {
 		p->idle_closed = true;
 		ge_refuse_new(p->gw.entry);
 	}
 	if (now_us >= end_us || (p->idle_closed && open == 0) ||
-	    (p->gw.entry == NULL &&
-		now_us - p->stopping_us >= DRAIN_TICK_US)) {
+	    (p->gw.entry == NULL && now_us - p->stopping_us >= DRAIN_TICK_US)) {
 		log_event(LOG_LEVEL_INFO, "stop", "open=%u", open);
 		loop_stop(p->gw.loop);
 		return;
@@ -163,8 +159,8 @@
 		return;
 	p->gw.stopping = true;
 	p->stopping_us = loop_now_us(p->gw.loop);
-	log_event(LOG_LEVEL_INFO, "stopping", "grace_ms=%u",
-	    p->settings.grace_ms);
+	log_event(
+	    LOG_LEVEL_INFO, "stopping", "grace_ms=%u", p->settings.grace_ms);
 	if (p->gw.entry != NULL)
 		ge_drain(p->gw.entry);
 	if (p->gw.replica != NULL)
@@ -179,8 +175,8 @@
 	struct signalfd_siginfo info;
 
 	(void)events;
-	while (read(p->signal_fd, &info, sizeof(info)) ==
-	       (ssize_t)sizeof(info)) {
+	while (
+	    read(p->signal_fd, &info, sizeof(info)) == (ssize_t)sizeof(info)) {
 		if (info.ssi_signo == SIGHUP)
 			reload(p);
 		else
@@ -200,8 +196,8 @@
 	sigprocmask(SIG_BLOCK, &set, NULL);
 	signal(SIGPIPE, SIG_IGN);
 	p->signal_fd = signalfd(-1, &set, SFD_NONBLOCK | SFD_CLOEXEC);
-	p->signals = loop_watch(
-	    p->gw.loop, p->signal_fd, LOOP_READ, on_signal, p);
+	p->signals =
+	    loop_watch(p->gw.loop, p->signal_fd, LOOP_READ, on_signal, p);
 }
 
 static void
@@ -225,8 +221,8 @@
 	    .failed = child_failed,
 	    .ctx = p};
 	struct sup_child_spec children[] = {gw_child_links(gw),
-	    gw_child_replica(gw), gw_child_follow(gw), gw_child_control(gw), gw_child_judge(gw),
-	    gw_child_entry(gw), gw_child_metrics(gw)};
+	    gw_child_replica(gw), gw_child_follow(gw), gw_child_control(gw),
+	    gw_child_judge(gw), gw_child_entry(gw), gw_child_metrics(gw)};
 
 	gw->sup = sup_new(&options);
 	for (size_t i = 0; i < sizeof(children) / sizeof(children[0]); i++)
--- a/src/gateway/replica.c
+++ b/src/gateway/replica.c
@@ -14,7 +14,8 @@
 #include "state/rlog.h"
 
 enum {
-	/* A leader is missed soon: what needs a fresh lease waits for the next. */
+	/* A leader is missed soon: what needs a fresh lease waits for the next.
+	 */
 	HEARTBEAT_US = 120000,
 	LOG_LEASE_US = 350000,
 	ELECTION_MIN_US = 450000,
@@ -148,8 +149,8 @@
 {
 	if (ord_restore(gr->ord, action->u.restore.data, action->u.restore.len,
 		loop_now_us(gr->gw->loop), clock_wall_us()) != 0)
-		log_event(LOG_LEVEL_ERROR, "image_unreadable",
-		    "index=%" PRIu64, action->u.restore.index);
+		log_event(LOG_LEVEL_ERROR, "image_unreadable", "index=%" PRIu64,
+		    action->u.restore.index);
 	else if (ord_revision(gr->ord) > 0)
 		publish(gr, true);
 }
@@ -160,8 +161,8 @@
 	struct record record = {.number = action->u.persist.number};
 
 	if (gr->record_count == gr->record_size) {
-		gr->record_size = gr->record_size > 0 ? gr->record_size * 2
-						      : 64;
+		gr->record_size =
+		    gr->record_size > 0 ? gr->record_size * 2 : 64;
 		gr->records = alloc_resize(gr->gw->alloc, gr->records,
 		    gr->record_size * sizeof(*gr->records));
 	}
@@ -204,9 +205,10 @@
 
 	if (action->u.leader.instance != RL_NO_INSTANCE)
 		gw_address_text((uint32_t)action->u.leader.instance, name);
-	log_event(LOG_LEVEL_INFO, "leader", "term=%" PRIu64 " instance=%s "
-	    "is_self=%d", action->u.leader.term, name,
-	    action->u.leader.is_self);
+	log_event(LOG_LEVEL_INFO, "leader",
+	    "term=%" PRIu64 " instance=%s "
+	    "is_self=%d",
+	    action->u.leader.term, name, action->u.leader.is_self);
 }
 
 static void
@@ -347,8 +349,7 @@
 	gr->reopen = NULL;
 	if (open_replica(gr) != 0) {
 		close_replica(gr);
-		gr->reopen =
-		    loop_after(gr->gw->loop, REOPEN_US, on_reopen, gr);
+		gr->reopen = loop_after(gr->gw->loop, REOPEN_US, on_reopen, gr);
 		return;
 	}
 	log_event(LOG_LEVEL_INFO, "data_folder_regained", "folder=%s",
@@ -422,8 +423,8 @@
 	for (uint32_t i = 0; i < gw->settings->seed_count; i++) {
 		struct in_addr address;
 
-		if (inet_pton(AF_INET, gw->settings->seeds[i].host,
-			&address) == 1)
+		if (inet_pton(AF_INET, gw->settings->seeds[i].host, &address) ==
+		    1)
 			out[count++] = ntohl(address.s_addr);
 	}
 	return count;
@@ -445,8 +446,8 @@
 		records++;
 	}
 	if (more == 0)
-		log_event(LOG_LEVEL_INFO, "replayed", "records=%" PRIu64,
-		    records);
+		log_event(
+		    LOG_LEVEL_INFO, "replayed", "records=%" PRIu64, records);
 	return more;
 }
 
@@ -500,8 +501,8 @@
 		    err_name(error));
 		return error;
 	}
-	gr->watch = loop_watch(
-	    gw->loop, jn_fd(gr->jn), LOOP_READ, on_durable, gr);
+	gr->watch =
+	    loop_watch(gw->loop, jn_fd(gr->jn), LOOP_READ, on_durable, gr);
 	gr->tick = loop_after(gw->loop, SNAPSHOT_TICK_US, on_tick, gr);
 	rl_start(gr->rl, loop_now_us(gw->loop));
 	gr_known(gr, gr->known, gr->known_count);
@@ -646,7 +647,8 @@
 bool
 gr_is_current(const struct gr *gr)
 {
-	return gr->rl != NULL && rl_lease_until_us(gr->rl) > clock_monotonic_us();
+	return gr->rl != NULL &&
+	       rl_lease_until_us(gr->rl) > clock_monotonic_us();
 }
 
 /* Whether this replica leads, as far as it knows. */
@@ -660,8 +662,8 @@
 uint32_t
 gr_leader(const struct gr *gr)
 {
-	uint64_t leader = gr->rl != NULL ? rl_leader(gr->rl)
-					 : (uint64_t)RL_NO_INSTANCE;
+	uint64_t leader =
+	    gr->rl != NULL ? rl_leader(gr->rl) : (uint64_t)RL_NO_INSTANCE;
 
 	return leader == RL_NO_INSTANCE ? 0 : (uint32_t)leader;
 }
@@ -726,8 +728,7 @@
 	buf_init(&gr->image, gw->alloc);
 	buf_init(&gr->base.text, gw->alloc);
 	gw->replica = gr;
-	gr->known_count =
-	    gw_control_instances(gw, gr->known, RL_INSTANCES_MAX);
+	gr->known_count = gw_control_instances(gw, gr->known, RL_INSTANCES_MAX);
 	if (open_replica(gr) != 0)
 		lose_folder(gr);
 	return 0;
--- a/src/gateway/settings.c
+++ b/src/gateway/settings.c
@@ -33,11 +33,15 @@
 	const char *doc;
 };
 
-#define TEXT(name, field, doc)                                                 \
-	{name, SETTING_TEXT, offsetof(struct gs, field),                       \
-	    sizeof(((struct gs *)0)->field), doc}
-#define OTHER(name, type, field, doc)                                          \
-	{name, type, offsetof(struct gs, field), 0, doc}
+#define TEXT(name, field, doc)                                  \
+	{                                                       \
+		name, SETTING_TEXT, offsetof(struct gs, field), \
+		    sizeof(((struct gs *)0)->field), doc        \
+	}
+#define OTHER(name, type, field, doc)                          \
+	{                                                      \
+		name, type, offsetof(struct gs, field), 0, doc \
+	}
 
 static const struct setting table[] = {
     TEXT("settings", settings, "file with more settings, a line each"),
@@ -290,8 +294,8 @@
 		return 0;
 	file = fopen(gs->settings, "re");
 	if (file == NULL) {
-		buf_addf(why, "settings: \"%s\": %s", gs->settings,
-		    strerror(errno));
+		buf_addf(
+		    why, "settings: \"%s\": %s", gs->settings, strerror(errno));
 		return ERR_SETTING;
 	}
 	while (error == 0 && fgets(line, sizeof(line), file) != NULL)
@@ -309,9 +313,8 @@
 		const char *value;
 
 		for (const char *c = table[i].name; *c != '\0'; c++)
-			name[n++] = *c == '-'
-					? '_'
-					: (char)toupper((unsigned char)*c);
+			name[n++] =
+			    *c == '-' ? '_' : (char)toupper((unsigned char)*c);
 		name[n] = '\0';
 		value = getenv(name);
 		if (value != NULL && set_value(gs, &table[i], value, why) != 0)
@@ -343,8 +346,8 @@
 }
 
 static void
-parse_flags(struct gs *gs, int argc, char **argv, bool only_file,
-    struct buf *why)
+parse_flags(
+    struct gs *gs, int argc, char **argv, bool only_file, struct buf *why)
 {
 	struct argp_option options[SETTINGS + 1] = {{0}};
 	struct argp argp = {options, parse_option, NULL,
@@ -375,8 +378,7 @@
 	else if (gs->listen.host[0] == '\0' &&
 		 gs->control_listen.host[0] == '\0')
 		buf_adds(why, "listen or control-listen is needed");
-	else if (gs->control_listen.host[0] != '\0' &&
-		 gs->data_dir[0] == '\0')
+	else if (gs->control_listen.host[0] != '\0' && gs->data_dir[0] == '\0')
 		buf_adds(why, "control-listen needs a data-dir");
 	else
 		return 0;
--- a/src/http/front.c
+++ b/src/http/front.c
@@ -116,7 +116,8 @@
 {
 	int events = 0;
 
-	if (!x->eof && (x->state != CONN_BUSY || x->in.len < HF_AHEAD_MAX_BYTES))
+	if (!x->eof &&
+	    (x->state != CONN_BUSY || x->in.len < HF_AHEAD_MAX_BYTES))
 		events |= LOOP_READ;
 	if (x->out.len > 0)
 		events |= LOOP_WRITE;
@@ -175,8 +176,7 @@
 
 	hh_finish(&x->headers);
 	x->headers_done = true;
-	if (!hh_is_sound(&x->headers) ||
-	    hh_count(&x->headers, "Host") > 1)
+	if (!hh_is_sound(&x->headers) || hh_count(&x->headers, "Host") > 1)
 		x->refusal = ERR_MALFORMED;
 	else if (header_bytes(x) > limits->header_max_bytes)
 		x->refusal = ERR_HEADER;
@@ -279,8 +279,8 @@
 		x->started = true;
 		x->since_us = loop_now_us(x->hf->options.loop);
 	}
-	taken = http_parser_execute(&x->parser, &parser_settings,
-	    (const char *)x->in.data, x->in.len);
+	taken = http_parser_execute(
+	    &x->parser, &parser_settings, (const char *)x->in.data, x->in.len);
 	problem = HTTP_PARSER_ERRNO(&x->parser);
 	if (x->complete) {
 		buf_consume(&x->in, taken);
@@ -288,15 +288,15 @@
 		return;
 	}
 	buf_clear(&x->in);
+	if (x->refusal == 0 &&
+	    (problem == HPE_HEADER_OVERFLOW ||
+		(!x->headers_done &&
+		    header_bytes(x) > x->hf->options.limits.header_max_bytes)))
+		x->refusal = ERR_HEADER;
 	if (x->refusal != 0)
 		refuse(x, x->refusal);
-	else if (problem == HPE_HEADER_OVERFLOW)
-		refuse(x, ERR_HEADER);
 	else if (problem != HPE_OK || x->parser.upgrade)
 		refuse(x, ERR_MALFORMED);
-	else if (!x->headers_done &&
-		 header_bytes(x) > x->hf->options.limits.header_max_bytes)
-		refuse(x, ERR_HEADER);
 	else if (x->continue_due) {
 		x->continue_due = false;
 		buf_adds(&x->out, "HTTP/1.1 100 Continue\r\n\r\n");
@@ -332,8 +332,7 @@
 flush(struct hf_exchange *x)
 {
 	while (x->out.len > 0) {
-		ssize_t n =
-		    send(x->fd, x->out.data, x->out.len, MSG_NOSIGNAL);
+		ssize_t n = send(x->fd, x->out.data, x->out.len, MSG_NOSIGNAL);
 
 		if (n < 0 && errno == EINTR)
 			continue;
@@ -378,8 +377,8 @@
 		return;
 	}
 	setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof(one));
-	setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout_ms,
-	    sizeof(timeout_ms));
+	setsockopt(
+	    fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout_ms, sizeof(timeout_ms));
 	x = alloc_zero(hf->options.alloc, 1, sizeof(*x));
 	x->hf = hf;
 	x->fd = fd;
@@ -639,8 +638,8 @@
 {
 	add_status(x, status);
 	for (size_t i = 0; i < count; i++)
-		buf_addf(&x->out, "%s: %s\r\n", headers[i].name,
-		    headers[i].value);
+		buf_addf(
+		    &x->out, "%s: %s\r\n", headers[i].name, headers[i].value);
 	buf_addf(&x->out, "Content-Length: %zu\r\n\r\n", len);
 	if (!x->is_head)
 		buf_add(&x->out, body, len);
@@ -668,8 +667,8 @@
 	else if (chunked)
 		buf_adds(&x->out, "\r\n");
 	else
-		buf_addf(&x->out, "Content-Length: %zu\r\n\r\n",
-		    content_length);
+		buf_addf(
+		    &x->out, "Content-Length: %zu\r\n\r\n", content_length);
 }
 
 /* Passes a part of the body on at once. */
--- a/src/http/headers.c
+++ b/src/http/headers.c
@@ -29,7 +29,8 @@
 	hh->overflow = false;
 }
 
-/* Takes a part of a field's name; the first one after a value begins a field. */
+/* Takes a part of a field's name; the first one after a value begins a field.
+ */
 void
 hh_parse_name(struct hh *hh, const char *data, size_t len)
 {
--- a/src/http/upstream.c
+++ b/src/http/upstream.c
@@ -261,8 +261,8 @@
 	} else if (c->call->refusal != 0) {
 		conn_failed(c, c->call->refusal, false);
 	} else if (eof) {
-		conn_failed(c, c->call->status != 0 ? ERR_UPSTREAM_CUT
-						    : ERR_UPSTREAM,
+		conn_failed(c,
+		    c->call->status != 0 ? ERR_UPSTREAM_CUT : ERR_UPSTREAM,
 		    true);
 	} else if (HTTP_PARSER_ERRNO(&c->parser) != HPE_OK ||
 		   c->parser.upgrade) {
@@ -284,8 +284,8 @@
 		return;
 	}
 	if (n < 0) {
-		conn_failed(c, c->call->status != 0 ? ERR_UPSTREAM_CUT
-						    : ERR_UPSTREAM,
+		conn_failed(c,
+		    c->call->status != 0 ? ERR_UPSTREAM_CUT : ERR_UPSTREAM,
 		    true);
 		return;
 	}
@@ -357,8 +357,8 @@
 	if (fd < 0)
 		return NULL;
 	setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof(one));
-	setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout_ms,
-	    sizeof(timeout_ms));
+	setsockopt(
+	    fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout_ms, sizeof(timeout_ms));
 	if (connect(fd, (const struct sockaddr *)address, sizeof(*address)) !=
 		0 &&
 	    errno != EINPROGRESS) {
@@ -469,8 +469,8 @@
 {
 	struct conn *c = call->conn;
 
-	loop_rewatch(c->watch, (pause ? 0 : LOOP_READ) |
-				   (c->out.len > 0 ? LOOP_WRITE : 0));
+	loop_rewatch(c->watch,
+	    (pause ? 0 : LOOP_READ) | (c->out.len > 0 ? LOOP_WRITE : 0));
 }
 
 /* Returns whether a byte of the request has left this host. */
--- a/src/route/cascade.h
+++ b/src/route/cascade.h
@@ -17,9 +17,9 @@
  * dropped costs the reading of the prompt and no more.  How much confidence is
  * enough depends on what another run costs against what its answer is good
  * for: reading is cheaper than writing, and an answer's use grows more with
- * what is written than with what is read.  Where the larger model's answer would
- * come late, as all servers are busy, only answers that are of little use at
- * all are replaced; so a cascade does not add to an overload.  No I/O and no
+ * what is written than with what is read.  Where the larger model's answer
+ * would come late, as all servers are busy, only answers that are of little use
+ * at all are replaced; so a cascade does not add to an overload.  No I/O and no
  * state.
  */
 struct ca_input {
--- a/src/route/course.c
+++ b/src/route/course.c
@@ -19,8 +19,8 @@
 static bool
 has_room(const struct cs_input *in)
 {
-	return in->budget && in->sends < SENDS_MAX &&
-	       in->runs < in->runs_max && in->left_us > LEFT_MIN_US;
+	return in->budget && in->sends < SENDS_MAX && in->runs < in->runs_max &&
+	       in->left_us > LEFT_MIN_US;
 }
 
 static enum cs_step
@@ -41,8 +41,8 @@
 after_answer(const struct cs_input *in)
 {
 	/* An error of the server's own has run; another may do better. */
-	bool failed = in->status >= STATUS_SERVER_ERROR &&
-		      in->status != STATUS_TIMEOUT;
+	bool failed =
+	    in->status >= STATUS_SERVER_ERROR && in->status != STATUS_TIMEOUT;
 
 	if (failed && may_rerun(in) && has_room(in))
 		return again(in);
--- a/src/route/course.h
+++ b/src/route/course.h
@@ -23,7 +23,8 @@
 	CS_NOT_RUN, /* the server says that it did not run it */
 	CS_UNREACHABLE, /* not a byte was sent */
 	CS_BROKEN, /* sent, and no whole answer came */
-	CS_DEFECTIVE /* an answer that is not the server's own, or not to this */
+	CS_DEFECTIVE /* an answer that is not the server's own, or not to this
+		      */
 };
 
 enum cs_step {
--- a/src/route/loads.c
+++ b/src/route/loads.c
@@ -73,8 +73,8 @@
 		return;
 	if (count > LD_SERVERS_MAX)
 		count = LD_SERVERS_MAX;
-	s->loads = alloc_resize(ld->alloc, s->loads,
-	    (count > 0 ? count : 1) * sizeof(*loads));
+	s->loads = alloc_resize(
+	    ld->alloc, s->loads, (count > 0 ? count : 1) * sizeof(*loads));
 	memcpy(s->loads, loads, count * sizeof(*loads));
 	s->count = count;
 	s->at_us = now_us;
--- a/src/route/pace.c
+++ b/src/route/pace.c
@@ -38,7 +38,8 @@
 	if (pc->us_per_token == 0)
 		pc->us_per_token = sample;
 	else
-		pc->us_per_token += (sample < pc->us_per_token ? faster_weight
-							       : slower_weight) *
-				    (sample - pc->us_per_token);
+		pc->us_per_token +=
+		    (sample < pc->us_per_token ? faster_weight
+					       : slower_weight) *
+		    (sample - pc->us_per_token);
 }
--- a/src/route/patience.c
+++ b/src/route/patience.c
@@ -17,8 +17,8 @@
 	if (!in->can_move)
 		return 0;
 	if (in->kind == RT_IDEMPOTENT) {
-		limit_ms = in->goal_ms > PLAIN_MIN_MS ? in->goal_ms
-						      : PLAIN_MIN_MS;
+		limit_ms =
+		    in->goal_ms > PLAIN_MIN_MS ? in->goal_ms : PLAIN_MIN_MS;
 	} else if (in->kind == RT_STREAM && in->resumable && in->begun) {
 		limit_ms = GAP_FACTOR * in->gap_goal_ms;
 		if (limit_ms < GAP_MIN_MS)
--- a/src/route/pool.c
+++ b/src/route/pool.c
@@ -213,8 +213,8 @@
 	s->address.sin_addr.s_addr = server->ip;
 	s->address.sin_port = htons(server->port);
 	if (server->cold_ms > 0)
-		s->cold_until_us = server->heard_us +
-				   (int64_t)server->cold_ms * US_PER_MS;
+		s->cold_until_us =
+		    server->heard_us + (int64_t)server->cold_ms * US_PER_MS;
 	if (server->state == RG_GONE)
 		s->used = false;
 	refresh(pl);
@@ -258,9 +258,8 @@
 	for (uint16_t i = 0; i < pl->count; i++) {
 		const struct pl_server *s = &pl->servers[i];
 
-		if (s->used && s->role == role &&
-		    s->said.state == RG_READY && !s->out &&
-		    strcmp(s->said.service, service) == 0)
+		if (s->used && s->role == role && s->said.state == RG_READY &&
+		    !s->out && strcmp(s->said.service, service) == 0)
 			return true;
 	}
 	return false;
@@ -316,13 +315,13 @@
 may_run(const struct pl_server *s, const struct pl_query *query)
 {
 	return s->used && s->said.state == RG_READY && !s->out &&
-	       s->role != PL_BARRED && strcmp(s->said.service,
-					   query->service) == 0;
+	       s->role != PL_BARRED &&
+	       strcmp(s->said.service, query->service) == 0;
 }
 
 static bool
-has_room(const struct pl_server *s, const struct pl_query *query,
-    int64_t now_us)
+has_room(
+    const struct pl_server *s, const struct pl_query *query, int64_t now_us)
 {
 	return s->said.slots == 0 ||
 	       load_of(s, now_us) < s->said.slots + query->slots_more;
@@ -357,8 +356,8 @@
 pl_backlog_ms(const struct pl *pl, uint16_t server, int64_t now_us)
 {
 	const struct pl_server *s = &pl->servers[server];
-	double others = s->others_ms -
-			(double)(now_us - s->others_us) / US_PER_MS;
+	double others =
+	    s->others_ms - (double)(now_us - s->others_us) / US_PER_MS;
 
 	return s->own_ms + (others > 0 ? others : 0);
 }
@@ -383,7 +382,8 @@
 }
 
 static uint16_t
-highest_rank(const struct pl *pl, const struct pl_query *query, enum pl_role role)
+highest_rank(
+    const struct pl *pl, const struct pl_query *query, enum pl_role role)
 {
 	uint16_t best = RT_NONE;
 	uint64_t best_rank = 0;
@@ -405,12 +405,11 @@
 
 /* The server at which the first event is due soonest. */
 static uint16_t
-pick_by_work(struct pl *pl, const struct pl_query *query,
-    const uint16_t *list, uint16_t count, int64_t now_us)
+pick_by_work(struct pl *pl, const struct pl_query *query, const uint16_t *list,
+    uint16_t count, int64_t now_us)
 {
 	uint16_t best = list[0];
-	uint16_t home =
-	    highest_rank(pl, query, pl->servers[list[0]].role);
+	uint16_t home = highest_rank(pl, query, pl->servers[list[0]].role);
 	double least = 0;
 
 	for (uint16_t i = 0; i < count; i++) {
@@ -454,8 +453,8 @@
  * somewhat more, so that it gets what the near ones have no room for.
  */
 static uint16_t
-pick_by_load(struct pl *pl, const uint16_t *list, uint16_t count,
-    int64_t now_us)
+pick_by_load(
+    struct pl *pl, const uint16_t *list, uint16_t count, int64_t now_us)
 {
 	uint16_t a = nearest(pl, list, count);
 	uint16_t b = list[rng_below(&pl->rng, count)];
@@ -478,21 +477,21 @@
 
 	for (uint16_t i = 0; i < pl->count && count < ORDER_MAX; i++) {
 		struct pl_server *s = &pl->servers[i];
-		bool suspect = s->down_until_us > now_us ||
-			       centre_of(pl, s->said.data_centre)
-				       ->down_until_us > now_us ||
-			       s->ejected_until_us > now_us ||
-			       now_us - s->said.heard_us >
-				   pl->options.silent_us ||
-			       is_avoided(query, i);
+		bool suspect =
+		    s->down_until_us > now_us ||
+		    centre_of(pl, s->said.data_centre)->down_until_us >
+			now_us ||
+		    s->ejected_until_us > now_us ||
+		    now_us - s->said.heard_us > pl->options.silent_us ||
+		    is_avoided(query, i);
 
 		if (!may_run(s, query) || s->role != role ||
 		    (role == PL_TARGET && !is_trial(pl, query, i)) ||
 		    !cold_allows(pl, s, now_us) ||
 		    (tier == 0 && (suspect || !has_room(s, query, now_us))) ||
-		    (tier == 1 && (s->down_until_us > now_us ||
-				      is_avoided(query, i) ||
-				      !has_room(s, query, now_us))))
+		    (tier == 1 &&
+			(s->down_until_us > now_us || is_avoided(query, i) ||
+			    !has_room(s, query, now_us))))
 			continue;
 		list[count++] = i;
 	}
@@ -522,14 +521,12 @@
 	for (int tier = 0; tier < 2 && count == 0; tier++) {
 		count = list_tier(pl, query, now_us, query->role, tier, list);
 		if (count == 0 && query->any_role)
-			count = list_tier(
-			    pl, query, now_us, other, tier, list);
+			count = list_tier(pl, query, now_us, other, tier, list);
 	}
 	if (count == 0)
 		return any_may_run(pl, query) ? PL_FULL : PL_NONE;
-	*server = query->by_work
-		      ? pick_by_work(pl, query, list, count, now_us)
-		      : pick_by_load(pl, list, count, now_us);
+	*server = query->by_work ? pick_by_work(pl, query, list, count, now_us)
+				 : pick_by_load(pl, list, count, now_us);
 	return PL_CHOSEN;
 }
 
@@ -565,17 +562,17 @@
 		const struct pl_server *s = &pl->servers[i];
 
 		if (s->used && s->in_flight > 0)
-			out[count++] = (struct ld_load){
-			    ld_server_hash(s->said.id), (uint32_t)s->own_ms,
-			    s->in_flight};
+			out[count++] =
+			    (struct ld_load){ld_server_hash(s->said.id),
+				(uint32_t)s->own_ms, s->in_flight};
 	}
 	return count;
 }
 
 /* Takes what the other instances have under way. */
 void
-pl_others_loads(struct pl *pl, const struct ld_load *loads, size_t count,
-    int64_t now_us)
+pl_others_loads(
+    struct pl *pl, const struct ld_load *loads, size_t count, int64_t now_us)
 {
 	for (uint16_t i = 0; i < pl->count; i++) {
 		struct pl_server *s = &pl->servers[i];
@@ -635,8 +632,7 @@
 static void
 doubt_centre(struct pl *pl, uint16_t server, bool silent, int64_t now_us)
 {
-	struct centre *c =
-	    centre_of(pl, pl->servers[server].said.data_centre);
+	struct centre *c = centre_of(pl, pl->servers[server].said.data_centre);
 
 	if (now_us - c->failed_us > CENTRE_WINDOW_US)
 		c->failures = 0;
--- a/src/route/pool.h
+++ b/src/route/pool.h
@@ -126,12 +126,11 @@
 
 /* Loads as instances tell each other. */
 size_t pl_own_loads(const struct pl *pl, struct ld_load *out, size_t max);
-void pl_others_loads(struct pl *pl, const struct ld_load *loads, size_t count,
+void pl_others_loads(
+    struct pl *pl, const struct ld_load *loads, size_t count, int64_t now_us);
+void pl_load(struct pl *pl, uint16_t server, uint16_t running, uint16_t waiting,
     int64_t now_us);
-void pl_load(struct pl *pl, uint16_t server, uint16_t running,
-    uint16_t waiting, int64_t now_us);
-void pl_cold(
-    struct pl *pl, uint16_t server, uint32_t cold_ms, int64_t now_us);
+void pl_cold(struct pl *pl, uint16_t server, uint32_t cold_ms, int64_t now_us);
 void pl_unreachable(
     struct pl *pl, uint16_t server, bool silent, int64_t now_us);
 void pl_outcome(struct pl *pl, uint16_t server, bool failed, int64_t now_us);
--- a/src/route/sessions.c
+++ b/src/route/sessions.c
@@ -77,8 +77,7 @@
 	}
 	if (query->order_age_us < SPREAD_US)
 		return PL_BASE;
-	return is_target(query->session, query->permille) ? PL_TARGET
-							  : PL_BASE;
+	return is_target(query->session, query->permille) ? PL_TARGET : PL_BASE;
 }
 
 /* Takes a session's slot, unless one that is held has it. */
--- a/src/route/suspects.c
+++ b/src/route/suspects.c
@@ -67,7 +67,7 @@
 	if (server >= SU_SERVERS_MAX)
 		return;
 	s = &su->servers[server];
-	for (uint8_t i = 0; i < SU_REQUESTS_MAX; i++) {
+	for (int i = 0; i < SU_REQUESTS_MAX; i++) {
 		if (s->at_us[i] != 0 && now_us - s->at_us[i] < SUSPECT_US)
 			crashed(ctx, s->fingerprints[i]);
 		s->at_us[i] = 0;
--- a/src/route/table.c
+++ b/src/route/table.c
@@ -9,7 +9,8 @@
 #include "base/err.h"
 
 enum {
-	KEY_MAX_BYTES = 1024 /* host and path of a lookup; longer has no route */
+	KEY_MAX_BYTES =
+	    1024 /* host and path of a lookup; longer has no route */
 };
 
 struct rt_table {
@@ -69,8 +70,8 @@
 	service->name = apr_pstrdup(table->pool, name);
 	service->index = (uint16_t)table->services->nelts;
 	APR_ARRAY_PUSH(table->services, struct rt_service *) = service;
-	apr_hash_set(table->by_service, service->name, APR_HASH_KEY_STRING,
-	    service);
+	apr_hash_set(
+	    table->by_service, service->name, APR_HASH_KEY_STRING, service);
 	return service;
 }
 
@@ -141,8 +142,8 @@
 	    apr_hash_get(table->by_key, key, APR_HASH_KEY_STRING);
 
 	if (key[0] == '\0') {
-		buf_addf(why, "workspace %s has an empty API key",
-		    workspace->name);
+		buf_addf(
+		    why, "workspace %s has an empty API key", workspace->name);
 		return ERR_INVALID;
 	}
 	if (holder != NULL && holder != workspace) {
@@ -217,8 +218,8 @@
 		route->weight_sum += target->weight;
 	}
 	if (route->weight_sum == 0) {
-		buf_addf(why, "the weights of route %s add up to 0",
-		    route->name);
+		buf_addf(
+		    why, "the weights of route %s add up to 0", route->name);
 		return ERR_INVALID;
 	}
 	return 0;
@@ -232,8 +233,8 @@
 	const struct rt_route *other;
 
 	if (!place_key(key, route->host, route->prefix, &host_len, &len)) {
-		buf_addf(why, "route %s: host and prefix are too long",
-		    route->name);
+		buf_addf(
+		    why, "route %s: host and prefix are too long", route->name);
 		return ERR_INVALID;
 	}
 	other = apr_hash_get(table->by_place, key, (apr_ssize_t)len);
@@ -242,8 +243,8 @@
 		    other->name, route->name);
 		return ERR_INVALID;
 	}
-	apr_hash_set(table->by_place,
-	    apr_pmemdup(table->pool, key, len), (apr_ssize_t)len, route);
+	apr_hash_set(table->by_place, apr_pmemdup(table->pool, key, len),
+	    (apr_ssize_t)len, route);
 	return 0;
 }
 
--- a/src/route/verdict.c
+++ b/src/route/verdict.c
@@ -77,8 +77,7 @@
 			   : ORD_FINISHING;
 	if (in->has_servers && part >= FINISHING_PERMILLE &&
 	    (in->fresh.answers >= ANSWERS_MIN ||
-		(part >= LATEST_PERMILLE &&
-		    in->fresh.answers >= ANSWERS_FEW)))
+		(part >= LATEST_PERMILLE && in->fresh.answers >= ANSWERS_FEW)))
 		return ORD_FINISHING;
 	return ORD_RUNNING;
 }
--- a/src/route/verdict.h
+++ b/src/route/verdict.h
@@ -16,9 +16,9 @@
  *
  * A version is rolled back once its share of failures, or of what comes far too
  * late, is worse beyond chance.  Late ones are counted, not added up: a single
- * long pause, as a long prompt beside a stream makes it, says little.  One that is not gets everything after half of the roll-out's
- * time, and the old servers may be stopped somewhat later, when what they had
- * been sent has ended.
+ * long pause, as a long prompt beside a stream makes it, says little.  One that
+ * is not gets everything after half of the roll-out's time, and the old servers
+ * may be stopped somewhat later, when what they had been sent has ended.
  */
 struct vd_counts {
 	uint32_t answers;
@@ -41,8 +41,7 @@
 };
 
 enum ord_rollout_state vd_next(const struct vd_input *in);
-bool vd_is_worse(
-    const struct vd_counts *fresh, const struct vd_counts *known);
+bool vd_is_worse(const struct vd_counts *fresh, const struct vd_counts *known);
 
 #ifdef __cplusplus
 }
--- a/src/state/diff.c
+++ b/src/state/diff.c
@@ -123,8 +123,8 @@
 void
 df_make(const struct buf *from, const struct buf *to, struct buf *out)
 {
-	struct map *pieces = map_new(
-	    out->alloc, (uint32_t)(from->len / PIECE_MIN_BYTES + 2));
+	struct map *pieces =
+	    map_new(out->alloc, (uint32_t)(from->len / PIECE_MIN_BYTES + 2));
 	struct writer w = {.out = out, .to = to};
 	size_t n;
 
--- a/src/state/registry.c
+++ b/src/state/registry.c
@@ -221,7 +221,7 @@
 	size_t count = 0;
 
 	for (size_t i = 0; i < rg->count; i++)
-		count += rg->rows[i].used &&
-			 rg->rows[i].server.state != RG_GONE;
+		count +=
+		    rg->rows[i].used && rg->rows[i].server.state != RG_GONE;
 	return count;
 }
--- a/src/state/rlog.h
+++ b/src/state/rlog.h
@@ -26,11 +26,11 @@
  *
  * A replica is named by its identity, 64 random bits that live and die with
  * its data folder, and reached through its instance, a number that the caller
- * gives: from its settings, or made of the address that it is reached at.  A replica that lost its disk comes back under a new identity: it
- * joins as a learner, without a vote; once it has caught up, the old identity
- * of its instance is removed and it becomes a voter.  The log is
- * formed once, by the lowest founder, when every founder
- * says that its folder is new.
+ * gives: from its settings, or made of the address that it is reached at.  A
+ *replica that lost its disk comes back under a new identity: it joins as a
+ *learner, without a vote; once it has caught up, the old identity of its
+ *instance is removed and it becomes a voter.  The log is formed once, by the
+ *lowest founder, when every founder says that its folder is new.
  *
  * The term is the fencing number of orders.  rl_lease_until_us() bounds
  * leadership in time: an action under it compares a clock read just before.
--- a/src/state/rlog_member.c
+++ b/src/state/rlog_member.c
@@ -41,9 +41,8 @@
 	for (size_t i = 0; i < options->founder_count && i < RL_MEMBERS_MAX;
 	     i++)
 		rl->founders[rl->founder_count++] = options->founders[i];
-	for (uint64_t i = 0; rl->founder_count < RL_INSTANCES_MAX &&
-			     i < RL_INSTANCES_MAX;
-	     i++)
+	for (uint64_t i = 0;
+	     rl->founder_count < RL_INSTANCES_MAX && i < RL_INSTANCES_MAX; i++)
 		if (options->instances >> i & 1)
 			rl->founders[rl->founder_count++] = i;
 	for (size_t i = 0; i < rl->founder_count; i++)
--- a/test/unit/http_wire_test.cc
+++ b/test/unit/http_wire_test.cc
@@ -97,8 +97,8 @@
 
 	void SetUp() override
 	{
-		static const struct hf_handler handler = {on_request, on_gone,
-		    on_refused};
+		static const struct hf_handler handler = {
+		    on_request, on_gone, on_refused};
 		struct hf_options options = {};
 
 		options.alloc = alloc_default();
@@ -140,10 +140,9 @@
 		auto *t = (Front *)ctx;
 		const struct buf *body = hf_body(x);
 
-		t->seen.push_back(std::string(hf_method(x)) + " " +
-				  hf_target(x) + " " +
-				  std::string((const char *)body->data,
-				      body->len));
+		t->seen.push_back(
+		    std::string(hf_method(x)) + " " + hf_target(x) + " " +
+		    std::string((const char *)body->data, body->len));
 		if (t->hold) {
 			t->held = x;
 			return;
@@ -205,8 +204,8 @@
 		std::string got;
 
 		refused.clear();
-		got = talk(row.bytes,
-		    std::string(err_answer(row.error)->text) + "\n");
+		got = talk(
+		    row.bytes, std::string(err_answer(row.error)->text) + "\n");
 		EXPECT_EQ(std::vector<int>{row.error}, refused) << row.bytes;
 		EXPECT_NE(std::string::npos, got.find("Connection: close"));
 	}
@@ -255,9 +254,9 @@
 TEST_F(Front, DrainingEndsConnectionsWithTheirAnswers)
 {
 	hf_drain(hf, true);
-	EXPECT_NE(std::string::npos,
-	    talk("GET / HTTP/1.1\r\nHost: a\r\n\r\n", "ok")
-		.find("Connection: close"));
+	EXPECT_NE(
+	    std::string::npos, talk("GET / HTTP/1.1\r\nHost: a\r\n\r\n", "ok")
+				   .find("Connection: close"));
 }
 
 /* A raw server that answers each connection's requests from a list. */
@@ -280,7 +279,8 @@
 
 	void SetUp() override
 	{
-		struct hu_options options = {alloc_default(), l.loop, 200, 5000};
+		struct hu_options options = {
+		    alloc_default(), l.loop, 200, 5000};
 		socklen_t len = sizeof(address);
 
 		listener = socket(AF_INET, SOCK_STREAM, 0);
--- a/test/unit/platform_test.cc
+++ b/test/unit/platform_test.cc
@@ -140,11 +140,12 @@
 	EXPECT_EQ("invalid: routes r and r have the same host and prefix",
 	    read(document(r + "," + r)));
 	EXPECT_EQ("invalid: the weights of route r add up to 0",
-	    read(document(
-		replaced(replaced(r, "90", "0"), "\"weight\":10", "\"weight\":0"))));
+	    read(document(replaced(
+		replaced(r, "90", "0"), "\"weight\":10", "\"weight\":0"))));
 	EXPECT_EQ("invalid: route r has a timeout of 0",
 	    read(document(replaced(r, "25000", "0"))));
-	EXPECT_EQ("malformed: r: \"timeout_ms\" is missing or of the wrong type",
+	EXPECT_EQ(
+	    "malformed: r: \"timeout_ms\" is missing or of the wrong type",
 	    read(document(replaced(r, "25000", "\"long\""))));
 	EXPECT_EQ("malformed: r: \"kind\" is missing or of the wrong type",
 	    read(document(replaced(r, "streaming", "other"))));
@@ -163,8 +164,8 @@
 call(const char *method, const char *target, const std::string &body = "")
 {
 	static const char *const names[] = {"unknown", "put_document",
-	    "get_document", "announce", "leave", "start_rollout",
-	    "get_rollout", "take_out", "take_back"};
+	    "get_document", "announce", "leave", "start_rollout", "get_rollout",
+	    "take_out", "take_back"};
 	struct dl_call call;
 	Text text(body), why;
 	int error = dialect->ops->read_call(
@@ -224,9 +225,9 @@
 {
 	const std::string &a = announcement;
 
-	for (auto &text : {std::string(""), std::string("{"),
-		 std::string("[]"), replaced(a, "64", "\"64\""),
-		 replaced(a, "64", "-1"), replaced(a, "ready", "asleep"),
+	for (auto &text : {std::string(""), std::string("{"), std::string("[]"),
+		 replaced(a, "64", "\"64\""), replaced(a, "64", "-1"),
+		 replaced(a, "ready", "asleep"),
 		 replaced(a, "10.0.0.9:8080", "10.0.0.9"),
 		 replaced(a, "10.0.0.9:8080", "10.0.0.9:0"),
 		 replaced(a, "10.0.0.9:8080", "host:80"),
@@ -265,9 +266,10 @@
 	EXPECT_TRUE(r.resumes);
 	EXPECT_EQ(12u, r.last_event);
 	EXPECT_NE(0u, r.session);
-	Headers twice({{"Authorization", "Bearer a"}, {"Authorization", "Bearer b"}});
-	EXPECT_EQ(ERR_MALFORMED,
-	    dialect->ops->read_request(dialect, &twice.hh, &r));
+	Headers twice(
+	    {{"Authorization", "Bearer a"}, {"Authorization", "Bearer b"}});
+	EXPECT_EQ(
+	    ERR_MALFORMED, dialect->ops->read_request(dialect, &twice.hh, &r));
 }
 
 /* Only the gateway sets these; what a caller sends under them is dropped. */
@@ -307,8 +309,9 @@
 {
 	Headers h({{"Celeryford-Request-Id", "9c41"},
 	    {"Celeryford-Response-Signature", "3e"},
-	    {"Celeryford-Server-Load", "3,1,8"}, {"Celeryford-Confidence", "64"},
-	    {"Celeryford-Cold-Ms", "800"}, {"Keep-Alive", "timeout=5"}});
+	    {"Celeryford-Server-Load", "3,1,8"},
+	    {"Celeryford-Confidence", "64"}, {"Celeryford-Cold-Ms", "800"},
+	    {"Keep-Alive", "timeout=5"}});
 	Headers shed({{"Celeryford-Not-Executed", "1"},
 	    {"Content-Encoding", "gzip"}, {"Celeryford-Server-Load", "3,x"},
 	    {"Celeryford-Confidence", "101"}});
@@ -337,9 +340,13 @@
 	struct {
 		const char *line, *expected;
 	} rows[] = {
-	    {"", ""}, {"# remark", ""}, {"link-port = 7340", ""},
-	    {"data-dir =", ""}, {"seeds = 10.0.0.1:80,10.0.0.2:80", ""},
-	    {"retry-share = 0.9", ""}, {"bootstrap = true", ""},
+	    {"", ""},
+	    {"# remark", ""},
+	    {"link-port = 7340", ""},
+	    {"data-dir =", ""},
+	    {"seeds = 10.0.0.1:80,10.0.0.2:80", ""},
+	    {"retry-share = 0.9", ""},
+	    {"bootstrap = true", ""},
 	    {"link-port = x",
 		"link-port: \"x\" is not accepted: port for links, the same on "
 		"every instance"},
@@ -379,8 +386,7 @@
 	std::string name;
 	int count = 0;
 	while (std::getline(lines, name)) {
-		EXPECT_NE(std::string::npos,
-		    page.str().find("`" + name + "`"))
+		EXPECT_NE(std::string::npos, page.str().find("`" + name + "`"))
 		    << name;
 		count++;
 	}
--- a/test/unit/registry_test.cc
+++ b/test/unit/registry_test.cc
@@ -110,7 +110,7 @@
 
 		said.push_back(say(id.c_str(), life * 10 + (uint64_t)server,
 		    (uint64_t)*rc::gen::inRange(1, 6),
-		    (enum rg_state)*rc::gen::inRange(0, 3),
+		    (enum rg_state) * rc::gen::inRange(0, 3),
 		    (uint16_t)(80 + server)));
 	}
 	for (auto &s : said)
@@ -260,8 +260,8 @@
 		if (*rc::gen::arbitrary<bool>())
 			o.document((uint64_t)i, text);
 		else
-			o.rollout(("v" + std::to_string(i)).c_str(),
-			    ORD_RUNNING);
+			o.rollout(
+			    ("v" + std::to_string(i)).c_str(), ORD_RUNNING);
 		ord_image(o.ord, &after);
 		df_make(&before, &after, &diff);
 		RC_ASSERT(df_apply(nullptr, &before, diff.data, diff.len,
@@ -272,8 +272,7 @@
 		RC_ASSERT(ord_restore(copy, made.data, made.len, 0, 0) == 0);
 		RC_ASSERT(ord_number(copy) == ord_number(o.ord));
 		RC_ASSERT(ord_revision(copy) == ord_revision(o.ord));
-		RC_ASSERT(
-		    ord_rollout_count(copy) == ord_rollout_count(o.ord));
+		RC_ASSERT(ord_rollout_count(copy) == ord_rollout_count(o.ord));
 	}
 	ord_free(copy);
 	buf_free(&before);
--- a/test/unit/rlog_founders_test.cc
+++ b/test/unit/rlog_founders_test.cc
@@ -85,8 +85,8 @@
 			buf_init(&bytes, alloc_default());
 			if (rl_msg_encode(&a.u.send.message, &bytes) == 0)
 				wire.push_back({a.u.send.instance,
-				    std::string((const char *)bytes.data,
-					bytes.len)});
+				    std::string(
+					(const char *)bytes.data, bytes.len)});
 			buf_free(&bytes);
 		}
 	}
@@ -103,8 +103,8 @@
 				struct rl_msg msg;
 
 				if (nodes.count(to) == 0 || !nodes[to].up ||
-				    rl_msg_decode(bytes.data(), bytes.size(),
-					&msg) != 0)
+				    rl_msg_decode(
+					bytes.data(), bytes.size(), &msg) != 0)
 					continue;
 				event.kind = RL_EV_MESSAGE;
 				event.u.message = &msg;
--- a/test/unit/route_course_test.cc
+++ b/test/unit/route_course_test.cc
@@ -83,9 +83,9 @@
 {
 	struct cs_input in = {};
 
-	in.kind = (enum rt_kind)*rc::gen::inRange(0, 3);
+	in.kind = (enum rt_kind) * rc::gen::inRange(0, 3);
 	in.resumable = *rc::gen::arbitrary<bool>();
-	in.end = (enum cs_end)*rc::gen::inRange(0, 5);
+	in.end = (enum cs_end) * rc::gen::inRange(0, 5);
 	in.status = *rc::gen::element(200u, 404u, 500u, 503u, 504u);
 	in.begun = *rc::gen::arbitrary<bool>();
 	in.may_have_run = *rc::gen::arbitrary<bool>();
--- a/test/unit/route_pool_test.cc
+++ b/test/unit/route_pool_test.cc
@@ -219,8 +219,8 @@
 	for (int i = 0; i < instances; i++) {
 		struct rg_server s;
 
-		worlds.push_back(std::make_unique<PoolWorld>(
-		    instances, (uint64_t)i));
+		worlds.push_back(
+		    std::make_unique<PoolWorld>(instances, (uint64_t)i));
 		s = worlds[i]->server("cold", "a");
 		s.cold_ms = 5000;
 		pl_take(worlds[i]->pl, &s, worlds[i]->now_us);
@@ -242,7 +242,8 @@
 
 		for (int i = t; i < t + 10; i++)
 			sum += sent[i];
-		EXPECT_LE(sum, 12 + 5 + instances) << "from " << t * 100 << " ms";
+		EXPECT_LE(sum, 12 + 5 + instances)
+		    << "from " << t * 100 << " ms";
 		EXPECT_GE(sum, 8) << "from " << t * 100 << " ms";
 	}
 }
@@ -362,22 +363,22 @@
 		w.now_us += *rc::gen::inRange(0, 500000);
 		switch (*rc::gen::inRange(0, 7)) {
 		case 0:
-			pl_unreachable(w.pl, at, *rc::gen::arbitrary<bool>(),
-			    w.now_us);
+			pl_unreachable(
+			    w.pl, at, *rc::gen::arbitrary<bool>(), w.now_us);
 			break;
 		case 1:
 			w.out("a", *rc::gen::arbitrary<bool>());
 			break;
 		case 2:
-			w.rollout("v2", (enum ord_rollout_state)*rc::gen::inRange(
-					    0, 4));
+			w.rollout("v2",
+			    (enum ord_rollout_state) * rc::gen::inRange(0, 4));
 			break;
 		case 3:
 			pl_full(w.pl, at, w.now_us);
 			break;
 		case 4:
-			pl_outcome(w.pl, at, *rc::gen::arbitrary<bool>(),
-			    w.now_us);
+			pl_outcome(
+			    w.pl, at, *rc::gen::arbitrary<bool>(), w.now_us);
 			break;
 		default:
 			break;
@@ -385,8 +386,8 @@
 		if (pl_pick(w.pl, &q, w.now_us, &at) != PL_CHOSEN)
 			continue;
 		RC_ASSERT(pl_at(w.pl, at)->role != PL_BARRED);
-		RC_ASSERT(!ord_is_out(
-		    w.orders, pl_at(w.pl, at)->said.data_centre));
+		RC_ASSERT(
+		    !ord_is_out(w.orders, pl_at(w.pl, at)->said.data_centre));
 		RC_ASSERT(pl_at(w.pl, at)->said.state == RG_READY);
 	}
 }
--- a/test/unit/route_state_test.cc
+++ b/test/unit/route_state_test.cc
@@ -23,8 +23,8 @@
 	for (auto &bu : budgets)
 		bu_init(&bu, &options, now_us);
 	for (int i = 0; i < 1500; i++) {
-		struct bu &bu = budgets[(size_t)*rc::gen::inRange(
-		    0, (int)instances)];
+		struct bu &bu =
+		    budgets[(size_t)*rc::gen::inRange(0, (int)instances)];
 
 		now_us += *rc::gen::inRange(0, 40000);
 		if (*rc::gen::inRange(0, 3) == 0) {
@@ -48,9 +48,8 @@
 				before += !repeat;
 			}
 		}
-		RC_ASSERT(repeats <=
-			  (requests > before ? requests : before) + slack +
-			      instances);
+		RC_ASSERT(repeats <= (requests > before ? requests : before) +
+					 slack + instances);
 	}
 }
 
@@ -76,7 +75,9 @@
 	se_note(se, target, PL_BASE, 0, 60000000);
 	se_begin(
 	    se, 80, 61000000,
-	    [](void *ctx, uint64_t s) { ((std::set<uint64_t> *)ctx)->insert(s); },
+	    [](void *ctx, uint64_t s) {
+		    ((std::set<uint64_t> *)ctx)->insert(s);
+	    },
 	    &held);
 	EXPECT_EQ(std::set<uint64_t>{target}, held);
 	se_hold(se, target, 61000000);
@@ -133,54 +134,63 @@
 
 TEST(Verdict, AGoodVersionIsCompletedInTime)
 {
-	EXPECT_EQ(ORD_RUNNING, judge({30, 0, 0, 0, 0, 0}, {300, 1, 0, 0, 0, 0}, 5000));
-	EXPECT_EQ(ORD_RUNNING, judge({30, 0, 0, 0, 0, 0}, {300, 1, 0, 0, 0, 0}, 13000));
-	EXPECT_EQ(
-	    ORD_FINISHING, judge({30, 0, 0, 0, 0, 0}, {300, 1, 0, 0, 0, 0}, 15000));
+	EXPECT_EQ(ORD_RUNNING,
+	    judge({30, 0, 0, 0, 0, 0}, {300, 1, 0, 0, 0, 0}, 5000));
+	EXPECT_EQ(ORD_RUNNING,
+	    judge({30, 0, 0, 0, 0, 0}, {300, 1, 0, 0, 0, 0}, 13000));
+	EXPECT_EQ(ORD_FINISHING,
+	    judge({30, 0, 0, 0, 0, 0}, {300, 1, 0, 0, 0, 0}, 15000));
 	/* With few answers it waits a little longer. */
-	EXPECT_EQ(ORD_RUNNING, judge({9, 0, 0, 0, 0, 0}, {300, 1, 0, 0, 0, 0}, 15000));
+	EXPECT_EQ(ORD_RUNNING,
+	    judge({9, 0, 0, 0, 0, 0}, {300, 1, 0, 0, 0, 0}, 15000));
+	EXPECT_EQ(ORD_FINISHING,
+	    judge({9, 0, 0, 0, 0, 0}, {300, 1, 0, 0, 0, 0}, 17000));
+	EXPECT_EQ(ORD_RUNNING,
+	    judge({0, 0, 0, 0, 0, 0}, {300, 1, 0, 0, 0, 0}, 20000));
+	EXPECT_EQ(
+	    ORD_FINISHING, judge({300, 0, 0, 0, 0, 0}, {300, 1, 0, 0, 0, 0},
+			       16000, ORD_FINISHING, 1000));
+	EXPECT_EQ(
+	    ORD_COMPLETED, judge({300, 0, 0, 0, 0, 0}, {300, 1, 0, 0, 0, 0},
+			       19000, ORD_FINISHING, 6000));
 	EXPECT_EQ(
-	    ORD_FINISHING, judge({9, 0, 0, 0, 0, 0}, {300, 1, 0, 0, 0, 0}, 17000));
-	EXPECT_EQ(ORD_RUNNING, judge({0, 0, 0, 0, 0, 0}, {300, 1, 0, 0, 0, 0}, 20000));
-	EXPECT_EQ(ORD_FINISHING, judge({300, 0, 0, 0, 0, 0}, {300, 1, 0, 0, 0, 0},
-				     16000, ORD_FINISHING, 1000));
-	EXPECT_EQ(ORD_COMPLETED, judge({300, 0, 0, 0, 0, 0}, {300, 1, 0, 0, 0, 0},
-				     19000, ORD_FINISHING, 6000));
-	EXPECT_EQ(ORD_COMPLETED,
-	    judge({300, 200, 0, 0, 0, 0}, {300, 1, 0, 0, 0, 0}, 23000, ORD_COMPLETED));
+	    ORD_COMPLETED, judge({300, 200, 0, 0, 0, 0}, {300, 1, 0, 0, 0, 0},
+			       23000, ORD_COMPLETED));
 }
 
 TEST(Verdict, ABadVersionIsRolledBack)
 {
 	/* Half of its answers fail. */
-	EXPECT_EQ(
-	    ORD_ROLLED_BACK, judge({12, 6, 0, 0, 0, 0}, {100, 1, 0, 0, 0, 0}, 3000));
+	EXPECT_EQ(ORD_ROLLED_BACK,
+	    judge({12, 6, 0, 0, 0, 0}, {100, 1, 0, 0, 0, 0}, 3000));
 	/* Few errors, where the old version makes none. */
-	EXPECT_EQ(ORD_ROLLED_BACK, judge({130, 6, 6, 0, 0, 0},
-				       {1536, 0, 0, 0, 0, 0}, 3000));
+	EXPECT_EQ(ORD_ROLLED_BACK,
+	    judge({130, 6, 6, 0, 0, 0}, {1536, 0, 0, 0, 0, 0}, 3000));
 	/* A server that crashed breaks as many, and is no error. */
-	EXPECT_EQ(ORD_RUNNING, judge({130, 6, 0, 0, 0, 0},
-				   {1536, 0, 0, 0, 0, 0}, 3000));
+	EXPECT_EQ(ORD_RUNNING,
+	    judge({130, 6, 0, 0, 0, 0}, {1536, 0, 0, 0, 0, 0}, 3000));
 	/* Half of its answers begin far too late. */
 	EXPECT_EQ(ORD_ROLLED_BACK,
 	    judge({12, 0, 0, 6, 0, 0}, {100, 1, 0, 4, 0, 0}, 3000));
 	/* It begins in time and then is slow. */
-	EXPECT_EQ(ORD_ROLLED_BACK, judge({12, 0, 0, 0, 500, 220},
-				       {100, 1, 0, 4, 3000, 60}, 3000));
+	EXPECT_EQ(ORD_ROLLED_BACK,
+	    judge({12, 0, 0, 0, 500, 220}, {100, 1, 0, 4, 3000, 60}, 3000));
 	/* It turns bad only when everything goes there. */
-	EXPECT_EQ(ORD_ROLLED_BACK, judge({200, 60, 0, 0, 0, 0},
-				       {300, 2, 0, 0, 0, 0}, 15000, ORD_FINISHING));
+	EXPECT_EQ(
+	    ORD_ROLLED_BACK, judge({200, 60, 0, 0, 0, 0}, {300, 2, 0, 0, 0, 0},
+				 15000, ORD_FINISHING));
 }
 
 TEST(Verdict, ChanceAloneIsNoReason)
 {
-	EXPECT_EQ(ORD_RUNNING, judge({20, 3, 0, 0, 0, 0}, {100, 1, 0, 0, 0, 0}, 3000));
+	EXPECT_EQ(ORD_RUNNING,
+	    judge({20, 3, 0, 0, 0, 0}, {100, 1, 0, 0, 0, 0}, 3000));
 	/* One stream that had to wait beside long prompts. */
-	EXPECT_EQ(ORD_RUNNING, judge({30, 0, 0, 3, 900, 60}, {300, 1, 0, 9, 9000, 90},
-				   3000));
+	EXPECT_EQ(ORD_RUNNING,
+	    judge({30, 0, 0, 3, 900, 60}, {300, 1, 0, 9, 9000, 90}, 3000));
 	/* A service that fails often anyway. */
-	EXPECT_EQ(
-	    ORD_RUNNING, judge({40, 8, 0, 0, 0, 0}, {400, 56, 0, 0, 0, 0}, 3000));
+	EXPECT_EQ(ORD_RUNNING,
+	    judge({40, 8, 0, 0, 0, 0}, {400, 56, 0, 0, 0, 0}, 3000));
 }
 
 TEST(Loads, SumsLeaveOutTheOneThatAsks)
--- a/test/unit/route_table_test.cc
+++ b/test/unit/route_table_test.cc
@@ -95,8 +95,8 @@
 		struct rt_route *route;
 
 		t.add("first", "a", "/same/");
-		route = t.add(
-		    "r", row.host, row.prefix, row.service, row.weight);
+		route =
+		    t.add("r", row.host, row.prefix, row.service, row.weight);
 		route->timeout_ms = row.timeout_ms;
 		EXPECT_EQ(row.expected, t.finish());
 	}
@@ -121,8 +121,8 @@
 {
 	auto segment = rc::gen::element<std::string>("a", "b", "ab");
 	auto path = rc::gen::map(
-	    rc::gen::resize(4, rc::gen::container<std::vector<std::string>>(
-				   segment)),
+	    rc::gen::resize(
+		4, rc::gen::container<std::vector<std::string>>(segment)),
 	    [](const std::vector<std::string> &parts) {
 		    std::string text = "/";
 
@@ -130,8 +130,8 @@
 			    text += part + "/";
 		    return text;
 	    });
-	auto prefixes =
-	    *rc::gen::resize(12, rc::gen::container<std::vector<std::string>>(path));
+	auto prefixes = *rc::gen::resize(
+	    12, rc::gen::container<std::vector<std::string>>(path));
 	std::string wanted = *path + *segment;
 	std::map<std::string, int> set;
 	std::string best;
@@ -146,6 +146,6 @@
 			best = prefix;
 	}
 	RC_ASSERT(t.finish() == "ok");
-	RC_ASSERT(t.route_of("h", wanted.c_str()) ==
-		  (best.empty() ? "none" : best));
+	RC_ASSERT(
+	    t.route_of("h", wanted.c_str()) == (best.empty() ? "none" : best));
 }
