--- a/src/gateway/entry.c
+++ b/src/gateway/entry.c
@@ -516,6 +516,7 @@
 		return 0;
 	ge = alloc_zero(gw->alloc, 1, sizeof(*ge));
 	ge->gw = gw;
+	ge->started_us = loop_now_us(gw->loop);
 	rng_init(&ge->rng, rng_system_seed());
 	make_series(ge);
 	ge->client = hu_new(&client);
--- a/src/gateway/entry.h
+++ b/src/gateway/entry.h
@@ -61,7 +61,7 @@
 	char rollout[RG_NAME_BYTES]; /* target that sessions are held from */
 	struct loop_timer *retry; /* looks at those that wait */
 	struct loop_timer *compile;
-	struct loop_timer *tick;
+	int64_t started_us;
 	double log_lines; /* that may be written now */
 	int64_t log_us; /* when that was reckoned */
 	bool draining; /* unready; connections end with their answers */
--- a/src/gateway/exchange.c
+++ b/src/gateway/exchange.c
@@ -11,7 +11,6 @@
 
 enum {
 	UNKNOWN_LEFT_MS = 1500, /* a caller's time, where no route is known */
-	AWAIT_ORDERS_US = 700000, /* after a start */
 	LEFT_MIN_MS = 10 /* less is no offer to a server */
 };
 
@@ -336,7 +335,7 @@
 {
 	return (error == ERR_ISOLATED || error == ERR_NO_SERVER) &&
 	       !gf_was_fresh(gx->ge->gw->follow) &&
-	       gx_now(gx) - gx->arrived_us < AWAIT_ORDERS_US &&
+	       gx_now(gx) - gx->arrived_us < GX_AWAIT_US &&
 	       gx_now(gx) < gx->deadline_us;
 }
 
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -21,6 +21,7 @@
  */
 enum {
 	GX_TRIED_MAX = 8,
+	GX_AWAIT_US = 700000, /* for orders and servers, after a start */
 	GX_RETRY_MIN_MS = 50,
 	GX_RETRY_FULL_MS = 300,
 	GX_RETRY_UNKNOWN_MS = 1500, /* while no document or server is known */
--- a/src/gateway/exchange_send.c
+++ b/src/gateway/exchange_send.c
@@ -11,6 +11,7 @@
 /* Where a request goes, and how it is sent there. */
 
 enum {
+	STARTING_ROUNDS = 3, /* of announcements, until all servers are known */
 	EXPOSURE_PERCENT = 90, /* of what a bad version may get */
 	PLAIN_WAITING =
 	    6 /* requests that may wait at a plain service's server */
@@ -219,6 +220,22 @@
 		    gx, gx->may_have_run ? ERR_UPSTREAM : error, retry_ms);
 }
 
+/*
+ * Whether servers will be heard of in a moment: each announces itself once in
+ * announce-ms, and an instance that has just started knows none.
+ */
+static bool
+should_await_servers(const struct gx *gx)
+{
+	const struct ge *ge = gx->ge;
+	int64_t announce_us = (int64_t)ge->gw->settings->announce_ms * 1000;
+
+	return !gx->begun &&
+	       gx_now(gx) - ge->started_us < STARTING_ROUNDS * announce_us &&
+	       gx_now(gx) - gx->arrived_us < GX_AWAIT_US &&
+	       gx_now(gx) < gx->deadline_us;
+}
+
 /* All servers are full, cold or out of reach: the request is queued. */
 static void
 wait_for_server(struct gx *gx)
@@ -257,7 +274,10 @@
 		dispatch(gx, server, &query);
 		break;
 	case PL_NONE:
-		gx_refuse(gx, ERR_NO_SERVER, GX_RETRY_UNKNOWN_MS);
+		if (should_await_servers(gx))
+			wait_for_server(gx);
+		else
+			gx_refuse(gx, ERR_NO_SERVER, GX_RETRY_UNKNOWN_MS);
 		break;
 	case PL_FULL:
 		if (gx_now(gx) - gx->arrived_us >
