Reckon twice the backlog before a larger model is asked; let streams wait to go on

The backlog counts twice now. A stream whose next server has no room was cut at once; it waits up to 2 s.

--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -97,7 +97,8 @@
 void gx_refuse(struct gx *gx, int error, int64_t retry_ms);
 void gx_move_on(struct gx *gx);
 int64_t gx_patience_us(const struct gx *gx);
-int64_t gx_expected_us(struct gx *gx, uint16_t model);
+bool gx_expect(
+    struct gx *gx, uint16_t model, int64_t *work_us, int64_t *backlog_us);
 
 /* exchange_answer.c */
 extern const struct hu_handler gx_call_handler;
--- a/src/gateway/exchange_answer.c
+++ b/src/gateway/exchange_answer.c
@@ -109,14 +109,14 @@
 	    gx->model + 1 >= gx->route->model_count)
 		return false;
 	next = ca_next(gx->route->model_count, gx->model);
-	in.expected_us = gx_expected_us(gx, next);
-	if (in.expected_us < 0 || !ca_should_escalate(&in))
+	if (!gx_expect(gx, next, &in.work_us, &in.backlog_us) ||
+	    !ca_should_escalate(&in))
 		return false;
 	gx->model = next;
 	gx_log(gx, LOG_LEVEL_INFO, "escalate",
 	    "confidence=%d model=%s spent_ms=%" PRId64 " expected_ms=%" PRId64,
 	    confidence, gx->route->models[gx->model], in.spent_us / US_PER_MS,
-	    in.expected_us / US_PER_MS);
+	    (in.work_us + in.backlog_us) / US_PER_MS);
 	return true;
 }
 
--- a/src/gateway/exchange_send.c
+++ b/src/gateway/exchange_send.c
@@ -11,6 +11,7 @@
 /* Where a request goes, and how it is sent there. */
 
 enum {
+	RESUME_WAIT_US = 2000000, /* for a server, in the middle of a stream */
 	STARTING_ROUNDS = 3, /* of announcements, until all servers are known */
 	EXPOSURE_PERCENT = 90, /* of what a bad version may get */
 	PLAIN_WAITING =
@@ -220,6 +221,24 @@
 		    gx, gx->may_have_run ? ERR_UPSTREAM : error, retry_ms);
 }
 
+/*
+ * Whether the request may wait for a server: half of the time in which an
+ * answer is worth most, or, in the middle of a stream, as long as its caller
+ * bears a pause.
+ */
+static bool
+may_wait(const struct gx *gx)
+{
+	int64_t now_us = gx_now(gx);
+
+	if (now_us >= gx->deadline_us)
+		return false;
+	if (gx->begun)
+		return now_us - gx->now.progress_us < RESUME_WAIT_US;
+	return now_us - gx->arrived_us <
+	       (int64_t)gx->route->goal_ms * US_PER_MS / 2;
+}
+
 /*
  * Whether servers will be heard of in a moment: each announces itself once in
  * announce-ms, and an instance that has just started knows none.
@@ -230,8 +249,9 @@
 	const struct ge *ge = gx->ge;
 	int64_t announce_us = (int64_t)ge->gw->settings->announce_ms * 1000;
 
-	return !gx->begun &&
-	       gx_now(gx) - ge->started_us < STARTING_ROUNDS * announce_us &&
+	if (gx->begun)
+		return may_wait(gx);
+	return gx_now(gx) - ge->started_us < STARTING_ROUNDS * announce_us &&
 	       gx_now(gx) - gx->arrived_us < GX_AWAIT_US &&
 	       gx_now(gx) < gx->deadline_us;
 }
@@ -280,8 +300,7 @@
 			gx_refuse(gx, ERR_NO_SERVER, GX_RETRY_UNKNOWN_MS);
 		break;
 	case PL_FULL:
-		if (gx_now(gx) - gx->arrived_us >
-		    (int64_t)gx->route->goal_ms * US_PER_MS / 2)
+		if (!may_wait(gx))
 			gx_refuse(gx, ERR_NO_CAPACITY, GX_RETRY_FULL_MS);
 		else
 			wait_for_server(gx);
@@ -289,19 +308,24 @@
 	}
 }
 
-/* Time until a model's first event, at the best server; -1: there is none. */
-int64_t
-gx_expected_us(struct gx *gx, uint16_t model)
+/*
+ * Reckons the work of reading the prompt with a model, and what waits at the
+ * best server for it.  False: no server has room.
+ */
+bool
+gx_expect(struct gx *gx, uint16_t model, int64_t *work_us, int64_t *backlog_us)
 {
 	struct pl_query query = query_for(gx, model);
 	uint16_t server;
 
 	query.avoid_count = 0;
 	if (pl_pick(gx->ge->pool, &query, gx_now(gx), &server) != PL_CHOSEN)
-		return -1;
-	return (int64_t)((pl_backlog_ms(gx->ge->pool, server, gx_now(gx)) +
-			     query.work_ms) *
-			 US_PER_MS);
+		return false;
+	*work_us = (int64_t)(query.work_ms * US_PER_MS);
+	*backlog_us = (int64_t)(pl_backlog_ms(
+				    gx->ge->pool, server, gx_now(gx)) *
+				US_PER_MS);
+	return true;
 }
 
 /* How long the attempt under way may go on without progress; 0: forever. */
--- a/src/route/cascade.c
+++ b/src/route/cascade.c
@@ -14,6 +14,7 @@
 
 /* Confidence that is enough where the other answer would come late. */
 static const double enough_when_late = 8;
+static const double backlog_factor = 2; /* others choose at the same time */
 
 /* Returns the model that a request begins with. */
 uint16_t
@@ -30,7 +31,9 @@
 	double cost = in->output_tokens + read_cost * in->prompt_tokens;
 	double use = in->output_tokens + read_use * in->prompt_tokens;
 
-	if (in->spent_us + in->expected_us > in->goal_us)
+	if ((double)(in->spent_us + in->work_us) +
+		backlog_factor * (double)in->backlog_us >
+	    (double)in->goal_us)
 		return enough_when_late;
 	return use > 0 ? enough_free - enough_per_cost * cost / use
 		       : enough_free - enough_per_cost;
--- a/src/route/cascade.h
+++ b/src/route/cascade.h
@@ -29,7 +29,8 @@
 	uint32_t prompt_tokens;
 	uint32_t output_tokens; /* as far as can be told before */
 	bool may_repeat; /* attempts and budget allow another run */
-	int64_t expected_us; /* until the larger model's first event */
+	int64_t work_us; /* of reading the prompt with the larger model */
+	int64_t backlog_us; /* that waits at the best server for it */
 	int64_t spent_us; /* since the request came */
 	int64_t goal_us; /* an answer is worth most until then */
 	int64_t left_us; /* until the caller's time is over */
--- a/test/unit/route_course_test.cc
+++ b/test/unit/route_course_test.cc
@@ -164,7 +164,7 @@
 	in.may_repeat = true;
 	in.goal_us = 1000000;
 	in.left_us = 10000000;
-	in.expected_us = 100000;
+	in.work_us = 100000;
 	return in;
 }
 
@@ -209,7 +209,7 @@
 {
 	struct ca_input in = short_question(30);
 
-	in.expected_us = 1500000;
+	in.backlog_us = 700000;
 	EXPECT_FALSE(ca_should_escalate(&in));
 	in.confidence = 2;
 	EXPECT_TRUE(ca_should_escalate(&in));
