Tell the replica of every control instance that is heard from

The leader's message added it to the list of instances that serve control, but on_news() counted the list after that, so the replica was not told.

Ruled out by traces: links (up 1 s after the start), a lower incarnation (random), an introduction that the leader refuses (none arrived).

--- a/src/gateway/exchange_send.c
+++ b/src/gateway/exchange_send.c
@@ -322,9 +322,9 @@
 	if (pl_pick(gx->ge->pool, &query, gx_now(gx), &server) != PL_CHOSEN)
 		return false;
 	*work_us = (int64_t)(query.work_ms * US_PER_MS);
-	*backlog_us = (int64_t)(pl_backlog_ms(
-				    gx->ge->pool, server, gx_now(gx)) *
-				US_PER_MS);
+	*backlog_us =
+	    (int64_t)(pl_backlog_ms(gx->ge->pool, server, gx_now(gx)) *
+		      US_PER_MS);
 	return true;
 }
 
--- a/src/gateway/links.c
+++ b/src/gateway/links.c
@@ -9,6 +9,7 @@
 #include "gateway/follow.h"
 #include "gateway/gateway.h"
 #include "gateway/judge.h"
+#include "gateway/known.h"
 #include "gateway/loads.h"
 #include "gateway/replica.h"
 #include "wire/cluster.pb-c.h"
@@ -21,33 +22,19 @@
  */
 
 enum {
-	KNOWN_MAX = 64, /* instances that serve control */
 	SEEN_MAX = 1024, /* instances that greet */
-	SUBSCRIBED = 3, /* registries that an instance listens to */
 	NOTES_MAX = 512,
 	HELLO_FIRST_US = 100000, /* until somebody has answered */
 	HELLO_US = 1000000,
 	REPORT_US = 250000, /* outcomes of a roll-out go out this often */
 	PUSH_URGENT_US = 10000,
 	PUSH_US = 500000,
-	ALIVE_US = 4000000, /* unheard for longer: not listed any more */
-	FORGET_US = 30000000, /* an instance that may still send requests */
 	NOTE_KEPT_US = 60000000,
 	NOTE_SPREAD_US = 3000000, /* repeated so long, in case one is lost */
 	REGISTRY_TICK_US = 1000000,
 	KEY_HEX_BYTES = 64
 };
 
-/* An instance that serves control. */
-struct known {
-	uint32_t instance;
-	bool seed;
-	int64_t heard_us; /* 0: never */
-	bool near; /* in this data centre */
-	uint64_t feed; /* its registry's incarnation, and */
-	uint64_t change; /* the last change that arrived from there */
-};
-
 /* An instance that greets this one. */
 struct seen {
 	uint32_t instance;
@@ -67,8 +54,7 @@
 struct gw_links {
 	struct gw *gw;
 	struct peer_hub *hub;
-	struct known known[KNOWN_MAX];
-	uint32_t known_count;
+	struct kn known; /* instances that serve control */
 	struct seen seen[SEEN_MAX];
 	uint32_t seen_count;
 	uint32_t told_entries; /* entry instances, as others count them */
@@ -120,32 +106,11 @@
 	peer_send(links->hub, name, channel, bytes->data, (uint32_t)bytes->len);
 }
 
-static struct known *
-get_known(struct gw_links *links, uint32_t instance)
-{
-	struct known *k;
-
-	for (uint32_t i = 0; i < links->known_count; i++) {
-		if (links->known[i].instance == instance)
-			return &links->known[i];
-	}
-	if (instance == 0 || links->known_count == KNOWN_MAX)
-		return NULL;
-	k = &links->known[links->known_count++];
-	memset(k, 0, sizeof(*k));
-	k->instance = instance;
-	return k;
-}
-
 /* Lists the instances that serve control, this one included if it does. */
 uint32_t
 gw_control_instances(const struct gw *gw, uint32_t *out, uint32_t max)
 {
-	uint32_t count = 0;
-
-	for (uint32_t i = 0; i < gw->links->known_count && count < max; i++)
-		out[count++] = gw->links->known[i].instance;
-	return count;
+	return kn_list(&gw->links->known, out, max);
 }
 
 /* Returns how many instances may send requests to backend servers. */
@@ -164,27 +129,15 @@
 uint32_t
 gw_nearest_control(const struct gw *gw)
 {
-	const struct gw_links *links = gw->links;
-	const struct known *best = NULL;
-	int64_t now_us = loop_now_us(gw->loop);
-
-	for (uint32_t i = 0; i < links->known_count; i++) {
-		const struct known *k = &links->known[i];
-
-		if (k->heard_us == 0 || now_us - k->heard_us > ALIVE_US)
-			continue;
-		if (best == NULL || (k->near && !best->near) ||
-		    (k->near == best->near && k->instance < best->instance))
-			best = k;
-	}
-	return best != NULL ? best->instance : 0;
+	return kn_nearest(&gw->links->known, loop_now_us(gw->loop));
 }
 
 static void
-known_changed(struct gw_links *links)
+known_changed(void *ctx)
 {
-	uint32_t list[KNOWN_MAX];
-	uint32_t count = gw_control_instances(links->gw, list, KNOWN_MAX);
+	struct gw_links *links = ctx;
+	uint32_t list[KN_MAX];
+	uint32_t count = kn_list(&links->known, list, KN_MAX);
 
 	if (links->gw->follow != NULL)
 		gf_upstream(links->gw->follow, list, count);
@@ -196,40 +149,23 @@
 void
 gw_reseed(struct gw *gw)
 {
-	struct gw_links *links = gw->links;
-
-	for (uint32_t i = 0; i < links->known_count; i++)
-		links->known[i].seed = false;
-	for (uint32_t i = 0; i < gw->settings->seed_count; i++) {
-		struct known *k =
-		    get_known(links, address_of(gw->settings->seeds[i].host));
+	const struct gs *settings = gw->settings;
+	uint32_t seeds[GS_SEEDS_MAX];
 
-		if (k != NULL)
-			k->seed = true;
-	}
-	known_changed(links);
+	for (uint32_t i = 0; i < settings->seed_count; i++)
+		seeds[i] = address_of(settings->seeds[i].host);
+	kn_set_seeds(&gw->links->known, seeds, settings->seed_count);
 }
 
-/* Forgets instances that serve control no longer, as far as one can tell. */
+/* Forgets instances and notes of which nothing was heard for long. */
 static void
 forget_silent(struct gw_links *links, int64_t now_us)
 {
 	uint32_t kept = 0;
 
-	for (uint32_t i = 0; i < links->known_count; i++) {
-		const struct known *k = &links->known[i];
-
-		if (k->seed || k->instance == links->gw->self ||
-		    now_us - k->heard_us < FORGET_US)
-			links->known[kept++] = *k;
-	}
-	if (kept != links->known_count) {
-		links->known_count = kept;
-		known_changed(links);
-	}
-	kept = 0;
+	kn_forget_silent(&links->known, now_us);
 	for (uint32_t i = 0; i < links->seen_count; i++) {
-		if (now_us - links->seen[i].heard_us < FORGET_US)
+		if (now_us - links->seen[i].heard_us < KN_FORGET_US)
 			links->seen[kept++] = links->seen[i];
 	}
 	links->seen_count = kept;
@@ -241,26 +177,6 @@
 	links->note_count = kept;
 }
 
-/* Whether an instance is among those whose registries this one listens to. */
-static bool
-is_subscribed(const struct gw_links *links, uint32_t instance)
-{
-	int64_t now_us = loop_now_us(links->gw->loop);
-	uint32_t before = 0;
-
-	/* Those heard lately, by a hash that differs at each instance. */
-	for (uint32_t i = 0; i < links->known_count; i++) {
-		const struct known *k = &links->known[i];
-		uint32_t a = (k->instance ^ links->gw->self) * 2654435761U;
-		uint32_t b = (instance ^ links->gw->self) * 2654435761U;
-
-		if (k->instance != instance && k->instance != links->gw->self &&
-		    now_us - k->heard_us < ALIVE_US && a < b)
-			before++;
-	}
-	return before < SUBSCRIBED;
-}
-
 enum {
 	OUTCOMES_MAX = 256
 };
@@ -336,7 +252,7 @@
 
 static void
 send_hello(
-    struct gw_links *links, const struct known *k, const struct report *report)
+    struct gw_links *links, const struct kn_row *k, const struct report *report)
 {
 	Clpb__Hello hello = CLPB__HELLO__INIT;
 	struct buf bytes;
@@ -345,7 +261,8 @@
 	hello.keeps_state = links->gw->settings->data_dir[0] != '\0';
 	hello.feed = k->feed;
 	hello.change = k->change;
-	hello.subscribe = is_subscribed(links, k->instance);
+	hello.subscribe = kn_is_subscribed(
+	    &links->known, k->instance, loop_now_us(links->gw->loop));
 	hello.n_outcomes = report->outcome_count;
 	hello.outcomes = (Clpb__Outcome **)report->outcome_list;
 	hello.n_notes = report->note_count;
@@ -364,20 +281,10 @@
 
 	collect_outcomes(links, &report);
 	collect_notes(links, &report);
-	for (uint32_t i = 0; i < links->known_count; i++) {
-		if (links->known[i].instance != links->gw->self)
-			send_hello(links, &links->known[i], &report);
-	}
-}
-
-static bool
-anybody_heard(const struct gw_links *links)
-{
-	for (uint32_t i = 0; i < links->known_count; i++) {
-		if (links->known[i].heard_us != 0)
-			return true;
+	for (uint32_t i = 0; i < links->known.count; i++) {
+		if (links->known.rows[i].instance != links->gw->self)
+			send_hello(links, &links->known.rows[i], &report);
 	}
-	return false;
 }
 
 static void
@@ -387,7 +294,7 @@
 	int64_t wait_us = HELLO_US;
 
 	greet_all(links);
-	if (!anybody_heard(links))
+	if (!kn_anybody_heard(&links->known))
 		wait_us = HELLO_FIRST_US;
 	else if (links->gw->entry != NULL && ge_has_outcomes(links->gw->entry))
 		wait_us = REPORT_US;
@@ -405,7 +312,7 @@
 	Clpb__Server *server_list[NEWS_SERVERS_MAX];
 	Clpb__Model models[NEWS_SERVERS_MAX][RG_MODELS_MAX];
 	Clpb__Model *model_list[NEWS_SERVERS_MAX][RG_MODELS_MAX];
-	uint64_t control[KNOWN_MAX];
+	uint64_t control[KN_MAX];
 	struct report notes;
 	int64_t now_us;
 };
@@ -461,11 +368,10 @@
 	news.pb.change = rg_change(registry);
 	news.pb.servers = news.server_list;
 	rg_since(registry, after, add_server, &news);
-	for (uint32_t i = 0; i < links->known_count; i++) {
-		const struct known *k = &links->known[i];
+	for (uint32_t i = 0; i < links->known.count; i++) {
+		const struct kn_row *k = &links->known.rows[i];
 
-		if (k->instance == links->gw->self ||
-		    (k->heard_us != 0 && news.now_us - k->heard_us < ALIVE_US))
+		if (kn_is_alive(&links->known, k, news.now_us))
 			news.control[news.pb.n_control++] = k->instance;
 	}
 	news.pb.control = news.control;
@@ -491,7 +397,7 @@
 	for (uint32_t i = 0; i < links->seen_count; i++) {
 		struct seen *s = &links->seen[i];
 
-		if (s->subscribed && now_us - s->heard_us < ALIVE_US &&
+		if (s->subscribed && now_us - s->heard_us < KN_ALIVE_US &&
 		    (s->sent < rg_change(links->gw->registry) ||
 			links->notes_due))
 			send_news(links, s, s->sent);
@@ -614,7 +520,6 @@
 {
 	Clpb__Hello *hello = clpb__hello__unpack(NULL, len, data);
 	struct seen *s = get_seen(links, from);
-	struct known *k;
 	uint64_t after = 0;
 
 	if (hello == NULL || s == NULL) {
@@ -625,13 +530,10 @@
 	s->serves_control = hello->keeps_state;
 	s->subscribed = hello->subscribe;
 	if (hello->keeps_state) {
-		uint32_t before = links->known_count;
+		struct kn_row *k = kn_get(&links->known, from);
 
-		k = get_known(links, from);
 		if (k != NULL)
 			k->heard_us = s->heard_us;
-		if (links->known_count != before)
-			known_changed(links);
 	}
 	take_outcomes(links, from, hello);
 	take_notes(links, hello->notes, hello->n_notes);
@@ -681,17 +583,14 @@
     uint32_t len)
 {
 	Clpb__News *news = clpb__news__unpack(NULL, len, data);
-	struct known *k = get_known(links, from);
 	int64_t now_us = loop_now_us(links->gw->loop);
-	uint32_t before = links->known_count;
+	struct kn_row *k = kn_heard(&links->known, from, near, now_us);
 	struct rg_server server;
 
 	if (news == NULL || k == NULL) {
 		clpb__news__free_unpacked(news, NULL);
 		return;
 	}
-	k->heard_us = now_us;
-	k->near = near;
 	if (k->feed != news->incarnation) {
 		k->feed = news->incarnation;
 		k->change = 0;
@@ -704,9 +603,7 @@
 	if (news->after <= k->change && news->change > k->change)
 		k->change = news->change;
 	for (size_t i = 0; i < news->n_control; i++)
-		(void)get_known(links, (uint32_t)news->control[i]);
-	if (links->known_count != before)
-		known_changed(links);
+		(void)kn_get(&links->known, (uint32_t)news->control[i]);
 	take_notes(links, news->notes, news->n_notes);
 	links->told_entries = news->entry_instances;
 	if (links->gw->entry != NULL)
@@ -831,6 +728,9 @@
 	    "%s", gw->settings->data_centre);
 	options.self.incarnation = gw->incarnation;
 	links->gw = gw;
+	links->known.self = gw->self;
+	links->known.changed = known_changed;
+	links->known.ctx = links;
 	links->hub = peer_hub_new(&options);
 	if (links->hub == NULL) {
 		alloc_free(gw->alloc, links);
@@ -840,7 +740,7 @@
 	gw->links = links;
 	gw->loads = gl_new(gw);
 	if (gw->settings->control_listen.host[0] != '\0')
-		(void)get_known(links, gw->self);
+		(void)kn_get(&links->known, gw->self);
 	gw_reseed(gw);
 	links->hello = loop_after(gw->loop, 0, on_hello_timer, links);
 	links->tick = loop_after(gw->loop, REGISTRY_TICK_US, on_tick, links);
