Log who keeps the log, and verdicts that the log did not take

`members` now says so at each change, with those that still learn, and `verdict_failed` says when a roll-out's next state was not accepted, which was dropped without a line.

--- a/src/gateway/judge.c
+++ b/src/gateway/judge.c
@@ -3,6 +3,7 @@
 #include <inttypes.h>
 #include <string.h>
 
+#include "base/err.h"
 #include "base/log.h"
 #include "gateway/replica.h"
 
@@ -52,7 +53,10 @@
 {
 	struct gj *gj = ctx;
 
-	(void)error; /* the next look proposes it again */
+	/* The next look proposes it again. */
+	if (error != 0)
+		log_event(LOG_LEVEL_WARN, "verdict_failed", "error=%s",
+		    err_name(error));
 	gj->proposing = false;
 }
 
--- a/src/gateway/replica.c
+++ b/src/gateway/replica.c
@@ -69,6 +69,7 @@
 	struct cy_source *source;
 	uint32_t known[RL_INSTANCES_MAX];
 	uint32_t known_count;
+	uint64_t members_index; /* of the members that were logged last */
 };
 
 static void step(struct gr *gr, const struct rl_event *event);
@@ -392,6 +393,31 @@
 	step(gr, &event);
 }
 
+/* Logs who keeps the log when that has changed. */
+static void
+note_members(struct gr *gr)
+{
+	struct rl_status status;
+	struct buf list;
+
+	rl_status(gr->rl, &status);
+	if (status.members_index == gr->members_index)
+		return;
+	gr->members_index = status.members_index;
+	buf_init(&list, gr->gw->alloc);
+	for (size_t i = 0; i < status.member_count; i++) {
+		const struct rl_member *member = &status.members[i];
+		char name[GS_NAME_BYTES];
+
+		gw_address_text((uint32_t)member->instance, name);
+		buf_addf(&list, "%s%s%s", i > 0 ? "," : "", name,
+		    member->voter ? "" : "(learns)");
+	}
+	log_event(LOG_LEVEL_INFO, "members", "index=%" PRIu64 " members=%s",
+	    status.members_index, buf_text(&list));
+	buf_free(&list);
+}
+
 static void
 on_tick(void *ctx)
 {
@@ -400,6 +426,7 @@
 	struct buf bytes;
 
 	gr->tick = loop_after(gr->gw->loop, SNAPSHOT_TICK_US, on_tick, gr);
+	note_members(gr);
 	if (!jn_snapshot_due(gr->jn))
 		return;
 	buf_init(&bytes, gr->gw->alloc);
