--- a/src/gateway/entry.c
+++ b/src/gateway/entry.c
@@ -34,41 +34,46 @@
 	alloc_free(alloc_default(), table);
 }
 
+/* Takes the document of the orders into use; one that can't be read is not. */
 static void
-on_compile(void *ctx)
+compile_document(struct ge *ge, const struct ord *ord)
 {
-	struct ge *ge = ctx;
-	const struct ord *ord = gf_orders(ge->gw->follow);
 	const struct dl_dialect *dialect = ge->gw->dialect;
+	struct ge_table *next = alloc_zero(alloc_default(), 1, sizeof(*next));
 	const struct rt_limits *limits;
-	struct ge_table *next;
 	struct buf why;
 
-	ge->compile = NULL;
-	if (ord_number(ord) != 0 &&
-	    (ge->table == NULL || ge->table->number != ord_number(ord))) {
-		buf_init(&why, ge->gw->alloc);
-		next = alloc_zero(alloc_default(), 1, sizeof(*next));
-		next->users = 1;
-		if (dialect->ops->read_document(dialect,
-			buf_text(ord_text(ord)), ord_text(ord)->len,
-			&next->routes, &next->number, &why) != 0) {
-			log_event(LOG_LEVEL_ERROR, "document_unreadable",
-			    "number=%" PRIu64 " why=\"%s\"", ord_number(ord),
-			    buf_text(&why));
-			alloc_free(alloc_default(), next);
-		} else {
-			ge_table_release(ge->table);
-			ge->table = next;
-			limits = rt_limits_of(next->routes);
-			hf_set_limits(ge->front,
-			    &(struct hf_limits){limits->header_max_bytes,
-				limits->body_max_bytes,
-				limits->header_timeout_ms,
-				limits->idle_timeout_ms});
-		}
+	buf_init(&why, ge->gw->alloc);
+	next->users = 1;
+	if (dialect->ops->read_document(dialect, buf_text(ord_text(ord)),
+		ord_text(ord)->len, &next->routes, &next->number, &why) != 0) {
+		log_event(LOG_LEVEL_ERROR, "document_unreadable",
+		    "number=%" PRIu64 " why=\"%s\"", ord_number(ord),
+		    buf_text(&why));
 		buf_free(&why);
+		alloc_free(alloc_default(), next);
+		return;
 	}
+	buf_free(&why);
+	ge_table_release(ge->table);
+	ge->table = next;
+	limits = rt_limits_of(next->routes);
+	hf_set_limits(
+	    ge->front, &(struct hf_limits){limits->header_max_bytes,
+			   limits->body_max_bytes, limits->header_timeout_ms,
+			   limits->idle_timeout_ms});
+}
+
+static void
+on_compile(void *ctx)
+{
+	struct ge *ge = ctx;
+	const struct ord *ord = gf_orders(ge->gw->follow);
+
+	ge->compile = NULL;
+	if (ord_number(ord) != 0 &&
+	    (ge->table == NULL || ge->table->number != ord_number(ord)))
+		compile_document(ge, ord);
 	if (ge->table != NULL)
 		pl_configure(ge->pool, ge->table->routes, ord);
 	ge_wake_waiting(ge);
--- a/src/gateway/exchange_send.c
+++ b/src/gateway/exchange_send.c
@@ -14,8 +14,7 @@
 	RESUME_WAIT_US = 2000000, /* for a server, in the middle of a stream */
 	STARTING_ROUNDS = 3, /* of announcements, until all servers are known */
 	EXPOSURE_PERCENT = 90, /* of what a bad version may get */
-	PLAIN_WAITING =
-	    6 /* requests that may wait at a plain service's server */
+	PLAIN_WAITING = 6 /* may wait at a server of a plain service */
 };
 
 /* Hash of the prompt prefix that other requests share; 0: none. */
--- a/src/gateway/known.c
+++ b/src/gateway/known.c
@@ -2,8 +2,8 @@
 
 #include "gateway/known.h"
 
-/* Any odd number of 32 bits with its bits spread; orders rows by a hash. */
-static const uint32_t HASH_FACTOR = 2654435761U;
+/* An odd number whose bits are spread over all 32; orders rows by a hash. */
+static const uint32_t hash_factor = 2654435761U;
 
 /* Returns the row of an instance, which is added; NULL without room. */
 struct kn_row *
@@ -117,7 +117,7 @@
 bool
 kn_is_subscribed(const struct kn *kn, uint32_t instance, int64_t now_us)
 {
-	uint32_t own = (instance ^ kn->self) * HASH_FACTOR;
+	uint32_t own = (instance ^ kn->self) * hash_factor;
 	uint32_t before = 0;
 
 	for (uint32_t i = 0; i < kn->count; i++) {
@@ -125,7 +125,7 @@
 
 		if (row->instance != instance && row->instance != kn->self &&
 		    now_us - row->heard_us < KN_ALIVE_US &&
-		    (row->instance ^ kn->self) * HASH_FACTOR < own)
+		    (row->instance ^ kn->self) * hash_factor < own)
 			before++;
 	}
 	return before < KN_SUBSCRIBED;
--- /dev/null
+++ b/src/route/centres.h
@@ -0,0 +1,49 @@
+#ifndef CF_ROUTE_CENTRES_H
+#define CF_ROUTE_CENTRES_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "state/registry.h"
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+/*
+ * Which data centres' servers can be reached, as far as this instance has
+ * found.  A server that does not even refuse a connection, or several that
+ * can't be reached, may mean that their data centre is cut off: the rest of it
+ * is not tried one by one while there are others.  No I/O.
+ */
+
+enum {
+	CE_MAX = 32, /* data centres; one more takes the first one's place */
+	CE_FAILURES = 2, /* different servers, before all are doubted */
+	CE_WINDOW_US = 3000000, /* failures further apart are unrelated */
+	CE_DOWN_US = 1000000 /* then one request tries it again */
+};
+
+struct ce_row {
+	char name[RG_NAME_BYTES];
+	uint16_t last; /* server that could not be reached last */
+	uint8_t failures; /* of different servers, without one that answered */
+	int64_t failed_us;
+	int64_t down_until_us;
+};
+
+struct ce {
+	struct ce_row rows[CE_MAX];
+	uint32_t count;
+};
+
+bool ce_is_down(struct ce *ce, const char *name, int64_t now_us);
+void ce_failed(struct ce *ce, const char *name, uint16_t server, bool silent,
+    int64_t now_us);
+void ce_answered(struct ce *ce, const char *name);
+
+#ifdef __cplusplus
+}
+#endif
+
+#endif
--- a/src/route/pool.c
+++ b/src/route/pool.c
@@ -4,6 +4,8 @@
 #include <string.h>
 #include <xxhash.h>
 
+#include "route/centres.h"
+
 enum {
 	DOWN_FIRST_US = 250000, /* after one failure to reach a server */
 	DOWN_MAX_US = 4000000,
@@ -24,26 +26,9 @@
 static const uint32_t abroad_load = 2; /* requests; see pick_by_load() */
 static const double noise_ms = 6; /* keeps instances from choosing alike */
 
-/* A data centre whose servers can't be reached, as far as this one knows. */
-struct centre {
-	char name[RG_NAME_BYTES];
-	uint16_t last; /* server that could not be reached last */
-	uint8_t failures; /* of different servers, without one that answered */
-	int64_t failed_us;
-	int64_t down_until_us;
-};
-
-enum {
-	CENTRES_MAX = 32,
-	CENTRE_FAILURES = 2, /* different servers, before all are doubted */
-	CENTRE_WINDOW_US = 3000000, /* failures further apart are unrelated */
-	CENTRE_DOWN_US = 1000000 /* then one request tries it again */
-};
-
 struct pl {
 	struct pl_options options;
-	struct centre centres[CENTRES_MAX];
-	uint32_t centre_count;
+	struct ce centres;
 	struct rng rng;
 	struct pl_server *servers;
 	uint16_t count;
@@ -53,22 +38,6 @@
 	const struct ord *orders;
 };
 
-static struct centre *
-centre_of(struct pl *pl, const char *name)
-{
-	struct centre *c;
-
-	for (uint32_t i = 0; i < pl->centre_count; i++) {
-		if (strcmp(pl->centres[i].name, name) == 0)
-			return &pl->centres[i];
-	}
-	c = &pl->centres[pl->centre_count < CENTRES_MAX ? pl->centre_count++
-							: 0];
-	memset(c, 0, sizeof(*c));
-	snprintf(c->name, sizeof(c->name), "%s", name);
-	return c;
-}
-
 /* Creates a pool without servers. */
 struct pl *
 pl_new(const struct pl_options *options)
@@ -488,8 +457,7 @@
 		struct pl_server *s = &pl->servers[i];
 		bool suspect =
 		    s->down_until_us > now_us ||
-		    centre_of(pl, s->said.data_centre)->down_until_us >
-			now_us ||
+		    ce_is_down(&pl->centres, s->said.data_centre, now_us) ||
 		    s->ejected_until_us > now_us ||
 		    now_us - s->said.heard_us > pl->options.silent_us ||
 		    is_avoided(query, i);
@@ -633,26 +601,6 @@
 	    now_us + (int64_t)cold_ms * US_PER_MS;
 }
 
-/*
- * A server that does not even refuse a connection, or several that can't be
- * reached, may mean that their data centre is cut off: the rest of it is not
- * tried one by one while there are others.
- */
-static void
-doubt_centre(struct pl *pl, uint16_t server, bool silent, int64_t now_us)
-{
-	struct centre *c = centre_of(pl, pl->servers[server].said.data_centre);
-
-	if (now_us - c->failed_us > CENTRE_WINDOW_US)
-		c->failures = 0;
-	if (c->failures == 0 || c->last != server)
-		c->failures++;
-	c->last = server;
-	c->failed_us = now_us;
-	if (silent || c->failures >= CENTRE_FAILURES)
-		c->down_until_us = now_us + CENTRE_DOWN_US;
-}
-
 /* No connection could be made; silent: it was not even refused. */
 void
 pl_unreachable(struct pl *pl, uint16_t server, bool silent, int64_t now_us)
@@ -666,7 +614,7 @@
 		s->failures++;
 	s->down_until_us =
 	    now_us + (wait_us < DOWN_MAX_US ? wait_us : DOWN_MAX_US);
-	doubt_centre(pl, server, silent, now_us);
+	ce_failed(&pl->centres, s->said.data_centre, server, silent, now_us);
 }
 
 static double
@@ -697,11 +645,8 @@
 	struct pl_server *s = &pl->servers[server];
 
 	if (!failed) {
-		struct centre *c = centre_of(pl, s->said.data_centre);
-
 		s->failures = 0;
-		c->failures = 0;
-		c->down_until_us = 0;
+		ce_answered(&pl->centres, s->said.data_centre);
 	}
 	s->outcomes++;
 	s->failing += failing_weight * ((failed ? 1.0 : 0.0) - s->failing);
--- a/test/unit/route_state_test.cc
+++ b/test/unit/route_state_test.cc
@@ -4,6 +4,7 @@
 #include <set>
 
 #include "route/budget.h"
+#include "route/centres.h"
 #include "route/evidence.h"
 #include "route/loads.h"
 #include "route/pace.h"
@@ -279,3 +280,24 @@
 	EXPECT_EQ(0u, ev_count(ev));
 	ev_free(ev);
 }
+
+/* One server that refuses is no cut; two, or one that keeps silent, may be. */
+TEST(Centres, SeveralServersOrASilentOneMakeADoubt)
+{
+	struct ce ce = {};
+
+	ce_failed(&ce, "a", 1, false, 1000);
+	ce_failed(&ce, "a", 1, false, 2000);
+	EXPECT_FALSE(ce_is_down(&ce, "a", 2000));
+	ce_failed(&ce, "a", 2, false, 3000);
+	EXPECT_TRUE(ce_is_down(&ce, "a", 3000));
+	EXPECT_FALSE(ce_is_down(&ce, "a", 3000 + CE_DOWN_US));
+	ce_answered(&ce, "a");
+	EXPECT_FALSE(ce_is_down(&ce, "a", 3000));
+	ce_failed(&ce, "b", 3, true, 4000);
+	EXPECT_TRUE(ce_is_down(&ce, "b", 4000));
+	EXPECT_FALSE(ce_is_down(&ce, "a", 4000));
+	ce_failed(&ce, "c", 4, false, 5000);
+	ce_failed(&ce, "c", 5, false, 5001 + CE_WINDOW_US);
+	EXPECT_FALSE(ce_is_down(&ce, "c", 5001 + CE_WINDOW_US));
+}
