Try new versions on busy servers before they get everything

Change: after half of a roll-out's time sessions of the old version may go on with the new one, so the share rises from 13 to 26 % on the same few servers (load trial), and everything moves only when 15 answers came from servers with over half of their slots busy, or at 72 % of the time. Errors of busy servers are judged by themselves. While the trial crowds a server, gaps of its streams are not held against the version.

--- a/src/gateway/entry.h
+++ b/src/gateway/entry.h
@@ -21,7 +21,8 @@
 
 enum {
 	GE_CRASHES_REFUSED = 3, /* a request that crashed so many servers */
-	GE_TARGET_PERMILLE = 130 /* of a service's sessions, to a new version */
+	GE_TARGET_PERMILLE = 130, /* of a service's sessions, to a new version */
+	GE_LOAD_TRIAL_PERMILLE = 260 /* the same, while it is tried under load */
 };
 
 /* A table of routes in use; requests keep the one they began with. */
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -97,6 +97,7 @@
 void gx_refuse(struct gx *gx, int error, int64_t retry_ms);
 void gx_move_on(struct gx *gx);
 int64_t gx_patience_us(const struct gx *gx);
+bool gx_is_load_trial(const struct gx *gx, const struct ord_rollout *rollout);
 bool gx_expect(
     struct gx *gx, uint16_t model, int64_t *work_us, int64_t *backlog_us);
 
--- a/src/gateway/exchange_answer.c
+++ b/src/gateway/exchange_answer.c
@@ -18,6 +18,7 @@
 	SLOW_FACTOR = 3, /* of the time expected: far too late */
 	FIRST_BYTE_MS = 40, /* of any answer, on top of its work */
 	BACKLOG_NONE_MS = 10, /* a server counts as idle below this */
+	GAP_BACKLOG_MS = 50, /* beyond it, gaps tell nothing of a version */
 	STATUS_MISDIRECTED = 421
 };
 
@@ -43,6 +44,15 @@
 		   : &row->known;
 }
 
+/* Whether the attempt's server has over half of its slots busy, as it says. */
+static bool
+is_loaded(const struct gx *gx)
+{
+	const struct pl_server *s = pl_at(gx->ge->pool, gx->now.server);
+
+	return s->has_load && s->running * 2U > s->said.slots;
+}
+
 /* Counts an answer as it begins: its time, and whether it is a failure. */
 static void
 note_answer(struct gx *gx, bool failed)
@@ -54,6 +64,10 @@
 	counts->answers++;
 	counts->failures += failed;
 	counts->errors += failed;
+	if (is_loaded(gx)) {
+		counts->loaded++;
+		counts->loaded_errors += failed;
+	}
 	if (failed)
 		return;
 	counts->slow += (double)(gx_now(gx) - gx->now.sent_us) / US_PER_MS >
@@ -206,6 +220,22 @@
 	return 0;
 }
 
+/*
+ * Whether the load trial has more prompts read at the attempt's server than the
+ * old version ever has, which delays the events of any version.
+ */
+static bool
+is_crowded_by_trial(const struct gx *gx)
+{
+	const struct ord_rollout *rollout =
+	    ord_rollout_of(gf_orders(gx->ge->gw->follow), gx->target->name);
+
+	return gx->now.role == PL_TARGET && rollout != NULL &&
+	       gx_is_load_trial(gx, rollout) &&
+	       pl_backlog_ms(gx->ge->pool, gx->now.server, gx_now(gx)) >
+		   GAP_BACKLOG_MS;
+}
+
 /*
  * Counts the time since the event before for the judgement of a roll-out.  How
  * long it should be is learned from the old version, for each model.
@@ -220,7 +250,7 @@
 		*learned += *learned == 0
 				? (double)gap_us
 				: gap_weight * ((double)gap_us - *learned);
-	if (counts == NULL || *learned == 0)
+	if (counts == NULL || *learned == 0 || is_crowded_by_trial(gx))
 		return;
 	counts->gaps++;
 	counts->slow_gaps += (double)gap_us > SLOW_FACTOR * *learned;
--- a/src/gateway/exchange_send.c
+++ b/src/gateway/exchange_send.c
@@ -49,19 +49,37 @@
 	return rollout != NULL && rollout->state == ORD_RUNNING;
 }
 
-/* Whether the new version may get one more of this instance's requests. */
+/* Whether a roll-out has come to its trial under load. */
+bool
+gx_is_load_trial(const struct gx *gx, const struct ord_rollout *rollout)
+{
+	return rollout->state == ORD_RUNNING &&
+	       vd_is_load_trial((gx_now(gx) - rollout->ordered_us) / US_PER_MS,
+		   rollout->duration_ms);
+}
+
+/*
+ * Whether the new version may get one more of this instance's requests.  What
+ * it may get is a share of all requests until the roll-out's time limit; late
+ * in the roll-out the rest of them can be foreseen.
+ */
 static bool
 trial_has_room(struct gx *gx, const struct ord_rollout *rollout)
 {
 	struct ge_service *v = gx->service;
 	uint32_t most = gx->ge->gw->settings->exposure_permille;
+	int64_t elapsed_ms = (gx_now(gx) - rollout->ordered_us) / US_PER_MS;
+	uint64_t total;
 
 	if (strcmp(v->trial, rollout->target) != 0) {
 		snprintf(v->trial, sizeof(v->trial), "%s", rollout->target);
 		v->trial_sent = v->trial_total = 0;
 	}
+	total = v->trial_total;
+	if (gx_is_load_trial(gx, rollout) && elapsed_ms < rollout->duration_ms)
+		total = total * rollout->duration_ms / (uint64_t)elapsed_ms;
 	return (uint64_t)v->trial_sent * 1000 <=
-	       (uint64_t)v->trial_total * most * EXPOSURE_PERCENT / 100;
+	       total * most * EXPOSURE_PERCENT / 100;
 }
 
 /* The version of the service that this request runs on. */
@@ -81,6 +99,10 @@
 	if (rollout == NULL || rollout->state != ORD_RUNNING)
 		return PL_BASE;
 	query.order_age_us = query.now_us - rollout->ordered_us;
+	if (gx_is_load_trial(gx, rollout)) {
+		query.permille = GE_LOAD_TRIAL_PERMILLE;
+		query.may_go_over = true;
+	}
 	role = se_role(ge->sessions, &query, bound);
 	if (role == PL_TARGET && !*bound && !trial_has_room(gx, rollout))
 		role = PL_BASE;
--- a/src/gateway/judge.c
+++ b/src/gateway/judge.c
@@ -69,14 +69,16 @@
 	log_event(LOG_LEVEL_INFO, "verdict",
 	    "service=%s version=%s state=%d elapsed_ms=%" PRId64
 	    " answers=%u failures=%u errors=%u slow=%u gaps=%u slow_gaps=%u "
+	    "loaded=%u loaded_errors=%u "
 	    "base_answers=%u base_failures=%u base_slow=%u base_gaps=%u "
 	    "base_slow_gaps=%u worse_on=%s",
 	    rollout->service, rollout->target, rollout->state,
 	    input->elapsed_ms, input->fresh.answers, input->fresh.failures,
 	    input->fresh.errors, input->fresh.slow, input->fresh.gaps,
-	    input->fresh.slow_gaps, input->known.answers, input->known.failures,
-	    input->known.slow, input->known.gaps, input->known.slow_gaps,
-	    route);
+	    input->fresh.slow_gaps, input->fresh.loaded,
+	    input->fresh.loaded_errors, input->known.answers,
+	    input->known.failures, input->known.slow, input->known.gaps,
+	    input->known.slow_gaps, route);
 	gj->finishing_us = 0;
 	gj->proposing = true;
 	buf_init(&change, gj->gw->alloc);
--- a/src/gateway/links.c
+++ b/src/gateway/links.c
@@ -201,6 +201,8 @@
 	pb->slow = counts->slow;
 	pb->gaps = counts->gaps;
 	pb->slow_gaps = counts->slow_gaps;
+	pb->loaded = counts->loaded;
+	pb->loaded_errors = counts->loaded_errors;
 }
 
 static void
@@ -489,7 +491,8 @@
 
 	if (pb != NULL)
 		counts = (struct vd_counts){pb->answers, pb->failures,
-		    pb->errors, pb->slow, pb->gaps, pb->slow_gaps};
+		    pb->errors, pb->slow, pb->gaps, pb->slow_gaps, pb->loaded,
+		    pb->loaded_errors};
 	return counts;
 }
 
--- a/src/route/evidence.c
+++ b/src/route/evidence.c
@@ -97,6 +97,8 @@
 	to->slow += from->slow;
 	to->gaps += from->gaps;
 	to->slow_gaps += from->slow_gaps;
+	to->loaded += from->loaded;
+	to->loaded_errors += from->loaded_errors;
 }
 
 struct sum {
--- a/src/route/sessions.c
+++ b/src/route/sessions.c
@@ -59,6 +59,13 @@
 	return (struct slot *)&se->slots[hash(session) % SLOTS];
 }
 
+static bool
+goes_over(const struct slot *slot, const struct se_query *query)
+{
+	return query->may_go_over && slot->role == PL_BASE &&
+	       is_target(query->session, query->permille);
+}
+
 /* Returns the version for a request; bound: it must be that one. */
 enum pl_role
 se_role(const struct se *se, const struct se_query *query, bool *bound)
@@ -71,7 +78,8 @@
 	slot = slot_of(se, query->session);
 	if (slot->session == query->session &&
 	    (query->now_us < slot->held_until_us ||
-		query->now_us - slot->seen_us < 2 * se->pause_us)) {
+		query->now_us - slot->seen_us < 2 * se->pause_us) &&
+	    !goes_over(slot, query)) {
 		*bound = true;
 		return slot->role;
 	}
--- a/src/route/sessions.h
+++ b/src/route/sessions.h
@@ -17,7 +17,8 @@
  * at every instance.  One that the hash gives to the new version though it has
  * begun on the old one is held there: the instance that knows so tells the
  * others.  Until they have heard of all such sessions, unknown ones stay with
- * the old version.
+ * the old version.  Late in a roll-out sessions may go over to the new version,
+ * by the same hash; none goes back.
  */
 struct se;
 
@@ -27,6 +28,7 @@
 	int64_t order_age_us; /* since the roll-out was ordered */
 	uint32_t permille; /* share of the new version */
 	uint32_t draw; /* below 1,000, for requests without a session */
+	bool may_go_over; /* sessions of the old version, to the new one */
 };
 
 struct se *se_new(const struct alloc *alloc, int64_t pause_us);
--- a/src/route/verdict.c
+++ b/src/route/verdict.c
@@ -8,10 +8,13 @@
 	TIMES_MIN = 10, /* answers of both, before their times are compared */
 	GAPS_FEW = 50, /* will do where most of them are too long */
 	GAPS_MIN = 400, /* between events of both, the same */
+	LOADED_ERRORS_MIN = 3, /* of busy servers, before they count */
+	LOADED_MIN = 15, /* answers of busy servers that end the load trial */
+	LOAD_TRIAL_PERMILLE = 520, /* of the duration: more sessions go there */
 	ANSWERS_MIN = 20, /* of the new version, before it gets everything */
 	ANSWERS_FEW = 5, /* will do when the time is nearly over */
 	FINISHING_PERMILLE = 620, /* of the duration: then everything moves */
-	LATEST_PERMILLE = 700, /* of the duration: then few answers will do */
+	LATEST_PERMILLE = 720, /* of the duration: then few answers will do */
 	COMPLETE_PERMILLE = 900, /* of the duration: old servers may stop */
 	SETTLE_MS = 5000 /* what was sent to the old servers ends */
 };
@@ -39,10 +42,25 @@
 	       share(part, all) > base + deviations * noise;
 }
 
+/*
+ * Whether busy servers of the new version fail more than servers of the old one
+ * do at any load.  They may well be slower.
+ */
+static bool
+is_worse_when_loaded(
+    const struct vd_counts *fresh, const struct vd_counts *known)
+{
+	return fresh->loaded_errors >= LOADED_ERRORS_MIN &&
+	       is_above(fresh->loaded_errors, fresh->loaded,
+		   share(known->errors, known->answers), share_worse);
+}
+
 /* Tells whether a new version does worse than the old one, beyond chance. */
 bool
 vd_is_worse(const struct vd_counts *fresh, const struct vd_counts *known)
 {
+	if (is_worse_when_loaded(fresh, known))
+		return true;
 	if (fresh->failures >= FAILURES_MIN &&
 	    is_above(fresh->failures, fresh->answers,
 		share(known->failures, known->answers), share_worse))
@@ -62,13 +80,37 @@
 	    fresh->gaps < GAPS_MIN ? most_slow_worse : slow_worse);
 }
 
+static int64_t
+part_of(int64_t elapsed_ms, uint32_t duration_ms)
+{
+	return duration_ms > 0 ? elapsed_ms * 1000 / duration_ms : 1000;
+}
+
+/*
+ * Tells whether a running roll-out is in its load trial.  That begins after
+ * half of the duration, from when a session may go on with the new version.
+ */
+bool
+vd_is_load_trial(int64_t elapsed_ms, uint32_t duration_ms)
+{
+	return part_of(elapsed_ms, duration_ms) >= LOAD_TRIAL_PERMILLE;
+}
+
+/* Whether enough is known of a version for it to get everything. */
+static bool
+has_shown_enough(const struct vd_input *in, int64_t part)
+{
+	if (part >= LATEST_PERMILLE)
+		return in->fresh.answers >= ANSWERS_FEW;
+	return in->fresh.answers >= ANSWERS_MIN &&
+	       in->fresh.loaded >= LOADED_MIN;
+}
+
 /* Returns the state that a roll-out should be in now. */
 enum ord_rollout_state
 vd_next(const struct vd_input *in)
 {
-	int64_t part = in->duration_ms > 0
-			   ? in->elapsed_ms * 1000 / in->duration_ms
-			   : 1000;
+	int64_t part = part_of(in->elapsed_ms, in->duration_ms);
 
 	if (in->state >= ORD_COMPLETED)
 		return in->state;
@@ -80,8 +122,7 @@
 			   ? ORD_COMPLETED
 			   : ORD_FINISHING;
 	if (in->has_servers && part >= FINISHING_PERMILLE &&
-	    (in->fresh.answers >= ANSWERS_MIN ||
-		(part >= LATEST_PERMILLE && in->fresh.answers >= ANSWERS_FEW)))
+	    has_shown_enough(in, part))
 		return ORD_FINISHING;
 	return ORD_RUNNING;
 }
--- a/src/route/verdict.h
+++ b/src/route/verdict.h
@@ -19,6 +19,11 @@
  * long pause, as a long prompt beside a stream makes it, says little.  One that
  * is not gets everything after half of the roll-out's time, and the old servers
  * may be stopped somewhat later, when what they had been sent has ended.
+ *
+ * Some versions fail only on busy servers.  Before a version gets everything,
+ * it has a load trial: more requests on as few servers as before, until enough
+ * answers came from servers with over half of their slots busy, or time is
+ * short.
  */
 struct vd_counts {
 	uint32_t answers;
@@ -27,6 +32,9 @@
 	uint32_t slow; /* answers that began far later than expected */
 	uint32_t gaps; /* times between two events of a stream */
 	uint32_t slow_gaps; /* those far longer than expected */
+	uint32_t
+	    loaded; /* answers of servers with over half their slots busy */
+	uint32_t loaded_errors; /* errors among those */
 };
 
 struct vd_input {
@@ -40,6 +48,7 @@
 	bool has_servers; /* of the new version */
 };
 
+bool vd_is_load_trial(int64_t elapsed_ms, uint32_t duration_ms);
 enum ord_rollout_state vd_next(const struct vd_input *in);
 bool vd_is_worse(const struct vd_counts *fresh, const struct vd_counts *known);
 
--- a/src/wire/cluster.pb-c.c
+++ b/src/wire/cluster.pb-c.c
@@ -747,7 +747,7 @@
   (ProtobufCMessageInit) clpb__server__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor clpb__counts__field_descriptors[6] =
+static const ProtobufCFieldDescriptor clpb__counts__field_descriptors[8] =
 {
   {
     "answers",
@@ -821,19 +821,45 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "loaded",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Clpb__Counts, loaded),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "loaded_errors",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Clpb__Counts, loaded_errors),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned clpb__counts__field_indices_by_name[] = {
   0,   /* field[0] = answers */
   5,   /* field[5] = errors */
   1,   /* field[1] = failures */
   3,   /* field[3] = gaps */
+  6,   /* field[6] = loaded */
+  7,   /* field[7] = loaded_errors */
   2,   /* field[2] = slow */
   4,   /* field[4] = slow_gaps */
 };
 static const ProtobufCIntRange clpb__counts__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor clpb__counts__descriptor =
 {
@@ -843,7 +869,7 @@
   "Clpb__Counts",
   "clpb",
   sizeof(Clpb__Counts),
-  6,
+  8,
   clpb__counts__field_descriptors,
   clpb__counts__field_indices_by_name,
   1,  clpb__counts__number_ranges,
--- a/src/wire/cluster.pb-c.h
+++ b/src/wire/cluster.pb-c.h
@@ -102,6 +102,14 @@
    * those far longer than expected
    */
   uint32_t slow_gaps;
+  /*
+   * answers of servers with over half their slots busy
+   */
+  uint32_t loaded;
+  /*
+   * errors among those
+   */
+  uint32_t loaded_errors;
   /*
    * failures that the server itself answered with
    */
@@ -109,7 +117,7 @@
 };
 #define CLPB__COUNTS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&clpb__counts__descriptor) \
-    , 0, 0, 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
 struct  Clpb__Outcome
--- a/test/unit/route_state_test.cc
+++ b/test/unit/route_state_test.cc
@@ -64,7 +64,7 @@
 
 	/* Sessions that the hash gives to the new version. */
 	for (uint64_t s = 1; target == 0 || fresh == 0; s++) {
-		q = (struct se_query){s, 60000000, 60000000, 80, 999};
+		q = (struct se_query){s, 60000000, 60000000, 80, 999, false};
 		if (se_role(se, &q, &bound) != PL_TARGET)
 			continue;
 		if (target == 0)
@@ -82,13 +82,13 @@
 	    &held);
 	EXPECT_EQ(std::set<uint64_t>{target}, held);
 	se_hold(se, target, 61000000);
-	q = (struct se_query){target, 80000000, 19000000, 80, 0};
+	q = (struct se_query){target, 80000000, 19000000, 80, 0, false};
 	EXPECT_EQ(PL_BASE, se_role(se, &q, &bound));
 	EXPECT_TRUE(bound);
 	/* Unknown ones wait until all held ones are known everywhere. */
-	q = (struct se_query){fresh, 61500000, 500000, 80, 0};
+	q = (struct se_query){fresh, 61500000, 500000, 80, 0, false};
 	EXPECT_EQ(PL_BASE, se_role(se, &q, &bound));
-	q = (struct se_query){fresh, 70000000, 9000000, 80, 0};
+	q = (struct se_query){fresh, 70000000, 9000000, 80, 0, false};
 	EXPECT_EQ(PL_TARGET, se_role(se, &q, &bound));
 	EXPECT_FALSE(bound);
 	EXPECT_FALSE(se_note(se, fresh, PL_TARGET, 80, 70000000));
@@ -105,7 +105,7 @@
 	bool bound;
 
 	for (uint64_t s = 1; target == 0; s++) {
-		struct se_query q = {s, 60000000, 60000000, 80, 999};
+		struct se_query q = {s, 60000000, 60000000, 80, 999, false};
 
 		if (se_role(se, &q, &bound) == PL_TARGET)
 			target = s;
@@ -116,6 +116,42 @@
 	se_free(se);
 }
 
+/*
+ * In the load trial more sessions have the new version, also those that began
+ * on the old one, and all instances agree on which.
+ */
+TEST(Sessions, GoOverToTheNewVersionInTheLoadTrialOnly)
+{
+	struct se *knows = se_new(alloc_default(), 5000000);
+	struct se *other = se_new(alloc_default(), 5000000);
+	uint32_t gone_over = 0;
+
+	for (uint64_t s = 1; s <= 1000; s++) {
+		struct se_query q = {s, 70000000, 9000000, 130, 999, false};
+		bool bound;
+
+		se_note(knows, s, PL_BASE, 0, 69000000);
+		EXPECT_EQ(PL_BASE, se_role(knows, &q, &bound));
+		q.permille = 260;
+		q.may_go_over = true;
+		gone_over += se_role(knows, &q, &bound) == PL_TARGET;
+		EXPECT_EQ(
+		    se_role(other, &q, &bound), se_role(knows, &q, &bound));
+		/* None goes back. */
+		if (se_role(knows, &q, &bound) != PL_TARGET)
+			continue;
+		se_note(knows, s, PL_TARGET, 260, 70000000);
+		q.may_go_over = false;
+		q.permille = 130;
+		EXPECT_EQ(PL_TARGET, se_role(knows, &q, &bound));
+		EXPECT_TRUE(bound);
+	}
+	EXPECT_GT(gone_over, 200u);
+	EXPECT_LT(gone_over, 320u);
+	se_free(knows);
+	se_free(other);
+}
+
 static enum ord_rollout_state
 judge(struct vd_counts fresh, struct vd_counts known, int64_t elapsed_ms,
     enum ord_rollout_state state = ORD_RUNNING, int64_t finishing_ms = 0)
@@ -136,67 +172,85 @@
 TEST(Verdict, AGoodVersionIsCompletedInTime)
 {
 	EXPECT_EQ(ORD_RUNNING,
-	    judge({30, 0, 0, 0, 0, 0}, {300, 1, 0, 0, 0, 0}, 5000));
+	    judge({30, 0, 0, 0, 0, 0, 0, 0}, {300, 1, 0, 0, 0, 0, 0, 0}, 5000));
+	EXPECT_EQ(ORD_RUNNING, judge({30, 0, 0, 0, 0, 0, 0, 0},
+				   {300, 1, 0, 0, 0, 0, 0, 0}, 13000));
+	EXPECT_EQ(ORD_FINISHING, judge({30, 0, 0, 0, 0, 0, 15, 0},
+				     {300, 1, 0, 0, 0, 0, 0, 0}, 15000));
+	/* Not seen under load, or with few answers, it waits longer. */
+	EXPECT_EQ(ORD_RUNNING, judge({90, 0, 0, 0, 0, 0, 14, 0},
+				   {300, 1, 0, 0, 0, 0, 0, 0}, 15000));
+	EXPECT_EQ(ORD_FINISHING, judge({90, 0, 0, 0, 0, 0, 0, 0},
+				     {300, 1, 0, 0, 0, 0, 0, 0}, 17300));
 	EXPECT_EQ(ORD_RUNNING,
-	    judge({30, 0, 0, 0, 0, 0}, {300, 1, 0, 0, 0, 0}, 13000));
+	    judge({9, 0, 0, 0, 0, 0, 9, 0}, {300, 1, 0, 0, 0, 0, 0, 0}, 15000));
 	EXPECT_EQ(ORD_FINISHING,
-	    judge({30, 0, 0, 0, 0, 0}, {300, 1, 0, 0, 0, 0}, 15000));
-	/* With few answers it waits a little longer. */
+	    judge({9, 0, 0, 0, 0, 0, 0, 0}, {300, 1, 0, 0, 0, 0, 0, 0}, 17300));
 	EXPECT_EQ(ORD_RUNNING,
-	    judge({9, 0, 0, 0, 0, 0}, {300, 1, 0, 0, 0, 0}, 15000));
+	    judge({0, 0, 0, 0, 0, 0, 0, 0}, {300, 1, 0, 0, 0, 0, 0, 0}, 20000));
 	EXPECT_EQ(ORD_FINISHING,
-	    judge({9, 0, 0, 0, 0, 0}, {300, 1, 0, 0, 0, 0}, 17000));
-	EXPECT_EQ(ORD_RUNNING,
-	    judge({0, 0, 0, 0, 0, 0}, {300, 1, 0, 0, 0, 0}, 20000));
-	EXPECT_EQ(
-	    ORD_FINISHING, judge({300, 0, 0, 0, 0, 0}, {300, 1, 0, 0, 0, 0},
-			       16000, ORD_FINISHING, 1000));
-	EXPECT_EQ(
-	    ORD_COMPLETED, judge({300, 0, 0, 0, 0, 0}, {300, 1, 0, 0, 0, 0},
-			       19000, ORD_FINISHING, 6000));
-	EXPECT_EQ(
-	    ORD_COMPLETED, judge({300, 200, 0, 0, 0, 0}, {300, 1, 0, 0, 0, 0},
-			       23000, ORD_COMPLETED));
+	    judge({300, 0, 0, 0, 0, 0, 0, 0}, {300, 1, 0, 0, 0, 0, 0, 0}, 16000,
+		ORD_FINISHING, 1000));
+	EXPECT_EQ(ORD_COMPLETED,
+	    judge({300, 0, 0, 0, 0, 0, 0, 0}, {300, 1, 0, 0, 0, 0, 0, 0}, 19000,
+		ORD_FINISHING, 6000));
+	EXPECT_EQ(ORD_COMPLETED,
+	    judge({300, 200, 0, 0, 0, 0, 0, 0}, {300, 1, 0, 0, 0, 0, 0, 0},
+		23000, ORD_COMPLETED));
 }
 
 TEST(Verdict, ABadVersionIsRolledBack)
 {
 	/* Half of its answers fail. */
 	EXPECT_EQ(ORD_ROLLED_BACK,
-	    judge({12, 6, 0, 0, 0, 0}, {100, 1, 0, 0, 0, 0}, 3000));
+	    judge({12, 6, 0, 0, 0, 0, 0, 0}, {100, 1, 0, 0, 0, 0, 0, 0}, 3000));
 	/* Few errors, where the old version makes none. */
-	EXPECT_EQ(ORD_ROLLED_BACK,
-	    judge({130, 6, 6, 0, 0, 0}, {1536, 0, 0, 0, 0, 0}, 3000));
+	EXPECT_EQ(ORD_ROLLED_BACK, judge({130, 6, 6, 0, 0, 0, 0, 0},
+				       {1536, 0, 0, 0, 0, 0, 0, 0}, 3000));
 	/* A server that crashed breaks as many, and is no error. */
-	EXPECT_EQ(ORD_RUNNING,
-	    judge({130, 6, 0, 0, 0, 0}, {1536, 0, 0, 0, 0, 0}, 3000));
+	EXPECT_EQ(ORD_RUNNING, judge({130, 6, 0, 0, 0, 0, 0, 0},
+				   {1536, 0, 0, 0, 0, 0, 0, 0}, 3000));
 	/* Half of its answers begin far too late. */
 	EXPECT_EQ(ORD_ROLLED_BACK,
-	    judge({12, 0, 0, 6, 0, 0}, {100, 1, 0, 4, 0, 0}, 3000));
+	    judge({12, 0, 0, 6, 0, 0, 0, 0}, {100, 1, 0, 4, 0, 0, 0, 0}, 3000));
 	/* It begins in time and then is slow. */
-	EXPECT_EQ(ORD_ROLLED_BACK,
-	    judge({12, 0, 0, 0, 500, 220}, {100, 1, 0, 4, 3000, 60}, 3000));
+	EXPECT_EQ(ORD_ROLLED_BACK, judge({12, 0, 0, 0, 500, 220, 0, 0},
+				       {100, 1, 0, 4, 3000, 60, 0, 0}, 3000));
 	/* Few, but nearly all of them. */
-	EXPECT_EQ(ORD_ROLLED_BACK,
-	    judge({26, 0, 0, 0, 82, 82}, {732, 0, 0, 30, 18000, 800}, 3000));
-	EXPECT_EQ(ORD_RUNNING,
-	    judge({22, 0, 0, 0, 107, 38}, {307, 0, 0, 10, 7615, 284}, 3000));
-	/* It turns bad only when everything goes there. */
 	EXPECT_EQ(
-	    ORD_ROLLED_BACK, judge({200, 60, 0, 0, 0, 0}, {300, 2, 0, 0, 0, 0},
-				 15000, ORD_FINISHING));
+	    ORD_ROLLED_BACK, judge({26, 0, 0, 0, 82, 82, 0, 0},
+				 {732, 0, 0, 30, 18000, 800, 0, 0}, 3000));
+	EXPECT_EQ(ORD_RUNNING, judge({22, 0, 0, 0, 107, 38, 0, 0},
+				   {307, 0, 0, 10, 7615, 284, 0, 0}, 3000));
+	/* It turns bad only when everything goes there. */
+	EXPECT_EQ(ORD_ROLLED_BACK,
+	    judge({200, 60, 0, 0, 0, 0, 0, 0}, {300, 2, 0, 0, 0, 0, 0, 0},
+		15000, ORD_FINISHING));
+}
+
+TEST(Verdict, AVersionThatFailsOnBusyServersOnlyIsRolledBack)
+{
+	/* Of all its answers too few for the margin of errors. */
+	EXPECT_EQ(ORD_ROLLED_BACK, judge({200, 3, 3, 0, 0, 0, 8, 3},
+				       {900, 1, 0, 0, 0, 0, 0, 0}, 13000));
+	EXPECT_EQ(ORD_RUNNING, judge({200, 2, 2, 0, 0, 0, 8, 2},
+				   {900, 1, 0, 0, 0, 0, 0, 0}, 13000));
+	EXPECT_EQ(ORD_RUNNING, judge({200, 3, 3, 0, 0, 0, 60, 3},
+				   {900, 1, 0, 0, 0, 0, 0, 0}, 13000));
+	EXPECT_FALSE(vd_is_load_trial(12000, 24000));
+	EXPECT_TRUE(vd_is_load_trial(12500, 24000));
 }
 
 TEST(Verdict, ChanceAloneIsNoReason)
 {
 	EXPECT_EQ(ORD_RUNNING,
-	    judge({20, 3, 0, 0, 0, 0}, {100, 1, 0, 0, 0, 0}, 3000));
+	    judge({20, 3, 0, 0, 0, 0, 0, 0}, {100, 1, 0, 0, 0, 0, 0, 0}, 3000));
 	/* One stream that had to wait beside long prompts. */
-	EXPECT_EQ(ORD_RUNNING,
-	    judge({30, 0, 0, 3, 900, 60}, {300, 1, 0, 9, 9000, 90}, 3000));
+	EXPECT_EQ(ORD_RUNNING, judge({30, 0, 0, 3, 900, 60, 0, 0},
+				   {300, 1, 0, 9, 9000, 90, 0, 0}, 3000));
 	/* A service that fails often anyway. */
-	EXPECT_EQ(ORD_RUNNING,
-	    judge({40, 8, 0, 0, 0, 0}, {400, 56, 0, 0, 0, 0}, 3000));
+	EXPECT_EQ(ORD_RUNNING, judge({40, 8, 0, 0, 0, 0, 0, 0},
+				   {400, 56, 0, 0, 0, 0, 0, 0}, 3000));
 }
 
 TEST(Loads, SumsLeaveOutTheOneThatAsks)
@@ -265,12 +319,12 @@
 	for (uint64_t instance = 0; instance < 4; instance++) {
 		for (const char *r : {"a", "b", "c"}) {
 			row = ev_row(ev, instance, "s", "v2", r);
-			row->fresh = {20, 0, 0, 0, 0, 0};
-			row->known = {200, 2, 0, 0, 0, 0};
+			row->fresh = {20, 0, 0, 0, 0, 0, 0, 0};
+			row->known = {200, 2, 0, 0, 0, 0, 0, 0};
 		}
 		row = ev_row(ev, instance, "s", "v2", "d");
-		row->fresh = {2, 1, 0, 0, 0, 0};
-		row->known = {20, 0, 0, 0, 0, 0};
+		row->fresh = {2, 1, 0, 0, 0, 0, 0, 0};
+		row->known = {20, 0, 0, 0, 0, 0, 0, 0};
 	}
 	EXPECT_TRUE(ev_is_worse(ev, "s", "v2", &fresh, &known, &route));
 	EXPECT_STREQ("d", route);
