--- a/src/daemon/state_bills.c
+++ b/src/daemon/state_bills.c
@@ -82,6 +82,16 @@
 	    bill->state == BL_CLOSED ? "closed" : "settled");
 }
 
+/*
+ * Whether the file lacks lines that the store has archived: the store's record
+ * of them outlived a kill, a full disk or a loss of power, and they did not.
+ */
+static bool
+is_export_short(const struct state *state)
+{
+	return state->archived < bl_store_exported(state->bills);
+}
+
 static void
 archive(struct state *state, const struct bl_store_action *action)
 {
@@ -90,6 +100,9 @@
 	/* Written before a restart already. */
 	if (action->position <= state->archived)
 		return;
+	/* Lines before this one are missing, and asked for with this one. */
+	if (action->position > state->archived + 1)
+		return;
 	print_line(state, action, line);
 	if (fputs(line, state->archive) < 0)
 		log_event(LOG_LEVEL_ERROR, "export_failed", "line=%" PRIu64,
@@ -112,6 +125,8 @@
 		buf_free(&bytes);
 		break;
 	case BL_STORE_PERSIST:
+		/* What the record says of the export must be in the file. */
+		fflush(state->archive);
 		state_append(state, JN_KIND_BILLS, action->record,
 		    action->record_len, OWNER_BILLS, action->sequence);
 		break;
@@ -210,8 +225,8 @@
 
 /*
  * Asks another replica for the lines that this one lacks.  A replica that lost
- * its disk, or was away while the others dropped what they had archived, can't
- * make them from bills any more.
+ * its disk or the end of its export, or was away while the others dropped what
+ * they had archived, can't make them from bills any more.
  */
 static void
 ask_for_lines(struct state *state)
@@ -261,7 +276,8 @@
 static void
 take_lines(struct state *state, const Opr__Export *answer)
 {
-	if (!bl_store_behind(state->bills) || answer->after != state->archived)
+	if (!(bl_store_behind(state->bills) || is_export_short(state)) ||
+	    answer->after != state->archived)
 		return;
 	if (fwrite(answer->lines.data, 1, answer->lines.len, state->archive) !=
 		answer->lines.len ||
@@ -270,7 +286,7 @@
 	for (size_t i = 0; i < answer->lines.len; i++)
 		state->archived += answer->lines.data[i] == '\n';
 	state->next_export_us = 0;
-	if (answer->tail.len == 0)
+	if (answer->tail.len == 0 || !bl_store_behind(state->bills))
 		return;
 	if (bl_store_adopt(state->bills, answer->tail.data, answer->tail.len) ==
 	    0)
@@ -301,7 +317,8 @@
 	int64_t now_us = loop_now_us(state->node->loop);
 
 	bl_store_tick(state->bills, now_us);
-	if (bl_store_behind(state->bills) && now_us >= state->next_export_us) {
+	if ((bl_store_behind(state->bills) || is_export_short(state)) &&
+	    now_us >= state->next_export_us) {
 		state->next_export_us = now_us + SEAL_EVERY_US;
 		ask_for_lines(state);
 	}
--- a/test/unit/route_state_test.cc
+++ b/test/unit/route_state_test.cc
@@ -222,6 +222,12 @@
 				 {732, 0, 0, 30, 18000, 800, 0, 0}, 3000));
 	EXPECT_EQ(ORD_RUNNING, judge({22, 0, 0, 0, 107, 38, 0, 0},
 				   {307, 0, 0, 10, 7615, 284, 0, 0}, 3000));
+	/* So slow that few of its gaps were seen until it has to be decided. */
+	EXPECT_EQ(ORD_RUNNING, judge({29, 0, 0, 3, 15, 15, 0, 0},
+				   {575, 0, 0, 31, 15882, 547, 0, 0}, 13000));
+	EXPECT_EQ(
+	    ORD_ROLLED_BACK, judge({29, 0, 0, 3, 15, 15, 0, 0},
+				 {575, 0, 0, 31, 15882, 547, 0, 0}, 17300));
 	/* It turns bad only when everything goes there. */
 	EXPECT_EQ(ORD_ROLLED_BACK,
 	    judge({200, 60, 0, 0, 0, 0, 0, 0}, {300, 2, 0, 0, 0, 0, 0, 0},
