Withdraw a version whose few streams were slow, and one that often begins late

Change: at 72 % of the time a version is rolled back if over 80 % of at least 10 gaps were slow; from 60 answers on, a share of late beginnings 15 points above the old version's is enough (30 before).

--- a/src/route/verdict.c
+++ b/src/route/verdict.c
@@ -6,8 +6,10 @@
 	ERRORS_MIN = 5, /* the same, of its own errors */
 	FAILURES_MIN = 4, /* of the new version, before it can be judged */
 	TIMES_MIN = 10, /* answers of both, before their times are compared */
+	TIMES_MANY = 60, /* of the new version, for a smaller margin to do */
 	GAPS_FEW = 50, /* will do where most of them are too long */
 	GAPS_MIN = 400, /* between events of both, the same */
+	GAPS_LEAST = 10, /* will do when the time is nearly over */
 	LOADED_ERRORS_MIN = 3, /* of busy servers, before they count */
 	LOADED_MIN = 15, /* answers of busy servers that end the load trial */
 	LOAD_TRIAL_PERMILLE = 520, /* of the duration: more sessions go there */
@@ -22,7 +24,9 @@
 static const double share_worse = 0.08; /* a smaller difference is borne */
 static const double errors_worse = 0.02; /* a crash makes no errors */
 static const double slow_worse = 0.3; /* the same, of what comes late */
+static const double many_slow_worse = 0.15; /* of TIMES_MANY answers */
 static const double most_slow_worse = 0.55;
+static const double nearly_all_slow = 0.8;
 static const double deviations = 3.0; /* beyond chance */
 static const double least_variance = 0.01; /* where none ever failed so far */
 
@@ -71,7 +75,8 @@
 		return true;
 	if (fresh->answers >= TIMES_MIN && known->answers >= TIMES_MIN &&
 	    is_above(fresh->slow, fresh->answers,
-		share(known->slow, known->answers), slow_worse))
+		share(known->slow, known->answers),
+		fresh->answers < TIMES_MANY ? slow_worse : many_slow_worse))
 		return true;
 	if (fresh->gaps < GAPS_FEW || known->gaps < GAPS_MIN)
 		return false;
@@ -96,6 +101,17 @@
 	return part_of(elapsed_ms, duration_ms) >= LOAD_TRIAL_PERMILLE;
 }
 
+/*
+ * Whether what little was seen of a version's streams was slow.  A very slow
+ * version shows few gaps, since its streams take long.
+ */
+static bool
+is_doubtful(const struct vd_counts *fresh)
+{
+	return fresh->gaps >= GAPS_LEAST &&
+	       share(fresh->slow_gaps, fresh->gaps) > nearly_all_slow;
+}
+
 /* Whether enough is known of a version for it to get everything. */
 static bool
 has_shown_enough(const struct vd_input *in, int64_t part)
@@ -114,7 +130,8 @@
 
 	if (in->state >= ORD_COMPLETED)
 		return in->state;
-	if (in->is_worse)
+	if (in->is_worse ||
+	    (part >= LATEST_PERMILLE && is_doubtful(&in->fresh)))
 		return ORD_ROLLED_BACK;
 	if (in->state == ORD_FINISHING)
 		return part >= COMPLETE_PERMILLE ||
