Hold sessions anew in each roll-out; bound a roll-out's age by the last confirmation

The note "held" of the first was still known everywhere, so the second was no news; the session went to the new version 4.8 s after its last request.

When the table is full that is counted and logged (notes_dropped); it was dropped without a line. Notes that come before the order are repeated to the entry once it is there. - a session counts as in use until its last stream has ended, and while one is under way: a stream may last longer than the pause after which it is forgotten. - a roll-out that comes as news is no older than the last confirmation of the orders before it.

--- a/src/gateway/entry.c
+++ b/src/gateway/entry.c
@@ -128,15 +128,18 @@
 
 /* Another instance, or this one, made something known. */
 void
-ge_note(struct ge *ge, enum gw_note kind, uint64_t key, uint32_t value)
+ge_note(struct ge *ge, enum nt_kind kind, uint64_t key, uint32_t value)
 {
 	int64_t now_us = loop_now_us(ge->gw->loop);
 
 	switch (kind) {
-	case GW_NOTE_HELD:
-		se_hold(ge->sessions, key, now_us);
+	case NT_HELD:
+		/* Of a roll-out that is heard of later: hold_sessions() asks.
+		 */
+		if (value == (uint32_t)ge->rollout)
+			se_hold(ge->sessions, key, now_us);
 		break;
-	case GW_NOTE_CRASH:
+	case NT_CRASH:
 		marks_merge(ge->marks, key,
 		    (uint8_t)(value < UINT8_MAX ? value : UINT8_MAX), now_us);
 		break;
@@ -150,7 +153,7 @@
 	uint8_t crashes =
 	    marks_get(ge->marks, fingerprint, loop_now_us(ge->gw->loop));
 
-	gw_spread(ge->gw, GW_NOTE_CRASH, fingerprint, crashes + 1U);
+	gw_spread(ge->gw, NT_CRASH, fingerprint, crashes + 1U);
 }
 
 /* A server can't be reached: what it ran last may have crashed it. */
@@ -166,7 +169,7 @@
 {
 	struct ge *ge = ctx;
 
-	gw_spread(ge->gw, GW_NOTE_HELD, session, 1);
+	gw_spread(ge->gw, NT_HELD, session, (uint32_t)ge->rollout);
 }
 
 /*
@@ -183,11 +186,15 @@
 		if (ord_rollout_at(ord, i)->state == ORD_RUNNING)
 			running = ord_rollout_at(ord, i);
 	}
-	if (running == NULL || strcmp(running->target, ge->rollout) == 0)
+	if (running == NULL || running->number <= ge->rollout)
 		return;
-	snprintf(ge->rollout, sizeof(ge->rollout), "%s", running->target);
+	ge->rollout = running->number;
+	for (struct gx *gx = ge->open; gx != NULL; gx = gx_next_open(gx))
+		gx_touch_session(gx);
 	se_begin(ge->sessions, GE_TARGET_PERMILLE, loop_now_us(ge->gw->loop),
 	    hold_session, ge);
+	/* Others may have told of theirs before the order came here. */
+	gw_repeat_notes(ge->gw, NT_HELD, (uint32_t)ge->rollout);
 }
 
 /* Returns what belongs to a service, made on first use. */
--- a/src/gateway/entry.h
+++ b/src/gateway/entry.h
@@ -21,8 +21,10 @@
 
 enum {
 	GE_CRASHES_REFUSED = 3, /* a request that crashed so many servers */
-	GE_TARGET_PERMILLE = 130, /* of a service's sessions, to a new version */
-	GE_LOAD_TRIAL_PERMILLE = 260 /* the same, while it is tried under load */
+	GE_TARGET_PERMILLE =
+	    130, /* of a service's sessions, to a new version */
+	GE_LOAD_TRIAL_PERMILLE =
+	    260 /* the same, while it is tried under load */
 };
 
 /* A table of routes in use; requests keep the one they began with. */
@@ -59,7 +61,7 @@
 	struct ge_service *services;
 	struct gx *open; /* every request under way */
 	struct gx *waiting; /* those without a server, most urgent first */
-	char rollout[RG_NAME_BYTES]; /* target that sessions are held from */
+	uint64_t rollout; /* number of the one that sessions are held from */
 	struct loop_timer *retry; /* looks at those that wait */
 	struct loop_timer *compile;
 	int64_t started_us;
@@ -82,7 +84,7 @@
 void ge_orders_changed(struct ge *ge);
 void ge_server_changed(struct ge *ge, const struct rg_server *server);
 void ge_instances(struct ge *ge, uint32_t entry_instances);
-void ge_note(struct ge *ge, enum gw_note kind, uint64_t key, uint32_t value);
+void ge_note(struct ge *ge, enum nt_kind kind, uint64_t key, uint32_t value);
 const struct ev *ge_outcomes(const struct ge *ge);
 bool ge_has_outcomes(const struct ge *ge);
 void ge_drain(struct ge *ge);
@@ -103,6 +105,8 @@
 void gx_try(struct gx *gx);
 void gx_drop(struct gx *gx);
 void gx_set_waiting(struct gx *gx, bool waiting);
+void gx_touch_session(const struct gx *gx);
+struct gx *gx_next_open(const struct gx *gx);
 uint64_t gx_rank(const struct gx *gx);
 struct gx **gx_next_waiting(struct gx *gx);
 
--- a/src/gateway/exchange.c
+++ b/src/gateway/exchange.c
@@ -33,6 +33,7 @@
 {
 	struct ge *ge = gx->ge;
 
+	gx_touch_session(gx);
 	loop_cancel(gx->timer);
 	if (gx->waiting) {
 		for (struct gx **at = &ge->waiting; *at != NULL;
@@ -220,6 +221,19 @@
 		gx_set_timer(gx);
 }
 
+/* Its session is in use, and counts as such from now on for a while. */
+void
+gx_touch_session(const struct gx *gx)
+{
+	se_touch(gx->ge->sessions, gx->request.session, gx_now(gx));
+}
+
+struct gx *
+gx_next_open(const struct gx *gx)
+{
+	return gx->next;
+}
+
 /* Notes whether the request is on the list of those that wait. */
 void
 gx_set_waiting(struct gx *gx, bool waiting)
--- a/src/gateway/exchange_send.c
+++ b/src/gateway/exchange_send.c
@@ -197,10 +197,11 @@
 		gx->tried[gx->tried_count++] = server;
 	gx_log(gx, LOG_LEVEL_INFO, "dispatch",
 	    "route=%s server=%s send=%u role=%d load=%u+%u "
-	    "in_flight=%u left_ms=%" PRId64 " document=%" PRIu64,
+	    "in_flight=%u left_ms=%" PRId64 " document=%" PRIu64
+	    " session=%016" PRIx64,
 	    gx->route->name, s->said.id, gx->sends, s->role, s->running,
 	    s->waiting, s->in_flight, (gx->deadline_us - now_us) / US_PER_MS,
-	    gx->table->number);
+	    gx->table->number, gx->request.session);
 	buf_init(&head, ge->gw->alloc);
 	write_head(gx, s, &head);
 	if (query->by_work) {
@@ -218,7 +219,8 @@
 	gx->service->trial_sent += s->role == PL_TARGET;
 	if (se_note(ge->sessions, gx->request.session, s->role,
 		rollout_runs(gx) ? GE_TARGET_PERMILLE : 0, now_us))
-		gw_spread(ge->gw, GW_NOTE_HELD, gx->request.session, 1);
+		gw_spread(ge->gw, NT_HELD, gx->request.session,
+		    (uint32_t)ge->rollout);
 	gx->now.call = hu_start(ge->client, &request);
 	buf_free(&head);
 	if (gx->now.call == NULL) {
--- a/src/gateway/follow.c
+++ b/src/gateway/follow.c
@@ -19,6 +19,8 @@
 	struct cy_node *node;
 	struct ord *ord;
 	struct loop_timer *tick;
+	int64_t lease_us;
+	int64_t confirmed_us; /* when the orders here were the newest last */
 	uint32_t upstream[64];
 	uint32_t upstream_count;
 };
@@ -40,7 +42,8 @@
 put_in_force(struct gf *gf, const struct cy_action *action)
 {
 	if (ord_restore(gf->ord, action->document->data, action->document->len,
-		loop_now_us(gf->gw->loop), clock_wall_us()) != 0) {
+		loop_now_us(gf->gw->loop), clock_wall_us(),
+		gf->confirmed_us) != 0) {
 		log_event(LOG_LEVEL_ERROR, "image_unreadable",
 		    "revision=%" PRIu64, action->revision);
 		return;
@@ -141,6 +144,9 @@
 	struct buf scratch;
 	struct cy_msg msg;
 
+	if (gf_was_fresh(gf))
+		gf->confirmed_us =
+		    cy_node_lease_until_us(gf->node) - gf->lease_us;
 	buf_init(&scratch, gf->gw->alloc);
 	if (cy_msg_decode(&msg, data, len, &scratch) == 0)
 		cy_node_message(gf->node, now_us, from, &msg);
@@ -194,6 +200,7 @@
 	gf = alloc_zero(gw->alloc, 1, sizeof(*gf));
 	gf->gw = gw;
 	gf->ord = ord_new(gw->alloc);
+	gf->lease_us = (int64_t)options.lease_ms * 1000;
 	options.ctx = gf;
 	gf->node = cy_node_new(&options);
 	gw->follow = gf;
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -7,6 +7,7 @@
 #include "base/loop.h"
 #include "base/metrics.h"
 #include "gateway/dialect.h"
+#include "gateway/notes.h"
 #include "gateway/settings.h"
 #include "state/orders.h"
 #include "state/registry.h"
@@ -23,7 +24,9 @@
  * state replica with the control interface, or both.
  *
  *	main.c		settings, children, signals
- *	links.c		messages between instances, who is known
+ *	links.c		messages between instances
+ *	known.c		who serves control
+ *	notes.c		what all entry instances should know soon
  *	replica.c	the replicated log and its journal
  *	control.c	operators' and backend servers' calls
  *	judge.c		roll-outs, by what instances report of them
@@ -77,13 +80,8 @@
 void gw_measure_links(struct gw *gw);
 void gw_address_text(uint32_t instance, char out[GS_NAME_BYTES]);
 
-/* What every entry instance should know soon, and not for long. */
-enum gw_note {
-	GW_NOTE_CRASH = 1, /* a request (fingerprint) crashed so many servers */
-	GW_NOTE_HELD = 2 /* a session stays with the version it began on */
-};
-
-void gw_spread(struct gw *gw, enum gw_note kind, uint64_t key, uint32_t value);
+void gw_spread(struct gw *gw, enum nt_kind kind, uint64_t key, uint32_t value);
+void gw_repeat_notes(struct gw *gw, enum nt_kind kind, uint32_t value);
 
 /* replica.c */
 struct sup_child_spec gw_child_replica(struct gw *gw);
--- a/src/gateway/links.c
+++ b/src/gateway/links.c
@@ -23,14 +23,12 @@
 
 enum {
 	SEEN_MAX = 1024, /* instances that greet */
-	NOTES_MAX = 512,
+	NOTES_MAX = 512, /* in one message, the newest first */
 	HELLO_FIRST_US = 100000, /* until somebody has answered */
 	HELLO_US = 1000000,
 	REPORT_US = 250000, /* outcomes of a roll-out go out this often */
 	PUSH_URGENT_US = 10000,
 	PUSH_US = 500000,
-	NOTE_KEPT_US = 60000000,
-	NOTE_SPREAD_US = 3000000, /* repeated so long, in case one is lost */
 	REGISTRY_TICK_US = 1000000,
 	KEY_HEX_BYTES = 64
 };
@@ -44,13 +42,6 @@
 	uint64_t sent; /* last change of our registry sent there */
 };
 
-struct note {
-	enum gw_note kind;
-	uint64_t key;
-	uint32_t value;
-	int64_t at_us;
-};
-
 struct gw_links {
 	struct gw *gw;
 	struct peer_hub *hub;
@@ -58,8 +49,8 @@
 	struct seen seen[SEEN_MAX];
 	uint32_t seen_count;
 	uint32_t told_entries; /* entry instances, as others count them */
-	struct note notes[NOTES_MAX];
-	uint32_t note_count;
+	struct nt *notes;
+	uint64_t notes_dropped; /* as the log has it */
 	bool notes_due;
 	struct loop_timer *hello;
 	struct loop_timer *push;
@@ -169,12 +160,11 @@
 			links->seen[kept++] = links->seen[i];
 	}
 	links->seen_count = kept;
-	kept = 0;
-	for (uint32_t i = 0; i < links->note_count; i++) {
-		if (now_us - links->notes[i].at_us < NOTE_KEPT_US)
-			links->notes[kept++] = links->notes[i];
-	}
-	links->note_count = kept;
+	nt_forget(links->notes, now_us);
+	if (nt_dropped(links->notes) != links->notes_dropped)
+		log_event(LOG_LEVEL_WARN, "notes_dropped", "count=%" PRIu64,
+		    nt_dropped(links->notes) - links->notes_dropped);
+	links->notes_dropped = nt_dropped(links->notes);
 }
 
 enum {
@@ -238,11 +228,12 @@
 	int64_t now_us = loop_now_us(links->gw->loop);
 
 	report->note_count = 0;
-	for (uint32_t i = 0; i < links->note_count; i++) {
-		const struct note *note = &links->notes[i];
+	for (size_t i = nt_count(links->notes);
+	     i-- > 0 && report->note_count < NOTES_MAX;) {
+		const struct nt_note *note = nt_at(links->notes, i);
 		Clpb__Note *pb = &report->notes[report->note_count];
 
-		if (now_us - note->at_us > NOTE_SPREAD_US)
+		if (now_us - note->at_us > NT_SPREAD_US)
 			continue;
 		clpb__note__init(pb);
 		pb->kind = note->kind;
@@ -440,36 +431,33 @@
 take_notes(struct gw_links *links, Clpb__Note **notes, size_t count)
 {
 	for (size_t i = 0; i < count; i++)
-		gw_spread(links->gw, (enum gw_note)notes[i]->kind,
+		gw_spread(links->gw, (enum nt_kind)notes[i]->kind,
 		    notes[i]->key, notes[i]->value);
 }
 
-static struct note *
-find_note(struct gw_links *links, enum gw_note kind, uint64_t key)
+/* Tells this instance's entry once more what it may have heard too early. */
+void
+gw_repeat_notes(struct gw *gw, enum nt_kind kind, uint32_t value)
 {
-	for (uint32_t i = 0; i < links->note_count; i++) {
-		if (links->notes[i].kind == kind && links->notes[i].key == key)
-			return &links->notes[i];
+	const struct nt *notes = gw->links->notes;
+
+	for (size_t i = 0; i < nt_count(notes); i++) {
+		const struct nt_note *note = nt_at(notes, i);
+
+		if (note->kind == kind && note->value == value)
+			ge_note(gw->entry, kind, note->key, value);
 	}
-	return NULL;
 }
 
 /* Makes something known to every entry instance, this one included. */
 void
-gw_spread(struct gw *gw, enum gw_note kind, uint64_t key, uint32_t value)
+gw_spread(struct gw *gw, enum nt_kind kind, uint64_t key, uint32_t value)
 {
 	struct gw_links *links = gw->links;
-	struct note *note = find_note(links, kind, key);
 
-	if (note != NULL && note->value >= value)
+	if (!nt_take(links->notes, kind, key, value, loop_now_us(gw->loop)))
 		return;
-	if (note == NULL) {
-		if (links->note_count == NOTES_MAX)
-			return;
-		note = &links->notes[links->note_count++];
-	}
-	*note = (struct note){kind, key, value, loop_now_us(gw->loop)};
-	if (kind == GW_NOTE_CRASH)
+	if (kind == NT_CRASH)
 		log_event(LOG_LEVEL_WARN, "crash_mark",
 		    "fingerprint=%016" PRIx64 " crashes=%u", key, value);
 	if (gw->entry != NULL)
@@ -740,6 +728,7 @@
 		return ERR_IO;
 	}
 	gw->registry = rg_new(&registry);
+	links->notes = nt_new(gw->alloc);
 	gw->links = links;
 	gw->loads = gl_new(gw);
 	if (gw->settings->control_listen.host[0] != '\0')
@@ -763,6 +752,7 @@
 	loop_cancel(links->push);
 	loop_cancel(links->tick);
 	peer_hub_free(links->hub);
+	nt_free(links->notes);
 	rg_free(gw->registry);
 	gw->registry = NULL;
 	alloc_free(gw->alloc, links);
--- a/src/gateway/replica.c
+++ b/src/gateway/replica.c
@@ -149,7 +149,7 @@
 restore(struct gr *gr, const struct rl_action *action)
 {
 	if (ord_restore(gr->ord, action->u.restore.data, action->u.restore.len,
-		loop_now_us(gr->gw->loop), clock_wall_us()) != 0)
+		loop_now_us(gr->gw->loop), clock_wall_us(), 0) != 0)
 		log_event(LOG_LEVEL_ERROR, "image_unreadable", "index=%" PRIu64,
 		    action->u.restore.index);
 	else if (ord_revision(gr->ord) > 0)
--- a/src/route/sessions.c
+++ b/src/route/sessions.c
@@ -121,6 +121,16 @@
 	       is_target(session, permille);
 }
 
+/* A request of a session is under way, or ends. */
+void
+se_touch(struct se *se, uint64_t session, int64_t now_us)
+{
+	struct slot *slot = slot_of(se, session);
+
+	if (session != 0 && slot->session == session)
+		slot->seen_us = now_us;
+}
+
 /* Holds a session to the old version, as some instance has seen it there. */
 void
 se_hold(struct se *se, uint64_t session, int64_t now_us)
--- a/src/route/sessions.h
+++ b/src/route/sessions.h
@@ -37,6 +37,7 @@
     const struct se *se, const struct se_query *query, bool *bound);
 bool se_note(struct se *se, uint64_t session, enum pl_role role,
     uint32_t permille, int64_t now_us);
+void se_touch(struct se *se, uint64_t session, int64_t now_us);
 void se_hold(struct se *se, uint64_t session, int64_t now_us);
 void se_begin(struct se *se, uint32_t permille, int64_t now_us,
     void (*hold)(void *ctx, uint64_t session), void *ctx);
--- a/src/state/orders.c
+++ b/src/state/orders.c
@@ -84,6 +84,7 @@
 	pb->duration_ms = rollout->duration_ms;
 	pb->state = rollout->state;
 	pb->ordered_wall_ms = rollout->ordered_wall_ms;
+	pb->number = rollout->number;
 }
 
 /* Appends the entry for a new roll-out or the next state of one. */
@@ -143,12 +144,13 @@
 	r->duration_ms = pb->duration_ms;
 	r->state = (enum ord_rollout_state)pb->state;
 	r->ordered_wall_ms = pb->ordered_wall_ms;
+	r->number = pb->number;
 }
 
 /* A roll-out's state only moves on; the newest one of a service is last. */
 static bool
-apply_rollout(
-    struct ord *ord, const Clpb__Rollout *pb, int64_t now_us, int64_t wall_us)
+apply_rollout(struct ord *ord, uint64_t index, const Clpb__Rollout *pb,
+    int64_t now_us, int64_t wall_us)
 {
 	struct ord_rollout *r = find_rollout(ord, pb->service, pb->target);
 	struct ord_rollout next = {0};
@@ -160,6 +162,7 @@
 		r->state = next.state;
 		return true;
 	}
+	next.number = index;
 	next.ordered_us = ordered_at(&next, now_us, wall_us);
 	if (ord->rollout_count == ORD_ROLLOUTS_MAX) {
 		ord->rollout_count--;
@@ -237,7 +240,8 @@
 	if (change == NULL)
 		return ERR_CORRUPT;
 	if (change->rollout != NULL)
-		*changed = apply_rollout(ord, change->rollout, now_us, wall_us);
+		*changed =
+		    apply_rollout(ord, index, change->rollout, now_us, wall_us);
 	else if (change->data_centre[0] != '\0')
 		*changed = apply_out(ord, change->data_centre, change->out);
 	else
@@ -275,10 +279,14 @@
 	out->len += clpb__orders__pack(&orders, out->data + out->len);
 }
 
-/* Replaces the state by an image.  Returns 0 or ERR_CORRUPT. */
+/*
+ * Replaces the state by an image.  A roll-out that was not known was ordered
+ * after since_us (own clock; 0: at any time), whatever the time of day here
+ * says of its age.  Returns 0 or ERR_CORRUPT.
+ */
 int
 ord_restore(struct ord *ord, const void *data, size_t len, int64_t now_us,
-    int64_t wall_us)
+    int64_t wall_us, int64_t since_us)
 {
 	Clpb__Orders *orders = clpb__orders__unpack(NULL, len, data);
 	static struct ord_rollout known[ORD_ROLLOUTS_MAX];
@@ -298,6 +306,8 @@
 
 		from_pb(r, orders->rollouts[i]);
 		r->ordered_us = ordered_at(r, now_us, wall_us);
+		if (r->ordered_us < since_us)
+			r->ordered_us = since_us;
 		for (size_t k = 0; k < known_count; k++) {
 			if (strcmp(known[k].service, r->service) == 0 &&
 			    strcmp(known[k].target, r->target) == 0)
--- a/src/state/orders.h
+++ b/src/state/orders.h
@@ -39,6 +39,7 @@
 	char target[ORD_NAME_BYTES]; /* the new version */
 	uint32_t duration_ms; /* from the order to the time limit */
 	enum ord_rollout_state state;
+	uint64_t number; /* index of its entry in the log; 0 in a new one */
 	int64_t ordered_wall_ms; /* time of day at the leader that took it */
 	int64_t ordered_us; /* as well as this process can tell, own clock */
 };
@@ -65,7 +66,7 @@
     int64_t now_us, int64_t wall_us, bool *changed);
 void ord_image(const struct ord *ord, struct buf *out);
 int ord_restore(struct ord *ord, const void *data, size_t len, int64_t now_us,
-    int64_t wall_us);
+    int64_t wall_us, int64_t since_us);
 
 uint64_t ord_revision(const struct ord *ord);
 uint64_t ord_number(const struct ord *ord);
--- a/src/wire/cluster.pb-c.c
+++ b/src/wire/cluster.pb-c.c
@@ -1262,7 +1262,7 @@
   (ProtobufCMessageInit) clpb__news__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor clpb__rollout__field_descriptors[5] =
+static const ProtobufCFieldDescriptor clpb__rollout__field_descriptors[6] =
 {
   {
     "service",
@@ -1324,9 +1324,22 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "number",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Clpb__Rollout, number),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned clpb__rollout__field_indices_by_name[] = {
   2,   /* field[2] = duration_ms */
+  5,   /* field[5] = number */
   4,   /* field[4] = ordered_wall_ms */
   0,   /* field[0] = service */
   3,   /* field[3] = state */
@@ -1335,7 +1348,7 @@
 static const ProtobufCIntRange clpb__rollout__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor clpb__rollout__descriptor =
 {
@@ -1345,7 +1358,7 @@
   "Clpb__Rollout",
   "clpb",
   sizeof(Clpb__Rollout),
-  5,
+  6,
   clpb__rollout__field_descriptors,
   clpb__rollout__field_indices_by_name,
   1,  clpb__rollout__number_ranges,
--- a/src/wire/cluster.pb-c.h
+++ b/src/wire/cluster.pb-c.h
@@ -150,7 +150,7 @@
 {
   ProtobufCMessage base;
   /*
-   * enum gw_note
+   * enum nt_kind
    */
   uint32_t kind;
   uint64_t key;
@@ -227,10 +227,14 @@
    */
   uint32_t state;
   int64_t ordered_wall_ms;
+  /*
+   * index of its entry in the log; grows
+   */
+  uint64_t number;
 };
 #define CLPB__ROLLOUT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&clpb__rollout__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0 }
 
 
 /*
--- a/test/unit/registry_test.cc
+++ b/test/unit/registry_test.cc
@@ -224,6 +224,37 @@
 	buf_free(&base.text);
 }
 
+/*
+ * Where the time of day is ahead, a new roll-out seems old: it can't be older
+ * than the last time at which these orders were known to be the newest.
+ */
+TEST(Orders, ARolloutIsNoOlderThanTheImageBefore)
+{
+	struct ord *copy = ord_new(alloc_default());
+	struct buf image;
+	Orders o;
+
+	buf_init(&image, alloc_default());
+	o.rollout("v2", ORD_RUNNING);
+	ord_image(o.ord, &image);
+	/* Its clock says 900 ms, of 1,000 that it may take. */
+	EXPECT_EQ(0, ord_restore(copy, image.data, image.len, 70000000, 900000,
+			 69950000));
+	EXPECT_EQ(69950000, ord_rollout_of(copy, "s")->ordered_us);
+	EXPECT_EQ(1u, ord_rollout_of(copy, "s")->number);
+	/* A known one stays as old as it was. */
+	EXPECT_EQ(0, ord_restore(copy, image.data, image.len, 71000000, 990000,
+			 70990000));
+	EXPECT_EQ(69950000, ord_rollout_of(copy, "s")->ordered_us);
+	ord_free(copy);
+	copy = ord_new(alloc_default());
+	EXPECT_EQ(
+	    0, ord_restore(copy, image.data, image.len, 70000000, 900000, 0));
+	EXPECT_EQ(69100000, ord_rollout_of(copy, "s")->ordered_us);
+	ord_free(copy);
+	buf_free(&image);
+}
+
 TEST(Orders, ARolloutOnlyMovesOn)
 {
 	Orders o;
@@ -269,7 +300,7 @@
 		RC_ASSERT(made.len == after.len);
 		RC_ASSERT(made.len == 0 ||
 			  memcmp(made.data, after.data, made.len) == 0);
-		RC_ASSERT(ord_restore(copy, made.data, made.len, 0, 0) == 0);
+		RC_ASSERT(ord_restore(copy, made.data, made.len, 0, 0, 0) == 0);
 		RC_ASSERT(ord_number(copy) == ord_number(o.ord));
 		RC_ASSERT(ord_revision(copy) == ord_revision(o.ord));
 		RC_ASSERT(ord_rollout_count(copy) == ord_rollout_count(o.ord));
--- a/test/unit/route_state_test.cc
+++ b/test/unit/route_state_test.cc
@@ -98,6 +98,27 @@
 	se_free(se);
 }
 
+/* A stream may last longer than the pause after which its session is forgotten.
+ */
+TEST(Sessions, OneWithALongStreamIsHeldToo)
+{
+	struct se *se = se_new(alloc_default(), 5000000);
+	std::set<uint64_t> held;
+	auto note = [](void *ctx, uint64_t s) {
+		((std::set<uint64_t> *)ctx)->insert(s);
+	};
+
+	for (uint64_t s = 1; s <= 100; s++)
+		se_note(se, s, PL_BASE, 0, 1000000);
+	se_begin(se, 130, 14000000, note, &held);
+	EXPECT_TRUE(held.empty());
+	for (uint64_t s = 1; s <= 100; s++)
+		se_touch(se, s, 13000000);
+	se_begin(se, 130, 14000000, note, &held);
+	EXPECT_GT(held.size(), 5u);
+	se_free(se);
+}
+
 TEST(Sessions, OneGivenTheOldVersionForLackOfRoomIsToldToOthers)
 {
 	struct se *se = se_new(alloc_default(), 5000000);
