Decide a session's version alike at every instance; read times with their unit

Whether a session has the new version is decided by its name alone; the share is 0.8 of the exposure that is allowed, and 1.8 of it in the load trial, which is three quarters of it over both. A session of the new version for which the servers on trial have no room goes to the version's other servers before the old version. Only requests without a session are held back by the room left.

Tests: Verdict.TrialsKeepTheExposure, Pool.AFullTrialSpillsToServersOfTheSameVersion, times in GatewaySettings.

--- a/src/gateway/entry.c
+++ b/src/gateway/entry.c
@@ -164,6 +164,14 @@
 	    ge->suspects, server, loop_now_us(ge->gw->loop), note_crash, ge);
 }
 
+/* Returns the share of a service's sessions that a new version gets. */
+uint32_t
+ge_trial_permille(const struct ge *ge, bool load_trial)
+{
+	return vd_trial_permille(
+	    ge->gw->settings->exposure_permille, load_trial);
+}
+
 static void
 hold_session(void *ctx, uint64_t session)
 {
@@ -191,8 +199,8 @@
 	ge->rollout = running->number;
 	for (struct gx *gx = ge->open; gx != NULL; gx = gx_next_open(gx))
 		gx_touch_session(gx);
-	se_begin(ge->sessions, GE_TARGET_PERMILLE, loop_now_us(ge->gw->loop),
-	    hold_session, ge);
+	se_begin(ge->sessions, ge_trial_permille(ge, false),
+	    loop_now_us(ge->gw->loop), hold_session, ge);
 	/* Others may have told of theirs before the order came here. */
 	gw_repeat_notes(ge->gw, NT_HELD, (uint32_t)ge->rollout);
 }
--- a/src/gateway/entry.h
+++ b/src/gateway/entry.h
@@ -20,11 +20,7 @@
 struct gx;
 
 enum {
-	GE_CRASHES_REFUSED = 3, /* a request that crashed so many servers */
-	GE_TARGET_PERMILLE =
-	    130, /* of a service's sessions, to a new version */
-	GE_LOAD_TRIAL_PERMILLE =
-	    260 /* the same, while it is tried under load */
+	GE_CRASHES_REFUSED = 3 /* a request that crashed so many servers */
 };
 
 /* A table of routes in use; requests keep the one they began with. */
@@ -92,6 +88,7 @@
 uint32_t ge_open_requests(const struct ge *ge);
 
 /* For exchange.c */
+uint32_t ge_trial_permille(const struct ge *ge, bool load_trial);
 struct ge_service *ge_service_of(struct ge *ge, const char *name);
 void ge_wait(struct ge *ge, struct gx *gx);
 void ge_wake_waiting(struct ge *ge);
--- a/src/gateway/exchange_send.c
+++ b/src/gateway/exchange_send.c
@@ -59,9 +59,10 @@
 }
 
 /*
- * Whether the new version may get one more of this instance's requests.  What
- * it may get is a share of all requests until the roll-out's time limit; late
- * in the roll-out the rest of them can be foreseen.
+ * Whether the new version may get one more request without a session; for the
+ * others every instance has to decide alike, by the session.  What it may get
+ * is a share of all requests until the roll-out's time limit; late in the
+ * roll-out the rest of them can be foreseen.
  */
 static bool
 trial_has_room(struct gx *gx, const struct ord_rollout *rollout)
@@ -91,7 +92,7 @@
 	    ord_rollout_of(gf_orders(ge->gw->follow), gx->target->name);
 	struct se_query query = {.session = gx->request.session,
 	    .now_us = gx_now(gx),
-	    .permille = GE_TARGET_PERMILLE,
+	    .permille = ge_trial_permille(ge, false),
 	    .draw = rng_below(&ge->rng, 1000)};
 	enum pl_role role;
 
@@ -100,11 +101,12 @@
 		return PL_BASE;
 	query.order_age_us = query.now_us - rollout->ordered_us;
 	if (gx_is_load_trial(gx, rollout)) {
-		query.permille = GE_LOAD_TRIAL_PERMILLE;
+		query.permille = ge_trial_permille(ge, true);
 		query.may_go_over = true;
 	}
 	role = se_role(ge->sessions, &query, bound);
-	if (role == PL_TARGET && !*bound && !trial_has_room(gx, rollout))
+	if (role == PL_TARGET && query.session == 0 &&
+	    !trial_has_room(gx, rollout))
 		role = PL_BASE;
 	return role;
 }
@@ -218,7 +220,7 @@
 	gx->service->trial_total++;
 	gx->service->trial_sent += s->role == PL_TARGET;
 	if (se_note(ge->sessions, gx->request.session, s->role,
-		rollout_runs(gx) ? GE_TARGET_PERMILLE : 0, now_us))
+		rollout_runs(gx) ? ge_trial_permille(ge, false) : 0, now_us))
 		gw_spread(ge->gw, NT_HELD, gx->request.session,
 		    (uint32_t)ge->rollout);
 	gx->now.call = hu_start(ge->client, &request);
--- a/src/gateway/settings.c
+++ b/src/gateway/settings.c
@@ -18,6 +18,7 @@
 enum setting_type {
 	SETTING_TEXT,
 	SETTING_NUMBER,
+	SETTING_MS, /* a time, in milliseconds unless it names "s" */
 	SETTING_PERMILLE, /* written as a fraction */
 	SETTING_BOOL,
 	SETTING_ADDRESS,
@@ -67,19 +68,19 @@
     OTHER("log-level", SETTING_LEVEL, log_level, "error, warn, info or debug"),
     OTHER("log-lines", SETTING_NUMBER, log_lines,
 	"lines a second about requests that succeed"),
-    OTHER("contact-ms", SETTING_NUMBER, contact_ms,
+    OTHER("contact-ms", SETTING_MS, contact_ms,
 	"silence after which an instance counts as lost"),
-    OTHER("drain-ms", SETTING_NUMBER, drain_ms,
+    OTHER("drain-ms", SETTING_MS, drain_ms,
 	"time in which a leaving server gets its last request"),
-    OTHER("grace-ms", SETTING_NUMBER, grace_ms,
+    OTHER("grace-ms", SETTING_MS, grace_ms,
 	"time from SIGTERM to the end of the process"),
-    OTHER("revoke-ms", SETTING_NUMBER, revoke_ms,
+    OTHER("revoke-ms", SETTING_MS, revoke_ms,
 	"time in which a key taken away is refused everywhere"),
     OTHER("retry-share", SETTING_PERMILLE, retry_permille,
 	"repeats allowed for each request of a service, a fraction"),
     OTHER("retry-slack", SETTING_NUMBER, retry_slack,
 	"repeats allowed on top in each window, over all instances"),
-    OTHER("retry-window-ms", SETTING_NUMBER, retry_window_ms,
+    OTHER("retry-window-ms", SETTING_MS, retry_window_ms,
 	"length of that window"),
     OTHER("exposure-share", SETTING_PERMILLE, exposure_permille,
 	"most of a service's requests that a bad version may get, a fraction"),
@@ -87,9 +88,9 @@
 	"what a cold server may get, as a multiple of what it bears"),
     OTHER("cold-slack", SETTING_NUMBER, cold_slack,
 	"requests a second on top of that"),
-    OTHER("announce-ms", SETTING_NUMBER, announce_ms,
+    OTHER("announce-ms", SETTING_MS, announce_ms,
 	"time between two announcements of a backend server"),
-    OTHER("session-ms", SETTING_NUMBER, session_ms,
+    OTHER("session-ms", SETTING_MS, session_ms,
 	"longest pause between requests of one session"),
 };
 
@@ -142,6 +143,28 @@
 	return true;
 }
 
+/* Reads a time such as "6500", "6500 ms" or "6.5 s", in whole milliseconds. */
+static bool
+read_ms(const char *text, uint32_t *out)
+{
+	char *unit;
+	double value;
+
+	errno = 0;
+	value = strtod(text, &unit);
+	if (unit == text || errno != 0)
+		return false;
+	unit += strspn(unit, " ");
+	if (strcmp(unit, "s") == 0)
+		value *= 1000;
+	else if (*unit != '\0' && strcmp(unit, "ms") != 0)
+		return false;
+	if (!(value >= 0) || value > UINT32_MAX)
+		return false;
+	*out = (uint32_t)value;
+	return true;
+}
+
 static bool
 read_permille(const char *text, uint32_t *out)
 {
@@ -209,6 +232,8 @@
 		return true;
 	case SETTING_NUMBER:
 		return read_number(text, (uint32_t *)(void *)field);
+	case SETTING_MS:
+		return read_ms(text, (uint32_t *)(void *)field);
 	case SETTING_PERMILLE:
 		return read_permille(text, (uint32_t *)(void *)field);
 	case SETTING_BOOL:
--- a/src/route/pool.c
+++ b/src/route/pool.c
@@ -446,10 +446,17 @@
 	return la <= lb ? a : b;
 }
 
-/* Servers that may take the request, in the best tier that has any. */
+/* How a list is narrowed: the best first, and what is only doubtful next. */
+enum tier {
+	TIER_SOUND,
+	TIER_DOUBTFUL,
+	TIERS
+};
+
+/* Servers of a role that may take the request, those on trial or all. */
 static uint16_t
 list_tier(struct pl *pl, const struct pl_query *query, int64_t now_us,
-    enum pl_role role, int tier, uint16_t list[ORDER_MAX])
+    enum pl_role role, bool trial, enum tier tier, uint16_t list[ORDER_MAX])
 {
 	uint16_t count = 0;
 
@@ -463,10 +470,11 @@
 		    is_avoided(query, i);
 
 		if (!may_run(s, query) || s->role != role ||
-		    (role == PL_TARGET && !is_trial(pl, query, i)) ||
+		    (trial && !is_trial(pl, query, i)) ||
 		    !cold_allows(pl, s, now_us) ||
-		    (tier == 0 && (suspect || !has_room(s, query, now_us))) ||
-		    (tier == 1 &&
+		    (tier == TIER_SOUND &&
+			(suspect || !has_room(s, query, now_us))) ||
+		    (tier == TIER_DOUBTFUL &&
 			(s->down_until_us > now_us || is_avoided(query, i) ||
 			    !has_room(s, query, now_us))))
 			continue;
@@ -475,6 +483,19 @@
 	return count;
 }
 
+/* Servers of a role; of a new version those on trial, if they have room. */
+static uint16_t
+list_role(struct pl *pl, const struct pl_query *query, int64_t now_us,
+    enum pl_role role, enum tier tier, uint16_t list[ORDER_MAX])
+{
+	bool trial = role == PL_TARGET;
+	uint16_t count = list_tier(pl, query, now_us, role, trial, tier, list);
+
+	if (count == 0 && trial)
+		count = list_tier(pl, query, now_us, role, false, tier, list);
+	return count;
+}
+
 static bool
 any_may_run(const struct pl *pl, const struct pl_query *query)
 {
@@ -495,10 +516,10 @@
 	uint16_t count = 0;
 	enum pl_role other = query->role == PL_BASE ? PL_TARGET : PL_BASE;
 
-	for (int tier = 0; tier < 2 && count == 0; tier++) {
-		count = list_tier(pl, query, now_us, query->role, tier, list);
+	for (enum tier tier = 0; tier < TIERS && count == 0; tier++) {
+		count = list_role(pl, query, now_us, query->role, tier, list);
 		if (count == 0 && query->any_role)
-			count = list_tier(pl, query, now_us, other, tier, list);
+			count = list_role(pl, query, now_us, other, tier, list);
 	}
 	if (count == 0)
 		return any_may_run(pl, query) ? PL_FULL : PL_NONE;
--- a/src/route/verdict.c
+++ b/src/route/verdict.c
@@ -26,6 +26,8 @@
 static const double slow_worse = 0.3; /* the same, of what comes late */
 static const double many_slow_worse = 0.15; /* of TIMES_MANY answers */
 static const double most_slow_worse = 0.55;
+static const double trial_part = 0.8; /* of the exposure that is allowed */
+static const double load_trial_part = 1.8;
 static const double nearly_all_slow = 0.8;
 static const double deviations = 3.0; /* beyond chance */
 static const double least_variance = 0.01; /* where none ever failed so far */
@@ -85,6 +87,19 @@
 	    fresh->gaps < GAPS_MIN ? most_slow_worse : slow_worse);
 }
 
+/*
+ * Returns the share of the sessions that a new version gets, from the most that
+ * a bad one may get until the time limit: over the trial and the load trial
+ * that makes three quarters of it.
+ */
+uint32_t
+vd_trial_permille(uint32_t exposure_permille, bool load_trial)
+{
+	double part = load_trial ? load_trial_part : trial_part;
+
+	return (uint32_t)(exposure_permille * part);
+}
+
 static int64_t
 part_of(int64_t elapsed_ms, uint32_t duration_ms)
 {
--- a/test/unit/platform_test.cc
+++ b/test/unit/platform_test.cc
@@ -347,6 +347,13 @@
 	    {"seeds = 10.0.0.1:80,10.0.0.2:80", ""},
 	    {"retry-share = 0.9", ""},
 	    {"bootstrap = true", ""},
+	    {"session-ms = 6.5 s", ""},
+	    {"grace-ms = 8 s", ""},
+	    {"drain-ms = 2500", ""},
+	    {"contact-ms = 4000 ms", ""},
+	    {"revoke-ms = 5 min",
+		"revoke-ms: \"5 min\" is not accepted: time in which a key "
+		"taken away is refused everywhere"},
 	    {"link-port = x",
 		"link-port: \"x\" is not accepted: port for links, the same on "
 		"every instance"},
@@ -370,6 +377,11 @@
 	EXPECT_EQ(7340u, gs.link_port);
 	EXPECT_EQ(2u, gs.seed_count);
 	EXPECT_EQ(900u, gs.retry_permille);
+	EXPECT_EQ(6500u, gs.session_ms);
+	EXPECT_EQ(8000u, gs.grace_ms);
+	EXPECT_EQ(2500u, gs.drain_ms);
+	EXPECT_EQ(4000u, gs.contact_ms);
+	EXPECT_EQ(5000u, gs.revoke_ms);
 	EXPECT_TRUE(gs.bootstrap);
 }
 
--- a/test/unit/route_pool_test.cc
+++ b/test/unit/route_pool_test.cc
@@ -4,6 +4,7 @@
 #include <rapidcheck/gtest.h>
 
 #include <map>
+#include <set>
 #include <string>
 
 #include "route/pool.h"
@@ -210,6 +211,37 @@
 }
 
 /* Instances out of touch spend their part too: the sum keeps the bound. */
+/*
+ * A session of the new version goes to its other servers where those on trial
+ * have no room, and not back to the old version.
+ */
+TEST(Pool, AFullTrialSpillsToServersOfTheSameVersion)
+{
+	PoolWorld w;
+	std::set<std::string> seen;
+	struct pl_query target;
+	std::string first;
+
+	for (int i = 0; i < 10; i++) {
+		w.add("old" + std::to_string(i), "a", "v1", 1);
+		w.add("new" + std::to_string(i), "a", "v2", 2);
+	}
+	w.rollout("v2", ORD_RUNNING);
+	target = w.query();
+	target.role = PL_TARGET;
+	target.trial_permille = 150;
+	first = w.pick(target);
+	for (int i = 0; i < 64 + 8; i++) {
+		EXPECT_EQ(first, w.pick(target));
+		pl_sent(w.pl, pl_place_of(w.pl, first.c_str()), 0, w.now_us);
+	}
+	for (int i = 0; i < 50; i++)
+		seen.insert(w.pick(target));
+	EXPECT_EQ(0u, seen.count(first));
+	for (auto &id : seen)
+		EXPECT_EQ("new", id.substr(0, 3));
+}
+
 TEST(Pool, AColdServerGetsNoMoreThanItBearsInSum)
 {
 	const int instances = 8;
--- a/test/unit/route_state_test.cc
+++ b/test/unit/route_state_test.cc
@@ -268,6 +268,30 @@
 	EXPECT_TRUE(vd_is_load_trial(12500, 24000));
 }
 
+/* All of both trials, at their longest, stays below what may be exposed. */
+TEST(Verdict, TrialsKeepTheExposure)
+{
+	for (uint32_t most : {50u, 120u, 150u, 300u}) {
+		uint32_t exposed = 0;
+
+		for (int64_t ms = 0; ms < 10000; ms++) {
+			struct vd_input in = {};
+
+			in.state = ORD_RUNNING;
+			in.elapsed_ms = ms;
+			in.duration_ms = 10000;
+			in.fresh.answers = 30;
+			in.has_servers = true;
+			if (vd_next(&in) != ORD_RUNNING)
+				break;
+			exposed += vd_trial_permille(
+			    most, vd_is_load_trial(ms, 10000));
+		}
+		EXPECT_LT(exposed / 10000, most * 8 / 10);
+		EXPECT_GT(exposed / 10000, most * 7 / 10);
+	}
+}
+
 TEST(Verdict, ChanceAloneIsNoReason)
 {
 	EXPECT_EQ(ORD_RUNNING,
