Tell repetitions of backend servers as such, and together

The callback of the registry set the urgent push (10 ms) also for a server that only repeated itself, and each repetition carried the whole server to 88 instances, three times.

Changes: the callback is told whether it is a change or a repetition, and repetitions go out together every 500 ms; one carries id, birth, sequence and age (the subscriber has the rest, by the change that it names). A message leaves no server out any more: beyond 256 the rest counted as told.

Tests: Registry.ASubscriberKnowsWhatItsSourceKnows, RepetitionsAreToldAsSuch.

--- a/src/gateway/links.c
+++ b/src/gateway/links.c
@@ -296,7 +296,7 @@
 }
 
 enum {
-	NEWS_SERVERS_MAX = 256 /* in one message */
+	NEWS_SERVERS_MAX = RG_SERVERS_MAX /* a message leaves none out */
 };
 
 struct news {
@@ -307,6 +307,7 @@
 	Clpb__Model *model_list[NEWS_SERVERS_MAX][RG_MODELS_MAX];
 	uint64_t control[KN_MAX];
 	struct report notes;
+	uint64_t after; /* change that the receiver has */
 	int64_t now_us;
 };
 
@@ -321,6 +322,14 @@
 		return;
 	clpb__server__init(pb);
 	pb->id = (char *)server->id;
+	pb->born_ms = server->born_ms;
+	pb->seq = server->seq;
+	pb->age_ms = (uint32_t)((news->now_us - server->heard_us) / 1000);
+	news->server_list[n] = pb;
+	news->pb.n_servers++;
+	pb->refreshed = rg_is_refreshed(server, news->after);
+	if (pb->refreshed)
+		return;
 	pb->service = (char *)server->service;
 	pb->ip = server->ip;
 	pb->port = server->port;
@@ -328,10 +337,7 @@
 	pb->version = (char *)server->version;
 	pb->slots = server->slots;
 	pb->state = server->state;
-	pb->born_ms = server->born_ms;
-	pb->seq = server->seq;
 	pb->cold_ms = server->cold_ms;
-	pb->age_ms = (uint32_t)((news->now_us - server->heard_us) / 1000);
 	for (uint8_t i = 0; i < server->model_count; i++) {
 		Clpb__Model *model = &news->models[n][i];
 
@@ -342,8 +348,6 @@
 	}
 	pb->n_models = server->model_count;
 	pb->models = news->model_list[n];
-	news->server_list[n] = pb;
-	news->pb.n_servers++;
 }
 
 /* Sends what has changed after a change, and who serves control. */
@@ -357,7 +361,7 @@
 	clpb__news__init(&news.pb);
 	news.now_us = loop_now_us(links->gw->loop);
 	news.pb.incarnation = links->gw->incarnation;
-	news.pb.after = after;
+	news.pb.after = news.after = after;
 	news.pb.change = rg_change(registry);
 	news.pb.servers = news.server_list;
 	rg_since(registry, after, add_server, &news);
@@ -587,7 +591,13 @@
 		k->change = 0;
 	}
 	for (size_t i = 0; i < news->n_servers; i++) {
-		if (unpack_server(news->servers[i], now_us, &server))
+		const Clpb__Server *pb = news->servers[i];
+
+		if (pb->refreshed)
+			(void)rg_refresh(links->gw->registry, pb->id,
+			    pb->born_ms, pb->seq,
+			    now_us - (int64_t)pb->age_ms * 1000, now_us);
+		else if (unpack_server(pb, now_us, &server))
 			(void)rg_take(links->gw->registry, &server, now_us);
 	}
 	/* A gap, after a message that was lost, is asked for again. */
@@ -644,24 +654,24 @@
 void
 gw_server_heard(struct gw *gw, const struct rg_server *server)
 {
-	enum rg_verdict verdict =
-	    rg_take(gw->registry, server, loop_now_us(gw->loop));
-
-	if (verdict != RG_STALE)
-		set_push(gw->links,
-		    verdict == RG_CHANGED ? PUSH_URGENT_US : PUSH_US);
+	(void)rg_take(gw->registry, server, loop_now_us(gw->loop));
 }
 
 static void
-server_changed(void *ctx, const struct rg_server *server)
+server_changed(
+    void *ctx, const struct rg_server *server, enum rg_verdict verdict)
 {
 	struct gw *gw = ctx;
 
 	if (gw->entry != NULL)
 		ge_server_changed(gw->entry, server);
-	/* What another instance passed on goes to our own subscribers too. */
+	/*
+	 * What another instance passed on goes to our own subscribers too.
+	 * Repetitions can wait, and go out together.
+	 */
 	if (gw->links != NULL)
-		set_push(gw->links, PUSH_URGENT_US);
+		set_push(gw->links,
+		    verdict == RG_CHANGED ? PUSH_URGENT_US : PUSH_US);
 }
 
 /* Sets the counters of the links. */
--- a/src/state/registry.c
+++ b/src/state/registry.c
@@ -9,8 +9,9 @@
 };
 
 struct row {
-	struct rg_server server;
+	struct rg_server server; /* first: see rg_is_refreshed() */
 	uint64_t change;
+	uint64_t whole; /* the last change that was more than a repetition */
 	int64_t shared_us; /* when it last got a change number */
 	bool used;
 };
@@ -70,12 +71,14 @@
 }
 
 static void
-share(struct rg *rg, struct row *row, int64_t now_us)
+share(struct rg *rg, struct row *row, enum rg_verdict verdict, int64_t now_us)
 {
 	row->change = ++rg->change;
+	if (verdict == RG_CHANGED)
+		row->whole = row->change;
 	row->shared_us = now_us;
 	if (rg->options.changed != NULL)
-		rg->options.changed(rg->options.ctx, &row->server);
+		rg->options.changed(rg->options.ctx, &row->server, verdict);
 }
 
 /* A later life at an address ends what was there. */
@@ -94,7 +97,7 @@
 			return false;
 		row->server.state = RG_GONE;
 		row->server.heard_us = now_us;
-		share(rg, row, now_us);
+		share(rg, row, RG_CHANGED, now_us);
 	}
 	return true;
 }
@@ -158,16 +161,56 @@
 	}
 	row->used = true;
 	if (!same) {
-		share(rg, row, now_us);
+		share(rg, row, RG_CHANGED, now_us);
 		return RG_CHANGED;
 	}
 	if (now_us - row->shared_us >= REFRESH_US) {
-		share(rg, row, now_us);
+		share(rg, row, RG_REFRESHED, now_us);
 		return RG_REFRESHED;
 	}
 	return RG_STALE;
 }
 
+/*
+ * Tells of a server as rg_since() visits it whether it has only repeated itself
+ * since a change.
+ */
+bool
+rg_is_refreshed(const struct rg_server *server, uint64_t change)
+{
+	const struct row *row = (const struct row *)(const void *)server;
+
+	return row->whole <= change;
+}
+
+/*
+ * Takes the news that a server has repeated itself.  Of one that is not known,
+ * or of another life, it says nothing.
+ */
+enum rg_verdict
+rg_refresh(struct rg *rg, const char *id, uint64_t born_ms, uint64_t seq,
+    int64_t heard_us, int64_t now_us)
+{
+	const struct row *row = find_row(rg, id);
+	struct rg_server server;
+
+	if (row == NULL || row->server.born_ms != born_ms ||
+	    row->server.state == RG_GONE)
+		return RG_STALE;
+	server = row->server;
+	server.seq = seq;
+	/* What is left of a cold start is told as of when it was heard. */
+	if (server.cold_ms > 0) {
+		int64_t passed_ms = (heard_us - server.heard_us) / 1000;
+
+		server.cold_ms = passed_ms >= (int64_t)server.cold_ms
+				     ? 0
+				     : server.cold_ms - (uint32_t)passed_ms;
+	}
+	server.heard_us = heard_us;
+	return rg_take(rg, &server, now_us);
+}
+
 /* Forgets what has been gone or silent for long. */
 void
 rg_tick(struct rg *rg, int64_t now_us)
@@ -183,7 +226,7 @@
 		} else if (age_us > SILENT_US) {
 			row->server.state = RG_GONE;
 			row->server.heard_us = now_us;
-			share(rg, row, now_us);
+			share(rg, row, RG_CHANGED, now_us);
 		}
 	}
 }
--- a/src/state/registry.h
+++ b/src/state/registry.h
@@ -23,7 +23,8 @@
  * does not bring it back.
  *
  * Each registry numbers its own changes.  A subscriber names the last one it
- * has and gets what followed (rg_since()).
+ * has and gets what followed (rg_since()): whole, or where a server has only
+ * repeated itself since, no more than that (rg_refresh()).
  */
 enum rg_state {
 	RG_READY,
@@ -70,7 +71,8 @@
 struct rg_options {
 	const struct alloc *alloc;
 	/* Told of each change and refreshment; may be NULL. */
-	rg_visit_fn changed;
+	void (*changed)(
+	    void *ctx, const struct rg_server *server, enum rg_verdict verdict);
 	void *ctx;
 };
 
@@ -84,6 +86,9 @@
 uint64_t rg_change(const struct rg *rg);
 void rg_since(
     const struct rg *rg, uint64_t change, rg_visit_fn visit, void *ctx);
+bool rg_is_refreshed(const struct rg_server *server, uint64_t change);
+enum rg_verdict rg_refresh(struct rg *rg, const char *id, uint64_t born_ms,
+    uint64_t seq, int64_t heard_us, int64_t now_us);
 const struct rg_server *rg_find(const struct rg *rg, const char *id);
 size_t rg_count(const struct rg *rg);
 
--- a/src/wire/cluster.pb-c.c
+++ b/src/wire/cluster.pb-c.c
@@ -553,7 +553,7 @@
   (ProtobufCMessageInit) clpb__model__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor clpb__server__field_descriptors[13] =
+static const ProtobufCFieldDescriptor clpb__server__field_descriptors[14] =
 {
   {
     "id",
@@ -711,6 +711,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "refreshed",
+    14,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Clpb__Server, refreshed),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned clpb__server__field_indices_by_name[] = {
   11,   /* field[11] = age_ms */
@@ -721,6 +733,7 @@
   2,   /* field[2] = ip */
   12,   /* field[12] = models */
   3,   /* field[3] = port */
+  13,   /* field[13] = refreshed */
   9,   /* field[9] = seq */
   1,   /* field[1] = service */
   6,   /* field[6] = slots */
@@ -730,7 +743,7 @@
 static const ProtobufCIntRange clpb__server__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 13 }
+  { 0, 14 }
 };
 const ProtobufCMessageDescriptor clpb__server__descriptor =
 {
@@ -740,7 +753,7 @@
   "Clpb__Server",
   "clpb",
   sizeof(Clpb__Server),
-  13,
+  14,
   clpb__server__field_descriptors,
   clpb__server__field_indices_by_name,
   1,  clpb__server__number_ranges,
--- a/src/wire/cluster.pb-c.h
+++ b/src/wire/cluster.pb-c.h
@@ -76,10 +76,14 @@
   uint32_t age_ms;
   size_t n_models;
   Clpb__Model **models;
+  /*
+   * as before: only id, born_ms, seq and age_ms hold
+   */
+  protobuf_c_boolean refreshed;
 };
 #define CLPB__SERVER__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&clpb__server__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0,NULL }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0,NULL, 0 }
 
 
 /*
--- a/test/unit/registry_test.cc
+++ b/test/unit/registry_test.cc
@@ -125,6 +125,105 @@
 		RC_ASSERT(a.state(s.id) == b.state(s.id));
 }
 
+/* What a subscriber is told: whole servers, or that they repeated themselves.
+ */
+struct Subscriber {
+	Registry own;
+	uint64_t has = 0;
+	uint32_t whole = 0, refreshed = 0;
+	int64_t now_us = 0;
+
+	static void visit(void *ctx, const struct rg_server *server)
+	{
+		auto *s = static_cast<Subscriber *>(ctx);
+
+		if (rg_is_refreshed(server, s->has)) {
+			s->refreshed++;
+			rg_refresh(s->own.rg, server->id, server->born_ms,
+			    server->seq, server->heard_us, s->now_us);
+		} else {
+			s->whole++;
+			rg_take(s->own.rg, server, s->now_us);
+		}
+	}
+
+	void hear(const Registry &from, int64_t at_us)
+	{
+		now_us = at_us;
+		rg_since(from.rg, has, visit, this);
+		has = rg_change(from.rg);
+	}
+};
+
+RC_GTEST_PROP(Registry, ASubscriberKnowsWhatItsSourceKnows, ())
+{
+	Registry source;
+	Subscriber subscriber;
+	int64_t now_us = 1000000;
+	uint64_t seq = 0;
+
+	for (int i = 0; i < 60; i++) {
+		int server = *rc::gen::inRange(0, 4);
+		uint64_t life = (uint64_t)*rc::gen::inRange(1, 3);
+		std::string id = "s" + std::to_string(server);
+		struct rg_server s = say(id.c_str(), life * 10, ++seq,
+		    *rc::gen::inRange(0, 8) == 0 ? RG_DRAINING : RG_READY,
+		    (uint16_t)(80 + server));
+
+		now_us += *rc::gen::inRange(0, 3000000);
+		source.take(s, now_us);
+		if (*rc::gen::inRange(0, 3) == 0)
+			subscriber.hear(source, now_us + 5000);
+	}
+	subscriber.hear(source, now_us + 5000);
+	for (int server = 0; server < 4; server++) {
+		std::string id = "s" + std::to_string(server);
+		const struct rg_server *a = rg_find(source.rg, id.c_str());
+		const struct rg_server *b =
+		    rg_find(subscriber.own.rg, id.c_str());
+
+		RC_ASSERT((a == nullptr) == (b == nullptr));
+		if (a == nullptr)
+			continue;
+		RC_ASSERT(a->state == b->state);
+		RC_ASSERT(a->born_ms == b->born_ms);
+		RC_ASSERT(strcmp(a->version, b->version) == 0);
+	}
+}
+
+/* Repetitions carry no more than that, also of a server that starts cold. */
+TEST(Registry, RepetitionsAreToldAsSuch)
+{
+	Registry source;
+	Subscriber subscriber;
+	struct rg_server s = say("a", 10, 1, RG_READY, 80);
+
+	s.cold_ms = 5000;
+	source.take(s, 1000000);
+	subscriber.hear(source, 1005000);
+	EXPECT_EQ(1u, subscriber.whole);
+	s.seq = 2;
+	s.cold_ms = 2900;
+	source.take(s, 3100000);
+	subscriber.hear(source, 3105000);
+	EXPECT_EQ(1u, subscriber.whole);
+	EXPECT_EQ(1u, subscriber.refreshed);
+	EXPECT_EQ(3100000, rg_find(subscriber.own.rg, "a")->heard_us);
+	EXPECT_EQ(2900u, rg_find(subscriber.own.rg, "a")->cold_ms);
+	/* Warm now: that is a change. */
+	s.seq = 3;
+	s.cold_ms = 0;
+	source.take(s, 6100000);
+	subscriber.hear(source, 6105000);
+	EXPECT_EQ(2u, subscriber.whole);
+	/* Who subscribes anew is told all. */
+	subscriber.has = 0;
+	subscriber.hear(source, 6106000);
+	EXPECT_EQ(3u, subscriber.whole);
+	EXPECT_EQ(RG_STALE, rg_refresh(subscriber.own.rg, "a", 9, 50, 0, 0));
+	EXPECT_EQ(RG_STALE, rg_refresh(subscriber.own.rg, "b", 10, 50, 0, 0));
+}
+
 struct Orders {
 	struct ord *ord = ord_new(alloc_default());
 	uint64_t index = 0;
