Compare few servers where many instances choose; report loads by the number of servers

Loads were told every 100 ms for each 12 instances, 0.7 s with 79, and all of them sent to the servers that had looked idle.

Changes: with more than 12 instances each compares the home of the prefix and three servers drawn at random; with fewer all are compared as before. The reports' period follows the number of servers, which is what their size follows: 100 ms up to 80 servers.

--- a/src/gateway/loads.c
+++ b/src/gateway/loads.c
@@ -7,8 +7,9 @@
 #include "wire/cluster.pb-c.h"
 
 enum {
-	PERIOD_US = 100000, /* with few instances; longer with many */
-	INSTANCES_A_PERIOD = 12, /* more stretch the period in proportion */
+	PERIOD_US = 100000, /* with few servers; longer with many */
+	SERVER_US = 1250, /* more for each: 10 of 8,000 bytes a second that an
+			     instance listens to */
 	LASTING_US = 1500000, /* a report that is not followed by another */
 	LISTENERS_MAX = 512
 };
@@ -133,11 +134,10 @@
 on_timer(void *ctx)
 {
 	struct gl *gl = ctx;
-	uint32_t instances = gw_entry_instances(gl->gw);
-	int64_t period_us = PERIOD_US;
+	int64_t period_us = (int64_t)rg_count(gl->gw->registry) * SERVER_US;
 
-	if (instances > INSTANCES_A_PERIOD)
-		period_us = PERIOD_US * instances / INSTANCES_A_PERIOD;
+	if (period_us < PERIOD_US)
+		period_us = PERIOD_US;
 	gl->timer = loop_after(gl->gw->loop, period_us, on_timer, gl);
 	if (gl->gw->entry != NULL) {
 		report_own(gl);
--- a/src/route/pool.c
+++ b/src/route/pool.c
@@ -15,6 +15,9 @@
 	LOAD_AGE_US = 2000000, /* older reports count no more */
 	US_PER_MS = 1000,
 	US_PER_S = 1000000,
+	FEW_INSTANCES = 12, /* whose reports come soon enough for all to compare
+			       all servers */
+	DRAWN = 3, /* servers compared by one of many instances */
 	ORDER_MAX = 1024 /* servers looked at for one request */
 };
 
@@ -381,30 +384,52 @@
 	return best;
 }
 
-/* The server at which the first event is due soonest. */
+/* When the first event of a request would be due at a server, in ms. */
+static double
+due_ms(struct pl *pl, const struct pl_query *query, uint16_t server,
+    uint16_t home, int64_t now_us)
+{
+	const struct pl_server *s = &pl->servers[server];
+	double ms = pl_backlog_ms(pl, server, now_us) +
+		    running_ms * (s->in_flight + s->others_running) +
+		    noise_ms * rng_unit(&pl->rng);
+
+	if (server != home)
+		ms += query->shared_ms;
+	if (strcmp(s->said.data_centre, pl->options.data_centre) != 0)
+		ms += abroad_ms;
+	return ms;
+}
+
+/*
+ * The server at which the first event is due soonest, of all while there are
+ * few instances.  Many would send to the one that looked idle in the last
+ * report until the next comes; each then compares the home of the prefix and a
+ * few servers drawn at random.
+ */
 static uint16_t
 pick_by_work(struct pl *pl, const struct pl_query *query, const uint16_t *list,
     uint16_t count, int64_t now_us)
 {
-	uint16_t best = list[0];
 	uint16_t home = highest_rank(pl, query, pl->servers[list[0]].role);
+	bool all = pl->instances <= FEW_INSTANCES || count <= DRAWN;
+	uint16_t best = RT_NONE;
 	double least = 0;
 
-	for (uint16_t i = 0; i < count; i++) {
-		const struct pl_server *s = &pl->servers[list[i]];
-		uint32_t running = s->in_flight + s->others_running;
-		double ms = pl_backlog_ms(pl, list[i], now_us) +
-			    running_ms * running +
-			    noise_ms * rng_unit(&pl->rng);
-
-		if (list[i] != home)
-			ms += query->shared_ms;
-		if (strcmp(s->said.data_centre, pl->options.data_centre) != 0)
-			ms += abroad_ms;
-		if (i == 0 || ms < least) {
+	for (uint16_t i = 0; i < count + DRAWN; i++) {
+		uint16_t server =
+		    i < count ? list[i] : list[rng_below(&pl->rng, count)];
+		double ms;
+
+		if (i < count && !all && server != home)
+			continue;
+		ms = due_ms(pl, query, server, home, now_us);
+		if (best == RT_NONE || ms < least) {
 			least = ms;
-			best = list[i];
+			best = server;
 		}
+		if (all && i + 1 == count)
+			break;
 	}
 	return best;
 }
--- a/test/unit/route_pool_test.cc
+++ b/test/unit/route_pool_test.cc
@@ -324,6 +324,40 @@
 	EXPECT_EQ(2u, seen.size());
 }
 
+/*
+ * Forty instances with the same report choose before the next one comes.  The
+ * server that looked idle must not get all of their requests.
+ */
+TEST(Pool, ManyInstancesDoNotCrowdTheServerThatLookedIdle)
+{
+	const uint32_t instances = 40;
+	uint32_t at_idle = 0, at_others = 0;
+
+	for (uint32_t i = 0; i < instances; i++) {
+		PoolWorld w(instances, i + 1);
+		std::vector<struct ld_load> loads;
+
+		for (int s = 0; s < 20; s++) {
+			std::string id = "s" + std::to_string(s);
+
+			w.add(id, "a");
+			if (s > 0)
+				loads.push_back(
+				    {ld_server_hash(id.c_str()), 300, 5});
+		}
+		pl_others_loads(w.pl, loads.data(), loads.size(), w.now_us);
+		for (int k = 0; k < 5; k++) {
+			bool idle = w.pick() == "s0";
+
+			at_idle += idle;
+			at_others += !idle;
+		}
+	}
+	EXPECT_LT(at_idle, 50u);
+	EXPECT_GT(at_idle, 10u);
+	EXPECT_EQ(200u, at_idle + at_others);
+}
+
 TEST(Pool, AServerThatFailsFarMoreIsLeftAlone)
 {
 	PoolWorld w;
