--- a/src/route/pool.c
+++ b/src/route/pool.c
@@ -401,6 +401,28 @@
 	return ms;
 }
 
+/* Where the first event would be due soonest, of the servers looked at so far.
+ */
+struct soonest {
+	const struct pl_query *query;
+	int64_t now_us;
+	uint16_t home;
+	uint16_t server; /* RT_NONE: none looked at */
+	double ms;
+};
+
+static void
+look_at(struct pl *pl, struct soonest *soonest, uint16_t server)
+{
+	double ms =
+	    due_ms(pl, soonest->query, server, soonest->home, soonest->now_us);
+
+	if (soonest->server != RT_NONE && ms >= soonest->ms)
+		return;
+	soonest->server = server;
+	soonest->ms = ms;
+}
+
 /*
  * The server at which the first event is due soonest, of all while there are
  * few instances.  Many would send to the one that looked idle in the last
@@ -411,27 +433,19 @@
 pick_by_work(struct pl *pl, const struct pl_query *query, const uint16_t *list,
     uint16_t count, int64_t now_us)
 {
-	uint16_t home = highest_rank(pl, query, pl->servers[list[0]].role);
+	struct soonest soonest = {.query = query,
+	    .now_us = now_us,
+	    .home = highest_rank(pl, query, pl->servers[list[0]].role),
+	    .server = RT_NONE};
 	bool all = pl->instances <= FEW_INSTANCES || count <= DRAWN;
-	uint16_t best = RT_NONE;
-	double least = 0;
 
-	for (uint16_t i = 0; i < count + DRAWN; i++) {
-		uint16_t server =
-		    i < count ? list[i] : list[rng_below(&pl->rng, count)];
-		double ms;
-
-		if (i < count && !all && server != home)
-			continue;
-		ms = due_ms(pl, query, server, home, now_us);
-		if (best == RT_NONE || ms < least) {
-			least = ms;
-			best = server;
-		}
-		if (all && i + 1 == count)
-			break;
+	for (uint16_t i = 0; i < count; i++) {
+		if (all || list[i] == soonest.home)
+			look_at(pl, &soonest, list[i]);
 	}
-	return best;
+	for (int drawn = 0; !all && drawn < DRAWN; drawn++)
+		look_at(pl, &soonest, list[rng_below(&pl->rng, count)]);
+	return soonest.server;
 }
 
 /* A server drawn from those of the own data centre, or from all. */
