--- a/fuzz/fuzz_journal.c
+++ b/fuzz/fuzz_journal.c
@@ -1,3 +1,4 @@
+#include <stdbool.h>
 #include <stdint.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -36,10 +37,13 @@
 static void
 fuzz_segment(const uint8_t *data, size_t size)
 {
+	static bool made;
 	struct buf report;
 
-	if (strchr(folder, 'X') != NULL && mkdtemp(folder) == NULL)
+	/* The name that mkdtemp() chooses may have an X in it, too. */
+	if (!made && mkdtemp(folder) == NULL)
 		abort();
+	made = true;
 	write_segment(data, size);
 	buf_init(&report, NULL);
 	(void)jn_dump(folder, &report);
