Obey servers that say in their answers that they leave or want nothing

Cause: `Server-Leaving` and `Retry-After` of backend servers were not read. A server that leaves without announcing it went on getting requests of every instance; one that refuses with a pause got 11 more requests in it.

Ruled out: a list of its own for leaving servers. The registry's draining state of a life already outlives older announcements, so the answer sets that, and control pushes it. Found by the property on the way: a life that left, fell silent for 90 s and announced itself again was forgotten and used; lives that left by their answers are now remembered as long as silent ones. Pauses are one more reason in the pool's sparing of servers that refuse; after one, a server gets one request at a time and one more for each that it accepts.

A request that can't wait until the first server may be tried again is refused at once with that time as its Retry-After.

--- a/fakes/server/main.c
+++ b/fakes/server/main.c
@@ -20,6 +20,8 @@
  *	/error/...	500
  *	/full/...	503, not run
  *	/shed/...	503, not run, or by chance 200 with the body
+ *	/leave/...	200 with the body, and that it leaves
+ *	/pause/...	503, not run, and that it wants nothing for PAUSE_S
  *	/hang/...	nothing
  *
  * "got MS TARGET" is printed for each request, MS of the monotonic clock.
@@ -33,6 +35,8 @@
 	PERCENT = 100
 };
 
+#define PAUSE_S "2.5"
+
 static struct loop *loop;
 static const char *server_id;
 static int shed_percent;
@@ -144,6 +148,13 @@
 		 (strstr(target, "/shed/") != NULL &&
 		     rand() % PERCENT < shed_percent))
 		answer(x, STATUS_FULL, "Celeryford-Not-Executed: 1\r\n", &none);
+	else if (strstr(target, "/leave/") != NULL)
+		answer(x, 200, "Server-Leaving: 1\r\n", hf_body(x));
+	else if (strstr(target, "/pause/") != NULL)
+		answer(x, STATUS_FULL,
+		    "Celeryford-Not-Executed: 1\r\nRetry-After: " PAUSE_S
+		    "\r\n",
+		    &none);
 	else if (strstr(target, "/hang/") == NULL)
 		answer(x, 200, "", hf_body(x));
 }
--- a/src/gateway/dialect.h
+++ b/src/gateway/dialect.h
@@ -94,6 +94,10 @@
 	int confidence; /* 0 to 100, the model's own; -1: not said */
 	bool has_cold;
 	uint32_t cold_ms;
+	bool leaving; /* the server is about to end */
+	bool has_pause; /* with a refusal: the server wants nothing for */
+	uint32_t pause_ms;
+	bool pause_unreadable; /* it names a time that can't be read */
 };
 
 struct dl_dialect;
--- a/src/gateway/entry.c
+++ b/src/gateway/entry.c
@@ -107,11 +107,27 @@
 
 	log_server(ge, server);
 	place = pl_take(ge->pool, server, loop_now_us(ge->gw->loop));
-	if (server->state == RG_GONE && place != RT_NONE)
+	if (server->state != RG_READY && place != RT_NONE)
 		hu_forget(ge->client, &pl_at(ge->pool, place)->address);
 	ge_wake_waiting(ge);
 }
 
+/*
+ * An answer of a server says that it leaves.  What this instance hears counts
+ * here at once, whether it is in touch with others or not.
+ */
+void
+ge_server_leaves(struct ge *ge, const struct rg_server *server)
+{
+	uint64_t life = rg_life_of(server->id, server->born_ms);
+
+	ge->leaving_heard->value++;
+	log_event(LOG_LEVEL_INFO, "server_leaves", "server=%s born_ms=%" PRIu64,
+	    server->id, server->born_ms);
+	(void)rg_leaves(ge->gw->registry, life, loop_now_us(ge->gw->loop));
+	gw_spread(ge->gw, NT_LEAVING, life, 1);
+}
+
 static struct bu_options
 budget_options(const struct ge *ge)
 {
@@ -157,6 +173,8 @@
 		if (value == (uint32_t)ge->rollout)
 			se_hold(ge->sessions, key, now_us);
 		break;
+	case NT_LEAVING:
+		break; /* the registry has told */
 	case NT_CRASH:
 		marks_merge(ge->marks, key,
 		    (uint8_t)(value < UINT8_MAX ? value : UINT8_MAX), now_us);
@@ -482,6 +500,12 @@
 	    metrics_get(m, METRICS_COUNTER, "celeryford_failures_total", "");
 	ge->repeats =
 	    metrics_get(m, METRICS_COUNTER, "celeryford_repeats_total", "");
+	ge->leaving_heard = metrics_get(
+	    m, METRICS_COUNTER, "celeryford_servers_leaving_heard_total", "");
+	ge->pauses = metrics_get(
+	    m, METRICS_COUNTER, "celeryford_server_pauses_total", "");
+	ge->pauses_unreadable = metrics_get(m, METRICS_COUNTER,
+	    "celeryford_server_pauses_unreadable_total", "");
 	ge->queue_us =
 	    metrics_get(m, METRICS_HISTOGRAM, "celeryford_queue_seconds", "");
 	ge->first_us = metrics_get(
--- a/src/gateway/entry.h
+++ b/src/gateway/entry.h
@@ -76,6 +76,9 @@
 	struct metrics_series *refusals;
 	struct metrics_series *failures;
 	struct metrics_series *repeats;
+	struct metrics_series *leaving_heard;
+	struct metrics_series *pauses;
+	struct metrics_series *pauses_unreadable;
 	struct metrics_series *queue_us;
 	struct metrics_series *first_us;
 	struct metrics_series *whole_us;
@@ -99,6 +102,7 @@
 void ge_wait(struct ge *ge, struct gx *gx);
 void ge_wake_waiting(struct ge *ge);
 bool ge_may_log(struct ge *ge);
+void ge_server_leaves(struct ge *ge, const struct rg_server *server);
 void ge_server_down(struct ge *ge, uint16_t server);
 void ge_table_release(struct ge_table *table);
 
--- a/src/gateway/exchange.c
+++ b/src/gateway/exchange.c
@@ -121,13 +121,14 @@
 	gx_log(gx, LOG_LEVEL_INFO, "answered",
 	    "route=%s outcome=%s status=%u ms=%" PRId64 " first_ms=%" PRId64
 	    " sends=%u runs=%u may_have_run=%d "
-	    "document=%" PRIu64,
+	    "document=%" PRIu64 " server_leaving=%d server_pause_ms=%u",
 	    gx->route != NULL ? gx->route->name : "", outcome, status,
 	    (now_us - gx->arrived_us) / US_PER_MS,
 	    gx->first_us != 0 ? (gx->first_us - gx->arrived_us) / US_PER_MS
 			      : -1,
 	    gx->sends, gx->runs, gx->may_have_run,
-	    gx->table != NULL ? gx->table->number : 0);
+	    gx->table != NULL ? gx->table->number : 0, gx->now.leaving,
+	    gx->now.pause_ms);
 	if (gx->log_kept_back && strcmp(outcome, "answered") != 0)
 		log_lines(&gx->log);
 }
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -33,10 +33,13 @@
 	struct hu_call *call; /* NULL: none under way */
 	uint16_t server;
 	enum pl_role role;
+	uint64_t born_ms; /* of the server's life that it was sent to */
 	int64_t sent_us;
 	bool answered; /* the header has come */
 	bool not_run; /* the server says so */
 	bool defective;
+	bool leaving; /* the server says that it is about to end */
+	uint32_t pause_ms; /* it refused, and wants nothing for so long */
 	bool dropped; /* a larger model answers instead */
 	int64_t progress_us; /* when it was sent, or a byte came */
 	double expected_ms; /* until the first byte */
--- a/src/gateway/exchange_answer.c
+++ b/src/gateway/exchange_answer.c
@@ -19,7 +19,8 @@
 	FIRST_BYTE_MS = 40, /* of any answer, on top of its work */
 	BACKLOG_NONE_MS = 10, /* a server counts as idle below this */
 	GAP_BACKLOG_MS = 50, /* beyond it, gaps tell nothing of a version */
-	STATUS_MISDIRECTED = 421
+	STATUS_MISDIRECTED = 421,
+	STATUS_REFUSED = 503
 };
 
 static const double gap_weight = 0.02; /* of the newest time between events */
@@ -134,6 +135,43 @@
 	return true;
 }
 
+/*
+ * Takes what an answer says of its server: its load, and what it wants to get
+ * from now on.  Answers of an earlier life, or of another server at the same
+ * address, say nothing of that.
+ */
+static void
+note_server(struct gx *gx, unsigned int status, const struct dl_answer *answer)
+{
+	struct ge *ge = gx->ge;
+	const struct pl_server *s = pl_at(ge->pool, gx->now.server);
+	int64_t now_us = gx_now(gx);
+
+	if (answer->has_load)
+		pl_load(ge->pool, gx->now.server, answer->running,
+		    answer->waiting, now_us);
+	if (answer->has_cold)
+		pl_cold(ge->pool, gx->now.server, answer->cold_ms, now_us);
+	if (status == STATUS_MISDIRECTED || s->said.born_ms != gx->now.born_ms)
+		return;
+	gx->now.leaving = answer->leaving;
+	if (answer->leaving && s->said.state == RG_READY)
+		ge_server_leaves(ge, &s->said);
+	if (status != STATUS_REFUSED)
+		return;
+	if (answer->pause_unreadable) {
+		ge->pauses_unreadable->value++;
+		gx_log(gx, LOG_LEVEL_WARN, "pause_unreadable", "server=%s",
+		    s->said.id);
+	} else if (answer->has_pause) {
+		ge->pauses->value++;
+		gx->now.pause_ms = answer->pause_ms;
+		pl_paused(ge->pool, gx->now.server, answer->pause_ms, now_us);
+		gx_log(gx, LOG_LEVEL_INFO, "server_paused",
+		    "server=%s pause_ms=%u", s->said.id, answer->pause_ms);
+	}
+}
+
 static int
 on_head(void *ctx, struct hu_call *call, unsigned int status,
     const struct hh *headers)
@@ -161,11 +199,7 @@
 	gx->now.answered = true;
 	gx->now.status = status;
 	gx->now.not_run = answer.not_run || status == STATUS_MISDIRECTED;
-	if (answer.has_load)
-		pl_load(ge->pool, gx->now.server, answer.running,
-		    answer.waiting, now_us);
-	if (answer.has_cold)
-		pl_cold(ge->pool, gx->now.server, answer.cold_ms, now_us);
+	note_server(gx, status, &answer);
 	if (!gx->now.not_run) {
 		pl_accepted(ge->pool, gx->now.server, now_us);
 		note_answer(gx, status >= 500);
--- a/src/gateway/exchange_send.c
+++ b/src/gateway/exchange_send.c
@@ -175,6 +175,7 @@
 	struct ge *ge = gx->ge;
 	const struct pl_server *s = pl_at(ge->pool, server);
 	int64_t now_us = gx_now(gx);
+	struct pl_spared spared = pl_spared(ge->pool, gx->target->name, now_us);
 	struct bu_state budget;
 	struct buf head;
 	struct hu_request request = {.address = s->address,
@@ -187,6 +188,7 @@
 
 	gx->now = (struct gx_attempt){.server = server,
 	    .role = s->role,
+	    .born_ms = s->said.born_ms,
 	    .sent_us = now_us,
 	    .progress_us = now_us};
 	if (gx->sends == 0)
@@ -201,11 +203,13 @@
 	    "route=%s server=%s send=%u role=%d load=%u+%u "
 	    "in_flight=%u left_ms=%" PRId64 " document=%" PRIu64
 	    " session=%016" PRIx64
-	    " service=%s requests=%u repeats=%u budget=%.1f instances=%u",
+	    " service=%s requests=%u repeats=%u budget=%.1f instances=%u"
+	    " leaving=%u paused=%u",
 	    gx->route->name, s->said.id, gx->sends, s->role, s->running,
 	    s->waiting, s->in_flight, (gx->deadline_us - now_us) / US_PER_MS,
 	    gx->table->number, gx->request.session, gx->service->name,
-	    budget.requests, budget.repeats, budget.left, ge->instances);
+	    budget.requests, budget.repeats, budget.left, ge->instances,
+	    spared.leaving, spared.paused);
 	buf_init(&head, ge->gw->alloc);
 	write_head(gx, s, &head);
 	if (query->by_work) {
@@ -262,21 +266,25 @@
 }
 
 /*
- * Whether the request may wait for a server: half of the time in which an
+ * Until when the request may wait for a server: half of the time in which an
  * answer is worth most, or, in the middle of a stream, as long as its caller
  * bears a pause.
  */
+static int64_t
+waits_until_us(const struct gx *gx)
+{
+	int64_t until_us =
+	    gx->begun
+		? gx->now.progress_us + RESUME_WAIT_US
+		: gx->arrived_us + (int64_t)gx->route->goal_ms * US_PER_MS / 2;
+
+	return until_us < gx->deadline_us ? until_us : gx->deadline_us;
+}
+
 static bool
 may_wait(const struct gx *gx)
 {
-	int64_t now_us = gx_now(gx);
-
-	if (now_us >= gx->deadline_us)
-		return false;
-	if (gx->begun)
-		return now_us - gx->now.progress_us < RESUME_WAIT_US;
-	return now_us - gx->arrived_us <
-	       (int64_t)gx->route->goal_ms * US_PER_MS / 2;
+	return gx_now(gx) < waits_until_us(gx);
 }
 
 /*
@@ -309,6 +317,29 @@
 	ge_wait(gx->ge, gx);
 }
 
+/*
+ * No server takes the request now.  Where all that may run it are left alone
+ * for longer than it may wait, it is refused at once; its caller learns when
+ * the first may be tried again.
+ */
+static void
+wait_or_refuse(struct gx *gx, const struct pl_query *query)
+{
+	int64_t now_us = gx_now(gx);
+	int64_t opens_us = pl_opens_us(gx->ge->pool, query, now_us);
+	int64_t retry_ms = (opens_us - now_us) / US_PER_MS;
+
+	if (may_wait(gx) && opens_us < waits_until_us(gx)) {
+		wait_for_server(gx);
+		return;
+	}
+	if (opens_us > now_us)
+		gx_log(gx, LOG_LEVEL_INFO, "servers_left_alone",
+		    "service=%s opens_ms=%" PRId64, gx->target->name, retry_ms);
+	gx_refuse(gx, ERR_NO_CAPACITY,
+	    retry_ms > GX_RETRY_FULL_MS ? retry_ms : GX_RETRY_FULL_MS);
+}
+
 /* Places the request, or has it wait for a server. */
 void
 gx_place(struct gx *gx)
@@ -345,10 +376,7 @@
 			gx_refuse(gx, ERR_NO_SERVER, GX_RETRY_UNKNOWN_MS);
 		break;
 	case PL_FULL:
-		if (!may_wait(gx))
-			gx_refuse(gx, ERR_NO_CAPACITY, GX_RETRY_FULL_MS);
-		else
-			wait_for_server(gx);
+		wait_or_refuse(gx, &query);
 		break;
 	}
 }
--- a/src/gateway/links.c
+++ b/src/gateway/links.c
@@ -469,6 +469,8 @@
 
 	if (!nt_take(links->notes, kind, key, value, loop_now_us(gw->loop)))
 		return;
+	if (kind == NT_LEAVING)
+		(void)rg_leaves(gw->registry, key, loop_now_us(gw->loop));
 	if (kind == NT_CRASH)
 		log_event(LOG_LEVEL_WARN, "crash_mark",
 		    "fingerprint=%016" PRIx64 " crashes=%u", key, value);
--- a/src/gateway/metrics_page.c
+++ b/src/gateway/metrics_page.c
@@ -32,6 +32,8 @@
 {
 	const struct ge *ge = gw->entry;
 	int64_t left_us = gf_left_us(gw->follow);
+	struct pl_spared spared =
+	    pl_spared(ge->pool, NULL, loop_now_us(gw->loop));
 	uint64_t servers = 0, suspects = 0, in_flight = 0;
 	int64_t now_us = loop_now_us(gw->loop);
 
@@ -52,6 +54,8 @@
 	    ge->instances);
 	set(gw, METRICS_GAUGE, "celeryford_servers", servers);
 	set(gw, METRICS_GAUGE, "celeryford_servers_suspected", suspects);
+	set(gw, METRICS_GAUGE, "celeryford_servers_leaving", spared.leaving);
+	set(gw, METRICS_GAUGE, "celeryford_servers_paused", spared.paused);
 	set(gw, METRICS_GAUGE, "celeryford_attempts_in_flight", in_flight);
 	set(gw, METRICS_GAUGE, "celeryford_open_requests",
 	    hf_open_exchanges(ge->front));
--- a/src/route/pool.c
+++ b/src/route/pool.c
@@ -13,6 +13,8 @@
 	EJECT_US = 4000000, /* a server that fails far more than others */
 	EJECT_OUTCOMES = 6, /* of its own, before it is judged */
 	FULL_US = 150000, /* a server that refused is left alone */
+	PAUSE_MAX_MS = 600000, /* longer ones are taken as this */
+	WINDOW_FIRST = 1, /* requests at a time after a pause */
 	LOAD_AGE_US = 2000000, /* older reports count no more */
 	US_PER_MS = 1000,
 	US_PER_S = 1000000,
@@ -182,6 +184,8 @@
 		s->has_load = false;
 		s->failures = 0;
 		s->refusing = 0;
+		s->paused_until_us = 0;
+		s->window = 0;
 		s->down_until_us = s->ejected_until_us = 0;
 		s->failing = 0;
 		s->outcomes = 0;
@@ -303,10 +307,20 @@
 has_room(
     const struct pl_server *s, const struct pl_query *query, int64_t now_us)
 {
+	if (s->window > 0 && s->in_flight >= s->window)
+		return false;
 	return s->said.slots == 0 ||
 	       load_of(s, now_us) < s->said.slots + query->slots_more;
 }
 
+/* Until when a server gets nothing, whatever else is left to choose from. */
+static int64_t
+barred_until_us(const struct pl_server *s)
+{
+	return s->paused_until_us > s->down_until_us ? s->paused_until_us
+						     : s->down_until_us;
+}
+
 static uint64_t
 rank(uint64_t affinity, const struct pl_server *s)
 {
@@ -515,7 +529,7 @@
 	for (uint16_t i = 0; i < pl->count && count < ORDER_MAX; i++) {
 		struct pl_server *s = &pl->servers[i];
 		bool suspect =
-		    s->down_until_us > now_us ||
+		    barred_until_us(s) > now_us ||
 		    ce_is_down(&pl->centres, s->said.data_centre, now_us) ||
 		    s->ejected_until_us > now_us ||
 		    now_us - s->said.heard_us > pl->options.silent_us ||
@@ -527,7 +541,7 @@
 		    (tier == TIER_SOUND &&
 			(suspect || !has_room(s, query, now_us))) ||
 		    (tier == TIER_DOUBTFUL &&
-			(s->down_until_us > now_us || is_avoided(query, i) ||
+			(barred_until_us(s) > now_us || is_avoided(query, i) ||
 			    !has_room(s, query, now_us))))
 			continue;
 		list[count++] = i;
@@ -750,9 +764,66 @@
 	note_refusal(s, true, now_us);
 }
 
+/* A server that refused a request says for how long it wants no other. */
+void
+pl_paused(struct pl *pl, uint16_t server, uint32_t pause_ms, int64_t now_us)
+{
+	struct pl_server *s = &pl->servers[server];
+	int64_t until_us =
+	    now_us +
+	    (int64_t)(pause_ms < PAUSE_MAX_MS ? pause_ms : PAUSE_MAX_MS) *
+		US_PER_MS;
+
+	if (until_us > s->paused_until_us)
+		s->paused_until_us = until_us;
+	s->window = WINDOW_FIRST;
+}
+
+/*
+ * Returns when the first server that may run a request is no longer left alone;
+ * now_us if one is not, or none is known.
+ */
+int64_t
+pl_opens_us(const struct pl *pl, const struct pl_query *query, int64_t now_us)
+{
+	int64_t first_us = INT64_MAX;
+
+	for (uint16_t i = 0; i < pl->count; i++) {
+		const struct pl_server *s = &pl->servers[i];
+
+		if (may_run(s, query) &&
+		    (query->any_role || s->role == query->role) &&
+		    barred_until_us(s) < first_us)
+			first_us = barred_until_us(s);
+	}
+	return first_us == INT64_MAX || first_us < now_us ? now_us : first_us;
+}
+
+/* Counts what a service's servers asked for; service NULL: all servers. */
+struct pl_spared
+pl_spared(const struct pl *pl, const char *service, int64_t now_us)
+{
+	struct pl_spared spared = {0};
+
+	for (uint16_t i = 0; i < pl->count; i++) {
+		const struct pl_server *s = &pl->servers[i];
+
+		if (!s->used ||
+		    (service != NULL && strcmp(s->said.service, service) != 0))
+			continue;
+		spared.leaving += s->said.state == RG_DRAINING;
+		spared.paused += s->paused_until_us > now_us;
+	}
+	return spared;
+}
+
 /* A server has begun to answer a request, which it did not refuse. */
 void
 pl_accepted(struct pl *pl, uint16_t server, int64_t now_us)
 {
-	note_refusal(&pl->servers[server], false, now_us);
+	struct pl_server *s = &pl->servers[server];
+
+	note_refusal(s, false, now_us);
+	if (s->window > 0)
+		s->window = s->window < s->said.slots ? s->window + 1 : 0;
 }
--- a/src/route/pool.h
+++ b/src/route/pool.h
@@ -35,7 +35,10 @@
  * data centre first.
  *
  * A server that refuses requests looks idle.  The share that it refused lately
- * counts against it like work that waits there, and fades with time.
+ * counts against it like work that waits there, and fades with time.  One that
+ * says for how long it wants nothing gets nothing for so long, and then few
+ * requests at a time until it accepts them: those that waited don't all go
+ * there at once.
  *
  * A new version is tried on so few of its servers that they get a multiple of
  * the mean load, so that what fails under load fails in the trial.
@@ -76,6 +79,8 @@
 	int64_t ejected_until_us;
 	double refusing; /* moving share of refused requests, at refusing_us */
 	int64_t refusing_us;
+	int64_t paused_until_us; /* it asked for no requests until then */
+	uint16_t window; /* requests that it may have at a time; 0: any */
 	double own_ms; /* work of own requests there that has not begun */
 	double others_ms; /* the same of the other instances, at others_us */
 	uint32_t others_running;
@@ -120,6 +125,15 @@
 uint16_t pl_count(const struct pl *pl);
 bool pl_has_role(const struct pl *pl, const char *service, enum pl_role role);
 
+/* Servers of a service that get nothing because they asked for that. */
+struct pl_spared {
+	uint32_t leaving;
+	uint32_t paused;
+};
+
+struct pl_spared pl_spared(
+    const struct pl *pl, const char *service, int64_t now_us);
+
 /* What became of a request that pl_pick() placed. */
 void pl_sent(struct pl *pl, uint16_t server, double work_ms, int64_t now_us);
 void pl_begun(struct pl *pl, uint16_t server, double work_ms);
@@ -139,6 +153,10 @@
     struct pl *pl, uint16_t server, bool silent, int64_t now_us);
 void pl_outcome(struct pl *pl, uint16_t server, bool failed, int64_t now_us);
 void pl_refused(struct pl *pl, uint16_t server, int64_t now_us);
+void pl_paused(
+    struct pl *pl, uint16_t server, uint32_t pause_ms, int64_t now_us);
+int64_t pl_opens_us(
+    const struct pl *pl, const struct pl_query *query, int64_t now_us);
 void pl_accepted(struct pl *pl, uint16_t server, int64_t now_us);
 
 #ifdef __cplusplus
--- a/src/state/registry.c
+++ b/src/state/registry.c
@@ -1,6 +1,7 @@
 #include "state/registry.h"
 
 #include <string.h>
+#include <xxhash.h>
 
 enum {
 	GONE_KEPT_US = 60000000, /* longer than any announcement is under way */
@@ -8,7 +9,10 @@
 	REFRESH_US = 2000000 /* what only repeats itself is spread this often */
 };
 
-/* A silent server is remembered longer than data centres lose each other. */
+/*
+ * A silent server, and one that left while it went on announcing itself, are
+ * remembered longer than data centres lose each other.
+ */
 static const int64_t silent_kept_us = 7200000000;
 
 struct row {
@@ -17,6 +21,7 @@
 	uint64_t whole; /* the last change that was more than a repetition */
 	int64_t shared_us; /* when it last got a change number */
 	bool used;
+	bool left; /* in this life, by what its answers said */
 	bool silent; /* counts as not known until it is heard again */
 };
 
@@ -141,7 +146,7 @@
 rg_take(struct rg *rg, const struct rg_server *server, int64_t now_us)
 {
 	struct row *row = find_row(rg, server->id);
-	bool same;
+	bool same, reborn;
 
 	if (row != NULL && !is_newer(server, &row->server))
 		return RG_STALE;
@@ -155,6 +160,7 @@
 		row = make_row(rg);
 	if (row == NULL)
 		return RG_STALE;
+	reborn = row->server.born_ms != server->born_ms;
 	same = row->used && !row->silent && is_same(server, &row->server);
 	/* A farewell may say no more than who leaves. */
 	if (row->used && server->state == RG_GONE && server->ip == 0) {
@@ -165,6 +171,7 @@
 	} else {
 		row->server = *server;
 	}
+	row->left = row->used && row->left && !reborn;
 	row->used = true;
 	row->silent = false;
 	if (!same) {
@@ -218,6 +225,35 @@
 	return rg_take(rg, &server, now_us);
 }
 
+/* Names one life of a server in messages between instances. */
+uint64_t
+rg_life_of(const char *id, uint64_t born_ms)
+{
+	return XXH64(id, strlen(id), born_ms);
+}
+
+/*
+ * The server of a life leaves, as its answers say.  Later announcements of that
+ * life don't bring it back.  Returns whether that is news.
+ */
+bool
+rg_leaves(struct rg *rg, uint64_t life, int64_t now_us)
+{
+	for (size_t i = 0; i < rg->count; i++) {
+		struct row *row = &rg->rows[i];
+
+		if (!row->used || row->server.state != RG_READY ||
+		    rg_life_of(row->server.id, row->server.born_ms) != life)
+			continue;
+		row->server.state = RG_DRAINING;
+		row->left = true;
+		if (!row->silent)
+			share(rg, row, RG_CHANGED, now_us);
+		return true;
+	}
+	return false;
+}
+
 /*
  * A server that was not heard of for long is not used here.  That is no news
  * for others, who may hear it; only one that was leaving has gone.
@@ -250,7 +286,8 @@
 		if (!row->used)
 			continue;
 		if (row->server.state == RG_GONE)
-			row->used = age_us < GONE_KEPT_US;
+			row->used = age_us <
+				    (row->left ? silent_kept_us : GONE_KEPT_US);
 		else if (row->silent)
 			row->used = age_us < silent_kept_us;
 		else if (age_us > SILENT_US)
--- a/src/state/registry.h
+++ b/src/state/registry.h
@@ -23,6 +23,9 @@
  * does not bring it back.  One that was not heard of for long counts as not
  * known at that instance alone, until it is heard again.
  *
+ * A server's answers may say that it leaves before it announces that, or
+ * without ever doing so (rg_leaves()); that holds for its life as well.
+ *
  * Each registry numbers its own changes.  A subscriber names the last one it
  * has and gets what followed (rg_since()): whole, or where a server has only
  * repeated itself since, no more than that (rg_refresh()).
@@ -90,6 +93,8 @@
 bool rg_is_refreshed(const struct rg_server *server, uint64_t change);
 enum rg_verdict rg_refresh(struct rg *rg, const char *id, uint64_t born_ms,
     uint64_t seq, int64_t heard_us, int64_t now_us);
+uint64_t rg_life_of(const char *id, uint64_t born_ms);
+bool rg_leaves(struct rg *rg, uint64_t life, int64_t now_us);
 const struct rg_server *rg_find(const struct rg *rg, const char *id);
 size_t rg_count(const struct rg *rg);
 
--- a/test/unit/platform_test.cc
+++ b/test/unit/platform_test.cc
@@ -335,6 +335,49 @@
 	EXPECT_NE(std::string::npos, lines.str().find("Signature: 3e\r\n"));
 }
 
+TEST(PlatformHeaders, ServersSayThatTheyLeave)
+{
+	for (auto [value, leaving] :
+	    std::initializer_list<std::pair<const char *, bool>>{{"1", true},
+		{"0", false}, {"", false}, {"-1", false}, {"yes", false},
+		{"1x", false}}) {
+		Headers h({{"Server-Leaving", value}});
+		struct dl_answer a;
+
+		dialect->ops->read_answer(dialect, &h.hh, &a);
+		EXPECT_EQ(leaving, a.leaving) << value;
+	}
+}
+
+TEST(PlatformHeaders, PausesAreReadOrCountedAsUnreadable)
+{
+	struct {
+		const char *value;
+		bool readable;
+		uint32_t ms;
+	} rows[] = {{"2", true, 2000}, {"0.25", true, 250}, {"0", true, 0},
+	    {"1.", true, 1000}, {"99999999999", true, UINT32_MAX},
+	    {"-1", false, 0}, {"", false, 0}, {".", false, 0}, {".5", false, 0},
+	    {"1 s", false, 0}, {"1e9", false, 0}, {"nan", false, 0},
+	    {"1,2", false, 0}, {"Fri, 04 Dec 2026 07:00:00 GMT", false, 0}};
+	struct dl_answer a;
+
+	for (auto &row : rows) {
+		Headers h({{"Retry-After", row.value}});
+
+		dialect->ops->read_answer(dialect, &h.hh, &a);
+		EXPECT_EQ(row.readable, a.has_pause) << row.value;
+		EXPECT_EQ(!row.readable, a.pause_unreadable) << row.value;
+		EXPECT_EQ(row.ms, a.pause_ms) << row.value;
+	}
+	Headers twice({{"Retry-After", "1"}, {"Retry-After", "1"}});
+	dialect->ops->read_answer(dialect, &twice.hh, &a);
+	EXPECT_TRUE(!a.has_pause && a.pause_unreadable);
+	Headers none({{"X", "1"}});
+	dialect->ops->read_answer(dialect, &none.hh, &a);
+	EXPECT_FALSE(a.has_pause || a.pause_unreadable || a.leaving);
+}
+
 TEST(GatewaySettings, LinesAreChecked)
 {
 	struct {
--- a/test/unit/registry_test.cc
+++ b/test/unit/registry_test.cc
@@ -55,6 +55,56 @@
 	}
 };
 
+TEST(Registry, WhatLeavesByItsAnswersLeavesForItsLife)
+{
+	Registry r;
+	struct rg_server back = say("a", 5, 3);
+
+	r.take(say("a", 5, 1));
+	EXPECT_FALSE(rg_leaves(r.rg, rg_life_of("a", 4), 1000));
+	EXPECT_FALSE(rg_leaves(r.rg, rg_life_of("b", 5), 1000));
+	EXPECT_EQ(RG_READY, r.state("a"));
+	EXPECT_TRUE(rg_leaves(r.rg, rg_life_of("a", 5), 1000));
+	EXPECT_FALSE(rg_leaves(r.rg, rg_life_of("a", 5), 1000));
+	EXPECT_EQ(RG_DRAINING, r.state("a"));
+	r.take(say("a", 5, 2));
+	EXPECT_EQ(RG_DRAINING, r.state("a"));
+	/* Unheard for long, and heard again in the same life. */
+	rg_tick(r.rg, 60000000);
+	r.take(back, 60000001);
+	EXPECT_NE(RG_READY, r.state("a"));
+	r.take(say("a", 6, 1), 60000002);
+	EXPECT_EQ(RG_READY, r.state("a"));
+}
+
+/* Whatever comes in whatever order, a life that has left is not ready again. */
+RC_GTEST_PROP(Registry, LeavingIsForLife, ())
+{
+	Registry r;
+	std::map<uint64_t, bool> left;
+	int64_t now_us = 1000;
+
+	for (int i = 0; i < 40; i++) {
+		uint64_t born = *rc::gen::inRange(1, 4);
+		const struct rg_server *s;
+
+		now_us += *rc::gen::inRange(0, 12000000);
+		if (*rc::gen::inRange(0, 3) == 0) {
+			if (rg_leaves(r.rg, rg_life_of("a", born), now_us))
+				left[born] = true;
+		} else {
+			r.take(
+			    say("a", born, (uint64_t)*rc::gen::inRange(1, 9)),
+			    now_us);
+		}
+		if (*rc::gen::inRange(0, 3) == 0)
+			rg_tick(r.rg, now_us);
+		s = rg_find(r.rg, "a");
+		if (s != nullptr && s->state == RG_READY)
+			RC_ASSERT(!left[s->born_ms]);
+	}
+}
+
 TEST(Registry, OrderIsByBirthAndSequenceNotByArrival)
 {
 	Registry r;
--- a/test/unit/route_pool_test.cc
+++ b/test/unit/route_pool_test.cc
@@ -520,11 +520,79 @@
 	}
 }
 
+TEST(Pool, ServersThatAskForAPauseGetNothingMeanwhile)
+{
+	PoolWorld w;
+	struct pl_query q = w.query();
+	uint16_t a = w.add("a", "a"), b = w.add("b", "a");
+
+	EXPECT_EQ(w.now_us, pl_opens_us(w.pl, &q, w.now_us));
+	pl_paused(w.pl, a, 3000, w.now_us);
+	for (int i = 0; i < 50; i++)
+		EXPECT_EQ("b", w.pick());
+	EXPECT_EQ(w.now_us, pl_opens_us(w.pl, &q, w.now_us));
+	pl_paused(w.pl, b, 2000, w.now_us);
+	pl_paused(w.pl, b, 1000, w.now_us); /* does not end the longer one */
+	EXPECT_EQ(w.now_us + 2000000, pl_opens_us(w.pl, &q, w.now_us));
+	w.now_us += 1999999;
+	EXPECT_EQ("full", w.pick());
+	w.now_us += 1;
+	EXPECT_EQ("b", w.pick());
+	/* No failure to reach it makes the pause of the other one shorter. */
+	pl_unreachable(w.pl, a, true, w.now_us);
+	w.now_us += 500000;
+	EXPECT_EQ("b", w.pick());
+}
+
+TEST(Pool, APauseEndsWithTheLifeOfItsServer)
+{
+	PoolWorld w;
+	uint16_t a = w.add("a", "a");
+
+	pl_paused(w.pl, a, UINT32_MAX, w.now_us);
+	EXPECT_EQ("full", w.pick());
+	w.add("a", "a", "v1", 1);
+	EXPECT_EQ("full", w.pick());
+	w.add("a", "a", "v1", 2);
+	EXPECT_EQ("a", w.pick());
+}
+
+/* A crowd waits for one server that wants nothing for two seconds. */
+TEST(Pool, WhatWaitedGoesOutAtThePaceThatTheServerBears)
+{
+	PoolWorld w;
+	uint16_t a = w.add("a", "a");
+	int waiting = 60, ended = 0;
+
+	pl_paused(w.pl, a, 2000, w.now_us);
+	w.now_us += 2000000;
+	for (int turn = 1; waiting > 0; turn++) {
+		int sent = 0;
+
+		while (waiting > 0 && w.pick() == "a") {
+			pl_sent(w.pl, a, 0, w.now_us);
+			waiting--;
+			sent++;
+		}
+		/* At most twice as many as in the turn before. */
+		EXPECT_LE(sent, turn < 6 ? 1 << (turn - 1) : 64);
+		ASSERT_GT(sent, 0);
+		for (int i = 0; i < sent; i++) {
+			pl_accepted(w.pl, a, w.now_us);
+			pl_ended(w.pl, a);
+			ended++;
+		}
+		w.now_us += 30000;
+	}
+	EXPECT_EQ(60, ended);
+}
+
 /* Whatever happened before, a choice is a server that may run the request. */
 RC_GTEST_PROP(Pool, ChoicesAreAllowed, ())
 {
 	PoolWorld w(1, *rc::gen::arbitrary<uint64_t>());
 	int servers = *rc::gen::inRange(1, 8);
+	std::map<uint16_t, int64_t> paused_until;
 
 	for (int i = 0; i < servers; i++)
 		w.add("s" + std::to_string(i), i % 2 ? "a" : "b",
@@ -534,7 +602,7 @@
 		struct pl_query q = w.query();
 
 		w.now_us += *rc::gen::inRange(0, 500000);
-		switch (*rc::gen::inRange(0, 7)) {
+		switch (*rc::gen::inRange(0, 8)) {
 		case 0:
 			pl_unreachable(
 			    w.pl, at, *rc::gen::arbitrary<bool>(), w.now_us);
@@ -553,6 +621,14 @@
 			pl_outcome(
 			    w.pl, at, *rc::gen::arbitrary<bool>(), w.now_us);
 			break;
+		case 5: {
+			uint32_t ms = *rc::gen::inRange(0U, 3000U);
+
+			pl_paused(w.pl, at, ms, w.now_us);
+			paused_until[at] =
+			    std::max(paused_until[at], w.now_us + ms * 1000);
+			break;
+		}
 		default:
 			break;
 		}
@@ -562,5 +638,6 @@
 		RC_ASSERT(
 		    !ord_is_out(w.orders, pl_at(w.pl, at)->said.data_centre));
 		RC_ASSERT(pl_at(w.pl, at)->said.state == RG_READY);
+		RC_ASSERT(w.now_us >= paused_until[at]);
 	}
 }
