Tell engines how urgent a request is

Cause: engines read prompts in the order in which they come.

Change: route/urgency, from the route's priority; prompts that are read in a twentieth of their goal go before the next priority. The route's priority alone starved short answers of the last priority in urgency_test, which plays the load.

--- a/src/gateway/dialect.h
+++ b/src/gateway/dialect.h
@@ -78,7 +78,7 @@
 	const char *model; /* NULL: as the caller named it */
 	bool resumes;
 	uint64_t last_event;
-	int priority; /* 0 to 9, 0 first; -1: not said */
+	int priority; /* urgency, 0 to 9, 0 first; -1: not said */
 };
 
 /* What the header of a backend server's answer says. */
--- a/src/gateway/exchange_send.c
+++ b/src/gateway/exchange_send.c
@@ -7,6 +7,7 @@
 #include "base/err.h"
 #include "gateway/follow.h"
 #include "route/patience.h"
+#include "route/urgency.h"
 
 /* Where a request goes, and how it is sent there. */
 
@@ -153,6 +154,9 @@
 	int64_t left_ms = (gx->deadline_us - gx_now(gx)) / US_PER_MS;
 	const struct buf *body = hf_body(gx->x);
 	const char *method = hf_method(gx->x);
+	struct ur_input urgency = {.priority = gx->route->priority,
+	    .goal_ms = gx->route->goal_ms,
+	    .work_ms = gx->now.work_ms};
 	struct dl_send send = {
 	    .deadline_ms = left_ms > 0 ? (uint32_t)left_ms : 0,
 	    .server = server->said.id,
@@ -160,7 +164,7 @@
 	    .model = model_of(gx),
 	    .resumes = gx->has_event || gx->request.resumes,
 	    .last_event = gx->last_event,
-	    .priority = -1};
+	    .priority = gx->target->is_engine ? ur_of(&urgency) : -1};
 
 	buf_addf(out, "%s %s HTTP/1.1\r\n", method, hf_target(gx->x));
 	dialect->ops->write_request(dialect, hf_headers(gx->x), &send, out);
@@ -210,8 +214,6 @@
 	    gx->table->number, gx->request.session, gx->service->name,
 	    budget.requests, budget.repeats, budget.left, ge->instances,
 	    spared.leaving, spared.paused);
-	buf_init(&head, ge->gw->alloc);
-	write_head(gx, s, &head);
 	if (query->by_work) {
 		gx->now.tokens = gx->request.prompt_tokens;
 		gx->now.work_ms = query->work_ms;
@@ -222,6 +224,8 @@
 		gx->now.backlog_ms = pl_backlog_ms(ge->pool, server, now_us);
 		gx->now.expected_ms = gx->now.work_ms + gx->now.backlog_ms;
 	}
+	buf_init(&head, ge->gw->alloc);
+	write_head(gx, s, &head);
 	pl_sent(ge->pool, server, gx->now.work_ms, now_us);
 	gx->service->trial_total++;
 	gx->service->trial_sent += s->role == PL_TARGET;
