Compare near servers first where there are many instances

Cause: each of many instances compared three servers drawn from all data centres.

Ruled out: a higher cost of other data centres, which can't help where no near server is looked at.

Change: two drawn of the own data centre and two of all, and the prefix's home.

--- a/src/route/pool.c
+++ b/src/route/pool.c
@@ -20,7 +20,9 @@
 	US_PER_S = 1000000,
 	FEW_INSTANCES = 12, /* whose reports come soon enough for all to compare
 			       all servers */
-	DRAWN = 3, /* servers compared by one of many instances */
+	DRAWN_NEAR = 2, /* servers of the own data centre, compared by one of
+			   many instances */
+	DRAWN = 2, /* servers of all data centres, the same */
 	ORDER_MAX = 1024 /* servers looked at for one request */
 };
 
@@ -447,11 +449,28 @@
 	soonest->ms = ms;
 }
 
+/* A server drawn from those of the own data centre, or from all. */
+static uint16_t
+nearest(struct pl *pl, const uint16_t *list, uint16_t count)
+{
+	uint16_t found = RT_NONE;
+	uint32_t seen = 0;
+
+	for (uint16_t i = 0; i < count; i++) {
+		const struct pl_server *s = &pl->servers[list[i]];
+
+		if (strcmp(s->said.data_centre, pl->options.data_centre) == 0 &&
+		    rng_below(&pl->rng, ++seen) == 0)
+			found = list[i];
+	}
+	return found != RT_NONE ? found : list[rng_below(&pl->rng, count)];
+}
+
 /*
  * The server at which the first event is due soonest, of all while there are
  * few instances.  Many would send to the one that looked idle in the last
  * report until the next comes; each then compares the home of the prefix and a
- * few servers drawn at random.
+ * few servers drawn at random, some of them near.
  */
 static uint16_t
 pick_by_work(struct pl *pl, const struct pl_query *query, const uint16_t *list,
@@ -461,34 +480,20 @@
 	    .now_us = now_us,
 	    .home = highest_rank(pl, query, pl->servers[list[0]].role),
 	    .server = RT_NONE};
-	bool all = pl->instances <= FEW_INSTANCES || count <= DRAWN;
+	bool all =
+	    pl->instances <= FEW_INSTANCES || count <= DRAWN_NEAR + DRAWN;
 
 	for (uint16_t i = 0; i < count; i++) {
 		if (all || list[i] == soonest.home)
 			look_at(pl, &soonest, list[i]);
 	}
+	for (int drawn = 0; !all && drawn < DRAWN_NEAR; drawn++)
+		look_at(pl, &soonest, nearest(pl, list, count));
 	for (int drawn = 0; !all && drawn < DRAWN; drawn++)
 		look_at(pl, &soonest, list[rng_below(&pl->rng, count)]);
 	return soonest.server;
 }
 
-/* A server drawn from those of the own data centre, or from all. */
-static uint16_t
-nearest(struct pl *pl, const uint16_t *list, uint16_t count)
-{
-	uint16_t found = RT_NONE;
-	uint32_t seen = 0;
-
-	for (uint16_t i = 0; i < count; i++) {
-		const struct pl_server *s = &pl->servers[list[i]];
-
-		if (strcmp(s->said.data_centre, pl->options.data_centre) == 0 &&
-		    rng_below(&pl->rng, ++seen) == 0)
-			found = list[i];
-	}
-	return found != RT_NONE ? found : list[rng_below(&pl->rng, count)];
-}
-
 /*
  * The less loaded of two.  A server in another data centre counts as having
  * somewhat more, so that it gets what the near ones have no room for.
--- a/test/unit/route_pool_test.cc
+++ b/test/unit/route_pool_test.cc
@@ -520,6 +520,40 @@
 	}
 }
 
+/*
+ * A fleet of 200 instances in six data centres: requests stay near while there
+ * is time, and go elsewhere from a data centre whose servers are behind.
+ */
+TEST(Pool, ManyInstancesStayNearWhileNearServersHaveTime)
+{
+	PoolWorld w(200);
+	std::vector<uint16_t> own;
+	int near = 0, near_busy = 0;
+
+	for (int i = 0; i < 60; i++) {
+		std::string centre(1, (char)('a' + i % 6));
+		uint16_t at = w.add("s" + std::to_string(i), centre.c_str());
+
+		if (i % 6 == 0)
+			own.push_back(at);
+	}
+	auto is_near = [&w] {
+		struct pl_query q = w.query();
+		uint16_t at = 0;
+
+		EXPECT_EQ(PL_CHOSEN, pl_pick(w.pl, &q, w.now_us, &at));
+		return std::string("a") == pl_at(w.pl, at)->said.data_centre;
+	};
+	for (int i = 0; i < 500; i++)
+		near += is_near();
+	for (uint16_t at : own)
+		pl_sent(w.pl, at, 500, w.now_us);
+	for (int i = 0; i < 500; i++)
+		near_busy += is_near();
+	EXPECT_GE(near, 475);
+	EXPECT_LE(near_busy, 50);
+}
+
 TEST(Pool, ServersThatAskForAPauseGetNothingMeanwhile)
 {
 	PoolWorld w;
