Count only pauses as such, and requests from before one not at all

Cause, by reading the change before: a service whose servers can't be reached from one instance was refused at once with up to 4 s to wait, though callers come back to other instances that may reach it. And a server with long streams of an instance under way got nothing of it after a pause until nearly all had ended.

Change: only pauses that servers asked for decide on a refusal at once and on its Retry-After; requests from before a pause don't count for the window after it (route_pool_test, which fails before). The rest stays as it was.

--- a/src/gateway/exchange_send.c
+++ b/src/gateway/exchange_send.c
@@ -322,9 +322,9 @@
 }
 
 /*
- * No server takes the request now.  Where all that may run it are left alone
- * for longer than it may wait, it is refused at once; its caller learns when
- * the first may be tried again.
+ * No server takes the request now.  Where all that may run it asked for a pause
+ * that is longer than it may wait, it is refused at once; its caller learns
+ * when the first pause ends.
  */
 static void
 wait_or_refuse(struct gx *gx, const struct pl_query *query)
@@ -338,7 +338,7 @@
 		return;
 	}
 	if (opens_us > now_us)
-		gx_log(gx, LOG_LEVEL_INFO, "servers_left_alone",
+		gx_log(gx, LOG_LEVEL_INFO, "servers_paused",
 		    "service=%s opens_ms=%" PRId64, gx->target->name, retry_ms);
 	gx_refuse(gx, ERR_NO_CAPACITY,
 	    retry_ms > GX_RETRY_FULL_MS ? retry_ms : GX_RETRY_FULL_MS);
--- a/src/route/pool.c
+++ b/src/route/pool.c
@@ -187,7 +187,7 @@
 		s->failures = 0;
 		s->refusing = 0;
 		s->paused_until_us = 0;
-		s->window = 0;
+		s->window = s->before = 0;
 		s->down_until_us = s->ejected_until_us = 0;
 		s->failing = 0;
 		s->outcomes = 0;
@@ -309,7 +309,7 @@
 has_room(
     const struct pl_server *s, const struct pl_query *query, int64_t now_us)
 {
-	if (s->window > 0 && s->in_flight >= s->window)
+	if (s->window > 0 && s->in_flight >= s->before + s->window)
 		return false;
 	return s->said.slots == 0 ||
 	       load_of(s, now_us) < s->said.slots + query->slots_more;
@@ -668,6 +668,8 @@
 
 	if (s->in_flight > 0)
 		s->in_flight--;
+	if (s->before > 0)
+		s->before--;
 	s->since--;
 }
 
@@ -782,11 +784,12 @@
 	if (until_us > s->paused_until_us)
 		s->paused_until_us = until_us;
 	s->window = WINDOW_FIRST;
+	s->before = s->in_flight;
 }
 
 /*
- * Returns when the first server that may run a request is no longer left alone;
- * now_us if one is not, or none is known.
+ * Returns when the first pause of the servers that may run a request ends;
+ * now_us if one of them asked for none, or none is known.
  */
 int64_t
 pl_opens_us(const struct pl *pl, const struct pl_query *query, int64_t now_us)
@@ -798,8 +801,8 @@
 
 		if (may_run(s, query) &&
 		    (query->any_role || s->role == query->role) &&
-		    barred_until_us(s) < first_us)
-			first_us = barred_until_us(s);
+		    s->paused_until_us < first_us)
+			first_us = s->paused_until_us;
 	}
 	return first_us == INT64_MAX || first_us < now_us ? now_us : first_us;
 }
--- a/src/route/pool.h
+++ b/src/route/pool.h
@@ -80,7 +80,9 @@
 	double refusing; /* moving share of refused requests, at refusing_us */
 	int64_t refusing_us;
 	int64_t paused_until_us; /* it asked for no requests until then */
-	uint16_t window; /* requests that it may have at a time; 0: any */
+	uint16_t window; /* requests that it may have at a time after a pause,
+			    but for those from before; 0: any number */
+	uint16_t before; /* own requests there from before the pause */
 	double own_ms; /* work of own requests there that has not begun */
 	double others_ms; /* the same of the other instances, at others_us */
 	uint32_t others_running;
--- a/test/unit/route_pool_test.cc
+++ b/test/unit/route_pool_test.cc
@@ -591,6 +591,23 @@
 	EXPECT_EQ("a", w.pick());
 }
 
+TEST(Pool, RequestsFromBeforeAPauseDoNotKeepOthersOut)
+{
+	PoolWorld w;
+	uint16_t a = w.add("a", "a");
+
+	for (int i = 0; i < 10; i++)
+		pl_sent(w.pl, a, 0, w.now_us);
+	pl_paused(w.pl, a, 100, w.now_us);
+	pl_ended(w.pl, a); /* the one that was refused */
+	w.now_us += 100000;
+	EXPECT_EQ("a", w.pick());
+	pl_sent(w.pl, a, 0, w.now_us);
+	EXPECT_EQ("full", w.pick());
+	pl_accepted(w.pl, a, w.now_us);
+	EXPECT_EQ("a", w.pick());
+}
+
 /* A crowd waits for one server that wants nothing for two seconds. */
 TEST(Pool, WhatWaitedGoesOutAtThePaceThatTheServerBears)
 {
