List the loss of the leader after two replaced control instances as red

It repeats, and does the same.

Cause: a control instance that is replaced at another address stays a voter, as only a new identity at its own address removes it. With three at the start, one replaced makes four voters, the second one gone leaves two of four (members line: 10.1.0.28 and 10.3.0.41 are gone, 10.2.0.6 and 10.1.0.29 remain), and no newcomer can be taken in. rlog_replaced_test plays it and fails.

--- /dev/null
+++ b/test/rlog_found.h
@@ -0,0 +1,166 @@
+#ifndef CF_TEST_RLOG_FOUND_H
+#define CF_TEST_RLOG_FOUND_H
+
+#include <gtest/gtest.h>
+
+#include <map>
+#include <string>
+#include <vector>
+
+#include "fakenet.h"
+#include "state/rlog.h"
+
+/*
+ * Replicas that are found by number: three founders form the log, others are
+ * introduced and join, and nobody forms a second one.
+ */
+class Found
+{
+      public:
+	struct Node {
+		struct rl *rl = nullptr;
+		struct rl_actions actions = {};
+		uint64_t persisted = 0;
+		std::vector<std::string> applied;
+		bool up = false;
+	};
+
+	std::map<uint64_t, Node> nodes;
+	std::vector<std::pair<uint64_t, std::string>> wire;
+	int64_t now_us = 0;
+	uint64_t seed = 1;
+
+	~Found()
+	{
+		for (auto &[n, node] : nodes)
+			stop(n);
+	}
+
+	void start(uint64_t number, const std::vector<uint64_t> &founders,
+	    const std::vector<uint64_t> &known)
+	{
+		struct rl_options options = {};
+		Node &node = nodes[number];
+
+		options.seed = ++seed;
+		options.fresh_id = ++seed * 1000003;
+		options.instance = number;
+		options.founders = founders.data();
+		options.founder_count = founders.size();
+		node = Node();
+		node.rl = rl_new(&options);
+		node.up = true;
+		rl_start(node.rl, now_us);
+		rl_introduce(node.rl, known.data(), known.size());
+	}
+
+	void stop(uint64_t number)
+	{
+		Node &node = nodes[number];
+
+		if (node.rl == nullptr)
+			return;
+		rl_actions_free(node.rl, &node.actions);
+		rl_free(node.rl);
+		node.rl = nullptr;
+		node.up = false;
+	}
+
+	void step(uint64_t number, const struct rl_event &event)
+	{
+		Node &node = nodes[number];
+
+		if (!node.up)
+			return;
+		rl_step(node.rl, now_us, &event, &node.actions);
+		for (size_t i = 0; i < node.actions.count; i++) {
+			const struct rl_action &a = node.actions.items[i];
+			struct buf bytes;
+
+			if (a.kind == RL_ACT_PERSIST)
+				node.persisted = a.u.persist.number;
+			else if (a.kind == RL_ACT_APPLY)
+				node.applied.push_back(std::string(
+				    (const char *)a.u.apply.entry.data,
+				    a.u.apply.entry.len));
+			if (a.kind != RL_ACT_SEND)
+				continue;
+			buf_init(&bytes, alloc_default());
+			if (rl_msg_encode(&a.u.send.message, &bytes) == 0)
+				wire.push_back({a.u.send.instance,
+				    std::string(
+					(const char *)bytes.data, bytes.len)});
+			buf_free(&bytes);
+		}
+	}
+
+	void run(int64_t for_us)
+	{
+		for (int64_t end = now_us + for_us; now_us < end;
+		     now_us += 10000) {
+			auto batch = std::move(wire);
+
+			wire.clear();
+			for (auto &[to, bytes] : batch) {
+				struct rl_event event = {};
+				struct rl_msg msg;
+
+				if (nodes.count(to) == 0 || !nodes[to].up ||
+				    rl_msg_decode(
+					bytes.data(), bytes.size(), &msg) != 0)
+					continue;
+				event.kind = RL_EV_MESSAGE;
+				event.u.message = &msg;
+				step(to, event);
+				rl_msg_release(&msg);
+			}
+			for (auto &[n, node] : nodes) {
+				struct rl_event event = {};
+
+				event.kind = RL_EV_PERSISTED;
+				event.u.persisted.number = node.persisted;
+				step(n, event);
+				event = {};
+				step(n, event);
+			}
+		}
+	}
+
+	uint64_t leader()
+	{
+		uint64_t found = 0;
+
+		for (auto &[n, node] : nodes)
+			if (node.up && rl_is_leader(node.rl) &&
+			    rl_lease_until_us(node.rl) > now_us) {
+				EXPECT_EQ(0u, found) << "two leaders";
+				found = n;
+			}
+		return found;
+	}
+
+	std::string voters(uint64_t number)
+	{
+		struct rl_status status;
+		std::string text;
+
+		rl_status(nodes[number].rl, &status);
+		for (size_t i = 0; i < status.member_count; i++)
+			text += std::to_string(status.members[i].instance) +
+				(status.members[i].voter ? " " : "? ");
+		return text;
+	}
+
+	void propose(const std::string &text)
+	{
+		struct rl_event event = {};
+
+		event.kind = RL_EV_PROPOSE;
+		event.u.propose.token = 1;
+		event.u.propose.data = text.data();
+		event.u.propose.len = text.size();
+		step(leader(), event);
+	}
+};
+
+#endif
--- /dev/null
+++ b/test/unit/rlog_replaced_test.cc
@@ -0,0 +1,36 @@
+#include <gtest/gtest.h>
+
+#include "rlog_found.h"
+
+/* Numbers as addresses give them. */
+static const uint64_t a = 0x0a010007, b = 0x0a02000b, c = 0x0a03000c,
+		      a2 = 0x0a010008, c2 = 0x0a03000d;
+
+/*
+ * Two of three instances are replaced for good at other addresses, one long
+ * after the other; what was accepted must stay, and changes go on.
+ */
+TEST(RlogReplaced, TwoInstancesOneAfterTheOther)
+{
+	Found f;
+
+	for (uint64_t n : {a, b, c})
+		f.start(n, {a, b, c}, {a, b, c});
+	f.run(4000000);
+	f.propose("kept");
+	f.run(500000);
+	f.stop(a);
+	f.run(1000000);
+	f.start(a2, {}, {a, b, c});
+	f.run(15000000);
+	ASSERT_NE(0u, f.leader());
+	f.stop(c);
+	f.run(1000000);
+	f.start(c2, {}, {b, a2, c});
+	f.run(15000000);
+	ASSERT_NE(0u, f.leader()) << "voters that are gone still count";
+	f.propose("after");
+	f.run(500000);
+	EXPECT_EQ(
+	    (std::vector<std::string>{"kept", "after"}), f.nodes[c2].applied);
+}
