Ask a larger model whenever the retry budget pays for it, as before

Cause: kept a second repeat in the bucket before a larger model was asked. Where 194 instances have two requests a second each, a bucket seldom holds two, and fewer hard requests got a larger model.

Conclusion: reverted.

--- a/src/gateway/exchange_answer.c
+++ b/src/gateway/exchange_answer.c
@@ -114,7 +114,7 @@
 	    .prompt_tokens = gx->request.prompt_tokens,
 	    .output_tokens = output_guess(gx),
 	    .may_repeat = gx->runs + 1 < gx->route->attempts_max &&
-			  bu_may_repeat_twice(&gx->service->budget, now_us),
+			  bu_may_repeat(&gx->service->budget, now_us),
 	    .spent_us = now_us - gx->arrived_us,
 	    .goal_us = (int64_t)gx->route->goal_ms * US_PER_MS,
 	    .left_us = gx->deadline_us - now_us};
--- a/src/route/budget.c
+++ b/src/route/budget.c
@@ -113,16 +113,6 @@
 	return bu->tokens >= TOKEN;
 }
 
-/*
- * Tells whether there is enough for another attempt and for the one after it,
- * should that fail; for attempts that could as well be left out.
- */
-bool
-bu_may_repeat_twice(struct bu *bu, int64_t now_us)
-{
-	return bu_may_repeat(bu, now_us) && bu->tokens >= 2 * (uint64_t)TOKEN;
-}
-
 /* Takes one repeat, which is sent now; false: none is left. */
 bool
 bu_take(struct bu *bu, int64_t now_us)
--- a/src/route/budget.h
+++ b/src/route/budget.h
@@ -63,7 +63,6 @@
 void bu_set(struct bu *bu, const struct bu_options *options);
 void bu_request(struct bu *bu, int64_t now_us);
 bool bu_may_repeat(struct bu *bu, int64_t now_us);
-bool bu_may_repeat_twice(struct bu *bu, int64_t now_us);
 bool bu_take(struct bu *bu, int64_t now_us);
 struct bu_state bu_read(struct bu *bu, int64_t now_us);
 
