Give the test of the whole path the ports of CF_PORT like the others

Cause: it uses port 18500 whatever CF_PORT says. Shown: two of them at once fail the same six checks in one, alone it passes, and two at once with CF_PORT of their own both pass. No check changed.

--- a/test/process/whole_path.sh
+++ b/test/process/whole_path.sh
@@ -4,7 +4,7 @@
 set -u
 build=$(cd "$1" && pwd)
 failed=0
-out=$(CF_DEMO_PORT=18500 tools/demo "$build" 2>&1) || failed=1
+out=$(CF_DEMO_PORT=$((${CF_PORT:-18000} + 500)) tools/demo "$build" 2>&1) || failed=1
 
 check() {	# check WHAT TEXT
 	if grep -q -- "$2" <<<"$out"; then
