--- a/src/gateway/notes.h
+++ b/src/gateway/notes.h
@@ -25,9 +25,9 @@
 
 enum nt_kind {
 	NT_CRASH = 1, /* a request (fingerprint) crashed so many servers */
-	NT_LEAVING = 3, /* a server's answers say that it leaves (its life) */
-	NT_HELD = 2 /* a session stays with the version it began on, in the
-		       roll-out with that number */
+	NT_HELD = 2, /* a session stays with the version it began on, in the
+			roll-out with that number */
+	NT_LEAVING = 3 /* a server's answers say that it leaves (its life) */
 };
 
 struct nt_note {
--- a/test/rlog_found.h
+++ b/test/rlog_found.h
@@ -161,6 +161,17 @@
 		event.u.propose.len = text.size();
 		step(leader(), event);
 	}
+
+	/* Three founders form the log and accept a first change. */
+	void form(
+	    const std::vector<uint64_t> &founders, const std::string &first)
+	{
+		for (uint64_t n : founders)
+			start(n, founders, founders);
+		run(4000000);
+		propose(first);
+		run(500000);
+	}
 };
 
 #endif
--- a/test/unit/rlog_founders_test.cc
+++ b/test/unit/rlog_founders_test.cc
@@ -45,11 +45,7 @@
 {
 	Found f;
 
-	for (uint64_t n : {a, b, c})
-		f.start(n, {a, b, c}, {a, b, c});
-	f.run(4000000);
-	f.propose("kept");
-	f.run(500000);
+	f.form({a, b, c}, "kept");
 	f.stop(b);
 	f.run(1000000);
 	f.start(b, {}, {a, c});
--- a/test/unit/rlog_replaced_test.cc
+++ b/test/unit/rlog_replaced_test.cc
@@ -14,11 +14,7 @@
 {
 	Found f;
 
-	for (uint64_t n : {a, b, c})
-		f.start(n, {a, b, c}, {a, b, c});
-	f.run(4000000);
-	f.propose("kept");
-	f.run(500000);
+	f.form({a, b, c}, "kept");
 	f.stop(a);
 	f.run(1000000);
 	f.start(a2, {}, {a, b, c});
