--- a/fakes/server/main.c
+++ b/fakes/server/main.c
@@ -5,6 +5,7 @@
 #include <stdlib.h>
 #include <string.h>
 #include <sys/signalfd.h>
+#include <unistd.h>
 
 #include "base/clock.h"
 #include "base/loop.h"
@@ -23,13 +24,17 @@
  *	/leave/...	200 with the body, and that it leaves
  *	/pause/...	503, not run, and that it wants nothing for PAUSE_S
  *	/hang/...	nothing
+ *	/crash/...	the process ends before the first byte
+ *	/crash-late/...	event 1, then the process ends
  *
- * "got MS TARGET" is printed for each request, MS of the monotonic clock.
+ * "got MS TARGET" is printed for each request and "crashed MS" at an end of the
+ * process, MS of the monotonic clock.
  */
 
 enum {
 	EVENTS = 5,
 	EVENT_US = 20000,
+	EXIT_CRASHED = 3,
 	STATUS_ERROR = 500,
 	STATUS_FULL = 503,
 	PERCENT = 100
@@ -45,6 +50,7 @@
 	struct hf_exchange *x;
 	int next;
 	int cut_at; /* 0: none */
+	bool crashes;
 };
 
 static const char *
@@ -83,6 +89,15 @@
 	buf_free(&lines);
 }
 
+/* Ends as a crash does: connections close without another byte. */
+static void
+crash(void)
+{
+	printf("crashed %" PRId64 "\n", clock_monotonic_us() / 1000);
+	fflush(stdout);
+	_exit(EXIT_CRASHED);
+}
+
 static void
 on_event(void *ctx)
 {
@@ -90,6 +105,8 @@
 	char event[64];
 	int n;
 
+	if (s->crashes && s->next > 1)
+		crash();
 	if (s->x == NULL) {
 		free(s);
 		return;
@@ -110,7 +127,7 @@
 }
 
 static void
-begin_stream(struct hf_exchange *x, bool cut)
+begin_stream(struct hf_exchange *x, bool cut, bool crashes)
 {
 	struct stream *s = calloc(1, sizeof(*s));
 	const char *last = header_of(x, "Last-Event-Id");
@@ -119,6 +136,7 @@
 	s->x = x;
 	s->next = last[0] != '\0' ? atoi(last) + 1 : 1;
 	s->cut_at = cut && last[0] == '\0' ? 3 : 0;
+	s->crashes = crashes;
 	hf_set_data(x, s);
 	buf_init(&lines, alloc_default());
 	add_head(&lines, x);
@@ -138,10 +156,14 @@
 	hf_set_data(x, NULL);
 	printf("got %" PRId64 " %s\n", clock_monotonic_us() / 1000, target);
 	buf_init(&none, alloc_default());
-	if (strstr(target, "/stream/") != NULL)
-		begin_stream(x, false);
+	if (strstr(target, "/crash/") != NULL)
+		crash();
+	else if (strstr(target, "/crash-late/") != NULL)
+		begin_stream(x, false, true);
+	else if (strstr(target, "/stream/") != NULL)
+		begin_stream(x, false, false);
 	else if (strstr(target, "/cut/") != NULL)
-		begin_stream(x, true);
+		begin_stream(x, true, false);
 	else if (strstr(target, "/error/") != NULL)
 		answer(x, STATUS_ERROR, "", &none);
 	else if (strstr(target, "/full/") != NULL ||
