--- a/src/gateway/entry.c
+++ b/src/gateway/entry.c
@@ -176,6 +176,7 @@
 	case NT_LEAVING:
 		break; /* the registry has told */
 	case NT_CRASH:
+		ge->crash_marks->value++;
 		marks_merge(ge->marks, key,
 		    (uint8_t)(value < UINT8_MAX ? value : UINT8_MAX), now_us);
 		break;
@@ -189,6 +190,9 @@
 	uint8_t crashes =
 	    marks_get(ge->marks, fingerprint, loop_now_us(ge->gw->loop));
 
+	log_event(LOG_LEVEL_INFO, "crash_seen",
+	    "fingerprint=%016" PRIx64 " crashes_before=%u", fingerprint,
+	    crashes);
 	gw_spread(ge->gw, NT_CRASH, fingerprint, crashes + 1U);
 }
 
@@ -506,6 +510,10 @@
 	    m, METRICS_COUNTER, "celeryford_server_pauses_total", "");
 	ge->pauses_unreadable = metrics_get(m, METRICS_COUNTER,
 	    "celeryford_server_pauses_unreadable_total", "");
+	ge->crash_refusals = metrics_get(
+	    m, METRICS_COUNTER, "celeryford_crash_refusals_total", "");
+	ge->crash_marks =
+	    metrics_get(m, METRICS_COUNTER, "celeryford_crash_marks_total", "");
 	ge->queue_us =
 	    metrics_get(m, METRICS_HISTOGRAM, "celeryford_queue_seconds", "");
 	ge->first_us = metrics_get(
--- a/src/gateway/entry.h
+++ b/src/gateway/entry.h
@@ -79,6 +79,8 @@
 	struct metrics_series *leaving_heard;
 	struct metrics_series *pauses;
 	struct metrics_series *pauses_unreadable;
+	struct metrics_series *crash_refusals;
+	struct metrics_series *crash_marks;
 	struct metrics_series *queue_us;
 	struct metrics_series *first_us;
 	struct metrics_series *whole_us;
--- a/src/gateway/exchange_answer.c
+++ b/src/gateway/exchange_answer.c
@@ -389,6 +389,29 @@
 		    (s->ejected_until_us - gx_now(gx)) / US_PER_MS);
 }
 
+/* Notes whether the request may have crashed the server that ran it. */
+static void
+note_suspect(struct gx *gx, enum cs_end end, const struct hu_result *result)
+{
+	struct ge *ge = gx->ge;
+	const char *server = pl_at(ge->pool, gx->now.server)->said.id;
+
+	if (result->error == 0 || gx->now.answered) {
+		uint32_t cleared = su_answered(ge->suspects, gx->now.server);
+
+		if (cleared > 0)
+			log_event(LOG_LEVEL_INFO, "suspects_cleared",
+			    "server=%s count=%u whole=%d", server, cleared,
+			    result->error == 0);
+	} else if (end == CS_BROKEN && result->closed) {
+		su_broken(
+		    ge->suspects, gx->now.server, gx->fingerprint, gx_now(gx));
+		gx_log(gx, LOG_LEVEL_INFO, "suspected",
+		    "server=%s born_ms=%" PRIu64 " fingerprint=%016" PRIx64,
+		    server, gx->now.born_ms, gx->fingerprint);
+	}
+}
+
 static void
 note_outcome(struct gx *gx, enum cs_end end, const struct hu_result *result)
 {
@@ -397,11 +420,7 @@
 	bool failed = end == CS_BROKEN || end == CS_DEFECTIVE ||
 		      (end == CS_ANSWERED && result->status >= 500);
 
-	if (result->error == 0 || gx->now.answered)
-		su_answered(ge->suspects, gx->now.server);
-	else if (end == CS_BROKEN && result->closed)
-		su_broken(
-		    ge->suspects, gx->now.server, gx->fingerprint, now_us);
+	note_suspect(gx, end, result);
 	if (end == CS_UNREACHABLE) {
 		log_event(LOG_LEVEL_WARN, "server_unreachable",
 		    "server=%s error=%s",
--- a/src/gateway/exchange_send.c
+++ b/src/gateway/exchange_send.c
@@ -358,6 +358,7 @@
 	}
 	if (marks_get(ge->marks, gx->fingerprint, gx_now(gx)) >=
 	    GE_CRASHES_REFUSED) {
+		ge->crash_refusals->value++;
 		gx_log(gx, LOG_LEVEL_WARN, "refused_for_crashes",
 		    "fingerprint=%016" PRIx64, gx->fingerprint);
 		gx_refuse(gx, ERR_NO_CAPACITY, gx->route->timeout_ms);
--- a/src/route/suspects.c
+++ b/src/route/suspects.c
@@ -49,13 +49,19 @@
 	s->next = (uint8_t)((s->next + 1) % SU_REQUESTS_MAX);
 }
 
-/* A server has answered: it is up. */
-void
+/* A server has answered: it is up.  Returns how many suspects it had. */
+uint32_t
 su_answered(struct su *su, uint16_t server)
 {
-	if (server < SU_SERVERS_MAX)
-		memset(su->servers[server].at_us, 0,
-		    sizeof(su->servers[server].at_us));
+	uint32_t cleared = 0;
+
+	if (server >= SU_SERVERS_MAX)
+		return 0;
+	for (int i = 0; i < SU_REQUESTS_MAX; i++) {
+		cleared += su->servers[server].at_us[i] != 0;
+		su->servers[server].at_us[i] = 0;
+	}
+	return cleared;
 }
 
 void
--- a/src/route/suspects.h
+++ b/src/route/suspects.h
@@ -26,7 +26,7 @@
 void su_free(struct su *su);
 void su_broken(
     struct su *su, uint16_t server, uint64_t fingerprint, int64_t now_us);
-void su_answered(struct su *su, uint16_t server);
+uint32_t su_answered(struct su *su, uint16_t server);
 /* Calls crashed for each suspect of a server that is down, and forgets them. */
 void su_down(struct su *su, uint16_t server, int64_t now_us,
     void (*crashed)(void *ctx, uint64_t fingerprint), void *ctx);
