--- a/src/gateway/entry.c
+++ b/src/gateway/entry.c
@@ -17,7 +17,6 @@
 	WAITING_US = 20000, /* those that wait are looked at this often */
 	READY_CONNECTIONS_MAX = 64,
 	READY_LEFT_US = 1500000, /* of the time the orders count as fresh */
-	MARKS_MAX = 4096, /* requests that crashed a server lately */
 	LINES_A_REQUEST = 4, /* in the log, as a rule */
 	HTTP_OK = 200
 };
@@ -99,13 +98,36 @@
 	    (loop_now_us(ge->gw->loop) - server->heard_us) / 1000);
 }
 
+/* Names a life of a server for the record of those that ended. */
+struct su_life
+ge_life_of(const struct rg_server *server)
+{
+	return (struct su_life){.life = rg_life_of(server->id, server->born_ms),
+	    .name = rg_life_of(server->id, 0),
+	    .address = (uint64_t)server->ip << 16 | server->port};
+}
+
+static void
+log_crashed(const struct rg_server *server, const char *why, uint32_t marked)
+{
+	if (marked > 0)
+		log_event(LOG_LEVEL_WARN, "crash_seen",
+		    "server=%s born_ms=%" PRIu64 " why=%s requests=%u",
+		    server->id, server->born_ms, why, marked);
+}
+
 /* A server announced itself, here or elsewhere. */
 void
 ge_server_changed(struct ge *ge, const struct rg_server *server)
 {
+	struct su_life life = ge_life_of(server);
 	uint16_t place;
 
 	log_server(ge, server);
+	if (server->state == RG_READY)
+		log_crashed(server, "later_life",
+		    su_succeeded(
+			ge->suspects, &life, loop_now_us(ge->gw->loop)));
 	place = pl_take(ge->pool, server, loop_now_us(ge->gw->loop));
 	if (server->state != RG_READY && place != RT_NONE)
 		hu_forget(ge->client, &pl_at(ge->pool, place)->address);
@@ -125,7 +147,43 @@
 	log_event(LOG_LEVEL_INFO, "server_leaves", "server=%s born_ms=%" PRIu64,
 	    server->id, server->born_ms);
 	(void)rg_leaves(ge->gw->registry, life, loop_now_us(ge->gw->loop));
-	gw_spread(ge->gw, NT_LEAVING, life, 1);
+	gw_spread(ge->gw, NT_LEAVING, life, 0, 1);
+}
+
+/* A probe of a server's address was refused, or came to nothing. */
+static void
+on_probed(void *ctx, const struct sockaddr_in *address, bool refused)
+{
+	struct ge *ge = ctx;
+
+	for (uint16_t i = 0; i < pl_count(ge->pool); i++) {
+		const struct pl_server *s = pl_at(ge->pool, i);
+
+		if (!s->used ||
+		    s->address.sin_addr.s_addr != address->sin_addr.s_addr ||
+		    s->address.sin_port != address->sin_port)
+			continue;
+		log_event(LOG_LEVEL_WARN, "server_unreachable",
+		    "server=%s error=%s", s->said.id,
+		    refused ? "refused" : "timeout");
+		pl_unreachable(
+		    ge->pool, i, !refused, loop_now_us(ge->gw->loop));
+		if (refused)
+			ge_server_refuses(ge, &s->said);
+	}
+}
+
+/*
+ * Finds out whether a server that broke a request off is still there, unless
+ * that is known.  A connection that is made serves the next request.
+ */
+void
+ge_probe(struct ge *ge, uint16_t server)
+{
+	const struct pl_server *s = pl_at(ge->pool, server);
+
+	if (s->down_until_us < loop_now_us(ge->gw->loop))
+		hu_probe(ge->client, &s->address);
 }
 
 static struct bu_options
@@ -162,46 +220,41 @@
 
 /* Another instance, or this one, made something known. */
 void
-ge_note(struct ge *ge, enum nt_kind kind, uint64_t key, uint32_t value)
+ge_note(struct ge *ge, const struct nt_note *note)
 {
-	int64_t now_us = loop_now_us(ge->gw->loop);
-
-	switch (kind) {
+	switch (note->kind) {
 	case NT_HELD:
 		/* Of a roll-out that is heard of later: hold_sessions() asks.
 		 */
-		if (value == (uint32_t)ge->rollout)
-			se_hold(ge->sessions, key, now_us);
+		if (note->value == (uint32_t)ge->rollout)
+			se_hold(
+			    ge->sessions, note->key, loop_now_us(ge->gw->loop));
 		break;
 	case NT_LEAVING:
 		break; /* the registry has told */
 	case NT_CRASH:
 		ge->crash_marks->value++;
-		marks_merge(ge->marks, key,
-		    (uint8_t)(value < UINT8_MAX ? value : UINT8_MAX), now_us);
+		su_take(ge->suspects, note->key, note->part,
+		    (enum su_state)note->value, note->at_us);
 		break;
 	}
 }
 
 static void
-note_crash(void *ctx, uint64_t fingerprint)
+note_crash(void *ctx, uint64_t fingerprint, uint64_t life, enum su_state state)
 {
 	struct ge *ge = ctx;
-	uint8_t crashes =
-	    marks_get(ge->marks, fingerprint, loop_now_us(ge->gw->loop));
 
-	log_event(LOG_LEVEL_INFO, "crash_seen",
-	    "fingerprint=%016" PRIx64 " crashes_before=%u", fingerprint,
-	    crashes);
-	gw_spread(ge->gw, NT_CRASH, fingerprint, crashes + 1U);
+	gw_spread(ge->gw, NT_CRASH, fingerprint, life, state);
 }
 
-/* A server can't be reached: what it ran last may have crashed it. */
+/* A server's address refuses connections: that life of it has ended. */
 void
-ge_server_down(struct ge *ge, uint16_t server)
+ge_server_refuses(struct ge *ge, const struct rg_server *server)
 {
-	su_down(
-	    ge->suspects, server, loop_now_us(ge->gw->loop), note_crash, ge);
+	log_crashed(server, "refuses_connections",
+	    su_ended(ge->suspects, rg_life_of(server->id, server->born_ms),
+		loop_now_us(ge->gw->loop)));
 }
 
 /* Returns the share of a service's sessions that a new version gets. */
@@ -217,7 +270,7 @@
 {
 	struct ge *ge = ctx;
 
-	gw_spread(ge->gw, NT_HELD, session, (uint32_t)ge->rollout);
+	gw_spread(ge->gw, NT_HELD, session, 0, (uint32_t)ge->rollout);
 }
 
 /*
@@ -576,7 +629,6 @@
 	se_free(ge->sessions);
 	su_free(ge->suspects);
 	ev_free(ge->outcomes);
-	marks_free(ge->marks);
 	while (ge->services != NULL) {
 		struct ge_service *v = ge->services;
 
@@ -595,26 +647,29 @@
 	struct hu_options client = {.alloc = gw->alloc,
 	    .loop = gw->loop,
 	    .connect_timeout_ms = CONNECT_TIMEOUT_MS,
-	    .idle_timeout_ms = IDLE_TIMEOUT_MS};
+	    .idle_timeout_ms = IDLE_TIMEOUT_MS,
+	    .probed = on_probed};
 	struct pl_options pool = {.alloc = gw->alloc,
 	    .seed = rng_system_seed(),
 	    .data_centre = gw->settings->data_centre,
 	    .cold_permille = gw->settings->cold_permille,
 	    .cold_slack = gw->settings->cold_slack,
 	    .silent_us = (int64_t)gw->settings->announce_ms * 1000 * 5};
+	struct su_options suspects = {.alloc = gw->alloc, .proved = note_crash};
 
 	if (gw->settings->listen.host[0] == '\0')
 		return 0;
 	ge = alloc_zero(gw->alloc, 1, sizeof(*ge));
 	ge->gw = gw;
+	suspects.ctx = ge;
 	ge->started_us = loop_now_us(gw->loop);
 	rng_init(&ge->rng, rng_system_seed());
 	make_series(ge);
+	client.ctx = ge;
 	ge->client = hu_new(&client);
 	ge->pool = pl_new(&pool);
-	ge->suspects = su_new(gw->alloc);
+	ge->suspects = su_new(&suspects);
 	ge->outcomes = ev_new(gw->alloc);
-	ge->marks = marks_new(gw->alloc, MARKS_MAX);
 	ge->sessions =
 	    se_new(gw->alloc, (int64_t)gw->settings->session_ms * 1000);
 	gw->entry = ge;
--- a/src/gateway/entry.h
+++ b/src/gateway/entry.h
@@ -2,7 +2,6 @@
 #define CF_GATEWAY_ENTRY_H
 
 #include "gateway/gateway.h"
-#include "core/marks.h"
 #include "http/front.h"
 #include "http/upstream.h"
 #include "route/budget.h"
@@ -20,7 +19,8 @@
 struct gx;
 
 enum {
-	GE_CRASHES_REFUSED = 3 /* a request that crashed so many servers */
+	GE_CRASHES_REFUSED = 3, /* a request that crashed so many servers */
+	GE_CRASHES_ALONE = 2 /* may run at one server at a time only */
 };
 
 /* A table of routes in use; requests keep the one they began with. */
@@ -54,8 +54,7 @@
 	struct pl *pool;
 	struct se *sessions;
 	struct ev *outcomes; /* of the roll-outs under way, at this instance */
-	struct su *suspects;
-	struct marks *marks; /* crashes by fingerprint, here and elsewhere */
+	struct su *suspects; /* requests that may crash servers, or do */
 	struct rng rng;
 	struct ge_table *table; /* NULL: no document is known */
 	struct ge_service *services;
@@ -91,7 +90,7 @@
 void ge_orders_changed(struct ge *ge);
 void ge_server_changed(struct ge *ge, const struct rg_server *server);
 void ge_instances(struct ge *ge, uint32_t entry_instances, uint32_t told_by);
-void ge_note(struct ge *ge, enum nt_kind kind, uint64_t key, uint32_t value);
+void ge_note(struct ge *ge, const struct nt_note *note);
 const struct ev *ge_outcomes(const struct ge *ge);
 bool ge_has_outcomes(const struct ge *ge);
 void ge_drain(struct ge *ge);
@@ -105,7 +104,9 @@
 void ge_wake_waiting(struct ge *ge);
 bool ge_may_log(struct ge *ge);
 void ge_server_leaves(struct ge *ge, const struct rg_server *server);
-void ge_server_down(struct ge *ge, uint16_t server);
+void ge_server_refuses(struct ge *ge, const struct rg_server *server);
+void ge_probe(struct ge *ge, uint16_t server);
+struct su_life ge_life_of(const struct rg_server *server);
 void ge_table_release(struct ge_table *table);
 
 /* exchange.c */
--- a/src/gateway/exchange.c
+++ b/src/gateway/exchange.c
@@ -11,7 +11,8 @@
 
 enum {
 	UNKNOWN_LEFT_MS = 1500, /* a caller's time, where no route is known */
-	LEFT_MIN_MS = 10 /* less is no offer to a server */
+	LEFT_MIN_MS = 10, /* less is no offer to a server */
+	SILENT_US = 1000000 /* a server may have ended without a word */
 };
 
 int64_t
@@ -45,6 +46,9 @@
 		}
 	}
 	if (gx->now.call != NULL) {
+		if (gx_now(gx) - gx->now.progress_us >= SILENT_US &&
+		    hu_was_sent(gx->now.call))
+			gx_suspect(gx, false);
 		hu_cancel(gx->now.call);
 		gx_begin_work(gx);
 		pl_ended(ge->pool, gx->now.server);
@@ -355,6 +359,21 @@
 	       gx_now(gx) < gx->deadline_us;
 }
 
+/*
+ * What stays the same when the same caller sends the same request again: its
+ * target, workspace and body.  A workspace has several keys.
+ */
+static uint64_t
+fingerprint_of(const struct gx *gx)
+{
+	const char *target = hf_target(gx->x);
+	const char *caller = gx->workspace != NULL ? gx->workspace->name : "";
+	uint64_t hash = XXH64(target, strlen(target), 0);
+
+	hash = XXH64(caller, strlen(caller), hash);
+	return XXH64(hf_body(gx->x)->data, hf_body(gx->x)->len, hash);
+}
+
 /* Lets a request in, or answers why not. */
 static void
 enter(struct gx *gx)
@@ -378,6 +397,7 @@
 	    gx->workspace != NULL && gx->workspace->priority != RT_PRIORITY_NONE
 		? gx->workspace->priority
 		: gx->route->priority;
+	gx->fingerprint = fingerprint_of(gx);
 	choose_target(gx);
 	gx_set_timer(gx);
 	gx_place(gx);
@@ -393,17 +413,6 @@
 		gx_place(gx);
 }
 
-/* What stays the same when the same caller sends the same request again. */
-static uint64_t
-fingerprint_of(const struct gx *gx)
-{
-	const char *target = hf_target(gx->x);
-	uint64_t hash = XXH64(target, strlen(target), 0);
-
-	hash = XXH64(gx->request.key, strlen(gx->request.key), hash);
-	return XXH64(hf_body(gx->x)->data, hf_body(gx->x)->len, hash);
-}
-
 /* Takes a caller's request. */
 void
 gx_start(struct ge *ge, struct hf_exchange *x)
@@ -431,6 +440,5 @@
 	}
 	gx->last_event = gx->request.last_event;
 	gx->has_event = gx->request.resumes;
-	gx->fingerprint = fingerprint_of(gx);
 	enter(gx);
 }
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -103,6 +103,7 @@
 void gx_move_on(struct gx *gx);
 int64_t gx_patience_us(const struct gx *gx);
 bool gx_is_load_trial(const struct gx *gx, const struct ord_rollout *rollout);
+void gx_suspect(struct gx *gx, bool closed);
 bool gx_expect(
     struct gx *gx, uint16_t model, int64_t *work_us, int64_t *backlog_us);
 
--- a/src/gateway/exchange_answer.c
+++ b/src/gateway/exchange_answer.c
@@ -389,27 +389,54 @@
 		    (s->ejected_until_us - gx_now(gx)) / US_PER_MS);
 }
 
-/* Notes whether the request may have crashed the server that ran it. */
+/*
+ * The attempt under way ends without a word from its server, which may have
+ * crashed under the request.  One that was about to leave may just have ended.
+ * A connection that the server closed tells more than silence does: whether it
+ * is still there is looked at, at once.
+ */
+void
+gx_suspect(struct gx *gx, bool closed)
+{
+	struct ge *ge = gx->ge;
+	const struct pl_server *s = pl_at(ge->pool, gx->now.server);
+	struct su_life life = ge_life_of(&s->said);
+
+	if (s->said.born_ms == gx->now.born_ms && s->said.state != RG_READY)
+		return;
+	life.life = rg_life_of(s->said.id, gx->now.born_ms);
+	gx_log(gx, LOG_LEVEL_INFO, "suspected",
+	    "server=%s born_ms=%" PRIu64 " life=%016" PRIx64
+	    " fingerprint=%016" PRIx64 " closed=%d",
+	    s->said.id, gx->now.born_ms, life.life, gx->fingerprint, closed);
+	su_broken(ge->suspects, &life, gx->fingerprint, gx_now(gx));
+	if (closed && s->said.born_ms == gx->now.born_ms)
+		ge_probe(ge, gx->now.server);
+}
+
+/* Notes what the end of an attempt says of crashes. */
 static void
-note_suspect(struct gx *gx, enum cs_end end, const struct hu_result *result)
+note_crashes(struct gx *gx, enum cs_end end, const struct hu_result *result)
 {
 	struct ge *ge = gx->ge;
-	const char *server = pl_at(ge->pool, gx->now.server)->said.id;
-
-	if (result->error == 0 || gx->now.answered) {
-		uint32_t cleared = su_answered(ge->suspects, gx->now.server);
-
-		if (cleared > 0)
-			log_event(LOG_LEVEL_INFO, "suspects_cleared",
-			    "server=%s count=%u whole=%d", server, cleared,
-			    result->error == 0);
-	} else if (end == CS_BROKEN && result->closed) {
-		su_broken(
-		    ge->suspects, gx->now.server, gx->fingerprint, gx_now(gx));
-		gx_log(gx, LOG_LEVEL_INFO, "suspected",
-		    "server=%s born_ms=%" PRIu64 " fingerprint=%016" PRIx64,
-		    server, gx->now.born_ms, gx->fingerprint);
-	}
+	const struct pl_server *s = pl_at(ge->pool, gx->now.server);
+	uint32_t cleared;
+
+	if (end == CS_BROKEN && result->closed)
+		gx_suspect(gx, true);
+	if (end == CS_UNREACHABLE && result->refused &&
+	    s->said.born_ms == gx->now.born_ms)
+		ge_server_refuses(ge, &s->said);
+	if (result->error != 0)
+		return;
+	cleared =
+	    su_answered(ge->suspects, rg_life_of(s->said.id, gx->now.born_ms),
+		gx->now.sent_us, gx_now(gx));
+	if (cleared > 0)
+		log_event(LOG_LEVEL_INFO, "suspects_cleared",
+		    "server=%s count=%u", s->said.id, cleared);
+	if (end == CS_ANSWERED && result->status < 500)
+		su_ran_well(ge->suspects, gx->fingerprint, gx_now(gx));
 }
 
 static void
@@ -420,7 +447,7 @@
 	bool failed = end == CS_BROKEN || end == CS_DEFECTIVE ||
 		      (end == CS_ANSWERED && result->status >= 500);
 
-	note_suspect(gx, end, result);
+	note_crashes(gx, end, result);
 	if (end == CS_UNREACHABLE) {
 		log_event(LOG_LEVEL_WARN, "server_unreachable",
 		    "server=%s error=%s",
@@ -428,7 +455,6 @@
 		    err_name(result->error));
 		pl_unreachable(ge->pool, gx->now.server,
 		    result->error == ERR_TIMEOUT, now_us);
-		ge_server_down(ge, gx->now.server);
 	} else if (end == CS_NOT_RUN)
 		pl_refused(ge->pool, gx->now.server, now_us);
 	else
--- a/src/gateway/exchange_send.c
+++ b/src/gateway/exchange_send.c
@@ -231,7 +231,7 @@
 	gx->service->trial_sent += s->role == PL_TARGET;
 	if (se_note(ge->sessions, gx->request.session, s->role,
 		rollout_runs(gx) ? ge_trial_permille(ge, false) : 0, now_us))
-		gw_spread(ge->gw, NT_HELD, gx->request.session,
+		gw_spread(ge->gw, NT_HELD, gx->request.session, 0,
 		    (uint32_t)ge->rollout);
 	gx->now.call = hu_start(ge->client, &request);
 	buf_free(&head);
@@ -344,27 +344,50 @@
 	    retry_ms > GX_RETRY_FULL_MS ? retry_ms : GX_RETRY_FULL_MS);
 }
 
+/*
+ * Refuses a request that crashes the servers that run it, or may do so: one
+ * that was broken off as often is let in again once its last servers have
+ * answered.
+ */
+static void
+refuse_for_crashes(struct gx *gx, const struct su_record *record)
+{
+	int64_t now_us = gx_now(gx);
+	bool proved = record->crashes >= GE_CRASHES_REFUSED;
+	int64_t until_us = proved ? record->marked_us + SU_MARK_US
+				  : record->oldest_us + SU_SUSPECT_US;
+
+	gx->ge->crash_refusals->value++;
+	gx_log(gx, LOG_LEVEL_WARN, "refused_for_crashes",
+	    "fingerprint=%016" PRIx64 " crashes=%u pending=%u lives=%016" PRIx64
+	    ",%016" PRIx64 ",%016" PRIx64 " marked_ms=%" PRId64,
+	    gx->fingerprint, record->crashes, record->pending, record->lives[0],
+	    record->lives[1], record->lives[2],
+	    record->crashes > 0 ? (now_us - record->marked_us) / US_PER_MS : 0);
+	gx_refuse(gx, ERR_NO_CAPACITY, (until_us - now_us) / US_PER_MS);
+}
+
 /* Places the request, or has it wait for a server. */
 void
 gx_place(struct gx *gx)
 {
 	struct ge *ge = gx->ge;
 	struct pl_query query;
+	struct su_record record;
 	uint16_t server = RT_NONE;
 
 	if (gx->workspace != NULL && !gf_is_fresh(ge->gw->follow)) {
 		gx_refuse(gx, ERR_ISOLATED, GX_RETRY_UNKNOWN_MS);
 		return;
 	}
-	if (marks_get(ge->marks, gx->fingerprint, gx_now(gx)) >=
-	    GE_CRASHES_REFUSED) {
-		ge->crash_refusals->value++;
-		gx_log(gx, LOG_LEVEL_WARN, "refused_for_crashes",
-		    "fingerprint=%016" PRIx64, gx->fingerprint);
-		gx_refuse(gx, ERR_NO_CAPACITY, gx->route->timeout_ms);
+	su_look(ge->suspects, gx->fingerprint, gx_now(gx), &record);
+	if (record.crashes + record.pending >= GE_CRASHES_REFUSED) {
+		refuse_for_crashes(gx, &record);
 		return;
 	}
 	query = query_for(gx, gx->model);
+	if (record.crashes + record.pending >= GE_CRASHES_ALONE)
+		query.alone = gx->fingerprint;
 	switch (pl_pick(ge->pool, &query, gx_now(gx), &server)) {
 	case PL_CHOSEN:
 		/* It may have waited since it was allowed another attempt. */
@@ -433,6 +456,8 @@
 	struct ge *ge = gx->ge;
 	const struct pl_server *s = pl_at(ge->pool, gx->now.server);
 
+	if (hu_was_sent(gx->now.call))
+		gx_suspect(gx, false);
 	gx_log(gx, LOG_LEVEL_WARN, "attempt_silent",
 	    "server=%s begun=%d silent_ms=%" PRId64 " expected_ms=%.0f",
 	    s->said.id, gx->begun,
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -81,7 +81,8 @@
 void gw_measure_links(struct gw *gw);
 void gw_address_text(uint32_t instance, char out[GS_NAME_BYTES]);
 
-void gw_spread(struct gw *gw, enum nt_kind kind, uint64_t key, uint32_t value);
+void gw_spread(struct gw *gw, enum nt_kind kind, uint64_t key, uint64_t part,
+    uint32_t value);
 void gw_repeat_notes(struct gw *gw, enum nt_kind kind, uint32_t value);
 
 /* replica.c */
--- a/src/gateway/known.h
+++ b/src/gateway/known.h
@@ -4,6 +4,8 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+#include "gateway/notes.h"
+
 /*
  * The instances that serve control, as one instance knows them: its seeds, what
  * others tell and whoever is heard from.  Does no I/O.
@@ -24,6 +26,7 @@
 	bool near; /* in this data centre */
 	uint64_t feed; /* its registry's incarnation, and */
 	uint64_t change; /* the last change that arrived from there */
+	struct nt_peer notes; /* how its notes compare with ours */
 };
 
 struct kn {
--- a/src/gateway/links.c
+++ b/src/gateway/links.c
@@ -13,6 +13,7 @@
 #include "gateway/known.h"
 #include "gateway/loads.h"
 #include "gateway/replica.h"
+#include "route/suspects.h"
 #include "wire/cluster.pb-c.h"
 
 /*
@@ -27,6 +28,9 @@
 	NOTES_MAX = 512, /* in one message, the newest first */
 	HELLO_FIRST_US = 100000, /* until somebody has answered */
 	HELLO_US = 1000000,
+	SUM_US = 250000, /* the sum of the notes is at most so old */
+	CONTROL_ROUNDS = 1, /* rounds of greetings in which the sums differ */
+	ENTRY_ROUNDS = 3, /* so that those that serve control tell first */
 	REPORT_US = 250000, /* outcomes of a roll-out go out this often */
 	PUSH_URGENT_US = 10000,
 	PUSH_US = 500000,
@@ -40,6 +44,7 @@
 	int64_t heard_us;
 	bool subscribed;
 	uint64_t sent; /* last change of our registry sent there */
+	struct nt_peer notes;
 };
 
 struct gw_links {
@@ -52,6 +57,8 @@
 	struct nt *notes;
 	uint64_t notes_dropped; /* as the log has it */
 	bool notes_due;
+	struct nt_sum note_sum; /* as of sum_us */
+	int64_t sum_us;
 	struct loop_timer *hello;
 	struct loop_timer *push;
 	int64_t push_us;
@@ -216,6 +223,20 @@
 	}
 }
 
+static void
+add_note(struct report *report, const struct nt_note *note, int64_t now_us)
+{
+	Clpb__Note *pb = &report->notes[report->note_count];
+
+	clpb__note__init(pb);
+	pb->kind = note->kind;
+	pb->key = note->key;
+	pb->part = note->part;
+	pb->value = note->value;
+	pb->age_ms = (uint32_t)((now_us - note->at_us) / 1000);
+	report->note_list[report->note_count++] = pb;
+}
+
 /* Notes that are new go out again and again for a while. */
 static void
 collect_notes(struct gw_links *links, struct report *report)
@@ -226,16 +247,58 @@
 	for (size_t i = nt_count(links->notes);
 	     i-- > 0 && report->note_count < NOTES_MAX;) {
 		const struct nt_note *note = nt_at(links->notes, i);
-		Clpb__Note *pb = &report->notes[report->note_count];
 
-		if (now_us - note->at_us > NT_SPREAD_US)
-			continue;
-		clpb__note__init(pb);
-		pb->kind = note->kind;
-		pb->key = note->key;
-		pb->value = note->value;
-		report->note_list[report->note_count++] = pb;
+		if (now_us - note->heard_us <= NT_SPREAD_US)
+			add_note(report, note, now_us);
+	}
+}
+
+/* All notes in turn, for an instance that lacks some. */
+static void
+collect_all_notes(
+    struct gw_links *links, struct nt_peer *peer, struct report *report)
+{
+	size_t count = nt_count(links->notes);
+
+	report->note_count = 0;
+	for (size_t i = 0; i < count && i < NOTES_MAX; i++) {
+		peer->next = (uint32_t)((peer->next + 1) % count);
+		add_note(report, nt_at(links->notes, peer->next),
+		    loop_now_us(links->gw->loop));
+	}
+}
+
+static const struct nt_sum *
+own_sum(struct gw_links *links)
+{
+	int64_t now_us = loop_now_us(links->gw->loop);
+
+	if (links->sum_us == 0 || now_us - links->sum_us >= SUM_US) {
+		links->note_sum = nt_sum(links->notes, now_us);
+		links->sum_us = now_us;
 	}
+	return &links->note_sum;
+}
+
+static void
+pack_sum(struct gw_links *links, Clpb__NoteSum *pb)
+{
+	const struct nt_sum *sum = own_sum(links);
+
+	clpb__note_sum__init(pb);
+	pb->digest = sum->digest;
+	pb->count = sum->count;
+}
+
+static void
+compare_sums(
+    struct gw_links *links, struct nt_peer *peer, const Clpb__NoteSum *pb)
+{
+	struct nt_sum its = {0, 0};
+
+	if (pb != NULL)
+		its = (struct nt_sum){pb->digest, pb->count};
+	nt_compare(peer, own_sum(links), &its);
 }
 
 static bool
@@ -252,9 +315,11 @@
 
 static void
 send_hello(
-    struct gw_links *links, const struct kn_row *k, const struct report *report)
+    struct gw_links *links, struct kn_row *k, const struct report *report)
 {
+	static struct report all;
 	Clpb__Hello hello = CLPB__HELLO__INIT;
+	Clpb__NoteSum sum;
 	struct buf bytes;
 
 	hello.incarnation = links->gw->incarnation;
@@ -268,6 +333,15 @@
 	hello.outcomes = (Clpb__Outcome **)report->outcome_list;
 	hello.n_notes = report->note_count;
 	hello.notes = (Clpb__Note **)report->note_list;
+	if (nt_should_tell_all(links->notes, &k->notes,
+		has_entry(links->gw) ? ENTRY_ROUNDS : CONTROL_ROUNDS,
+		loop_now_us(links->gw->loop))) {
+		collect_all_notes(links, &k->notes, &all);
+		hello.n_notes = all.note_count;
+		hello.notes = all.note_list;
+	}
+	pack_sum(links, &sum);
+	hello.note_sum = &sum;
 	buf_init(&bytes, links->gw->alloc);
 	buf_reserve(&bytes, clpb__hello__get_packed_size(&hello));
 	bytes.len = clpb__hello__pack(&hello, bytes.data);
@@ -315,6 +389,7 @@
 	Clpb__Model *model_list[NEWS_SERVERS_MAX][RG_MODELS_MAX];
 	uint64_t control[KN_MAX];
 	struct report notes;
+	Clpb__NoteSum note_sum;
 	uint64_t after; /* change that the receiver has */
 	int64_t now_us;
 };
@@ -381,7 +456,13 @@
 	}
 	news.pb.control = news.control;
 	news.pb.entry_instances = hc_own_count(&links->entries, news.now_us);
-	collect_notes(links, &news.notes);
+	if (to->subscribed && nt_should_tell_all(links->notes, &to->notes,
+				  CONTROL_ROUNDS, news.now_us))
+		collect_all_notes(links, &to->notes, &news.notes);
+	else
+		collect_notes(links, &news.notes);
+	pack_sum(links, &news.note_sum);
+	news.pb.note_sum = &news.note_sum;
 	news.pb.n_notes = news.notes.note_count;
 	news.pb.notes = news.notes.note_list;
 	buf_init(&bytes, links->gw->alloc);
@@ -440,42 +521,33 @@
 }
 
 static void
-take_notes(struct gw_links *links, Clpb__Note **notes, size_t count)
+log_crash_mark(
+    const struct gw *gw, const struct nt_note *note, uint32_t told_by)
 {
-	for (size_t i = 0; i < count; i++)
-		gw_spread(links->gw, (enum nt_kind)notes[i]->kind,
-		    notes[i]->key, notes[i]->value);
-}
+	char from[GS_NAME_BYTES];
 
-/* Tells this instance's entry once more what it may have heard too early. */
-void
-gw_repeat_notes(struct gw *gw, enum nt_kind kind, uint32_t value)
-{
-	const struct nt *notes = gw->links->notes;
-
-	for (size_t i = 0; i < nt_count(notes); i++) {
-		const struct nt_note *note = nt_at(notes, i);
-
-		if (note->kind == kind && note->value == value)
-			ge_note(gw->entry, kind, note->key, value);
-	}
+	gw_address_text(told_by, from);
+	log_event(LOG_LEVEL_WARN, "crash_mark",
+	    "fingerprint=%016" PRIx64 " life=%016" PRIx64
+	    " acquitted=%d told_by=%s age_ms=%" PRId64,
+	    note->key, note->part, note->value == SU_ACQUITTED, from,
+	    (loop_now_us(gw->loop) - note->at_us) / 1000);
 }
 
-/* Makes something known to every entry instance, this one included. */
-void
-gw_spread(struct gw *gw, enum nt_kind kind, uint64_t key, uint32_t value)
+/* Takes a note, of this instance or another; what is new is told on. */
+static void
+take_note(struct gw_links *links, const struct nt_note *note, uint32_t told_by)
 {
-	struct gw_links *links = gw->links;
+	struct gw *gw = links->gw;
 
-	if (!nt_take(links->notes, kind, key, value, loop_now_us(gw->loop)))
+	if (!nt_take(links->notes, note, loop_now_us(gw->loop)))
 		return;
-	if (kind == NT_LEAVING)
-		(void)rg_leaves(gw->registry, key, loop_now_us(gw->loop));
-	if (kind == NT_CRASH)
-		log_event(LOG_LEVEL_WARN, "crash_mark",
-		    "fingerprint=%016" PRIx64 " crashes=%u", key, value);
+	if (note->kind == NT_LEAVING)
+		(void)rg_leaves(gw->registry, note->key, loop_now_us(gw->loop));
+	if (note->kind == NT_CRASH)
+		log_crash_mark(gw, note, told_by);
 	if (gw->entry != NULL)
-		ge_note(gw->entry, kind, key, value);
+		ge_note(gw->entry, note);
 	links->notes_due = true;
 	set_push(links, PUSH_URGENT_US);
 	/* An instance without subscribers tells those that have some. */
@@ -486,6 +558,51 @@
 	}
 }
 
+/* Makes something known to every entry instance, this one included. */
+void
+gw_spread(struct gw *gw, enum nt_kind kind, uint64_t key, uint64_t part,
+    uint32_t value)
+{
+	struct nt_note note = {.kind = kind,
+	    .key = key,
+	    .part = part,
+	    .value = value,
+	    .at_us = loop_now_us(gw->loop)};
+
+	take_note(gw->links, &note, gw->self);
+}
+
+static void
+take_notes(
+    struct gw_links *links, uint32_t from, Clpb__Note **notes, size_t count)
+{
+	int64_t now_us = loop_now_us(links->gw->loop);
+
+	for (size_t i = 0; i < count; i++) {
+		struct nt_note note = {.kind = (enum nt_kind)notes[i]->kind,
+		    .key = notes[i]->key,
+		    .part = notes[i]->part,
+		    .value = notes[i]->value,
+		    .at_us = now_us - (int64_t)notes[i]->age_ms * 1000};
+
+		take_note(links, &note, from);
+	}
+}
+
+/* Tells this instance's entry once more what it may have heard too early. */
+void
+gw_repeat_notes(struct gw *gw, enum nt_kind kind, uint32_t value)
+{
+	const struct nt *notes = gw->links->notes;
+
+	for (size_t i = 0; i < nt_count(notes); i++) {
+		const struct nt_note *note = nt_at(notes, i);
+
+		if (note->kind == kind && note->value == value)
+			ge_note(gw->entry, note);
+	}
+}
+
 static struct vd_counts
 unpack_counts(const Clpb__Counts *pb)
 {
@@ -542,7 +659,8 @@
 			k->heard_us = s->heard_us;
 	}
 	take_outcomes(links, from, hello);
-	take_notes(links, hello->notes, hello->n_notes);
+	take_notes(links, from, hello->notes, hello->n_notes);
+	compare_sums(links, &s->notes, hello->note_sum);
 	if (hello->feed == links->gw->incarnation)
 		after = hello->change;
 	if (hello->subscribe)
@@ -616,7 +734,8 @@
 		k->change = news->change;
 	for (size_t i = 0; i < news->n_control; i++)
 		(void)kn_get(&links->known, (uint32_t)news->control[i]);
-	take_notes(links, news->notes, news->n_notes);
+	take_notes(links, from, news->notes, news->n_notes);
+	compare_sums(links, &k->notes, news->note_sum);
 	hc_told(&links->entries, news->entry_instances, now_us);
 	if (links->gw->entry != NULL)
 		ge_instances(
--- a/src/gateway/metrics_page.c
+++ b/src/gateway/metrics_page.c
@@ -54,6 +54,12 @@
 	    ge->instances);
 	set(gw, METRICS_GAUGE, "celeryford_servers", servers);
 	set(gw, METRICS_GAUGE, "celeryford_servers_suspected", suspects);
+	set(gw, METRICS_GAUGE, "celeryford_crash_marks",
+	    su_marks(ge->suspects, 1, loop_now_us(gw->loop)));
+	set(gw, METRICS_GAUGE, "celeryford_crash_marks_refused",
+	    su_marks(ge->suspects, GE_CRASHES_REFUSED, loop_now_us(gw->loop)));
+	set(gw, METRICS_COUNTER, "celeryford_crash_suspects_dropped_total",
+	    su_dropped(ge->suspects));
 	set(gw, METRICS_GAUGE, "celeryford_servers_leaving", spared.leaving);
 	set(gw, METRICS_GAUGE, "celeryford_servers_paused", spared.paused);
 	set(gw, METRICS_GAUGE, "celeryford_attempts_in_flight", in_flight);
--- a/src/gateway/notes.c
+++ b/src/gateway/notes.c
@@ -14,6 +14,8 @@
 	uint16_t next[NT_MAX]; /* of the same bucket */
 	uint16_t buckets[BUCKETS];
 	size_t count;
+	size_t held; /* of these, sessions */
+	int64_t changed_us;
 	uint64_t dropped;
 };
 
@@ -36,61 +38,87 @@
 		alloc_free(nt->alloc, nt);
 }
 
+static uint64_t
+hash_of(const struct nt_note *note, uint64_t seed)
+{
+	const uint64_t words[3] = {(uint64_t)note->kind, note->key, note->part};
+
+	return XXH64(words, sizeof(words), seed);
+}
+
 static uint16_t *
-bucket_of(struct nt *nt, enum nt_kind kind, uint64_t key)
+bucket_of(struct nt *nt, const struct nt_note *note)
 {
-	return &nt->buckets[XXH64(&key, sizeof(key), kind) % BUCKETS];
+	return &nt->buckets[hash_of(note, 0) % BUCKETS];
 }
 
 static void
 link_note(struct nt *nt, uint16_t i)
 {
-	uint16_t *bucket = bucket_of(nt, nt->notes[i].kind, nt->notes[i].key);
+	uint16_t *bucket = bucket_of(nt, &nt->notes[i]);
 
 	nt->next[i] = *bucket;
 	*bucket = i;
 }
 
+static bool
+is_same(const struct nt_note *a, const struct nt_note *b)
+{
+	return a->kind == b->kind && a->key == b->key && a->part == b->part;
+}
+
+static int64_t
+left_us(const struct nt_note *note, int64_t now_us)
+{
+	return note->at_us - now_us +
+	       (note->kind == NT_CRASH ? NT_CRASH_KEPT_US : NT_KEPT_US);
+}
+
 /*
- * Takes a note.  Returns whether it is news: the key is not known, or had a
+ * Takes a note.  Returns whether it is news: there was none, or one with a
  * lower value.  What finds no room is counted as dropped and is no news.
  */
 bool
-nt_take(struct nt *nt, enum nt_kind kind, uint64_t key, uint32_t value,
-    int64_t now_us)
+nt_take(struct nt *nt, const struct nt_note *note, int64_t now_us)
 {
-	uint16_t i = *bucket_of(nt, kind, key);
+	uint16_t i = *bucket_of(nt, note);
 
-	while (
-	    i != NONE && (nt->notes[i].kind != kind || nt->notes[i].key != key))
+	while (i != NONE && !is_same(&nt->notes[i], note))
 		i = nt->next[i];
-	if (i != NONE && nt->notes[i].value >= value)
+	if ((i != NONE && nt->notes[i].value >= note->value) ||
+	    left_us(note, now_us) <= 0)
 		return false;
-	if (i == NONE && nt->count == NT_MAX) {
+	if (i == NONE &&
+	    (nt->count == NT_MAX ||
+		(note->kind == NT_HELD && nt->held == NT_HELD_MAX))) {
 		nt->dropped++;
 		return false;
 	}
 	if (i == NONE) {
 		i = (uint16_t)nt->count++;
-		nt->notes[i] = (struct nt_note){.kind = kind, .key = key};
+		nt->notes[i] = *note;
+		nt->held += note->kind == NT_HELD;
 		link_note(nt, i);
 	}
-	nt->notes[i].value = value;
-	nt->notes[i].at_us = now_us;
+	nt->notes[i].value = note->value;
+	nt->notes[i].at_us = note->at_us;
+	nt->notes[i].heard_us = nt->changed_us = now_us;
 	return true;
 }
 
-/* Forgets the notes that nobody repeats any more. */
+/* Forgets the notes whose time is over. */
 void
 nt_forget(struct nt *nt, int64_t now_us)
 {
 	size_t kept = 0;
 
 	memset(nt->buckets, 0xff, sizeof(nt->buckets));
+	nt->held = 0;
 	for (size_t i = 0; i < nt->count; i++) {
-		if (now_us - nt->notes[i].at_us >= NT_KEPT_US)
+		if (left_us(&nt->notes[i], now_us) <= 0)
 			continue;
 		nt->notes[kept] = nt->notes[i];
+		nt->held += nt->notes[kept].kind == NT_HELD;
 		link_note(nt, (uint16_t)kept++);
 	}
 	nt->count = kept;
@@ -108,6 +136,50 @@
 	return &nt->notes[i];
 }
 
+/*
+ * Sums up all notes but those that are about to be forgotten, which others may
+ * have forgotten already.
+ */
+struct nt_sum
+nt_sum(const struct nt *nt, int64_t now_us)
+{
+	struct nt_sum sum = {0, 0};
+
+	for (size_t i = 0; i < nt->count; i++) {
+		if (left_us(&nt->notes[i], now_us) <= NT_SUM_MARGIN_US)
+			continue;
+		sum.digest ^= hash_of(&nt->notes[i], nt->notes[i].value);
+		sum.count++;
+	}
+	return sum;
+}
+
+/* Compares the sum that another instance told with the own one. */
+void
+nt_compare(
+    struct nt_peer *peer, const struct nt_sum *own, const struct nt_sum *its)
+{
+	bool same = own->digest == its->digest && own->count == its->count;
+
+	peer->rounds = same ? 0 : peer->rounds + 1;
+	peer->lacks_most = its->count * 2 < own->count;
+	if (same)
+		peer->next = 0;
+}
+
+/*
+ * Whether another instance should be told all notes: its sum was another for so
+ * many rounds, and either nothing new was heard for as long as news is repeated
+ * or it has just begun to hear.
+ */
+bool
+nt_should_tell_all(const struct nt *nt, const struct nt_peer *peer,
+    uint32_t rounds, int64_t now_us)
+{
+	return peer->rounds >= rounds && nt->count > 0 &&
+	       (peer->lacks_most || now_us - nt->changed_us >= NT_SPREAD_US);
+}
+
 /* Returns how many notes found no room. */
 uint64_t
 nt_dropped(const struct nt *nt)
--- a/src/gateway/notes.h
+++ b/src/gateway/notes.h
@@ -12,19 +12,27 @@
 #endif
 
 /*
- * Small facts that every entry instance should know soon, and not for long, as
- * one instance has heard of them: a key of some kind has a value, and a higher
- * value replaces a lower one.  Whoever hears something new repeats it to the
- * others for a while.  Does no I/O.
+ * Small facts that every entry instance should know soon, and not for ever: a
+ * part of what a key names has a value, and a higher value replaces a lower
+ * one, so that notes may be merged in any order and any number of times.
+ *
+ * Whoever hears something new repeats it to the others for a while.  An
+ * instance that starts later, or was out of reach, has missed that: instances
+ * compare the sums of all their notes, and those that differ are told all of
+ * them. Does no I/O.
  */
 enum {
-	NT_MAX = 4096,
+	NT_MAX = 8192,
+	NT_HELD_MAX = 4096, /* so that sessions leave room for the others */
 	NT_SPREAD_US = 3000000, /* repeated so long, in case one is lost */
-	NT_KEPT_US = 60000000 /* longer than any instance repeats it */
+	NT_KEPT_US = 60000000, /* longer than any instance repeats it */
+	NT_CRASH_KEPT_US = 600000000, /* as long as requests are marked */
+	NT_SUM_MARGIN_US = 5000000 /* before their end, notes are not in sums */
 };
 
 enum nt_kind {
-	NT_CRASH = 1, /* a request (fingerprint) crashed so many servers */
+	NT_CRASH = 1, /* a request (fingerprint) and a life of a server that
+			 ended under it (part): an enum su_state */
 	NT_HELD = 2, /* a session stays with the version it began on, in the
 			roll-out with that number */
 	NT_LEAVING = 3 /* a server's answers say that it leaves (its life) */
@@ -33,19 +41,38 @@
 struct nt_note {
 	enum nt_kind kind;
 	uint64_t key;
+	uint64_t part; /* 0: the whole */
 	uint32_t value;
-	int64_t at_us; /* when this value was heard first */
+	int64_t at_us; /* when the value was set, of the own clock */
+	int64_t heard_us; /* when this instance heard of it */
+};
+
+/* What two instances compare. */
+struct nt_sum {
+	uint64_t digest;
+	uint32_t count;
+};
+
+/* How the notes of another instance compare, and what it was told of them. */
+struct nt_peer {
+	uint32_t rounds; /* in a row in which its sum was another */
+	uint32_t next; /* of the notes that it is told when it is told all */
+	bool lacks_most;
 };
 
 struct nt;
 
 struct nt *nt_new(const struct alloc *alloc);
 void nt_free(struct nt *nt);
-bool nt_take(struct nt *nt, enum nt_kind kind, uint64_t key, uint32_t value,
-    int64_t now_us);
+bool nt_take(struct nt *nt, const struct nt_note *note, int64_t now_us);
 void nt_forget(struct nt *nt, int64_t now_us);
 size_t nt_count(const struct nt *nt);
 const struct nt_note *nt_at(const struct nt *nt, size_t i);
+struct nt_sum nt_sum(const struct nt *nt, int64_t now_us);
+void nt_compare(
+    struct nt_peer *peer, const struct nt_sum *own, const struct nt_sum *its);
+bool nt_should_tell_all(const struct nt *nt, const struct nt_peer *peer,
+    uint32_t rounds, int64_t now_us);
 uint64_t nt_dropped(const struct nt *nt);
 
 #ifdef __cplusplus
--- a/src/http/upstream.c
+++ b/src/http/upstream.c
@@ -27,6 +27,7 @@
 	struct buf out;
 	int64_t idle_until_us;
 	bool connecting;
+	bool probe; /* made by hu_probe(); nobody has used it yet */
 	bool used; /* has served a call */
 	bool head_told;
 	bool skipping; /* the answer belongs to another call */
@@ -45,6 +46,7 @@
 	struct loop_timer *connect;
 	unsigned int status;
 	int refusal;
+	bool refused;
 	bool is_head;
 	bool sent;
 	bool reused;
@@ -88,6 +90,7 @@
 	    .status = call->status,
 	    .sent = call->sent,
 	    .unreachable = c->connecting,
+	    .refused = call->refused,
 	    .closed = closed,
 	    .reused = call->reused};
 	const struct hu_handler *handler = call->handler;
@@ -316,6 +319,29 @@
 	    c->watch, c->out.len > 0 ? LOOP_READ | LOOP_WRITE : LOOP_READ);
 }
 
+/* Tells the owner once that a probe found no server. */
+static void
+probe_failed(struct conn *c, bool refused)
+{
+	struct hu *hu = c->hu;
+
+	if (c->probe && hu->options.probed != NULL)
+		hu->options.probed(hu->options.ctx, &c->address, refused);
+	c->probe = false;
+}
+
+/* The connection of a probe waits for the next call. */
+static void
+probe_succeeded(struct conn *c)
+{
+	struct hu *hu = c->hu;
+
+	c->probe = false;
+	c->idle_until_us = loop_now_us(hu->options.loop) +
+			   (int64_t)hu->options.connect_timeout_ms * 1000;
+	loop_rewatch(c->watch, LOOP_READ);
+}
+
 static void
 on_conn(void *ctx, int events)
 {
@@ -328,9 +354,15 @@
 
 		getsockopt(c->fd, SOL_SOCKET, SO_ERROR, &problem, &len);
 		if (problem != 0) {
+			if (c->call != NULL)
+				c->call->refused = problem == ECONNREFUSED;
+			else
+				probe_failed(c, problem == ECONNREFUSED);
 			conn_failed(c, ERR_UPSTREAM, false);
 		} else {
 			c->connecting = false;
+			if (c->call == NULL)
+				probe_succeeded(c);
 			if (c->call != NULL) {
 				loop_cancel(c->call->connect);
 				c->call->connect = NULL;
@@ -397,7 +429,8 @@
 	int64_t now_us = loop_now_us(hu->options.loop);
 
 	for (struct conn *c = hu->conns; c != NULL; c = c->next) {
-		if (c->call == NULL && !c->dead && c->idle_until_us > now_us &&
+		if (c->call == NULL && !c->dead && !c->connecting &&
+		    c->idle_until_us > now_us &&
 		    same_address(&c->address, address) &&
 		    (best == NULL || c->idle_until_us > best->idle_until_us))
 			best = c;
@@ -480,6 +513,27 @@
 	return call->sent;
 }
 
+/*
+ * Dials an address to see whether a server is there; options.probed() hears if
+ * not.  One probe of an address is under way at a time.
+ */
+void
+hu_probe(struct hu *hu, const struct sockaddr_in *address)
+{
+	struct conn *c;
+
+	for (c = hu->conns; c != NULL; c = c->next) {
+		if (c->probe && same_address(&c->address, address))
+			return;
+	}
+	c = dial(hu, address);
+	if (c == NULL)
+		return;
+	c->probe = true;
+	c->idle_until_us = loop_now_us(hu->options.loop) +
+			   (int64_t)hu->options.connect_timeout_ms * 1000;
+}
+
 /* Closes the idle connections to an address whose server is gone. */
 void
 hu_forget(struct hu *hu, const struct sockaddr_in *address)
@@ -488,7 +542,8 @@
 
 	for (struct conn *c = hu->conns; c != NULL; c = next) {
 		next = c->next;
-		if (c->call == NULL && same_address(&c->address, address))
+		if (c->call == NULL && !c->probe &&
+		    same_address(&c->address, address))
 			conn_free(c);
 	}
 }
@@ -509,8 +564,10 @@
 
 	for (struct conn *c = hu->conns; c != NULL; c = next) {
 		next = c->next;
-		if (c->call == NULL && c->idle_until_us <= now_us)
+		if (c->call == NULL && c->idle_until_us <= now_us) {
+			probe_failed(c, false);
 			conn_free(c);
+		}
 	}
 	hu->sweep = loop_after(hu->options.loop, HU_SWEEP_US, on_sweep, hu);
 }
--- a/src/http/upstream.h
+++ b/src/http/upstream.h
@@ -38,6 +38,7 @@
 	unsigned int status; /* 0: no answer came */
 	bool sent; /* a byte of the request has left this host */
 	bool unreachable; /* no connection could be made */
+	bool refused; /* nothing listens at the address */
 	bool closed; /* the server ended the connection */
 	bool reused; /* on a connection that had served before */
 };
@@ -57,6 +58,10 @@
 	struct loop *loop;
 	uint32_t connect_timeout_ms;
 	uint32_t idle_timeout_ms; /* where a server does not give its own */
+	/* A probe found no server; refused: nothing listens there. */
+	void (*probed)(
+	    void *ctx, const struct sockaddr_in *address, bool refused);
+	void *ctx;
 };
 
 struct hu_request {
@@ -76,6 +81,7 @@
 void hu_cancel(struct hu_call *call);
 void hu_pause(struct hu_call *call, bool pause);
 bool hu_was_sent(const struct hu_call *call);
+void hu_probe(struct hu *hu, const struct sockaddr_in *address);
 void hu_forget(struct hu *hu, const struct sockaddr_in *address);
 uint64_t hu_dialled(const struct hu *hu);
 
--- a/src/route/pool.c
+++ b/src/route/pool.c
@@ -517,6 +517,21 @@
 	return la <= lb ? a : b;
 }
 
+/* The same of a list at every instance that has it. */
+static uint16_t
+pick_alone(
+    const struct pl *pl, uint64_t request, const uint16_t *list, uint16_t count)
+{
+	uint16_t best = list[0];
+
+	for (uint16_t i = 1; i < count; i++) {
+		if (rank(request, &pl->servers[list[i]]) >
+		    rank(request, &pl->servers[best]))
+			best = list[i];
+	}
+	return best;
+}
+
 /* How a list is narrowed: the best first, and what is only doubtful next. */
 enum tier {
 	TIER_SOUND,
@@ -594,6 +609,10 @@
 	}
 	if (count == 0)
 		return any_may_run(pl, query) ? PL_FULL : PL_NONE;
+	if (query->alone != 0) {
+		*server = pick_alone(pl, query->alone, list, count);
+		return PL_CHOSEN;
+	}
 	*server = query->by_work ? pick_by_work(pl, query, list, count, now_us)
 				 : pick_by_load(pl, list, count, now_us);
 	return PL_CHOSEN;
--- a/src/route/pool.h
+++ b/src/route/pool.h
@@ -99,6 +99,8 @@
 	double work_ms; /* of reading the whole prompt */
 	double shared_ms; /* work that is saved where the prefix is kept */
 	bool by_work; /* the prompt's work decides */
+	uint64_t alone; /* hash of a request that every instance should send
+			   to the same server; 0: load decides */
 	uint16_t avoid[8]; /* servers already tried */
 	uint8_t avoid_count;
 };
--- a/src/wire/cluster.pb-c.c
+++ b/src/wire/cluster.pb-c.c
@@ -232,6 +232,51 @@
   assert(message->base.descriptor == &clpb__note__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   clpb__note_sum__init
+                     (Clpb__NoteSum         *message)
+{
+  static const Clpb__NoteSum init_value = CLPB__NOTE_SUM__INIT;
+  *message = init_value;
+}
+size_t clpb__note_sum__get_packed_size
+                     (const Clpb__NoteSum *message)
+{
+  assert(message->base.descriptor == &clpb__note_sum__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t clpb__note_sum__pack
+                     (const Clpb__NoteSum *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &clpb__note_sum__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t clpb__note_sum__pack_to_buffer
+                     (const Clpb__NoteSum *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &clpb__note_sum__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Clpb__NoteSum *
+       clpb__note_sum__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Clpb__NoteSum *)
+     protobuf_c_message_unpack (&clpb__note_sum__descriptor,
+                                allocator, len, data);
+}
+void   clpb__note_sum__free_unpacked
+                     (Clpb__NoteSum *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &clpb__note_sum__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   clpb__hello__init
                      (Clpb__Hello         *message)
 {
@@ -979,7 +1024,7 @@
   (ProtobufCMessageInit) clpb__outcome__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor clpb__note__field_descriptors[3] =
+static const ProtobufCFieldDescriptor clpb__note__field_descriptors[5] =
 {
   {
     "kind",
@@ -1017,16 +1062,42 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "part",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Clpb__Note, part),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "age_ms",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Clpb__Note, age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned clpb__note__field_indices_by_name[] = {
+  4,   /* field[4] = age_ms */
   1,   /* field[1] = key */
   0,   /* field[0] = kind */
+  3,   /* field[3] = part */
   2,   /* field[2] = value */
 };
 static const ProtobufCIntRange clpb__note__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor clpb__note__descriptor =
 {
@@ -1036,14 +1107,65 @@
   "Clpb__Note",
   "clpb",
   sizeof(Clpb__Note),
-  3,
+  5,
   clpb__note__field_descriptors,
   clpb__note__field_indices_by_name,
   1,  clpb__note__number_ranges,
   (ProtobufCMessageInit) clpb__note__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor clpb__hello__field_descriptors[8] =
+static const ProtobufCFieldDescriptor clpb__note_sum__field_descriptors[2] =
+{
+  {
+    "digest",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Clpb__NoteSum, digest),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "count",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Clpb__NoteSum, count),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned clpb__note_sum__field_indices_by_name[] = {
+  1,   /* field[1] = count */
+  0,   /* field[0] = digest */
+};
+static const ProtobufCIntRange clpb__note_sum__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor clpb__note_sum__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "clpb.NoteSum",
+  "NoteSum",
+  "Clpb__NoteSum",
+  "clpb",
+  sizeof(Clpb__NoteSum),
+  2,
+  clpb__note_sum__field_descriptors,
+  clpb__note_sum__field_indices_by_name,
+  1,  clpb__note_sum__number_ranges,
+  (ProtobufCMessageInit) clpb__note_sum__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor clpb__hello__field_descriptors[9] =
 {
   {
     "incarnation",
@@ -1141,12 +1263,25 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "note_sum",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Clpb__Hello, note_sum),
+    &clpb__note_sum__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned clpb__hello__field_indices_by_name[] = {
   3,   /* field[3] = change */
   2,   /* field[2] = feed */
   0,   /* field[0] = incarnation */
   1,   /* field[1] = keeps_state */
+  8,   /* field[8] = note_sum */
   6,   /* field[6] = notes */
   5,   /* field[5] = outcomes */
   4,   /* field[4] = subscribe */
@@ -1155,7 +1290,7 @@
 static const ProtobufCIntRange clpb__hello__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 8 }
+  { 0, 9 }
 };
 const ProtobufCMessageDescriptor clpb__hello__descriptor =
 {
@@ -1165,14 +1300,14 @@
   "Clpb__Hello",
   "clpb",
   sizeof(Clpb__Hello),
-  8,
+  9,
   clpb__hello__field_descriptors,
   clpb__hello__field_indices_by_name,
   1,  clpb__hello__number_ranges,
   (ProtobufCMessageInit) clpb__hello__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor clpb__news__field_descriptors[7] =
+static const ProtobufCFieldDescriptor clpb__news__field_descriptors[8] =
 {
   {
     "incarnation",
@@ -1258,6 +1393,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "note_sum",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Clpb__News, note_sum),
+    &clpb__note_sum__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned clpb__news__field_indices_by_name[] = {
   1,   /* field[1] = after */
@@ -1265,13 +1412,14 @@
   4,   /* field[4] = control */
   5,   /* field[5] = entry_instances */
   0,   /* field[0] = incarnation */
+  7,   /* field[7] = note_sum */
   6,   /* field[6] = notes */
   3,   /* field[3] = servers */
 };
 static const ProtobufCIntRange clpb__news__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor clpb__news__descriptor =
 {
@@ -1281,7 +1429,7 @@
   "Clpb__News",
   "clpb",
   sizeof(Clpb__News),
-  7,
+  8,
   clpb__news__field_descriptors,
   clpb__news__field_indices_by_name,
   1,  clpb__news__number_ranges,
--- a/src/wire/cluster.pb-c.h
+++ b/src/wire/cluster.pb-c.h
@@ -20,6 +20,7 @@
 typedef struct Clpb__Counts Clpb__Counts;
 typedef struct Clpb__Outcome Clpb__Outcome;
 typedef struct Clpb__Note Clpb__Note;
+typedef struct Clpb__NoteSum Clpb__NoteSum;
 typedef struct Clpb__Hello Clpb__Hello;
 typedef struct Clpb__News Clpb__News;
 typedef struct Clpb__Rollout Clpb__Rollout;
@@ -159,10 +160,35 @@
   uint32_t kind;
   uint64_t key;
   uint32_t value;
+  /*
+   * of what the key names; 0: the whole
+   */
+  uint64_t part;
+  /*
+   * since the value was set
+   */
+  uint32_t age_ms;
 };
 #define CLPB__NOTE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&clpb__note__descriptor) \
-    , 0, 0, 0 }
+    , 0, 0, 0, 0, 0 }
+
+
+/*
+ * All notes that an instance keeps, so that others see what it lacks.
+ */
+struct  Clpb__NoteSum
+{
+  ProtobufCMessage base;
+  /*
+   * the same for the same notes, in any order
+   */
+  uint64_t digest;
+  uint32_t count;
+};
+#define CLPB__NOTE_SUM__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&clpb__note_sum__descriptor) \
+    , 0, 0 }
 
 
 /*
@@ -190,10 +216,11 @@
    * callers' requests are not taken here
    */
   protobuf_c_boolean without_entry;
+  Clpb__NoteSum *note_sum;
 };
 #define CLPB__HELLO__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&clpb__hello__descriptor) \
-    , 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0 }
+    , 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0, NULL }
 
 
 /*
@@ -221,10 +248,11 @@
   uint32_t entry_instances;
   size_t n_notes;
   Clpb__Note **notes;
+  Clpb__NoteSum *note_sum;
 };
 #define CLPB__NEWS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&clpb__news__descriptor) \
-    , 0, 0, 0, 0,NULL, 0,NULL, 0, 0,NULL }
+    , 0, 0, 0, 0,NULL, 0,NULL, 0, 0,NULL, NULL }
 
 
 struct  Clpb__Rollout
@@ -420,6 +448,25 @@
 void   clpb__note__free_unpacked
                      (Clpb__Note *message,
                       ProtobufCAllocator *allocator);
+/* Clpb__NoteSum methods */
+void   clpb__note_sum__init
+                     (Clpb__NoteSum         *message);
+size_t clpb__note_sum__get_packed_size
+                     (const Clpb__NoteSum   *message);
+size_t clpb__note_sum__pack
+                     (const Clpb__NoteSum   *message,
+                      uint8_t             *out);
+size_t clpb__note_sum__pack_to_buffer
+                     (const Clpb__NoteSum   *message,
+                      ProtobufCBuffer     *buffer);
+Clpb__NoteSum *
+       clpb__note_sum__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   clpb__note_sum__free_unpacked
+                     (Clpb__NoteSum *message,
+                      ProtobufCAllocator *allocator);
 /* Clpb__Hello methods */
 void   clpb__hello__init
                      (Clpb__Hello         *message);
@@ -551,6 +598,9 @@
 typedef void (*Clpb__Note_Closure)
                  (const Clpb__Note *message,
                   void *closure_data);
+typedef void (*Clpb__NoteSum_Closure)
+                 (const Clpb__NoteSum *message,
+                  void *closure_data);
 typedef void (*Clpb__Hello_Closure)
                  (const Clpb__Hello *message,
                   void *closure_data);
@@ -580,6 +630,7 @@
 extern const ProtobufCMessageDescriptor clpb__counts__descriptor;
 extern const ProtobufCMessageDescriptor clpb__outcome__descriptor;
 extern const ProtobufCMessageDescriptor clpb__note__descriptor;
+extern const ProtobufCMessageDescriptor clpb__note_sum__descriptor;
 extern const ProtobufCMessageDescriptor clpb__hello__descriptor;
 extern const ProtobufCMessageDescriptor clpb__news__descriptor;
 extern const ProtobufCMessageDescriptor clpb__rollout__descriptor;
