Bound what a server may send without an end

Cause: the time of such a request was bounded by its deadline, and the head by the parser, but not the interim heads, answers to other requests and framing before and around an answer; each buffered answer had 16 MB and all together nothing; and a stream was read on however little its caller took. Each answer to another request wrote a log line. Class: bounds for each request whose sum over all requests is none.

Heads, foreign answers and framing are counted by the client and end a call with ERR_TOO_LARGE; answers that are not whole share 24 MB, of which small ones are free; a caller that has 64 KB to take stops the reading of its stream. answer_unending and its counter tell of them; an attempt that ends so counts as failed against its server and may go to another.

--- /dev/null
+++ b/fakes/raw/main.c
@@ -0,0 +1,260 @@
+#include <arpa/inet.h>
+#include <errno.h>
+#include <fcntl.h>
+#include <netinet/in.h>
+#include <poll.h>
+#include <signal.h>
+#include <stdbool.h>
+#include <stdint.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+/*
+ * cf-fake-raw: a backend server whose answers never end, for process tests.  It
+ * repeats some bytes until the caller closes; which, says the path:
+ *
+ *	/head/		header fields
+ *	/line/		one header field without an end
+ *	/interim/	heads of interim answers
+ *	/other/		whole answers to another request
+ *	/body/		a body without a length
+ *	/chunks/	chunks, one byte each
+ *	/extension/	an extension of a chunk
+ *	/trailer/	trailer fields
+ *	/event/		one event of a stream
+ *	/events/	events of a stream
+ *
+ * "sent BYTES PATH" is printed when the caller has closed.
+ */
+enum {
+	CONNS_MAX = 512,
+	REQUEST_MAX = 16384,
+	TEXT_MAX = 1024
+};
+
+struct conn {
+	int fd; /* -1: free */
+	char request[REQUEST_MAX];
+	size_t len;
+	bool answering;
+	char first[TEXT_MAX]; /* what the answer begins with */
+	const char *again; /* what follows without an end */
+	const char *at; /* not sent yet of the part under way */
+	bool repeats;
+	uint64_t sent;
+	char path[64];
+};
+
+#define OK "HTTP/1.1 200 OK\r\n"
+#define STREAM "Content-Type: text/event-stream\r\n"
+#define CHUNKED "Transfer-Encoding: chunked\r\n"
+
+struct kind {
+	const char *path;
+	const char *fields; /* NULL: the answer's head never ends */
+	const char *again;
+};
+
+static const struct kind kinds[] = {
+    {"/head/", NULL, "X-More: 0123456789abcdef\r\n"},
+    {"/line/", NULL, "X-Long-0123456789abcdef-0123456789abcdef"},
+    {"/interim/", NULL, NULL},
+    {"/other/", NULL, NULL},
+    {"/body/", "\r\n", "0123456789abcdef0123456789abcdef"},
+    {"/chunks/", CHUNKED "\r\n", "1\r\nx\r\n"},
+    {"/extension/", CHUNKED "\r\n1;x=", "0123456789abcdef"},
+    {"/trailer/", CHUNKED "\r\n1\r\nx\r\n0\r\n",
+	"X-More: 0123456789abcdef\r\n"},
+    {"/event/", STREAM "\r\nid: 1\ndata: ", "0123456789abcdef"},
+    {"/events/", STREAM "\r\n", "id: 1\ndata: x\n\n"},
+};
+
+static const char interim[] = "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n";
+static const char other[] = OK "Celeryford-Request-Id: another\r\n"
+			       "Celeryford-Response-Signature: x\r\n"
+			       "Content-Length: 2\r\n\r\nok";
+
+static struct conn conns[CONNS_MAX];
+
+static void
+drop(struct conn *c)
+{
+	if (c->answering) {
+		printf("sent %llu %s\n", (unsigned long long)c->sent, c->path);
+		fflush(stdout);
+	}
+	close(c->fd);
+	c->fd = -1;
+}
+
+/* Copies the value of a field of the request. */
+static void
+find(const struct conn *c, const char *name, char *out, size_t size)
+{
+	const char *at = strstr(c->request, name);
+
+	out[0] = '\0';
+	if (at != NULL)
+		snprintf(out, size, "%.*s",
+		    (int)strcspn(at + strlen(name), "\r\n"), at + strlen(name));
+}
+
+static void
+begin(struct conn *c)
+{
+	char id[128];
+	const char *target = strchr(c->request, ' ');
+	const struct kind *kind = &kinds[0];
+
+	for (size_t i = 0; i < sizeof(kinds) / sizeof(kinds[0]); i++) {
+		if (target != NULL && strstr(target, kinds[i].path) != NULL &&
+		    strstr(target, kinds[i].path) < strstr(target, "\r\n"))
+			kind = &kinds[i];
+	}
+	snprintf(c->path, sizeof(c->path), "%s", kind->path);
+	find(c, "Celeryford-Request-Id: ", id, sizeof(id));
+	snprintf(c->first, sizeof(c->first),
+	    OK "Celeryford-Request-Id: %s\r\n"
+	       "Celeryford-Response-Signature: x\r\n%s",
+	    id, kind->fields != NULL ? kind->fields : "");
+	c->again = kind->again;
+	if (kind->again == NULL) {
+		c->again = strcmp(kind->path, "/other/") == 0 ? other : interim;
+		c->first[0] = '\0';
+	}
+	c->at = c->first;
+	c->answering = true;
+}
+
+static void
+receive(struct conn *c)
+{
+	ssize_t n = recv(
+	    c->fd, c->request + c->len, sizeof(c->request) - 1 - c->len, 0);
+
+	if (n <= 0) {
+		drop(c);
+		return;
+	}
+	c->len += (size_t)n;
+	c->request[c->len] = '\0';
+	if (!c->answering && strstr(c->request, "\r\n\r\n") != NULL)
+		begin(c);
+	if (c->len == sizeof(c->request) - 1)
+		c->len = 0;
+}
+
+/* Sends what the connection takes, up to some kilobytes. */
+static void
+give(struct conn *c)
+{
+	char block[16384];
+	size_t len = 0;
+
+	if (*c->at != '\0' && !c->repeats) {
+		len = strlen(c->at);
+		memcpy(block, c->at, len);
+	} else {
+		size_t one = strlen(c->again);
+
+		/* A block that was cut short goes on where it was cut. */
+		c->repeats = true;
+		if (c->at < c->again || c->at >= c->again + one)
+			c->at = c->again;
+		while (len + one < sizeof(block)) {
+			size_t skip = len == 0 ? (size_t)(c->at - c->again) : 0;
+
+			memcpy(block + len, c->again + skip, one - skip);
+			len += one - skip;
+		}
+	}
+	ssize_t n = send(c->fd, block, len, MSG_NOSIGNAL);
+	if (n < 0 && errno != EAGAIN) {
+		drop(c);
+		return;
+	}
+	if (n <= 0)
+		return;
+	c->sent += (uint64_t)n;
+	if (!c->repeats)
+		c->at += n;
+	else
+		c->at = c->again + ((size_t)(c->at - c->again) + (size_t)n) %
+				       strlen(c->again);
+}
+
+static void
+take(int listener)
+{
+	int fd = accept(listener, NULL, NULL);
+
+	if (fd < 0)
+		return;
+	for (int i = 0; i < CONNS_MAX; i++) {
+		if (conns[i].fd >= 0)
+			continue;
+		fcntl(fd, F_SETFL, O_NONBLOCK);
+		memset(&conns[i], 0, sizeof(conns[i]));
+		conns[i].fd = fd;
+		return;
+	}
+	close(fd);
+}
+
+static int
+serve(int listener)
+{
+	static struct pollfd polled[CONNS_MAX + 1];
+
+	for (;;) {
+		polled[CONNS_MAX] = (struct pollfd){listener, POLLIN, 0};
+		for (int i = 0; i < CONNS_MAX; i++)
+			polled[i] = (struct pollfd){conns[i].fd,
+			    conns[i].answering ? POLLIN | POLLOUT : POLLIN, 0};
+		if (poll(polled, CONNS_MAX + 1, -1) < 0)
+			return 1;
+		if (polled[CONNS_MAX].revents != 0)
+			take(listener);
+		for (int i = 0; i < CONNS_MAX; i++) {
+			if (polled[i].fd < 0 || polled[i].revents == 0)
+				continue;
+			if (polled[i].revents & (POLLIN | POLLHUP | POLLERR))
+				receive(&conns[i]);
+			if (conns[i].fd >= 0 && conns[i].answering &&
+			    (polled[i].revents & POLLOUT))
+				give(&conns[i]);
+		}
+	}
+}
+
+int
+main(int argc, char **argv)
+{
+	struct sockaddr_in address = {.sin_family = AF_INET};
+	socklen_t len = sizeof(address);
+	int listener = socket(AF_INET, SOCK_STREAM, 0);
+	int one = 1;
+
+	if (argc < 2) {
+		fprintf(stderr, "usage: cf-fake-raw PORT\n");
+		return 2;
+	}
+	signal(SIGPIPE, SIG_IGN);
+	for (int i = 0; i < CONNS_MAX; i++)
+		conns[i].fd = -1;
+	address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	address.sin_port = htons((uint16_t)atoi(argv[1]));
+	setsockopt(listener, SOL_SOCKET, SO_REUSEADDR, &one, sizeof(one));
+	if (bind(listener, (struct sockaddr *)&address, sizeof(address)) != 0 ||
+	    listen(listener, CONNS_MAX) != 0 ||
+	    getsockname(listener, (struct sockaddr *)&address, &len) != 0) {
+		fprintf(stderr, "cf-fake-raw: the address is taken\n");
+		return 1;
+	}
+	printf("serves 127.0.0.1:%u\n", ntohs(address.sin_port));
+	fflush(stdout);
+	return serve(listener);
+}
--- a/src/gateway/entry.c
+++ b/src/gateway/entry.c
@@ -473,6 +473,16 @@
 	    LOG_LEVEL_INFO, "request_unreadable", "error=%s", err_name(error));
 }
 
+static void
+on_drained(void *ctx, struct hf_exchange *x)
+{
+	struct gx *gx = hf_data(x);
+
+	(void)ctx;
+	if (gx != NULL)
+		gx_drained(gx);
+}
+
 static const struct hf_handler front_handler = {
     on_request, on_gone, on_refused};
 
@@ -563,6 +573,8 @@
 	    m, METRICS_COUNTER, "celeryford_server_pauses_total", "");
 	ge->pauses_unreadable = metrics_get(m, METRICS_COUNTER,
 	    "celeryford_server_pauses_unreadable_total", "");
+	ge->unending = metrics_get(
+	    m, METRICS_COUNTER, "celeryford_answers_unending_total", "");
 	ge->crash_refusals = metrics_get(
 	    m, METRICS_COUNTER, "celeryford_crash_refusals_total", "");
 	ge->crash_marks =
@@ -594,6 +606,7 @@
 	    .connections_max = CONNECTIONS_MAX,
 	    .limits = first_limits,
 	    .handler = &front_handler,
+	    .drained = on_drained,
 	    .ctx = ge};
 
 	ge->front = hf_new(&options);
@@ -605,6 +618,7 @@
 	options.port = s->ready_listen.port;
 	options.connections_max = READY_CONNECTIONS_MAX;
 	options.handler = &ready_handler;
+	options.drained = NULL;
 	ge->ready = hf_new(&options);
 	return ge->ready != NULL ? 0 : ERR_IO;
 }
--- a/src/gateway/entry.h
+++ b/src/gateway/entry.h
@@ -78,6 +78,8 @@
 	struct metrics_series *leaving_heard;
 	struct metrics_series *pauses;
 	struct metrics_series *pauses_unreadable;
+	struct metrics_series *unending;
+	size_t buffered; /* bytes of answers that are not whole yet */
 	struct metrics_series *crash_refusals;
 	struct metrics_series *crash_marks;
 	struct metrics_series *queue_us;
@@ -112,6 +114,7 @@
 /* exchange.c */
 void gx_start(struct ge *ge, struct hf_exchange *x);
 void gx_gone(struct gx *gx);
+void gx_drained(struct gx *gx);
 void gx_try(struct gx *gx);
 void gx_drop(struct gx *gx);
 void gx_set_waiting(struct gx *gx, bool waiting);
--- a/src/gateway/exchange.c
+++ b/src/gateway/exchange.c
@@ -60,6 +60,7 @@
 	if (gx->next != NULL)
 		gx->next->prev = gx->prev;
 	ge_table_release(gx->table);
+	ge->buffered -= gx->buffered;
 	buf_free(&gx->lines);
 	buf_free(&gx->body);
 	buf_free(&gx->log);
@@ -286,6 +287,19 @@
 	gx_free(gx);
 }
 
+/* The caller has taken what there was of the answer: more is read. */
+void
+gx_drained(struct gx *gx)
+{
+	if (!gx->paused)
+		return;
+	gx->paused = false;
+	gx->now.progress_us = gx_now(gx);
+	if (gx->now.call != NULL)
+		hu_pause(gx->now.call, false);
+	gx_set_timer(gx);
+}
+
 /* Returns an error for a request that this instance can't let in. */
 static int
 admit(struct gx *gx, int64_t *retry_ms)
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -41,6 +41,7 @@
 	bool leaving; /* the server says that it is about to end */
 	uint32_t pause_ms; /* it refused, and wants nothing for so long */
 	bool dropped; /* a larger model answers instead */
+	bool other_logged; /* an answer to another request came first */
 	int64_t progress_us; /* when it was sent, or a byte came */
 	double expected_ms; /* until the first byte */
 	double work_ms; /* expected, until its first byte; then 0 */
@@ -82,6 +83,8 @@
 	bool queued; /* has waited, or does */
 	struct buf lines; /* header of a plain answer */
 	struct buf body; /* its body, or the beginning of an event */
+	size_t buffered; /* bytes of it that the entry counts */
+	bool paused; /* nothing is read until the caller has taken more */
 	bool has_event;
 	uint64_t last_event; /* passed on */
 	bool log_kept_back; /* its lines are written only if it fails */
--- a/src/gateway/exchange_answer.c
+++ b/src/gateway/exchange_answer.c
@@ -15,6 +15,9 @@
 enum {
 	ANSWER_MAX_BYTES = 16 * 1024 * 1024, /* of a plain answer, buffered */
 	EVENT_MAX_BYTES = 1024 * 1024,
+	BUFFERED_MAX_BYTES = 24 * 1024 * 1024, /* of all answers together */
+	BUFFERED_FREE_BYTES = 64 * 1024, /* of any answer, above that too */
+	UNTAKEN_MAX_BYTES = 64 * 1024, /* by a caller, before reading stops */
 	SLOW_FACTOR = 3, /* of the time expected: far too late */
 	FIRST_BYTE_MS = 40, /* of any answer, on top of its work */
 	BACKLOG_NONE_MS = 10, /* a server counts as idle below this */
@@ -211,6 +214,24 @@
 	}
 }
 
+/*
+ * Counts what is kept of the answer.  Returns ERR_TOO_LARGE where all answers
+ * together take more memory than there is for them, and this one is not small.
+ */
+static int
+count_buffered(struct gx *gx)
+{
+	struct ge *ge = gx->ge;
+
+	ge->buffered += gx->body.len;
+	ge->buffered -= gx->buffered;
+	gx->buffered = gx->body.len;
+	return ge->buffered > BUFFERED_MAX_BYTES &&
+		       gx->buffered > BUFFERED_FREE_BYTES
+		   ? ERR_TOO_LARGE
+		   : 0;
+}
+
 static int
 on_head(void *ctx, struct hu_call *call, unsigned int status,
     const struct hh *headers)
@@ -225,8 +246,11 @@
 	dialect->ops->read_answer(dialect, headers, &answer);
 	if (answer.id != NULL && gx->request.id[0] != '\0' &&
 	    strcmp(answer.id, gx->request.id) != 0) {
-		gx_log(gx, LOG_LEVEL_WARN, "answer_of_another", "server=%s",
-		    pl_at(ge->pool, gx->now.server)->said.id);
+		if (!gx->now.other_logged)
+			gx_log(gx, LOG_LEVEL_WARN, "answer_of_another",
+			    "server=%s",
+			    pl_at(ge->pool, gx->now.server)->said.id);
+		gx->now.other_logged = true;
 		return HU_NOT_OURS;
 	}
 	if (!gx->now.answered && gx->now.backlog_ms < BACKLOG_NONE_MS &&
@@ -257,6 +281,7 @@
 		dialect->ops->write_answer(dialect, headers, &gx->lines);
 	}
 	buf_clear(&gx->body);
+	(void)count_buffered(gx);
 	return 0;
 }
 
@@ -400,7 +425,13 @@
 		metrics_observe_us(
 		    gx->ge->pass_us, clock_monotonic_us() - gx_now(gx));
 	}
-	return gx->body.len > EVENT_MAX_BYTES ? ERR_UPSTREAM : 0;
+	if (gx->x != NULL && hf_pending(gx->x) > UNTAKEN_MAX_BYTES) {
+		gx->paused = true;
+		hu_pause(gx->now.call, true);
+		gx_set_timer(gx);
+	}
+	return gx->body.len > EVENT_MAX_BYTES ? ERR_TOO_LARGE
+					      : count_buffered(gx);
 }
 
 static int
@@ -418,7 +449,8 @@
 		return pass_events(gx, data, len);
 	note_first(gx);
 	buf_add(&gx->body, data, len);
-	return gx->body.len > ANSWER_MAX_BYTES ? ERR_UPSTREAM : 0;
+	return gx->body.len > ANSWER_MAX_BYTES ? ERR_TOO_LARGE
+					       : count_buffered(gx);
 }
 
 /* Statuses that promise that nothing ran, without the server's word for it. */
@@ -571,6 +603,21 @@
 	return cs_next(&with_budget) != cs_next(in);
 }
 
+/* An answer had no end in sight: what is there of it is of no use. */
+static void
+drop_unending(struct gx *gx)
+{
+	struct ge *ge = gx->ge;
+
+	ge->unending->value++;
+	gx_log(gx, LOG_LEVEL_WARN, "answer_unending",
+	    "server=%s status=%u kept_bytes=%zu all_kept_bytes=%zu",
+	    pl_at(ge->pool, gx->now.server)->said.id, gx->now.status,
+	    gx->buffered, ge->buffered);
+	buf_free(&gx->body);
+	(void)count_buffered(gx);
+}
+
 static void
 attempt_done(void *ctx, const struct hu_result *result)
 {
@@ -600,6 +647,8 @@
 		ge_wake_waiting(ge);
 		return;
 	}
+	if (result->error == ERR_TOO_LARGE)
+		drop_unending(gx);
 	note_outcome(gx, end, result);
 	if (end != CS_UNREACHABLE && end != CS_NOT_RUN) {
 		gx->runs++;
--- a/src/gateway/exchange_send.c
+++ b/src/gateway/exchange_send.c
@@ -190,6 +190,7 @@
 	    .handler = &gx_call_handler,
 	    .ctx = gx};
 
+	gx->paused = false;
 	gx->now = (struct gx_attempt){.server = server,
 	    .role = s->role,
 	    .born_ms = s->said.born_ms,
@@ -445,7 +446,7 @@
 	    .gap_goal_ms = gx->route->gap_goal_ms,
 	    .expected_ms = gx->now.expected_ms};
 
-	return gx->now.call != NULL ? pa_limit_us(&in) : 0;
+	return gx->now.call != NULL && !gx->paused ? pa_limit_us(&in) : 0;
 }
 
 /*
--- a/src/http/front.c
+++ b/src/http/front.c
@@ -356,8 +356,12 @@
 	struct hf_exchange *x = ctx;
 
 	x->parsing = true;
-	if ((events & LOOP_WRITE) && x->out.len > 0)
+	if ((events & LOOP_WRITE) && x->out.len > 0) {
 		flush(x);
+		if (x->out.len == 0 && x->state == CONN_BUSY && !x->dead &&
+		    x->hf->options.drained != NULL)
+			x->hf->options.drained(x->hf->options.ctx, x);
+	}
 	if ((events & LOOP_READ) && !x->dead)
 		read_some(x);
 	x->parsing = false;
--- a/src/http/front.h
+++ b/src/http/front.h
@@ -49,6 +49,8 @@
 	uint32_t connections_max;
 	struct hf_limits limits;
 	const struct hf_handler *handler;
+	/* The caller has taken all of an answer under way so far; or NULL. */
+	void (*drained)(void *ctx, struct hf_exchange *x);
 	void *ctx;
 };
 
--- a/src/http/upstream.c
+++ b/src/http/upstream.c
@@ -12,7 +12,11 @@
 	HU_READ_BYTES = 16 * 1024,
 	HU_USER_TIMEOUT_MS = 3000, /* unacknowledged bytes end a connection */
 	HU_KEEP_MARGIN_MS = 700, /* left unused before a server's own timeout */
-	HU_SWEEP_US = 500000
+	HU_SWEEP_US = 500000,
+	HU_INTERIM_MAX = 16, /* heads before that of the answer */
+	HU_OTHERS_MAX = 4, /* whole answers to earlier calls */
+	HU_FRAMING_BYTES = 256 * 1024, /* beside the body, and */
+	HU_FRAMING_A_BYTE = 8 /* for each byte of it, as in short chunks */
 };
 
 /* One connection; with a call, or idle. */
@@ -49,6 +53,10 @@
 	unsigned int status;
 	int refusal;
 	bool refused;
+	uint32_t heads; /* interim ones */
+	uint32_t others; /* answers to other calls */
+	uint64_t received; /* bytes, and of these */
+	uint64_t body; /* bytes of the body */
 	int64_t sent_us; /* when its first byte left */
 	bool is_head;
 	bool sent;
@@ -175,8 +183,11 @@
 	hh_finish(&c->headers);
 	if (call == NULL)
 		return -1;
-	if (parser->status_code < 200)
-		return 0;
+	if (parser->status_code < 200) {
+		if (++call->heads > HU_INTERIM_MAX)
+			call->refusal = ERR_TOO_LARGE;
+		return call->refusal;
+	}
 	verdict = call->handler->head(
 	    call->ctx, call, parser->status_code, &c->headers);
 	if (c->call != call) /* cancelled from there */
@@ -187,6 +198,10 @@
 	}
 	note_keep_alive(c);
 	c->skipping = verdict == HU_NOT_OURS;
+	if (c->skipping && ++call->others > HU_OTHERS_MAX) {
+		call->refusal = ERR_TOO_LARGE;
+		return -1;
+	}
 	if (!c->skipping) {
 		call->status = parser->status_code;
 		c->head_told = true;
@@ -205,6 +220,7 @@
 		return -1;
 	if (c->skipping)
 		return 0;
+	call->body += len;
 	verdict = call->handler->data(call->ctx, call, data, len);
 	if (c->call != call)
 		return -1;
@@ -251,12 +267,27 @@
 	finish(c, 0, false);
 }
 
+/* Whether a server sends far more than it says, as far as was parsed. */
+static bool
+is_framing_unending(const struct hu_call *call)
+{
+	return call->received > HU_FRAMING_BYTES + HU_READ_BYTES +
+				    call->body * (HU_FRAMING_A_BYTE + 1);
+}
+
 static void
 parse(struct conn *c, const char *data, size_t len)
 {
 	size_t taken;
 	bool eof = len == 0;
 
+	if (c->call != NULL) {
+		c->call->received += len;
+		if (is_framing_unending(c->call)) {
+			conn_failed(c, ERR_TOO_LARGE, false);
+			return;
+		}
+	}
 	taken = http_parser_execute(&c->parser, &parser_settings, data, len);
 	if (c->dead)
 		return;
@@ -270,6 +301,8 @@
 		conn_failed(c,
 		    c->call->status != 0 ? ERR_UPSTREAM_CUT : ERR_UPSTREAM,
 		    true);
+	} else if (HTTP_PARSER_ERRNO(&c->parser) == HPE_HEADER_OVERFLOW) {
+		conn_failed(c, ERR_TOO_LARGE, false);
 	} else if (HTTP_PARSER_ERRNO(&c->parser) != HPE_OK ||
 		   c->parser.upgrade) {
 		conn_failed(c, ERR_UPSTREAM_CUT, false);
--- a/src/http/upstream.h
+++ b/src/http/upstream.h
@@ -21,6 +21,11 @@
  * libhttp-parser.  It never sends anything a second time by itself, and it
  * tells exactly whether a byte of a request has left.
  *
+ * What a server sends is bounded: the fields of a head, the heads and whole
+ * answers before the one that is waited for, and all that frames a body but is
+ * no part of it.  Beyond that a call ends with ERR_TOO_LARGE.  How long a body
+ * may be is the handler's to decide.
+ *
  * A connection carries one call at a time and is kept for the next one after a
  * whole answer.  One on which anything comes while no call waits, or that has
  * more bytes after an answer, is closed.  hu_cancel() closes the connection,
--- /dev/null
+++ b/test/process/endless.sh
@@ -0,0 +1,92 @@
+#!/bin/bash
+# Backend servers whose answers never end: the entry's memory and each request's
+# time are bounded, the connection is closed, and callers get another server or
+# a true error.
+. "$(dirname "$0")/gateway.bash"
+
+document() {
+	cat <<EOF
+{"version":$1,"routes":[
+{"name":"plain","host":"h.example","path_prefix":"/","kind":"idempotent","timeout_ms":$2,"goal_ms":1000,"max_attempts":3,"service":"s"},
+{"name":"raw","host":"h.example","path_prefix":"/raw/","kind":"idempotent","timeout_ms":$2,"goal_ms":1000,"max_attempts":2,"service":"raw"},
+{"name":"once","host":"h.example","path_prefix":"/once/","kind":"non_idempotent","timeout_ms":$2,"goal_ms":1000,"max_attempts":2,"service":"raw"},
+{"name":"stream","host":"h.example","path_prefix":"/s/","kind":"streaming","timeout_ms":$2,"max_attempts":2,"service":"raw"}],
+"services":[{"name":"s","max_connections":1000},{"name":"raw","max_connections":1000}],
+"tenants":[{"name":"w","api_keys":["k1"]}]}
+EOF
+}
+timeout_ms=2500
+memory_max_kb=80000 # half of what the users' entry instances have
+
+for n in 11 12 13; do state $n true; done
+entry 21 --retry-window-ms 1000 --retry-slack 400
+start good cf-fake-server s-1 127.0.0.1:0
+good=${addr##*:}
+start raw cf-fake-raw 0
+raw=${addr##*:}
+put 1 $timeout_ms
+slots=400
+announce s-1 "$good"
+# announce() is for the service "s"; the other one is told here.
+announce_raw() {
+	seq_no=$((seq_no + 1))
+	curl -s -m 1 -o /dev/null -X PUT -d "{\"service\":\"raw\",\"address\":\"127.0.0.1:$raw\",
+	    \"zone\":\"a\",\"version\":\"v1\",\"slots\":400,\"state\":\"ready\",
+	    \"cold_left_ms\":0,\"seq\":$seq_no,\"born\":$started}" \
+	    "http://127.0.0.11:$control/api/instances/raw-1"
+}
+keep_announcing() {
+	while [ -e "$dir/serving" ]; do
+		announce s-1 "$good"
+		announce_raw
+		sleep 1
+	done
+}
+touch "$dir/serving"
+keep_announcing &
+announcer=$!
+await_entries 21
+until_says 'server=raw-1' cat "$dir/i21.log"
+check 'the server is known' 0 $?
+peak_kb() { sed -n 's/^VmHWM:[^0-9]*\([0-9]*\).*/\1/p' "/proc/${pid_of[21]}/status"; }
+now_ms() { awk '{ printf "%d\n", $1 * 1000 }' /proc/uptime; }
+
+i=0
+for path in /raw/head/ /raw/line/ /raw/interim/ /raw/other/ /raw/body/ /raw/chunks/ \
+    /raw/extension/ /raw/trailer/ /once/body/ /once/head/ /s/event/; do
+	i=$((i + 1))
+	from=$(now_ms)
+	code=$(status 21 "${path}$i" "e$i" -m 5)
+	took=$(($(now_ms) - from))
+	check "$path: an error that promises nothing" 1 "$((code == 502 || code == 504))"
+	check "$path: within the request's time" 1 "$((took < timeout_ms + 500))"
+	until_says "^sent [0-9]* /${path#/*/}" cat "$dir/raw.out"
+	check "$path: the connection is closed" 0 $?
+done
+check 'answers without an end are counted' 1 \
+    "$(($(metric 21 'celeryford_answers_unending_total{}') >= 10))"
+check 'and logged with the server' 1 \
+    "$(($(grep -c 'event=answer_unending.* server=raw-1' "$dir/i21.log") >= 10))"
+check 'other requests are served meanwhile' 200 "$(status 21 /ok/1 r1)"
+
+# Callers that don't read a stream whose events come as fast as they can.
+for n in 1 2 3 4; do
+	ask 21 "/s/events/$n" "ev$n" --limit-rate 10K -m 4 -o /dev/null &
+	readers="${readers:-} $!"
+done
+# Many such answers at the same time.
+ask 21 '/raw/body/[1-60]' many -Z --parallel-immediate --parallel-max 60 -o /dev/null -m 6 &
+for _ in 1 2 3 4 5; do
+	check 'others are served meanwhile' 200 "$(status 21 /ok/2 r2)"
+	sleep 0.3
+done
+wait $! $readers
+rm "$dir/serving"
+wait $announcer
+echo "      peak $(peak_kb) KB"
+# A sanitizer keeps memory that is free.
+if ldd "$build/celeryford-gateway" | grep -q libasan; then
+	echo 'skip  memory, under AddressSanitizer'
+else
+	check 'all of it stays within half of the memory limit' 1 "$(($(peak_kb) < memory_max_kb))"
+fi
--- a/test/unit/http_wire_test.cc
+++ b/test/unit/http_wire_test.cc
@@ -406,6 +406,54 @@
 	EXPECT_EQ(1u, hu_dialled(hu));
 }
 
+/* What a server sends without an end, in a head or around a body. */
+TEST_F(Upstream, WhatHasNoEndIsCutOff)
+{
+	const std::string ok = "HTTP/1.1 200 OK\r\nX-Id: 1\r\n";
+	const std::string chunked = ok + "Transfer-Encoding: chunked\r\n\r\n";
+	const std::string other =
+	    "HTTP/1.1 200 OK\r\nX-Id: 2\r\nContent-Length: 2\r\n\r\nok";
+	struct {
+		const char *what;
+		std::string first, again;
+	} cases[] = {
+	    {"fields", ok, "X-More: 0123456789abcdef\r\n"},
+	    {"a line", ok + "X-Long", "0123456789abcdef"},
+	    {"interim heads", "", "HTTP/1.1 103 Early Hints\r\n\r\n"},
+	    {"answers to others", "", other},
+	    {"an extension", chunked + "1;x=", "0123456789abcdef"},
+	    {"trailers", chunked + "1\r\nx\r\n0\r\n", "X-More: 0123456789\r\n"},
+	};
+
+	for (const auto &c : cases) {
+		Seen seen;
+		std::string more;
+		size_t sent = 0;
+		int at;
+
+		seen.only_id = "1";
+		start(&seen);
+		at = answer(c.first.empty() ? c.again : c.first);
+		ASSERT_GE(at, 0);
+		while (more.size() < 8192)
+			more += c.again;
+		l.until([&] {
+			ssize_t n = send(conns[(size_t)at], more.data(),
+			    more.size(), MSG_NOSIGNAL);
+
+			sent += n > 0 ? (size_t)n : 0;
+			more = n > 0 ? more.substr((size_t)n) +
+					   more.substr(0, (size_t)n)
+				     : more;
+			return seen.done;
+		});
+		EXPECT_TRUE(seen.done) << c.what;
+		EXPECT_EQ(ERR_TOO_LARGE, seen.result.error) << c.what;
+		EXPECT_LT(sent, 2u << 20) << c.what;
+		hu_forget(hu, &address);
+	}
+}
+
 /* The connection of a probe serves the next call; one that is refused is told.
  */
 TEST_F(Upstream, AProbeTellsWhetherAServerIsThere)
