Know servers in trouble by each gap of a stream, not one time an answer

Cause: whether a server of the old version is much slower than its like was learned from one time an answer, a few a server and instance in ten seconds, so slow servers became the measure of a new version.

Each gap beside no reading counts now.

--- a/src/gateway/exchange_answer.c
+++ b/src/gateway/exchange_answer.c
@@ -29,6 +29,8 @@
 };
 
 static const double gap_weight = 0.02; /* of the newest time between events */
+static const double server_gap_weight = 0.05; /* the same, for its server */
+static const double server_time_weight = 0.3; /* of its newest plain answer */
 static const double gap_scale_ms = 16; /* stands for gaps as long as usual */
 
 /* What was seen of the versions here, while a roll-out judges one. */
@@ -60,28 +62,42 @@
 	return fresh ? &row->fresh : &row->known;
 }
 
+/* Whether the attempt's server was warm, and is in the same life. */
+static bool
+is_measure(const struct gx *gx)
+{
+	return !gx->now.cold &&
+	       pl_at(gx->ge->pool, gx->now.server)->said.born_ms ==
+		   gx->now.born_ms;
+}
+
 /*
- * Notes how long an answer took, for its server and for the judgement of a
- * roll-out.  Servers that are cold, and those of the old version that are much
- * slower than their like, are no measure.
+ * Notes how long an answer took for the judgement of a roll-out.  Servers that
+ * are cold, and those of the old version that are much slower than their like,
+ * are no measure.
  */
 static void
 note_time(struct gx *gx, uint32_t load, double ms)
 {
 	struct ge *ge = gx->ge;
-	const struct pl_server *s = pl_at(ge->pool, gx->now.server);
-	bool slow = pl_is_slow(ge->pool, gx->now.server);
 	struct ev_row *row;
 	bool fresh;
 
-	if (gx->now.cold || gx->now.born_ms != s->said.born_ms)
+	if (!is_measure(gx))
 		return;
-	pl_timed(ge->pool, gx->now.server, ms);
 	row = version_row(gx, &fresh);
-	if (row != NULL && (fresh || !slow))
+	if (row != NULL && (fresh || !pl_is_slow(ge->pool, gx->now.server)))
 		ti_add(fresh ? &row->fresh_times : &row->known_times, load, ms);
 }
 
+/* Notes how long a server took, so that those in trouble are known. */
+static void
+note_server_time(struct gx *gx, double ms, double weight)
+{
+	if (is_measure(gx))
+		pl_timed(gx->ge->pool, gx->now.server, ms, weight);
+}
+
 /* Whether the attempt's server has over half of its slots busy, as it says. */
 static bool
 is_loaded(const struct gx *gx)
@@ -96,12 +112,13 @@
 note_answer(struct gx *gx, bool failed)
 {
 	struct vd_counts *counts = version_counts(gx);
+	const struct pl_server *s = pl_at(gx->ge->pool, gx->now.server);
+	double ms = (double)hu_taken_us(gx->now.call) / US_PER_MS;
 
-	if (!failed && gx->route->kind != RT_STREAM)
-		note_time(gx,
-		    ti_load_of(gx->now.load,
-			pl_at(gx->ge->pool, gx->now.server)->said.slots),
-		    (double)hu_taken_us(gx->now.call) / US_PER_MS);
+	if (!failed && gx->route->kind != RT_STREAM) {
+		note_time(gx, ti_load_of(gx->now.load, s->said.slots), ms);
+		note_server_time(gx, ms, server_time_weight);
+	}
 	if (counts == NULL)
 		return;
 	counts->answers++;
@@ -380,7 +397,11 @@
 	if (*learned == 0)
 		return;
 	time_gap(gx, *learned, gap_us);
-	if (counts == NULL || is_reading(gx))
+	if (is_reading(gx))
+		return;
+	note_server_time(
+	    gx, gap_scale_ms * (double)gap_us / *learned, server_gap_weight);
+	if (counts == NULL)
 		return;
 	counts->gaps++;
 	counts->slow_gaps += (double)gap_us > SLOW_FACTOR * *learned;
--- a/src/route/pool.c
+++ b/src/route/pool.c
@@ -28,7 +28,6 @@
 };
 
 static const double failing_weight = 0.15; /* of the newest outcome */
-static const double time_weight = 0.3; /* of the newest time */
 static const double slow_times = 2; /* as long as others take */
 static const double others_share = 0.25; /* of the servers, at the least */
 static const double refusing_weight = 0.3; /* of the newest answer */
@@ -775,14 +774,14 @@
 	}
 }
 
-/* Notes how long an answer of a server took. */
+/* Notes how long a server took, with the weight of it in the moving mean. */
 void
-pl_timed(struct pl *pl, uint16_t server, double ms)
+pl_timed(struct pl *pl, uint16_t server, double ms, double weight)
 {
 	struct pl_server *s = &pl->servers[server];
-	double weight =
-	    ++s->timed * time_weight < 1 ? 1.0 / s->timed : time_weight;
 
+	if (++s->timed * weight < 1)
+		weight = 1.0 / s->timed;
 	s->time_ms += weight * (ms - s->time_ms);
 }
 
--- a/src/route/pool.h
+++ b/src/route/pool.h
@@ -158,7 +158,7 @@
 void pl_unreachable(
     struct pl *pl, uint16_t server, bool silent, int64_t now_us);
 void pl_outcome(struct pl *pl, uint16_t server, bool failed, int64_t now_us);
-void pl_timed(struct pl *pl, uint16_t server, double ms);
+void pl_timed(struct pl *pl, uint16_t server, double ms, double weight);
 bool pl_is_slow(const struct pl *pl, uint16_t server);
 uint32_t pl_load_of(const struct pl *pl, uint16_t server, int64_t now_us);
 void pl_refused(struct pl *pl, uint16_t server, int64_t now_us);
--- a/test/unit/route_pool_test.cc
+++ b/test/unit/route_pool_test.cc
@@ -417,7 +417,7 @@
 		servers[i] = w.add("s" + std::to_string(i), "a");
 	for (int n = 0; n < 6; n++) {
 		for (int i = 0; i < 4; i++)
-			pl_timed(w.pl, servers[i], i == 0 ? 15 : 14 * i);
+			pl_timed(w.pl, servers[i], i == 0 ? 15 : 14 * i, 0.3);
 		EXPECT_TRUE(n >= 2 || !pl_is_slow(w.pl, servers[3]));
 	}
 	EXPECT_FALSE(pl_is_slow(w.pl, servers[0]));
