Count silence against a request only with proof

Cause: a caller that left, or an attempt that went elsewhere, after a second without progress counted like a connection that the server closed, so three busy servers could have a request refused for 15 s. Seen by reading; the test refuses it on the commit before.

--- a/src/gateway/exchange_answer.c
+++ b/src/gateway/exchange_answer.c
@@ -531,7 +531,7 @@
 	    "server=%s born_ms=%" PRIu64 " life=%016" PRIx64
 	    " fingerprint=%016" PRIx64 " closed=%d",
 	    s->said.id, gx->now.born_ms, life.life, gx->fingerprint, closed);
-	su_broken(ge->suspects, &life, gx->fingerprint, gx_now(gx));
+	su_broken(ge->suspects, &life, gx->fingerprint, closed, gx_now(gx));
 	if (closed && s->said.born_ms == gx->now.born_ms)
 		ge_probe(ge, gx->now.server);
 }
--- a/src/route/suspects.c
+++ b/src/route/suspects.c
@@ -13,6 +13,7 @@
 	uint64_t fingerprint;
 	struct su_life life;
 	int64_t at_us;
+	bool closed; /* by the server; else it just fell silent */
 	bool answered; /* the server has answered a later request */
 	bool done; /* marked */
 };
@@ -103,10 +104,13 @@
 	    su->options.ctx, s->fingerprint, s->life.life, SU_CRASHED);
 }
 
-/* A run of a request ended with its connection, before its answer was whole. */
+/*
+ * A run of a request ended before its answer was whole: the server closed its
+ * connection, or fell silent, which busy servers do as well.
+ */
 void
 su_broken(struct su *su, const struct su_life *life, uint64_t fingerprint,
-    int64_t now_us)
+    bool closed, int64_t now_us)
 {
 	struct suspect *s;
 
@@ -117,8 +121,10 @@
 		su->dropped++;
 	}
 	s = suspect_at(su, su->count++);
-	*s = (struct suspect){
-	    .fingerprint = fingerprint, .life = *life, .at_us = now_us};
+	*s = (struct suspect){.fingerprint = fingerprint,
+	    .life = *life,
+	    .at_us = now_us,
+	    .closed = closed};
 	if (find_ended(su, life->life, now_us) != NULL)
 		prove(su, s);
 }
@@ -351,7 +357,8 @@
 		const struct suspect *s = suspect_at(su, i);
 		uint8_t k;
 
-		if (s->fingerprint != fingerprint || s->done || s->answered)
+		if (s->fingerprint != fingerprint || !s->closed || s->done ||
+		    s->answered)
 			continue;
 		for (k = 0; k < record->pending; k++) {
 			if (seen[k] == s->life.life)
--- a/src/route/suspects.h
+++ b/src/route/suspects.h
@@ -13,11 +13,11 @@
 /*
  * Requests that crash the backend servers that run them.
  *
- * A run that ends with its connection makes the request a suspect for that life
- * of the server.  The life is taken to have ended when its address refuses a
- * connection, or when a later life is heard of at its address or under its id;
- * its suspects are then marked.  An answer to a later request shows that the
- * life goes on, and clears them.
+ * A run that ends with its connection, or in silence, makes the request a
+ * suspect for that life of the server.  The life is taken to have ended when
+ * its address refuses a connection, or when a later life is heard of at its
+ * address or under its id; its suspects are then marked.  An answer to a later
+ * request shows that the life goes on, and clears them.
  *
  * A mark is the set of lives that ended under a request.  Instances tell each
  * other of its elements, so that one crash counts once however many saw it, and
@@ -60,7 +60,8 @@
 /* What is known of a request. */
 struct su_record {
 	uint8_t crashes; /* lives that ended under it */
-	uint8_t pending; /* runs broken off, of which that is not known yet */
+	uint8_t pending; /* runs that their servers broke off, of which that is
+			    not known yet */
 	int64_t
 	    oldest_us; /* when the oldest of these was broken off; 0: none */
 	int64_t marked_us; /* when the mark changed last; 0: none */
@@ -72,7 +73,7 @@
 struct su *su_new(const struct su_options *options);
 void su_free(struct su *su);
 void su_broken(struct su *su, const struct su_life *life, uint64_t fingerprint,
-    int64_t now_us);
+    bool closed, int64_t now_us);
 uint32_t su_answered(
     struct su *su, uint64_t life, int64_t sent_us, int64_t now_us);
 uint32_t su_ended(struct su *su, uint64_t life, int64_t now_us);
--- a/test/unit/suspects_test.cc
+++ b/test/unit/suspects_test.cc
@@ -57,12 +57,12 @@
 		i->take(&note);
 	}
 
-	void broken(uint64_t life, uint64_t fingerprint)
+	void broken(uint64_t life, uint64_t fingerprint, bool closed = true)
 	{
 		/* Two lives of a server share its address, not its name. */
 		struct su_life l = {life, life, life / 100};
 
-		su_broken(su, &l, fingerprint, now_us);
+		su_broken(su, &l, fingerprint, closed, now_us);
 	}
 	void crash(uint64_t life, std::vector<uint64_t> fingerprints)
 	{
@@ -154,6 +154,19 @@
 	EXPECT_EQ(1, a.crashes(9));
 }
 
+/* Requests at servers that are busy for long are no reason to refuse them. */
+TEST(Suspects, SilenceCountsOnlyWithProof)
+{
+	instance a;
+	struct su_life next = {301, 301, 3};
+
+	for (uint64_t life : {300, 400, 500})
+		a.broken(life, 7, false);
+	EXPECT_EQ(0, a.pending(7));
+	EXPECT_EQ(1u, su_succeeded(a.su, &next, a.now_us));
+	EXPECT_EQ(1, a.crashes(7));
+}
+
 TEST(Suspects, AreForgottenWithoutProof)
 {
 	instance a;
