Tell new notes first, and nothing again where there is no room

Cause: an instance that lacked notes was told all of them in turn in place of the new ones, which could wait for a round; and a table that is full can never be the same as another, so both would have told each other everything once a second.

--- a/src/gateway/links.c
+++ b/src/gateway/links.c
@@ -258,18 +258,22 @@
 	}
 }
 
-/* All notes in turn, for an instance that lacks some. */
+/* Those that are new, and all others in turn, for one that lacks some. */
 static void
 collect_all_notes(
     struct gw_links *links, struct nt_peer *peer, struct report *report)
 {
+	int64_t now_us = loop_now_us(links->gw->loop);
 	size_t count = nt_count(links->notes);
 
-	report->note_count = 0;
-	for (size_t i = 0; i < count && i < NOTES_MAX; i++) {
+	collect_notes(links, report);
+	for (size_t i = 0; i < count && report->note_count < NOTES_MAX; i++) {
+		const struct nt_note *note;
+
 		peer->next = (uint32_t)((peer->next + 1) % count);
-		add_note(report, nt_at(links->notes, peer->next),
-		    loop_now_us(links->gw->loop));
+		note = nt_at(links->notes, peer->next);
+		if (now_us - note->heard_us > NT_SPREAD_US)
+			add_note(report, note, now_us);
 	}
 }
 
--- a/src/gateway/notes.c
+++ b/src/gateway/notes.c
@@ -170,13 +170,15 @@
 /*
  * Whether another instance should be told all notes: its sum was another for so
  * many rounds, and either nothing new was heard for as long as news is repeated
- * or it has just begun to hear.
+ * or it has just begun to hear.  A table without room can't be made the same as
+ * others.
  */
 bool
 nt_should_tell_all(const struct nt *nt, const struct nt_peer *peer,
     uint32_t rounds, int64_t now_us)
 {
-	return peer->rounds >= rounds && nt->count > 0 &&
+	return peer->rounds >= rounds && nt->count > 0 && nt->count < NT_MAX &&
+	       nt->held < NT_HELD_MAX &&
 	       (peer->lacks_most || now_us - nt->changed_us >= NT_SPREAD_US);
 }
 
--- a/test/unit/notes_test.cc
+++ b/test/unit/notes_test.cc
@@ -191,5 +191,10 @@
 	EXPECT_FALSE(nt_should_tell_all(nt, &peer, 3, 2000));
 	nt_compare(&peer, &own, &own);
 	EXPECT_FALSE(nt_should_tell_all(nt, &peer, 1, 2000));
+	/* What finds no room would be told again and again. */
+	nt_compare(&peer, &own, &none);
+	for (uint64_t key = 0; key < NT_HELD_MAX; key++)
+		take(nt, NT_HELD, key, 1, 1000);
+	EXPECT_FALSE(nt_should_tell_all(nt, &peer, 1, 9000000));
 	nt_free(nt);
 }
