Let news bring the next greeting forward, never put it off

Cause: each new note set the next greeting 10 ms from then, so a series of notes less than 10 ms apart kept all of them from leaving, marks of requests that end servers among them. Found by reading, looking for why process_crashing ends more servers than three at times; whether it is that is not shown. Change: a greeting that is due sooner stays, as set_push() does it.

--- a/src/gateway/links.c
+++ b/src/gateway/links.c
@@ -60,13 +60,14 @@
 	struct nt_sum note_sum; /* as of sum_us */
 	int64_t sum_us;
 	struct loop_timer *hello;
+	int64_t hello_us;
 	struct loop_timer *push;
 	int64_t push_us;
 	struct loop_timer *tick;
 };
 
 static void set_push(struct gw_links *links, int64_t delay_us);
-static void on_hello_timer(void *ctx);
+static void set_hello(struct gw_links *links, int64_t delay_us);
 
 /* Writes an instance's address as text. */
 void
@@ -382,8 +383,22 @@
 		wait_us = HELLO_FIRST_US;
 	else if (links->gw->entry != NULL && ge_has_outcomes(links->gw->entry))
 		wait_us = REPORT_US;
+	links->hello = NULL;
+	set_hello(links, wait_us);
+}
+
+/* Greets after a while, or sooner if that is due: news must not put it off. */
+static void
+set_hello(struct gw_links *links, int64_t delay_us)
+{
+	int64_t at_us = loop_now_us(links->gw->loop) + delay_us;
+
+	if (links->hello != NULL && links->hello_us <= at_us)
+		return;
+	loop_cancel(links->hello);
+	links->hello_us = at_us;
 	links->hello =
-	    loop_after(links->gw->loop, wait_us, on_hello_timer, links);
+	    loop_after(links->gw->loop, delay_us, on_hello_timer, links);
 }
 
 enum {
@@ -560,11 +575,8 @@
 	links->notes_due = true;
 	set_push(links, PUSH_URGENT_US);
 	/* An instance without subscribers tells those that have some. */
-	if (gw->control == NULL) {
-		loop_cancel(links->hello);
-		links->hello =
-		    loop_after(gw->loop, PUSH_URGENT_US, on_hello_timer, links);
-	}
+	if (gw->control == NULL)
+		set_hello(links, PUSH_URGENT_US);
 }
 
 /* Makes something known to every entry instance, this one included. */
@@ -895,7 +907,7 @@
 	if (serves_control(gw))
 		(void)kn_get(&links->known, gw->self);
 	gw_reseed(gw);
-	links->hello = loop_after(gw->loop, 0, on_hello_timer, links);
+	set_hello(links, 0);
 	links->tick = loop_after(gw->loop, REGISTRY_TICK_US, on_tick, links);
 	return 0;
 }
