Probe a server that is ending until it refuses, and tell of its end

Cause: the probe after a broken run could be taken, or reset, by the process that was ending, and then proved nothing; the life counted as a crash only when another request was refused there, 0.3 s later, and copies of the request ended two or three servers more. Another entry had been refused at once and told nobody, since only its own suspects were marked.

Change: a probe that is closed before use is dialled again, five times at most; the end of a life goes out as a note. http_wire_test (AProbeThatIsClosedIsMadeAgain) shows the first.

--- a/src/gateway/entry.c
+++ b/src/gateway/entry.c
@@ -232,6 +232,11 @@
 		break;
 	case NT_LEAVING:
 		break; /* the registry has told */
+	case NT_ENDED:
+		/* Of its suspects here, this instance may have no proof. */
+		(void)su_ended(
+		    ge->suspects, note->key, loop_now_us(ge->gw->loop));
+		break;
 	case NT_CRASH:
 		ge->crash_marks->value++;
 		su_take(ge->suspects, note->key, note->part,
@@ -252,9 +257,13 @@
 void
 ge_server_refuses(struct ge *ge, const struct rg_server *server)
 {
-	log_crashed(server, "refuses_connections",
-	    su_ended(ge->suspects, rg_life_of(server->id, server->born_ms),
-		loop_now_us(ge->gw->loop)));
+	uint64_t life = rg_life_of(server->id, server->born_ms);
+	uint32_t marked =
+	    su_ended(ge->suspects, life, loop_now_us(ge->gw->loop));
+
+	log_crashed(server, "refuses_connections", marked);
+	if (marked > 0)
+		gw_spread(ge->gw, NT_ENDED, life, 0, 1);
 }
 
 /* Returns the share of a service's sessions that a new version gets. */
--- a/src/gateway/notes.h
+++ b/src/gateway/notes.h
@@ -35,7 +35,8 @@
 			 ended under it (part): an enum su_state */
 	NT_HELD = 2, /* a session stays with the version it began on, in the
 			roll-out with that number */
-	NT_LEAVING = 3 /* a server's answers say that it leaves (its life) */
+	NT_LEAVING = 3, /* a server's answers say that it leaves (its life) */
+	NT_ENDED = 4 /* a server's life has ended without notice */
 };
 
 struct nt_note {
--- a/src/http/upstream.c
+++ b/src/http/upstream.c
@@ -13,6 +13,7 @@
 	HU_USER_TIMEOUT_MS = 3000, /* unacknowledged bytes end a connection */
 	HU_KEEP_MARGIN_MS = 700, /* left unused before a server's own timeout */
 	HU_SWEEP_US = 500000,
+	HU_PROBES_MAX = 5, /* dials of an address, while it closes them */
 	HU_INTERIM_MAX = 16, /* heads before that of the answer */
 	HU_OTHERS_MAX = 4, /* whole answers to earlier calls */
 	HU_FRAMING_BYTES = 256 * 1024, /* beside the body, and */
@@ -33,7 +34,7 @@
 	int64_t dialled_us;
 	int64_t round_trip_us; /* as long as connecting took */
 	bool connecting;
-	bool probe; /* made by hu_probe(); nobody has used it yet */
+	uint8_t probe; /* of hu_probe(), which dial; nobody has used it yet */
 	bool used; /* has served a call */
 	bool head_told;
 	bool skipping; /* the answer belongs to another call */
@@ -309,6 +310,50 @@
 	}
 }
 
+static struct conn *dial(struct hu *hu, const struct sockaddr_in *address);
+
+static void
+dial_probe(struct hu *hu, const struct sockaddr_in *address, uint8_t number)
+{
+	struct conn *c = dial(hu, address);
+
+	if (c == NULL)
+		return;
+	c->probe = number;
+	c->idle_until_us = loop_now_us(hu->options.loop) +
+			   (int64_t)hu->options.connect_timeout_ms * 1000;
+}
+
+/* A probe found no server; refused: nothing listens at the address. */
+static void
+probe_failed(const struct conn *c, bool refused)
+{
+	struct hu *hu = c->hu;
+
+	if (c->probe != 0 && hu->options.probed != NULL)
+		hu->options.probed(hu->options.ctx, &c->address, refused);
+}
+
+/*
+ * The connection of a probe was closed before a call used it.  A process that
+ * is ending still takes some, so that tells nothing yet: the next one does.
+ */
+static void
+probe_closed(const struct conn *c)
+{
+	if (c->probe != 0 && c->probe < HU_PROBES_MAX)
+		dial_probe(c->hu, &c->address, c->probe + 1);
+}
+
+/* The connection of a probe waits for the next call. */
+static void
+probe_succeeded(struct conn *c)
+{
+	c->idle_until_us = loop_now_us(c->hu->options.loop) +
+			   (int64_t)c->hu->options.connect_timeout_ms * 1000;
+	loop_rewatch(c->watch, LOOP_READ);
+}
+
 static void
 read_some(struct conn *c)
 {
@@ -319,6 +364,7 @@
 		return;
 	if (c->call == NULL) {
 		/* Closed, or bytes that no call waits for. */
+		probe_closed(c);
 		conn_free(c);
 		return;
 	}
@@ -357,29 +403,6 @@
 	    c->watch, c->out.len > 0 ? LOOP_READ | LOOP_WRITE : LOOP_READ);
 }
 
-/* Tells the owner once that a probe found no server. */
-static void
-probe_failed(struct conn *c, bool refused)
-{
-	struct hu *hu = c->hu;
-
-	if (c->probe && hu->options.probed != NULL)
-		hu->options.probed(hu->options.ctx, &c->address, refused);
-	c->probe = false;
-}
-
-/* The connection of a probe waits for the next call. */
-static void
-probe_succeeded(struct conn *c)
-{
-	struct hu *hu = c->hu;
-
-	c->probe = false;
-	c->idle_until_us = loop_now_us(hu->options.loop) +
-			   (int64_t)hu->options.connect_timeout_ms * 1000;
-	loop_rewatch(c->watch, LOOP_READ);
-}
-
 static void
 on_conn(void *ctx, int events)
 {
@@ -394,6 +417,8 @@
 		if (problem != 0) {
 			if (c->call != NULL)
 				c->call->refused = problem == ECONNREFUSED;
+			else if (problem == ECONNRESET)
+				probe_closed(c);
 			else
 				probe_failed(c, problem == ECONNREFUSED);
 			conn_failed(c, ERR_UPSTREAM, false);
@@ -511,6 +536,7 @@
 	call->is_head = request->is_head;
 	call->reused = reused;
 	c->call = call;
+	c->probe = 0;
 	c->complete = c->head_told = c->skipping = false;
 	http_parser_init(&c->parser, HTTP_RESPONSE);
 	c->parser.data = c;
@@ -554,27 +580,6 @@
 	return call->sent;
 }
 
-/*
- * Dials an address to see whether a server is there; options.probed() hears if
- * not.  One probe of an address is under way at a time.
- */
-void
-hu_probe(struct hu *hu, const struct sockaddr_in *address)
-{
-	struct conn *c;
-
-	for (c = hu->conns; c != NULL; c = c->next) {
-		if (c->probe && same_address(&c->address, address))
-			return;
-	}
-	c = dial(hu, address);
-	if (c == NULL)
-		return;
-	c->probe = true;
-	c->idle_until_us = loop_now_us(hu->options.loop) +
-			   (int64_t)hu->options.connect_timeout_ms * 1000;
-}
-
 /*
  * Returns how long the server has had a request that was sent, without the way
  * there and back.
@@ -588,6 +593,21 @@
 	return call->sent && us > 0 ? us : 0;
 }
 
+/*
+ * Dials an address to see whether a server is there; options.probed() hears if
+ * not.  One probe of an address is under way at a time.
+ */
+void
+hu_probe(struct hu *hu, const struct sockaddr_in *address)
+{
+	for (struct conn *c = hu->conns; c != NULL; c = c->next) {
+		if (c->probe != 0 && c->connecting &&
+		    same_address(&c->address, address))
+			return;
+	}
+	dial_probe(hu, address, 1);
+}
+
 /* Closes the idle connections to an address whose server is gone. */
 void
 hu_forget(struct hu *hu, const struct sockaddr_in *address)
@@ -596,7 +616,7 @@
 
 	for (struct conn *c = hu->conns; c != NULL; c = next) {
 		next = c->next;
-		if (c->call == NULL && !c->probe &&
+		if (c->call == NULL && (c->probe == 0 || !c->connecting) &&
 		    same_address(&c->address, address))
 			conn_free(c);
 	}
@@ -619,7 +639,8 @@
 	for (struct conn *c = hu->conns; c != NULL; c = next) {
 		next = c->next;
 		if (c->call == NULL && c->idle_until_us <= now_us) {
-			probe_failed(c, false);
+			if (c->connecting)
+				probe_failed(c, false);
 			conn_free(c);
 		}
 	}
--- a/test/unit/http_wire_test.cc
+++ b/test/unit/http_wire_test.cc
@@ -482,6 +482,25 @@
 	EXPECT_TRUE(gone.result.refused);
 }
 
+/* A process that is ending takes connections that it never answers. */
+TEST_F(Upstream, AProbeThatIsClosedIsMadeAgain)
+{
+	int fd = -1;
+
+	hu_probe(hu, &address);
+	ASSERT_TRUE(l.until([&] {
+		if (fd < 0)
+			fd = accept(listener, nullptr, nullptr);
+		return fd >= 0;
+	}));
+	close(listener);
+	listener = -1;
+	close(fd);
+	ASSERT_TRUE(l.until([&] { return !probes.empty(); }));
+	EXPECT_EQ(std::vector<bool>{true}, probes);
+	EXPECT_EQ(2u, hu_dialled(hu));
+}
+
 /* What is sent after an answer belongs to no call; neither does a late one. */
 TEST_F(Upstream, ExtraBytesReachNobody)
 {
