Give the form in which notes and outcomes travel a file of its own

Packing, choosing and reading notes and outcomes is now gateway/report.c; a route's name that is too long is refused like the others.

--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -28,6 +28,7 @@
  *	known.c		who serves control
  *	headcount.c	how many entry instances there are
  *	notes.c		what all entry instances should know soon
+ *	report.c	notes and what was seen of roll-outs, as they travel
  *	replica.c	the replicated log and its journal
  *	control.c	operators' and backend servers' calls
  *	judge.c		roll-outs, by what instances report of them
--- a/src/gateway/links.c
+++ b/src/gateway/links.c
@@ -13,6 +13,7 @@
 #include "gateway/known.h"
 #include "gateway/loads.h"
 #include "gateway/replica.h"
+#include "gateway/report.h"
 #include "route/suspects.h"
 #include "wire/cluster.pb-c.h"
 
@@ -25,7 +26,6 @@
 
 enum {
 	SEEN_MAX = 1024, /* instances that greet */
-	NOTES_MAX = 512, /* in one message, the newest first */
 	HELLO_FIRST_US = 100000, /* until somebody has answered */
 	HELLO_US = 1000000,
 	SUM_US = 250000, /* the sum of the notes is at most so old */
@@ -170,114 +170,6 @@
 	links->notes_dropped = nt_dropped(links->notes);
 }
 
-enum {
-	OUTCOMES_MAX = 256
-};
-
-struct report {
-	Clpb__Outcome outcomes[OUTCOMES_MAX];
-	Clpb__Counts counts[OUTCOMES_MAX][2];
-	Clpb__Outcome *outcome_list[OUTCOMES_MAX];
-	uint32_t times[OUTCOMES_MAX][2][TI_PACKED_MAX];
-	size_t outcome_count;
-	Clpb__Note notes[NOTES_MAX];
-	Clpb__Note *note_list[NOTES_MAX];
-	size_t note_count;
-};
-
-static void
-pack_counts(Clpb__Counts *pb, const struct vd_counts *counts)
-{
-	clpb__counts__init(pb);
-	pb->answers = counts->answers;
-	pb->failures = counts->failures;
-	pb->errors = counts->errors;
-	pb->slow = counts->slow;
-	pb->gaps = counts->gaps;
-	pb->slow_gaps = counts->slow_gaps;
-	pb->loaded = counts->loaded;
-	pb->loaded_errors = counts->loaded_errors;
-}
-
-static void
-collect_outcomes(struct gw_links *links, struct report *report)
-{
-	const struct ev *ev;
-
-	report->outcome_count = 0;
-	if (links->gw->entry == NULL)
-		return;
-	ev = ge_outcomes(links->gw->entry);
-	for (size_t i = 0; i < ev_count(ev) && i < OUTCOMES_MAX; i++) {
-		const struct ev_row *row = ev_at(ev, i);
-		Clpb__Outcome *pb = &report->outcomes[i];
-
-		clpb__outcome__init(pb);
-		pb->service = (char *)row->service;
-		pb->target = (char *)row->target;
-		pb->route = (char *)row->route;
-		pb->fresh = &report->counts[i][0];
-		pb->known = &report->counts[i][1];
-		pack_counts(pb->fresh, &row->fresh);
-		pack_counts(pb->known, &row->known);
-		pb->fresh_times = report->times[i][0];
-		pb->n_fresh_times = ti_pack(&row->fresh_times, pb->fresh_times);
-		pb->known_times = report->times[i][1];
-		pb->n_known_times = ti_pack(&row->known_times, pb->known_times);
-		report->outcome_list[i] = pb;
-		report->outcome_count++;
-	}
-}
-
-static void
-add_note(struct report *report, const struct nt_note *note, int64_t now_us)
-{
-	Clpb__Note *pb = &report->notes[report->note_count];
-
-	clpb__note__init(pb);
-	pb->kind = note->kind;
-	pb->key = note->key;
-	pb->part = note->part;
-	pb->value = note->value;
-	pb->age_ms = (uint32_t)((now_us - note->at_us) / 1000);
-	report->note_list[report->note_count++] = pb;
-}
-
-/* Notes that are new go out again and again for a while. */
-static void
-collect_notes(struct gw_links *links, struct report *report)
-{
-	int64_t now_us = loop_now_us(links->gw->loop);
-
-	report->note_count = 0;
-	for (size_t i = nt_count(links->notes);
-	     i-- > 0 && report->note_count < NOTES_MAX;) {
-		const struct nt_note *note = nt_at(links->notes, i);
-
-		if (now_us - note->heard_us <= NT_SPREAD_US)
-			add_note(report, note, now_us);
-	}
-}
-
-/* Those that are new, and all others in turn, for one that lacks some. */
-static void
-collect_all_notes(
-    struct gw_links *links, struct nt_peer *peer, struct report *report)
-{
-	int64_t now_us = loop_now_us(links->gw->loop);
-	size_t count = nt_count(links->notes);
-
-	collect_notes(links, report);
-	for (size_t i = 0; i < count && report->note_count < NOTES_MAX; i++) {
-		const struct nt_note *note;
-
-		peer->next = (uint32_t)((peer->next + 1) % count);
-		note = nt_at(links->notes, peer->next);
-		if (now_us - note->heard_us > NT_SPREAD_US)
-			add_note(report, note, now_us);
-	}
-}
-
 static const struct nt_sum *
 own_sum(struct gw_links *links)
 {
@@ -324,10 +216,9 @@
 }
 
 static void
-send_hello(
-    struct gw_links *links, struct kn_row *k, const struct report *report)
+send_hello(struct gw_links *links, struct kn_row *k, const struct rp *report)
 {
-	static struct report all;
+	static struct rp all;
 	Clpb__Hello hello = CLPB__HELLO__INIT;
 	Clpb__NoteSum sum;
 	struct buf bytes;
@@ -346,7 +237,8 @@
 	if (nt_should_tell_all(links->notes, &k->notes,
 		has_entry(links->gw) ? ENTRY_ROUNDS : CONTROL_ROUNDS,
 		loop_now_us(links->gw->loop))) {
-		collect_all_notes(links, &k->notes, &all);
+		rp_all_notes(&all, links->notes, &k->notes,
+		    loop_now_us(links->gw->loop));
 		hello.n_notes = all.note_count;
 		hello.notes = all.note_list;
 	}
@@ -362,10 +254,11 @@
 static void
 greet_all(struct gw_links *links)
 {
-	static struct report report;
+	static struct rp report;
 
-	collect_outcomes(links, &report);
-	collect_notes(links, &report);
+	if (links->gw->entry != NULL)
+		rp_outcomes(&report, ge_outcomes(links->gw->entry));
+	rp_new_notes(&report, links->notes, loop_now_us(links->gw->loop));
 	for (uint32_t i = 0; i < links->known.count; i++) {
 		if (links->known.rows[i].instance != links->gw->self)
 			send_hello(links, &links->known.rows[i], &report);
@@ -412,7 +305,7 @@
 	Clpb__Model models[NEWS_SERVERS_MAX][RG_MODELS_MAX];
 	Clpb__Model *model_list[NEWS_SERVERS_MAX][RG_MODELS_MAX];
 	uint64_t control[KN_MAX];
-	struct report notes;
+	struct rp notes;
 	Clpb__NoteSum note_sum;
 	uint64_t after; /* change that the receiver has */
 	int64_t now_us;
@@ -482,9 +375,10 @@
 	news.pb.entry_instances = hc_own_count(&links->entries, news.now_us);
 	if (to->subscribed && nt_should_tell_all(links->notes, &to->notes,
 				  CONTROL_ROUNDS, news.now_us))
-		collect_all_notes(links, &to->notes, &news.notes);
+		rp_all_notes(
+		    &news.notes, links->notes, &to->notes, news.now_us);
 	else
-		collect_notes(links, &news.notes);
+		rp_new_notes(&news.notes, links->notes, news.now_us);
 	pack_sum(links, &news.note_sum);
 	news.pb.note_sum = &news.note_sum;
 	news.pb.n_notes = news.notes.note_count;
@@ -597,14 +491,9 @@
 take_notes(
     struct gw_links *links, uint32_t from, Clpb__Note **notes, size_t count)
 {
-	int64_t now_us = loop_now_us(links->gw->loop);
-
 	for (size_t i = 0; i < count; i++) {
-		struct nt_note note = {.kind = (enum nt_kind)notes[i]->kind,
-		    .key = notes[i]->key,
-		    .part = notes[i]->part,
-		    .value = notes[i]->value,
-		    .at_us = now_us - (int64_t)notes[i]->age_ms * 1000};
+		struct nt_note note =
+		    rp_read_note(notes[i], loop_now_us(links->gw->loop));
 
 		take_note(links, &note, from);
 	}
@@ -624,44 +513,19 @@
 	}
 }
 
-static struct vd_counts
-unpack_counts(const Clpb__Counts *pb)
-{
-	struct vd_counts counts = {0};
-
-	if (pb != NULL)
-		counts = (struct vd_counts){pb->answers, pb->failures,
-		    pb->errors, pb->slow, pb->gaps, pb->slow_gaps, pb->loaded,
-		    pb->loaded_errors};
-	return counts;
-}
-
 static void
 take_outcomes(struct gw_links *links, uint32_t from, const Clpb__Hello *hello)
 {
 	if (links->gw->judge == NULL)
 		return;
 	for (size_t i = 0; i < hello->n_outcomes; i++) {
-		const Clpb__Outcome *pb = hello->outcomes[i];
 		struct ev_row row = {.source = hello->incarnation ^ from};
 
-		if (snprintf(row.service, sizeof(row.service), "%s",
-			pb->service) >= (int)sizeof(row.service) ||
-		    snprintf(row.target, sizeof(row.target), "%s",
-			pb->target) >= (int)sizeof(row.target))
-			continue;
-		snprintf(row.route, sizeof(row.route), "%s", pb->route);
-		row.fresh = unpack_counts(pb->fresh);
-		row.known = unpack_counts(pb->known);
-		if (!ti_unpack(
-			&row.fresh_times, pb->fresh_times, pb->n_fresh_times) ||
-		    !ti_unpack(
-			&row.known_times, pb->known_times, pb->n_known_times)) {
+		if (rp_read_outcome(hello->outcomes[i], &row))
+			gj_report(links->gw->judge, &row);
+		else
 			log_event(LOG_LEVEL_WARN, "message_unreadable",
-			    "kind=outcome service=%s", row.service);
-			continue;
-		}
-		gj_report(links->gw->judge, &row);
+			    "kind=outcome");
 	}
 }
 
--- /dev/null
+++ b/src/gateway/report.c
@@ -0,0 +1,131 @@
+#include "gateway/report.h"
+
+#include <stdio.h>
+
+static void
+pack_counts(Clpb__Counts *pb, const struct vd_counts *counts)
+{
+	clpb__counts__init(pb);
+	pb->answers = counts->answers;
+	pb->failures = counts->failures;
+	pb->errors = counts->errors;
+	pb->slow = counts->slow;
+	pb->gaps = counts->gaps;
+	pb->slow_gaps = counts->slow_gaps;
+	pb->loaded = counts->loaded;
+	pb->loaded_errors = counts->loaded_errors;
+}
+
+/* Takes what was seen of the versions of roll-outs. */
+void
+rp_outcomes(struct rp *report, const struct ev *ev)
+{
+	report->outcome_count = 0;
+	for (size_t i = 0; i < ev_count(ev) && i < RP_OUTCOMES_MAX; i++) {
+		const struct ev_row *row = ev_at(ev, i);
+		Clpb__Outcome *pb = &report->outcomes[i];
+
+		clpb__outcome__init(pb);
+		pb->service = (char *)row->service;
+		pb->target = (char *)row->target;
+		pb->route = (char *)row->route;
+		pb->fresh = &report->counts[i][0];
+		pb->known = &report->counts[i][1];
+		pack_counts(pb->fresh, &row->fresh);
+		pack_counts(pb->known, &row->known);
+		pb->fresh_times = report->times[i][0];
+		pb->n_fresh_times = ti_pack(&row->fresh_times, pb->fresh_times);
+		pb->known_times = report->times[i][1];
+		pb->n_known_times = ti_pack(&row->known_times, pb->known_times);
+		report->outcome_list[i] = pb;
+		report->outcome_count++;
+	}
+}
+
+static void
+add_note(struct rp *report, const struct nt_note *note, int64_t now_us)
+{
+	Clpb__Note *pb = &report->notes[report->note_count];
+
+	clpb__note__init(pb);
+	pb->kind = note->kind;
+	pb->key = note->key;
+	pb->part = note->part;
+	pb->value = note->value;
+	pb->age_ms = (uint32_t)((now_us - note->at_us) / 1000);
+	report->note_list[report->note_count++] = pb;
+}
+
+/* Takes the notes that are new; they go out again and again for a while. */
+void
+rp_new_notes(struct rp *report, const struct nt *notes, int64_t now_us)
+{
+	report->note_count = 0;
+	for (size_t i = nt_count(notes);
+	     i-- > 0 && report->note_count < RP_NOTES_MAX;) {
+		const struct nt_note *note = nt_at(notes, i);
+
+		if (now_us - note->heard_us <= NT_SPREAD_US)
+			add_note(report, note, now_us);
+	}
+}
+
+/* Takes those, and all others in turn, for an instance that lacks some. */
+void
+rp_all_notes(struct rp *report, const struct nt *notes, struct nt_peer *peer,
+    int64_t now_us)
+{
+	size_t count = nt_count(notes);
+
+	rp_new_notes(report, notes, now_us);
+	for (size_t i = 0; i < count && report->note_count < RP_NOTES_MAX;
+	     i++) {
+		const struct nt_note *note;
+
+		peer->next = (uint32_t)((peer->next + 1) % count);
+		note = nt_at(notes, peer->next);
+		if (now_us - note->heard_us > NT_SPREAD_US)
+			add_note(report, note, now_us);
+	}
+}
+
+static struct vd_counts
+unpack_counts(const Clpb__Counts *pb)
+{
+	struct vd_counts counts = {0};
+
+	if (pb != NULL)
+		counts = (struct vd_counts){pb->answers, pb->failures,
+		    pb->errors, pb->slow, pb->gaps, pb->slow_gaps, pb->loaded,
+		    pb->loaded_errors};
+	return counts;
+}
+
+/* Reads what an instance saw of a roll-out; false if that can't be read. */
+bool
+rp_read_outcome(const Clpb__Outcome *pb, struct ev_row *row)
+{
+	if (snprintf(row->service, sizeof(row->service), "%s", pb->service) >=
+		(int)sizeof(row->service) ||
+	    snprintf(row->target, sizeof(row->target), "%s", pb->target) >=
+		(int)sizeof(row->target) ||
+	    snprintf(row->route, sizeof(row->route), "%s", pb->route) >=
+		(int)sizeof(row->route))
+		return false;
+	row->fresh = unpack_counts(pb->fresh);
+	row->known = unpack_counts(pb->known);
+	return ti_unpack(
+		   &row->fresh_times, pb->fresh_times, pb->n_fresh_times) &&
+	       ti_unpack(&row->known_times, pb->known_times, pb->n_known_times);
+}
+
+/* Reads a note, with its time by the own clock. */
+struct nt_note
+rp_read_note(const Clpb__Note *pb, int64_t now_us)
+{
+	return (struct nt_note){.kind = (enum nt_kind)pb->kind,
+	    .key = pb->key,
+	    .part = pb->part,
+	    .value = pb->value,
+	    .at_us = now_us - (int64_t)pb->age_ms * 1000};
+}
--- /dev/null
+++ b/src/gateway/report.h
@@ -0,0 +1,48 @@
+#ifndef CF_GATEWAY_REPORT_H
+#define CF_GATEWAY_REPORT_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "gateway/notes.h"
+#include "route/evidence.h"
+#include "wire/cluster.pb-c.h"
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+/*
+ * What one instance tells others of roll-outs and of small facts, in the form
+ * in which it travels.  The lists point into the report itself, and names into
+ * what they were taken from.  Does no I/O.
+ */
+enum {
+	RP_OUTCOMES_MAX = 256,
+	RP_NOTES_MAX = 512 /* the newest first */
+};
+
+struct rp {
+	Clpb__Outcome outcomes[RP_OUTCOMES_MAX];
+	Clpb__Counts counts[RP_OUTCOMES_MAX][2];
+	uint32_t times[RP_OUTCOMES_MAX][2][TI_PACKED_MAX];
+	Clpb__Outcome *outcome_list[RP_OUTCOMES_MAX];
+	size_t outcome_count;
+	Clpb__Note notes[RP_NOTES_MAX];
+	Clpb__Note *note_list[RP_NOTES_MAX];
+	size_t note_count;
+};
+
+void rp_outcomes(struct rp *report, const struct ev *ev);
+void rp_new_notes(struct rp *report, const struct nt *notes, int64_t now_us);
+void rp_all_notes(struct rp *report, const struct nt *notes,
+    struct nt_peer *peer, int64_t now_us);
+bool rp_read_outcome(const Clpb__Outcome *pb, struct ev_row *row);
+struct nt_note rp_read_note(const Clpb__Note *pb, int64_t now_us);
+
+#ifdef __cplusplus
+}
+#endif
+
+#endif
