Decode and log the limit that a server names, without acting on it

Logs and metrics could not tell an instance that does not know a server's limit from one that knows it and goes on. Answers' Server-Limit is decoded in platform/ with the parser of Retry-After, which reads thousandths too; each change is logged (server_limit) and counted, and dispatch names what was known. The stand-in server names a limit after /set-limit/TEXT.

No change of behaviour: requests go where they went.

--- a/fakes/server/main.c
+++ b/fakes/server/main.c
@@ -25,6 +25,8 @@
  *	/leave/...	as /ok/, and announces that the server leaves
  *	/pause/...	503, not run, with a Retry-After of RETRY_AFTER_S
  *	/hang/...	no answer
+ *	/set-limit/TEXT	as /ok/; from now on answers name TEXT as the server's
+ *			limit, or none if it is empty
  *	/crash/...	the process ends before the first byte
  *	/crash-late/...	event 1, then the process ends
  *
@@ -44,9 +46,12 @@
 /* In seconds; a string, as it becomes part of a header field. */
 #define RETRY_AFTER_S "2.5"
 
+static const char set_limit_path[] = "/set-limit/";
+
 static struct loop *loop;
 static const char *server_id;
 static int shed_percent;
+static char limit_field[1024]; /* header line with the limit; "": none */
 
 struct stream {
 	struct front_exchange *x; /* NULL: the client has disconnected */
@@ -74,6 +79,14 @@
 	    request_header(x, "Celeryford-Request-Id"), server_id,
 	    request_header(x, "Celeryford-Tenant"),
 	    request_header(x, "Celeryford-Deadline-Ms"));
+	buf_adds(lines, limit_field);
+}
+
+static void
+set_limit(const char *text)
+{
+	snprintf(limit_field, sizeof(limit_field),
+	    text[0] != '\0' ? "Server-Limit: %s\r\n" : "%s", text);
 }
 
 static void
@@ -158,6 +171,8 @@
 	front_set_data(x, NULL);
 	printf("got %" PRId64 " %s\n", clock_monotonic_us() / 1000, target);
 	buf_init(&no_body, alloc_default());
+	if (strncmp(target, set_limit_path, strlen(set_limit_path)) == 0)
+		set_limit(target + strlen(set_limit_path));
 	if (strstr(target, "/crash/") != NULL)
 		crash();
 	else if (strstr(target, "/crash-late/") != NULL)
--- a/src/gateway/dialect.h
+++ b/src/gateway/dialect.h
@@ -110,6 +110,11 @@
 	uint32_t pause_ms;
 	/* A refusal asks for a pause that can't be parsed */
 	bool pause_unreadable;
+	bool has_limit; /* the server limits its requests from all instances */
+	/* that limit, in thousandths of a request a second */
+	uint32_t limit_milli_per_s;
+	/* It names a limit that can't be parsed */
+	bool limit_unreadable;
 };
 
 struct gw_dialect;
--- a/src/gateway/entry.c
+++ b/src/gateway/entry.c
@@ -670,6 +670,10 @@
 	    m, METRICS_COUNTER, "celeryford_server_pauses_total", "");
 	entry->pauses_unreadable = metrics_get(m, METRICS_COUNTER,
 	    "celeryford_server_pauses_unreadable_total", "");
+	entry->limits_heard = metrics_get(
+	    m, METRICS_COUNTER, "celeryford_server_limits_heard_total", "");
+	entry->limits_unreadable = metrics_get(m, METRICS_COUNTER,
+	    "celeryford_server_limits_unreadable_total", "");
 	entry->unending_answers = metrics_get(
 	    m, METRICS_COUNTER, "celeryford_answers_unending_total", "");
 	entry->crash_refusals = metrics_get(
--- a/src/gateway/entry.h
+++ b/src/gateway/entry.h
@@ -94,6 +94,8 @@
 	struct metrics_series *leaving_notices;
 	struct metrics_series *pauses;
 	struct metrics_series *pauses_unreadable;
+	struct metrics_series *limits_heard;
+	struct metrics_series *limits_unreadable;
 	struct metrics_series *unending_answers;
 	size_t buffered_bytes; /* of answers that are not complete yet */
 	struct metrics_series *crash_refusals;
--- a/src/gateway/exchange_answer.c
+++ b/src/gateway/exchange_answer.c
@@ -250,6 +250,29 @@
 	return true;
 }
 
+/* Records and logs the limit that an answer names, if it has changed. */
+static void
+record_limit(struct gw_exchange *ex, const struct gw_answer_header *answer)
+{
+	struct gw_entry *entry = ex->entry;
+	const struct pool_server *s =
+	    pool_server_at(entry->pool, ex->attempt.server);
+
+	if (answer->limit_unreadable) {
+		entry->limits_unreadable->value++;
+		gw_exchange_log(ex, LOG_LEVEL_WARN, "limit_unreadable",
+		    "server=%s", s->announced.id);
+		return;
+	}
+	if (!pool_record_limit(
+		entry->pool, ex->attempt.server, answer->limit_milli_per_s))
+		return;
+	entry->limits_heard->value++;
+	gw_exchange_log(ex, LOG_LEVEL_INFO, "server_limit",
+	    "server=%s born_ms=%" PRIu64 " limit_milli_per_s=%u",
+	    s->announced.id, s->announced.born_ms, answer->limit_milli_per_s);
+}
+
 /*
  * Updates what is known of the server from the head of its answer: its load,
  * and whether it is leaving or asks for a pause.  The latter two are ignored in
@@ -276,6 +299,7 @@
 	ex->attempt.server_leaving = answer->leaving;
 	if (answer->leaving && s->announced.state == REGISTRY_READY)
 		gw_entry_server_leaving(entry, &s->announced);
+	record_limit(ex, answer);
 	if (status != STATUS_UNAVAILABLE)
 		return;
 	if (answer->pause_unreadable) {
--- a/src/gateway/exchange_send.c
+++ b/src/gateway/exchange_send.c
@@ -248,13 +248,13 @@
 	    "in_flight=%u left_ms=%" PRId64 " document=%" PRIu64
 	    " session=%016" PRIx64
 	    " service=%s requests=%u repeats=%u budget=%.1f instances=%u"
-	    " leaving=%u paused=%u",
+	    " leaving=%u paused=%u limit_milli_per_s=%u",
 	    ex->route->name, s->announced.id, ex->send_count, s->role,
 	    s->running, s->waiting, s->in_flight,
 	    (ex->deadline_us - now_us) / US_PER_MS, ex->table->number,
 	    ex->request.session, ex->service_state->name, budget.requests,
 	    budget.repeats, budget.left, entry->instance_count,
-	    withdrawn.leaving, withdrawn.paused);
+	    withdrawn.leaving, withdrawn.paused, s->limit_milli_per_s);
 	if (query->by_prompt_work) {
 		ex->attempt.unread_tokens = ex->request.prompt_tokens;
 		ex->attempt.pending_ms = query->work_ms;
--- a/src/route/pool.c
+++ b/src/route/pool.c
@@ -232,6 +232,7 @@
 		s->refusal_share = 0;
 		s->paused_until_us = 0;
 		s->ramp_limit = s->in_flight_before_pause = 0;
+		s->limit_milli_per_s = 0;
 		s->down_until_us = s->ejected_until_us = 0;
 		s->failure_share = 0;
 		s->outcomes = 0;
@@ -1016,6 +1017,21 @@
 	s->in_flight_before_pause = s->in_flight;
 }
 
+/*
+ * Stores the limit that an answer names, 0 if it names none.  Returns whether
+ * it is another one than before.
+ */
+bool
+pool_record_limit(
+    struct server_pool *pool, uint16_t server, uint32_t limit_milli_per_s)
+{
+	struct pool_server *s = &pool->servers[server];
+	bool changed = s->limit_milli_per_s != limit_milli_per_s;
+
+	s->limit_milli_per_s = limit_milli_per_s;
+	return changed;
+}
+
 /*
  * Returns when the first server that may run a request ends its pause; now_us
  * if one of them is not paused, or if there is none.
--- a/src/route/pool.h
+++ b/src/route/pool.h
@@ -100,6 +100,11 @@
 	 * Own requests that were there when the pause began and have not ended
 	 */
 	uint16_t in_flight_before_pause;
+	/*
+	 * Limit that its answers name, in thousandths of a request a second
+	 * from all instances together; 0: none
+	 */
+	uint32_t limit_milli_per_s;
 	/* Prompt work of own requests that has not begun */
 	double own_backlog_ms;
 	/*
@@ -209,6 +214,8 @@
     struct server_pool *pool, uint16_t server, int64_t now_us);
 void pool_record_pause(struct server_pool *pool, uint16_t server,
     uint32_t pause_ms, int64_t now_us);
+bool pool_record_limit(
+    struct server_pool *pool, uint16_t server, uint32_t limit_milli_per_s);
 int64_t pool_earliest_resume_us(const struct server_pool *pool,
     const struct pool_query *query, int64_t now_us);
 void pool_record_acceptance(
--- a/test/unit/platform_test.cc
+++ b/test/unit/platform_test.cc
@@ -380,6 +380,38 @@
 	EXPECT_FALSE(a.has_pause || a.pause_unreadable || a.leaving);
 }
 
+TEST(PlatformHeaders, LimitsAreReadOrCountedAsUnreadable)
+{
+	std::string digits(400, '9');
+	struct {
+		const char *value;
+		bool readable;
+		uint32_t milli_per_s;
+	} rows[] = {{"1.2", true, 1200}, {"0.4", true, 400},
+	    {"20", true, 20000}, {"0", true, 0},
+	    {"1000000000", true, UINT32_MAX},
+	    {digits.c_str(), true, UINT32_MAX}, {"0.0000001", true, 0},
+	    {"", false, 0}, {"-1", false, 0}, {"1e9", false, 0},
+	    {"NaN", false, 0}, {"inf", false, 0}, {"some", false, 0},
+	    {"1.2 a second", false, 0}, {"1,2", false, 0}, {"0x10", false, 0}};
+	struct gw_answer_header a;
+
+	for (auto &row : rows) {
+		Headers h({{"Server-Limit", row.value}});
+
+		dialect->ops->read_answer(dialect, &h.header_fields, &a);
+		EXPECT_EQ(row.readable, a.has_limit) << row.value;
+		EXPECT_EQ(!row.readable, a.limit_unreadable) << row.value;
+		EXPECT_EQ(row.milli_per_s, a.limit_milli_per_s) << row.value;
+	}
+	Headers twice({{"Server-Limit", "1"}, {"Server-Limit", "2"}});
+	dialect->ops->read_answer(dialect, &twice.header_fields, &a);
+	EXPECT_TRUE(!a.has_limit && a.limit_unreadable);
+	Headers none({{"X", "1"}});
+	dialect->ops->read_answer(dialect, &none.header_fields, &a);
+	EXPECT_FALSE(a.has_limit || a.limit_unreadable);
+}
+
 TEST(GatewaySettings, LinesAreChecked)
 {
 	struct {
