--- a/src/gateway/entry.c
+++ b/src/gateway/entry.c
@@ -159,6 +159,10 @@
 	if (server->state != REGISTRY_READY && place != ROUTE_NONE)
 		upstream_close_idle(entry->client,
 		    &pool_server_at(entry->pool, place)->address);
+	/* Its limit may have been told before its announcement. */
+	if (place != ROUTE_NONE)
+		gw_redeliver_note(entry->gw, GW_NOTE_SERVER_LIMIT,
+		    pool_server_at(entry->pool, place)->life);
 	gw_entry_retry_waiting(entry);
 }
 
@@ -227,37 +231,86 @@
 
 	return (struct retry_budget_options){.permille = s->retry_permille,
 	    .slack = s->retry_slack,
-	    .instances = entry->instance_count,
+	    .instances = entry->members.count,
 	    .window_ms = s->retry_window_ms,
 	    .begun_us = entry->started_us};
 }
 
 /*
- * Sets the number of entry instances, which share the load that servers can
- * take and the slack of the retry budgets.  told_by: number of the instance
- * that reported the count.
+ * Sets the entry instances, which share the load that servers can take and the
+ * slack of the retry budgets.  told_by: number of the instance that reported
+ * them.
  */
 void
-gw_entry_set_instance_count(
-    struct gw_entry *entry, uint32_t entry_instances, uint32_t told_by)
+gw_entry_set_members(struct gw_entry *entry, const struct rate_members *members,
+    uint32_t told_by)
 {
 	char from[GW_NAME_BYTES];
 	struct retry_budget_options budget;
 
-	if (entry_instances != entry->instance_count) {
+	if (members->count != entry->members.count ||
+	    members->place != entry->members.place) {
 		gw_format_address(told_by, from);
 		log_event(LOG_LEVEL_INFO, "entry_instances",
-		    "count=%u before=%u told_by=%s", entry_instances,
-		    entry->instance_count, from);
-		entry->instance_count = entry_instances;
+		    "count=%u before=%u place=%u told_by=%s", members->count,
+		    entry->members.count, members->place, from);
+		entry->members = *members;
 	}
-	pool_set_instance_count(entry->pool, entry_instances);
+	pool_set_members(entry->pool, members);
 	budget = budget_options(entry);
 	for (struct gw_entry_service *service = entry->services;
 	     service != NULL; service = service->next)
 		retry_budget_configure(&service->budget, &budget);
 }
 
+/* Logs what is known now of the limit that a server names. */
+static void
+log_limit(struct gw_entry *entry, uint16_t server, uint32_t told_by)
+{
+	const struct pool_server *s = pool_server_at(entry->pool, server);
+	struct rate_share share =
+	    pool_share_of(entry->pool, server, loop_now_us(entry->gw->loop));
+	char from[GW_NAME_BYTES];
+
+	gw_format_address(told_by, from);
+	log_event(LOG_LEVEL_INFO, "server_limit",
+	    "server=%s born_ms=%" PRIu64 " limit_milli_per_s=%u change=%u "
+	    "told_by=%s may_send=%d share_per_s=%.3f share_burst=%.1f "
+	    "instances=%u place=%u",
+	    s->announced.id, s->announced.born_ms, s->limit.milli_per_s,
+	    s->limit.change, from, share.may_send, share.per_s, share.burst,
+	    entry->members.count, entry->members.place);
+}
+
+/*
+ * Logs a change of a server's limit that an answer to this instance names, and
+ * tells the other instances.
+ */
+void
+gw_entry_tell_limit(struct gw_entry *entry, uint16_t server)
+{
+	const struct pool_server *s = pool_server_at(entry->pool, server);
+
+	entry->limits_heard->value++;
+	log_limit(entry, server, entry->gw->self);
+	gw_publish_note(entry->gw, GW_NOTE_SERVER_LIMIT, s->life, 0,
+	    server_limit_pack(&s->limit));
+	gw_entry_retry_waiting(entry);
+}
+
+/* Applies the limit of a server that another instance was told. */
+static void
+apply_limit(struct gw_entry *entry, const struct gw_note *note)
+{
+	uint16_t server = pool_apply_limit(
+	    entry->pool, note->key, note->value, loop_now_us(entry->gw->loop));
+
+	if (server == ROUTE_NONE)
+		return;
+	log_limit(entry, server, note->told_by);
+	gw_entry_retry_waiting(entry);
+}
+
 /* Applies a note of this instance or of another one. */
 void
 gw_entry_apply_note(struct gw_entry *entry, const struct gw_note *note)
@@ -274,6 +327,9 @@
 		break;
 	case GW_NOTE_SERVER_LEAVING:
 		break; /* reported by the registry */
+	case GW_NOTE_SERVER_LIMIT:
+		apply_limit(entry, note);
+		break;
 	case GW_NOTE_SERVER_ENDED:
 		/*
 		 * This instance may hold suspects for that life without having
@@ -493,6 +549,21 @@
 		    entry->gw->loop, WAITING_RETRY_US, on_waiting_timer, entry);
 }
 
+/* Returns how many requests of the same service wait ahead of a request. */
+uint32_t
+gw_entry_waiting_ahead(
+    const struct gw_entry *entry, const struct gw_exchange *ex)
+{
+	uint32_t ahead = 0;
+
+	for (struct gw_exchange *w = entry->waiting;
+	     w != NULL &&
+	     gw_exchange_queue_rank(w) < gw_exchange_queue_rank(ex);
+	     w = *gw_exchange_next_waiting(w))
+		ahead += gw_exchange_is_same_service(w, ex);
+	return ahead;
+}
+
 /*
  * Retries all requests of the waiting queue, the most urgent first.  Those that
  * still can't be placed enqueue themselves again.
@@ -674,6 +745,8 @@
 	    m, METRICS_COUNTER, "celeryford_server_limits_heard_total", "");
 	entry->limits_unreadable = metrics_get(m, METRICS_COUNTER,
 	    "celeryford_server_limits_unreadable_total", "");
+	entry->limit_refusals = metrics_get(
+	    m, METRICS_COUNTER, "celeryford_limit_refusals_total", "");
 	entry->unending_answers = metrics_get(
 	    m, METRICS_COUNTER, "celeryford_answers_unending_total", "");
 	entry->crash_refusals = metrics_get(
--- a/src/gateway/entry.h
+++ b/src/gateway/entry.h
@@ -57,6 +57,11 @@
 	char trial_version[REGISTRY_NAME_BYTES];
 	uint32_t trial_sent; /* requests sent to the new version */
 	uint32_t trial_total; /* requests sent to any version */
+	/*
+	 * When the last caller was told to come back that was refused because
+	 * of the limits of the service's servers
+	 */
+	int64_t told_return_us;
 	struct gw_entry_service *next;
 };
 
@@ -74,8 +79,8 @@
 	struct rng rng;
 	struct gw_entry_table *table; /* NULL: no document is known */
 	struct gw_entry_service *services;
-	/* Entry instances, which share the retry slack; 0: not known */
-	uint32_t instance_count;
+	/* Entry instances, which share the retry slack and bounds of servers */
+	struct rate_members members;
 	struct gw_exchange *exchanges; /* all requests under way */
 	struct gw_exchange *waiting; /* waiting queue, most urgent first */
 	uint64_t rollout_number; /* roll-out that sessions are held for */
@@ -96,6 +101,7 @@
 	struct metrics_series *pauses_unreadable;
 	struct metrics_series *limits_heard;
 	struct metrics_series *limits_unreadable;
+	struct metrics_series *limit_refusals;
 	struct metrics_series *unending_answers;
 	size_t buffered_bytes; /* of answers that are not complete yet */
 	struct metrics_series *crash_refusals;
@@ -110,8 +116,8 @@
 void gw_entry_orders_changed(struct gw_entry *entry);
 void gw_entry_server_changed(
     struct gw_entry *entry, const struct registry_server *server);
-void gw_entry_set_instance_count(
-    struct gw_entry *entry, uint32_t entry_instances, uint32_t told_by);
+void gw_entry_set_members(struct gw_entry *entry,
+    const struct rate_members *members, uint32_t told_by);
 void gw_entry_apply_note(struct gw_entry *entry, const struct gw_note *note);
 const struct evidence_table *gw_entry_outcomes(const struct gw_entry *entry);
 bool gw_entry_has_rollout(const struct gw_entry *entry);
@@ -125,9 +131,12 @@
     struct gw_entry *entry, const char *name);
 void gw_entry_enqueue(struct gw_entry *entry, struct gw_exchange *ex);
 void gw_entry_retry_waiting(struct gw_entry *entry);
+uint32_t gw_entry_waiting_ahead(
+    const struct gw_entry *entry, const struct gw_exchange *ex);
 bool gw_entry_may_log(struct gw_entry *entry);
 void gw_entry_server_leaving(
     struct gw_entry *entry, const struct registry_server *server);
+void gw_entry_tell_limit(struct gw_entry *entry, uint16_t server);
 void gw_entry_server_refused(
     struct gw_entry *entry, const struct registry_server *server);
 void gw_entry_probe_server(struct gw_entry *entry, uint16_t server);
@@ -144,6 +153,8 @@
 void gw_exchange_touch_session(const struct gw_exchange *ex);
 struct gw_exchange *gw_exchange_next(const struct gw_exchange *ex);
 uint64_t gw_exchange_queue_rank(const struct gw_exchange *ex);
+bool gw_exchange_is_same_service(
+    const struct gw_exchange *a, const struct gw_exchange *b);
 struct gw_exchange **gw_exchange_next_waiting(struct gw_exchange *ex);
 
 #ifdef __cplusplus
--- a/src/gateway/exchange.c
+++ b/src/gateway/exchange.c
@@ -285,13 +285,24 @@
 
 /*
  * Returns the request's rank in the waiting queue: by priority, then by
- * arrival.  Lower ranks go first.
+ * arrival.  Where servers name limits, retries come after the first attempts of
+ * the same priority, except in the middle of an answer.  Lower ranks go first.
  */
 uint64_t
 gw_exchange_queue_rank(const struct gw_exchange *ex)
 {
-	return (uint64_t)ex->priority << 56 |
-	       ((uint64_t)ex->arrived_us & 0xffffffffffffffULL);
+	bool behind =
+	    ex->awaits_limit && ex->send_count > 0 && !ex->answer_begun;
+
+	return (uint64_t)ex->priority << 56 | (uint64_t)behind << 55 |
+	       ((uint64_t)ex->arrived_us & 0x7fffffffffffffULL);
+}
+
+bool
+gw_exchange_is_same_service(
+    const struct gw_exchange *a, const struct gw_exchange *b)
+{
+	return a->service_state == b->service_state;
 }
 
 /* Returns the link to the next request in the waiting queue. */
@@ -478,6 +489,7 @@
 void
 gw_exchange_retry_waiting(struct gw_exchange *ex)
 {
+	ex->in_turn = true;
 	if (ex->service_config == NULL)
 		admit_or_answer(ex);
 	else
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -86,6 +86,8 @@
 	bool answer_begun; /* the caller has received part of an answer */
 	bool is_waiting; /* is in the waiting queue now */
 	bool was_queued; /* is or has been in the waiting queue */
+	bool in_turn; /* the waiting queue has reached it */
+	bool awaits_limit; /* all servers that it may use name limits */
 	struct buf answer_head; /* header lines for the caller */
 	struct buf answer_body; /* a plain body, or an incomplete event */
 	size_t buffered_bytes; /* its part of the entry's buffered_bytes */
--- a/src/gateway/exchange_answer.c
+++ b/src/gateway/exchange_answer.c
@@ -250,27 +250,31 @@
 	return true;
 }
 
-/* Records and logs the limit that an answer names, if it has changed. */
+/*
+ * Records the limit that an answer names, or that a server which ran the
+ * request names none any more, and tells the other instances of a change.
+ */
 static void
 record_limit(struct gw_exchange *ex, const struct gw_answer_header *answer)
 {
 	struct gw_entry *entry = ex->entry;
-	const struct pool_server *s =
-	    pool_server_at(entry->pool, ex->attempt.server);
+	uint16_t server = ex->attempt.server;
+	int64_t now_us = gw_exchange_now_us(ex);
+	bool changed = false;
 
 	if (answer->limit_unreadable) {
 		entry->limits_unreadable->value++;
 		gw_exchange_log(ex, LOG_LEVEL_WARN, "limit_unreadable",
-		    "server=%s", s->announced.id);
-		return;
-	}
-	if (!pool_record_limit(
-		entry->pool, ex->attempt.server, answer->limit_milli_per_s))
-		return;
-	entry->limits_heard->value++;
-	gw_exchange_log(ex, LOG_LEVEL_INFO, "server_limit",
-	    "server=%s born_ms=%" PRIu64 " limit_milli_per_s=%u",
-	    s->announced.id, s->announced.born_ms, answer->limit_milli_per_s);
+		    "server=%s",
+		    pool_server_at(entry->pool, server)->announced.id);
+	} else if (answer->has_limit)
+		changed = pool_record_limit(entry->pool, server,
+		    answer->limit_milli_per_s, ex->attempt.sent_us, now_us);
+	else if (answer->has_proof && !answer->not_run)
+		changed = pool_record_no_limit(
+		    entry->pool, server, ex->attempt.sent_us, now_us);
+	if (changed)
+		gw_entry_tell_limit(entry, server);
 }
 
 /*
--- a/src/gateway/exchange_send.c
+++ b/src/gateway/exchange_send.c
@@ -19,7 +19,10 @@
 	/* Part of the exposure limit, the most that a bad version may get. */
 	TRIAL_EXPOSURE_PERCENT = 90,
 	/* Requests waiting at a server of a service that is no engine. */
-	PLAIN_SERVICE_WAITING_MAX = 6
+	PLAIN_SERVICE_WAITING_MAX = 6,
+	/* Callers refused because of limits are told to return within this. */
+	LIMITED_RETURN_MAX_US = 10000000,
+	US_PER_S = 1000000
 };
 
 /*
@@ -206,6 +209,33 @@
 	buf_adds(out, "\r\n");
 }
 
+/* Logs that the request goes to a server, and what decided that. */
+static void
+log_dispatch(struct gw_exchange *ex, const struct pool_server *s)
+{
+	struct gw_entry *entry = ex->entry;
+	int64_t now_us = gw_exchange_now_us(ex);
+	struct pool_withdrawn withdrawn =
+	    pool_withdrawn(entry->pool, ex->service_config->name, now_us);
+	struct retry_budget_state budget =
+	    retry_budget_read(&ex->service_state->budget, now_us);
+	bool bounded = pool_is_bounded(entry->pool, ex->attempt.server, now_us);
+
+	gw_exchange_log(ex, LOG_LEVEL_INFO, "dispatch",
+	    "route=%s server=%s send=%u role=%d load=%u+%u "
+	    "in_flight=%u left_ms=%" PRId64 " document=%" PRIu64
+	    " session=%016" PRIx64
+	    " service=%s requests=%u repeats=%u budget=%.1f instances=%u"
+	    " leaving=%u paused=%u limited=%u limit_milli_per_s=%u tokens=%.1f",
+	    ex->route->name, s->announced.id, ex->send_count, s->role,
+	    s->running, s->waiting, s->in_flight,
+	    (ex->deadline_us - now_us) / US_PER_MS, ex->table->number,
+	    ex->request.session, ex->service_state->name, budget.requests,
+	    budget.repeats, budget.left, entry->members.count,
+	    withdrawn.leaving, withdrawn.paused, withdrawn.limited,
+	    s->limit.milli_per_s, bounded ? s->bucket.tokens : -1);
+}
+
 /*
  * Sends the request to a server, logs and counts that, and records the server's
  * state for the evaluation of the answer.
@@ -217,9 +247,6 @@
 	struct gw_entry *entry = ex->entry;
 	const struct pool_server *s = pool_server_at(entry->pool, server);
 	int64_t now_us = gw_exchange_now_us(ex);
-	struct pool_withdrawn withdrawn =
-	    pool_withdrawn(entry->pool, ex->service_config->name, now_us);
-	struct retry_budget_state budget;
 	struct buf head;
 	struct upstream_request request = {.address = s->address,
 	    .head = &head,
@@ -229,7 +256,7 @@
 	    .handler = &gw_exchange_call_handler,
 	    .ctx = ex};
 
-	ex->is_paused = false;
+	ex->is_paused = ex->in_turn = ex->awaits_limit = false;
 	ex->attempt = (struct gw_attempt){.server = server,
 	    .role = s->role,
 	    .born_ms = s->announced.born_ms,
@@ -242,19 +269,7 @@
 	ex->send_count++;
 	if (ex->tried_count < GW_TRIED_SERVERS_MAX)
 		ex->tried_servers[ex->tried_count++] = server;
-	budget = retry_budget_read(&ex->service_state->budget, now_us);
-	gw_exchange_log(ex, LOG_LEVEL_INFO, "dispatch",
-	    "route=%s server=%s send=%u role=%d load=%u+%u "
-	    "in_flight=%u left_ms=%" PRId64 " document=%" PRIu64
-	    " session=%016" PRIx64
-	    " service=%s requests=%u repeats=%u budget=%.1f instances=%u"
-	    " leaving=%u paused=%u limit_milli_per_s=%u",
-	    ex->route->name, s->announced.id, ex->send_count, s->role,
-	    s->running, s->waiting, s->in_flight,
-	    (ex->deadline_us - now_us) / US_PER_MS, ex->table->number,
-	    ex->request.session, ex->service_state->name, budget.requests,
-	    budget.repeats, budget.left, entry->instance_count,
-	    withdrawn.leaving, withdrawn.paused, s->limit_milli_per_s);
+	log_dispatch(ex, s);
 	if (query->by_prompt_work) {
 		ex->attempt.unread_tokens = ex->request.prompt_tokens;
 		ex->attempt.pending_ms = query->work_ms;
@@ -305,7 +320,7 @@
 	gw_exchange_log(ex, LOG_LEVEL_WARN, "repeat_refused",
 	    "service=%s requests=%u repeats=%u budget=%.1f instances=%u",
 	    ex->service_state->name, budget.requests, budget.repeats,
-	    budget.left, ex->entry->instance_count);
+	    budget.left, ex->entry->members.count);
 }
 
 /*
@@ -374,34 +389,92 @@
 		    ex->route->name, ex->service_config->name, ex->priority,
 		    pool_server_count(ex->entry->pool));
 	ex->was_queued = true;
+	ex->in_turn = false;
 	gw_entry_enqueue(ex->entry, ex);
 }
 
 /*
- * Queues a request for which no server has room.  If all servers that may run
- * it have asked for pauses beyond the time it may wait, it is refused at once,
- * and Retry-After tells the caller when the first pause ends.
+ * Returns when a caller that is refused because of the limits of all servers
+ * should come back, in milliseconds from now.  Callers are told times as far
+ * apart as the servers take requests from this instance; one that has no share
+ * of any server sends them away for the mean time between two requests of an
+ * instance.
+ */
+static int64_t
+limited_retry_ms(struct gw_exchange *ex, const struct pool_opening *opening,
+    int64_t opens_us)
+{
+	struct gw_entry *entry = ex->entry;
+	int64_t *told_us = &ex->service_state->told_return_us;
+
+	if (opening->per_s <= 0)
+		return (int64_t)((0.5 + rng_unit(&entry->rng)) *
+				 entry->members.count / opening->all_per_s *
+				 1000);
+	*told_us += (int64_t)(US_PER_S / opening->per_s);
+	if (*told_us < opens_us || *told_us > opens_us + LIMITED_RETURN_MAX_US)
+		*told_us = opens_us;
+	return (*told_us - gw_exchange_now_us(ex)) / US_PER_MS;
+}
+
+/*
+ * Queues a request for which no server has room.  It is refused at once if all
+ * servers that may run it have asked for pauses beyond the time it may wait, or
+ * if their limits leave no room for it by then.  Retry-After tells the caller
+ * when they take requests again.
  */
 static void
 wait_or_refuse(struct gw_exchange *ex, const struct pool_query *query)
 {
 	int64_t now_us = gw_exchange_now_us(ex);
-	int64_t opens_us =
-	    pool_earliest_resume_us(ex->entry->pool, query, now_us);
-	int64_t retry_ms = (opens_us - now_us) / US_PER_MS;
-
+	struct pool_opening opening =
+	    pool_next_opening(ex->entry->pool, query, now_us);
+	int64_t opens_us = opening.first_us, retry_ms;
+	uint32_t ahead = 0;
+
+	ex->awaits_limit = opening.all_per_s > 0;
+	if (opening.per_s > 0) {
+		ahead = gw_entry_waiting_ahead(ex->entry, ex);
+		opens_us += (int64_t)(ahead / opening.per_s * US_PER_S);
+	}
 	if (may_keep_waiting(ex) && opens_us < queue_limit_us(ex)) {
 		wait_for_server(ex);
 		return;
 	}
-	if (opens_us > now_us)
-		gw_exchange_log(ex, LOG_LEVEL_INFO, "servers_paused",
-		    "service=%s opens_ms=%" PRId64, ex->service_config->name,
-		    retry_ms);
+	if (ex->awaits_limit) {
+		retry_ms = limited_retry_ms(ex, &opening, opens_us);
+		ex->entry->limit_refusals->value++;
+		gw_exchange_log(ex, LOG_LEVEL_INFO, "servers_limited",
+		    "service=%s retry_ms=%" PRId64
+		    " ahead=%u share_per_s=%.3f all_per_s=%.3f",
+		    ex->service_config->name, retry_ms, ahead, opening.per_s,
+		    opening.all_per_s);
+	} else {
+		retry_ms = (opens_us - now_us) / US_PER_MS;
+		if (retry_ms > 0)
+			gw_exchange_log(ex, LOG_LEVEL_INFO, "servers_paused",
+			    "service=%s opens_ms=%" PRId64,
+			    ex->service_config->name, retry_ms);
+	}
 	gw_exchange_refuse(ex, ERR_NO_CAPACITY,
 	    retry_ms > GW_RETRY_FULL_MS ? retry_ms : GW_RETRY_FULL_MS);
 }
 
+/*
+ * Returns whether the request must let others that wait for the service go
+ * first, as the server takes a bounded number of requests.  A dropped answer of
+ * a smaller model can't be had again, so its request goes on at once.
+ */
+static bool
+must_queue_up(struct gw_exchange *ex, uint16_t server)
+{
+	if (ex->in_turn || ex->answer_begun || ex->attempt.escalated ||
+	    !pool_is_bounded(ex->entry->pool, server, gw_exchange_now_us(ex)))
+		return false;
+	ex->awaits_limit = true;
+	return gw_entry_waiting_ahead(ex->entry, ex) > 0;
+}
+
 /*
  * Refuses a query of death, or a request that may be one: if some of its broken
  * attempts are not proved to be crashes, it is admitted again once the servers
@@ -453,6 +526,10 @@
 	switch (pool_pick_server(
 	    entry->pool, &query, gw_exchange_now_us(ex), &server)) {
 	case POOL_PICKED:
+		if (must_queue_up(ex, server)) {
+			wait_or_refuse(ex, &query);
+			break;
+		}
 		/* The budget may have changed while the request waited. */
 		if (ex->may_have_arrived &&
 		    !retry_budget_consume(
@@ -491,6 +568,9 @@
 	if (pool_pick_server(ex->entry->pool, &query, gw_exchange_now_us(ex),
 		&server) != POOL_PICKED)
 		return false;
+	if (pool_is_bounded(ex->entry->pool, server, gw_exchange_now_us(ex)) &&
+	    gw_entry_waiting_ahead(ex->entry, ex) > 0)
+		return false;
 	*work_us = (int64_t)(query.work_ms * US_PER_MS);
 	*backlog_us = (int64_t)(pool_backlog_ms(ex->entry->pool, server,
 				    gw_exchange_now_us(ex)) *
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -9,6 +9,7 @@
 #include "gateway/dialect.h"
 #include "gateway/notes.h"
 #include "gateway/settings.h"
+#include "route/rate_share.h"
 #include "state/orders.h"
 #include "state/registry.h"
 #include "sup/sup.h"
@@ -81,7 +82,7 @@
     const struct buf *bytes);
 uint32_t gw_list_control_instances(
     const struct gw *gw, uint32_t *out, uint32_t max);
-uint32_t gw_entry_instance_count(const struct gw *gw);
+struct rate_members gw_entry_members(const struct gw *gw);
 uint32_t gw_nearest_control_instance(const struct gw *gw);
 void gw_server_announced(struct gw *gw, const struct registry_server *server);
 void gw_update_seeds(struct gw *gw);
@@ -90,9 +91,11 @@
 
 /* Notes to all entry instances, also defined in links.c. */
 void gw_publish_note(struct gw *gw, enum gw_note_kind kind, uint64_t key,
-    uint64_t part, uint32_t value);
+    uint64_t part, uint64_t value);
 void gw_redeliver_notes(struct gw *gw, enum gw_note_kind kind, uint32_t value);
 
+void gw_redeliver_note(struct gw *gw, enum gw_note_kind kind, uint64_t key);
+
 /* The supervised children, each defined in the file of its name. */
 struct sup_child_spec gw_child_replica(struct gw *gw);
 struct sup_child_spec gw_child_control(struct gw *gw);
--- a/src/gateway/instance_count.c
+++ b/src/gateway/instance_count.c
@@ -28,56 +28,71 @@
 	counter->rows[i] = (struct gw_instance_sighting){instance, now_us};
 }
 
-/* Records the count of another instance; 0: it does not know it yet. */
+/*
+ * Records the count of another instance, and the place of this one; count 0: it
+ * does not know it yet.
+ */
 void
-gw_instance_count_add_report(
-    struct gw_instance_count *counter, uint32_t count, int64_t now_us)
+gw_instance_count_add_report(struct gw_instance_count *counter,
+    const struct rate_members *report, int64_t now_us)
 {
-	if (count == 0)
+	if (report->count == 0)
 		return;
 	if (now_us - counter->span_start_us >=
 	    GW_INSTANCE_COUNT_REPORT_SPAN_US) {
 		counter->reports[1] = counter->reports[0];
-		counter->reports[0] = 0;
+		counter->reports[0] = (struct rate_members){0};
 		counter->span_start_us = now_us;
 	}
-	if (count > counter->reports[0])
-		counter->reports[0] = count;
+	if (report->count > counter->reports[0].count)
+		counter->reports[0] = *report;
 }
 
 /*
- * Returns how many instances this one counted itself, or 0 if it does not know
- * yet or is sent no Hello messages.
+ * Returns how many instances this one counted itself and the place of one of
+ * them, or zeros if it does not know yet or is sent no Hello messages.
  */
-uint32_t
-gw_instance_count_own(struct gw_instance_count *counter, int64_t now_us)
+struct rate_members
+gw_instance_count_own(
+    struct gw_instance_count *counter, uint32_t instance, int64_t now_us)
 {
-	uint32_t kept = 0;
+	struct rate_members members = {0};
+	uint32_t kept = 0, before = 0;
+	bool known = false;
 
 	for (uint32_t i = 0; i < counter->count; i++) {
-		if (now_us - counter->rows[i].heard_us <
+		if (now_us - counter->rows[i].heard_us >=
 		    GW_INSTANCE_COUNT_KEEP_US)
-			counter->rows[kept++] = counter->rows[i];
+			continue;
+		counter->rows[kept] = counter->rows[i];
+		before += counter->rows[kept].instance < instance;
+		known |= counter->rows[kept].instance == instance;
+		kept++;
 	}
 	counter->count = kept;
 	if (!counter->receives_hellos ||
 	    now_us - counter->started_us < GW_INSTANCE_COUNT_SETTLE_US)
-		return 0;
-	return kept;
+		return members;
+	members.count = kept;
+	members.place = known ? before + 1 : 0;
+	return members;
 }
 
 /*
  * Returns the highest of this instance's own count and the recently reported
- * ones, or 0 if none is known yet.
+ * ones, with its place among as many; zeros if none is known yet.  self: number
+ * of this instance.
  */
-uint32_t
-gw_instance_count_get(struct gw_instance_count *counter, int64_t now_us)
+struct rate_members
+gw_instance_count_get(
+    struct gw_instance_count *counter, uint32_t self, int64_t now_us)
 {
-	uint32_t count = gw_instance_count_own(counter, now_us);
+	struct rate_members members =
+	    gw_instance_count_own(counter, self, now_us);
 
 	for (int i = 0; i < 2; i++) {
-		if (counter->reports[i] > count)
-			count = counter->reports[i];
+		if (counter->reports[i].count > members.count)
+			members = counter->reports[i];
 	}
-	return count;
+	return members;
 }
--- a/src/gateway/instance_count.h
+++ b/src/gateway/instance_count.h
@@ -4,13 +4,16 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+#include "route/rate_share.h"
+
 #ifdef __cplusplus
 extern "C" {
 #endif
 
 /*
  * Counts the entry instances.  Limits that all of them share are divided by
- * this count.  Too high a count costs little, but with too low a count the
+ * this count, or belong to some of them by their place in the order of their
+ * numbers.  Too high a count costs little, but with too low a count the
  * parts add up to more than the limit.  Therefore an instance stays counted
  * long after its last message, the highest of several reported counts is used,
  * and an instance that can't know the count yet reports 0.  Does no I/O.
@@ -40,8 +43,11 @@
 	int64_t started_us;
 	struct gw_instance_sighting rows[GW_INSTANCE_COUNT_MAX];
 	uint32_t count;
-	/* highest count reported in this span, and in the one before */
-	uint32_t reports[2];
+	/*
+	 * highest count reported in this span, and in the one before, and the
+	 * place of this instance among as many
+	 */
+	struct rate_members reports[2];
 	int64_t span_start_us; /* start of this span */
 };
 
@@ -49,12 +55,12 @@
     struct gw_instance_count *counter, bool receives_hellos, int64_t now_us);
 void gw_instance_count_mark_heard(
     struct gw_instance_count *counter, uint32_t instance, int64_t now_us);
-void gw_instance_count_add_report(
-    struct gw_instance_count *counter, uint32_t count, int64_t now_us);
-uint32_t gw_instance_count_own(
-    struct gw_instance_count *counter, int64_t now_us);
-uint32_t gw_instance_count_get(
-    struct gw_instance_count *counter, int64_t now_us);
+void gw_instance_count_add_report(struct gw_instance_count *counter,
+    const struct rate_members *report, int64_t now_us);
+struct rate_members gw_instance_count_own(
+    struct gw_instance_count *counter, uint32_t instance, int64_t now_us);
+struct rate_members gw_instance_count_get(
+    struct gw_instance_count *counter, uint32_t self, int64_t now_us);
 
 #ifdef __cplusplus
 }
--- a/src/gateway/links.c
+++ b/src/gateway/links.c
@@ -135,14 +135,14 @@
 }
 
 /*
- * Returns the number of instances that may send requests to backend servers,
- * or 0 if it is not known yet.
+ * Returns the number of instances that may send requests to backend servers and
+ * the place of this one, or zeros if it is not known yet.
  */
-uint32_t
-gw_entry_instance_count(const struct gw *gw)
+struct rate_members
+gw_entry_members(const struct gw *gw)
 {
 	return gw_instance_count_get(
-	    &gw->links->instance_count, loop_now_us(gw->loop));
+	    &gw->links->instance_count, gw->self, loop_now_us(gw->loop));
 }
 
 /*
@@ -420,6 +420,7 @@
 {
 	static struct news_message news;
 	const struct server_registry *registry = links->gw->registry;
+	struct rate_members members;
 	struct buf bytes;
 
 	clpb__news__init(&news.pb);
@@ -436,8 +437,10 @@
 			news.control[news.pb.n_control++] = peer->instance;
 	}
 	news.pb.control = news.control;
-	news.pb.entry_instances =
-	    gw_instance_count_own(&links->instance_count, news.now_us);
+	members = gw_instance_count_own(
+	    &links->instance_count, to->instance, news.now_us);
+	news.pb.entry_instances = members.count;
+	news.pb.entry_place = members.place;
 	if (to->subscribed && gw_notes_should_send_all(links->notes, &to->notes,
 				  CONTROL_MISMATCH_ROUNDS, news.now_us))
 		gw_report_set_all_notes(
@@ -513,12 +516,11 @@
 }
 
 static void
-log_crash_mark(
-    const struct gw *gw, const struct gw_note *note, uint32_t reported_by)
+log_crash_mark(const struct gw *gw, const struct gw_note *note)
 {
 	char from[GW_NAME_BYTES];
 
-	gw_format_address(reported_by, from);
+	gw_format_address(note->told_by, from);
 	log_event(LOG_LEVEL_WARN, "crash_mark",
 	    "fingerprint=%016" PRIx64 " life=%016" PRIx64
 	    " acquitted=%d told_by=%s age_ms=%" PRId64,
@@ -531,8 +533,7 @@
  * the registry and the entry, and is forwarded to other instances.
  */
 static void
-accept_note(
-    struct gw_links *links, const struct gw_note *note, uint32_t reported_by)
+accept_note(struct gw_links *links, const struct gw_note *note)
 {
 	struct gw *gw = links->gw;
 
@@ -542,7 +543,7 @@
 		(void)registry_mark_leaving(
 		    gw->registry, note->key, loop_now_us(gw->loop));
 	if (note->kind == GW_NOTE_CRASH)
-		log_crash_mark(gw, note, reported_by);
+		log_crash_mark(gw, note);
 	if (gw->entry != NULL)
 		gw_entry_apply_note(gw->entry, note);
 	links->notes_pending = true;
@@ -558,15 +559,16 @@
 /* Sends a note to every entry instance, including this one. */
 void
 gw_publish_note(struct gw *gw, enum gw_note_kind kind, uint64_t key,
-    uint64_t part, uint32_t value)
+    uint64_t part, uint64_t value)
 {
 	struct gw_note note = {.kind = kind,
 	    .key = key,
 	    .part = part,
 	    .value = value,
-	    .at_us = loop_now_us(gw->loop)};
+	    .at_us = loop_now_us(gw->loop),
+	    .told_by = gw->self};
 
-	accept_note(gw->links, &note, gw->self);
+	accept_note(gw->links, &note);
 }
 
 static void
@@ -577,7 +579,8 @@
 		struct gw_note note =
 		    gw_report_read_note(notes[i], loop_now_us(links->gw->loop));
 
-		accept_note(links, &note, from);
+		note.told_by = from;
+		accept_note(links, &note);
 	}
 }
 
@@ -598,6 +601,19 @@
 	}
 }
 
+/*
+ * Passes the newest note about the whole of a key to this instance's entry
+ * again, if there is one.
+ */
+void
+gw_redeliver_note(struct gw *gw, enum gw_note_kind kind, uint64_t key)
+{
+	const struct gw_note *note = gw_notes_find(gw->links->notes, kind, key);
+
+	if (note != NULL)
+		gw_entry_apply_note(gw->entry, note);
+}
+
 /*
  * Passes the outcomes of a Hello to the judge of roll-outs, if this instance
  * has one.
@@ -709,6 +725,7 @@
 	struct gw_peer *peer =
 	    gw_peers_mark_heard(&links->peers, from, same_data_centre, now_us);
 	struct registry_server server;
+	struct rate_members members;
 
 	if (news == NULL || peer == NULL) {
 		clpb__news__free_unpacked(news, NULL);
@@ -741,11 +758,12 @@
 		    &links->peers, (uint32_t)news->control[i]);
 	accept_notes(links, from, news->notes, news->n_notes);
 	compare_summary(links, &peer->notes, news->note_sum);
-	gw_instance_count_add_report(
-	    &links->instance_count, news->entry_instances, now_us);
+	members =
+	    (struct rate_members){news->entry_instances, news->entry_place};
+	gw_instance_count_add_report(&links->instance_count, &members, now_us);
+	members = gw_entry_members(links->gw);
 	if (links->gw->entry != NULL)
-		gw_entry_set_instance_count(
-		    links->gw->entry, gw_entry_instance_count(links->gw), from);
+		gw_entry_set_members(links->gw->entry, &members, from);
 	clpb__news__free_unpacked(news, NULL);
 }
 
--- a/src/gateway/metrics_page.c
+++ b/src/gateway/metrics_page.c
@@ -54,7 +54,7 @@
 		service->budget_left->value = left > 0 ? (uint64_t)left : 0;
 	}
 	set_sample(gw, METRICS_GAUGE, "celeryford_retry_slack_instances",
-	    e->instance_count);
+	    e->members.count);
 	set_sample(gw, METRICS_GAUGE, "celeryford_servers", servers);
 	set_sample(gw, METRICS_GAUGE, "celeryford_servers_suspected", suspects);
 	set_sample(gw, METRICS_GAUGE, "celeryford_crash_marks",
@@ -69,6 +69,10 @@
 	    gw, METRICS_GAUGE, "celeryford_servers_leaving", withdrawn.leaving);
 	set_sample(
 	    gw, METRICS_GAUGE, "celeryford_servers_paused", withdrawn.paused);
+	set_sample(
+	    gw, METRICS_GAUGE, "celeryford_servers_limited", withdrawn.limited);
+	set_sample(gw, METRICS_COUNTER, "celeryford_bounded_choices_total",
+	    pool_bounded_count(e->pool));
 	set_sample(
 	    gw, METRICS_GAUGE, "celeryford_attempts_in_flight", in_flight);
 	set_sample(gw, METRICS_GAUGE, "celeryford_open_requests",
@@ -94,7 +98,7 @@
 	set_sample(gw, METRICS_GAUGE, "celeryford_control_instances",
 	    gw_list_control_instances(gw, control, 64));
 	set_sample(gw, METRICS_GAUGE, "celeryford_entry_instances",
-	    gw_entry_instance_count(gw));
+	    gw_entry_members(gw).count);
 	set_sample(gw, METRICS_GAUGE, "celeryford_registered_servers",
 	    registry_live_count(gw->registry));
 	set_sample(gw, METRICS_COUNTER, "celeryford_log_lines_left_out_total",
--- a/src/gateway/notes.c
+++ b/src/gateway/notes.c
@@ -67,13 +67,28 @@
 	return a->kind == b->kind && a->key == b->key && a->part == b->part;
 }
 
+/* Returns the index of the note about a subject, or NONE. */
+static uint16_t
+find_note(const struct gw_notes *table, const struct gw_note *subject)
+{
+	uint16_t i = table->buckets[hash_note(subject, 0) % BUCKETS];
+
+	while (i != NONE && !is_same_subject(&table->notes[i], subject))
+		i = table->next[i];
+	return i;
+}
+
 /* Returns the time until a note expires; 0 or less: it has expired. */
 static int64_t
 remaining_us(const struct gw_note *note, int64_t now_us)
 {
-	return note->at_us - now_us +
-	       (note->kind == GW_NOTE_CRASH ? GW_NOTES_CRASH_KEEP_US
-					    : GW_NOTES_KEEP_US);
+	int64_t keep_us = GW_NOTES_KEEP_US;
+
+	if (note->kind == GW_NOTE_CRASH)
+		keep_us = GW_NOTES_CRASH_KEEP_US;
+	else if (note->kind == GW_NOTE_SERVER_LIMIT)
+		keep_us = GW_NOTES_LIMIT_KEEP_US;
+	return note->at_us - now_us + keep_us;
 }
 
 /*
@@ -84,10 +99,8 @@
 bool
 gw_notes_add(struct gw_notes *table, const struct gw_note *note, int64_t now_us)
 {
-	uint16_t i = *find_bucket(table, note);
+	uint16_t i = find_note(table, note);
 
-	while (i != NONE && !is_same_subject(&table->notes[i], note))
-		i = table->next[i];
 	if ((i != NONE && table->notes[i].value >= note->value) ||
 	    remaining_us(note, now_us) <= 0)
 		return false;
@@ -104,11 +117,23 @@
 		link_note(table, i);
 	}
 	table->notes[i].value = note->value;
+	table->notes[i].told_by = note->told_by;
 	table->notes[i].at_us = note->at_us;
 	table->notes[i].heard_us = table->changed_us = now_us;
 	return true;
 }
 
+/* Returns the note about the whole of a key, or NULL. */
+const struct gw_note *
+gw_notes_find(
+    const struct gw_notes *table, enum gw_note_kind kind, uint64_t key)
+{
+	const struct gw_note subject = {.kind = kind, .key = key};
+	uint16_t i = find_note(table, &subject);
+
+	return i != NONE ? &table->notes[i] : NULL;
+}
+
 /* Removes the expired notes. */
 void
 gw_notes_remove_expired(struct gw_notes *table, int64_t now_us)
--- a/src/gateway/notes.h
+++ b/src/gateway/notes.h
@@ -6,6 +6,7 @@
 #include <stdint.h>
 
 #include "base/alloc.h"
+#include "route/server_limit.h"
 
 #ifdef __cplusplus
 extern "C" {
@@ -34,6 +35,8 @@
 	/* longer than any instance repeats a note */
 	GW_NOTES_KEEP_US = 60000000,
 	GW_NOTES_CRASH_KEEP_US = 600000000, /* as long as crash marks last */
+	/* as long as a server's limit is kept without news of it */
+	GW_NOTES_LIMIT_KEEP_US = SERVER_LIMIT_KEEP_US,
 	/* notes this close to their expiry are not in the summary */
 	GW_NOTES_SUMMARY_MARGIN_US = 5000000
 };
@@ -54,16 +57,22 @@
 	 */
 	GW_NOTE_SERVER_LEAVING = 3,
 	/* The life (key) of a server has ended without an announcement. */
-	GW_NOTE_SERVER_ENDED = 4
+	GW_NOTE_SERVER_ENDED = 4,
+	/*
+	 * The limit that the answers of a server's life (key) name.  The value
+	 * is that of server_limit_pack().
+	 */
+	GW_NOTE_SERVER_LIMIT = 5
 };
 
 struct gw_note {
 	enum gw_note_kind kind;
 	uint64_t key;
 	uint64_t part; /* 0: everything that the key names */
-	uint32_t value;
+	uint64_t value;
 	int64_t at_us; /* when the value was set, by this instance's clock */
 	int64_t heard_us; /* when this instance received it */
+	uint32_t told_by; /* number of the instance that it came from */
 };
 
 /* A summary of all notes, by which two instances compare their tables. */
@@ -89,6 +98,8 @@
     struct gw_notes *table, const struct gw_note *note, int64_t now_us);
 void gw_notes_remove_expired(struct gw_notes *table, int64_t now_us);
 size_t gw_notes_count(const struct gw_notes *table);
+const struct gw_note *gw_notes_find(
+    const struct gw_notes *table, enum gw_note_kind kind, uint64_t key);
 const struct gw_note *gw_notes_at(const struct gw_notes *table, size_t i);
 struct gw_notes_summary gw_notes_summarize(
     const struct gw_notes *table, int64_t now_us);
--- a/src/route/pool.c
+++ b/src/route/pool.c
@@ -71,7 +71,8 @@
 	struct pool_server *servers;
 	uint16_t count;
 	uint16_t size;
-	uint32_t instances;
+	struct rate_members members; /* the instances that share bounds */
+	uint64_t bounded_picks; /* see pool_bounded_count() */
 	const struct route_table *table;
 	const struct ord *orders;
 };
@@ -222,17 +223,18 @@
 			return ROUTE_NONE;
 		s->used = true;
 		s->announced = *server;
-		s->warmup.refilled_us = now_us;
+		s->bucket.refilled_us = now_us;
 	}
 	reborn = s->announced.born_ms != server->born_ms;
 	s->announced = *server;
+	s->life = registry_life_hash(server->id, server->born_ms);
 	if (reborn) {
 		s->has_load = false;
 		s->failures = 0;
 		s->refusal_share = 0;
 		s->paused_until_us = 0;
 		s->ramp_limit = s->in_flight_before_pause = 0;
-		s->limit_milli_per_s = 0;
+		memset(&s->limit, 0, sizeof(s->limit));
 		s->down_until_us = s->ejected_until_us = 0;
 		s->failure_share = 0;
 		s->outcomes = 0;
@@ -263,11 +265,11 @@
 	update_roles(pool);
 }
 
-/* Sets how many instances may send to the same servers; 0: not known. */
+/* Sets the instances that may send to the same servers. */
 void
-pool_set_instance_count(struct server_pool *pool, uint32_t entry_instances)
+pool_set_members(struct server_pool *pool, const struct rate_members *members)
 {
-	pool->instances = entry_instances;
+	pool->members = *members;
 }
 
 /* Returns the index of the server with an id, or ROUTE_NONE. */
@@ -329,26 +331,78 @@
 }
 
 /*
- * Tells whether this instance may send another request to a server that may be
- * cold.
+ * Returns the bound on the requests to a server that is cold.  In any second it
+ * bears its capacity, of which bursts get at most half, so that all instances
+ * may have one if they are few.
  */
-static bool
-cold_start_allows(
-    struct server_pool *pool, struct pool_server *s, int64_t now_us)
+static struct rate_bound
+cold_bound(
+    const struct server_pool *pool, const struct pool_server *s, int64_t now_us)
 {
 	const struct route_service *service;
-	struct warmup_limits limits = {
-	    .slack = pool->options.cold_slack, .instances = pool->instances};
+	double capacity_per_s, burst = pool->options.cold_slack;
 
 	if (now_us >= s->cold_until_us || pool->table == NULL)
-		return true;
+		return rate_bound_none();
 	service = route_table_find_service(pool->table, s->announced.service);
 	if (service == NULL || service->cold_per_s <= 0)
-		return true;
-	limits.capacity_per_s =
+		return rate_bound_none();
+	capacity_per_s =
 	    service->cold_per_s * pool->options.cold_permille / 1000 +
 	    pool->options.cold_slack;
-	return warmup_allows(&s->warmup, &limits, &pool->rng, now_us);
+	if (burst < pool->members.count)
+		burst = pool->members.count;
+	if (burst > capacity_per_s / 2)
+		burst = capacity_per_s / 2;
+	return (struct rate_bound){
+	    .per_s = capacity_per_s - burst, .burst = burst};
+}
+
+/* Returns the bound on what all instances together may send to a server. */
+static struct rate_bound
+bound_of(
+    const struct server_pool *pool, const struct pool_server *s, int64_t now_us)
+{
+	struct rate_bound cold = cold_bound(pool, s, now_us);
+	struct rate_bound limit = server_limit_bound(&s->limit, now_us);
+
+	return rate_bound_lower(&cold, &limit);
+}
+
+/* Tells whether the requests to a server are bounded now. */
+bool
+pool_is_bounded(const struct server_pool *pool, uint16_t server, int64_t now_us)
+{
+	struct rate_bound bound =
+	    bound_of(pool, &pool->servers[server], now_us);
+
+	return !rate_bound_is_none(&bound);
+}
+
+/* Returns this instance's share of the bound of a server that has one. */
+struct rate_share
+pool_share_of(const struct server_pool *pool, uint16_t server, int64_t now_us)
+{
+	const struct pool_server *s = &pool->servers[server];
+	struct rate_bound bound = bound_of(pool, s, now_us);
+
+	return rate_share_of(&bound, &pool->members, s->life);
+}
+
+/*
+ * Tells whether this instance may send another request to a server whose
+ * requests may be bounded.
+ */
+static bool
+bound_allows(struct server_pool *pool, uint16_t server, int64_t now_us)
+{
+	struct rate_share share;
+
+	if (!pool_is_bounded(pool, server, now_us))
+		return true;
+	share = pool_share_of(pool, server, now_us);
+	return rate_bucket_refill(
+	    &pool->servers[server].bucket, &share, now_us);
 }
 
 static bool
@@ -579,7 +633,7 @@
 	    .home = find_prefix_home(
 		pool, query, pool->servers[candidates[0]].role),
 	    .server = ROUTE_NONE};
-	bool all = pool->instances <= FULL_SCAN_INSTANCES_MAX ||
+	bool all = pool->members.count <= FULL_SCAN_INSTANCES_MAX ||
 		   count <= NEAR_CANDIDATES + RANDOM_CANDIDATES;
 
 	for (uint16_t i = 0; i < count; i++) {
@@ -663,6 +717,7 @@
     uint16_t candidates[CANDIDATES_MAX])
 {
 	uint16_t count = 0;
+	bool passed_over = false;
 
 	for (uint16_t i = 0; i < pool->count && count < CANDIDATES_MAX; i++) {
 		struct pool_server *s = &pool->servers[i];
@@ -676,7 +731,6 @@
 
 		if (!may_run(s, query) || s->role != role ||
 		    (trial && !is_trial_server(pool, query, i)) ||
-		    !cold_start_allows(pool, s, now_us) ||
 		    (tier == TIER_HEALTHY &&
 			(is_doubtful || !has_room(s, query, now_us))) ||
 		    (tier == TIER_FALLBACK &&
@@ -684,8 +738,12 @@
 			    is_avoided(query, i) ||
 			    !has_room(s, query, now_us))))
 			continue;
-		candidates[count++] = i;
+		if (bound_allows(pool, i, now_us))
+			candidates[count++] = i;
+		else
+			passed_over = true;
 	}
+	pool->bounded_picks += passed_over;
 	return count;
 }
 
@@ -766,8 +824,8 @@
 	s->in_flight++;
 	s->sent_since_report++;
 	s->own_backlog_ms += work_ms;
-	if (now_us < s->cold_until_us)
-		warmup_consume(&s->warmup);
+	if (pool_is_bounded(pool, server, now_us))
+		rate_bucket_consume(&s->bucket);
 }
 
 /*
@@ -1018,44 +1076,120 @@
 }
 
 /*
- * Stores the limit that an answer names, 0 if it names none.  Returns whether
- * it is another one than before.
+ * Stores the limit that a server names in the answer to a request that was sent
+ * at sent_us.  Returns whether the other instances should be told.
  */
 bool
-pool_record_limit(
-    struct server_pool *pool, uint16_t server, uint32_t limit_milli_per_s)
+pool_record_limit(struct server_pool *pool, uint16_t server,
+    uint32_t limit_milli_per_s, int64_t sent_us, int64_t now_us)
 {
-	struct pool_server *s = &pool->servers[server];
-	bool changed = s->limit_milli_per_s != limit_milli_per_s;
+	return server_limit_hear(
+	    &pool->servers[server].limit, limit_milli_per_s, sent_us, now_us);
+}
 
-	s->limit_milli_per_s = limit_milli_per_s;
-	return changed;
+/* The same for an answer that names no limit. */
+bool
+pool_record_no_limit(
+    struct server_pool *pool, uint16_t server, int64_t sent_us, int64_t now_us)
+{
+	return server_limit_hear_none(
+	    &pool->servers[server].limit, sent_us, now_us);
 }
 
 /*
- * Returns when the first server that may run a request ends its pause; now_us
- * if one of them is not paused, or if there is none.
+ * Applies what another instance tells of the limit of a life of a server.
+ * Returns the index of the server, or ROUTE_NONE if the life is not known or
+ * nothing has changed.
  */
-int64_t
-pool_earliest_resume_us(const struct server_pool *pool,
-    const struct pool_query *query, int64_t now_us)
+uint16_t
+pool_apply_limit(
+    struct server_pool *pool, uint64_t life, uint64_t packed, int64_t now_us)
+{
+	for (uint16_t i = 0; i < pool->count; i++) {
+		struct pool_server *s = &pool->servers[i];
+
+		if (s->used && s->life == life)
+			return server_limit_told(&s->limit, packed, now_us)
+				   ? i
+				   : (uint16_t)ROUTE_NONE;
+	}
+	return ROUTE_NONE;
+}
+
+/*
+ * Returns how often a server was passed over because its requests are bounded,
+ * once for each choice.
+ */
+uint64_t
+pool_bounded_count(const struct server_pool *pool)
+{
+	return pool->bounded_picks;
+}
+
+static bool
+is_limited(const struct pool_server *s, int64_t now_us)
 {
-	int64_t first_us = INT64_MAX;
+	struct rate_bound limit = server_limit_bound(&s->limit, now_us);
+
+	return !rate_bound_is_none(&limit);
+}
+
+/* Returns when a server takes the next request, as far as that is known. */
+static int64_t
+opens_us(struct server_pool *pool, uint16_t server, int64_t now_us)
+{
+	struct pool_server *s = &pool->servers[server];
+	struct rate_share share;
+	int64_t at_us = now_us;
+
+	if (pool->members.count > 0 && pool_is_bounded(pool, server, now_us)) {
+		share = pool_share_of(pool, server, now_us);
+		(void)rate_bucket_refill(&s->bucket, &share, now_us);
+		at_us = rate_bucket_opens_us(&s->bucket, &share, now_us);
+		if (!is_limited(s, now_us) && at_us > s->cold_until_us)
+			at_us = s->cold_until_us;
+	}
+	return at_us > s->paused_until_us ? at_us : s->paused_until_us;
+}
+
+/*
+ * Returns when the first server that may run a request takes one, and at which
+ * rate they go on together if all of them name limits.
+ */
+struct pool_opening
+pool_next_opening(
+    struct server_pool *pool, const struct pool_query *query, int64_t now_us)
+{
+	struct pool_opening opening = {.first_us = INT64_MAX};
+	uint32_t eligible = 0, limited = 0;
 
 	for (uint16_t i = 0; i < pool->count; i++) {
 		const struct pool_server *s = &pool->servers[i];
+		int64_t at_us;
 
-		if (may_run(s, query) &&
-		    (query->allow_other_role || s->role == query->role) &&
-		    s->paused_until_us < first_us)
-			first_us = s->paused_until_us;
+		if (!may_run(s, query) ||
+		    (!query->allow_other_role && s->role != query->role))
+			continue;
+		at_us = opens_us(pool, i, now_us);
+		if (at_us < opening.first_us)
+			opening.first_us = at_us;
+		eligible++;
+		if (!is_limited(s, now_us))
+			continue;
+		limited++;
+		opening.per_s += pool_share_of(pool, i, now_us).per_s;
+		opening.all_per_s += bound_of(pool, s, now_us).per_s;
 	}
-	return first_us == INT64_MAX || first_us < now_us ? now_us : first_us;
+	if (limited < eligible || pool->members.count == 0)
+		opening.per_s = opening.all_per_s = 0;
+	if (eligible == 0)
+		opening.first_us = now_us;
+	return opening;
 }
 
 /*
- * Counts the servers of a service that are leaving or paused; of all services
- * if service is NULL.
+ * Counts the servers of a service that are leaving, paused or limited; of all
+ * services if service is NULL.
  */
 struct pool_withdrawn
 pool_withdrawn(
@@ -1071,6 +1205,7 @@
 			continue;
 		withdrawn.leaving += s->announced.state == REGISTRY_DRAINING;
 		withdrawn.paused += s->paused_until_us > now_us;
+		withdrawn.limited += s->limit.milli_per_s != 0;
 	}
 	return withdrawn;
 }
--- a/src/route/pool.h
+++ b/src/route/pool.h
@@ -9,8 +9,9 @@
 #include "base/alloc.h"
 #include "base/rng.h"
 #include "route/loads.h"
+#include "route/rate_share.h"
+#include "route/server_limit.h"
 #include "route/table.h"
-#include "route/warmup.h"
 #include "state/orders.h"
 #include "state/registry.h"
 
@@ -44,8 +45,9 @@
  * A new version is tried on so few of its servers that each gets a multiple of
  * the mean load, so that faults that only appear under load show in the trial.
  *
- * The requests that all instances together send to a cold server are bounded;
- * see warmup.h.
+ * The requests that all instances together send to a cold server, or to one
+ * that names a limit, are bounded; see rate_share.h.  Every request that is
+ * sent to a server passes this bound, whatever it is chosen for.
  */
 enum pool_role {
 	/* The old version, which gets everything not assigned to a new one */
@@ -63,6 +65,7 @@
 
 struct pool_server {
 	struct registry_server announced; /* its last announcement */
+	uint64_t life; /* registry_life_hash() of that */
 	struct sockaddr_in address;
 	bool used;
 	enum pool_role role;
@@ -76,7 +79,9 @@
 	/* Own requests sent less own requests ended since the report */
 	int32_t sent_since_report;
 	int64_t cold_until_us;
-	struct warmup_bucket warmup; /* limits what it gets while it is cold */
+	struct server_limit limit; /* that its answers name */
+	/* Limits what it gets while it is cold or names a limit */
+	struct rate_bucket bucket;
 	uint8_t failures; /* consecutive failures to connect */
 	int64_t down_until_us;
 	double failure_share; /* moving average of failed answers, 0 to 1 */
@@ -100,11 +105,6 @@
 	 * Own requests that were there when the pause began and have not ended
 	 */
 	uint16_t in_flight_before_pause;
-	/*
-	 * Limit that its answers name, in thousandths of a request a second
-	 * from all instances together; 0: none
-	 */
-	uint32_t limit_milli_per_s;
 	/* Prompt work of own requests that has not begun */
 	double own_backlog_ms;
 	/*
@@ -161,8 +161,8 @@
     const struct registry_server *server, int64_t now_us);
 void pool_configure(struct server_pool *pool, const struct route_table *table,
     const struct ord *orders);
-void pool_set_instance_count(
-    struct server_pool *pool, uint32_t entry_instances);
+void pool_set_members(
+    struct server_pool *pool, const struct rate_members *members);
 enum pool_pick_result pool_pick_server(struct server_pool *pool,
     const struct pool_query *query, int64_t now_us, uint16_t *server);
 uint16_t pool_index_of(const struct server_pool *pool, const char *id);
@@ -172,10 +172,11 @@
 bool pool_has_role(
     const struct server_pool *pool, const char *service, enum pool_role role);
 
-/* Servers of a service that receive nothing at their own request. */
+/* Servers of a service that receive nothing, or less, at their own request. */
 struct pool_withdrawn {
 	uint32_t leaving;
 	uint32_t paused;
+	uint32_t limited;
 };
 
 struct pool_withdrawn pool_withdrawn(
@@ -214,10 +215,31 @@
     struct server_pool *pool, uint16_t server, int64_t now_us);
 void pool_record_pause(struct server_pool *pool, uint16_t server,
     uint32_t pause_ms, int64_t now_us);
-bool pool_record_limit(
-    struct server_pool *pool, uint16_t server, uint32_t limit_milli_per_s);
-int64_t pool_earliest_resume_us(const struct server_pool *pool,
-    const struct pool_query *query, int64_t now_us);
+bool pool_record_limit(struct server_pool *pool, uint16_t server,
+    uint32_t limit_milli_per_s, int64_t sent_us, int64_t now_us);
+bool pool_record_no_limit(
+    struct server_pool *pool, uint16_t server, int64_t sent_us, int64_t now_us);
+uint16_t pool_apply_limit(
+    struct server_pool *pool, uint64_t life, uint64_t packed, int64_t now_us);
+struct rate_share pool_share_of(
+    const struct server_pool *pool, uint16_t server, int64_t now_us);
+bool pool_is_bounded(
+    const struct server_pool *pool, uint16_t server, int64_t now_us);
+uint64_t pool_bounded_count(const struct server_pool *pool);
+
+/* When the servers that may run a request take the next ones. */
+struct pool_opening {
+	int64_t first_us; /* INT64_MAX: not to this instance */
+	/*
+	 * Rates at which this instance, and all of them together, may go on if
+	 * all the servers name limits; 0 otherwise
+	 */
+	double per_s;
+	double all_per_s;
+};
+
+struct pool_opening pool_next_opening(
+    struct server_pool *pool, const struct pool_query *query, int64_t now_us);
 void pool_record_acceptance(
     struct server_pool *pool, uint16_t server, int64_t now_us);
 
--- a/src/wire/cluster.pb-c.c
+++ b/src/wire/cluster.pb-c.c
@@ -1080,7 +1080,7 @@
     "value",
     3,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
     offsetof(Clpb__Note, value),
     NULL,
@@ -1333,7 +1333,7 @@
   (ProtobufCMessageInit) clpb__hello__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor clpb__news__field_descriptors[8] =
+static const ProtobufCFieldDescriptor clpb__news__field_descriptors[9] =
 {
   {
     "incarnation",
@@ -1431,12 +1431,25 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "entry_place",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Clpb__News, entry_place),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned clpb__news__field_indices_by_name[] = {
   1,   /* field[1] = after */
   2,   /* field[2] = change */
   4,   /* field[4] = control */
   5,   /* field[5] = entry_instances */
+  8,   /* field[8] = entry_place */
   0,   /* field[0] = incarnation */
   7,   /* field[7] = note_sum */
   6,   /* field[6] = notes */
@@ -1445,7 +1458,7 @@
 static const ProtobufCIntRange clpb__news__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 8 }
+  { 0, 9 }
 };
 const ProtobufCMessageDescriptor clpb__news__descriptor =
 {
@@ -1455,7 +1468,7 @@
   "Clpb__News",
   "clpb",
   sizeof(Clpb__News),
-  8,
+  9,
   clpb__news__field_descriptors,
   clpb__news__field_indices_by_name,
   1,  clpb__news__number_ranges,
--- a/src/wire/cluster.pb-c.h
+++ b/src/wire/cluster.pb-c.h
@@ -167,7 +167,7 @@
    */
   uint32_t kind;
   uint64_t key;
-  uint32_t value;
+  uint64_t value;
   /*
    * of what the key names; 0: the whole
    */
@@ -257,10 +257,14 @@
   size_t n_notes;
   Clpb__Note **notes;
   Clpb__NoteSum *note_sum;
+  /*
+   * of the receiver among these, from 1; 0: not known
+   */
+  uint32_t entry_place;
 };
 #define CLPB__NEWS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&clpb__news__descriptor) \
-    , 0, 0, 0, 0,NULL, 0,NULL, 0, 0,NULL, NULL }
+    , 0, 0, 0, 0,NULL, 0,NULL, 0, 0,NULL, NULL, 0 }
 
 
 struct  Clpb__Rollout
--- a/test/unit/route_pool_test.cc
+++ b/test/unit/route_pool_test.cc
@@ -24,7 +24,8 @@
 	int64_t now_us = 1000000;
 	uint64_t index = 0;
 
-	explicit PoolWorld(uint32_t instances = 1, uint64_t seed = 1)
+	explicit PoolWorld(
+	    uint32_t instances = 1, uint64_t seed = 1, uint32_t place = 1)
 	{
 		struct pool_options options = {};
 		struct route_service *service =
@@ -40,10 +41,17 @@
 		options.cold_slack = 5;
 		options.silent_us = 6000000;
 		pool = pool_new(&options);
-		pool_set_instance_count(pool, instances);
+		set_members(instances, place);
 		pool_configure(pool, table, orders);
 	}
 
+	void set_members(uint32_t count, uint32_t place)
+	{
+		struct rate_members members = {count, place};
+
+		pool_set_members(pool, &members);
+	}
+
 	~PoolWorld()
 	{
 		pool_free(pool);
@@ -267,7 +275,7 @@
 		struct registry_server s;
 
 		worlds.push_back(std::make_unique<PoolWorld>(
-		    instances, seed * 1000 + (uint64_t)i));
+		    instances, seed * 1000 + (uint64_t)i, (uint32_t)i + 1));
 		s = worlds[i]->server("cold", "a");
 		s.cold_ms = 5000;
 		pool_update_server(
@@ -312,12 +320,8 @@
 				EXPECT_GE(least, 8) << instances;
 			}
 		}
-		/*
-		 * With many instances, those that may send are drawn at random;
-		 * see warmup.h
-		 */
-		EXPECT_LE(beyond, instances > 8 ? 1 : 0) << instances;
-		EXPECT_LE(starved, 1) << instances;
+		EXPECT_EQ(0, beyond) << instances;
+		EXPECT_EQ(0, starved) << instances;
 	}
 }
 
@@ -336,7 +340,7 @@
 		EXPECT_EQ(pool_pick_server(w.pool, &q, w.now_us, &at),
 		    POOL_NO_CAPACITY);
 	}
-	pool_set_instance_count(w.pool, 2);
+	w.set_members(2, 1);
 	w.now_us += 300000;
 	EXPECT_EQ(w.pick(q), "cold");
 }
@@ -629,16 +633,16 @@
 	struct pool_query q = w.query();
 	uint16_t a = w.add("a", "a"), b = w.add("b", "a");
 
-	EXPECT_EQ(w.now_us, pool_earliest_resume_us(w.pool, &q, w.now_us));
+	EXPECT_EQ(w.now_us, pool_next_opening(w.pool, &q, w.now_us).first_us);
 	pool_record_pause(w.pool, a, 3000, w.now_us);
 	for (int i = 0; i < 50; i++)
 		EXPECT_EQ("b", w.pick());
-	EXPECT_EQ(w.now_us, pool_earliest_resume_us(w.pool, &q, w.now_us));
+	EXPECT_EQ(w.now_us, pool_next_opening(w.pool, &q, w.now_us).first_us);
 	pool_record_pause(w.pool, b, 2000, w.now_us);
 	/* Does not shorten the longer pause. */
 	pool_record_pause(w.pool, b, 1000, w.now_us);
-	EXPECT_EQ(
-	    w.now_us + 2000000, pool_earliest_resume_us(w.pool, &q, w.now_us));
+	EXPECT_EQ(w.now_us + 2000000,
+	    pool_next_opening(w.pool, &q, w.now_us).first_us);
 	w.now_us += 1999999;
 	EXPECT_EQ("full", w.pick());
 	w.now_us += 1;
--- a/test/unit/suspects_test.cc
+++ b/test/unit/suspects_test.cc
@@ -56,7 +56,7 @@
 	{
 		auto *i = (instance *)ctx;
 		struct gw_note note = {
-		    GW_NOTE_CRASH, fingerprint, life, state, i->now_us, 0};
+		    GW_NOTE_CRASH, fingerprint, life, state, i->now_us, 0, 0};
 
 		i->apply_note(&note);
 	}
