state/cfgsync: an answer to an earlier life of an instance gives no lease

Cause, by a trace: an instance started again; its relay answered a report of the life before (round 7, asked 106.0 s, answered 108.6 s), and the answer came 4 s late, just after the new life had sent its own round 7. The lease then counted from 111.2 s and lasted to 114.5 s, where the relay had granted it until 111.9 s. In processes: a paused relay reads a report from a closed connection and answers to the address. Class: a permission that is matched by a counter which starts again.

Change: rounds begin at a hash of the incarnation.

Ruled out: message loss in the same life (8 rounds kept), the relay's own lease (it had 3.3 s left when it answered).

--- a/src/state/cfgsync_node.c
+++ b/src/state/cfgsync_node.c
@@ -1,6 +1,7 @@
 #include "state/cfgsync_feed.h"
 
 #include <string.h>
+#include <xxhash.h>
 
 /*
  * The instance's side of configuration distribution.  The relay of a data
@@ -39,6 +40,17 @@
 	struct transfer transfer;
 };
 
+/*
+ * Returns the first round of an incarnation.  Incarnations must not share
+ * rounds: an answer to an earlier one would extend the lease from the time at
+ * which this one sent a report of the same round.
+ */
+static uint64_t
+first_round(uint64_t incarnation)
+{
+	return XXH64(&incarnation, sizeof(incarnation), 0) >> 2;
+}
+
 /* Creates a node without a revision; it is isolated until its first lease. */
 struct cfgsync_node *
 cfgsync_node_new(const struct cfgsync_options *options)
@@ -50,6 +62,7 @@
 	node->options = *options;
 	node->options.alloc = alloc;
 	node->isolated = true;
+	node->round = first_round(options->incarnation);
 	cfgsync_feed_init(&node->feed, &node->options);
 	buf_init(&node->transfer.data, alloc);
 	return node;
--- a/test/unit/cfgsync_schedule_test.cc
+++ b/test/unit/cfgsync_schedule_test.cc
@@ -425,6 +425,49 @@
 	EXPECT_NE("", late_answers(true)) << "mechanism off";
 }
 
+/* Collects the rounds of the reports that a node sends. */
+static std::vector<uint64_t>
+rounds_of(uint64_t incarnation, struct cfgsync_node **node)
+{
+	struct cfgsync_options o = {};
+	static std::vector<uint64_t> rounds;
+	uint32_t upstream = 1;
+
+	rounds.clear();
+	o.instance = 7;
+	o.incarnation = incarnation;
+	o.emit = [](void *, const cfgsync_action *a) {
+		if (a->kind == CFGSYNC_SEND)
+			rounds.push_back(a->msg->round);
+	};
+	*node = cfgsync_node_new(&o);
+	cfgsync_node_set_upstream(*node, &upstream, 1);
+	for (int64_t now_us = 10000000; now_us < 16000000; now_us += 1000000)
+		cfgsync_node_tick(*node, now_us);
+	return rounds;
+}
+
+TEST(CfgSync, AnAnswerToAnEarlierLifeGivesNoLease)
+{
+	for (uint64_t life = 1; life < 200; life++) {
+		struct cfgsync_node *before, *after;
+		std::vector<uint64_t> asked = rounds_of(life, &before);
+
+		cfgsync_node_free(before);
+		rounds_of(life + 1, &after);
+		for (uint64_t round : asked) {
+			struct cfgsync_msg alive = {};
+
+			alive.kind = CFGSYNC_MSG_ALIVE;
+			alive.round = round;
+			alive.lease_ms = 5000;
+			cfgsync_node_receive(after, 16000000, 1, &alive);
+		}
+		EXPECT_TRUE(cfgsync_node_isolated(after, 16000000)) << life;
+		cfgsync_node_free(after);
+	}
+}
+
 static std::string
 schedule(uint64_t seed, const std::function<void(Sync &)> &set)
 {
