A caller whose request has no id gets no late copy of another's answer

A server may send an answer a second time, late, when the next request is already on the connection. Copies are told by the id that they echo; a request without an id was not compared, and got the whole answer of another caller (process_late_copies: wanted nothing, got /copy/5; the next caller then got 502).

A request without an id now takes no answer that has one, and has a connection of its own: a copy of its answer, which has no id either, can reach nobody.

--- a/src/gateway/exchange_answer.c
+++ b/src/gateway/exchange_answer.c
@@ -355,8 +355,7 @@
 
 	(void)call;
 	dialect->ops->read_answer(dialect, headers, &answer);
-	if (answer.id != NULL && ex->request.id[0] != '\0' &&
-	    strcmp(answer.id, ex->request.id) != 0) {
+	if (answer.id != NULL && strcmp(answer.id, ex->request.id) != 0) {
 		if (!ex->attempt.mismatch_logged)
 			gw_exchange_log(ex, LOG_LEVEL_WARN, "answer_of_another",
 			    "server=%s",
--- a/src/gateway/exchange_send.c
+++ b/src/gateway/exchange_send.c
@@ -253,6 +253,8 @@
 	    .body = front_body(ex->caller)->data,
 	    .len = front_body(ex->caller)->len,
 	    .is_head = strcmp(front_method(ex->caller), "HEAD") == 0,
+	    /* Without an id late answers of the connection can't be told. */
+	    .fresh = ex->request.id[0] == '\0',
 	    .handler = &gw_exchange_call_handler,
 	    .ctx = ex};
 
--- a/src/http/upstream.c
+++ b/src/http/upstream.c
@@ -59,6 +59,7 @@
 	bool skipping_answer; /* the answer belongs to another call */
 	bool complete;
 	bool closing; /* not reusable for another call */
+	bool single_use; /* the same, as its call asked for */
 	/*
 	 * The connection is in use further up the stack: conn_free() only sets
 	 * free_pending.
@@ -284,7 +285,7 @@
 static void
 complete_call(struct conn *c, bool clean)
 {
-	bool keep = clean && !c->closing && c->out.len == 0;
+	bool keep = clean && !c->closing && !c->single_use && c->out.len == 0;
 
 	if (!keep) {
 		fail_connection(c, 0, false);
@@ -590,6 +591,7 @@
 	call->reused = reused;
 	c->call = call;
 	c->probe_dial = 0;
+	c->single_use = request->fresh;
 	c->complete = c->head_reported = c->skipping_answer = false;
 	http_parser_init(&c->parser, HTTP_RESPONSE);
 	c->parser.data = c;
--- a/src/http/upstream.h
+++ b/src/http/upstream.h
@@ -86,7 +86,7 @@
 	const void *body; /* copied */
 	size_t len;
 	bool is_head; /* a HEAD request: the answer has no body */
-	bool fresh; /* don't reuse an idle connection */
+	bool fresh; /* use a new connection, and for nothing else */
 	const struct upstream_handler *handler;
 	void *ctx;
 };
