A stream that stalls and sends a byte now and then is moved

Only whole events count as progress now, for the stall timeout and for the gaps that roll-outs compare. Slow streams are judged as before: by the time between events, which the route's gap goal sets.

--- a/src/gateway/exchange_answer.c
+++ b/src/gateway/exchange_answer.c
@@ -524,6 +524,20 @@
 	    ex->entry->first_byte_us, ex->first_byte_us - ex->arrived_us);
 }
 
+/*
+ * Records that a stream makes progress.  Only whole events count: a server that
+ * has stalled may still send a byte now and then.
+ */
+static void
+record_event_progress(struct gw_exchange *ex)
+{
+	int64_t now_us = gw_exchange_now_us(ex);
+
+	if (ex->answer_begun)
+		record_event_gap(ex, now_us - ex->attempt.progress_us);
+	ex->attempt.progress_us = now_us;
+}
+
 /*
  * Forwards complete events to the caller and buffers an incomplete one.  Stops
  * reading while the caller lags by more than UNREAD_MAX_BYTES.  Returns 0 or
@@ -536,6 +550,8 @@
 	uint64_t id;
 
 	buf_add(&ex->answer_body, data, len);
+	if (complete_event_len(&ex->answer_body) > 0)
+		record_event_progress(ex);
 	while ((n = complete_event_len(&ex->answer_body)) > 0) {
 		bool has_id =
 		    parse_event_id((const char *)ex->answer_body.data, n, &id);
@@ -578,14 +594,11 @@
 	struct gw_exchange *ex = ctx;
 
 	(void)call;
-	if (ex->answer_begun && ex->route->kind == ROUTE_STREAM)
-		record_event_gap(
-		    ex, gw_exchange_now_us(ex) - ex->attempt.progress_us);
-	ex->attempt.progress_us = gw_exchange_now_us(ex);
 	if (ex->attempt.not_run)
 		return 0;
 	if (ex->route->kind == ROUTE_STREAM && ex->attempt.status < 300)
 		return forward_events(ex, data, len);
+	ex->attempt.progress_us = gw_exchange_now_us(ex);
 	record_first_byte(ex);
 	buf_add(&ex->answer_body, data, len);
 	return ex->answer_body.len > ANSWER_MAX_BYTES ? ERR_TOO_LARGE
