A stalled attempt without a retry budget is looked at again

Whether an attempt may be given up was decided when its timer was set: with an empty retry budget it had no stall timeout for the rest of its time, though the budget of an instance that has just started comes two seconds later. process_stalled_streams: one to three of eight streams, begun in the first window of an instance, stayed with a server that had stalled. The timeout is now set without the budget, which is asked when it ends and every 0.5 s after.

--- a/src/gateway/exchange.c
+++ b/src/gateway/exchange.c
@@ -13,7 +13,9 @@
 	DEFAULT_TIMEOUT_MS = 1500, /* deadline where no route is known */
 	DEADLINE_MIN_MS = 10, /* with less left it is not sent to a server */
 	/* After this time without a byte a server may have crashed. */
-	SILENCE_SUSPECT_US = 1000000
+	SILENCE_SUSPECT_US = 1000000,
+	/* Interval at which a stalled attempt looks for a retry budget. */
+	STALL_RECHECK_US = 500000
 };
 
 /*
@@ -222,16 +224,20 @@
 
 /*
  * Sets the timer to the deadline or to the limit of the time without progress,
- * whichever comes first.
+ * whichever comes first.  An attempt beyond that limit goes on because there is
+ * no retry budget for another one, and is looked at again soon.
  */
 void
 gw_exchange_set_timer(struct gw_exchange *ex)
 {
 	int64_t at_us = ex->deadline_us;
 	int64_t patience = gw_exchange_progress_limit_us(ex);
+	int64_t stalled_us = ex->attempt.progress_us + patience;
 
-	if (patience > 0 && ex->attempt.progress_us + patience < at_us)
-		at_us = ex->attempt.progress_us + patience;
+	if (stalled_us <= gw_exchange_now_us(ex))
+		stalled_us = gw_exchange_now_us(ex) + STALL_RECHECK_US;
+	if (patience > 0 && stalled_us < at_us)
+		at_us = stalled_us;
 	loop_cancel(ex->timer);
 	ex->timer = loop_after(
 	    ex->entry->gw->loop, at_us - gw_exchange_now_us(ex), on_timer, ex);
@@ -247,7 +253,8 @@
 	ex->timer = NULL;
 	if (now_us >= ex->deadline_us)
 		handle_timeout(ex);
-	else if (patience > 0 && now_us >= ex->attempt.progress_us + patience)
+	else if (patience > 0 && now_us >= ex->attempt.progress_us + patience &&
+		 retry_budget_allows(&ex->service_state->budget, now_us))
 		gw_exchange_abandon_attempt(ex);
 	else
 		gw_exchange_set_timer(ex);
--- a/src/gateway/exchange_send.c
+++ b/src/gateway/exchange_send.c
@@ -582,7 +582,8 @@
 
 /*
  * Returns how long the attempt under way may go on without progress, in
- * microseconds; 0: without a limit.
+ * microseconds; 0: without a limit.  The retry budget, which changes with time,
+ * is left out.
  */
 int64_t
 gw_exchange_progress_limit_us(const struct gw_exchange *ex)
@@ -591,9 +592,7 @@
 	    .resumable = ex->route->resumable,
 	    .begun = ex->answer_begun,
 	    .can_move = ex->caller != NULL &&
-			ex->run_count + 1 < ex->route->attempts_max &&
-			retry_budget_allows(
-			    &ex->service_state->budget, gw_exchange_now_us(ex)),
+			ex->run_count + 1 < ex->route->attempts_max,
 	    .goal_ms = ex->route->goal_ms,
 	    .gap_goal_ms = ex->route->gap_goal_ms,
 	    .expected_ms = ex->attempt.expected_ms};
