A planned stop answers the requests of connections that it has accepted

What callers saw: 9 of 15,263 calls ended with an empty reply or a reset when an entry got SIGTERM six times under 12 callers that went on until it was gone (process_stop_under_load).

Cause: the process ended as soon as no request was open, with connections in the backlog and on sockets that it had accepted 50 ms before; and idle connections were closed while a request lay unread in them.

Change: when no request is open any more, the entry accepts what has connected, closes its listener, answers what still comes (503, not run) and ends when the connections have ended, at the latest after 0.6 s. Connections are closed only after 0.25 s without a request, and not with unread input. Where requests are open until the grace period is nearly over, the listener closes 0.6 s before.

--- a/src/gateway/entry.c
+++ b/src/gateway/entry.c
@@ -16,6 +16,8 @@
 	COMPILE_DELAY_US = 20000, /* combines changes that arrive together */
 	WAITING_RETRY_US = 20000, /* interval of queue retries */
 	READY_CONNECTIONS_MAX = 64,
+	/* A caller sends its request within this time of connecting. */
+	CLOSE_IDLE_US = 250000,
 	READY_LEASE_MIN_US = 1500000, /* with less lease left: not ready */
 	LOG_LINES_PER_REQUEST = 4, /* usual number */
 	HTTP_OK = 200
@@ -710,7 +712,24 @@
 gw_entry_refuse_new(struct gw_entry *entry)
 {
 	entry->refuses_new = true;
-	front_close_idle(entry->front);
+	front_close_idle(entry->front, CLOSE_IDLE_US);
+}
+
+/*
+ * Refuses new connections.  Those that callers have opened already are still
+ * answered.
+ */
+void
+gw_entry_stop_listening(struct gw_entry *entry)
+{
+	front_stop_listening(entry->front);
+}
+
+/* Returns the number of callers' connections. */
+uint32_t
+gw_entry_connections(const struct gw_entry *entry)
+{
+	return front_connection_count(entry->front);
 }
 
 /* Returns the number of requests whose callers wait for an answer. */
--- a/src/gateway/main.c
+++ b/src/gateway/main.c
@@ -48,7 +48,9 @@
 	 */
 	BALANCER_NOTICE_US = 2500000,
 	/* part of grace-ms left for sending the last answers */
-	FINAL_ANSWERS_MS = 700
+	FINAL_ANSWERS_MS = 700,
+	/* longest wait for connections without a request to end */
+	LAST_CONNECTIONS_US = 600000
 };
 
 struct process {
@@ -61,6 +63,8 @@
 	int64_t checked_us; /* time of the last comparison of both clocks */
 	int64_t checked_wall_us;
 	bool refuses_new;
+	int64_t
+	    closed_us; /* when it stopped to listen for callers; 0: not yet */
 };
 
 static void
@@ -146,28 +150,49 @@
 }
 
 /*
- * Runs the phases of the shutdown, and stops the loop when no requests are
- * open or the grace period is nearly over.
+ * Runs the phases of the shutdown of an entry.  Returns whether it is over: no
+ * request is open, new connections have been refused for a while, and those
+ * that were accepted before have ended, or the grace period is nearly over.
  */
-static void
-on_drain_timer(void *ctx)
+static bool
+drain_entry(struct process *p, int64_t now_us)
 {
-	struct process *p = ctx;
-	int64_t now_us = loop_now_us(p->gw.loop);
+	struct gw_entry *entry = p->gw.entry;
 	int64_t end_us =
 	    p->stopping_us +
 	    ((int64_t)p->settings.grace_ms - FINAL_ANSWERS_MS) * 1000;
-	uint32_t open =
-	    p->gw.entry != NULL ? gw_entry_open_requests(p->gw.entry) : 0;
+	bool idle;
 
-	if (p->gw.entry != NULL &&
-	    now_us - p->stopping_us >= BALANCER_NOTICE_US) {
+	if (now_us - p->stopping_us >= BALANCER_NOTICE_US) {
 		p->refuses_new = true;
-		gw_entry_refuse_new(p->gw.entry);
+		gw_entry_refuse_new(entry);
+	}
+	idle = p->refuses_new && gw_entry_open_requests(entry) == 0;
+	if (p->closed_us == 0 &&
+	    (idle || now_us >= end_us - LAST_CONNECTIONS_US)) {
+		p->closed_us = now_us;
+		gw_entry_stop_listening(entry);
 	}
-	if (now_us >= end_us || (p->refuses_new && open == 0) ||
-	    (p->gw.entry == NULL && now_us - p->stopping_us >= DRAIN_TICK_US)) {
-		log_event(LOG_LEVEL_INFO, "stop", "open=%u", open);
+	if (idle && (gw_entry_connections(entry) == 0 ||
+			now_us - p->closed_us >= LAST_CONNECTIONS_US))
+		return true;
+	return now_us >= end_us;
+}
+
+/* Runs the phases of the shutdown, and stops the loop after the last one. */
+static void
+on_drain_timer(void *ctx)
+{
+	struct process *p = ctx;
+	int64_t now_us = loop_now_us(p->gw.loop);
+	bool over = p->gw.entry != NULL
+			? drain_entry(p, now_us)
+			: now_us - p->stopping_us >= DRAIN_TICK_US;
+
+	if (over) {
+		log_event(LOG_LEVEL_INFO, "stop", "open=%u",
+		    p->gw.entry != NULL ? gw_entry_open_requests(p->gw.entry)
+					: 0);
 		loop_stop(p->gw.loop);
 		return;
 	}
--- a/src/http/front.c
+++ b/src/http/front.c
@@ -541,9 +541,11 @@
 		return;
 	while (server->conns != NULL)
 		conn_free(server->conns);
-	loop_unwatch(server->watch);
 	loop_cancel(server->timeout_timer);
-	close(server->listener);
+	if (server->watch != NULL) {
+		loop_unwatch(server->watch);
+		close(server->listener);
+	}
 	alloc_free(server->options.alloc, server);
 }
 
@@ -565,19 +567,47 @@
 }
 
 /*
- * Closes the connections that wait for a request. They are shut down for
- * writing first: a request that arrives at the same time is read and discarded
- * without an answer, and its caller sees that the connection was closed before
- * any answer.
+ * Accepts the connections that are complete already and refuses any later one.
+ * The others are served as before.
  */
 void
-front_close_idle(struct front_server *server)
+front_stop_listening(struct front_server *server)
+{
+	if (server->watch == NULL)
+		return;
+	on_accept(server, LOOP_READ);
+	loop_unwatch(server->watch);
+	server->watch = NULL;
+	close(server->listener);
+	server->listener = -1;
+}
+
+static bool
+has_unread_input(const struct front_exchange *x)
 {
+	char byte;
+
+	return recv(x->fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+}
+
+/*
+ * Closes the connections that have waited for a request for idle_us or longer.
+ * They are shut down for writing first: a request that arrives at the same time
+ * is read and discarded without an answer, and its caller sees that the
+ * connection was closed before any answer. A request that has arrived already
+ * is left to be read.
+ */
+void
+front_close_idle(struct front_server *server, int64_t idle_us)
+{
+	int64_t now_us = loop_now_us(server->options.loop);
 	struct front_exchange *next;
 
 	for (struct front_exchange *x = server->conns; x != NULL; x = next) {
 		next = x->next;
-		if (x->state == CONN_READING && !x->request_started)
+		if (x->state == CONN_READING && !x->request_started &&
+		    now_us - x->state_since_us >= idle_us &&
+		    !has_unread_input(x))
 			start_lingering(x);
 	}
 }
