--- a/test/process/repeats_soak.sh
+++ b/test/process/repeats_soak.sh
@@ -3,7 +3,8 @@
 # that are stopped, killed, paused and restarted in an order drawn from a seed:
 # in no window do the backend servers get more retries than the retry budget
 # allows.  CF_SEED, CF_SECONDS, CF_ENTRIES and CF_CALLERS (for each entry) vary
-# the run; CF_KEEP=FOLDER keeps its logs.
+# the run; CF_KEEP=FOLDER keeps its logs.  With CF_LIMIT the last server names
+# that limit, in requests a second, and must not get more than it allows.
 . "$(dirname "$0")/gateway.bash"
 RANDOM=${CF_SEED:-1}
 seconds=${CF_SECONDS:-15}
@@ -42,6 +43,9 @@
 announcements &
 helpers=$!
 await_entries $entries
+if [ -n "${CF_LIMIT:-}" ]; then
+	curl -s -o /dev/null "http://127.0.0.1:${port_of[5]}/set-limit/$CF_LIMIT"
+fi
 
 # callers N CALLER: sends requests one after the other on one connection, and
 # reconnects when the instance has ended; prints "asked TARGET STATUS" for each.
@@ -149,3 +153,22 @@
 check 'the run repeated enough to tell' 1 \
     "$(sed 's/.*repeats=\([0-9]*\) .*/\1/' "$dir/verdict" | awk '{ print ($1 > 100) }')"
 [ -z "${CF_KEEP:-}" ] || cp -r "$dir" "$CF_KEEP"
+[ -n "${CF_LIMIT:-}" ] || exit 0
+# From 3 s after the limit was named, at most one and a half times what it
+# allows in any 4 s, and five requests more.
+awk -v limit="$CF_LIMIT" '
+$3 ~ "^/set-limit/" { from = $2 + 3000; next }
+$1 == "got" && from > 0 && $2 >= from {
+	at[++n] = $2
+	while (at[n] - at[first + 1] >= 4000)
+		first++
+	if (n - first > most)
+		most = n - first
+}
+END { printf "requests=%d most=%d allowed=%d\n", n, most, 6 * limit + 5 }' \
+    "$dir/server5.out" >"$dir/limited"
+echo "      limited server: $(cat "$dir/limited")"
+check 'the limited server gets no more than it names' 1 \
+    "$(sed 's/.*most=\([0-9]*\) allowed=/\1 /' "$dir/limited" | awk '{ print ($1 <= $2) }')"
+check 'and enough to tell' 1 \
+    "$(sed 's/^requests=\([0-9]*\) .*/\1/' "$dir/limited" | awk '{ print ($1 > 5) }')"
