Only where servers name limits does a request wait its turn

A request for which a server was picked was queued behind others that wait if the server is cold, too, and refused if it had waited as long as it may: a retry late in its time was refused though a server had room.

--- a/src/gateway/exchange_send.c
+++ b/src/gateway/exchange_send.c
@@ -464,14 +464,16 @@
 
 /*
  * Returns whether the request must let others that wait for the service go
- * first, as the server takes a bounded number of requests.  A dropped answer of
- * a smaller model can't be had again, so its request goes on at once.
+ * first, as the server names a limit.  Requests that have waited as long as
+ * they may go on at once, and so do those whose answer of a smaller model was
+ * dropped, which can't be had again.
  */
 static bool
 must_queue_up(struct gw_exchange *ex, uint16_t server)
 {
 	if (ex->in_turn || ex->answer_begun || ex->attempt.escalated ||
-	    !pool_is_bounded(ex->entry->pool, server, gw_exchange_now_us(ex)))
+	    !may_keep_waiting(ex) ||
+	    !pool_is_limited(ex->entry->pool, server, gw_exchange_now_us(ex)))
 		return false;
 	ex->awaits_limit = true;
 	return gw_entry_waiting_ahead(ex->entry, ex) > 0;
@@ -570,7 +572,7 @@
 	if (pool_pick_server(ex->entry->pool, &query, gw_exchange_now_us(ex),
 		&server) != POOL_PICKED)
 		return false;
-	if (pool_is_bounded(ex->entry->pool, server, gw_exchange_now_us(ex)) &&
+	if (pool_is_limited(ex->entry->pool, server, gw_exchange_now_us(ex)) &&
 	    gw_entry_waiting_ahead(ex->entry, ex) > 0)
 		return false;
 	*work_us = (int64_t)(query.work_ms * US_PER_MS);
--- a/src/route/pool.c
+++ b/src/route/pool.c
@@ -1134,6 +1134,13 @@
 	return !rate_bound_is_none(&limit);
 }
 
+/* Tells whether a server names a limit. */
+bool
+pool_is_limited(const struct server_pool *pool, uint16_t server, int64_t now_us)
+{
+	return is_limited(&pool->servers[server], now_us);
+}
+
 /* Returns when a server takes the next request, as far as that is known. */
 static int64_t
 opens_us(struct server_pool *pool, uint16_t server, int64_t now_us)
--- a/src/route/pool.h
+++ b/src/route/pool.h
@@ -225,6 +225,8 @@
     const struct server_pool *pool, uint16_t server, int64_t now_us);
 bool pool_is_bounded(
     const struct server_pool *pool, uint16_t server, int64_t now_us);
+bool pool_is_limited(
+    const struct server_pool *pool, uint16_t server, int64_t now_us);
 uint64_t pool_bounded_count(const struct server_pool *pool);
 
 /* When the servers that may run a request take the next ones. */
