--- a/src/route/pool.c
+++ b/src/route/pool.c
@@ -61,6 +61,10 @@
 /* Load of a trial server, as a multiple of the mean load */
 static const uint32_t trial_load_factor = 3;
 static const uint32_t remote_penalty_requests = 2; /* see pick_by_load() */
+/* Bursts of all instances, as a share of a cold server's capacity */
+static const double cold_bursts_share_max = 0.5;
+/* Sending instances per unit of that capacity, where it is less than all */
+static const double cold_senders_share = 0.25;
 /* Random delay that keeps instances from making the same choice */
 static const double jitter_ms = 6;
 
@@ -332,8 +336,8 @@
 
 /*
  * Returns the bound on the requests to a server that is cold.  In any second it
- * bears its capacity, of which bursts get at most half, so that all instances
- * may have one if they are few.
+ * bears its capacity.  Few instances get all of it, with a burst for each; many
+ * leave half of it unused.
  */
 static struct rate_bound
 cold_bound(
@@ -352,8 +356,10 @@
 	    pool->options.cold_slack;
 	if (burst < pool->members.count)
 		burst = pool->members.count;
-	if (burst > capacity_per_s / 2)
-		burst = capacity_per_s / 2;
+	if (burst > capacity_per_s * cold_bursts_share_max)
+		return (struct rate_bound){
+		    .per_s = capacity_per_s * cold_senders_share,
+		    .burst = capacity_per_s * cold_senders_share};
 	return (struct rate_bound){
 	    .per_s = capacity_per_s - burst, .burst = burst};
 }
