--- a/src/gateway/exchange.c
+++ b/src/gateway/exchange.c
@@ -132,6 +132,23 @@
 	buf_free(&line);
 }
 
+/*
+ * Formats the ids of the prompt's parts that other requests may share, all but
+ * the last, separated by commas.  Returns out.
+ */
+const char *
+gw_exchange_format_parts(
+    const struct gw_exchange *ex, char out[GW_PARTS_TEXT_BYTES])
+{
+	size_t len = 0;
+
+	out[0] = '\0';
+	for (uint8_t i = 0; i + 1 < ex->request.part_count; i++)
+		len += (size_t)snprintf(out + len, GW_PARTS_TEXT_BYTES - len,
+		    "%s%" PRIx64, i > 0 ? "," : "", ex->request.parts[i].id);
+	return out;
+}
+
 /*
  * Logs the outcome of the request, and its deferred lines if it failed.
  * status: HTTP status, or 0 if the caller got none.
@@ -145,7 +162,8 @@
 	gw_exchange_log(ex, LOG_LEVEL_INFO, "answered",
 	    "route=%s outcome=%s status=%u ms=%" PRId64 " first_ms=%" PRId64
 	    " sends=%u runs=%u may_have_run=%d "
-	    "document=%" PRIu64 " server_leaving=%d server_pause_ms=%u",
+	    "document=%" PRIu64 " server_leaving=%d server_pause_ms=%u "
+	    "ends_with_connection=%d",
 	    ex->route != NULL ? ex->route->name : "", outcome, status,
 	    (now_us - ex->arrived_us) / US_PER_MS,
 	    ex->first_byte_us != 0
@@ -153,7 +171,8 @@
 		: -1,
 	    ex->send_count, ex->run_count, ex->may_have_run,
 	    ex->table != NULL ? ex->table->number : 0,
-	    ex->attempt.server_leaving, ex->attempt.pause_ms);
+	    ex->attempt.server_leaving, ex->attempt.pause_ms,
+	    ex->attempt.ends_with_connection);
 	if (ex->defers_log && strcmp(outcome, "answered") != 0)
 		log_lines(&ex->deferred_log);
 }
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -23,6 +23,8 @@
  */
 enum {
 	GW_TRIED_SERVERS_MAX = 8,
+	/* Shared parts of a prompt as text: 16 digits and a comma each */
+	GW_PARTS_TEXT_BYTES = GW_PROMPT_PARTS_MAX * 17 + 1,
 	/* How long a request waits for orders and servers after a start. */
 	GW_STARTUP_WAIT_US = 700000,
 	/* Values of Retry-After: */
@@ -42,6 +44,8 @@
 	bool header_received;
 	bool not_run; /* the server reports that it did not run the request */
 	bool defective; /* the answer failed validation */
+	/* The end of the connection marked the end of the answer */
+	bool ends_with_connection;
 	bool server_leaving; /* its answer says that the server shuts down */
 	uint32_t pause_ms; /* the server refused and asked for this pause */
 	bool escalated; /* cancelled in favour of a larger model */
@@ -106,6 +110,8 @@
 void gw_exchange_log(struct gw_exchange *ex, enum log_level level,
     const char *event, const char *format, ...)
     __attribute__((format(printf, 4, 5)));
+const char *gw_exchange_format_parts(
+    const struct gw_exchange *ex, char out[GW_PARTS_TEXT_BYTES]);
 void gw_exchange_log_end(
     struct gw_exchange *ex, const char *outcome, unsigned int status);
 void gw_exchange_answer_error(
--- a/src/gateway/exchange_answer.c
+++ b/src/gateway/exchange_answer.c
@@ -664,6 +664,7 @@
 	const struct pool_server *s =
 	    pool_server_at(entry->pool, ex->attempt.server);
 	struct suspects_life life = gw_entry_life_of(&s->announced);
+	char parts[GW_PARTS_TEXT_BYTES];
 
 	if (s->announced.born_ms == ex->attempt.born_ms &&
 	    s->announced.state != REGISTRY_READY)
@@ -671,9 +672,9 @@
 	life.life = registry_life_hash(s->announced.id, ex->attempt.born_ms);
 	gw_exchange_log(ex, LOG_LEVEL_INFO, "suspected",
 	    "server=%s born_ms=%" PRIu64 " life=%016" PRIx64
-	    " fingerprint=%016" PRIx64 " closed=%d",
+	    " fingerprint=%016" PRIx64 " parts=%s closed=%d",
 	    s->announced.id, ex->attempt.born_ms, life.life, ex->fingerprint,
-	    closed);
+	    gw_exchange_format_parts(ex, parts), closed);
 	suspects_add_broken_run(entry->suspects, &life, ex->fingerprint, closed,
 	    gw_exchange_now_us(ex));
 	if (closed && s->announced.born_ms == ex->attempt.born_ms)
@@ -826,6 +827,7 @@
 		    ex->service_state->usual_gap_us[ex->model_index],
 		    ex->attempt.gap_count);
 	ex->attempt.call = NULL;
+	ex->attempt.ends_with_connection = result->ends_with_connection;
 	gw_exchange_clear_pending(ex);
 	pool_record_end(entry->pool, ex->attempt.server);
 	if (ex->attempt.escalated) {
--- a/src/http/upstream.c
+++ b/src/http/upstream.c
@@ -58,6 +58,7 @@
 	bool head_reported;
 	bool skipping_answer; /* the answer belongs to another call */
 	bool complete;
+	bool eof; /* the server has closed its side */
 	bool closing; /* not reusable for another call */
 	bool single_use; /* the same, as its call asked for */
 	/*
@@ -128,7 +129,8 @@
 	    .unreachable = c->connecting,
 	    .refused = call->refused,
 	    .closed = closed,
-	    .reused = call->reused};
+	    .reused = call->reused,
+	    .ends_with_connection = error == 0 && c->eof};
 	const struct upstream_handler *handler = call->handler;
 	void *ctx = call->ctx;
 
@@ -323,6 +325,7 @@
 			return;
 		}
 	}
+	c->eof = eof;
 	taken = http_parser_execute(&c->parser, &parser_settings, data, len);
 	if (c->free_pending)
 		return;
--- a/src/http/upstream.h
+++ b/src/http/upstream.h
@@ -48,6 +48,8 @@
 	bool refused; /* the address refused the connection */
 	bool closed; /* the server closed the connection */
 	bool reused; /* the call started on an idle connection */
+	/* The end of the connection marked the end of the complete answer */
+	bool ends_with_connection;
 };
 
 struct upstream_handler {
