--- a/fakes/server/main.c
+++ b/fakes/server/main.c
@@ -29,6 +29,11 @@
  *			limit, or none if it is empty
  *	/crash/...	the process ends before the first byte
  *	/crash-late/...	event 1, then the process ends
+ *	/prompt/...	as /stream/ after PREFILL_US; the process ends after
+ *			event 1 if a part of the prompt but the first has an id
+ *			that begins with "dead"
+ *	/prompt-whole/...	as /ok/ after PREFILL_US; the process ends
+ *			before the first byte if the prompt has such a part
  *
  * Prints "got MS TARGET" for each request and "crashed MS" before a crash, with
  * MS in milliseconds of the monotonic clock.
@@ -37,6 +42,7 @@
 enum {
 	STREAM_EVENTS = 5,
 	EVENT_INTERVAL_US = 20000,
+	PREFILL_US = 200000, /* time to read a prompt */
 	EXIT_CRASHED = 3,
 	STATUS_INTERNAL_ERROR = 500,
 	STATUS_UNAVAILABLE = 503,
@@ -58,6 +64,7 @@
 	int next_event;
 	int cut_event; /* event within which the stream is cut; 0: none */
 	bool crashes; /* the process ends after event 1 */
+	bool whole; /* a plain answer instead of events */
 };
 
 static const char *
@@ -141,18 +148,26 @@
 	loop_after(loop, EVENT_INTERVAL_US, send_next_event, s);
 }
 
-static void
-start_stream(struct front_exchange *x, bool cut, bool crashes)
+static struct stream *
+new_stream(struct front_exchange *x, bool cut, bool crashes)
 {
 	struct stream *s = calloc(1, sizeof(*s));
 	const char *last = request_header(x, "Last-Event-Id");
-	struct buf lines;
 
 	s->x = x;
 	s->next_event = last[0] != '\0' ? atoi(last) + 1 : 1;
 	s->cut_event = cut && last[0] == '\0' ? 3 : 0;
 	s->crashes = crashes;
 	front_set_data(x, s);
+	return s;
+}
+
+static void
+start_stream(struct stream *s)
+{
+	struct front_exchange *x = s->x;
+	struct buf lines;
+
 	buf_init(&lines, alloc_default());
 	add_common_fields(&lines, x);
 	buf_adds(&lines, "Content-Type: text/event-stream\r\n");
@@ -161,6 +176,37 @@
 	send_next_event(s);
 }
 
+/* Begins the answer to a prompt that has been read. */
+static void
+begin_prompt_answer(void *ctx)
+{
+	struct stream *s = ctx;
+
+	if (s->x == NULL) {
+		free(s);
+		return;
+	}
+	if (!s->whole) {
+		start_stream(s);
+		return;
+	}
+	if (s->crashes)
+		crash();
+	front_set_data(s->x, NULL);
+	send_answer(s->x, 200, "", front_body(s->x));
+	free(s);
+}
+
+static void
+read_prompt(struct front_exchange *x, bool whole)
+{
+	const char *parts = request_header(x, "Celeryford-Prompt-Prefix");
+	struct stream *s = new_stream(x, false, strstr(parts, ",dead") != NULL);
+
+	s->whole = whole;
+	loop_after(loop, PREFILL_US, begin_prompt_answer, s);
+}
+
 static void
 on_request(void *ctx, struct front_exchange *x)
 {
@@ -176,11 +222,15 @@
 	if (strstr(target, "/crash/") != NULL)
 		crash();
 	else if (strstr(target, "/crash-late/") != NULL)
-		start_stream(x, false, true);
+		start_stream(new_stream(x, false, true));
+	else if (strstr(target, "/prompt/") != NULL)
+		read_prompt(x, false);
+	else if (strstr(target, "/prompt-whole/") != NULL)
+		read_prompt(x, true);
 	else if (strstr(target, "/stream/") != NULL)
-		start_stream(x, false, false);
+		start_stream(new_stream(x, false, false));
 	else if (strstr(target, "/cut/") != NULL)
-		start_stream(x, true, false);
+		start_stream(new_stream(x, true, false));
 	else if (strstr(target, "/error/") != NULL)
 		send_answer(x, STATUS_INTERNAL_ERROR, "", &no_body);
 	else if (strstr(target, "/full/") != NULL ||
--- /dev/null
+++ b/test/process/crashing.bash
@@ -0,0 +1,45 @@
+# Functions shared by the process tests with backend servers that crash and
+# come back.
+. "$(dirname "$0")/gateway.bash"
+
+start_entry() { entry "$1" --retry-window-ms 1000 --announce-ms 1200 --retry-share 0.9 --retry-slack 50; }
+now_ms() { awk '{ printf "%d\n", $1 * 1000 }' /proc/uptime; }
+ended() { cat "$dir"/lives/* | grep -c crashed; }
+
+# keep_serving N: restarts server N whenever it ends, after 2 s and with a new
+# id for each life, or, while the file at-once exists, at once and with a fixed
+# id.
+mkdir "$dir/lives"
+touch "$dir/serving"
+keep_serving() {
+	local n=$1 life=0 id up
+	while [ -e "$dir/serving" ]; do
+		life=$((life + 1))
+		id=s-$n-$life
+		[ ! -e "$dir/at-once" ] || id=s-$n
+		"$build/cf-fake-server" "$id" "127.0.0.1:$((base + 100 + n))" >"$dir/lives/$n-$life" 2>&1 &
+		up=$!
+		started=$(date +%s%3N)
+		while [ -e "$dir/serving" ] && kill -0 $up 2>/dev/null; do
+			announce "$id" "$((base + 100 + n))"
+			for _ in 1 2 3 4 5 6 7 8 9 10; do
+				kill -0 $up 2>/dev/null || break
+				sleep 0.1
+			done
+		done
+		kill $up 2>/dev/null
+		wait $up 2>/dev/null
+		[ -e "$dir/at-once" ] || sleep 2
+	done
+}
+# restart N...: kills instances and starts them again.
+restart() {
+	local n
+	end_now "$@" 2>/dev/null
+	for n in "$@"; do
+		case $n in
+		1?) state $n false ;;
+		*) start_entry $n ;;
+		esac
+	done
+}
--- a/test/process/crashing.sh
+++ b/test/process/crashing.sh
@@ -3,7 +3,7 @@
 # servers after the third crash.  The same request is sent four times a second
 # to the entries in turn, beside harmless requests.  A crashed server restarts
 # after 2 s under a new id, or at once under its old id.
-. "$(dirname "$0")/gateway.bash"
+. "$(dirname "$0")/crashing.bash"
 
 document() {
 	cat <<EOF
@@ -21,36 +21,9 @@
 servers='1 2 3 4 5 6 7 8'
 entries='21 22 23'
 for n in 11 12 13; do state $n true; done
-start_entry() { entry "$1" --retry-window-ms 1000 --announce-ms 1200 --retry-share 0.9 --retry-slack 50; }
 for n in $entries; do start_entry $n; done
 put 1 4000
 
-# keep_serving N: restarts server N whenever it ends, after 2 s and with a new
-# id for each life, or, while the file at-once exists, at once and with a fixed
-# id.
-mkdir "$dir/lives"
-touch "$dir/serving"
-keep_serving() {
-	local n=$1 life=0 id up
-	while [ -e "$dir/serving" ]; do
-		life=$((life + 1))
-		id=s-$n-$life
-		[ ! -e "$dir/at-once" ] || id=s-$n
-		"$build/cf-fake-server" "$id" "127.0.0.1:$((base + 100 + n))" >"$dir/lives/$n-$life" 2>&1 &
-		up=$!
-		started=$(date +%s%3N)
-		while [ -e "$dir/serving" ] && kill -0 $up 2>/dev/null; do
-			announce "$id" "$((base + 100 + n))"
-			for _ in 1 2 3 4 5 6 7 8 9 10; do
-				kill -0 $up 2>/dev/null || break
-				sleep 0.1
-			done
-		done
-		kill $up 2>/dev/null
-		wait $up 2>/dev/null
-		[ -e "$dir/at-once" ] || sleep 2
-	done
-}
 supervisors=
 for n in $servers; do
 	keep_serving "$n" &
@@ -73,7 +46,6 @@
 	supervisors="$supervisors $!"
 done
 
-ended() { cat "$dir"/lives/* | grep -c crashed; }
 # late PATH: number of requests for PATH that reached a server more than 3 s
 # after the third crash since $from.
 late() {
@@ -82,7 +54,6 @@
 	[ -n "$third" ] || { echo 0; return; }
 	cat "$dir"/lives/* | awk -v third="$third" -v path="$1" '$1 == "got" && $3 == path && $2 > third + 3000' | wc -l
 }
-now_ms() { awk '{ printf "%d\n", $1 * 1000 }' /proc/uptime; }
 
 # trial NAME PATH: sends the same request to the entries in turn for $lasts s,
 # and counts the crashed servers and the late arrivals.
@@ -104,18 +75,6 @@
 	lates=$(late "$path")
 	echo "      $name: $i requests, $ends servers ended, $lates arrivals later than 3 s after the third"
 }
-# restart N...: kills instances and starts them again.
-restart() {
-	local n
-	end_now "$@" 2>/dev/null
-	for n in "$@"; do
-		case $n in
-		1?) state $n false ;;
-		*) start_entry $n ;;
-		esac
-	done
-}
-
 # judge WHAT [MOST]: three servers may crash, and one more under a request that
 # was under way then.
 judge() {
