Blame crashes on parts of prompts, and refuse the one that causes them

Cause: a crash was attributed to whole requests only, and no two of these are alike, so each was allowed three servers. Class: a fact kept under an identity that is narrower than its cause.

route/suspects now keeps a mark for each shared part of a prompt as well. A part that completes all the time must not be refused because servers fail, so a crash counts against it only if it has not completed half a second later, and an instance that is told of a crash before its own last completion takes it back. Of causes with as many crashes, one that has not completed lately explains them; a request is refused for crashes that a cause outside of it explains as well only with five, and is tried at one server until then.

Ruled out: that reset connections count (RunsThatAreResetDoNotCountAgainstAPart).

--- a/src/gateway/entry.c
+++ b/src/gateway/entry.c
@@ -156,6 +156,7 @@
 		log_crash(server, "later_life",
 		    suspects_later_life_seen(
 			entry->suspects, &life, loop_now_us(entry->gw->loop)));
+	gw_entry_report_held_crashes(entry);
 	place = pool_update_server(
 	    entry->pool, server, loop_now_us(entry->gw->loop));
 	if (server->state != REGISTRY_READY && place != ROUTE_NONE)
@@ -339,23 +340,58 @@
 		 */
 		(void)suspects_life_ended(
 		    entry->suspects, note->key, loop_now_us(entry->gw->loop));
+		gw_entry_report_held_crashes(entry);
 		break;
 	case GW_NOTE_CRASH:
+	case GW_NOTE_PART_CRASH:
 		entry->crash_marks->value++;
-		suspects_apply_finding(entry->suspects, note->key, note->part,
-		    (enum suspects_finding)note->value, note->at_us);
+		suspects_apply_finding(entry->suspects,
+		    &(struct suspects_cause){
+			note->key, note->kind == GW_NOTE_PART_CRASH},
+		    note->part, (enum suspects_finding)note->value,
+		    note->at_us);
 		break;
 	}
 }
 
 /* Tells the other instances of a crash mark that was set here. */
 static void
-publish_crash_mark(
-    void *ctx, uint64_t fingerprint, uint64_t life, enum suspects_finding state)
+publish_crash_mark(void *ctx, const struct suspects_cause *cause, uint64_t life,
+    enum suspects_finding state, int64_t at_us)
 {
 	struct gw_entry *entry = ctx;
+	struct gw_note note = {
+	    .kind = cause->is_part ? GW_NOTE_PART_CRASH : GW_NOTE_CRASH,
+	    .key = cause->id,
+	    .part = life,
+	    .value = state,
+	    .at_us = at_us};
 
-	gw_publish_note(entry->gw, GW_NOTE_CRASH, fingerprint, life, state);
+	gw_publish_dated_note(entry->gw, &note);
+}
+
+static void
+on_held_crashes(void *ctx)
+{
+	struct gw_entry *entry = ctx;
+
+	entry->held_crashes_timer = NULL;
+	gw_entry_report_held_crashes(entry);
+}
+
+/*
+ * Reports the crashes that were held back and are due, and sets a timer for the
+ * next ones.
+ */
+void
+gw_entry_report_held_crashes(struct gw_entry *entry)
+{
+	int64_t now_us = loop_now_us(entry->gw->loop);
+	int64_t next_us = suspects_report_held(entry->suspects, now_us);
+
+	if (next_us != 0 && entry->held_crashes_timer == NULL)
+		entry->held_crashes_timer = loop_after(
+		    entry->gw->loop, next_us - now_us, on_held_crashes, entry);
 }
 
 /*
@@ -371,6 +407,7 @@
 	    entry->suspects, life, loop_now_us(entry->gw->loop));
 
 	log_crash(server, "refuses_connections", marked);
+	gw_entry_report_held_crashes(entry);
 	if (marked > 0)
 		gw_publish_note(entry->gw, GW_NOTE_SERVER_ENDED, life, 0, 1);
 }
@@ -832,6 +869,7 @@
 	gw->entry = NULL;
 	loop_cancel(e->compile_timer);
 	loop_cancel(e->waiting_timer);
+	loop_cancel(e->held_crashes_timer);
 	front_free(e->ready_front);
 	front_free(e->front);
 	while (e->exchanges != NULL)
--- a/src/gateway/entry.h
+++ b/src/gateway/entry.h
@@ -21,16 +21,6 @@
  */
 struct gw_exchange;
 
-/*
- * Numbers of servers that a request has crashed, or may have crashed, from
- * which on it is limited.
- */
-enum {
-	GW_CRASHES_REFUSED = 3, /* the request is refused from this number on */
-	/* From this number on, the request runs at one server at a time */
-	GW_CRASHES_ALONE = 2
-};
-
 /* A compiled route table; a request keeps the one it was admitted with. */
 struct gw_entry_table {
 	struct route_table *routes;
@@ -86,6 +76,7 @@
 	uint64_t rollout_number; /* roll-out that sessions are held for */
 	struct loop_timer *waiting_timer; /* retries the waiting queue */
 	struct loop_timer *compile_timer;
+	struct loop_timer *held_crashes_timer; /* reports held crashes */
 	int64_t started_us;
 	double log_tokens; /* log lines that may be written now */
 	int64_t log_refilled_us; /* when log_tokens was last updated */
@@ -141,6 +132,7 @@
 void gw_entry_tell_limit(struct gw_entry *entry, uint16_t server);
 void gw_entry_server_refused(
     struct gw_entry *entry, const struct registry_server *server);
+void gw_entry_report_held_crashes(struct gw_entry *entry);
 void gw_entry_probe_server(struct gw_entry *entry, uint16_t server);
 struct suspects_life gw_entry_life_of(const struct registry_server *server);
 void gw_entry_table_release(struct gw_entry_table *table);
--- a/src/gateway/exchange.c
+++ b/src/gateway/exchange.c
@@ -479,6 +479,23 @@
 	    front_body(ex->caller)->data, front_body(ex->caller)->len, hash);
 }
 
+/*
+ * Sets by what crashes of servers are attributed to the request: its
+ * fingerprint and the parts of its prompt but the last, which no other request
+ * has.
+ */
+static void
+set_causes(struct gw_exchange *ex)
+{
+	struct suspects_request *causes = &ex->causes;
+
+	causes->fingerprint = fingerprint_of(ex);
+	for (uint8_t i = 0; i + 1 < ex->request.part_count &&
+			    causes->part_count < SUSPECTS_PARTS_MAX;
+	     i++)
+		causes->parts[causes->part_count++] = ex->request.parts[i].id;
+}
+
 /*
  * Admits the request and places it, queues it until the orders are known, or
  * answers with an error.
@@ -505,7 +522,7 @@
 			       ex->workspace->priority != ROUTE_PRIORITY_NONE
 			   ? ex->workspace->priority
 			   : ex->route->priority;
-	ex->fingerprint = fingerprint_of(ex);
+	set_causes(ex);
 	choose_service(ex);
 	gw_exchange_set_timer(ex);
 	gw_exchange_place(ex);
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -73,7 +73,9 @@
 	struct gw_entry_service *service_state;
 	const struct route_service *service_config;
 	struct gw_request_header request;
-	uint64_t fingerprint; /* identifies a query of death */
+	/* Identifies a query of death, or the part of a prompt that is deadly
+	 */
+	struct suspects_request causes;
 	uint8_t priority;
 	int64_t arrived_us;
 	int64_t deadline_us;
--- a/src/gateway/exchange_answer.c
+++ b/src/gateway/exchange_answer.c
@@ -673,10 +673,12 @@
 	gw_exchange_log(ex, LOG_LEVEL_INFO, "suspected",
 	    "server=%s born_ms=%" PRIu64 " life=%016" PRIx64
 	    " fingerprint=%016" PRIx64 " parts=%s closed=%d",
-	    s->announced.id, ex->attempt.born_ms, life.life, ex->fingerprint,
-	    gw_exchange_format_parts(ex, parts), closed);
-	suspects_add_broken_run(entry->suspects, &life, ex->fingerprint, closed,
+	    s->announced.id, ex->attempt.born_ms, life.life,
+	    ex->causes.fingerprint, gw_exchange_format_parts(ex, parts),
+	    closed);
+	suspects_add_broken_run(entry->suspects, &life, &ex->causes, closed,
 	    gw_exchange_now_us(ex));
+	gw_entry_report_held_crashes(entry);
 	if (closed && s->announced.born_ms == ex->attempt.born_ms)
 		gw_entry_probe_server(entry, ex->attempt.server);
 }
@@ -706,7 +708,7 @@
 		    "server=%s count=%u", s->announced.id, cleared);
 	if (end == RETRY_END_ANSWERED && result->status < 500)
 		suspects_acquit(
-		    entry->suspects, ex->fingerprint, gw_exchange_now_us(ex));
+		    entry->suspects, &ex->causes, gw_exchange_now_us(ex));
 }
 
 /*
--- a/src/gateway/exchange_send.c
+++ b/src/gateway/exchange_send.c
@@ -480,24 +480,26 @@
 }
 
 /*
- * Refuses a query of death, or a request that may be one: if some of its broken
- * attempts are not proved to be crashes, it is admitted again once the servers
- * of these attempts have answered other requests.
+ * Refuses a request that crashes servers, by itself or by a part of its prompt,
+ * or may do so: if some of its broken attempts are not proved to be crashes, it
+ * is admitted again once the servers of these attempts have answered other
+ * requests.
  */
 static void
 refuse_for_crashes(
     struct gw_exchange *ex, const struct suspects_summary *record)
 {
 	int64_t now_us = gw_exchange_now_us(ex);
-	bool proved = record->crashes >= GW_CRASHES_REFUSED;
+	bool proved = record->pending == 0;
 	int64_t until_us = proved ? record->marked_us + SUSPECTS_MARK_TTL_US
 				  : record->oldest_us + SUSPECTS_RUN_TTL_US;
 
 	ex->entry->crash_refusals->value++;
 	gw_exchange_log(ex, LOG_LEVEL_WARN, "refused_for_crashes",
-	    "fingerprint=%016" PRIx64 " crashes=%u pending=%u lives=%016" PRIx64
+	    "%s=%016" PRIx64 " crashes=%u pending=%u lives=%016" PRIx64
 	    ",%016" PRIx64 ",%016" PRIx64 " marked_ms=%" PRId64,
-	    ex->fingerprint, record->crashes, record->pending, record->lives[0],
+	    record->cause.is_part ? "part" : "fingerprint", record->cause.id,
+	    record->crashes, record->pending, record->lives[0],
 	    record->lives[1], record->lives[2],
 	    record->crashes > 0 ? (now_us - record->marked_us) / US_PER_MS : 0);
 	gw_exchange_refuse(
@@ -519,14 +521,14 @@
 		return;
 	}
 	suspects_lookup(
-	    entry->suspects, ex->fingerprint, gw_exchange_now_us(ex), &record);
-	if (record.crashes + record.pending >= GW_CRASHES_REFUSED) {
+	    entry->suspects, &ex->causes, gw_exchange_now_us(ex), &record);
+	if (record.refused) {
 		refuse_for_crashes(ex, &record);
 		return;
 	}
 	query = make_pool_query(ex, ex->model_index);
-	if (record.crashes + record.pending >= GW_CRASHES_ALONE)
-		query.suspect_hash = ex->fingerprint;
+	if (record.alone)
+		query.suspect_hash = record.placement_hash;
 	switch (pool_pick_server(
 	    entry->pool, &query, gw_exchange_now_us(ex), &server)) {
 	case POOL_PICKED:
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -92,6 +92,7 @@
 /* Notes to all entry instances, also defined in links.c. */
 void gw_publish_note(struct gw *gw, enum gw_note_kind kind, uint64_t key,
     uint64_t part, uint64_t value);
+void gw_publish_dated_note(struct gw *gw, const struct gw_note *note);
 void gw_redeliver_notes(struct gw *gw, enum gw_note_kind kind, uint32_t value);
 
 void gw_redeliver_note(struct gw *gw, enum gw_note_kind kind, uint64_t key);
--- a/src/gateway/links.c
+++ b/src/gateway/links.c
@@ -522,8 +522,9 @@
 
 	gw_format_address(note->told_by, from);
 	log_event(LOG_LEVEL_WARN, "crash_mark",
-	    "fingerprint=%016" PRIx64 " life=%016" PRIx64
+	    "%s=%016" PRIx64 " life=%016" PRIx64
 	    " acquitted=%d told_by=%s age_ms=%" PRId64,
+	    note->kind == GW_NOTE_PART_CRASH ? "part" : "fingerprint",
 	    note->key, note->part, note->value == SUSPECTS_ACQUITTED, from,
 	    (loop_now_us(gw->loop) - note->at_us) / 1000);
 }
@@ -542,7 +543,7 @@
 	if (note->kind == GW_NOTE_SERVER_LEAVING)
 		(void)registry_mark_leaving(
 		    gw->registry, note->key, loop_now_us(gw->loop));
-	if (note->kind == GW_NOTE_CRASH)
+	if (note->kind == GW_NOTE_CRASH || note->kind == GW_NOTE_PART_CRASH)
 		log_crash_mark(gw, note);
 	if (gw->entry != NULL)
 		gw_entry_apply_note(gw->entry, note);
@@ -556,7 +557,20 @@
 		schedule_hello(links, PUSH_URGENT_DELAY_US);
 }
 
-/* Sends a note to every entry instance, including this one. */
+/*
+ * Sends a note to every entry instance, including this one.  The caller sets
+ * when its value dates from.
+ */
+void
+gw_publish_dated_note(struct gw *gw, const struct gw_note *note)
+{
+	struct gw_note own = *note;
+
+	own.told_by = gw->self;
+	accept_note(gw->links, &own);
+}
+
+/* The same, for a note that dates from now. */
 void
 gw_publish_note(struct gw *gw, enum gw_note_kind kind, uint64_t key,
     uint64_t part, uint64_t value)
@@ -565,10 +579,9 @@
 	    .key = key,
 	    .part = part,
 	    .value = value,
-	    .at_us = loop_now_us(gw->loop),
-	    .told_by = gw->self};
+	    .at_us = loop_now_us(gw->loop)};
 
-	accept_note(gw->links, &note);
+	gw_publish_dated_note(gw, &note);
 }
 
 static void
--- a/src/gateway/metrics_page.c
+++ b/src/gateway/metrics_page.c
@@ -61,7 +61,7 @@
 	    suspects_mark_count(e->suspects, 1, loop_now_us(gw->loop)));
 	set_sample(gw, METRICS_GAUGE, "celeryford_crash_marks_refused",
 	    suspects_mark_count(
-		e->suspects, GW_CRASHES_REFUSED, loop_now_us(gw->loop)));
+		e->suspects, SUSPECTS_REFUSED_MIN, loop_now_us(gw->loop)));
 	set_sample(gw, METRICS_COUNTER,
 	    "celeryford_crash_suspects_dropped_total",
 	    suspects_dropped_count(e->suspects));
--- a/src/gateway/notes.c
+++ b/src/gateway/notes.c
@@ -84,7 +84,7 @@
 {
 	int64_t keep_us = GW_NOTES_KEEP_US;
 
-	if (note->kind == GW_NOTE_CRASH)
+	if (note->kind == GW_NOTE_CRASH || note->kind == GW_NOTE_PART_CRASH)
 		keep_us = GW_NOTES_CRASH_KEEP_US;
 	else if (note->kind == GW_NOTE_SERVER_LIMIT)
 		keep_us = GW_NOTES_LIMIT_KEEP_US;
--- a/src/gateway/notes.h
+++ b/src/gateway/notes.h
@@ -62,7 +62,9 @@
 	 * The limit that the answers of a server's life (key) name.  The value
 	 * is that of server_limit_pack().
 	 */
-	GW_NOTE_SERVER_LIMIT = 5
+	GW_NOTE_SERVER_LIMIT = 5,
+	/* As GW_NOTE_CRASH, of a part of prompts (key: its id) */
+	GW_NOTE_PART_CRASH = 6
 };
 
 struct gw_note {
--- a/src/route/suspects.c
+++ b/src/route/suspects.c
@@ -1,6 +1,7 @@
 #include "route/suspects.h"
 
 #include <string.h>
+#include <xxhash.h>
 
 #include "core/map.h"
 
@@ -9,17 +10,33 @@
 	 * A new life is heard of within this time, so a later answer under the
 	 * old life's id proves that the old life goes on
 	 */
-	RETRACT_MIN_US = 5000000
+	RETRACT_MIN_US = 5000000,
+	PART_KEY_SEED = 0x70617274,
+	COMPLETION_PROBES = 4 /* slots that may hold the completion of a part */
 };
 
 /* A run that ended before its answer was complete. */
 struct broken_run {
-	uint64_t fingerprint;
+	/* Its possible causes, less those that have completed since */
+	struct suspects_request request;
 	struct suspects_life life;
 	int64_t at_us;
 	bool closed; /* true: closed by the server; false: it fell silent */
 	bool server_answered; /* the life has answered a later request */
-	bool resolved; /* marked, or cleared by a completed run */
+	bool resolved; /* marked, or cleared by completed runs */
+};
+
+/* A crash that counts against a seasoned part unless it completes soon. */
+struct held_crash {
+	struct suspects_cause part;
+	uint64_t life;
+	int64_t at_us;
+	int64_t due_us;
+};
+
+struct completion {
+	uint64_t key; /* of a part; 0: free */
+	int64_t at_us; /* of the last run with the part that completed */
 };
 
 struct ended_life {
@@ -28,7 +45,8 @@
 };
 
 struct mark {
-	uint64_t fingerprint; /* 0: free */
+	uint64_t key; /* from cause_key(); 0: free */
+	struct suspects_cause cause;
 	int64_t at_us; /* time of the last change */
 	uint8_t count;
 	uint64_t lives[SUSPECTS_LIVES_MAX];
@@ -43,7 +61,10 @@
 	uint32_t count;
 	struct ended_life ended[SUSPECTS_ENDED_MAX];
 	uint32_t next_ended;
-	struct map *by_fingerprint;
+	struct held_crash held[SUSPECTS_HELD_MAX];
+	uint32_t held_count;
+	struct completion completions[SUSPECTS_COMPLETIONS_MAX];
+	struct map *by_key;
 	struct mark marks[SUSPECTS_MARKS_MAX];
 	uint32_t next_mark;
 	uint32_t mark_count; /* entries of marks that were ever used */
@@ -58,7 +79,7 @@
 	    alloc_zero(options->alloc, 1, sizeof(*table));
 
 	table->options = *options;
-	table->by_fingerprint = map_new(options->alloc, SUSPECTS_MARKS_MAX);
+	table->by_key = map_new(options->alloc, SUSPECTS_MARKS_MAX);
 	return table;
 }
 
@@ -68,7 +89,7 @@
 {
 	if (table == NULL)
 		return;
-	map_free(table->by_fingerprint);
+	map_free(table->by_key);
 	alloc_free(table->options.alloc, table);
 }
 
@@ -103,13 +124,154 @@
 	return NULL;
 }
 
-/* Reports that the life of a broken run ended under its request. */
+/* Returns the key of a cause's mark; those of parts are hashed. */
+static uint64_t
+cause_key(const struct suspects_cause *cause)
+{
+	return cause->is_part
+		   ? XXH64(&cause->id, sizeof(cause->id), PART_KEY_SEED)
+		   : cause->id;
+}
+
+/*
+ * Returns a cause that a request contains: the whole request first, then the
+ * parts.
+ */
+static struct suspects_cause
+cause_at(const struct suspects_request *request, uint8_t i)
+{
+	return i == 0 ? (struct suspects_cause){request->fingerprint, false}
+		      : (struct suspects_cause){request->parts[i - 1], true};
+}
+
+static bool
+is_same_cause(const struct suspects_cause *a, const struct suspects_cause *b)
+{
+	return a->id == b->id && a->is_part == b->is_part;
+}
+
+static bool
+contains_cause(
+    const struct suspects_request *request, const struct suspects_cause *cause)
+{
+	for (uint8_t i = 0; i <= request->part_count; i++) {
+		struct suspects_cause own = cause_at(request, i);
+
+		if (is_same_cause(&own, cause))
+			return true;
+	}
+	return false;
+}
+
+/* Returns when a run with a part last completed here; 0: not known. */
+static int64_t
+completed_us(const struct suspect_table *table, uint64_t key)
+{
+	for (uint32_t i = 0; i < COMPLETION_PROBES; i++) {
+		const struct completion *c =
+		    &table->completions[(key + i) % SUSPECTS_COMPLETIONS_MAX];
+
+		if (c->key == key)
+			return c->at_us;
+	}
+	return 0;
+}
+
+static void
+record_completion(struct suspect_table *table, uint64_t key, int64_t now_us)
+{
+	struct completion *into = NULL;
+
+	for (uint32_t i = 0; i < COMPLETION_PROBES; i++) {
+		struct completion *c =
+		    &table->completions[(key + i) % SUSPECTS_COMPLETIONS_MAX];
+
+		if (c->key == key) {
+			into = c;
+			break;
+		}
+		if (into == NULL || c->at_us < into->at_us)
+			into = c;
+	}
+	*into = (struct completion){key, now_us};
+}
+
+/* Tells whether a cause is a part that has completed here lately. */
+static bool
+is_seasoned(const struct suspect_table *table,
+    const struct suspects_cause *cause, int64_t now_us)
+{
+	int64_t at_us;
+
+	if (!cause->is_part)
+		return false;
+	at_us = completed_us(table, cause_key(cause));
+	return at_us != 0 && now_us - at_us < SUSPECTS_SEASONED_US;
+}
+
+/* Holds back a crash under a seasoned part. */
 static void
-report_crash(struct suspect_table *table, struct broken_run *run)
+hold_crash(struct suspect_table *table, const struct suspects_cause *part,
+    const struct broken_run *run, int64_t now_us)
+{
+	for (uint32_t i = 0; i < table->held_count; i++) {
+		const struct held_crash *h = &table->held[i];
+
+		if (h->life == run->life.life && is_same_cause(&h->part, part))
+			return;
+	}
+	if (table->held_count == SUSPECTS_HELD_MAX) {
+		table->dropped++;
+		return;
+	}
+	table->held[table->held_count++] = (struct held_crash){
+	    *part, run->life.life, run->at_us, now_us + SUSPECTS_HOLD_US};
+}
+
+/*
+ * Reports the held crashes that are due.  Returns when the next one is, or 0 if
+ * none is held.
+ */
+int64_t
+suspects_report_held(struct suspect_table *table, int64_t now_us)
+{
+	int64_t next_us = 0;
+	uint32_t i = 0;
+
+	while (i < table->held_count) {
+		struct held_crash h = table->held[i];
+
+		if (h.due_us <= now_us) {
+			table->held[i] = table->held[--table->held_count];
+			table->options.proved(table->options.ctx, &h.part,
+			    h.life, SUSPECTS_CRASHED, h.at_us);
+			continue;
+		}
+		if (next_us == 0 || h.due_us < next_us)
+			next_us = h.due_us;
+		i++;
+	}
+	return next_us;
+}
+
+/*
+ * Reports that the life of a broken run ended under its request and under the
+ * parts of its prompt.
+ */
+static void
+report_crash(
+    struct suspect_table *table, struct broken_run *run, int64_t now_us)
 {
 	run->resolved = true;
-	table->options.proved(table->options.ctx, run->fingerprint,
-	    run->life.life, SUSPECTS_CRASHED);
+	for (uint8_t i = 0; i <= run->request.part_count; i++) {
+		struct suspects_cause cause = cause_at(&run->request, i);
+
+		if (is_seasoned(table, &cause, now_us))
+			hold_crash(table, &cause, run, now_us);
+		else if (cause.id != 0)
+			table->options.proved(table->options.ctx, &cause,
+			    run->life.life, SUSPECTS_CRASHED, run->at_us);
+	}
 }
 
 /*
@@ -119,8 +281,8 @@
  */
 void
 suspects_add_broken_run(struct suspect_table *table,
-    const struct suspects_life *life, uint64_t fingerprint, bool closed,
-    int64_t now_us)
+    const struct suspects_life *life, const struct suspects_request *request,
+    bool closed, int64_t now_us)
 {
 	struct broken_run *run;
 
@@ -131,26 +293,27 @@
 		table->dropped++;
 	}
 	run = run_at(table, table->count++);
-	*run = (struct broken_run){.fingerprint = fingerprint,
+	*run = (struct broken_run){.request = *request,
 	    .life = *life,
 	    .at_us = now_us,
 	    .closed = closed};
 	if (find_ended_life(table, life->life, now_us) != NULL)
-		report_crash(table, run);
+		report_crash(table, run, now_us);
 }
 
-/* Acquits all requests marked for a life that has not ended after all. */
+/* Acquits all causes marked for a life that has not ended after all. */
 static void
-retract_crashes(struct suspect_table *table, uint64_t life)
+retract_crashes(struct suspect_table *table, uint64_t life, int64_t now_us)
 {
 	for (uint32_t i = 0; i < table->mark_count; i++) {
 		struct mark *m = &table->marks[i];
 
-		for (uint8_t k = 0; m->fingerprint != 0 && k < m->count; k++) {
+		for (uint8_t k = 0; m->key != 0 && k < m->count; k++) {
 			if (m->lives[k] == life &&
 			    m->states[k] == SUSPECTS_CRASHED)
 				table->options.proved(table->options.ctx,
-				    m->fingerprint, life, SUSPECTS_ACQUITTED);
+				    &m->cause, life, SUSPECTS_ACQUITTED,
+				    now_us);
 		}
 	}
 }
@@ -183,7 +346,7 @@
 	e = find_ended_life(table, life, now_us);
 	if (e != NULL && sent_us - e->at_us > RETRACT_MIN_US) {
 		e->at_us = 0;
-		retract_crashes(table, life);
+		retract_crashes(table, life, now_us);
 	}
 	return cleared;
 }
@@ -211,7 +374,7 @@
 		if (run->life.life != life || run->server_answered ||
 		    run->resolved)
 			continue;
-		report_crash(table, run);
+		report_crash(table, run, now_us);
 		marked++;
 	}
 	return marked;
@@ -238,20 +401,17 @@
 		    (!same_name && run->life.address != next->address) ||
 		    (run->server_answered && !same_name))
 			continue;
-		report_crash(table, run);
+		report_crash(table, run, now_us);
 		marked++;
 	}
 	return marked;
 }
 
-/*
- * Returns the mark of a request, or NULL if it has none or the mark has
- * expired.
- */
+/* Returns a mark by its key, or NULL if there is none or it has expired. */
 static struct mark *
-find_mark(struct suspect_table *table, uint64_t fingerprint, int64_t now_us)
+find_mark(struct suspect_table *table, uint64_t key, int64_t now_us)
 {
-	int64_t slot = map_get(table->by_fingerprint, fingerprint);
+	int64_t slot = map_get(table->by_key, key);
 
 	if (slot == MAP_NONE ||
 	    now_us - table->marks[slot].at_us >= SUSPECTS_MARK_TTL_US)
@@ -260,13 +420,14 @@
 }
 
 /*
- * Creates an empty mark for a request, in place of its expired one or of the
+ * Creates an empty mark for a cause, in place of its expired one or of the
  * oldest mark.
  */
 static struct mark *
-make_mark(struct suspect_table *table, uint64_t fingerprint)
+make_mark(struct suspect_table *table, const struct suspects_cause *cause)
 {
-	int64_t slot = map_get(table->by_fingerprint, fingerprint);
+	uint64_t key = cause_key(cause);
+	int64_t slot = map_get(table->by_key, key);
 	struct mark *m;
 
 	if (slot == MAP_NONE) {
@@ -276,11 +437,12 @@
 			table->mark_count++;
 	}
 	m = &table->marks[slot];
-	if (m->fingerprint != 0 && m->fingerprint != fingerprint)
-		map_remove(table->by_fingerprint, m->fingerprint);
+	if (m->key != 0 && m->key != key)
+		map_remove(table->by_key, m->key);
 	memset(m, 0, sizeof(*m));
-	m->fingerprint = fingerprint;
-	map_put(table->by_fingerprint, fingerprint, (uint32_t)slot);
+	m->key = key;
+	m->cause = *cause;
+	map_put(table->by_key, key, (uint32_t)slot);
 	return m;
 }
 
@@ -306,20 +468,22 @@
 
 /*
  * Applies a finding made here or at another instance; at_us is on the own
- * clock.
+ * clock.  A part that has completed here after a crash is acquitted of it.
  */
 void
-suspects_apply_finding(struct suspect_table *table, uint64_t fingerprint,
-    uint64_t life, enum suspects_finding state, int64_t at_us)
+suspects_apply_finding(struct suspect_table *table,
+    const struct suspects_cause *cause, uint64_t life,
+    enum suspects_finding state, int64_t at_us)
 {
+	uint64_t key = cause_key(cause);
 	struct mark *m;
 	uint8_t i;
 
-	if (fingerprint == 0)
+	if (cause->id == 0)
 		return;
-	m = find_mark(table, fingerprint, at_us);
+	m = find_mark(table, key, at_us);
 	if (m == NULL)
-		m = make_mark(table, fingerprint);
+		m = make_mark(table, cause);
 	i = life_slot(m, life);
 	if (i == SUSPECTS_LIVES_MAX)
 		return;
@@ -331,27 +495,60 @@
 	m->states[i] = state;
 	if (at_us > m->at_us)
 		m->at_us = at_us;
+	if (state == SUSPECTS_CRASHED && cause->is_part &&
+	    completed_us(table, key) > at_us)
+		table->options.proved(table->options.ctx, cause, life,
+		    SUSPECTS_ACQUITTED, completed_us(table, key));
+}
+
+/* Removes a cause that has completed from the suspicions not proved yet. */
+static void
+clear_cause(struct suspect_table *table, const struct suspects_cause *cause)
+{
+	for (uint32_t i = 0; i < table->count; i++) {
+		struct suspects_request *r = &run_at(table, i)->request;
+
+		if (!cause->is_part && r->fingerprint == cause->id)
+			r->fingerprint = 0;
+		for (uint8_t k = 0; cause->is_part && k < r->part_count; k++) {
+			if (r->parts[k] == cause->id)
+				r->parts[k--] = r->parts[--r->part_count];
+		}
+		if (r->fingerprint == 0 && r->part_count == 0)
+			run_at(table, i)->resolved = true;
+	}
+	for (uint32_t i = 0; i < table->held_count;) {
+		if (is_same_cause(&table->held[i].part, cause))
+			table->held[i] = table->held[--table->held_count];
+		else
+			i++;
+	}
 }
 
 /*
- * Records that a run of a request completed, which voids its earlier marks and
- * pending suspicions.
+ * Records that a run of a request completed, which voids the earlier marks and
+ * pending suspicions of the request and of the parts of its prompt.
  */
 void
-suspects_acquit(
-    struct suspect_table *table, uint64_t fingerprint, int64_t now_us)
+suspects_acquit(struct suspect_table *table,
+    const struct suspects_request *request, int64_t now_us)
 {
-	struct mark *m = find_mark(table, fingerprint, now_us);
-
-	for (uint32_t i = 0; i < table->count; i++) {
-		struct broken_run *run = run_at(table, i);
+	for (uint8_t i = 0; i <= request->part_count; i++) {
+		struct suspects_cause cause = cause_at(request, i);
+		uint64_t key = cause_key(&cause);
+		struct mark *m = find_mark(table, key, now_us);
 
-		run->resolved |= run->fingerprint == fingerprint;
-	}
-	for (uint8_t i = 0; m != NULL && i < m->count; i++) {
-		if (m->states[i] == SUSPECTS_CRASHED)
-			table->options.proved(table->options.ctx, fingerprint,
-			    m->lives[i], SUSPECTS_ACQUITTED);
+		if (cause.id == 0)
+			continue;
+		if (cause.is_part)
+			record_completion(table, key, now_us);
+		clear_cause(table, &cause);
+		for (uint8_t k = 0; m != NULL && k < m->count; k++) {
+			if (m->states[k] == SUSPECTS_CRASHED)
+				table->options.proved(table->options.ctx,
+				    &cause, m->lives[k], SUSPECTS_ACQUITTED,
+				    now_us);
+		}
 	}
 }
 
@@ -377,29 +574,55 @@
 }
 
 /*
- * Tells whether a life ended under a request with more than the given number of
- * crashes.
+ * Returns how strongly the crashes speak against a cause.  Of two causes with
+ * as many crashes, a seasoned part is the less likely one.
  */
-static bool
-is_explained(const struct suspect_table *table, uint64_t life, uint8_t crashes)
+static uint8_t
+strength_of(
+    const struct suspect_table *table, const struct mark *m, int64_t now_us)
+{
+	return (uint8_t)(2 * crash_count(m) +
+			 !is_seasoned(table, &m->cause, now_us));
+}
+
+/*
+ * Returns the strength of the strongest cause, other than that of a mark, under
+ * which a life ended with at least two crashes.  outside: set if one that is as
+ * strong as the mark's is not part of the request.
+ */
+static uint8_t
+strongest_other(const struct suspect_table *table, const struct mark *than,
+    uint64_t life, const struct suspects_request *request, int64_t now_us,
+    bool *outside)
 {
+	uint8_t own = strength_of(table, than, now_us);
+	uint8_t strongest = 0;
+
+	*outside = false;
 	for (uint32_t i = 0; i < table->mark_count; i++) {
 		const struct mark *m = &table->marks[i];
+		uint8_t strength;
 
-		if (m->fingerprint != 0 && m->count > crashes &&
-		    has_crash(m, life) && crash_count(m) > crashes)
-			return true;
+		if (m == than || m->key == 0 || m->count < 2 ||
+		    now_us - m->at_us >= SUSPECTS_MARK_TTL_US ||
+		    !has_crash(m, life) || crash_count(m) < 2)
+			continue;
+		strength = strength_of(table, m, now_us);
+		*outside |=
+		    strength == own && !contains_cause(request, &m->cause);
+		if (strength > strongest)
+			strongest = strength;
 	}
-	return false;
+	return strongest;
 }
 
 /*
- * Counts the lives that closed a run of a request and are not known to have
+ * Counts the lives that closed a run with a cause and are not known to have
  * ended.
  */
 static void
-count_pending_runs(struct suspect_table *table, uint64_t fingerprint,
-    struct suspects_summary *record)
+count_pending_runs(struct suspect_table *table,
+    const struct suspects_cause *cause, struct suspects_summary *record)
 {
 	uint64_t seen[SUSPECTS_LIVES_MAX] = {0};
 
@@ -407,8 +630,8 @@
 		const struct broken_run *run = run_at(table, i);
 		uint8_t k;
 
-		if (run->fingerprint != fingerprint || !run->closed ||
-		    run->resolved || run->server_answered)
+		if (!run->closed || run->resolved || run->server_answered ||
+		    !contains_cause(&run->request, cause))
 			continue;
 		for (k = 0; k < record->pending; k++) {
 			if (seen[k] == run->life.life)
@@ -422,25 +645,75 @@
 	}
 }
 
-/* Fills in what is known of a request. */
-void
-suspects_lookup(struct suspect_table *table, uint64_t fingerprint,
+/*
+ * Fills in what is known of one of a request's causes.  Returns its strength.
+ */
+static uint8_t
+look_up_cause(struct suspect_table *table,
+    const struct suspects_request *request, const struct suspects_cause *cause,
     int64_t now_us, struct suspects_summary *record)
 {
-	const struct mark *m = find_mark(table, fingerprint, now_us);
-	uint8_t all;
+	uint64_t key = cause_key(cause);
+	const struct mark *m = find_mark(table, key, now_us);
+	bool seasoned = is_seasoned(table, cause, now_us);
+	uint8_t all, certain = 0, alone_min = SUSPECTS_ALONE_MIN;
+	bool outside = false;
 
 	memset(record, 0, sizeof(*record));
+	record->cause = *cause;
+	record->placement_hash = key;
+	if (cause->is_part && !seasoned)
+		alone_min = SUSPECTS_UNSEASONED_ALONE_MIN;
+	if (!seasoned)
+		count_pending_runs(table, cause, record);
+	all = m != NULL ? crash_count(m) : 0;
+	if (m != NULL)
+		record->marked_us = m->at_us;
+	for (uint8_t i = 0; all > 0 && i < m->count; i++) {
+		if (m->states[i] != SUSPECTS_CRASHED ||
+		    (all > 1 &&
+			strongest_other(table, m, m->lives[i], request, now_us,
+			    &outside) > strength_of(table, m, now_us)))
+			continue;
+		record->lives[record->crashes++] = m->lives[i];
+		certain += !outside;
+	}
+	/* Runs of other requests with the part may have broken for any reason.
+	 */
+	if (!cause->is_part)
+		certain += record->pending;
+	record->refused = certain >= (seasoned ? SUSPECTS_SEASONED_REFUSED_MIN
+					       : SUSPECTS_REFUSED_MIN) ||
+			  record->crashes >= SUSPECTS_CERTAIN_MIN;
+	record->alone = record->crashes + record->pending >= alone_min;
+	return m != NULL ? strength_of(table, m, now_us) : 0;
+}
+
+/*
+ * Decides what is to be done with a request, by the strongest of the causes in
+ * it for which it must be refused, or else placed alone.
+ */
+void
+suspects_lookup(struct suspect_table *table,
+    const struct suspects_request *request, int64_t now_us,
+    struct suspects_summary *record)
+{
+	uint8_t strongest = 0;
+
 	drop_expired_runs(table, now_us);
-	count_pending_runs(table, fingerprint, record);
-	if (m == NULL)
-		return;
-	record->marked_us = m->at_us;
-	all = crash_count(m);
-	for (uint8_t i = 0; i < m->count; i++) {
-		if (m->states[i] == SUSPECTS_CRASHED &&
-		    (all == 1 || !is_explained(table, m->lives[i], all)))
-			record->lives[record->crashes++] = m->lives[i];
+	for (uint8_t i = 0; i <= request->part_count; i++) {
+		struct suspects_cause cause = cause_at(request, i);
+		struct suspects_summary s;
+		uint8_t strength =
+		    look_up_cause(table, request, &cause, now_us, &s);
+		int rank = 2 * s.refused + s.alone;
+		int best = 2 * record->refused + record->alone;
+
+		if (i == 0 || rank > best ||
+		    (rank == best && rank > 0 && strength > strongest)) {
+			*record = s;
+			strongest = strength;
+		}
 	}
 }
 
@@ -454,7 +727,7 @@
 	for (uint32_t i = 0; i < table->mark_count; i++) {
 		const struct mark *m = &table->marks[i];
 
-		count += m->fingerprint != 0 &&
+		count += m->key != 0 &&
 			 now_us - m->at_us < SUSPECTS_MARK_TTL_US &&
 			 crash_count(m) >= crashes;
 	}
--- a/test/unit/suspects_test.cc
+++ b/test/unit/suspects_test.cc
@@ -2,6 +2,7 @@
 #include <rapidcheck/gtest.h>
 
 #include <map>
+#include <memory>
 #include <set>
 #include <vector>
 
@@ -20,6 +21,17 @@
 	S = 1000000
 };
 
+static suspects_request
+make_request(uint64_t fingerprint, std::vector<uint64_t> parts = {})
+{
+	suspects_request request = {};
+
+	request.fingerprint = fingerprint;
+	for (uint64_t part : parts)
+		request.parts[request.part_count++] = part;
+	return request;
+}
+
 /*
  * An instance with its suspects and its crash notes.  Its own findings become
  * notes; hear() takes over the notes of another instance.
@@ -28,8 +40,9 @@
 	struct suspect_table *suspects;
 	struct gw_notes *notes;
 	int64_t now_us = S;
+	uint64_t unique; /* fingerprint of the last request */
 
-	instance()
+	explicit instance(uint64_t number = 1) : unique(number << 32)
 	{
 		struct suspects_options options = {
 		    alloc_default(), proved, this};
@@ -48,15 +61,24 @@
 	void apply_note(const struct gw_note *note)
 	{
 		if (gw_notes_add(notes, note, now_us))
-			suspects_apply_finding(suspects, note->key, note->part,
-			    (enum suspects_finding)note->value, note->at_us);
+			apply_finding(note->key, note->part,
+			    (enum suspects_finding)note->value, note->at_us,
+			    note->kind == GW_NOTE_PART_CRASH);
+	}
+	void apply_finding(uint64_t id, uint64_t life,
+	    enum suspects_finding state, int64_t at_us, bool is_part = false)
+	{
+		struct suspects_cause cause = {id, is_part};
+
+		suspects_apply_finding(suspects, &cause, life, state, at_us);
 	}
-	static void proved(void *ctx, uint64_t fingerprint, uint64_t life,
-	    enum suspects_finding state)
+	static void proved(void *ctx, const struct suspects_cause *cause,
+	    uint64_t life, enum suspects_finding state, int64_t at_us)
 	{
 		auto *i = (instance *)ctx;
 		struct gw_note note = {
-		    GW_NOTE_CRASH, fingerprint, life, state, i->now_us, 0, 0};
+		    cause->is_part ? GW_NOTE_PART_CRASH : GW_NOTE_CRASH,
+		    cause->id, life, state, at_us, 0, 0};
 
 		i->apply_note(&note);
 	}
@@ -67,8 +89,15 @@
 		/* Two lives of a server share its address but not its name. */
 		struct suspects_life l = {life, life, life / 100};
 
-		suspects_add_broken_run(
-		    suspects, &l, fingerprint, closed, now_us);
+		suspects_request request = make_request(fingerprint);
+
+		suspects_add_broken_run(suspects, &l, &request, closed, now_us);
+	}
+	void acquit(uint64_t fingerprint)
+	{
+		suspects_request request = make_request(fingerprint);
+
+		suspects_acquit(suspects, &request, now_us);
 	}
 	void crash(uint64_t life, std::vector<uint64_t> fingerprints)
 	{
@@ -76,11 +105,46 @@
 			add_broken_run(life, f);
 		suspects_life_ended(suspects, life, now_us);
 	}
+	/* A life ends while requests, each with a fingerprint of its own, run.
+	 */
+	void crash_under(
+	    uint64_t life, std::vector<std::vector<uint64_t>> prompts)
+	{
+		struct suspects_life l = {life, life, life / 100};
+
+		for (const auto &parts : prompts) {
+			suspects_request r = make_request(++unique, parts);
+
+			suspects_add_broken_run(suspects, &l, &r, true, now_us);
+		}
+		suspects_life_ended(suspects, life, now_us);
+		suspects_report_held(suspects, now_us);
+	}
+	void complete(std::vector<uint64_t> parts)
+	{
+		suspects_request r = make_request(++unique, parts);
+
+		suspects_acquit(suspects, &r, now_us);
+	}
+	void pass(int64_t us)
+	{
+		now_us += us;
+		suspects_report_held(suspects, now_us);
+	}
+	struct suspects_summary look_up(std::vector<uint64_t> parts)
+	{
+		suspects_request request = make_request(++unique, parts);
+		struct suspects_summary record;
+
+		suspects_lookup(suspects, &request, now_us, &record);
+		return record;
+	}
 	struct suspects_summary lookup(uint64_t fingerprint)
 	{
+		suspects_request request = make_request(fingerprint);
 		struct suspects_summary record;
 
-		suspects_lookup(suspects, fingerprint, now_us, &record);
+		suspects_lookup(suspects, &request, now_us, &record);
 		return record;
 	}
 	int crashes(uint64_t fingerprint)
@@ -238,8 +302,8 @@
 	a.crash(400, {7});
 	a.add_broken_run(500, 7);
 	b.hear(a);
-	suspects_acquit(b.suspects, 7, b.now_us);
-	suspects_acquit(a.suspects, 7, a.now_us);
+	b.acquit(7);
+	a.acquit(7);
 	a.hear(b);
 	b.hear(a);
 	EXPECT_EQ(0, a.crashes(7) + a.pending(7));
@@ -255,7 +319,7 @@
 
 	for (uint64_t life = 100; life <= 2000; life += 100) {
 		a.crash(life, {7});
-		suspects_acquit(a.suspects, 7, a.now_us);
+		a.acquit(7);
 	}
 	for (uint64_t life = 3000; life <= 3200; life += 100)
 		a.crash(life, {7});
@@ -313,17 +377,185 @@
 	EXPECT_EQ((uint32_t)SUSPECTS_RUNS_MAX,
 	    suspects_mark_count(a.suspects, 1, a.now_us));
 	for (uint64_t i = 0; i < SUSPECTS_MARKS_MAX; i++)
-		suspects_apply_finding(
-		    a.suspects, 1 << 20 | i, 400, SUSPECTS_CRASHED, a.now_us);
+		a.apply_finding(1 << 20 | i, 400, SUSPECTS_CRASHED, a.now_us);
 	EXPECT_EQ((uint32_t)SUSPECTS_MARKS_MAX,
 	    suspects_mark_count(a.suspects, 1, a.now_us));
 	EXPECT_EQ(0, a.crashes(1005));
 	for (uint64_t life = 1; life < 50; life++)
-		suspects_apply_finding(
-		    a.suspects, 7, life, SUSPECTS_CRASHED, a.now_us);
+		a.apply_finding(7, life, SUSPECTS_CRASHED, a.now_us);
 	EXPECT_EQ(SUSPECTS_LIVES_MAX, a.crashes(7));
 }
 
+/* Parts of prompts in the tests below. */
+enum {
+	FIRST = 1, /* of all prompts */
+	DEADLY = 2,
+	COMPANION = 3, /* in most prompts with the deadly part */
+	OTHER = 10 /* and above: in sound prompts only */
+};
+
+TEST(Suspects, APartThatCrashesServersIsRefusedInEveryRequest)
+{
+	instance a, later(2);
+
+	a.complete({FIRST, OTHER});
+	for (uint64_t life = 100; life <= 300; life += 100) {
+		EXPECT_FALSE(a.look_up({FIRST, DEADLY}).refused);
+		a.crash_under(
+		    life, {{FIRST, OTHER + life, DEADLY}, {FIRST, OTHER},
+			      {FIRST, OTHER + 1 + life % 200}});
+		EXPECT_TRUE(a.look_up({FIRST, DEADLY}).alone);
+		a.pass(100 * MS);
+		a.complete({FIRST, OTHER});
+	}
+	EXPECT_TRUE(a.look_up({FIRST, DEADLY}).refused);
+	EXPECT_TRUE(a.look_up({FIRST, OTHER + 2, DEADLY}).refused);
+	EXPECT_FALSE(a.look_up({FIRST, OTHER}).refused);
+	EXPECT_FALSE(a.look_up({FIRST, OTHER + 1}).refused);
+	EXPECT_FALSE(a.look_up({FIRST, OTHER + 101}).refused);
+	later.hear(a);
+	EXPECT_TRUE(later.look_up({FIRST, DEADLY}).refused);
+	EXPECT_FALSE(later.look_up({FIRST, OTHER}).refused);
+}
+
+TEST(Suspects, APartThatCompletesIsNotBlamedForCrashesOfManyServers)
+{
+	instance a;
+
+	a.complete({FIRST, OTHER});
+	/* A rack with six servers fails. */
+	for (uint64_t life = 100; life <= 600; life += 100)
+		a.crash_under(life, {{FIRST, OTHER}, {FIRST, OTHER + life}});
+	EXPECT_FALSE(a.look_up({FIRST, OTHER}).refused);
+	EXPECT_FALSE(a.look_up({FIRST, OTHER}).alone);
+	a.pass(SUSPECTS_HOLD_US / 2);
+	a.complete({FIRST, OTHER});
+	a.pass(SUSPECTS_HOLD_US);
+	EXPECT_FALSE(a.look_up({FIRST, OTHER}).refused);
+	EXPECT_FALSE(a.look_up({FIRST}).alone);
+	/* Told of such a crash, an instance knows better. */
+	a.apply_finding(FIRST, 700, SUSPECTS_CRASHED, a.now_us - S, true);
+	EXPECT_FALSE(a.look_up({FIRST}).alone);
+}
+
+/* A part that was sound until now is refused as well. */
+TEST(Suspects, APartThatTurnsDeadlyIsRefusedAfterFiveCrashes)
+{
+	instance a;
+
+	a.complete({FIRST, DEADLY});
+	for (uint64_t life = 100; life <= 500; life += 100) {
+		EXPECT_FALSE(a.look_up({FIRST, DEADLY}).refused);
+		a.crash_under(life, {{FIRST, DEADLY}});
+		a.pass(SUSPECTS_HOLD_US);
+		a.complete({FIRST, OTHER});
+	}
+	EXPECT_TRUE(a.look_up({FIRST, DEADLY}).refused);
+	EXPECT_FALSE(a.look_up({FIRST}).refused);
+}
+
+TEST(Suspects, APartThatMostlyComesWithADeadlyOneIsToldApart)
+{
+	instance a;
+	uint64_t life = 0;
+
+	a.complete({FIRST, OTHER});
+	for (int i = 0; i < 3; i++) {
+		a.crash_under(life += 100, {{FIRST, COMPANION, DEADLY}});
+		a.pass(100 * MS);
+		a.complete({FIRST, OTHER});
+	}
+	EXPECT_TRUE(a.look_up({FIRST, COMPANION, DEADLY}).refused);
+	EXPECT_FALSE(a.look_up({FIRST, COMPANION}).refused);
+	EXPECT_TRUE(a.look_up({FIRST, COMPANION}).alone);
+	a.complete({FIRST, COMPANION});
+	EXPECT_FALSE(a.look_up({FIRST, COMPANION}).alone);
+	EXPECT_TRUE(a.look_up({FIRST, COMPANION, DEADLY}).refused);
+	/* One that also crashes without its company is the cause. */
+	a.crash_under(life += 100, {{FIRST, DEADLY}});
+	EXPECT_TRUE(a.look_up({FIRST, DEADLY}).refused);
+}
+
+TEST(Suspects, RunsThatAreResetDoNotCountAgainstAPart)
+{
+	instance a;
+	suspects_request r = make_request(5, {FIRST, OTHER});
+
+	for (uint64_t life = 100; life <= 900; life += 100) {
+		struct suspects_life l = {life, life, life};
+
+		r.fingerprint++;
+		suspects_add_broken_run(a.suspects, &l, &r, true, a.now_us);
+	}
+	EXPECT_FALSE(a.look_up({FIRST, OTHER}).refused);
+}
+
+/*
+ * A deadly part among sound ones at 3 to 75 instances, with crashes, runs that
+ * complete and messages in random order.  At any time a part that has completed
+ * after its last crash is not refused where that is known; in the end the
+ * deadly one is refused everywhere and no other.
+ */
+RC_GTEST_PROP(Suspects, TheDeadlyPartIsRefusedAndNoOther, ())
+{
+	const uint32_t count = *rc::gen::element<uint32_t>(3, 7, 75);
+	std::vector<std::unique_ptr<instance>> all;
+	std::map<uint64_t, int64_t> crashed, completed;
+	struct rng rng;
+	uint64_t life = 100;
+	int ends = 0;
+
+	rng_init(&rng, *rc::gen::arbitrary<uint64_t>());
+	for (uint32_t i = 0; i < count; i++)
+		all.push_back(std::make_unique<instance>(i + 1));
+	for (int step = 0; step < 60; step++) {
+		instance &at = *all[rng_below(&rng, count)];
+		std::vector<uint64_t> parts = {
+		    FIRST, OTHER + rng_below(&rng, 6)};
+
+		for (auto &each : all)
+			each->pass(50 * MS);
+		if (rng_below(&rng, 2) == 0) {
+			at.complete(parts);
+			for (uint64_t part : parts)
+				completed[part] = at.now_us;
+		} else if (ends < SUSPECTS_CERTAIN_MIN) {
+			std::vector<std::vector<uint64_t>> aboard;
+
+			parts.push_back(DEADLY);
+			aboard.push_back(parts);
+			for (uint32_t i = rng_below(&rng, 5); i > 0; i--)
+				aboard.push_back(
+				    {FIRST, OTHER + rng_below(&rng, 6)});
+			ends++;
+			at.crash_under(life += 100, aboard);
+			for (const auto &prompt : aboard)
+				for (uint64_t part : prompt)
+					crashed[part] = at.now_us;
+		}
+		all[rng_below(&rng, count)]->hear(*all[rng_below(&rng, count)]);
+	}
+	for (auto &each : all)
+		each->pass(SUSPECTS_HOLD_US);
+	/* The second round brings what the first one has refuted. */
+	for (int round = 0; round < 2; round++) {
+		for (auto &each : all)
+			all[0]->hear(*each);
+		for (auto &each : all)
+			each->hear(*all[0]);
+	}
+	for (auto &each : all) {
+		RC_ASSERT(each->look_up({FIRST, DEADLY}).refused ==
+			  (ends >= SUSPECTS_CERTAIN_MIN));
+		for (const auto &c : completed)
+			if (c.second > crashed[c.first])
+				RC_ASSERT(!each->look_up({c.first}).alone);
+		for (uint64_t other = OTHER; other < OTHER + 6; other++)
+			RC_ASSERT(!each->look_up({FIRST, other}).refused ||
+				  ends < SUSPECTS_CERTAIN_MIN);
+	}
+}
+
 /*
  * Random crashes under requests at several instances, exchanged in any order
  * and repeatedly.  In the end every instance must count the lives that ended
@@ -347,7 +579,7 @@
 		if (rng_below(&rng, 6) == 0) {
 			for (instance &from : i)
 				i[at].hear(from);
-			suspects_acquit(i[at].suspects, f, i[at].now_us);
+			i[at].acquit(f);
 			model[f].clear();
 		} else if (used[f] < SUSPECTS_LIVES_MAX) {
 			used[f]++;
