Send a new note to an instance once and then once a second

Callers of larger fleets saw: on grown sites, news about a few crashes filled the links. Each message to another instance carried all notes of the last 3 s, also those that it had been sent or had told itself, and each instance that heard one greeted all control instances at once, which answered with all of them again. So the bytes grew with notes x messages. Now an instance keeps for each other one when it last sent notes, repeats all of the last 3 s once a second, leaves out what the other one told, and greets at once only for notes of its own. Who lacks notes, as after a restart, is still sent all of them.

--- a/src/gateway/links.c
+++ b/src/gateway/links.c
@@ -259,15 +259,15 @@
 }
 
 /*
- * Sends a Hello to a control instance.  It carries the outcomes and new notes
- * of the report, or all notes if the receiver's notes have differed for long
+ * Sends a Hello to a control instance.  It carries the outcomes of the report
+ * and new notes, or all notes if the receiver's notes have differed for long
  * enough.
  */
 static void
-send_hello(struct gw_links *links, struct gw_peer *peer,
-    const struct gw_report *report)
+send_hello(
+    struct gw_links *links, struct gw_peer *peer, struct gw_report *report)
 {
-	static struct gw_report all;
+	int64_t now_us = loop_now_us(links->gw->loop);
 	Clpb__Hello hello = CLPB__HELLO__INIT;
 	Clpb__NoteSum sum;
 	struct buf bytes;
@@ -277,21 +277,21 @@
 	hello.without_entry = !serves_entry(links->gw);
 	hello.feed = peer->registry_incarnation;
 	hello.change = peer->last_change;
-	hello.subscribe = gw_peers_is_subscribed_to(
-	    &links->peers, peer->instance, loop_now_us(links->gw->loop));
+	hello.subscribe =
+	    gw_peers_is_subscribed_to(&links->peers, peer->instance, now_us);
 	hello.n_outcomes = report->outcome_count;
 	hello.outcomes = (Clpb__Outcome **)report->outcome_list;
-	hello.n_notes = report->note_count;
-	hello.notes = (Clpb__Note **)report->note_list;
 	if (gw_notes_should_send_all(links->notes, &peer->notes,
 		serves_entry(links->gw) ? ENTRY_MISMATCH_ROUNDS
 					: CONTROL_MISMATCH_ROUNDS,
-		loop_now_us(links->gw->loop))) {
-		gw_report_set_all_notes(&all, links->notes, &peer->notes,
-		    loop_now_us(links->gw->loop));
-		hello.n_notes = all.note_count;
-		hello.notes = all.note_list;
-	}
+		now_us))
+		gw_report_set_all_notes(
+		    report, links->notes, &peer->notes, now_us);
+	else
+		gw_report_set_new_notes(
+		    report, links->notes, &peer->notes, peer->instance, now_us);
+	hello.n_notes = report->note_count;
+	hello.notes = report->note_list;
 	pack_summary(links, &sum);
 	hello.note_sum = &sum;
 	buf_init(&bytes, links->gw->alloc);
@@ -309,8 +309,6 @@
 	if (links->gw->entry != NULL)
 		gw_report_set_outcomes(
 		    &report, gw_entry_outcomes(links->gw->entry));
-	gw_report_set_new_notes(
-	    &report, links->notes, loop_now_us(links->gw->loop));
 	for (uint32_t i = 0; i < links->peers.count; i++) {
 		if (links->peers.rows[i].instance != links->gw->self)
 			send_hello(links, &links->peers.rows[i], &report);
@@ -446,7 +444,8 @@
 		gw_report_set_all_notes(
 		    &news.notes, links->notes, &to->notes, news.now_us);
 	else
-		gw_report_set_new_notes(&news.notes, links->notes, news.now_us);
+		gw_report_set_new_notes(&news.notes, links->notes, &to->notes,
+		    to->instance, news.now_us);
 	pack_summary(links, &news.note_sum);
 	news.pb.note_sum = &news.note_sum;
 	news.pb.n_notes = news.notes.note_count;
@@ -550,10 +549,10 @@
 	links->notes_pending = true;
 	schedule_push(links, PUSH_URGENT_DELAY_US);
 	/*
-	 * This instance has no subscribers: it sends the note with a Hello to
-	 * the control instances, which have some.
+	 * This instance has no subscribers: it sends its own note with a Hello
+	 * to the control instances, which have some.
 	 */
-	if (gw->control == NULL)
+	if (gw->control == NULL && note->told_by == gw->self)
 		schedule_hello(links, PUSH_URGENT_DELAY_US);
 }
 
--- a/src/gateway/notes.h
+++ b/src/gateway/notes.h
@@ -32,6 +32,8 @@
 	GW_NOTES_HELD_MAX = 4096,
 	/* how long a new note is repeated, in case a message is lost */
 	GW_NOTES_REPEAT_US = 3000000,
+	/* time between two repetitions to the same instance */
+	GW_NOTES_REPEAT_INTERVAL_US = 1000000,
 	/* longer than any instance repeats a note */
 	GW_NOTES_KEEP_US = 60000000,
 	GW_NOTES_CRASH_KEEP_US = 600000000, /* as long as crash marks last */
@@ -83,8 +85,13 @@
 	uint32_t count;
 };
 
-/* State of the comparison with the notes of one other instance. */
+/*
+ * What was sent to one other instance, and the state of the comparison with its
+ * notes.
+ */
 struct gw_notes_peer {
+	int64_t sent_us; /* when notes were sent to it last */
+	int64_t repeated_us; /* when all new notes were sent to it last */
 	/* successive rounds with a different summary */
 	uint32_t mismatch_rounds;
 	/* index of the note sent last, when all are sent in turn */
--- a/src/gateway/report.c
+++ b/src/gateway/report.c
@@ -65,26 +65,37 @@
 }
 
 /*
- * Fills the report with the notes that are new, the newest first.  A note
- * counts as new and is sent repeatedly for GW_NOTES_REPEAT_US.
+ * Fills the report with the notes that are new to an instance, the newest
+ * first: those since the last report to it and, every
+ * GW_NOTES_REPEAT_INTERVAL_US, all of the last GW_NOTES_REPEAT_US.  What it has
+ * told itself is left out.
  */
 void
-gw_report_set_new_notes(
-    struct gw_report *report, const struct gw_notes *notes, int64_t now_us)
+gw_report_set_new_notes(struct gw_report *report, const struct gw_notes *notes,
+    struct gw_notes_peer *peer, uint32_t instance, int64_t now_us)
 {
+	int64_t since_us = peer->sent_us;
+
+	if (now_us - peer->repeated_us >= GW_NOTES_REPEAT_INTERVAL_US) {
+		since_us = now_us - GW_NOTES_REPEAT_US;
+		peer->repeated_us = now_us;
+	}
+	peer->sent_us = now_us;
 	report->note_count = 0;
 	for (size_t i = gw_notes_count(notes);
 	     i-- > 0 && report->note_count < GW_REPORT_NOTES_MAX;) {
 		const struct gw_note *note = gw_notes_at(notes, i);
 
-		if (now_us - note->heard_us <= GW_NOTES_REPEAT_US)
+		if (note->heard_us >= since_us && note->told_by != instance)
 			add_note(report, note, now_us);
 	}
 }
 
 /*
  * Fills the report with the new notes, and with older ones in turn over several
- * reports, for an instance that lacks some.  peer->next is the position.
+ * reports, for an instance that lacks some.  It may have restarted, so that
+ * what was sent to it and what it told itself counts as well.  peer->next is
+ * the position.
  */
 void
 gw_report_set_all_notes(struct gw_report *report, const struct gw_notes *notes,
@@ -92,7 +103,8 @@
 {
 	size_t count = gw_notes_count(notes);
 
-	gw_report_set_new_notes(report, notes, now_us);
+	peer->repeated_us = now_us - GW_NOTES_REPEAT_INTERVAL_US;
+	gw_report_set_new_notes(report, notes, peer, GW_REPORT_ALL, now_us);
 	for (size_t i = 0;
 	     i < count && report->note_count < GW_REPORT_NOTES_MAX; i++) {
 		const struct gw_note *note;
--- a/src/gateway/report.h
+++ b/src/gateway/report.h
@@ -20,7 +20,9 @@
  */
 enum {
 	GW_REPORT_OUTCOMES_MAX = 256,
-	GW_REPORT_NOTES_MAX = 512 /* the newest are preferred */
+	GW_REPORT_NOTES_MAX = 512, /* the newest are preferred */
+	/* In place of an instance's number: leave out no instance's notes */
+	GW_REPORT_ALL = 0
 };
 
 struct gw_report {
@@ -36,8 +38,9 @@
 
 void gw_report_set_outcomes(
     struct gw_report *report, const struct evidence_table *ev);
-void gw_report_set_new_notes(
-    struct gw_report *report, const struct gw_notes *notes, int64_t now_us);
+void gw_report_set_new_notes(struct gw_report *report,
+    const struct gw_notes *notes, struct gw_notes_peer *peer, uint32_t instance,
+    int64_t now_us);
 void gw_report_set_all_notes(struct gw_report *report,
     const struct gw_notes *notes, struct gw_notes_peer *peer, int64_t now_us);
 bool gw_report_read_outcome(const Clpb__Outcome *pb, struct evidence_row *row);
--- a/test/unit/notes_test.cc
+++ b/test/unit/notes_test.cc
@@ -6,6 +6,7 @@
 extern "C" {
 #include "base/rng.h"
 #include "gateway/notes.h"
+#include "gateway/report.h"
 }
 
 static struct gw_note
@@ -224,3 +225,42 @@
 	EXPECT_FALSE(gw_notes_should_send_all(table, &peer, 1, 9000000));
 	gw_notes_free(table);
 }
+
+/*
+ * A crowd of new notes must not be sent with every message: with many instances
+ * that fills the links.
+ */
+TEST(Notes, ANewNoteIsSentOnceAndThenRepeatedAtIntervals)
+{
+	const uint32_t instance = 21;
+	static struct gw_report report;
+	struct gw_notes *notes = gw_notes_new(alloc_default());
+	struct gw_notes_peer peer = {};
+	struct gw_note its_own;
+	int64_t now_us = 10000000, end_us = now_us + 2 * GW_NOTES_REPEAT_US;
+	size_t sent = 0;
+
+	gw_report_set_new_notes(&report, notes, &peer, instance, now_us);
+	EXPECT_EQ(0u, report.note_count);
+	EXPECT_TRUE(add_note(notes, GW_NOTE_CRASH, 7, 1, now_us));
+	while (now_us < end_us) {
+		now_us += 20000;
+		gw_report_set_new_notes(
+		    &report, notes, &peer, instance, now_us);
+		sent += report.note_count;
+		ASSERT_NE(0u, sent);
+	}
+	EXPECT_GE(sent, 2u);
+	EXPECT_LE(sent, GW_NOTES_REPEAT_US / GW_NOTES_REPEAT_INTERVAL_US + 1u);
+
+	/* One that the instance has told itself is not sent back to it. */
+	its_own = note(GW_NOTE_CRASH, 8, 1, now_us);
+	its_own.told_by = instance;
+	EXPECT_TRUE(gw_notes_add(notes, &its_own, now_us));
+	gw_report_set_new_notes(&report, notes, &peer, instance, now_us);
+	EXPECT_EQ(0u, report.note_count);
+	/* It lacks both if it restarts. */
+	gw_report_set_all_notes(&report, notes, &peer, now_us);
+	EXPECT_EQ(2u, report.note_count);
+	gw_notes_free(notes);
+}
