Try a refused part again after 30 s, and ever more seldom

A part that is refused never completes, so a server that was mended, or a part that was blamed for servers that failed for another reason, was refused until its mark expired, ten minutes after the last crash. One instance of all, by the hash of the part, now lets one request through 30 s after the last crash, and four times as long after each further one: three in ten minutes at most. A run that completes acquits the part everywhere.

--- a/src/gateway/exchange_send.c
+++ b/src/gateway/exchange_send.c
@@ -491,8 +491,10 @@
 {
 	int64_t now_us = gw_exchange_now_us(ex);
 	bool proved = record->pending == 0;
-	int64_t until_us = proved ? record->marked_us + SUSPECTS_MARK_TTL_US
-				  : record->oldest_us + SUSPECTS_RUN_TTL_US;
+	int64_t until_us = !proved ? record->oldest_us + SUSPECTS_RUN_TTL_US
+			   : record->cause.is_part
+			       ? record->trial_us
+			       : record->marked_us + SUSPECTS_MARK_TTL_US;
 
 	ex->entry->crash_refusals->value++;
 	gw_exchange_log(ex, LOG_LEVEL_WARN, "refused_for_crashes",
@@ -506,6 +508,32 @@
 	    ex, ERR_NO_CAPACITY, (until_us - now_us) / US_PER_MS);
 }
 
+/*
+ * Returns whether a request that is to be refused for a part of its prompt is
+ * tried instead.  Only one instance of all tries, one request at a time.
+ */
+static bool
+is_trial_due(struct gw_exchange *ex, const struct suspects_summary *record)
+{
+	const struct rate_members *members = &ex->entry->members;
+
+	if (!record->cause.is_part || record->pending > 0 ||
+	    gw_exchange_now_us(ex) < record->trial_us || members->count == 0 ||
+	    record->placement_hash % members->count + 1 != members->place)
+		return false;
+	for (const struct gw_exchange *other = ex->entry->exchanges;
+	     other != NULL; other = other->next) {
+		if (other->attempt.call != NULL &&
+		    suspects_contains_cause(&other->causes, &record->cause))
+			return false;
+	}
+	gw_exchange_log(ex, LOG_LEVEL_WARN, "trial_after_crashes",
+	    "part=%016" PRIx64 " crashes=%u marked_ms=%" PRId64,
+	    record->cause.id, record->crashes,
+	    (gw_exchange_now_us(ex) - record->marked_us) / US_PER_MS);
+	return true;
+}
+
 /* Sends the request to a server, queues it, or refuses it. */
 void
 gw_exchange_place(struct gw_exchange *ex)
@@ -522,7 +550,7 @@
 	}
 	suspects_lookup(
 	    entry->suspects, &ex->causes, gw_exchange_now_us(ex), &record);
-	if (record.refused) {
+	if (record.refused && !is_trial_due(ex, &record)) {
 		refuse_for_crashes(ex, &record);
 		return;
 	}
--- a/src/route/suspects.c
+++ b/src/route/suspects.c
@@ -150,8 +150,9 @@
 	return a->id == b->id && a->is_part == b->is_part;
 }
 
-static bool
-contains_cause(
+/* Tells whether a request is the cause or its prompt contains it. */
+bool
+suspects_contains_cause(
     const struct suspects_request *request, const struct suspects_cause *cause)
 {
 	for (uint8_t i = 0; i <= request->part_count; i++) {
@@ -608,8 +609,8 @@
 		    !has_crash(m, life) || crash_count(m) < 2)
 			continue;
 		strength = strength_of(table, m, now_us);
-		*outside |=
-		    strength == own && !contains_cause(request, &m->cause);
+		*outside |= strength == own &&
+			    !suspects_contains_cause(request, &m->cause);
 		if (strength > strongest)
 			strongest = strength;
 	}
@@ -631,7 +632,7 @@
 		uint8_t k;
 
 		if (!run->closed || run->resolved || run->server_answered ||
-		    !contains_cause(&run->request, cause))
+		    !suspects_contains_cause(&run->request, cause))
 			continue;
 		for (k = 0; k < record->pending; k++) {
 			if (seen[k] == run->life.life)
@@ -645,6 +646,17 @@
 	}
 }
 
+/* Returns when a refused part with so many crashes may be tried again. */
+static int64_t
+trial_time_us(const struct mark *m)
+{
+	int64_t wait_us = SUSPECTS_TRIAL_FIRST_US;
+
+	for (uint8_t n = SUSPECTS_REFUSED_MIN; n < crash_count(m); n++)
+		wait_us *= SUSPECTS_TRIAL_FACTOR;
+	return m->at_us + wait_us;
+}
+
 /*
  * Fills in what is known of one of a request's causes.  Returns its strength.
  */
@@ -685,6 +697,8 @@
 	record->refused = certain >= (seasoned ? SUSPECTS_SEASONED_REFUSED_MIN
 					       : SUSPECTS_REFUSED_MIN) ||
 			  record->crashes >= SUSPECTS_CERTAIN_MIN;
+	if (m != NULL && cause->is_part)
+		record->trial_us = trial_time_us(m);
 	record->alone = record->crashes + record->pending >= alone_min;
 	return m != NULL ? strength_of(table, m, now_us) : 0;
 }
--- a/src/route/suspects.h
+++ b/src/route/suspects.h
@@ -67,6 +67,9 @@
 	SUSPECTS_ALONE_MIN = 2,
 	/* The same for a part that has not completed lately */
 	SUSPECTS_UNSEASONED_ALONE_MIN = 1,
+	/* Time from the last crash until a refused part is tried again */
+	SUSPECTS_TRIAL_FIRST_US = 30000000,
+	SUSPECTS_TRIAL_FACTOR = 4, /* its growth with each further crash */
 	/* A part that has completed within this time counts as seasoned */
 	SUSPECTS_SEASONED_US = 60000000,
 	/* Time for a seasoned part to complete before a crash counts */
@@ -117,6 +120,11 @@
 /* What is known of a request, and of the cause in it that decides. */
 struct suspects_summary {
 	bool refused; /* it must not run */
+	/*
+	 * Set if it is refused for a part: from then on one request with the
+	 * part may be tried, to see whether it still crashes servers
+	 */
+	int64_t trial_us;
 	/*
 	 * Send it to the server that placement_hash selects, so that requests
 	 * with the same cause crash one server together and not several.
@@ -156,6 +164,8 @@
 void suspects_lookup(struct suspect_table *table,
     const struct suspects_request *request, int64_t now_us,
     struct suspects_summary *record);
+bool suspects_contains_cause(
+    const struct suspects_request *request, const struct suspects_cause *cause);
 uint32_t suspects_mark_count(
     const struct suspect_table *table, uint8_t crashes, int64_t now_us);
 uint64_t suspects_dropped_count(const struct suspect_table *table);
--- a/test/unit/suspects_test.cc
+++ b/test/unit/suspects_test.cc
@@ -476,6 +476,22 @@
 	EXPECT_TRUE(a.look_up({FIRST, DEADLY}).refused);
 }
 
+TEST(Suspects, ARefusedPartIsTriedAgainEverMoreSeldom)
+{
+	instance a;
+	int64_t wait_us = SUSPECTS_TRIAL_FIRST_US;
+
+	for (uint64_t life = 100; life <= 300; life += 100)
+		a.crash_under(life, {{DEADLY}});
+	EXPECT_EQ(a.now_us + wait_us, a.look_up({DEADLY}).trial_us);
+	a.pass(wait_us);
+	a.crash_under(400, {{DEADLY}});
+	EXPECT_EQ(a.now_us + SUSPECTS_TRIAL_FACTOR * wait_us,
+	    a.look_up({DEADLY}).trial_us);
+	a.complete({DEADLY});
+	EXPECT_FALSE(a.look_up({DEADLY}).refused);
+}
+
 TEST(Suspects, RunsThatAreResetDoNotCountAgainstAPart)
 {
 	instance a;
