Withdraw requests with a deadly part that wait at servers

Now requests whose servers have not begun to answer are cancelled when the part is found to crash servers; most servers drop a request whose connection closes. They may have run, so their callers get 502. Only for parts that have not completed lately, so that servers that fail together do not take sound requests with them.

--- a/src/gateway/entry.c
+++ b/src/gateway/entry.c
@@ -314,6 +314,40 @@
 	gw_entry_retry_waiting(entry);
 }
 
+/* Timer: withdraws requests that must not run any more. */
+static void
+on_withdraw(void *ctx)
+{
+	struct gw_entry *entry = ctx;
+	struct gw_exchange *ex = entry->exchanges, *next;
+
+	entry->withdraw_timer = NULL;
+	for (; ex != NULL; ex = next) {
+		next = gw_exchange_next(ex);
+		gw_exchange_withdraw_suspect(ex);
+	}
+	gw_entry_retry_waiting(entry);
+}
+
+/*
+ * Applies news of a crash.  Requests are withdrawn from a timer, since the news
+ * may come while one of them is being processed.
+ */
+static void
+apply_crash(struct gw_entry *entry, const struct gw_note *note)
+{
+	struct suspects_cause cause = {
+	    note->key, note->kind == GW_NOTE_PART_CRASH};
+
+	entry->crash_marks->value++;
+	suspects_apply_finding(entry->suspects, &cause, note->part,
+	    (enum suspects_finding)note->value, note->at_us);
+	if (cause.is_part && note->value == SUSPECTS_CRASHED &&
+	    entry->withdraw_timer == NULL)
+		entry->withdraw_timer =
+		    loop_after(entry->gw->loop, 0, on_withdraw, entry);
+}
+
 /* Applies a note of this instance or of another one. */
 void
 gw_entry_apply_note(struct gw_entry *entry, const struct gw_note *note)
@@ -344,12 +378,7 @@
 		break;
 	case GW_NOTE_CRASH:
 	case GW_NOTE_PART_CRASH:
-		entry->crash_marks->value++;
-		suspects_apply_finding(entry->suspects,
-		    &(struct suspects_cause){
-			note->key, note->kind == GW_NOTE_PART_CRASH},
-		    note->part, (enum suspects_finding)note->value,
-		    note->at_us);
+		apply_crash(entry, note);
 		break;
 	}
 }
@@ -870,6 +899,7 @@
 	loop_cancel(e->compile_timer);
 	loop_cancel(e->waiting_timer);
 	loop_cancel(e->held_crashes_timer);
+	loop_cancel(e->withdraw_timer);
 	front_free(e->ready_front);
 	front_free(e->front);
 	while (e->exchanges != NULL)
--- a/src/gateway/entry.h
+++ b/src/gateway/entry.h
@@ -77,6 +77,8 @@
 	struct loop_timer *waiting_timer; /* retries the waiting queue */
 	struct loop_timer *compile_timer;
 	struct loop_timer *held_crashes_timer; /* reports held crashes */
+	/* withdraws requests with a part that crashes servers */
+	struct loop_timer *withdraw_timer;
 	int64_t started_us;
 	double log_tokens; /* log lines that may be written now */
 	int64_t log_refilled_us; /* when log_tokens was last updated */
@@ -142,6 +144,7 @@
 void gw_exchange_caller_left(struct gw_exchange *ex);
 void gw_exchange_resume_reading(struct gw_exchange *ex);
 void gw_exchange_retry_waiting(struct gw_exchange *ex);
+void gw_exchange_withdraw_suspect(struct gw_exchange *ex);
 void gw_exchange_discard(struct gw_exchange *ex);
 void gw_exchange_set_waiting(struct gw_exchange *ex, bool waiting);
 void gw_exchange_touch_session(const struct gw_exchange *ex);
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -76,6 +76,7 @@
 	/* Identifies a query of death, or the part of a prompt that is deadly
 	 */
 	struct suspects_request causes;
+	bool is_crash_trial; /* tries whether a refused part still crashes */
 	uint8_t priority;
 	int64_t arrived_us;
 	int64_t deadline_us;
--- a/src/gateway/exchange_send.c
+++ b/src/gateway/exchange_send.c
@@ -527,6 +527,7 @@
 		    suspects_contains_cause(&other->causes, &record->cause))
 			return false;
 	}
+	ex->is_crash_trial = true;
 	gw_exchange_log(ex, LOG_LEVEL_WARN, "trial_after_crashes",
 	    "part=%016" PRIx64 " crashes=%u marked_ms=%" PRId64,
 	    record->cause.id, record->crashes,
@@ -634,6 +635,47 @@
 		   : 0;
 }
 
+/* Cancels the attempt under way, which may have run. */
+static void
+cancel_attempt(struct gw_exchange *ex)
+{
+	bool sent = upstream_was_sent(ex->attempt.call);
+
+	ex->may_have_run |= sent;
+	ex->may_have_arrived |= sent;
+	ex->run_count += sent;
+	upstream_cancel(ex->attempt.call);
+	ex->attempt.call = NULL;
+	gw_exchange_clear_pending(ex);
+	pool_record_end(ex->entry->pool, ex->attempt.server);
+}
+
+/*
+ * Cancels the attempt of a request that must not run any more, because of a
+ * part of its prompt, while its server has not begun to answer: most servers
+ * drop a request whose connection closes, so that they are not crashed by it.
+ */
+void
+gw_exchange_withdraw_suspect(struct gw_exchange *ex)
+{
+	struct suspects_summary record;
+
+	if (ex->attempt.call == NULL || ex->attempt.header_received ||
+	    ex->caller == NULL || ex->is_crash_trial)
+		return;
+	suspects_lookup(
+	    ex->entry->suspects, &ex->causes, gw_exchange_now_us(ex), &record);
+	if (!record.refused || !record.cause.is_part || record.seasoned)
+		return;
+	gw_exchange_log(ex, LOG_LEVEL_WARN, "withdrawn_for_crashes",
+	    "server=%s part=%016" PRIx64 " crashes=%u ms=%" PRId64,
+	    pool_server_at(ex->entry->pool, ex->attempt.server)->announced.id,
+	    record.cause.id, record.crashes,
+	    (gw_exchange_now_us(ex) - ex->attempt.sent_us) / US_PER_MS);
+	cancel_attempt(ex);
+	gw_exchange_place(ex);
+}
+
 /*
  * Gives up an attempt that makes no progress.  Closes its connection and the
  * idle connections to the same server, and places the request again.
@@ -652,13 +694,7 @@
 	    s->announced.id, ex->answer_begun,
 	    (gw_exchange_now_us(ex) - ex->attempt.progress_us) / US_PER_MS,
 	    ex->attempt.expected_ms);
-	ex->may_have_run |= upstream_was_sent(ex->attempt.call);
-	ex->may_have_arrived |= upstream_was_sent(ex->attempt.call);
-	ex->run_count += upstream_was_sent(ex->attempt.call);
-	upstream_cancel(ex->attempt.call);
-	ex->attempt.call = NULL;
-	gw_exchange_clear_pending(ex);
-	pool_record_end(entry->pool, ex->attempt.server);
+	cancel_attempt(ex);
 	pool_record_outcome(
 	    entry->pool, ex->attempt.server, true, gw_exchange_now_us(ex));
 	upstream_close_idle(entry->client, &s->address);
--- a/src/route/suspects.c
+++ b/src/route/suspects.c
@@ -674,6 +674,7 @@
 	memset(record, 0, sizeof(*record));
 	record->cause = *cause;
 	record->placement_hash = key;
+	record->seasoned = seasoned;
 	if (cause->is_part && !seasoned)
 		alone_min = SUSPECTS_UNSEASONED_ALONE_MIN;
 	if (!seasoned)
--- a/src/route/suspects.h
+++ b/src/route/suspects.h
@@ -132,6 +132,7 @@
 	bool alone;
 	uint64_t placement_hash;
 	struct suspects_cause cause;
+	bool seasoned; /* the cause is a part that has completed lately */
 	uint8_t crashes; /* lives that ended under it */
 	/*
 	 * Runs closed by their servers whose lives are not known to have ended
