A stream that ends within an event was broken off

An answer may come with neither a length nor chunks and end with its connection. Such a stream was taken as complete wherever its server stopped: callers got half an event and a regular end, and a deadly part that was answered in this way would have counted as sound. Now a stream that stops within an event is broken off: it goes on at another server where it may be resumed, else the caller's is cut after its last whole event. An answer that ends with its connection acquits its request and parts only once its server has answered a later request, since a crash may have ended the connection between two events.

What remains: a stream that a crash ends between two events looks whole to its caller.

--- a/fakes/faulty/main.c
+++ b/fakes/faulty/main.c
@@ -16,8 +16,13 @@
  * its own.  The path of the request selects the answer:
  *
  *	/copy/...	200 with the path as the body; the answer before it on
- *the same connection is sent once more first /drip/...	event 1 of a stream,
- *then one byte of event 2 every DRIP_MS
+ *			the same connection is sent once more first
+ *	/drip/...	event 1 of a stream, then one byte of event 2 every
+ *			DRIP_MS
+ *	/open/...	events 1 to 3 of a stream with neither a length nor
+ *			chunks, then the connection ends
+ *	/open-cut/...	the same, but it ends within event 2; after
+ *			Last-Event-Id the rest
  *
  * Prints "got TARGET" for each request.
  */
@@ -59,6 +64,22 @@
 		nanosleep(&wait, NULL);
 }
 
+/* Sends a stream that the end of the connection delimits. */
+static void
+send_open_stream(int fd, const char *fields, bool resumes, bool cut)
+{
+	char answer[ANSWER_MAX_BYTES];
+
+	snprintf(answer, sizeof(answer),
+	    "HTTP/1.1 200 OK\r\nCeleryford-Response-Signature: x\r\n"
+	    "Content-Type: text/event-stream\r\n%s\r\n%s%s",
+	    fields, resumes ? "" : "id: 1\ndata: 1\n\n",
+	    cut && !resumes ? "id: 2\nda"
+			    : "id: 2\ndata: 2\n\nid: 3\ndata: 3\n\n");
+	(void)send_text(fd, answer);
+	shutdown(fd, SHUT_RDWR);
+}
+
 static void
 answer(int fd, const char *request, char *last)
 {
@@ -82,6 +103,12 @@
 			drip(fd);
 		return;
 	}
+	if (strstr(target, "/open") != NULL) {
+		send_open_stream(fd, field,
+		    strstr(request, "Last-Event-Id: ") != NULL,
+		    strstr(target, "/open-cut/") != NULL);
+		return;
+	}
 	(void)send_text(fd, last);
 	if (id[0] == '\0') {
 		(void)send_text(fd, "HTTP/1.1 400 Bad Request\r\n"
--- a/src/gateway/exchange_answer.c
+++ b/src/gateway/exchange_answer.c
@@ -615,10 +615,25 @@
 	return status == 408 || status == 429 || status == 503;
 }
 
+/*
+ * Returns whether a stream that its server has ended stops within an event.  It
+ * was broken off if only the end of the connection marks its end.
+ */
+static bool
+stops_within_event(
+    const struct gw_exchange *ex, const struct upstream_result *result)
+{
+	return result->error == 0 && result->ends_with_connection &&
+	       ex->route->kind == ROUTE_STREAM && ex->attempt.status < 300 &&
+	       ex->answer_body.len > 0;
+}
+
 /* Returns how the attempt ended. */
 static enum retry_end
 classify_end(const struct gw_exchange *ex, const struct upstream_result *result)
 {
+	if (stops_within_event(ex, result))
+		return RETRY_END_BROKEN;
 	if (ex->attempt.not_run && result->error == 0)
 		return RETRY_END_NOT_RUN;
 	if (ex->attempt.defective)
@@ -691,14 +706,16 @@
 	struct gw_entry *entry = ex->entry;
 	const struct pool_server *s =
 	    pool_server_at(entry->pool, ex->attempt.server);
+	struct suspects_life life;
 	uint32_t cleared;
 
-	if (end == RETRY_END_BROKEN && result->closed)
+	if (end == RETRY_END_BROKEN &&
+	    (result->closed || result->ends_with_connection))
 		gw_exchange_suspect_crash(ex, true);
 	if (end == RETRY_END_UNREACHABLE && result->refused &&
 	    s->announced.born_ms == ex->attempt.born_ms)
 		gw_entry_server_refused(entry, &s->announced);
-	if (result->error != 0)
+	if (result->error != 0 || end == RETRY_END_BROKEN)
 		return;
 	cleared = suspects_record_answer(entry->suspects,
 	    registry_life_hash(s->announced.id, ex->attempt.born_ms),
@@ -706,9 +723,18 @@
 	if (cleared > 0)
 		log_event(LOG_LEVEL_INFO, "suspects_cleared",
 		    "server=%s count=%u", s->announced.id, cleared);
-	if (end == RETRY_END_ANSWERED && result->status < 500)
+	if (end != RETRY_END_ANSWERED || result->status >= 500)
+		return;
+	if (!result->ends_with_connection) {
 		suspects_acquit(
 		    entry->suspects, &ex->causes, gw_exchange_now_us(ex));
+		return;
+	}
+	/* A crash may have ended the connection, and so the answer. */
+	life = gw_entry_life_of(&s->announced);
+	life.life = registry_life_hash(s->announced.id, ex->attempt.born_ms);
+	suspects_add_unproved_run(
+	    entry->suspects, &life, &ex->causes, gw_exchange_now_us(ex));
 }
 
 /*
--- a/src/route/suspects.c
+++ b/src/route/suspects.c
@@ -15,13 +15,14 @@
 	COMPLETION_PROBES = 4 /* slots that may hold the completion of a part */
 };
 
-/* A run that ended before its answer was complete. */
+/* A run that ended, or may have ended, before its answer was complete. */
 struct broken_run {
 	/* Its possible causes, less those that have completed since */
 	struct suspects_request request;
 	struct suspects_life life;
 	int64_t at_us;
 	bool closed; /* true: closed by the server; false: it fell silent */
+	bool may_be_whole; /* its answer looks complete */
 	bool server_answered; /* the life has answered a later request */
 	bool resolved; /* marked, or cleared by completed runs */
 };
@@ -275,16 +276,10 @@
 	}
 }
 
-/*
- * Records that a run ended before its answer was complete.  closed: the server
- * closed the connection; otherwise it fell silent, which busy servers do as
- * well.
- */
-void
-suspects_add_broken_run(struct suspect_table *table,
-    const struct suspects_life *life, const struct suspects_request *request,
-    bool closed, int64_t now_us)
+static void
+add_run(struct suspect_table *table, const struct broken_run *added)
 {
+	int64_t now_us = added->at_us;
 	struct broken_run *run;
 
 	drop_expired_runs(table, now_us);
@@ -294,14 +289,43 @@
 		table->dropped++;
 	}
 	run = run_at(table, table->count++);
-	*run = (struct broken_run){.request = *request,
-	    .life = *life,
-	    .at_us = now_us,
-	    .closed = closed};
-	if (find_ended_life(table, life->life, now_us) != NULL)
+	*run = *added;
+	if (find_ended_life(table, run->life.life, now_us) != NULL)
 		report_crash(table, run, now_us);
 }
 
+/*
+ * Records that a run ended before its answer was complete.  closed: the server
+ * closed the connection; otherwise it fell silent, which busy servers do as
+ * well.
+ */
+void
+suspects_add_broken_run(struct suspect_table *table,
+    const struct suspects_life *life, const struct suspects_request *request,
+    bool closed, int64_t now_us)
+{
+	add_run(table, &(struct broken_run){.request = *request,
+			   .life = *life,
+			   .at_us = now_us,
+			   .closed = closed});
+}
+
+/*
+ * Records a run whose answer is complete unless its server crashed: the end of
+ * the connection marked its end.  It counts as completed once the server has
+ * answered a later request.
+ */
+void
+suspects_add_unproved_run(struct suspect_table *table,
+    const struct suspects_life *life, const struct suspects_request *request,
+    int64_t now_us)
+{
+	add_run(table, &(struct broken_run){.request = *request,
+			   .life = *life,
+			   .at_us = now_us,
+			   .may_be_whole = true});
+}
+
 /* Acquits all causes marked for a life that has not ended after all. */
 static void
 retract_crashes(struct suspect_table *table, uint64_t life, int64_t now_us)
@@ -336,8 +360,12 @@
 
 		if (run->life.life == life && !run->server_answered &&
 		    run->at_us < sent_us) {
+			struct suspects_request request = run->request;
+
 			run->server_answered = true;
-			cleared++;
+			cleared += !run->may_be_whole;
+			if (run->may_be_whole && !run->resolved)
+				suspects_acquit(table, &request, now_us);
 		}
 	}
 	/*
--- a/src/route/suspects.h
+++ b/src/route/suspects.h
@@ -150,6 +150,9 @@
 void suspects_add_broken_run(struct suspect_table *table,
     const struct suspects_life *life, const struct suspects_request *request,
     bool closed, int64_t now_us);
+void suspects_add_unproved_run(struct suspect_table *table,
+    const struct suspects_life *life, const struct suspects_request *request,
+    int64_t now_us);
 uint32_t suspects_record_answer(struct suspect_table *table, uint64_t life,
     int64_t sent_us, int64_t now_us);
 uint32_t suspects_life_ended(
--- a/test/unit/suspects_test.cc
+++ b/test/unit/suspects_test.cc
@@ -492,6 +492,29 @@
 	EXPECT_FALSE(a.look_up({DEADLY}).refused);
 }
 
+TEST(Suspects, AnAnswerThatEndsWithItsConnectionProvesNothingByItself)
+{
+	instance a;
+	struct suspects_life life = {900, 900, 900};
+	suspects_request r = make_request(5, {FIRST, OTHER});
+
+	a.crash_under(100, {{FIRST, OTHER}});
+	suspects_add_unproved_run(a.suspects, &life, &r, a.now_us);
+	EXPECT_TRUE(a.look_up({FIRST, OTHER}).alone);
+	/* The server goes on, so the answer was complete. */
+	a.now_us += 10 * MS;
+	suspects_record_answer(a.suspects, 900, a.now_us - 1, a.now_us);
+	EXPECT_FALSE(a.look_up({FIRST, OTHER}).alone);
+	/* Two servers have ended, so it may not have been there. */
+	for (life.life = 1000; life.life <= 1100; life.life += 100) {
+		r.fingerprint++;
+		suspects_add_unproved_run(a.suspects, &life, &r, a.now_us);
+		suspects_life_ended(a.suspects, life.life, a.now_us);
+	}
+	a.pass(SUSPECTS_HOLD_US);
+	EXPECT_TRUE(a.look_up({FIRST}).alone);
+}
+
 TEST(Suspects, RunsThatAreResetDoNotCountAgainstAPart)
 {
 	instance a;
