Plainer names for the blame of parts; a Retry-After that is not in the past

Read as a newcomer: 'seasoned' becomes 'known good', one function for the life an attempt was sent to. Found in reading: a request that is refused for a part whose trial is due, at an instance that does not make the trial, was told to come back after 50 ms; it is told the end of the mark now.

--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -73,8 +73,7 @@
 	struct gw_entry_service *service_state;
 	const struct route_service *service_config;
 	struct gw_request_header request;
-	/* Identifies a query of death, or the part of a prompt that is deadly
-	 */
+	/* To what crashes of servers are attributed */
 	struct suspects_request causes;
 	bool is_crash_trial; /* tries whether a refused part still crashes */
 	uint8_t priority;
--- a/src/gateway/exchange_answer.c
+++ b/src/gateway/exchange_answer.c
@@ -666,6 +666,18 @@
 		    (s->ejected_until_us - gw_exchange_now_us(ex)) / US_PER_MS);
 }
 
+/* Returns the life of the server that the attempt was sent to. */
+static struct suspects_life
+life_of_attempt(const struct gw_exchange *ex)
+{
+	const struct registry_server *server =
+	    &pool_server_at(ex->entry->pool, ex->attempt.server)->announced;
+	struct suspects_life life = gw_entry_life_of(server);
+
+	life.life = registry_life_hash(server->id, ex->attempt.born_ms);
+	return life;
+}
+
 /*
  * Makes the request a suspect, as its server may have crashed while running it:
  * the attempt ends without an answer.  A server that was leaving may simply
@@ -678,13 +690,12 @@
 	struct gw_entry *entry = ex->entry;
 	const struct pool_server *s =
 	    pool_server_at(entry->pool, ex->attempt.server);
-	struct suspects_life life = gw_entry_life_of(&s->announced);
+	struct suspects_life life = life_of_attempt(ex);
 	char parts[GW_PARTS_TEXT_BYTES];
 
 	if (s->announced.born_ms == ex->attempt.born_ms &&
 	    s->announced.state != REGISTRY_READY)
 		return;
-	life.life = registry_life_hash(s->announced.id, ex->attempt.born_ms);
 	gw_exchange_log(ex, LOG_LEVEL_INFO, "suspected",
 	    "server=%s born_ms=%" PRIu64 " life=%016" PRIx64
 	    " fingerprint=%016" PRIx64 " parts=%s closed=%d",
@@ -731,8 +742,7 @@
 		return;
 	}
 	/* A crash may have ended the connection, and so the answer. */
-	life = gw_entry_life_of(&s->announced);
-	life.life = registry_life_hash(s->announced.id, ex->attempt.born_ms);
+	life = life_of_attempt(ex);
 	suspects_add_unproved_run(
 	    entry->suspects, &life, &ex->causes, gw_exchange_now_us(ex));
 }
--- a/src/gateway/exchange_send.c
+++ b/src/gateway/exchange_send.c
@@ -490,11 +490,12 @@
     struct gw_exchange *ex, const struct suspects_summary *record)
 {
 	int64_t now_us = gw_exchange_now_us(ex);
-	bool proved = record->pending == 0;
-	int64_t until_us = !proved ? record->oldest_us + SUSPECTS_RUN_TTL_US
-			   : record->cause.is_part
-			       ? record->trial_us
-			       : record->marked_us + SUSPECTS_MARK_TTL_US;
+	int64_t until_us = record->marked_us + SUSPECTS_MARK_TTL_US;
+
+	if (record->crashes < SUSPECTS_REFUSED_MIN)
+		until_us = record->oldest_us + SUSPECTS_RUN_TTL_US;
+	else if (record->cause.is_part && record->trial_us > now_us)
+		until_us = record->trial_us;
 
 	ex->entry->crash_refusals->value++;
 	gw_exchange_log(ex, LOG_LEVEL_WARN, "refused_for_crashes",
@@ -527,6 +528,8 @@
 		    suspects_contains_cause(&other->causes, &record->cause))
 			return false;
 	}
+	if (ex->is_crash_trial)
+		return true;
 	ex->is_crash_trial = true;
 	gw_exchange_log(ex, LOG_LEVEL_WARN, "trial_after_crashes",
 	    "part=%016" PRIx64 " crashes=%u marked_ms=%" PRId64,
@@ -665,7 +668,7 @@
 		return;
 	suspects_lookup(
 	    ex->entry->suspects, &ex->causes, gw_exchange_now_us(ex), &record);
-	if (!record.refused || !record.cause.is_part || record.seasoned)
+	if (!record.refused || !record.cause.is_part || record.known_good)
 		return;
 	gw_exchange_log(ex, LOG_LEVEL_WARN, "withdrawn_for_crashes",
 	    "server=%s part=%016" PRIx64 " crashes=%u ms=%" PRId64,
--- a/src/route/suspects.c
+++ b/src/route/suspects.c
@@ -27,7 +27,7 @@
 	bool resolved; /* marked, or cleared by completed runs */
 };
 
-/* A crash that counts against a seasoned part unless it completes soon. */
+/* A crash that counts against a known good part unless it completes soon. */
 struct held_crash {
 	struct suspects_cause part;
 	uint64_t life;
@@ -200,7 +200,7 @@
 
 /* Tells whether a cause is a part that has completed here lately. */
 static bool
-is_seasoned(const struct suspect_table *table,
+is_known_good(const struct suspect_table *table,
     const struct suspects_cause *cause, int64_t now_us)
 {
 	int64_t at_us;
@@ -208,10 +208,10 @@
 	if (!cause->is_part)
 		return false;
 	at_us = completed_us(table, cause_key(cause));
-	return at_us != 0 && now_us - at_us < SUSPECTS_SEASONED_US;
+	return at_us != 0 && now_us - at_us < SUSPECTS_KNOWN_GOOD_US;
 }
 
-/* Holds back a crash under a seasoned part. */
+/* Holds back a crash under a known good part. */
 static void
 hold_crash(struct suspect_table *table, const struct suspects_cause *part,
     const struct broken_run *run, int64_t now_us)
@@ -268,7 +268,7 @@
 	for (uint8_t i = 0; i <= run->request.part_count; i++) {
 		struct suspects_cause cause = cause_at(&run->request, i);
 
-		if (is_seasoned(table, &cause, now_us))
+		if (is_known_good(table, &cause, now_us))
 			hold_crash(table, &cause, run, now_us);
 		else if (cause.id != 0)
 			table->options.proved(table->options.ctx, &cause,
@@ -604,14 +604,14 @@
 
 /*
  * Returns how strongly the crashes speak against a cause.  Of two causes with
- * as many crashes, a seasoned part is the less likely one.
+ * as many crashes, a known good part is the less likely one.
  */
 static uint8_t
 strength_of(
     const struct suspect_table *table, const struct mark *m, int64_t now_us)
 {
 	return (uint8_t)(2 * crash_count(m) +
-			 !is_seasoned(table, &m->cause, now_us));
+			 !is_known_good(table, &m->cause, now_us));
 }
 
 /*
@@ -695,17 +695,17 @@
 {
 	uint64_t key = cause_key(cause);
 	const struct mark *m = find_mark(table, key, now_us);
-	bool seasoned = is_seasoned(table, cause, now_us);
+	bool known_good = is_known_good(table, cause, now_us);
 	uint8_t all, certain = 0, alone_min = SUSPECTS_ALONE_MIN;
 	bool outside = false;
 
 	memset(record, 0, sizeof(*record));
 	record->cause = *cause;
 	record->placement_hash = key;
-	record->seasoned = seasoned;
-	if (cause->is_part && !seasoned)
-		alone_min = SUSPECTS_UNSEASONED_ALONE_MIN;
-	if (!seasoned)
+	record->known_good = known_good;
+	if (cause->is_part && !known_good)
+		alone_min = SUSPECTS_UNKNOWN_ALONE_MIN;
+	if (!known_good)
 		count_pending_runs(table, cause, record);
 	all = m != NULL ? crash_count(m) : 0;
 	if (m != NULL)
@@ -723,9 +723,10 @@
 	 */
 	if (!cause->is_part)
 		certain += record->pending;
-	record->refused = certain >= (seasoned ? SUSPECTS_SEASONED_REFUSED_MIN
-					       : SUSPECTS_REFUSED_MIN) ||
-			  record->crashes >= SUSPECTS_CERTAIN_MIN;
+	record->refused =
+	    certain >= (known_good ? SUSPECTS_KNOWN_GOOD_REFUSED_MIN
+				   : SUSPECTS_REFUSED_MIN) ||
+	    record->crashes >= SUSPECTS_CERTAIN_MIN;
 	if (m != NULL && cause->is_part)
 		record->trial_us = trial_time_us(m);
 	record->alone = record->crashes + record->pending >= alone_min;
--- a/src/route/suspects.h
+++ b/src/route/suspects.h
@@ -57,7 +57,7 @@
 	/* Crashes from which on a request, or one with the part, is refused */
 	SUSPECTS_REFUSED_MIN = 3,
 	/* The same for a part that has completed lately */
-	SUSPECTS_SEASONED_REFUSED_MIN = 5,
+	SUSPECTS_KNOWN_GOOD_REFUSED_MIN = 5,
 	/* The same where other causes explain the crashes as well */
 	SUSPECTS_CERTAIN_MIN = 5,
 	/*
@@ -66,13 +66,13 @@
 	 */
 	SUSPECTS_ALONE_MIN = 2,
 	/* The same for a part that has not completed lately */
-	SUSPECTS_UNSEASONED_ALONE_MIN = 1,
+	SUSPECTS_UNKNOWN_ALONE_MIN = 1,
 	/* Time from the last crash until a refused part is tried again */
 	SUSPECTS_TRIAL_FIRST_US = 30000000,
 	SUSPECTS_TRIAL_FACTOR = 4, /* its growth with each further crash */
-	/* A part that has completed within this time counts as seasoned */
-	SUSPECTS_SEASONED_US = 60000000,
-	/* Time for a seasoned part to complete before a crash counts */
+	/* A part that has completed within this time counts as known good */
+	SUSPECTS_KNOWN_GOOD_US = 60000000,
+	/* Time for a known good part to complete before a crash counts */
 	SUSPECTS_HOLD_US = 500000,
 	SUSPECTS_HELD_MAX = 1024, /* crashes held back; others are dropped */
 	/* Parts whose last completion is known; the oldest are replaced */
@@ -132,7 +132,7 @@
 	bool alone;
 	uint64_t placement_hash;
 	struct suspects_cause cause;
-	bool seasoned; /* the cause is a part that has completed lately */
+	bool known_good; /* the cause is a part that has completed lately */
 	uint8_t crashes; /* lives that ended under it */
 	/*
 	 * Runs closed by their servers whose lives are not known to have ended
--- a/test/process/deadly_parts.sh
+++ b/test/process/crashing_parts.sh
@@ -34,7 +34,7 @@
 	    -o /dev/null -w "$2 %{http_code}\\n" >>"$5"
 }
 # Sound requests, no two alike: they share the key and the first part with the
-# deadly ones, and the first two loops the second part too.
+# crashing ones, and the first two loops the second part too.
 sound() {	# sound N ENTRY
 	local i=0 parts="aaaa:100,c$1:40"
 	[ "$1" -gt 2 ] || parts=aaaa:100,bbbb:40
@@ -49,7 +49,7 @@
 	supervisors="$supervisors $!"
 done
 
-# late NAME: deadly requests that reached a server later than 3 s after the
+# late NAME: crashing requests that reached a server later than 3 s after the
 # fifth crash since $from, or the last if there were fewer.
 late() {
 	local fifth
@@ -61,7 +61,7 @@
 sent_sound() { cat "$dir"/sound.* | wc -l; }
 served_sound() { cat "$dir"/sound.* | grep -c ' 200$'; }
 
-# trial NAME PATH PART MOST: sends requests with the deadly part to the entries
+# trial NAME PATH PART MOST: sends requests with the crashing part to the entries
 # in turn for $lasts s, four a second.
 trial() {
 	local name=$1 path=$2 part=$3 i=0 end before sent served share
@@ -71,7 +71,7 @@
 	while [ "$(now_ms)" -lt $end ]; do
 		i=$((i + 1))
 		send "$path" "$part$(printf %03x $i)" "aaaa:100,bbbb:40,$part:50" \
-		    $((21 + i % 3)) "$dir/deadly" &
+		    $((21 + i % 3)) "$dir/crashing" &
 		sleep 0.25
 		[ "$name" != restarts ] || [ "$i" != 12 ] || restart $entries
 		[ "$name" != control ] || [ "$i" != 1 ] || restart 11 12 13
--- a/test/unit/suspects_test.cc
+++ b/test/unit/suspects_test.cc
@@ -389,8 +389,8 @@
 /* Parts of prompts in the tests below. */
 enum {
 	FIRST = 1, /* of all prompts */
-	DEADLY = 2,
-	COMPANION = 3, /* in most prompts with the deadly part */
+	CRASHING = 2,
+	COMPANION = 3, /* in most prompts with the crashing part */
 	OTHER = 10 /* and above: in sound prompts only */
 };
 
@@ -400,21 +400,21 @@
 
 	a.complete({FIRST, OTHER});
 	for (uint64_t life = 100; life <= 300; life += 100) {
-		EXPECT_FALSE(a.look_up({FIRST, DEADLY}).refused);
+		EXPECT_FALSE(a.look_up({FIRST, CRASHING}).refused);
 		a.crash_under(
-		    life, {{FIRST, OTHER + life, DEADLY}, {FIRST, OTHER},
+		    life, {{FIRST, OTHER + life, CRASHING}, {FIRST, OTHER},
 			      {FIRST, OTHER + 1 + life % 200}});
-		EXPECT_TRUE(a.look_up({FIRST, DEADLY}).alone);
+		EXPECT_TRUE(a.look_up({FIRST, CRASHING}).alone);
 		a.pass(100 * MS);
 		a.complete({FIRST, OTHER});
 	}
-	EXPECT_TRUE(a.look_up({FIRST, DEADLY}).refused);
-	EXPECT_TRUE(a.look_up({FIRST, OTHER + 2, DEADLY}).refused);
+	EXPECT_TRUE(a.look_up({FIRST, CRASHING}).refused);
+	EXPECT_TRUE(a.look_up({FIRST, OTHER + 2, CRASHING}).refused);
 	EXPECT_FALSE(a.look_up({FIRST, OTHER}).refused);
 	EXPECT_FALSE(a.look_up({FIRST, OTHER + 1}).refused);
 	EXPECT_FALSE(a.look_up({FIRST, OTHER + 101}).refused);
 	later.hear(a);
-	EXPECT_TRUE(later.look_up({FIRST, DEADLY}).refused);
+	EXPECT_TRUE(later.look_up({FIRST, CRASHING}).refused);
 	EXPECT_FALSE(later.look_up({FIRST, OTHER}).refused);
 }
 
@@ -439,41 +439,41 @@
 }
 
 /* A part that was sound until now is refused as well. */
-TEST(Suspects, APartThatTurnsDeadlyIsRefusedAfterFiveCrashes)
+TEST(Suspects, APartThatBeginsToCrashServersIsRefusedAfterFiveCrashes)
 {
 	instance a;
 
-	a.complete({FIRST, DEADLY});
+	a.complete({FIRST, CRASHING});
 	for (uint64_t life = 100; life <= 500; life += 100) {
-		EXPECT_FALSE(a.look_up({FIRST, DEADLY}).refused);
-		a.crash_under(life, {{FIRST, DEADLY}});
+		EXPECT_FALSE(a.look_up({FIRST, CRASHING}).refused);
+		a.crash_under(life, {{FIRST, CRASHING}});
 		a.pass(SUSPECTS_HOLD_US);
 		a.complete({FIRST, OTHER});
 	}
-	EXPECT_TRUE(a.look_up({FIRST, DEADLY}).refused);
+	EXPECT_TRUE(a.look_up({FIRST, CRASHING}).refused);
 	EXPECT_FALSE(a.look_up({FIRST}).refused);
 }
 
-TEST(Suspects, APartThatMostlyComesWithADeadlyOneIsToldApart)
+TEST(Suspects, APartThatMostlyComesWithACrashingOneIsToldApart)
 {
 	instance a;
 	uint64_t life = 0;
 
 	a.complete({FIRST, OTHER});
 	for (int i = 0; i < 3; i++) {
-		a.crash_under(life += 100, {{FIRST, COMPANION, DEADLY}});
+		a.crash_under(life += 100, {{FIRST, COMPANION, CRASHING}});
 		a.pass(100 * MS);
 		a.complete({FIRST, OTHER});
 	}
-	EXPECT_TRUE(a.look_up({FIRST, COMPANION, DEADLY}).refused);
+	EXPECT_TRUE(a.look_up({FIRST, COMPANION, CRASHING}).refused);
 	EXPECT_FALSE(a.look_up({FIRST, COMPANION}).refused);
 	EXPECT_TRUE(a.look_up({FIRST, COMPANION}).alone);
 	a.complete({FIRST, COMPANION});
 	EXPECT_FALSE(a.look_up({FIRST, COMPANION}).alone);
-	EXPECT_TRUE(a.look_up({FIRST, COMPANION, DEADLY}).refused);
+	EXPECT_TRUE(a.look_up({FIRST, COMPANION, CRASHING}).refused);
 	/* One that also crashes without its company is the cause. */
-	a.crash_under(life += 100, {{FIRST, DEADLY}});
-	EXPECT_TRUE(a.look_up({FIRST, DEADLY}).refused);
+	a.crash_under(life += 100, {{FIRST, CRASHING}});
+	EXPECT_TRUE(a.look_up({FIRST, CRASHING}).refused);
 }
 
 TEST(Suspects, ARefusedPartIsTriedAgainEverMoreSeldom)
@@ -482,14 +482,14 @@
 	int64_t wait_us = SUSPECTS_TRIAL_FIRST_US;
 
 	for (uint64_t life = 100; life <= 300; life += 100)
-		a.crash_under(life, {{DEADLY}});
-	EXPECT_EQ(a.now_us + wait_us, a.look_up({DEADLY}).trial_us);
+		a.crash_under(life, {{CRASHING}});
+	EXPECT_EQ(a.now_us + wait_us, a.look_up({CRASHING}).trial_us);
 	a.pass(wait_us);
-	a.crash_under(400, {{DEADLY}});
+	a.crash_under(400, {{CRASHING}});
 	EXPECT_EQ(a.now_us + SUSPECTS_TRIAL_FACTOR * wait_us,
-	    a.look_up({DEADLY}).trial_us);
-	a.complete({DEADLY});
-	EXPECT_FALSE(a.look_up({DEADLY}).refused);
+	    a.look_up({CRASHING}).trial_us);
+	a.complete({CRASHING});
+	EXPECT_FALSE(a.look_up({CRASHING}).refused);
 }
 
 TEST(Suspects, AnAnswerThatEndsWithItsConnectionProvesNothingByItself)
@@ -530,12 +530,12 @@
 }
 
 /*
- * A deadly part among sound ones at 3 to 75 instances, with crashes, runs that
- * complete and messages in random order.  At any time a part that has completed
- * after its last crash is not refused where that is known; in the end the
- * deadly one is refused everywhere and no other.
+ * A crashing part among sound ones at 3 to 75 instances, with crashes, runs
+ * that complete and messages in random order.  At any time a part that has
+ * completed after its last crash is not refused where that is known; in the end
+ * the crashing one is refused everywhere and no other.
  */
-RC_GTEST_PROP(Suspects, TheDeadlyPartIsRefusedAndNoOther, ())
+RC_GTEST_PROP(Suspects, TheCrashingPartIsRefusedAndNoOther, ())
 {
 	const uint32_t count = *rc::gen::element<uint32_t>(3, 7, 75);
 	std::vector<std::unique_ptr<instance>> all;
@@ -561,7 +561,7 @@
 		} else if (ends < SUSPECTS_CERTAIN_MIN) {
 			std::vector<std::vector<uint64_t>> aboard;
 
-			parts.push_back(DEADLY);
+			parts.push_back(CRASHING);
 			aboard.push_back(parts);
 			for (uint32_t i = rng_below(&rng, 5); i > 0; i--)
 				aboard.push_back(
@@ -584,7 +584,7 @@
 			each->hear(*all[0]);
 	}
 	for (auto &each : all) {
-		RC_ASSERT(each->look_up({FIRST, DEADLY}).refused ==
+		RC_ASSERT(each->look_up({FIRST, CRASHING}).refused ==
 			  (ends >= SUSPECTS_CERTAIN_MIN));
 		for (const auto &c : completed)
 			if (c.second > crashed[c.first])
