--- a/test/process/crashing.bash
+++ b/test/process/crashing.bash
@@ -43,3 +43,18 @@
 		esac
 	done
 }
+# start_system: three control instances, $entries and $servers, whose supervisors
+# are added to $supervisors.
+supervisors=
+start_system() {
+	local n
+	for n in 11 12 13; do state $n true; done
+	for n in $entries; do start_entry "$n"; done
+	put 1 4000
+	for n in $servers; do
+		keep_serving "$n" &
+		supervisors="$supervisors $!"
+	done
+	await_entries $entries
+	sleep 1.5
+}
