suspects_lookup: clear the summary before it is read

The summary was read before the first cause had filled it; the value was not used then, so that builds without the sanitizer behave the same.

--- a/src/route/suspects.c
+++ b/src/route/suspects.c
@@ -744,6 +744,7 @@
 {
 	uint8_t strongest = 0;
 
+	memset(record, 0, sizeof(*record));
 	drop_expired_runs(table, now_us);
 	for (uint8_t i = 0; i <= request->part_count; i++) {
 		struct suspects_cause cause = cause_at(request, i);
