test/process/cut_off_entries: an entry that has lost all servers

cf-relay isolates one client address with a packet filter on its own sockets, so that connections hang as on a broken path; source-address makes each entry connect from its own address. Both are needed to cut one entry of three.

--- a/bench/relay/main.c
+++ b/bench/relay/main.c
@@ -1,3 +1,4 @@
+#include <arpa/inet.h>
 #include <signal.h>
 #include <stddef.h>
 #include <stdio.h>
@@ -70,6 +71,28 @@
 	return true;
 }
 
+/* Isolates the client address that the request names. */
+static bool
+control_isolate(struct relay *relay, struct MHD_Connection *connection)
+{
+	static const char *const kinds[] = {"silent", "reset", "new"};
+	const char *from = MHD_lookup_connection_value(
+	    connection, MHD_GET_ARGUMENT_KIND, "from");
+	const char *kind = MHD_lookup_connection_value(
+	    connection, MHD_GET_ARGUMENT_KIND, "kind");
+	struct in_addr address;
+
+	if (from == NULL || kind == NULL ||
+	    inet_pton(AF_INET, from, &address) != 1)
+		return false;
+	for (size_t i = 0; i < sizeof(kinds) / sizeof(kinds[0]); i++) {
+		if (strcmp(kind, kinds[i]) == 0)
+			return relay_isolate(relay, &address,
+				   (enum relay_isolation)i) == 0;
+	}
+	return false;
+}
+
 /* Executes a control request; returns false if it is unknown. */
 static bool
 execute_control(struct relay *relay, const struct serve_request *request)
@@ -78,6 +101,8 @@
 
 	if (strcmp(request->path, "/cut") == 0)
 		return control_cut(relay, request->connection);
+	if (strcmp(request->path, "/isolate") == 0)
+		return control_isolate(relay, request->connection);
 	if (strcmp(request->path, "/mend") == 0) {
 		relay_mend(relay);
 		return true;
--- a/bench/relay/relay.c
+++ b/bench/relay/relay.c
@@ -2,6 +2,7 @@
 
 #include <errno.h>
 #include <arpa/inet.h>
+#include <linux/filter.h>
 #include <netinet/tcp.h>
 #include <string.h>
 #include <sys/socket.h>
@@ -15,7 +16,8 @@
 	RELAY_READ_BYTES = 64 << 10,
 	RELAY_BUFFER_MAX_BYTES = 1 << 20, /* then a flow stops reading */
 	RELAY_TICK_MAX_US = 1000000, /* longest wait between two flushes */
-	RELAY_ROUTES_MAX = 64
+	RELAY_ROUTES_MAX = 64,
+	IP_SOURCE_OFFSET = 12 /* of the source address in an IPv4 header */
 };
 
 /* Bytes not sent yet; a chunk of length 0 marks the end of the stream. */
@@ -489,6 +491,71 @@
 		pair_watch(pair);
 }
 
+/*
+ * Makes the kernel drop the packets that arrive at a socket from an address.
+ * Returns whether that succeeded.
+ */
+static bool
+drop_packets(int fd, const struct in_addr *from)
+{
+	struct sock_filter code[] = {
+	    BPF_STMT(BPF_LD | BPF_W | BPF_ABS, SKF_NET_OFF + IP_SOURCE_OFFSET),
+	    BPF_JUMP(BPF_JMP | BPF_JEQ | BPF_K, ntohl(from->s_addr), 0, 1),
+	    BPF_STMT(BPF_RET | BPF_K, 0),
+	    BPF_STMT(BPF_RET | BPF_K, UINT32_MAX)};
+	struct sock_fprog program = {sizeof(code) / sizeof(code[0]), code};
+
+	return setsockopt(fd, SOL_SOCKET, SO_ATTACH_FILTER, &program,
+		   sizeof(program)) == 0;
+}
+
+static void
+accept_packets(int fd)
+{
+	const int unused = 0;
+
+	(void)setsockopt(
+	    fd, SOL_SOCKET, SO_DETACH_FILTER, &unused, sizeof(unused));
+}
+
+static bool
+is_from(const struct pair *pair, const struct in_addr *from)
+{
+	struct sockaddr_in peer = {0};
+	socklen_t len = sizeof(peer);
+
+	return getpeername(pair->fds[RELAY_UP], (void *)&peer, &len) == 0 &&
+	       peer.sin_addr.s_addr == from->s_addr;
+}
+
+/*
+ * Isolates a client address until relay_mend().  Returns 0, or -1 if the system
+ * does not allow it.
+ */
+int
+relay_isolate(struct relay *relay, const struct in_addr *from,
+    enum relay_isolation isolation)
+{
+	struct pair *pair, *next;
+	int i;
+
+	for (i = 0; i < relay->route_count; i++) {
+		if (!drop_packets(relay->routes[i].listen_fd, from))
+			return -1;
+	}
+	for (pair = relay->pairs; pair != NULL; pair = next) {
+		next = pair->next;
+		if (isolation == RELAY_ISOLATE_NEW || !is_from(pair, from))
+			continue;
+		if (isolation == RELAY_ISOLATE_RESET) {
+			relay->counts.resets++;
+			pair_close(pair, true);
+		} else if (!drop_packets(pair->fds[RELAY_UP], from))
+			return -1;
+	}
+	return 0;
+}
+
 /* Sends all buffered bytes, whether due or not. */
 static void
 flush_all(struct relay *relay)
@@ -505,10 +572,20 @@
 	}
 }
 
-/* Ends the cut, the holds and the delay, and sends the buffered bytes. */
+/*
+ * Ends the cut, the isolation, the holds and the delay, and sends the buffered
+ * bytes.
+ */
 void
 relay_mend(struct relay *relay)
 {
+	struct pair *pair;
+	int i;
+
+	for (i = 0; i < relay->route_count; i++)
+		accept_packets(relay->routes[i].listen_fd);
+	for (pair = relay->pairs; pair != NULL; pair = pair->next)
+		accept_packets(pair->fds[RELAY_UP]);
 	relay->cut = false;
 	relay->delay_us = 0;
 	relay->held[RELAY_UP] = false;
--- a/src/gateway/entry.c
+++ b/src/gateway/entry.c
@@ -1,5 +1,6 @@
 #include "gateway/entry.h"
 
+#include <arpa/inet.h>
 #include <inttypes.h>
 #include <stdio.h>
 #include <string.h>
@@ -951,6 +952,7 @@
 	rng_init(&e->rng, rng_system_seed());
 	create_metrics(e);
 	client.ctx = e;
+	(void)inet_pton(AF_INET, gw->settings->source_address, &client.source);
 	e->client = upstream_new(&client);
 	e->pool = pool_new(&pool);
 	e->suspects = suspects_new(&suspects);
--- a/src/gateway/settings.c
+++ b/src/gateway/settings.c
@@ -1,6 +1,7 @@
 #include "gateway/settings.h"
 
 #include <argp.h>
+#include <arpa/inet.h>
 #include <ctype.h>
 #include <errno.h>
 #include <stdio.h>
@@ -53,6 +54,8 @@
     TEXT("link-host", link_host, "IPv4 address for links between instances"),
     VALUE("link-port", SETTING_NUMBER, link_port,
 	"port for links, the same on every instance"),
+    TEXT("source-address", source_address,
+	"local IPv4 address of connections to backend servers"),
     TEXT("cluster-key", cluster_key,
 	"64 hexadecimal digits, the same on every instance"),
     VALUE("listen", SETTING_ADDRESS, listen, "IP:PORT for callers"),
@@ -407,6 +410,8 @@
 static int
 check_settings(const struct gw_settings *settings, struct buf *why)
 {
+	struct in_addr address;
+
 	if (settings->instance[0] == '\0' || settings->data_centre[0] == '\0' ||
 	    settings->link_host[0] == '\0' || settings->link_port == 0 ||
 	    settings->link_port > UINT16_MAX ||
@@ -419,6 +424,9 @@
 	else if (settings->control_listen.host[0] != '\0' &&
 		 settings->data_dir[0] == '\0')
 		buf_adds(why, "control-listen requires data-dir");
+	else if (settings->source_address[0] != '\0' &&
+		 inet_pton(AF_INET, settings->source_address, &address) != 1)
+		buf_adds(why, "source-address is no IPv4 address");
 	else
 		return 0;
 	return ERR_SETTING;
@@ -462,6 +470,8 @@
 		return error;
 	memcpy(next.link_host, settings->link_host, sizeof(next.link_host));
 	next.link_port = settings->link_port;
+	memcpy(next.source_address, settings->source_address,
+	    sizeof(next.source_address));
 	next.listen = settings->listen;
 	next.ready_listen = settings->ready_listen;
 	next.control_listen = settings->control_listen;
--- a/src/http/upstream.c
+++ b/src/http/upstream.c
@@ -496,6 +496,24 @@
 		conn_free(c);
 }
 
+/*
+ * Binds a socket to the configured source address, if there is one.  Returns
+ * whether the socket can be used.
+ */
+static bool
+bind_source(const struct upstream_client *client, int fd)
+{
+	struct sockaddr_in source = {
+	    .sin_family = AF_INET, .sin_addr = client->options.source};
+	int one = 1;
+
+	if (source.sin_addr.s_addr == 0)
+		return true;
+	/* The port is chosen at connect(), where it may be shared. */
+	setsockopt(fd, IPPROTO_IP, IP_BIND_ADDRESS_NO_PORT, &one, sizeof(one));
+	return bind(fd, (const struct sockaddr *)&source, sizeof(source)) == 0;
+}
+
 static struct conn *
 dial(struct upstream_client *client, const struct sockaddr_in *address)
 {
@@ -509,9 +527,10 @@
 	setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof(one));
 	setsockopt(
 	    fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout_ms, sizeof(timeout_ms));
-	if (connect(fd, (const struct sockaddr *)address, sizeof(*address)) !=
-		0 &&
-	    errno != EINPROGRESS) {
+	if (!bind_source(client, fd) ||
+	    (connect(fd, (const struct sockaddr *)address, sizeof(*address)) !=
+		    0 &&
+		errno != EINPROGRESS)) {
 		close(fd);
 		return NULL;
 	}
--- a/src/http/upstream.h
+++ b/src/http/upstream.h
@@ -80,6 +80,7 @@
 	void (*probed)(
 	    void *ctx, const struct sockaddr_in *address, bool refused);
 	void *ctx;
+	struct in_addr source; /* local address to connect from; 0: any */
 };
 
 struct upstream_request {
--- /dev/null
+++ b/test/process/cut_off_entries.sh
@@ -0,0 +1,121 @@
+#!/bin/bash
+# An entry that loses its connections to all servers, which the other entries
+# still reach: from 3 s later on its callers are served as well as the others',
+# nothing runs twice, and no server counts as crashed.
+. "$(dirname "$0")/gateway.bash"
+
+document() {
+	cat <<EOF
+{"version":$1,"routes":[
+{"name":"ok","host":"h.example","path_prefix":"/","kind":"idempotent","timeout_ms":$2,"goal_ms":500,"max_attempts":3,"service":"s"},
+{"name":"once","host":"h.example","path_prefix":"/once/","kind":"non_idempotent","timeout_ms":$2,"goal_ms":500,"max_attempts":1,"service":"s"},
+{"name":"stream","host":"h.example","path_prefix":"/s/","kind":"streaming","timeout_ms":5000,"goal_ms":1000,"max_attempts":3,"resumable":true,"service":"s"}],
+"services":[{"name":"s","max_connections":1000}],
+"tenants":[{"name":"w","api_keys":["k1"]}]}
+EOF
+}
+
+servers='1 2 3 4 5 6'
+entries='21 22 23'
+lasts=${CF_TEST_SHORT:+7}
+lasts=${lasts:-9} # seconds of each trial
+for n in 11 12 13; do state $n true; done
+for n in $entries; do
+	entry $n --source-address "127.0.0.$n" --retry-share 0.9 --retry-window-ms 1000
+done
+links=
+for i in $servers; do
+	start "s-$i" cf-fake-server "s-$i" 127.0.0.1:0
+	links="$links --link 127.0.0.1:0=$addr"
+done
+# shellcheck disable=SC2086
+start relay cf-relay $links --control 127.0.0.1:0
+relay=$addr
+until [ "$(grep -c '^relays ' "$dir/relay.out")" = 6 ]; do sleep 0.01; done
+mapfile -t port < <(sed -n 's/^relays .*://p' "$dir/relay.out")
+order() { curl -s -m 5 -o /dev/null -w '%{http_code}' -X POST "http://$relay/$1"; }
+slots=50
+announce_all() { for i in $servers; do announce "s-$i" "${port[i - 1]}"; done; }
+keep_announcing() { while sleep 1; do announce_all; seq_no=$((seq_no + 100)); done; }
+put 1 4000
+announce_all
+await_entries $entries
+keep_announcing &
+pids="$pids $!"
+
+now_ms() { awk '{printf "%d", $1 * 1000}' /proc/uptime; }
+# call N KIND ID: one request; appends when it was sent, its kind and status.
+call() {
+	local at path
+	at=$(now_ms)
+	case $2 in
+	ok) path=/ok/$3 ;;
+	once) path=/once/ok/$3 ;;
+	stream) path=/s/prompt/$3 ;;
+	esac
+	echo "$at $2 $(ask "$1" "$path" "$3" -X POST -d "$3" -o "$dir/body.$3" -w '%{http_code}') $3" \
+	    >>"$dir/calls.$1"
+}
+callers() {	# callers N TRIAL: calls of all kinds to an entry until $dir/load is gone
+	local i=0 kind
+	while [ -e "$dir/load" ]; do
+		for kind in ok once stream; do
+			i=$((i + 1))
+			call "$1" $kind "$2$1$(printf %04x $i)" &
+		done
+		sleep 0.15
+	done
+	wait
+}
+# share N FROM_MS KINDS: "SERVED OF" of an entry's calls sent later than that.
+share() {
+	awk -v from="$2" -v kinds="$3" '$1 >= from && index(kinds, $2) {
+	    of++; served += $3 == 200 } END { print served + 0, of + 0 }' "$dir/calls.$1"
+}
+# crash_lines: what entry 21 has said of crashed servers.
+crash_lines() { grep -cE 'event=(crash_seen|crash_mark)' "$dir/i21.log"; }
+
+trial() {	# trial KIND: entry 21 is isolated from all servers
+	local kind=$1 from n bad failed of served others_served others_of crashes
+	rm -f "$dir"/calls.*
+	crashes=$(crash_lines)
+	touch "$dir/load"
+	loads=
+	for n in $entries; do
+		callers "$n" "$kind" &
+		loads="$loads $!"
+	done
+	sleep 2
+	check "$kind: the relay isolates the entry" 200 "$(order "isolate?from=127.0.0.21&kind=$kind")"
+	from=$(now_ms)
+	sleep "$lasts"
+	rm "$dir/load"
+	# shellcheck disable=SC2086
+	wait $loads
+	read -r served of < <(share 21 $((from + 3000)) 'ok once stream')
+	others_served=0 others_of=0
+	for n in 22 23; do
+		read -r bad failed < <(share $n $((from + 3000)) 'ok once stream')
+		others_served=$((others_served + bad)) others_of=$((others_of + failed))
+	done
+	echo "      $kind: $served of $of served from 3 s on, $others_served of $others_of at the others"
+	check "$kind: as many are served there as elsewhere, less a third" 1 \
+	    "$((of >= 20 && served * others_of * 3 >= others_served * of * 2))"
+	check "$kind: no more than 10 and 1 in 50 fail there" 1 \
+	    "$((of - served <= 10 + (of + others_of) / 50))"
+	check "$kind: the others serve all but 1 in 50" 1 \
+	    "$((others_served * 50 >= others_of * 49))"
+	check "$kind: no server counts as crashed" "$crashes" "$(crash_lines)"
+	check "$kind: nothing that may run once runs twice" '' \
+	    "$(cat "$dir"/s-?.out | grep -o '/once/.*' | sort | uniq -d)"
+	check "$kind: streams are whole" 0 "$(awk '$2 == "stream" && $3 == 200 {print $4}' "$dir"/calls.* |
+	    while read -r id; do [ "$(grep -c '^id: ' "$dir/body.$id")" = 5 ] || echo; done | wc -l)"
+	order mend >/dev/null
+	rm -f "$dir"/body.*
+	sleep 3
+	check "$kind: mended, it serves" 200 "$(status 21 /ok/back "${kind}b")"
+}
+trial silent
+trial reset
+trial new
+check 'no request is refused for crashes' 0 "$(cat "$dir"/i2?.log | grep -c event=refused_for_crashes)"
