test/process/limits: callers at all entries, and whole periods

Traced with the entries' dispatch lines: four entries share each limit, but the callers of this trial came to three, whose parts are 7.2 of 9.6 a second; and each entry may send to a server once in 3.3 s, with all of its parts at about the same moment, so that 5 s hold one or two such rounds of 8.

Now callers come to all four entries and the span is three whole periods, with the same bound of what the limits allow, less a tenth: 96 in 10.01 s, 82 wanted.

--- a/test/process/limits.sh
+++ b/test/process/limits.sh
@@ -126,12 +126,13 @@
 end_load end
 at_least 'without a limit it is in full use again' 15 "$(arrivals 1 "$t" $((t + 6000)) | wc -l)"
 
-# All servers; an entry is frozen, another killed, and control is cut off.
+# All servers; an entry is frozen, and then control.  All entries have a part of
+# each limit, from which each may send once in 3.3 s.
 for i in $(seq $servers); do set_limit "$i" 1.2; done
-load 16 20 $entries
+load 21 20 $entries 24
 sleep 1
 t=$(now_ms)
-sleep 8
+sleep 13
 t1=$(now_ms)
 for n in 11 12 13; do kill -STOP "${pid_of[$n]}"; done
 kill -STOP "${pid_of[21]}"
