fakes/server: a request that names another server is answered 421

process_crashing_parts failed now and then: 10 servers ended while control is frozen, 9 allowed (three for each entry that can't tell the others).

Traced (a run with the logs kept): eight servers ended within 0.9 s, all under requests that the three entries had begun before they knew. The last two were new lives at the old addresses, which ran requests that named the lives before: control is frozen, so the entries can't have heard of new ones. On the platform a server answers 421 to a request that names another one, and does not run it; the stand-in ran it.

The stand-in follows the protocol now; bound and check are as they were. A server that comes back under the same id while control is out of reach is not covered by this trial.

--- a/fakes/server/main.c
+++ b/fakes/server/main.c
@@ -14,7 +14,8 @@
 /*
  * cf-fake-server: a backend server that follows the protocol of the users'
  * platform, for process tests.  Each answer has the request's id, a signature
- * and the server's load.  The path of the request selects the answer:
+ * and the server's load.  A request that names another server is answered 421
+ * and not run.  The path of the request selects the answer:
  *
  *	/ok/...		200 with the body it was sent
  *	/stream/...	events 1 to 5, 20 ms apart; after Last-Event-Id the rest
@@ -45,6 +46,7 @@
 	PREFILL_US = 200000, /* time to read a prompt */
 	EXIT_CRASHED = 3,
 	STATUS_INTERNAL_ERROR = 500,
+	STATUS_MISDIRECTED = 421,
 	STATUS_UNAVAILABLE = 503,
 	PERCENT = 100
 };
@@ -211,12 +213,18 @@
 on_request(void *ctx, struct front_exchange *x)
 {
 	const char *target = front_target(x);
+	const char *only = request_header(x, "Celeryford-Target-Instance");
 	struct buf no_body;
 
 	(void)ctx;
 	front_set_data(x, NULL);
-	printf("got %" PRId64 " %s\n", clock_monotonic_us() / 1000, target);
 	buf_init(&no_body, alloc_default());
+	if (only[0] != '\0' && strcmp(only, server_id) != 0) {
+		send_answer(x, STATUS_MISDIRECTED,
+		    "Celeryford-Not-Executed: 1\r\n", &no_body);
+		return;
+	}
+	printf("got %" PRId64 " %s\n", clock_monotonic_us() / 1000, target);
 	if (strncmp(target, set_limit_path, strlen(set_limit_path)) == 0)
 		set_limit(target + strlen(set_limit_path));
 	if (strstr(target, "/crash/") != NULL)
