Divide the slots of brittle servers among the instances

What callers saw (process_brittle): servers that end when they turn more than N requests away within a second ended one after the other, since each one's load went to the rest, and next to nobody was served.

Cause: the field was not read, and each instance decides alone how much room a server has. The class: a bound on a sum that each part keeps by itself.

Now the field is decoded in platform/, told between instances as limits are, and nothing waits at such a server: its slots are divided among the instances (rate_share_of_slots), the rest by place and server, and requests without a slot wait at the instances. A refusal costs the instance one slot there for 5 s and the server gets nothing from it for 1 s. A life that has not answered counts as brittle while another server of its service is. Ruled out: a part of the allowed refusals for each instance (docs/design/platform.md).

--- a/src/gateway/dialect.h
+++ b/src/gateway/dialect.h
@@ -115,6 +115,11 @@
 	uint32_t limit_milli_per_s;
 	/* It names a limit that can't be parsed */
 	bool limit_unreadable;
+	/* The server ends if it refuses too many requests in a second */
+	bool is_brittle;
+	uint32_t rejections_max; /* most that it bears */
+	/* It says so with a number that can't be parsed */
+	bool brittle_unreadable;
 };
 
 struct gw_dialect;
--- a/src/gateway/entry.c
+++ b/src/gateway/entry.c
@@ -23,6 +23,7 @@
 	CLOSE_IDLE_US = 250000,
 	READY_LEASE_MIN_US = 1500000, /* with less lease left: not ready */
 	LOG_LINES_PER_REQUEST = 4, /* usual number */
+	MILLI = 1000,
 	HTTP_OK = 200
 };
 
@@ -174,9 +175,12 @@
 		upstream_close_idle(entry->client,
 		    &pool_server_at(entry->pool, place)->address);
 	/* Its limit may have been told before its announcement. */
-	if (place != ROUTE_NONE)
+	if (place != ROUTE_NONE) {
 		gw_redeliver_note(entry->gw, GW_NOTE_SERVER_LIMIT,
 		    pool_server_at(entry->pool, place)->life);
+		gw_redeliver_note(entry->gw, GW_NOTE_SERVER_BRITTLE,
+		    pool_server_at(entry->pool, place)->life);
+	}
 	gw_entry_retry_waiting(entry);
 }
 
@@ -326,6 +330,54 @@
 	gw_entry_retry_waiting(entry);
 }
 
+/* Logs whether a server is brittle now. */
+static void
+log_brittle(struct gw_entry *entry, uint16_t server, uint32_t told_by)
+{
+	const struct pool_server *s = pool_server_at(entry->pool, server);
+	int64_t now_us = loop_now_us(entry->gw->loop);
+	bool brittle = pool_is_brittle(entry->pool, server, now_us);
+	char from[GW_NAME_BYTES];
+
+	gw_format_address(told_by, from);
+	log_event(LOG_LEVEL_INFO, "server_brittle",
+	    "server=%s born_ms=%" PRIu64 " brittle=%d refusals_max=%d "
+	    "change=%u told_by=%s slots=%u share=%u in_flight=%u instances=%u",
+	    s->announced.id, s->announced.born_ms, brittle,
+	    brittle ? (int)(s->brittle.milli_per_s / MILLI) - 1 : -1,
+	    s->brittle.change, from, s->announced.slots,
+	    pool_slots_share(entry->pool, server, now_us), s->in_flight,
+	    entry->members.count);
+}
+
+/*
+ * Logs that an answer to this instance says that its server is brittle, or no
+ * longer says so, and tells the other instances.
+ */
+void
+gw_entry_tell_brittle(struct gw_entry *entry, uint16_t server)
+{
+	const struct pool_server *s = pool_server_at(entry->pool, server);
+
+	entry->brittle_heard->value++;
+	log_brittle(entry, server, entry->gw->self);
+	gw_publish_note(entry->gw, GW_NOTE_SERVER_BRITTLE, s->life, 0,
+	    server_limit_pack(&s->brittle));
+}
+
+/* Applies what another instance was told of a brittle server. */
+static void
+apply_brittle(struct gw_entry *entry, const struct gw_note *note)
+{
+	uint16_t server = pool_apply_brittle(
+	    entry->pool, note->key, note->value, loop_now_us(entry->gw->loop));
+
+	if (server == ROUTE_NONE)
+		return;
+	log_brittle(entry, server, note->told_by);
+	gw_entry_retry_waiting(entry);
+}
+
 /* Timer: withdraws requests that must not run any more. */
 static void
 on_withdraw(void *ctx)
@@ -379,6 +431,9 @@
 	case GW_NOTE_SERVER_LIMIT:
 		apply_limit(entry, note);
 		break;
+	case GW_NOTE_SERVER_BRITTLE:
+		apply_brittle(entry, note);
+		break;
 	case GW_NOTE_SERVER_ENDED:
 		/*
 		 * This instance may hold suspects for that life without having
@@ -860,6 +915,10 @@
 	    "celeryford_server_limits_unreadable_total", "");
 	entry->limit_refusals = metrics_get(
 	    m, METRICS_COUNTER, "celeryford_limit_refusals_total", "");
+	entry->brittle_heard = metrics_get(
+	    m, METRICS_COUNTER, "celeryford_servers_brittle_heard_total", "");
+	entry->brittle_unreadable = metrics_get(m, METRICS_COUNTER,
+	    "celeryford_servers_brittle_unreadable_total", "");
 	entry->unending_answers = metrics_get(
 	    m, METRICS_COUNTER, "celeryford_answers_unending_total", "");
 	entry->crash_refusals = metrics_get(
--- a/src/gateway/entry.h
+++ b/src/gateway/entry.h
@@ -115,6 +115,8 @@
 	struct metrics_series *limits_heard;
 	struct metrics_series *limits_unreadable;
 	struct metrics_series *limit_refusals;
+	struct metrics_series *brittle_heard;
+	struct metrics_series *brittle_unreadable;
 	struct metrics_series *unending_answers;
 	size_t buffered_bytes; /* of answers that are not complete yet */
 	struct metrics_series *crash_refusals;
@@ -156,6 +158,7 @@
 void gw_entry_server_leaving(
     struct gw_entry *entry, const struct registry_server *server);
 void gw_entry_tell_limit(struct gw_entry *entry, uint16_t server);
+void gw_entry_tell_brittle(struct gw_entry *entry, uint16_t server);
 void gw_entry_server_ended(
     struct gw_entry *entry, const struct registry_server *server);
 void gw_entry_report_held_crashes(struct gw_entry *entry);
--- a/src/gateway/exchange_answer.c
+++ b/src/gateway/exchange_answer.c
@@ -278,6 +278,36 @@
 		gw_entry_tell_limit(entry, server);
 }
 
+/*
+ * Records that an answer says that its server is brittle, or that one to a
+ * request that ran does not, and tells the other instances of a change.
+ */
+static void
+record_brittle(struct gw_exchange *ex, const struct gw_answer_header *answer)
+{
+	struct gw_entry *entry = ex->entry;
+	uint16_t server = ex->attempt.server;
+	int64_t now_us = gw_exchange_now_us(ex);
+	bool changed = false;
+
+	if (answer->brittle_unreadable) {
+		entry->brittle_unreadable->value++;
+		gw_exchange_log(ex, LOG_LEVEL_WARN, "brittle_unreadable",
+		    "server=%s",
+		    pool_server_at(entry->pool, server)->announced.id);
+		/* It is brittle all the same; none is the lowest number. */
+		changed = pool_record_brittle(
+		    entry->pool, server, 0, ex->attempt.sent_us, now_us);
+	} else if (answer->is_brittle)
+		changed = pool_record_brittle(entry->pool, server,
+		    answer->rejections_max, ex->attempt.sent_us, now_us);
+	else if (answer->has_proof && !answer->not_run)
+		changed = pool_record_not_brittle(
+		    entry->pool, server, ex->attempt.sent_us, now_us);
+	if (changed)
+		gw_entry_tell_brittle(entry, server);
+}
+
 /*
  * Updates what is known of the server from the head of its answer: its load,
  * and whether it is leaving or asks for a pause.  The latter two are ignored in
@@ -305,6 +335,7 @@
 	if (answer->leaving && s->announced.state == REGISTRY_READY)
 		gw_entry_server_leaving(entry, &s->announced);
 	record_limit(ex, answer);
+	record_brittle(ex, answer);
 	if (status != STATUS_UNAVAILABLE)
 		return;
 	if (answer->pause_unreadable) {
--- a/src/gateway/metrics_page.c
+++ b/src/gateway/metrics_page.c
@@ -71,6 +71,8 @@
 	    gw, METRICS_GAUGE, "celeryford_servers_paused", withdrawn.paused);
 	set_sample(
 	    gw, METRICS_GAUGE, "celeryford_servers_limited", withdrawn.limited);
+	set_sample(
+	    gw, METRICS_GAUGE, "celeryford_servers_brittle", withdrawn.brittle);
 	set_sample(gw, METRICS_COUNTER, "celeryford_bounded_choices_total",
 	    pool_bounded_count(e->pool));
 	set_sample(
--- a/src/gateway/notes.c
+++ b/src/gateway/notes.c
@@ -86,7 +86,8 @@
 
 	if (note->kind == GW_NOTE_CRASH || note->kind == GW_NOTE_PART_CRASH)
 		keep_us = GW_NOTES_CRASH_KEEP_US;
-	else if (note->kind == GW_NOTE_SERVER_LIMIT)
+	else if (note->kind == GW_NOTE_SERVER_LIMIT ||
+		 note->kind == GW_NOTE_SERVER_BRITTLE)
 		keep_us = GW_NOTES_LIMIT_KEEP_US;
 	return note->at_us - now_us + keep_us;
 }
--- a/src/gateway/notes.h
+++ b/src/gateway/notes.h
@@ -66,7 +66,12 @@
 	 */
 	GW_NOTE_SERVER_LIMIT = 5,
 	/* As GW_NOTE_CRASH, of a part of prompts (key: its id) */
-	GW_NOTE_PART_CRASH = 6
+	GW_NOTE_PART_CRASH = 6,
+	/*
+	 * As GW_NOTE_SERVER_LIMIT, of the refusals a second that a brittle
+	 * server bears
+	 */
+	GW_NOTE_SERVER_BRITTLE = 7
 };
 
 struct gw_note {
--- a/src/route/pool.c
+++ b/src/route/pool.c
@@ -16,9 +16,16 @@
 	/* Outcomes of a server before it can be ejected */
 	EJECT_OUTCOMES_MIN = 6,
 	FULL_BACKOFF_US = 150000, /* pause after a refusal */
+	/* The same for a brittle server, which counts refusals by the second */
+	BRITTLE_BACKOFF_US = 1000000,
+	/* Time in which it gets less after a refusal */
+	BRITTLE_REFUSAL_US = 5000000,
 	PAUSE_MAX_MS = 600000, /* longer requested pauses are cut to this */
 	RAMP_LIMIT_FIRST = 1, /* concurrent requests after a pause */
 	LOAD_REPORT_MAX_AGE_US = 2000000, /* older load reports are ignored */
+	/* More refusals a second than any server counts */
+	BRITTLE_REJECTIONS_MAX = 1000000,
+	MILLI = 1000,
 	US_PER_MS = 1000,
 	US_PER_S = 1000000,
 	/*
@@ -77,6 +84,7 @@
 	uint16_t size;
 	struct rate_members members; /* the instances that share bounds */
 	uint64_t bounded_picks; /* see pool_bounded_count() */
+	bool heard_of_brittle; /* a server is or was brittle */
 	const struct route_table *table;
 	const struct ord *orders;
 };
@@ -239,6 +247,9 @@
 		s->paused_until_us = 0;
 		s->ramp_limit = s->in_flight_before_pause = 0;
 		memset(&s->limit, 0, sizeof(s->limit));
+		memset(&s->brittle, 0, sizeof(s->brittle));
+		s->has_answered = false;
+		s->refused_us = 0;
 		s->down_until_us = s->ejected_until_us = 0;
 		s->failure_share = 0;
 		s->outcomes = 0;
@@ -501,14 +512,77 @@
 	       strcmp(s->announced.service, query->service) == 0;
 }
 
+static bool
+is_named_brittle(const struct pool_server *s, int64_t now_us)
+{
+	struct rate_bound bound = server_limit_bound(&s->brittle, now_us);
+
+	return !rate_bound_is_none(&bound);
+}
+
+/* Tells whether a server of a service says that it is brittle. */
+static bool
+is_service_brittle(
+    const struct server_pool *pool, const char *service, int64_t now_us)
+{
+	for (uint16_t i = 0; i < pool->count && pool->heard_of_brittle; i++) {
+		if (is_ready(&pool->servers[i], service) &&
+		    is_named_brittle(&pool->servers[i], now_us))
+			return true;
+	}
+	return false;
+}
+
+/*
+ * Tells whether a server counts as brittle: it says so, or has not answered yet
+ * and another one of its service says so.
+ */
+bool
+pool_is_brittle(const struct server_pool *pool, uint16_t server, int64_t now_us)
+{
+	const struct pool_server *s = &pool->servers[server];
+
+	return is_named_brittle(s, now_us) ||
+	       (!s->has_answered &&
+		   is_service_brittle(pool, s->announced.service, now_us));
+}
+
+/*
+ * Returns how many requests this instance may have at a brittle server.  After
+ * a refusal it is one fewer for a while, as the server has less room than the
+ * instances expect.
+ */
+uint32_t
+pool_slots_share(
+    const struct server_pool *pool, uint16_t server, int64_t now_us)
+{
+	const struct pool_server *s = &pool->servers[server];
+	/* A server that does not say how many slots it has has one at least. */
+	uint32_t slots = s->announced.slots > 0 ? s->announced.slots : 1;
+	uint32_t share = rate_share_of_slots(slots, &pool->members, s->life);
+
+	if (share > 0 && s->refused_us != 0 &&
+	    now_us - s->refused_us < BRITTLE_REFUSAL_US)
+		share--;
+	return share;
+}
+
 /*
  * Tells whether a server may get another request: its slots and the queue that
- * the query allows are not full, and it is within its ramp limit after a pause.
+ * the query allows are not full, it is within its ramp limit after a pause, and
+ * if it is brittle this instance's part of its slots is not used up.
+ * service_is_brittle: some server of its service says that it is.
  */
 static bool
-has_room(
-    const struct pool_server *s, const struct pool_query *query, int64_t now_us)
+has_room(const struct server_pool *pool, uint16_t server,
+    const struct pool_query *query, bool service_is_brittle, int64_t now_us)
 {
+	const struct pool_server *s = &pool->servers[server];
+
+	if (service_is_brittle &&
+	    (!s->has_answered || is_named_brittle(s, now_us)) &&
+	    s->in_flight >= pool_slots_share(pool, server, now_us))
+		return false;
 	if (s->ramp_limit > 0 &&
 	    s->in_flight >= s->in_flight_before_pause + s->ramp_limit)
 		return false;
@@ -793,8 +867,9 @@
     int64_t now_us, enum pool_role role, bool trial, enum tier tier,
     uint16_t candidates[CANDIDATES_MAX])
 {
-	uint16_t count = 0;
+	bool brittle = is_service_brittle(pool, query->service, now_us);
 	bool passed_over = false;
+	uint16_t count = 0;
 
 	for (uint16_t i = 0; i < pool->count && count < CANDIDATES_MAX; i++) {
 		struct pool_server *s = &pool->servers[i];
@@ -809,11 +884,12 @@
 		if (!may_run(s, query) || s->role != role ||
 		    (trial && !is_trial_server(pool, query, i)) ||
 		    (tier == TIER_HEALTHY &&
-			(is_doubtful || !has_room(s, query, now_us))) ||
+			(is_doubtful ||
+			    !has_room(pool, i, query, brittle, now_us))) ||
 		    (tier == TIER_FALLBACK &&
 			(unavailable_until_us(s) > now_us ||
 			    is_avoided(query, i) ||
-			    !has_room(s, query, now_us))))
+			    !has_room(pool, i, query, brittle, now_us))))
 			continue;
 		if (bound_allows(pool, i, now_us))
 			candidates[count++] = i;
@@ -1140,9 +1216,13 @@
 pool_record_refusal(struct server_pool *pool, uint16_t server, int64_t now_us)
 {
 	struct pool_server *s = &pool->servers[server];
+	int64_t until_us =
+	    now_us + (pool_is_brittle(pool, server, now_us) ? BRITTLE_BACKOFF_US
+							    : FULL_BACKOFF_US);
 
-	if (s->down_until_us < now_us + FULL_BACKOFF_US)
-		s->down_until_us = now_us + FULL_BACKOFF_US;
+	s->refused_us = now_us;
+	if (s->down_until_us < until_us)
+		s->down_until_us = until_us;
 	record_refusal(s, true, now_us);
 }
 
@@ -1184,6 +1264,47 @@
 	    &pool->servers[server].limit, sent_us, now_us);
 }
 
+/*
+ * Stores that a server says, in the answer to a request that was sent at
+ * sent_us, how many refusals a second it bears.  Returns whether the other
+ * instances should be told.
+ */
+bool
+pool_record_brittle(struct server_pool *pool, uint16_t server,
+    uint32_t rejections_max, int64_t sent_us, int64_t now_us)
+{
+	struct pool_server *s = &pool->servers[server];
+	uint32_t bears = rejections_max < BRITTLE_REJECTIONS_MAX
+			     ? rejections_max
+			     : BRITTLE_REJECTIONS_MAX;
+
+	s->has_answered = pool->heard_of_brittle = true;
+	return server_limit_hear(
+	    &s->brittle, (bears + 1) * MILLI, sent_us, now_us);
+}
+
+/* The same for an answer that does not say that the server is brittle. */
+bool
+pool_record_not_brittle(
+    struct server_pool *pool, uint16_t server, int64_t sent_us, int64_t now_us)
+{
+	struct pool_server *s = &pool->servers[server];
+
+	s->has_answered = true;
+	return server_limit_hear_none(&s->brittle, sent_us, now_us);
+}
+
+/* Returns the server with a life, or ROUTE_NONE. */
+static uint16_t
+find_life(const struct server_pool *pool, uint64_t life)
+{
+	for (uint16_t i = 0; i < pool->count; i++) {
+		if (pool->servers[i].used && pool->servers[i].life == life)
+			return i;
+	}
+	return ROUTE_NONE;
+}
+
 /*
  * Applies what another instance tells of the limit of a life of a server.
  * Returns the index of the server, or ROUTE_NONE if the life is not known or
@@ -1193,15 +1314,28 @@
 pool_apply_limit(
     struct server_pool *pool, uint64_t life, uint64_t packed, int64_t now_us)
 {
-	for (uint16_t i = 0; i < pool->count; i++) {
-		struct pool_server *s = &pool->servers[i];
+	uint16_t server = find_life(pool, life);
 
-		if (s->used && s->life == life)
-			return server_limit_told(&s->limit, packed, now_us)
-				   ? i
-				   : (uint16_t)ROUTE_NONE;
-	}
-	return ROUTE_NONE;
+	return server != ROUTE_NONE &&
+		       server_limit_told(
+			   &pool->servers[server].limit, packed, now_us)
+		   ? server
+		   : (uint16_t)ROUTE_NONE;
+}
+
+/* The same for the refusals that a life of a server bears. */
+uint16_t
+pool_apply_brittle(
+    struct server_pool *pool, uint64_t life, uint64_t packed, int64_t now_us)
+{
+	uint16_t server = find_life(pool, life);
+
+	pool->heard_of_brittle = true;
+	return server != ROUTE_NONE &&
+		       server_limit_told(
+			   &pool->servers[server].brittle, packed, now_us)
+		   ? server
+		   : (uint16_t)ROUTE_NONE;
 }
 
 /*
@@ -1283,8 +1417,8 @@
 }
 
 /*
- * Counts the servers of a service that are leaving, paused or limited; of all
- * services if service is NULL.
+ * Counts the servers of a service that are leaving, paused, limited or brittle;
+ * of all services if service is NULL.
  */
 struct pool_withdrawn
 pool_withdrawn(
@@ -1301,6 +1435,7 @@
 		withdrawn.leaving += s->announced.state == REGISTRY_DRAINING;
 		withdrawn.paused += s->paused_until_us > now_us;
 		withdrawn.limited += s->limit.milli_per_s != 0;
+		withdrawn.brittle += is_named_brittle(s, now_us);
 	}
 	return withdrawn;
 }
--- a/src/route/pool.h
+++ b/src/route/pool.h
@@ -46,6 +46,11 @@
  * A new version is tried on so few of its servers that each gets a multiple of
  * the mean load, so that faults that only appear under load show in the trial.
  *
+ * A brittle server ends when it refuses too many requests in a second.  All
+ * instances together keep no more requests there than it has slots, each its
+ * part, so that none is refused whatever room there is to wait.  What has no
+ * slot waits at the instances.
+ *
  * The requests that all instances together send to a cold server, or to one
  * that names a limit, are bounded; see rate_share.h.  Every request that is
  * sent to a server passes this bound, whatever it is chosen for.
@@ -81,6 +86,13 @@
 	int32_t sent_since_report;
 	int64_t cold_until_us;
 	struct server_limit limit; /* that its answers name */
+	/*
+	 * That the server is brittle: the refusals a second that it bears and
+	 * one more, as if that were its limit
+	 */
+	struct server_limit brittle;
+	bool has_answered; /* this life, to this instance */
+	int64_t refused_us; /* last refusal of a request of this instance */
 	/* Limits what it gets while it is cold or names a limit */
 	struct rate_bucket bucket;
 	uint8_t failures; /* consecutive failures to connect */
@@ -184,6 +196,7 @@
 	uint32_t leaving;
 	uint32_t paused;
 	uint32_t limited;
+	uint32_t brittle;
 };
 
 struct pool_withdrawn pool_withdrawn(
@@ -228,6 +241,16 @@
     struct server_pool *pool, uint16_t server, int64_t sent_us, int64_t now_us);
 uint16_t pool_apply_limit(
     struct server_pool *pool, uint64_t life, uint64_t packed, int64_t now_us);
+bool pool_record_brittle(struct server_pool *pool, uint16_t server,
+    uint32_t rejections_max, int64_t sent_us, int64_t now_us);
+bool pool_record_not_brittle(
+    struct server_pool *pool, uint16_t server, int64_t sent_us, int64_t now_us);
+uint16_t pool_apply_brittle(
+    struct server_pool *pool, uint64_t life, uint64_t packed, int64_t now_us);
+bool pool_is_brittle(
+    const struct server_pool *pool, uint16_t server, int64_t now_us);
+uint32_t pool_slots_share(
+    const struct server_pool *pool, uint16_t server, int64_t now_us);
 struct rate_share pool_share_of(
     const struct server_pool *pool, uint16_t server, int64_t now_us);
 bool pool_is_bounded(
--- a/src/route/rate_share.c
+++ b/src/route/rate_share.c
@@ -59,6 +59,29 @@
 	return share;
 }
 
+/*
+ * Divides the slots of a server among the instances.  Those that are left over
+ * go to instances that depend on the server.  An instance that does not know
+ * the others takes one; one that does not know its place takes none of the
+ * left-over slots.
+ */
+uint32_t
+rate_share_of_slots(
+    uint32_t slots, const struct rate_members *members, uint64_t server_hash)
+{
+	uint32_t left_over;
+
+	if (members->count == 0)
+		return 1;
+	left_over = slots % members->count;
+	if (members->place == 0)
+		return slots / members->count;
+	return slots / members->count +
+	       ((members->place + server_hash % members->count) %
+		       members->count <
+		   left_over);
+}
+
 /*
  * Adds the tokens of the time since the last call, at most a burst in all.
  * Returns whether a request may be sent now.  A bucket that may not be used
--- a/test/unit/platform_test.cc
+++ b/test/unit/platform_test.cc
@@ -412,6 +412,30 @@
 	EXPECT_FALSE(a.has_limit || a.limit_unreadable);
 }
 
+TEST(PlatformHeaders, BrittleServersSayHowManyRefusalsTheyBear)
+{
+	struct {
+		const char *value;
+		bool readable;
+		uint32_t rejections_max;
+	} rows[] = {{"0", true, 0}, {"3", true, 3}, {"100", true, 100},
+	    {"2.9", true, 2}, {"", false, 0}, {"-1", false, 0},
+	    {"many", false, 0}, {"3 a second", false, 0}};
+	struct gw_answer_header a;
+
+	for (auto &row : rows) {
+		Headers h({{"Server-Brittle", row.value}});
+
+		dialect->ops->read_answer(dialect, &h.header_fields, &a);
+		EXPECT_EQ(row.readable, a.is_brittle) << row.value;
+		EXPECT_EQ(!row.readable, a.brittle_unreadable) << row.value;
+		EXPECT_EQ(row.rejections_max, a.rejections_max) << row.value;
+	}
+	Headers none({{"X", "1"}});
+	dialect->ops->read_answer(dialect, &none.header_fields, &a);
+	EXPECT_FALSE(a.is_brittle || a.brittle_unreadable);
+}
+
 TEST(GatewaySettings, LinesAreChecked)
 {
 	struct {
--- a/test/unit/server_limit_test.cc
+++ b/test/unit/server_limit_test.cc
@@ -365,3 +365,106 @@
 	}
 	EXPECT_LE(sent, 0.5 * 10 + 4.75 + 1);
 }
+
+RC_GTEST_PROP(BrittleServer, ItsSlotsAreDividedWithoutRest, ())
+{
+	const auto slots = *rc::gen::inRange<uint32_t>(1, 100);
+	const auto count = *rc::gen::inRange<uint32_t>(1, 500);
+	const auto life = *rc::gen::arbitrary<uint64_t>();
+	uint32_t sum = 0;
+
+	for (uint32_t place = 1; place <= count; place++) {
+		struct rate_members members = {count, place};
+
+		sum += rate_share_of_slots(slots, &members, life);
+	}
+	RC_ASSERT(sum == slots);
+	struct rate_members no_place = {count, 0}, unknown = {0, 0};
+	RC_ASSERT(rate_share_of_slots(slots, &no_place, life) <= slots / count);
+	RC_ASSERT(rate_share_of_slots(slots, &unknown, life) == 1u);
+}
+
+/*
+ * Instances send what they may, in any order, to one server that none of them
+ * has room to wait at: what is there together never exceeds its slots.
+ */
+RC_GTEST_PROP(BrittleServer, AllInstancesTogetherUseNoMoreThanItsSlots, ())
+{
+	const auto slots = *rc::gen::inRange<uint32_t>(1, 65);
+	const auto count = *rc::gen::inRange<uint32_t>(1, 40);
+	const auto bears = *rc::gen::inRange<uint32_t>(0, 101);
+	std::vector<std::unique_ptr<Instance>> instances;
+	std::vector<uint32_t> there(count);
+	uint32_t sum = 0, most = 0;
+
+	for (uint32_t place = 1; place <= count; place++) {
+		instances.emplace_back(new Instance(count, place, slots));
+		pool_record_brittle(
+		    instances.back()->pool, 0, bears, 0, SECOND_US);
+	}
+	for (int i = 0; i < 2000; i++) {
+		uint32_t n = *rc::gen::resize(
+		    rc::kNominalSize, rc::gen::inRange<uint32_t>(0, count));
+		struct pool_query q = instances[n]->query();
+		uint16_t at;
+
+		if (there[n] > 0 && i % 3 == 0) {
+			pool_record_end(instances[n]->pool, 0);
+			there[n]--;
+			sum--;
+		} else if (pool_pick_server(instances[n]->pool, &q,
+			       2 * SECOND_US, &at) == POOL_PICKED) {
+			pool_record_send(
+			    instances[n]->pool, at, 0, 2 * SECOND_US);
+			there[n]++;
+			sum++;
+		}
+		RC_ASSERT(sum <= slots);
+		most = std::max(most, sum);
+	}
+	RC_ASSERT(most * 2 >= std::min(slots, 100u));
+}
+
+TEST(BrittleServer, ANewLifeIsTakenAsBrittleUntilItAnswers)
+{
+	Instance one(4, 1, 4);
+
+	one.add("two", 4);
+	EXPECT_FALSE(pool_is_brittle(one.pool, 0, SECOND_US));
+	EXPECT_TRUE(pool_record_brittle(one.pool, 0, 3, 0, SECOND_US));
+	EXPECT_FALSE(pool_record_brittle(one.pool, 0, 3, 0, SECOND_US));
+	EXPECT_TRUE(pool_is_brittle(one.pool, 0, SECOND_US));
+	EXPECT_TRUE(pool_is_brittle(one.pool, 1, SECOND_US));
+	pool_record_not_brittle(one.pool, 1, 2 * SECOND_US, 2 * SECOND_US);
+	EXPECT_FALSE(pool_is_brittle(one.pool, 1, 2 * SECOND_US));
+	EXPECT_TRUE(
+	    pool_record_not_brittle(one.pool, 0, 3 * SECOND_US, 3 * SECOND_US));
+	EXPECT_FALSE(pool_is_brittle(one.pool, 0, 3 * SECOND_US));
+}
+
+TEST(BrittleServer, ARefusalCostsThisInstanceASlotForAWhile)
+{
+	Instance one(2, 1, 8);
+
+	pool_record_brittle(one.pool, 0, 0, 0, SECOND_US);
+	EXPECT_EQ(4u, pool_slots_share(one.pool, 0, SECOND_US));
+	pool_record_refusal(one.pool, 0, 2 * SECOND_US);
+	EXPECT_FALSE(one.send(2 * SECOND_US + SECOND_US / 2));
+	EXPECT_EQ(3u, pool_slots_share(one.pool, 0, 4 * SECOND_US));
+	EXPECT_TRUE(one.send(4 * SECOND_US));
+	EXPECT_EQ(4u, pool_slots_share(one.pool, 0, 8 * SECOND_US));
+}
+
+TEST(BrittleServer, NewsIsAppliedToItsLife)
+{
+	Instance one(2, 1, 8), two(2, 2, 8);
+
+	pool_record_brittle(one.pool, 0, 5, 0, SECOND_US);
+	EXPECT_EQ(
+	    0, pool_apply_brittle(two.pool, one.life,
+		   server_limit_pack(&pool_server_at(one.pool, 0)->brittle),
+		   SECOND_US));
+	EXPECT_TRUE(pool_is_brittle(two.pool, 0, SECOND_US));
+	EXPECT_EQ((uint16_t)ROUTE_NONE,
+	    pool_apply_brittle(two.pool, one.life + 1, UINT64_MAX, SECOND_US));
+}
