Bound how often a forwarded request may run before it is forwarded

An entry that fails can't say how often a request has run there. So the run count is assigned beforehand: all that are left but one, which is kept back for that case.

--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -44,6 +44,7 @@
 	uint16_t server; /* index in the pool; not set if it is forwarded */
 	uint32_t forwarded_to; /* instance; 0: it goes to a server itself */
 	bool declined; /* by the instance that it was forwarded to */
+	uint8_t runs_max; /* how often it may run with this attempt */
 	enum pool_role role; /* of the server when the request was sent */
 	uint64_t born_ms; /* start of the server's life it was sent to */
 	int64_t sent_us;
--- a/src/gateway/exchange_answer.c
+++ b/src/gateway/exchange_answer.c
@@ -957,7 +957,7 @@
 	    .left_us = ex->deadline_us - gw_exchange_now_us(ex)};
 
 	if (end != RETRY_END_UNREACHABLE && end != RETRY_END_NOT_RUN) {
-		ex->run_count++;
+		ex->run_count += ex->attempt.runs_max;
 		ex->may_have_run = true;
 	}
 	ex->may_have_arrived |= end != RETRY_END_UNREACHABLE;
--- a/src/gateway/exchange_forward.c
+++ b/src/gateway/exchange_forward.c
@@ -80,7 +80,7 @@
 	    .to = ex->attempt.forwarded_to,
 	    .document = ex->table->number,
 	    .sends = ex->send_count,
-	    .runs = ex->run_count,
+	    .runs = ex->route->attempts_max - ex->attempt.runs_max,
 	    .may_have_run = ex->may_have_run,
 	    .may_have_arrived = ex->may_have_arrived,
 	    .is_counted = ex->is_counted};
@@ -172,6 +172,21 @@
 static const struct upstream_handler forward_handler = {
     on_head, on_data, on_done};
 
+/*
+ * Returns how often the other instance may run the request.  One run is kept
+ * back for the case that the instance itself fails, since nobody knows then how
+ * often it has run there.
+ */
+static uint8_t
+runs_for_other(const struct gw_exchange *ex)
+{
+	uint8_t left = ex->route->attempts_max > ex->run_count
+			   ? ex->route->attempts_max - ex->run_count
+			   : 0;
+
+	return left > 1 ? left - 1 : left;
+}
+
 /* Sends the request to another instance. */
 static void
 send_to(struct gw_exchange *ex, uint32_t instance)
@@ -195,6 +210,7 @@
 	ex->is_paused = ex->in_turn = ex->awaits_limit = false;
 	ex->attempt = (struct gw_attempt){.server = ROUTE_NONE,
 	    .forwarded_to = instance,
+	    .runs_max = runs_for_other(ex),
 	    .sent_us = now_us,
 	    .progress_us = now_us};
 	ex->forward_tries[ex->forward_count++] = instance;
--- a/src/gateway/exchange_send.c
+++ b/src/gateway/exchange_send.c
@@ -265,6 +265,7 @@
 	ex->is_retry_paid = false;
 	ex->attempt = (struct gw_attempt){.server = server,
 	    .role = s->role,
+	    .runs_max = 1,
 	    .born_ms = s->announced.born_ms,
 	    .sent_us = now_us,
 	    .progress_us = now_us};
@@ -637,8 +638,9 @@
 	struct stall_input in = {.kind = ex->route->kind,
 	    .resumable = ex->route->resumable,
 	    .begun = ex->answer_begun,
-	    .can_move = ex->caller != NULL &&
-			ex->run_count + 1 < ex->route->attempts_max,
+	    .can_move =
+		ex->caller != NULL &&
+		ex->run_count + ex->attempt.runs_max < ex->route->attempts_max,
 	    .goal_ms = ex->route->goal_ms,
 	    .gap_goal_ms = ex->route->gap_goal_ms,
 	    .expected_ms = ex->attempt.expected_ms};
@@ -683,7 +685,7 @@
 
 	ex->may_have_run |= sent;
 	ex->may_have_arrived |= sent;
-	ex->run_count += sent;
+	ex->run_count += sent ? ex->attempt.runs_max : 0;
 	upstream_cancel(ex->attempt.call);
 	ex->attempt.call = NULL;
 	gw_exchange_leave_server(ex);
