route/pool: a server's connections are divided among the instances

Each request takes a connection, so an instance keeps no more requests at a server than its part of them; the rest waits at the instance. An instance that does not know the others yet is not bounded, as it has no connections to begin with.

--- a/src/route/pool.c
+++ b/src/route/pool.c
@@ -567,19 +567,45 @@
 	return share;
 }
 
+/* What bounds the requests to each server of a service. */
+struct service_bounds {
+	/* connections that a server accepts from all instances; 0: any number
+	 */
+	uint32_t connections_max;
+	bool is_brittle; /* some server of the service says that it is */
+};
+
+static struct service_bounds
+bounds_of_service(
+    const struct server_pool *pool, const char *service, int64_t now_us)
+{
+	const struct route_service *config =
+	    pool->table != NULL ? route_table_find_service(pool->table, service)
+				: NULL;
+
+	return (struct service_bounds){
+	    .connections_max = config != NULL ? config->connections_max : 0,
+	    .is_brittle = is_service_brittle(pool, service, now_us)};
+}
+
 /*
  * Tells whether a server may get another request: its slots and the queue that
  * the query allows are not full, it is within its ramp limit after a pause, and
- * if it is brittle this instance's part of its slots is not used up.
- * service_is_brittle: some server of its service says that it is.
+ * this instance's part of its connections, and of its slots if it is brittle,
+ * is not used up.  Each request takes a connection.
  */
 static bool
 has_room(const struct server_pool *pool, uint16_t server,
-    const struct pool_query *query, bool service_is_brittle, int64_t now_us)
+    const struct pool_query *query, const struct service_bounds *bounds,
+    int64_t now_us)
 {
 	const struct pool_server *s = &pool->servers[server];
 
-	if (service_is_brittle &&
+	if (bounds->connections_max > 0 && pool->members.count > 0 &&
+	    s->in_flight >= rate_share_of_slots(bounds->connections_max,
+				&pool->members, s->life))
+		return false;
+	if (bounds->is_brittle &&
 	    (!s->has_answered || is_named_brittle(s, now_us)) &&
 	    s->in_flight >= pool_slots_share(pool, server, now_us))
 		return false;
@@ -867,7 +893,8 @@
     int64_t now_us, enum pool_role role, bool trial, enum tier tier,
     uint16_t candidates[CANDIDATES_MAX])
 {
-	bool brittle = is_service_brittle(pool, query->service, now_us);
+	struct service_bounds bounds =
+	    bounds_of_service(pool, query->service, now_us);
 	bool passed_over = false;
 	uint16_t count = 0;
 
@@ -885,11 +912,11 @@
 		    (trial && !is_trial_server(pool, query, i)) ||
 		    (tier == TIER_HEALTHY &&
 			(is_doubtful ||
-			    !has_room(pool, i, query, brittle, now_us))) ||
+			    !has_room(pool, i, query, &bounds, now_us))) ||
 		    (tier == TIER_FALLBACK &&
 			(unavailable_until_us(s) > now_us ||
 			    is_avoided(query, i) ||
-			    !has_room(pool, i, query, brittle, now_us))))
+			    !has_room(pool, i, query, &bounds, now_us))))
 			continue;
 		if (bound_allows(pool, i, now_us))
 			candidates[count++] = i;
--- a/test/unit/server_limit_test.cc
+++ b/test/unit/server_limit_test.cc
@@ -468,3 +468,24 @@
 	EXPECT_EQ((uint16_t)ROUTE_NONE,
 	    pool_apply_brittle(two.pool, one.life + 1, UINT64_MAX, SECOND_US));
 }
+
+RC_GTEST_PROP(Connections, AllInstancesTogetherOpenNoMoreThanAServerAccepts, ())
+{
+	const auto most = *rc::gen::inRange<uint32_t>(1, 400);
+	const auto count = *rc::gen::inRange<uint32_t>(1, 40);
+	uint32_t open = 0;
+
+	for (uint32_t place = 1; place <= count; place++) {
+		Instance one(count, place);
+		struct pool_query q = one.query();
+		uint16_t at;
+
+		one.service->connections_max = most;
+		while (open <= most && pool_pick_server(one.pool, &q, SECOND_US,
+					   &at) == POOL_PICKED) {
+			pool_record_send(one.pool, at, 0, SECOND_US);
+			open++;
+		}
+	}
+	RC_ASSERT(open == most);
+}
