Give the left-over slots of brittle servers out in the order of the servers

Cause, by the arithmetic of the shares: 32 slots for 12 entries were given out by a hash of each server, so that an entry had 2.7 on average with a deviation of 1.3; each needs 2.5 at that load, and some had none or one.

The ready servers of a service are ranked by their lives, as all instances know them, and each one's left-over slots go on where the one before ended. While instances differ about the list, a server may get up to twice its left-over slots.

The property that slots are spread evenly is new (shares differ by one at most, in any order of servers that come, go and are born again).

--- a/src/route/pool.c
+++ b/src/route/pool.c
@@ -200,6 +200,12 @@
 		   : POOL_ROLE_EXCLUDED;
 }
 
+static bool
+is_same_service(const struct pool_server *a, const struct pool_server *b)
+{
+	return strcmp(a->announced.service, b->announced.service) == 0;
+}
+
 /*
  * Updates what the orders determine of each server: its role and whether its
  * data centre is out of use.
@@ -218,6 +224,42 @@
 	}
 }
 
+/*
+ * Keeps the ranks of the ready servers of a service, which all instances derive
+ * alike from the announcements, when a server changes.
+ */
+static void
+update_ranks(struct server_pool *pool, struct pool_server *changed)
+{
+	bool ready =
+	    changed->used && changed->announced.state == REGISTRY_READY;
+
+	if (changed->is_ranked == ready &&
+	    (!ready || changed->ranked_life == changed->life))
+		return;
+	for (uint16_t i = 0; i < pool->count && changed->is_ranked; i++) {
+		struct pool_server *s = &pool->servers[i];
+
+		if (s->is_ranked && s->ranked_life > changed->ranked_life &&
+		    is_same_service(s, changed))
+			s->rank--;
+	}
+	changed->is_ranked = false;
+	changed->rank = 0;
+	for (uint16_t i = 0; i < pool->count && ready; i++) {
+		struct pool_server *s = &pool->servers[i];
+
+		if (!s->is_ranked || !is_same_service(s, changed))
+			continue;
+		if (s->ranked_life > changed->life)
+			s->rank++;
+		else
+			changed->rank++;
+	}
+	changed->is_ranked = ready;
+	changed->ranked_life = changed->life;
+}
+
 /*
  * Applies a server's announcement.  Returns the server's index, or ROUTE_NONE
  * if it is unknown and gone, or if there are too many servers.
@@ -263,6 +305,7 @@
 		    server->heard_us + (int64_t)server->cold_ms * US_PER_MS;
 	if (server->state == REGISTRY_GONE)
 		s->used = false;
+	update_ranks(pool, s);
 	update_roles(pool);
 	return (uint16_t)(s - pool->servers);
 }
@@ -559,7 +602,7 @@
 	const struct pool_server *s = &pool->servers[server];
 	/* A server that does not say how many slots it has has one at least. */
 	uint32_t slots = s->announced.slots > 0 ? s->announced.slots : 1;
-	uint32_t share = rate_share_of_slots(slots, &pool->members, s->life);
+	uint32_t share = rate_share_of_slots(slots, &pool->members, s->rank);
 
 	if (share > 0 && s->refused_us != 0 &&
 	    now_us - s->refused_us < BRITTLE_REFUSAL_US)
--- a/src/route/pool.h
+++ b/src/route/pool.h
@@ -92,6 +92,10 @@
 	 */
 	struct server_limit brittle;
 	bool has_answered; /* this life, to this instance */
+	/* Counts in the ranks of its service, with this life */
+	bool is_ranked;
+	uint64_t ranked_life;
+	uint32_t rank; /* ready servers of its service with lower lives */
 	int64_t refused_us; /* last refusal of a request of this instance */
 	/* Limits what it gets while it is cold or names a limit */
 	struct rate_bucket bucket;
--- a/src/route/rate_share.c
+++ b/src/route/rate_share.c
@@ -61,13 +61,14 @@
 
 /*
  * Divides the slots of a server among the instances.  Those that are left over
- * go to instances that depend on the server.  An instance that does not know
- * the others takes one; one that does not know its place takes none of the
- * left-over slots.
+ * go to instances that depend on the server: where servers are numbered from 0,
+ * each goes on where the one before ended, so that all instances get as many of
+ * them, but for one.  An instance that does not know the others takes one slot;
+ * one that does not know its place takes none of those that are left over.
  */
 uint32_t
 rate_share_of_slots(
-    uint32_t slots, const struct rate_members *members, uint64_t server_hash)
+    uint32_t slots, const struct rate_members *members, uint64_t server_number)
 {
 	uint32_t left_over;
 
@@ -77,7 +78,7 @@
 	if (members->place == 0)
 		return slots / members->count;
 	return slots / members->count +
-	       ((members->place + server_hash % members->count) %
+	       ((members->place + server_number % members->count * left_over) %
 		       members->count <
 		   left_over);
 }
--- a/src/route/rate_share.h
+++ b/src/route/rate_share.h
@@ -51,7 +51,7 @@
 struct rate_share rate_share_of(const struct rate_bound *bound,
     const struct rate_members *members, uint64_t server_hash);
 uint32_t rate_share_of_slots(
-    uint32_t slots, const struct rate_members *members, uint64_t server_hash);
+    uint32_t slots, const struct rate_members *members, uint64_t server_number);
 bool rate_bucket_refill(
     struct rate_bucket *bucket, const struct rate_share *share, int64_t now_us);
 int64_t rate_bucket_opens_us(const struct rate_bucket *bucket,
--- a/test/unit/server_limit_test.cc
+++ b/test/unit/server_limit_test.cc
@@ -3,6 +3,9 @@
 #include <algorithm>
 #include <map>
 #include <memory>
+#include <numeric>
+#include <set>
+#include <string>
 #include <vector>
 
 #include "apr.h"
@@ -64,19 +67,26 @@
 	}
 
 	uint16_t add(const char *id, uint32_t slots = 0)
+	{
+		uint16_t at = announce(id, slots, 1, REGISTRY_READY);
+
+		life = pool_server_at(pool, at)->life;
+		return at;
+	}
+
+	uint16_t announce(const std::string &id, uint32_t slots,
+	    uint64_t born_ms, enum registry_state state)
 	{
 		struct registry_server s = {};
-		uint16_t at;
 
-		snprintf(s.id, sizeof(s.id), "%s", id);
+		snprintf(s.id, sizeof(s.id), "%s", id.c_str());
 		snprintf(s.service, sizeof(s.service), "s");
 		snprintf(s.data_centre, sizeof(s.data_centre), "a");
 		snprintf(s.version, sizeof(s.version), "v1");
 		s.slots = (uint16_t)slots;
-		s.born_ms = 1;
-		at = pool_update_server(pool, &s, 0);
-		life = pool_server_at(pool, at)->life;
-		return at;
+		s.born_ms = born_ms;
+		s.state = state;
+		return pool_update_server(pool, &s, 0);
 	}
 
 	struct pool_query query()
@@ -425,6 +435,46 @@
 	RC_ASSERT(most * 2 >= std::min(slots, 100u));
 }
 
+/* Servers come, go and are born again; the ranks stay those of their lives. */
+RC_GTEST_PROP(BrittleServer, SlotsAreSpreadEvenlyOverTheInstances, ())
+{
+	const auto count = *rc::gen::inRange<uint32_t>(1, 30);
+	const auto events =
+	    *rc::gen::container<std::vector<int>>(rc::gen::inRange(0, 24));
+	std::vector<uint32_t> slots(count);
+	std::set<uint32_t> ranks;
+	uint32_t servers = 0;
+
+	for (uint32_t place = 1; place <= count; place++) {
+		Instance one(count, place, 4);
+
+		servers = 0;
+		ranks.clear();
+		for (size_t i = 0; i < events.size(); i++)
+			one.announce("s" + std::to_string(events[i] % 8), 4,
+			    1 + i / 3,
+			    events[i] < 16 ? REGISTRY_READY : REGISTRY_GONE);
+		for (uint16_t i = 0; i < pool_server_count(one.pool); i++) {
+			const struct pool_server *s =
+			    pool_server_at(one.pool, i);
+
+			if (!s->used || s->announced.state != REGISTRY_READY)
+				continue;
+			servers++;
+			ranks.insert(s->rank);
+			pool_record_brittle(one.pool, i, 3, 0, SECOND_US);
+			slots[place - 1] +=
+			    pool_slots_share(one.pool, i, SECOND_US);
+		}
+		RC_ASSERT(ranks.size() == servers);
+		RC_ASSERT(*ranks.rbegin() == servers - 1);
+	}
+	auto range = std::minmax_element(slots.begin(), slots.end());
+	RC_ASSERT(*range.second - *range.first <= 1u);
+	RC_ASSERT(
+	    std::accumulate(slots.begin(), slots.end(), 0u) == servers * 4);
+}
+
 TEST(BrittleServer, ANewLifeIsTakenAsBrittleUntilItAnswers)
 {
 	Instance one(4, 1, 4);
