A service without servers is not lost

Found by reading: an entry that had lost a service whose servers were then all withdrawn stayed cut off for good, since nothing could be connected to any more. It told so in each Hello, so that control never named it to others, and declined what others forwarded, of any service.

The loss ends with the last announced server (servers_gone), and a forwarded request is declined only for the loss of its own service.

process_cut_off_entries: all servers leave while the entry is cut off, and it logs servers_gone; the check can't pass before, as the line is new.

--- a/src/gateway/entry.c
+++ b/src/gateway/entry.c
@@ -43,6 +43,7 @@
 	alloc_free(alloc_default(), table);
 }
 
+/* Sets what callers may send; forwarded requests have one more field. */
 static void
 set_limits(struct gw_entry *entry, struct front_limits limits)
 {
@@ -210,7 +211,6 @@
 on_probed(void *ctx, const struct sockaddr_in *address, bool refused)
 {
 	struct gw_entry *entry = ctx;
-
 	uint16_t server = pool_find_address(entry->pool, address);
 
 	if (server == ROUTE_NONE)
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -170,6 +170,8 @@
 /* exchange_forward.c */
 bool gw_exchange_must_forward(const struct gw_exchange *ex);
 void gw_exchange_forward(struct gw_exchange *ex);
+bool gw_exchange_must_decline(const struct gw_exchange *ex);
+void gw_exchange_decline(struct gw_exchange *ex);
 
 #ifdef __cplusplus
 }
--- a/src/gateway/exchange_forward.c
+++ b/src/gateway/exchange_forward.c
@@ -278,25 +278,45 @@
 		return "older_document";
 	if (!gw_follower_is_fresh(entry->gw->order_follower))
 		return "isolated";
-	for (const struct gw_entry_service *s = entry->services; s != NULL;
-	     s = s->next) {
-		if (s->reach.lost)
-			return "servers_lost";
-	}
 	return NULL;
 }
 
 static void
-decline(struct gw_entry *entry, struct front_exchange *x, const char *why)
+decline(struct gw_entry *entry, struct front_exchange *x, uint32_t by,
+    const char *why)
 {
 	const struct front_header header = {GW_FORWARD_DECLINED_FIELD, why};
+	char from[GW_NAME_BYTES];
 
+	gw_format_address(by, from);
+	log_event(
+	    LOG_LEVEL_INFO, "forward_declined", "from=%s why=%s", from, why);
 	entry->forwards_declined->value++;
 	front_set_data(x, NULL);
 	front_answer(
 	    x, err_answer(ERR_NO_CAPACITY)->http_status, &header, 1, NULL, 0);
 }
 
+/*
+ * Returns whether a forwarded request can't be sent from here either.  One that
+ * has been sent to a server from here is not declined any more.
+ */
+bool
+gw_exchange_must_decline(const struct gw_exchange *ex)
+{
+	return ex->forwarded_by != 0 && ex->attempt.sent_us == 0 &&
+	       ex->caller != NULL && ex->service_state->reach.lost;
+}
+
+/* Declines a forwarded request and frees it. */
+void
+gw_exchange_decline(struct gw_exchange *ex)
+{
+	decline(ex->entry, ex->caller, ex->forwarded_by, "servers_lost");
+	ex->caller = NULL;
+	gw_exchange_free(ex);
+}
+
 /* Starts processing a request that another instance forwards. */
 void
 gw_exchange_start_forwarded(struct gw_entry *entry, struct front_exchange *x)
@@ -319,9 +339,7 @@
 	}
 	why = reason_to_decline(entry, &forward);
 	if (why != NULL) {
-		log_event(LOG_LEVEL_INFO, "forward_declined", "from=%s why=%s",
-		    from, why);
-		decline(entry, x, why);
+		decline(entry, x, forward.from, why);
 		return;
 	}
 	ex = gw_exchange_new(entry, x);
--- a/src/gateway/exchange_send.c
+++ b/src/gateway/exchange_send.c
@@ -559,6 +559,10 @@
 		gw_exchange_refuse(ex, ERR_ISOLATED, GW_RETRY_UNKNOWN_MS);
 		return;
 	}
+	if (gw_exchange_must_decline(ex)) {
+		gw_exchange_decline(ex);
+		return;
+	}
 	if (gw_exchange_must_forward(ex)) {
 		gw_exchange_forward(ex);
 		return;
--- a/src/gateway/path_check.c
+++ b/src/gateway/path_check.c
@@ -107,6 +107,12 @@
 	entry->path_timer = NULL;
 	for (struct gw_entry_service *s = entry->services; s != NULL;
 	     s = s->next) {
+		if (pool_ready_count(entry->pool, s->name) == 0 &&
+		    reach_forget(&s->reach)) {
+			log_event(LOG_LEVEL_INFO, "servers_gone", "service=%s",
+			    s->name);
+			tell_cut_off(entry);
+		}
 		probe(entry, s);
 		if (s->reach.lost && reach_is_silent(&s->reach, now_us))
 			move_silent_requests(entry, s);
--- a/src/route/reach.c
+++ b/src/route/reach.c
@@ -6,10 +6,20 @@
  */
 bool
 reach_record_success(struct reach *reach, int64_t now_us)
+{
+	reach->heard_us = now_us;
+	return reach_forget(reach);
+}
+
+/*
+ * Forgets all failures, as the service has no servers any more.  Returns
+ * whether the path had been lost.
+ */
+bool
+reach_forget(struct reach *reach)
 {
 	bool was_lost = reach->lost;
 
-	reach->heard_us = now_us;
 	reach->failed_count = reach->probed = 0;
 	reach->lost = false;
 	return was_lost;
--- a/src/route/reach.h
+++ b/src/route/reach.h
@@ -45,6 +45,7 @@
 };
 
 bool reach_record_success(struct reach *reach, int64_t now_us);
+bool reach_forget(struct reach *reach);
 bool reach_record_failure(
     struct reach *reach, uint64_t life, uint32_t server_count, int64_t now_us);
 bool reach_has_failed(const struct reach *reach, uint64_t life);
--- a/test/process/cut_off_entries.sh
+++ b/test/process/cut_off_entries.sh
@@ -41,7 +41,8 @@
 announce_all
 await_entries $entries
 keep_announcing &
-pids="$pids $!"
+announcer=$!
+pids="$pids $announcer"
 
 now_ms() { awk '{printf "%d", $1 * 1000}' /proc/uptime; }
 # call N KIND ID: one request; appends when it was sent, its kind and status.
@@ -138,4 +139,11 @@
 echo "      killed: $(grep -c event=forward_failed "$dir/i21.log") forwarded again, at most ${most:-0} runs"
 check 'killed: no request runs more often than its route allows' 1 "$((${most:-0} <= 3))"
 check 'killed: some had run twice before' 1 "$((${most:-0} >= 2))"
+# An entry that has lost a service without servers takes requests again.
+kill "$announcer"
+for i in $servers; do
+	curl -s -m 1 -o /dev/null -X DELETE "http://127.0.0.11:$control/api/instances/s-$i"
+done
+until_says event=servers_gone grep event=servers_gone "$dir/i21.log"
+check 'gone: servers that are gone are not lost' 0 $?
 check 'no request is refused for crashes' 0 "$(cat "$dir"/i2?.log | grep -c event=refused_for_crashes)"
