--- a/test/process/limits.sh
+++ b/test/process/limits.sh
@@ -107,8 +107,9 @@
 sleep 8
 end_load change
 within 'a higher limit is kept' 1 29 $((t + 3000)) $((t + 15000))
+at_least 'and used' 11 "$(arrivals 1 $((t + 3000)) $((t + 7000)) | wc -l)"
 # Three of four entries have callers: they may send 3 a second.
-at_least 'and used, less a tenth' 33 "$(arrivals 1 $((t + 3000)) $((t + 15000)) | wc -l)"
+at_least 'and over 12 s, less a tenth' 33 "$(arrivals 1 $((t + 3000)) $((t + 15000)) | wc -l)"
 within 'a lower one too' 1 7 $((t + 18000)) $((t + 23000))
 t=$(now_ms)
 load 7 20 $entries
