A planned stop resets no connection that waits to be accepted

Cause: before the listener was closed, what had connected was accepted; whoever connected between the last accept and the close got a reset from the kernel, after the request was sent. Ruled out: connections that the entry had accepted (all were answered, the reset is one of the calls that were to be refused), and the end of the process (it waits for all connections).

Now the kernel ignores new handshakes first (a packet filter on the listener), and the listener is closed 50 ms later, when those that had begun are complete and accepted. A caller that connects in between is refused when it tries again. Where filters are not supported, the listener is closed as before.

--- a/src/gateway/entry.c
+++ b/src/gateway/entry.c
@@ -871,6 +871,13 @@
 	front_stop_listening(entry->front);
 }
 
+/* Tells whether callers' connections are accepted. */
+bool
+gw_entry_is_listening(const struct gw_entry *entry)
+{
+	return front_is_listening(entry->front);
+}
+
 /* Returns the number of callers' connections. */
 uint32_t
 gw_entry_connections(const struct gw_entry *entry)
--- a/src/gateway/entry.h
+++ b/src/gateway/entry.h
@@ -144,6 +144,7 @@
 void gw_entry_refuse_new(struct gw_entry *entry);
 uint32_t gw_entry_open_requests(const struct gw_entry *entry);
 void gw_entry_stop_listening(struct gw_entry *entry);
+bool gw_entry_is_listening(const struct gw_entry *entry);
 uint32_t gw_entry_connections(const struct gw_entry *entry);
 
 /* For exchange.c */
--- a/src/gateway/main.c
+++ b/src/gateway/main.c
@@ -173,8 +173,9 @@
 		p->closed_us = now_us;
 		gw_entry_stop_listening(entry);
 	}
-	if (idle && (gw_entry_connections(entry) == 0 ||
-			now_us - p->closed_us >= LAST_CONNECTIONS_US))
+	if (idle && !gw_entry_is_listening(entry) &&
+	    (gw_entry_connections(entry) == 0 ||
+		now_us - p->closed_us >= LAST_CONNECTIONS_US))
 		return true;
 	return now_us >= end_us;
 }
--- a/src/http/front.c
+++ b/src/http/front.c
@@ -4,6 +4,7 @@
 #include <errno.h>
 #include <fcntl.h>
 #include <http_parser.h>
+#include <linux/filter.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <stdio.h>
@@ -31,7 +32,12 @@
 	 * A caller that leaves sent data unacknowledged for this long counts as
 	 * disconnected.
 	 */
-	FRONT_USER_TIMEOUT_MS = 5000
+	FRONT_USER_TIMEOUT_MS = 5000,
+	/* Time for handshakes that have begun to complete */
+	FRONT_HANDSHAKES_US = 50000,
+	TCP_FLAGS_OFFSET = 13, /* of the flags in a TCP header, in bytes */
+	TCP_FLAG_SYN = 0x02,
+	TCP_FLAG_ACK = 0x10
 };
 
 enum conn_state {
@@ -85,6 +91,7 @@
 	int listener;
 	struct loop_watch *watch;
 	struct loop_timer *timeout_timer;
+	struct loop_timer *close_timer; /* until the listener is closed */
 	struct front_exchange *conns;
 	uint32_t count;
 	uint32_t open_exchanges;
@@ -542,6 +549,8 @@
 	while (server->conns != NULL)
 		conn_free(server->conns);
 	loop_cancel(server->timeout_timer);
+	if (server->close_timer != NULL)
+		loop_cancel(server->close_timer);
 	if (server->watch != NULL) {
 		loop_unwatch(server->watch);
 		close(server->listener);
@@ -567,14 +576,31 @@
 }
 
 /*
- * Accepts the connections that are complete already and refuses any later one.
- * The others are served as before.
+ * Makes the kernel ignore new attempts to connect to a listener.  Handshakes
+ * that have begun go on.  Returns whether that is supported.
  */
-void
-front_stop_listening(struct front_server *server)
+static bool
+ignore_new_handshakes(int fd)
 {
-	if (server->watch == NULL)
-		return;
+	struct sock_filter code[] = {
+	    BPF_STMT(BPF_LD | BPF_B | BPF_ABS, TCP_FLAGS_OFFSET),
+	    BPF_STMT(BPF_ALU | BPF_AND | BPF_K, TCP_FLAG_SYN | TCP_FLAG_ACK),
+	    BPF_JUMP(BPF_JMP | BPF_JEQ | BPF_K, TCP_FLAG_SYN, 0, 1),
+	    BPF_STMT(BPF_RET | BPF_K, 0),
+	    BPF_STMT(BPF_RET | BPF_K, UINT32_MAX)};
+	struct sock_fprog program = {sizeof(code) / sizeof(code[0]), code};
+
+	return setsockopt(fd, SOL_SOCKET, SO_ATTACH_FILTER, &program,
+		   sizeof(program)) == 0;
+}
+
+/* Accepts the connections that are complete and closes the listener. */
+static void
+close_listener(void *ctx)
+{
+	struct front_server *server = ctx;
+
+	server->close_timer = NULL;
 	on_accept(server, LOOP_READ);
 	loop_unwatch(server->watch);
 	server->watch = NULL;
@@ -582,6 +608,31 @@
 	server->listener = -1;
 }
 
+/*
+ * Accepts the connections that have been begun already and refuses any later
+ * one.  The listener is closed a little later, since closing it resets
+ * connections that wait to be accepted: a caller that connects in between is
+ * refused when it tries again.  Connections are served as before.
+ */
+void
+front_stop_listening(struct front_server *server)
+{
+	if (server->watch == NULL || server->close_timer != NULL)
+		return;
+	if (ignore_new_handshakes(server->listener))
+		server->close_timer = loop_after(server->options.loop,
+		    FRONT_HANDSHAKES_US, close_listener, server);
+	else
+		close_listener(server);
+}
+
+/* Tells whether connections are accepted. */
+bool
+front_is_listening(const struct front_server *server)
+{
+	return server->watch != NULL;
+}
+
 static bool
 has_unread_input(const struct front_exchange *x)
 {
--- a/test/unit/http_wire_test.cc
+++ b/test/unit/http_wire_test.cc
@@ -7,8 +7,11 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <atomic>
+#include <cstring>
 #include <functional>
 #include <string>
+#include <thread>
 #include <vector>
 
 #include "base/err.h"
@@ -90,6 +93,35 @@
 	return text;
 }
 
+/*
+ * Sends a request on a connection of its own, and counts in cut one that ends
+ * without an answer.  Returns false once no connection is to be had.
+ */
+static bool
+call_once(uint16_t port, std::atomic<int> *cut)
+{
+	struct timeval patience = {0, 60000};
+	struct sockaddr_in a = {};
+	int fd = socket(AF_INET, SOCK_STREAM, 0);
+	char bytes[1000];
+	bool connected;
+
+	a.sin_family = AF_INET;
+	a.sin_port = htons(port);
+	a.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	setsockopt(fd, SOL_SOCKET, SO_SNDTIMEO, &patience, sizeof(patience));
+	connected = connect(fd, (struct sockaddr *)&a, sizeof(a)) == 0;
+	if (connected) {
+		const char *request = "GET / HTTP/1.1\r\nHost: a\r\n\r\n";
+
+		if (send(fd, request, strlen(request), MSG_NOSIGNAL) < 0 ||
+		    recv(fd, bytes, sizeof(bytes), 0) <= 0)
+			(*cut)++;
+	}
+	close(fd);
+	return connected;
+}
+
 class Front : public testing::Test
 {
       protected:
@@ -266,6 +298,36 @@
 		.find("Connection: close"));
 }
 
+/*
+ * Callers connect without a pause while the server stops listening: whoever
+ * gets a connection gets an answer on it.
+ */
+TEST_F(Front, NoConnectionIsResetWhenListeningStops)
+{
+	for (int round = 0; round < 60; round++) {
+		std::vector<std::thread> callers;
+		std::atomic<int> cut(0), left(4);
+		uint16_t port = front_port(server);
+
+		front_set_draining(server, true);
+		for (int i = 0; i < 4; i++)
+			callers.emplace_back([&] {
+				while (call_once(port, &cut))
+					;
+				left--;
+			});
+		EXPECT_TRUE(events.until([&] { return seen.size() > 50; }));
+		front_stop_listening(server);
+		EXPECT_TRUE(events.until([&] { return left == 0; }));
+		for (std::thread &caller : callers)
+			caller.join();
+		ASSERT_EQ(0, cut) << "in round " << round;
+		front_free(server);
+		seen.clear();
+		SetUp();
+	}
+}
+
 /*
  * Tests the client against a raw server on loopback, whose answers each test
  * sends as bytes.
