test/process/brittle: keep servers running with crashing.bash

The loop that starts a server again after its end stood in both files. It calls on_new_life now, with which brittle.sh sets up each new life.

No check or bound changed.

--- a/test/process/brittle.sh
+++ b/test/process/brittle.sh
@@ -2,7 +2,7 @@
 # Servers that say that they are brittle, let fewer requests wait 3 s later and
 # end when they turn more than three away within a second: few of them end, and
 # callers are served nearly as often as by the same servers when none ends.
-. "$(dirname "$0")/gateway.bash"
+. "$(dirname "$0")/crashing.bash"
 
 document() {
 	cat <<EOF
@@ -20,39 +20,19 @@
 for n in $entries; do entry $n --retry-share 0.9 --retry-window-ms 1000; done
 put 1 8000
 
-# keep_serving N: restarts server N 2 s after it ended, with a new id.
-mkdir "$dir/lives"
-touch "$dir/serving"
-keep_serving() {
-	local n=$1 life=0 id up
-	while [ -e "$dir/serving" ]; do
-		life=$((life + 1))
-		id=s-$n-$life
-		"$build/cf-fake-server" "$id" "127.0.0.1:$((base + 100 + n))" >"$dir/lives/$n-$life" 2>&1 &
-		up=$!
-		started=$(date +%s%3N)
-		sleep 0.1
-		[ ! -e "$dir/brittle" ] || set_server "$n" "set-brittle/$(cat "$dir/brittle")"
-		[ ! -e "$dir/room" ] || set_server "$n" "set-room/$(cat "$dir/room")"
-		while [ -e "$dir/serving" ] && kill -0 $up 2>/dev/null; do
-			announce "$id" "$((base + 100 + n))"
-			sleep 1
-		done
-		kill $up 2>/dev/null
-		wait $up 2>/dev/null
-		sleep 1.5
-	done
-}
 set_server() { curl -s -m 1 -o /dev/null "http://127.0.0.1:$((base + 100 + $1))/$2"; }
 set_all() { for i in $servers; do set_server "$i" "$1"; done; }
-supervisors=
+on_new_life() {
+	sleep 0.1
+	[ ! -e "$dir/brittle" ] || set_server "$1" "set-brittle/$(cat "$dir/brittle")"
+	[ ! -e "$dir/room" ] || set_server "$1" "set-room/$(cat "$dir/room")"
+}
 for n in $servers; do
 	keep_serving "$n" &
 	supervisors="$supervisors $!"
 done
 await_entries $entries
 sleep 1.5
-ended() { cat "$dir"/lives/* | grep -c crashed; }
 turned_away() { cat "$dir"/lives/* | grep -c turned-away; }
 call() {
 	ask "$1" "/ok/work/$2" "$2" -o /dev/null -w '%{http_code}\n' >>"$dir/answers"
--- a/test/process/crashing.bash
+++ b/test/process/crashing.bash
@@ -11,6 +11,7 @@
 # id.
 mkdir "$dir/lives"
 touch "$dir/serving"
+on_new_life() { :; } # on_new_life N: called once the process runs
 keep_serving() {
 	local n=$1 life=0 id up
 	while [ -e "$dir/serving" ]; do
@@ -20,6 +21,7 @@
 		"$build/cf-fake-server" "$id" "127.0.0.1:$((base + 100 + n))" >"$dir/lives/$n-$life" 2>&1 &
 		up=$!
 		started=$(date +%s%3N)
+		on_new_life "$n"
 		while [ -e "$dir/serving" ] && kill -0 $up 2>/dev/null; do
 			announce "$id" "$((base + 100 + n))"
 			for _ in 1 2 3 4 5 6 7 8 9 10; do
