Log that a listener is closed at once, without a packet filter

front_stop_listening() went on in silence where the filter that keeps new handshakes away could not be set; callers may be reset then. It returns ERR_IO now and the entry logs listener_closed_at_once.

--- a/src/gateway/entry.c
+++ b/src/gateway/entry.c
@@ -868,7 +868,10 @@
 void
 gw_entry_stop_listening(struct gw_entry *entry)
 {
-	front_stop_listening(entry->front);
+	if (front_stop_listening(entry->front) != 0)
+		log_event(LOG_LEVEL_WARN, "listener_closed_at_once",
+		    "why=\"no packet filter\" connections=%u",
+		    front_connection_count(entry->front));
 }
 
 /* Tells whether callers' connections are accepted. */
--- a/src/http/front.c
+++ b/src/http/front.c
@@ -613,17 +613,22 @@
  * one.  The listener is closed a little later, since closing it resets
  * connections that wait to be accepted: a caller that connects in between is
  * refused when it tries again.  Connections are served as before.
+ *
+ * Returns 0, or ERR_IO if the kernel could not be told to ignore new attempts:
+ * the listener is closed at once then, which may reset a connection.
  */
-void
+int
 front_stop_listening(struct front_server *server)
 {
 	if (server->watch == NULL || server->close_timer != NULL)
-		return;
-	if (ignore_new_handshakes(server->listener))
-		server->close_timer = loop_after(server->options.loop,
-		    FRONT_HANDSHAKES_US, close_listener, server);
-	else
+		return 0;
+	if (!ignore_new_handshakes(server->listener)) {
 		close_listener(server);
+		return ERR_IO;
+	}
+	server->close_timer = loop_after(
+	    server->options.loop, FRONT_HANDSHAKES_US, close_listener, server);
+	return 0;
 }
 
 /* Tells whether connections are accepted. */
--- a/src/http/front.h
+++ b/src/http/front.h
@@ -75,7 +75,7 @@
 void front_set_limits(
     struct front_server *server, const struct front_limits *limits);
 void front_set_draining(struct front_server *server, bool drain);
-void front_stop_listening(struct front_server *server);
+int front_stop_listening(struct front_server *server);
 bool front_is_listening(const struct front_server *server);
 void front_close_idle(struct front_server *server, int64_t idle_us);
 uint32_t front_open_exchanges(const struct front_server *server);
--- a/test/unit/http_wire_test.cc
+++ b/test/unit/http_wire_test.cc
@@ -317,7 +317,7 @@
 				left--;
 			});
 		EXPECT_TRUE(events.until([&] { return seen.size() > 50; }));
-		front_stop_listening(server);
+		EXPECT_EQ(0, front_stop_listening(server));
 		EXPECT_TRUE(events.until([&] { return left == 0; }));
 		for (std::thread &caller : callers)
 			caller.join();
