--- /dev/null
+++ b/test/process/brittle.sh
@@ -0,0 +1,115 @@
+#!/bin/bash
+# Servers that say that they are brittle, let fewer requests wait 3 s later and
+# end when they turn more than three away within a second: few of them end, and
+# callers are served nearly as often as by the same servers when none ends.
+. "$(dirname "$0")/gateway.bash"
+
+document() {
+	cat <<EOF
+{"version":$1,"routes":[
+{"name":"ok","host":"h.example","path_prefix":"/","kind":"idempotent","timeout_ms":$2,"goal_ms":4000,"max_attempts":3,"service":"s"}],
+"services":[{"name":"s","max_connections":1000}],
+"tenants":[{"name":"w","api_keys":["k1"]}]}
+EOF
+}
+
+servers='1 2 3 4 5 6 7 8'
+entries='21 22 23'
+slots=4 # of 400 ms each: all servers carry 80 calls a second
+for n in 11 12 13; do state $n true; done
+for n in $entries; do entry $n --retry-share 0.9 --retry-window-ms 1000; done
+put 1 8000
+
+# keep_serving N: restarts server N 2 s after it ended, with a new id.
+mkdir "$dir/lives"
+touch "$dir/serving"
+keep_serving() {
+	local n=$1 life=0 id up
+	while [ -e "$dir/serving" ]; do
+		life=$((life + 1))
+		id=s-$n-$life
+		"$build/cf-fake-server" "$id" "127.0.0.1:$((base + 100 + n))" >"$dir/lives/$n-$life" 2>&1 &
+		up=$!
+		started=$(date +%s%3N)
+		sleep 0.1
+		[ ! -e "$dir/brittle" ] || set_server "$n" "set-brittle/$(cat "$dir/brittle")"
+		[ ! -e "$dir/room" ] || set_server "$n" "set-room/$(cat "$dir/room")"
+		while [ -e "$dir/serving" ] && kill -0 $up 2>/dev/null; do
+			announce "$id" "$((base + 100 + n))"
+			sleep 1
+		done
+		kill $up 2>/dev/null
+		wait $up 2>/dev/null
+		sleep 1.5
+	done
+}
+set_server() { curl -s -m 1 -o /dev/null "http://127.0.0.1:$((base + 100 + $1))/$2"; }
+set_all() { for i in $servers; do set_server "$i" "$1"; done; }
+supervisors=
+for n in $servers; do
+	keep_serving "$n" &
+	supervisors="$supervisors $!"
+done
+await_entries $entries
+sleep 1.5
+ended() { cat "$dir"/lives/* | grep -c crashed; }
+turned_away() { cat "$dir"/lives/* | grep -c turned-away; }
+call() {
+	ask "$1" "/ok/work/$2" "$2" -o /dev/null -w '%{http_code}\n' >>"$dir/answers"
+}
+# load NAME RATE SECONDS: sets $asked and $served.
+load() {
+	local i=0 begin now until all
+	# shellcheck disable=SC2206
+	all=($entries)
+	: >"$dir/answers"
+	calls=
+	begin=$(date +%s%3N)
+	until=$((begin + $3 * 1000))
+	while now=$(date +%s%3N) && [ "$now" -lt $until ]; do
+		while [ $((i * 1000)) -lt $(((now - begin) * $2)) ]; do
+			i=$((i + 1))
+			call "${all[i % ${#all[@]}]}" "$1$i" &
+			calls="$calls $!"
+		done
+		sleep 0.02
+	done
+	# shellcheck disable=SC2086
+	wait $calls
+	asked=$i
+	served=$(grep -c '^200$' "$dir/answers")
+}
+# trial NAME RATE: before, none is brittle; then all are.
+trial() {
+	local before ends away sound
+	rm -f "$dir/brittle" "$dir/room"
+	set_all set-room/12
+	set_all set-brittle/
+	load "$1a" "$2" 6
+	sound=$((served * 1000 / asked))
+	echo 3 >"$dir/brittle"
+	set_all set-brittle/3
+	before=$(ended) away=$(turned_away)
+	load "$1b" "$2" 3
+	echo 2 >"$dir/room"
+	set_all set-room/2
+	load "$1c" "$2" "${CF_TEST_LONG:-8}"
+	ends=$(($(ended) - before)) away=$(($(turned_away) - away))
+	echo "      $1: $ends ended, $away turned away, $served of $asked served, $sound of 1000 when none is brittle"
+	check "$1: at most 2 and a tenth of the servers end" 1 "$((ends <= 2))"
+	check "$1: at most a tenth fewer are served" 1 \
+	    "$((served * 1000 * 10 >= sound * asked * 9))"
+}
+trial busy 76
+trial over 120
+entries='21 22 23 24 25 26 27 28 29 30 31 32'
+for n in 24 25 26 27 28 29 30 31 32; do
+	entry $n --retry-share 0.9 --retry-window-ms 1000
+done
+await_entries $entries
+sleep 3
+trial many 76
+[ -z "${CF_TEST_LONG:-}" ] || trial crowd 120
+rm "$dir/serving"
+# shellcheck disable=SC2086
+wait $supervisors 2>/dev/null
