--- a/test/process/crashing.bash
+++ b/test/process/crashing.bash
@@ -6,7 +6,8 @@
 now_ms() { awk '{ printf "%d\n", $1 * 1000 }' /proc/uptime; }
 ended() { cat "$dir"/lives/* | grep -c crashed; }
 
-# keep_serving N: restarts server N whenever it ends, after 2 s and with a new
+# keep_serving N: runs $server_program, cf-fake-server if unset, with $server_flags
+# as server N, and restarts it whenever it ends, after 2 s and with a new
 # id for each life, or, while the file at-once exists, at once and with a fixed
 # id.
 mkdir "$dir/lives"
@@ -18,7 +19,7 @@
 		life=$((life + 1))
 		id=s-$n-$life
 		[ ! -e "$dir/at-once" ] || id=s-$n
-		"$build/cf-fake-server" "$id" "127.0.0.1:$((base + 100 + n))" >"$dir/lives/$n-$life" 2>&1 &
+		"$build/${server_program:-cf-fake-server}" "$id" "127.0.0.1:$((base + 100 + n))" ${server_flags:-} >"$dir/lives/$n-$life" 2>&1 &
 		up=$!
 		started=$(date +%s%3N)
 		on_new_life "$n"
