--- a/fakes/closing/main.c
+++ b/fakes/closing/main.c
@@ -32,8 +32,8 @@
  *	.../between/	after event 1
  *	.../within/	within event 2, or the plain body
  *
- * With "/slowly" in the path, the connections close LISTENER_DELAY_MS before the
- * listener.  Prints "got ID TARGET" for each request that runs.
+ * With "/slowly" in the path, the connections close LISTENER_DELAY_MS before
+ *the listener.  Prints "got ID TARGET" for each request that runs.
  */
 enum {
 	CONNS_MAX = 256,
@@ -199,13 +199,11 @@
 {
 	if (!is_known(r->id)) {
 		memcpy(c->refused_id, r->id, ID_BYTES);
-		send_head(
-		    c->fd, r, "503 Service Unavailable", REFUSAL_FIELDS);
+		send_head(c->fd, r, "503 Service Unavailable", REFUSAL_FIELDS);
 		return;
 	}
 	if (strcmp(c->refused_id, r->id) == 0)
-		send_head(
-		    c->fd, r, "503 Service Unavailable", REFUSAL_FIELDS);
+		send_head(c->fd, r, "503 Service Unavailable", REFUSAL_FIELDS);
 	printf("got %s %s\n", r->id, r->target);
 	pause_ms(PAUSE_MS);
 	send_head(c->fd, r, "200 OK", "Content-Length: 2\r\n");
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -51,8 +51,8 @@
 	bool header_received;
 	bool not_run; /* the server reports that it did not run the request */
 	bool defective; /* the answer failed validation */
-	/* The end of the connection marked the end of the answer */
-	bool ends_with_connection;
+	enum upstream_end end; /* what marked the end of its answer */
+	uint32_t events; /* of a stream, received in this attempt */
 	bool server_leaving; /* its answer says that the server shuts down */
 	uint32_t pause_ms; /* the server refused and asked for this pause */
 	bool escalated; /* cancelled in favour of a larger model */
--- a/src/gateway/exchange_answer.c
+++ b/src/gateway/exchange_answer.c
@@ -606,6 +606,7 @@
 		bool has_id =
 		    parse_event_id((const char *)ex->answer_body.data, n, &id);
 
+		ex->attempt.events++;
 		/* A resumed run may repeat events that the caller has. */
 		if (!(has_id && ex->has_last_event &&
 			id <= ex->last_event_id)) {
@@ -680,7 +681,7 @@
 stops_within_event(
     const struct gw_exchange *ex, const struct upstream_result *result)
 {
-	return result->error == 0 && result->ends_with_connection &&
+	return result->end == UPSTREAM_END_CONNECTION &&
 	       ex->route->kind == ROUTE_STREAM && ex->attempt.status < 300 &&
 	       ex->answer_body.len > 0;
 }
@@ -778,7 +779,7 @@
 	uint32_t cleared;
 
 	if (end == RETRY_END_BROKEN &&
-	    (result->closed || result->ends_with_connection))
+	    (result->closed || result->end == UPSTREAM_END_CONNECTION))
 		gw_exchange_suspect_crash(ex, true);
 	if (result->error != 0 || end == RETRY_END_BROKEN)
 		return;
@@ -790,7 +791,7 @@
 		    "server=%s count=%u", s->announced.id, cleared);
 	if (end != RETRY_END_ANSWERED || result->status >= 500)
 		return;
-	if (!result->ends_with_connection) {
+	if (result->end != UPSTREAM_END_CONNECTION) {
 		suspects_acquit(
 		    entry->suspects, &ex->causes, gw_exchange_now_us(ex));
 		return;
@@ -916,7 +917,7 @@
 		    ex->service_state->usual_gap_us[ex->model_index],
 		    ex->attempt.gap_count);
 	ex->attempt.call = NULL;
-	ex->attempt.ends_with_connection = result->ends_with_connection;
+	ex->attempt.end = result->end;
 	gw_exchange_leave_server(ex);
 	if (ex->attempt.escalated) {
 		ex->run_count++;
--- a/src/gateway/exchange_forward.c
+++ b/src/gateway/exchange_forward.c
@@ -150,7 +150,7 @@
 	char to[GW_NAME_BYTES];
 
 	ex->attempt.call = NULL;
-	ex->attempt.ends_with_connection = result->ends_with_connection;
+	ex->attempt.end = result->end;
 	if (end == RETRY_END_ANSWERED) {
 		/* A stream that has begun can't become an error. */
 		if (ex->answer_begun && ex->attempt.status >= 300)
--- a/src/http/upstream.c
+++ b/src/http/upstream.c
@@ -120,6 +120,26 @@
 	alloc_free(client->options.alloc, c);
 }
 
+/* Returns a name of what marked the end of an answer, for logs. */
+const char *
+upstream_end_name(enum upstream_end end)
+{
+	static const char *const names[] = {
+	    "none", "length", "last_chunk", "connection"};
+
+	return names[end];
+}
+
+/* Returns what marked the end of a complete answer. */
+static enum upstream_end
+end_of_answer(const struct conn *c)
+{
+	if (c->eof)
+		return UPSTREAM_END_CONNECTION;
+	return (c->parser.flags & F_CHUNKED) != 0 ? UPSTREAM_END_LAST_CHUNK
+						  : UPSTREAM_END_LENGTH;
+}
+
 /* Detaches the call from its connection, frees it and reports done(). */
 static void
 finish_call(struct conn *c, int error, bool closed)
@@ -132,7 +152,7 @@
 	    .refused = call->refused,
 	    .closed = closed,
 	    .reused = call->reused,
-	    .ends_with_connection = error == 0 && c->eof};
+	    .end = error == 0 ? end_of_answer(c) : UPSTREAM_END_NONE};
 	const struct upstream_handler *handler = call->handler;
 	void *ctx = call->ctx;
 
--- a/src/http/upstream.h
+++ b/src/http/upstream.h
@@ -40,16 +40,27 @@
 	UPSTREAM_SKIP_ANSWER = 1
 };
 
+/* What marked the end of an answer. */
+enum upstream_end {
+	UPSTREAM_END_NONE, /* it is not complete */
+	UPSTREAM_END_LENGTH, /* its length, which may be 0 */
+	UPSTREAM_END_LAST_CHUNK,
+	/*
+	 * The end of the connection.  A server that crashes ends it as well, so
+	 * that the answer may be a part of one.
+	 */
+	UPSTREAM_END_CONNECTION
+};
+
 struct upstream_result {
-	int error; /* 0: the answer is complete */
+	int error; /* 0: the answer is complete, as far as its end shows */
 	unsigned int status; /* 0: no answer arrived */
 	bool sent; /* a byte of the request was sent */
 	bool unreachable; /* no connection was established */
 	bool refused; /* the address refused the connection */
 	bool closed; /* the server closed the connection */
 	bool reused; /* the call started on an idle connection */
-	/* The end of the connection marked the end of the complete answer */
-	bool ends_with_connection;
+	enum upstream_end end;
 };
 
 struct upstream_handler {
@@ -96,6 +107,7 @@
 	void *ctx;
 };
 
+const char *upstream_end_name(enum upstream_end end);
 struct upstream_client *upstream_new(const struct upstream_options *options);
 void upstream_free(struct upstream_client *client);
 struct upstream_call *upstream_start(
