The text of an error is no part of a stream that has begun

Now no status but a success follows what has begun: it goes on elsewhere if it may and limits allow, else it is cut; a 504 is still not retried. Course.NothingButEventsFollowsABegunStream failed before.

--- a/src/route/retry.c
+++ b/src/route/retry.c
@@ -5,6 +5,7 @@
 	ATTEMPTS_MAX = 6,
 	/* Another attempt would be too late with less time left */
 	TIME_LEFT_MIN_US = 20000,
+	STATUS_REDIRECT = 300, /* the lowest that is no success */
 	STATUS_SERVER_ERROR = 500,
 	STATUS_TIMEOUT = 504
 };
@@ -44,20 +45,24 @@
 	return in->begun ? RETRY_RESUME : RETRY_ELSEWHERE;
 }
 
-/* Returns the step after a complete answer of a server. */
+/*
+ * Returns the step after a complete answer of a server.  The request ran, but
+ * an error of this server may not recur at another one; a timeout is not
+ * retried.  In the middle of a stream any answer but a success is an error, as
+ * its body is no part of the stream.
+ */
 static enum retry_step
 step_after_answer(const struct retry_input *in)
 {
-	/*
-	 * The request ran, but an error of this server may not recur at another
-	 * one; a timeout is not retried.
-	 */
-	bool failed =
-	    in->status >= STATUS_SERVER_ERROR && in->status != STATUS_TIMEOUT;
+	bool failed = in->status >=
+		      (in->begun ? STATUS_REDIRECT : STATUS_SERVER_ERROR);
 
-	if (failed && may_rerun(in) && limits_allow_attempt(in))
+	if (!failed)
+		return RETRY_PASS_ON;
+	if (in->status != STATUS_TIMEOUT && may_rerun(in) &&
+	    limits_allow_attempt(in))
 		return step_with_retry(in);
-	return in->begun && failed ? RETRY_TRUNCATE : RETRY_PASS_ON;
+	return in->begun ? RETRY_TRUNCATE : RETRY_PASS_ON;
 }
 
 /* Returns the next step after an attempt has ended. */
--- a/test/unit/route_course_test.cc
+++ b/test/unit/route_course_test.cc
@@ -88,7 +88,8 @@
 	in.kind = (enum route_kind) * rc::gen::inRange(0, 3);
 	in.resumable = *rc::gen::arbitrary<bool>();
 	in.end = (enum retry_end) * rc::gen::inRange(0, 5);
-	in.status = *rc::gen::element(200u, 404u, 500u, 503u, 504u);
+	in.status = *rc::gen::element(
+	    200u, 204u, 302u, 400u, 404u, 421u, 429u, 500u, 503u, 504u);
 	in.begun = *rc::gen::arbitrary<bool>();
 	in.may_have_run = *rc::gen::arbitrary<bool>();
 	in.runs = (uint8_t)*rc::gen::inRange(0, 5);
@@ -127,6 +128,23 @@
 		RC_ASSERT(!in.may_have_run && !in.begun);
 }
 
+/*
+ * Nothing but a success follows an answer that has begun, which has no other
+ * regular end either.
+ */
+RC_GTEST_PROP(Course, NothingButEventsFollowsABegunStream, ())
+{
+	struct retry_input in = any_input();
+	enum retry_step step = retry_next_step(&in);
+
+	if (!in.begun)
+		return;
+	if (step == RETRY_PASS_ON)
+		RC_ASSERT(in.end == RETRY_END_ANSWERED && in.status < 300);
+	else
+		RC_ASSERT(step == RETRY_RESUME || step == RETRY_TRUNCATE);
+}
+
 /*
  * Neither the limits nor the retry budget are exceeded, and no attempt is made
  * without time for an answer.
