An answer that ends with its connection is whole once its server goes on

An answer with neither a length nor chunks counted as complete wherever its connection closed, and a process that ends closes all of them regularly. The bytes are alike; what differs is the server's life afterwards. Now the end of such an answer, and a plain one as a whole, waits for a connection to the server that was begun after the end: accepted and still open 2 ms later, the answer is whole; refused or silent, it was broken off, and goes on elsewhere, is tried again, cut, or answered with 502, by what its route allows. A stream that ends so before its first event was broken off in any case. What counted such an answer as a success follows: pool health, evidence of roll-outs, mean times, and the blame of requests and prompt parts.

Ruled out as signs: announcements of the server, which may be seconds older than its end; the end of its other connections, as there may be none.

Probes are objects of their own in http/upstream, report what they found, and are repeated where a server closes them; one with too many connections does so and goes on (Upstream.AServerThatClosesEachProbeGoesOn).

--- a/src/gateway/entry.c
+++ b/src/gateway/entry.c
@@ -203,14 +203,11 @@
 	gw_publish_note(entry->gw, GW_NOTE_SERVER_LEAVING, life, 0, 1);
 }
 
-/*
- * Handles a failed probe of a server's address.  refused: the connection was
- * refused; otherwise the probe timed out.
- */
+/* Records that a server's address refused a connection or did not react. */
 static void
-on_probed(void *ctx, const struct sockaddr_in *address, bool refused)
+record_failed_probe(
+    struct gw_entry *entry, const struct sockaddr_in *address, bool refused)
 {
-	struct gw_entry *entry = ctx;
 	uint16_t server = pool_find_address(entry->pool, address);
 
 	if (server == ROUTE_NONE)
@@ -223,6 +220,16 @@
 	gw_path_failed(entry, server, refused);
 }
 
+static void
+on_probed(void *ctx, const struct sockaddr_in *address,
+    enum upstream_probe_result result, uint64_t dials_before)
+{
+	if (result != UPSTREAM_PROBE_ACCEPTED)
+		record_failed_probe(
+		    ctx, address, result == UPSTREAM_PROBE_REFUSED);
+	gw_exchange_probed(ctx, address, result, dials_before);
+}
+
 static void
 on_connected(void *ctx, const struct sockaddr_in *address)
 {
@@ -951,6 +958,8 @@
 	    metrics_get(m, METRICS_HISTOGRAM, "celeryford_answer_seconds", "");
 	entry->event_pass_us = metrics_get(
 	    m, METRICS_HISTOGRAM, "celeryford_event_pass_seconds", "");
+	entry->end_check_us = metrics_get(
+	    m, METRICS_HISTOGRAM, "celeryford_end_check_seconds", "");
 }
 
 static void
--- a/src/gateway/entry.h
+++ b/src/gateway/entry.h
@@ -129,6 +129,7 @@
 	struct metrics_series *first_byte_us;
 	struct metrics_series *answer_us;
 	struct metrics_series *event_pass_us;
+	struct metrics_series *end_check_us;
 };
 
 /* For links.c, follow.c and main.c */
@@ -170,6 +171,9 @@
 /* exchange.c */
 void gw_exchange_start(struct gw_entry *entry, struct front_exchange *x);
 void gw_exchange_caller_left(struct gw_exchange *ex);
+void gw_exchange_probed(struct gw_entry *entry,
+    const struct sockaddr_in *address, enum upstream_probe_result result,
+    uint64_t dials_before);
 void gw_exchange_resume_reading(struct gw_exchange *ex);
 void gw_exchange_retry_waiting(struct gw_exchange *ex);
 void gw_exchange_withdraw_suspect(struct gw_exchange *ex);
--- a/src/gateway/exchange.c
+++ b/src/gateway/exchange.c
@@ -61,6 +61,12 @@
 
 	gw_exchange_touch_session(ex);
 	loop_cancel(ex->timer);
+	if (ex->end_check.awaited) {
+		struct suspects_life life = gw_exchange_life(ex);
+
+		suspects_add_unproved_run(entry->suspects, &life, &ex->causes,
+		    gw_exchange_now_us(ex));
+	}
 	if (ex->is_waiting) {
 		for (struct gw_exchange **at = &entry->waiting; *at != NULL;
 		     at = &(*at)->next_waiting) {
@@ -174,7 +180,7 @@
 	    "route=%s outcome=%s status=%u ms=%" PRId64 " first_ms=%" PRId64
 	    " sends=%u runs=%u may_have_run=%d "
 	    "document=%" PRIu64 " server_leaving=%d server_pause_ms=%u "
-	    "events=%u delimited_by=%s",
+	    "events=%u delimited_by=%s server_after=%s",
 	    ex->route != NULL ? ex->route->name : "", outcome, status,
 	    (now_us - ex->arrived_us) / US_PER_MS,
 	    ex->first_byte_us != 0
@@ -183,7 +189,8 @@
 	    ex->send_count, ex->run_count, ex->may_have_run,
 	    ex->table != NULL ? ex->table->number : 0,
 	    ex->attempt.server_leaving, ex->attempt.pause_ms,
-	    ex->attempt.events, upstream_end_name(ex->attempt.end));
+	    ex->attempt.events, upstream_end_name(ex->attempt.end),
+	    ex->attempt.end_sign != NULL ? ex->attempt.end_sign : "-");
 	if (ex->defers_log && strcmp(outcome, "answered") != 0)
 		log_lines(&ex->deferred_log);
 }
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -16,6 +16,7 @@
  *	exchange.c		admission, deadline, log lines, end
  *	exchange_send.c		placement and sending to a backend server
  *	exchange_answer.c	the server's answer: passed on or retried
+ *	exchange_end.c		answers that end with their connection
  *	exchange_forward.c	forwarding through another instance
  *
  * route/pool.c chooses the server, and route/retry.c decides what follows an
@@ -52,6 +53,8 @@
 	bool not_run; /* the server reports that it did not run the request */
 	bool defective; /* the answer failed validation */
 	enum upstream_end end; /* what marked the end of its answer */
+	/* What showed whether it is whole, if its connection marked the end */
+	const char *end_sign;
 	uint32_t events; /* of a stream, received in this attempt */
 	bool server_leaving; /* its answer says that the server shuts down */
 	uint32_t pause_ms; /* the server refused and asked for this pause */
@@ -70,6 +73,15 @@
 	unsigned int status;
 };
 
+/* An answer that ended with its connection and may be a part of one. */
+struct gw_end_check {
+	bool awaited; /* a sign of its server is */
+	struct upstream_result result; /* of the attempt */
+	struct sockaddr_in address; /* of its server */
+	int64_t ended_us;
+	uint64_t dials; /* connections dialled by then */
+};
+
 struct gw_exchange {
 	struct gw_entry *entry;
 	struct front_exchange *caller; /* NULL: the caller has disconnected */
@@ -89,6 +101,7 @@
 	int64_t first_byte_us; /* 0: no byte has been received yet */
 	struct loop_timer *timer;
 	struct gw_attempt attempt;
+	struct gw_end_check end_check;
 	uint16_t model_index; /* in the route's list */
 	uint16_t tried_servers[GW_TRIED_SERVERS_MAX];
 	uint8_t tried_count;
@@ -165,8 +178,15 @@
 void gw_exchange_follow_up(struct gw_exchange *ex, enum retry_end end,
     const struct upstream_result *result);
 void gw_exchange_complete(struct gw_exchange *ex);
+void gw_exchange_conclude(struct gw_exchange *ex, enum retry_end end,
+    const struct upstream_result *result);
+struct suspects_life gw_exchange_life(const struct gw_exchange *ex);
 void gw_exchange_log_mismatch(struct gw_exchange *ex, const char *from);
 
+/* exchange_end.c */
+void gw_exchange_await_sign(
+    struct gw_exchange *ex, const struct upstream_result *result);
+
 /* exchange_forward.c */
 bool gw_exchange_must_forward(const struct gw_exchange *ex);
 void gw_exchange_forward(struct gw_exchange *ex);
--- a/src/gateway/exchange_answer.c
+++ b/src/gateway/exchange_answer.c
@@ -674,23 +674,23 @@
 }
 
 /*
- * Returns whether a stream that its server has ended stops within an event.  It
- * was broken off if only the end of the connection marks its end.
+ * Returns whether a stream that ended with its connection stops within an event
+ * or before the first one, so that it was broken off.
  */
 static bool
-stops_within_event(
-    const struct gw_exchange *ex, const struct upstream_result *result)
+stops_short(const struct gw_exchange *ex, const struct upstream_result *result)
 {
 	return result->end == UPSTREAM_END_CONNECTION &&
 	       ex->route->kind == ROUTE_STREAM && ex->attempt.status < 300 &&
-	       ex->answer_body.len > 0;
+	       (ex->answer_body.len > 0 ||
+		   (ex->attempt.events == 0 && !ex->has_last_event));
 }
 
 /* Returns how the attempt ended. */
 static enum retry_end
 classify_end(const struct gw_exchange *ex, const struct upstream_result *result)
 {
-	if (stops_within_event(ex, result))
+	if (stops_short(ex, result))
 		return RETRY_END_BROKEN;
 	if (ex->attempt.not_run && result->error == 0)
 		return RETRY_END_NOT_RUN;
@@ -725,8 +725,8 @@
 }
 
 /* Returns the life of the server that the attempt was sent to. */
-static struct suspects_life
-life_of_attempt(const struct gw_exchange *ex)
+struct suspects_life
+gw_exchange_life(const struct gw_exchange *ex)
 {
 	const struct registry_server *server =
 	    &pool_server_at(ex->entry->pool, ex->attempt.server)->announced;
@@ -748,7 +748,7 @@
 	struct gw_entry *entry = ex->entry;
 	const struct pool_server *s =
 	    pool_server_at(entry->pool, ex->attempt.server);
-	struct suspects_life life = life_of_attempt(ex);
+	struct suspects_life life = gw_exchange_life(ex);
 	char parts[GW_PARTS_TEXT_BYTES];
 
 	if (s->announced.born_ms == ex->attempt.born_ms &&
@@ -775,7 +775,6 @@
 	struct gw_entry *entry = ex->entry;
 	const struct pool_server *s =
 	    pool_server_at(entry->pool, ex->attempt.server);
-	struct suspects_life life;
 	uint32_t cleared;
 
 	if (end == RETRY_END_BROKEN &&
@@ -789,17 +788,9 @@
 	if (cleared > 0)
 		log_event(LOG_LEVEL_INFO, "suspects_cleared",
 		    "server=%s count=%u", s->announced.id, cleared);
-	if (end != RETRY_END_ANSWERED || result->status >= 500)
-		return;
-	if (result->end != UPSTREAM_END_CONNECTION) {
+	if (end == RETRY_END_ANSWERED && result->status < 500)
 		suspects_acquit(
 		    entry->suspects, &ex->causes, gw_exchange_now_us(ex));
-		return;
-	}
-	/* A crash may have ended the connection, and so the answer. */
-	life = life_of_attempt(ex);
-	suspects_add_unproved_run(
-	    entry->suspects, &life, &ex->causes, gw_exchange_now_us(ex));
 }
 
 /*
@@ -910,12 +901,6 @@
 	struct gw_entry *entry = ex->entry;
 	enum retry_end end = classify_end(ex, result);
 
-	/* A short stream has fewer gaps than are timed. */
-	if (end == RETRY_END_ANSWERED && ex->attempt.gap_count > 0 &&
-	    ex->attempt.gap_count < GAPS_TIMED)
-		record_mean_gap(ex,
-		    ex->service_state->usual_gap_us[ex->model_index],
-		    ex->attempt.gap_count);
 	ex->attempt.call = NULL;
 	ex->attempt.end = result->end;
 	gw_exchange_leave_server(ex);
@@ -930,12 +915,29 @@
 	}
 	if (result->error == ERR_TOO_LARGE)
 		discard_unending_answer(ex);
+	if (end == RETRY_END_ANSWERED && result->end == UPSTREAM_END_CONNECTION)
+		gw_exchange_await_sign(ex, result);
+	else
+		gw_exchange_conclude(ex, end, result);
+}
+
+/* Records how an attempt ended, and carries out the step that follows. */
+void
+gw_exchange_conclude(struct gw_exchange *ex, enum retry_end end,
+    const struct upstream_result *result)
+{
+	/* A short stream has fewer gaps than are timed. */
+	if (end == RETRY_END_ANSWERED && ex->attempt.gap_count > 0 &&
+	    ex->attempt.gap_count < GAPS_TIMED)
+		record_mean_gap(ex,
+		    ex->service_state->usual_gap_us[ex->model_index],
+		    ex->attempt.gap_count);
 	record_outcome(ex, end, result);
 	if (end != RETRY_END_ANSWERED)
 		gw_exchange_log(ex, LOG_LEVEL_INFO, "attempt_failed",
 		    "server=%s end=%d status=%u error=%s sent=%d "
 		    "closed=%d reused=%d ms=%" PRId64,
-		    pool_server_at(entry->pool, ex->attempt.server)
+		    pool_server_at(ex->entry->pool, ex->attempt.server)
 			->announced.id,
 		    end, result->status, err_name(result->error), result->sent,
 		    result->closed, result->reused,
--- a/src/http/upstream.c
+++ b/src/http/upstream.c
@@ -23,6 +23,12 @@
 	UPSTREAM_IDLE_CHECK_US = 500000,
 	/* Dials of one probe, while the server closes its connections. */
 	UPSTREAM_PROBE_DIALS_MAX = 5,
+	/*
+	 * A process that ends may accept connections until its listener is
+	 * closed as well.  This long after one was accepted, or closed, shows
+	 * which it is.
+	 */
+	UPSTREAM_PROBE_SETTLE_US = 2000,
 	/* 1xx answers before the final one. */
 	UPSTREAM_INTERIM_HEADS_MAX = 16,
 	/* Answers to earlier calls that one call skips. */
@@ -48,13 +54,8 @@
 	int64_t idle_until_us;
 	int64_t dialled_us;
 	int64_t round_trip_us; /* duration of the TCP handshake */
-	struct loop_timer *probe_timer; /* of a probe that is connecting */
+	struct probe *probe; /* NULL: none, or a call has used the connection */
 	bool connecting;
-	/*
-	 * Which dial of a probe this is, from 1; 0 if it isn't one, or a call
-	 * has used the connection.
-	 */
-	uint8_t probe_dial;
 	bool used; /* has carried a call */
 	bool head_reported;
 	bool skipping_answer; /* the answer belongs to another call */
@@ -72,6 +73,24 @@
 	struct conn *next;
 };
 
+/*
+ * A probe of an address.  A process that is shutting down may still accept
+ * connections, so a connection that is closed is not conclusive, and the
+ * address is dialled again.
+ */
+struct probe {
+	struct upstream_client *client;
+	struct sockaddr_in address;
+	struct conn *conn; /* NULL: waits to dial again */
+	/* Connect timeout, end of the settling time, or next dial */
+	struct loop_timer *timer;
+	uint64_t dials_before; /* dialled by the client when it began */
+	uint8_t dials;
+	bool accepted; /* this was reported; the connection is idle */
+	struct probe *prev;
+	struct probe *next;
+};
+
 struct upstream_call {
 	struct conn *conn;
 	const struct upstream_handler *handler;
@@ -93,10 +112,26 @@
 struct upstream_client {
 	struct upstream_options options;
 	struct conn *conns;
+	struct probe *probes;
 	struct loop_timer *idle_timer;
 	uint64_t dialled;
 };
 
+static void
+probe_free(struct probe *p)
+{
+	loop_cancel(p->timer);
+	if (p->conn != NULL)
+		p->conn->probe = NULL;
+	if (p->prev != NULL)
+		p->prev->next = p->next;
+	else
+		p->client->probes = p->next;
+	if (p->next != NULL)
+		p->next->prev = p->prev;
+	alloc_free(p->client->options.alloc, p);
+}
+
 static void
 conn_free(struct conn *c)
 {
@@ -106,8 +141,9 @@
 		c->free_pending = true;
 		return;
 	}
+	if (c->probe != NULL)
+		probe_free(c->probe);
 	loop_unwatch(c->watch);
-	loop_cancel(c->probe_timer);
 	close(c->fd);
 	if (c->prev != NULL)
 		c->prev->next = c->next;
@@ -371,72 +407,132 @@
 
 static struct conn *dial(
     struct upstream_client *client, const struct sockaddr_in *address);
-static void probe_failed(const struct conn *c, bool refused);
+static void dial_probe(struct probe *p);
 
+/* Reports the outcome of a probe and frees it. */
 static void
-on_probe_timeout(void *ctx)
+finish_probe(struct probe *p, enum upstream_probe_result result)
 {
-	struct conn *c = ctx;
+	struct upstream_client *client = p->client;
+	struct sockaddr_in address = p->address;
+	uint64_t dials_before = p->dials_before;
 
-	c->probe_timer = NULL;
-	probe_failed(c, false);
-	conn_free(c);
+	probe_free(p);
+	if (client->options.probed != NULL)
+		client->options.probed(
+		    client->options.ctx, &address, result, dials_before);
 }
 
 static void
-dial_probe(struct upstream_client *client, const struct sockaddr_in *address,
-    uint8_t number)
+on_redial(void *ctx)
 {
-	struct conn *c = dial(client, address);
+	struct probe *p = ctx;
 
-	if (c == NULL)
-		return;
-	c->probe_dial = number;
-	c->probe_timer = loop_after(client->options.loop,
-	    (int64_t)client->options.connect_timeout_ms * 1000,
-	    on_probe_timeout, c);
+	p->timer = NULL;
+	dial_probe(p);
 }
 
 /*
- * Reports a probe that could not connect. refused: the address refused the
- * connection.
+ * Handles the end of a probe's connection by the server, or one that could not
+ * be dialled for want of descriptors.  accepts: the address accepts
+ * connections.
  */
 static void
-probe_failed(const struct conn *c, bool refused)
+redial_probe(struct probe *p, bool accepts)
+{
+	if (p->conn != NULL)
+		p->conn->probe = NULL;
+	p->conn = NULL;
+	loop_cancel(p->timer);
+	p->timer = NULL;
+	if (p->dials < UPSTREAM_PROBE_DIALS_MAX)
+		p->timer = loop_after(p->client->options.loop,
+		    UPSTREAM_PROBE_SETTLE_US, on_redial, p);
+	else if (p->accepted)
+		probe_free(p);
+	else
+		finish_probe(p,
+		    accepts ? UPSTREAM_PROBE_ACCEPTED : UPSTREAM_PROBE_FAILED);
+}
+
+static void
+on_probe_timeout(void *ctx)
 {
-	struct upstream_client *client = c->client;
+	struct probe *p = ctx;
+	struct conn *c = p->conn;
 
-	if (c->probe_dial != 0 && client->options.probed != NULL)
-		client->options.probed(
-		    client->options.ctx, &c->address, refused);
+	p->timer = NULL;
+	p->conn = NULL;
+	c->probe = NULL;
+	conn_free(c);
+	finish_probe(p, UPSTREAM_PROBE_FAILED);
 }
 
-/*
- * Repeats a probe whose connection was closed before a call used it. A process
- * that is shutting down may still accept connections, so the close is not
- * conclusive and the address is dialled again, up to UPSTREAM_PROBE_DIALS_MAX
- * times.
- */
+/* Dials the address of a probe, and begins the connect timeout. */
 static void
-probe_closed(const struct conn *c)
+dial_probe(struct probe *p)
 {
-	if (c->probe_dial != 0 && c->probe_dial < UPSTREAM_PROBE_DIALS_MAX)
-		dial_probe(c->client, &c->address, c->probe_dial + 1);
+	p->dials++;
+	p->conn = dial(p->client, &p->address);
+	if (p->conn == NULL) {
+		redial_probe(p, false);
+		return;
+	}
+	p->conn->probe = p;
+	p->timer = loop_after(p->client->options.loop,
+	    (int64_t)p->client->options.connect_timeout_ms * 1000,
+	    on_probe_timeout, p);
 }
 
 /*
- * Keeps the connection of a successful probe for the next call, for the connect
- * timeout.
+ * Reports that the connection of a probe has stayed open.  It is kept for the
+ * next call, for the connect timeout.
  */
 static void
-probe_succeeded(struct conn *c)
+on_settled(void *ctx)
 {
-	loop_cancel(c->probe_timer);
-	c->probe_timer = NULL;
-	c->idle_until_us =
-	    loop_now_us(c->client->options.loop) +
-	    (int64_t)c->client->options.connect_timeout_ms * 1000;
-	loop_rewatch(c->watch, LOOP_READ);
+	struct probe *p = ctx;
+	struct upstream_client *client = p->client;
+	struct sockaddr_in address = p->address;
+	uint64_t dials_before = p->dials_before;
+
+	p->timer = NULL;
+	p->accepted = true;
+	p->conn->idle_until_us =
+	    loop_now_us(client->options.loop) +
+	    (int64_t)client->options.connect_timeout_ms * 1000;
+	if (client->options.probed != NULL)
+		client->options.probed(client->options.ctx, &address,
+		    UPSTREAM_PROBE_ACCEPTED, dials_before);
+}
+
+/* Handles a connection of a probe that was established. */
+static void
+settle_probe(struct probe *p)
+{
+	loop_cancel(p->timer);
+	p->timer = loop_after(
+	    p->client->options.loop, UPSTREAM_PROBE_SETTLE_US, on_settled, p);
+	loop_rewatch(p->conn->watch, LOOP_READ);
+}
+
+/* Handles a probe that could not connect.  problem: an errno. */
+static void
+fail_probe(struct probe *p, int problem)
+{
+	if (problem == ECONNRESET) {
+		redial_probe(p, true);
+		return;
+	}
+	finish_probe(p, problem == ECONNREFUSED ? UPSTREAM_PROBE_REFUSED
+						: UPSTREAM_PROBE_FAILED);
+}
+
+/* Tells whether a probe has the connection and has not accepted it yet. */
+static bool
+is_probing(const struct conn *c)
+{
+	return c->probe != NULL && !c->probe->accepted;
 }
 
 static void
@@ -449,7 +545,8 @@
 		return;
 	if (c->call == NULL) {
 		/* Closed by the server, or bytes that belong to no call. */
-		probe_closed(c);
+		if (c->probe != NULL)
+			redial_probe(c->probe, true);
 		conn_free(c);
 		return;
 	}
@@ -505,10 +602,8 @@
 		if (problem != 0) {
 			if (c->call != NULL)
 				c->call->refused = problem == ECONNREFUSED;
-			else if (problem == ECONNRESET)
-				probe_closed(c);
-			else
-				probe_failed(c, problem == ECONNREFUSED);
+			else if (c->probe != NULL)
+				fail_probe(c->probe, problem);
 			fail_connection(c, ERR_UPSTREAM, false);
 		} else {
 			c->connecting = false;
@@ -518,8 +613,8 @@
 			if (c->client->options.connected != NULL)
 				c->client->options.connected(
 				    c->client->options.ctx, &c->address);
-			if (c->call == NULL)
-				probe_succeeded(c);
+			if (c->probe != NULL)
+				settle_probe(c->probe);
 			if (c->call != NULL) {
 				loop_cancel(c->call->connect_timer);
 				c->call->connect_timer = NULL;
@@ -651,7 +746,8 @@
 	call->is_head = request->is_head;
 	call->reused = reused;
 	c->call = call;
-	c->probe_dial = 0;
+	if (c->probe != NULL)
+		probe_free(c->probe);
 	c->single_use = request->fresh;
 	c->complete = c->head_reported = c->skipping_answer = false;
 	http_parser_init(&c->parser, HTTP_RESPONSE);
@@ -714,25 +810,34 @@
 }
 
 /*
- * Dials an address to check whether a server accepts connections there. Only a
- * failure is reported, through options.probed(). While a probe of the address
- * is connecting, no other one is started.
+ * Dials an address to check whether a server accepts connections there.  The
+ * outcome is reported through options.probed(), never before this returns.
+ * While a probe of the address is under way, no other one is started.
  */
 void
 upstream_probe(
     struct upstream_client *client, const struct sockaddr_in *address)
 {
-	for (struct conn *c = client->conns; c != NULL; c = c->next) {
-		if (c->probe_dial != 0 && c->connecting &&
-		    same_address(&c->address, address))
+	struct probe *p;
+
+	for (p = client->probes; p != NULL; p = p->next) {
+		if (!p->accepted && same_address(&p->address, address))
 			return;
 	}
-	dial_probe(client, address, 1);
+	p = alloc_zero(client->options.alloc, 1, sizeof(*p));
+	p->client = client;
+	p->address = *address;
+	p->dials_before = client->dialled;
+	p->next = client->probes;
+	if (client->probes != NULL)
+		client->probes->prev = p;
+	client->probes = p;
+	dial_probe(p);
 }
 
 /*
  * Closes the idle connections to an address, whose server is gone. A probe that
- * is still connecting goes on.
+ * is under way goes on.
  */
 void
 upstream_close_idle(
@@ -742,7 +847,7 @@
 
 	for (struct conn *c = client->conns; c != NULL; c = next) {
 		next = c->next;
-		if (c->call == NULL && (c->probe_dial == 0 || !c->connecting) &&
+		if (c->call == NULL && !is_probing(c) &&
 		    same_address(&c->address, address))
 			conn_free(c);
 	}
@@ -764,7 +869,7 @@
 
 	for (struct conn *c = client->conns; c != NULL; c = next) {
 		next = c->next;
-		if (c->call == NULL && !c->connecting &&
+		if (c->call == NULL && !c->connecting && !is_probing(c) &&
 		    c->idle_until_us <= now_us)
 			conn_free(c);
 	}
@@ -800,6 +905,8 @@
 		}
 		conn_free(c);
 	}
+	while (client->probes != NULL)
+		probe_free(client->probes);
 	loop_cancel(client->idle_timer);
 	alloc_free(client->options.alloc, client);
 }
--- a/src/http/upstream.h
+++ b/src/http/upstream.h
@@ -52,6 +52,17 @@
 	UPSTREAM_END_CONNECTION
 };
 
+/* What a probe of an address has found. */
+enum upstream_probe_result {
+	/*
+	 * A process accepts connections there and has gone on for a moment
+	 * after that.  A call may use the connection.
+	 */
+	UPSTREAM_PROBE_ACCEPTED,
+	UPSTREAM_PROBE_REFUSED, /* the address refused the connection */
+	UPSTREAM_PROBE_FAILED /* it timed out, or failed in another way */
+};
+
 struct upstream_result {
 	int error; /* 0: the answer is complete, as far as its end shows */
 	unsigned int status; /* 0: no answer arrived */
@@ -84,12 +95,11 @@
 	/* Upper bound; a server's Keep-Alive timeout may be shorter. */
 	uint32_t idle_timeout_ms;
 	/*
-	 * A probe could not connect. refused: the address refused the
-	 * connection; otherwise it timed out or failed in another way. May be
-	 * NULL.
+	 * A probe has ended.  dials_before: upstream_dial_count() when it
+	 * began.  May be NULL.
 	 */
-	void (*probed)(
-	    void *ctx, const struct sockaddr_in *address, bool refused);
+	void (*probed)(void *ctx, const struct sockaddr_in *address,
+	    enum upstream_probe_result result, uint64_t dials_before);
 	void *ctx;
 	struct in_addr source; /* local address to connect from; 0: any */
 	/* A connection was established, for a call or a probe.  May be NULL. */
--- a/test/process/answers_cut_by_crashes.sh
+++ b/test/process/answers_cut_by_crashes.sh
@@ -21,6 +21,7 @@
 servers='1 2 3 4 5 6'
 entries='21 22 23'
 server_program=cf-fake-closing
+down_s=0.5
 server_flags=$dir/crash
 await_entries() {
 	local n
@@ -75,7 +76,7 @@
 		times[$seen]=$((${times[$seen]:-0} + 1))
 		case $wanted in *" $seen "*) ;; *) bad=$((bad + 1)) ;; esac
 		case $path in /once/* | /stream/*) [ "$(runs_of "$id")" -le 1 ] || twice=$((twice + 1)) ;; esac
-		sleep 0.25
+		sleep 0.4 # most servers are up when the next one ends
 	done
 	[ ! -e "$dir/crash" ] || bad="$bad, and a crash that did not come"
 	rm -f "$dir/crash"
--- a/test/process/crashing.bash
+++ b/test/process/crashing.bash
@@ -7,9 +7,9 @@
 ended() { cat "$dir"/lives/* | grep -c crashed; }
 
 # keep_serving N: runs $server_program, cf-fake-server if unset, with $server_flags
-# as server N, and restarts it whenever it ends, after 2 s and with a new
-# id for each life, or, while the file at-once exists, at once and with a fixed
-# id.
+# as server N, and restarts it whenever it ends, after $down_s (2 if unset) and
+# with a new id for each life, or, while the file at-once exists, at once and with
+# a fixed id.
 mkdir "$dir/lives"
 touch "$dir/serving"
 on_new_life() { :; } # on_new_life N: called once the process runs
@@ -32,7 +32,7 @@
 		done
 		kill $up 2>/dev/null
 		wait $up 2>/dev/null
-		[ -e "$dir/at-once" ] || sleep 2
+		[ -e "$dir/at-once" ] || sleep "${down_s:-2}"
 	done
 }
 # restart N...: kills instances and starts them again.
--- a/test/unit/http_wire_test.cc
+++ b/test/unit/http_wire_test.cc
@@ -350,13 +350,13 @@
 		std::string only_id;
 	};
 
-	/* For each failed probe, whether the address refused the connection. */
-	std::vector<bool> probes;
+	std::vector<enum upstream_probe_result> probes; /* their outcomes */
 
-	static void on_probed(
-	    void *ctx, const struct sockaddr_in *, bool refused)
+	static void on_probed(void *ctx, const struct sockaddr_in *,
+	    enum upstream_probe_result result, uint64_t)
 	{
-		((std::vector<bool> *)ctx)->push_back(refused);
+		((std::vector<enum upstream_probe_result> *)ctx)
+		    ->push_back(result);
 	}
 
 	void SetUp() override
@@ -546,19 +546,20 @@
 	upstream_probe(client, &address);
 	upstream_probe(client, &address);
 	EXPECT_EQ(1u, upstream_dial_count(client));
-	int turns = 0;
-	events.until([&] { return ++turns == 4; });
+	EXPECT_TRUE(probes.empty());
+	ASSERT_TRUE(events.until([&] { return !probes.empty(); }));
+	EXPECT_EQ(std::vector{UPSTREAM_PROBE_ACCEPTED}, probes);
 	start(&seen);
 	answer(whole);
 	ASSERT_TRUE(finished(&seen));
 	EXPECT_TRUE(seen.result.reused);
-	EXPECT_TRUE(probes.empty());
+	EXPECT_EQ(1u, probes.size());
 	close(listener);
 	listener = -1;
 	upstream_close_idle(client, &address);
 	upstream_probe(client, &address);
-	ASSERT_TRUE(events.until([&] { return !probes.empty(); }));
-	EXPECT_EQ(std::vector<bool>{true}, probes);
+	ASSERT_TRUE(events.until([&] { return probes.size() == 2; }));
+	EXPECT_EQ(UPSTREAM_PROBE_REFUSED, probes[1]);
 	start(&gone);
 	ASSERT_TRUE(finished(&gone));
 	EXPECT_TRUE(gone.result.unreachable);
@@ -583,10 +584,28 @@
 	listener = -1;
 	close(fd);
 	ASSERT_TRUE(events.until([&] { return !probes.empty(); }));
-	EXPECT_EQ(std::vector<bool>{true}, probes);
+	EXPECT_EQ(std::vector{UPSTREAM_PROBE_REFUSED}, probes);
 	EXPECT_EQ(2u, upstream_dial_count(client));
 }
 
+/*
+ * A server with too many connections closes further ones.  It goes on all the
+ * same, unlike one that ends, whose listener closes a little later.
+ */
+TEST_F(Upstream, AServerThatClosesEachProbeGoesOn)
+{
+	upstream_probe(client, &address);
+	ASSERT_TRUE(events.until([&] {
+		int fd = accept(listener, nullptr, nullptr);
+
+		if (fd >= 0)
+			close(fd);
+		return !probes.empty();
+	}));
+	EXPECT_EQ(std::vector{UPSTREAM_PROBE_ACCEPTED}, probes);
+	EXPECT_GT(upstream_dial_count(client), 1u);
+}
+
 /*
  * Bytes after an answer belong to no call and must close the connection. A late
  * answer to an earlier call must be skipped.
