A cut answer to an HTTP/1.0 caller ends with a reset

Other callers see the last chunk or a part of the length missing, as before. Front.AnAnswerThatIsCutIsResetWhereTheConnectionDelimitsIt failed before.

--- a/src/http/front.c
+++ b/src/http/front.c
@@ -5,10 +5,12 @@
 #include <fcntl.h>
 #include <http_parser.h>
 #include <linux/filter.h>
+#include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <stdio.h>
 #include <string.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -47,7 +49,12 @@
 	 * The connection is closing: queued output is still sent, then the
 	 * socket is shut down for writing. Input is discarded.
 	 */
-	CONN_LINGERING
+	CONN_LINGERING,
+	/*
+	 * The connection is reset once its output has arrived, as only that
+	 * tells the caller that the answer is not complete.
+	 */
+	CONN_RESETTING
 };
 
 struct front_exchange {
@@ -73,6 +80,7 @@
 	bool request_complete;
 	bool keep_alive; /* the connection may serve another request */
 	bool chunked;
+	bool ends_with_connection; /* an answer without a length or chunks */
 	bool is_head;
 	bool continue_due; /* the caller waits for "100 Continue" */
 	bool input_ended;
@@ -130,6 +138,27 @@
 	alloc_free(server->options.alloc, x);
 }
 
+/* Returns whether the caller has acknowledged all that was sent. */
+static bool
+is_delivered(const struct front_exchange *x)
+{
+	int unacknowledged = 0;
+
+	return x->out.len == 0 &&
+	       (ioctl(x->fd, SIOCOUTQ, &unacknowledged) != 0 ||
+		   unacknowledged == 0);
+}
+
+/* Resets the connection and frees it. */
+static void
+reset_connection(struct front_exchange *x)
+{
+	const struct linger abort = {.l_onoff = 1, .l_linger = 0};
+
+	setsockopt(x->fd, SOL_SOCKET, SO_LINGER, &abort, sizeof(abort));
+	conn_free(x);
+}
+
 /*
  * Handles a disconnect: reports gone() if the handler has the request, and
  * frees the connection.
@@ -263,7 +292,7 @@
 	x->state = CONN_READING;
 	x->state_since_us = loop_now_us(x->server->options.loop);
 	x->request_started = x->request_complete = x->keep_alive = x->chunked =
-	    false;
+	    x->ends_with_connection = false;
 	x->continue_due = x->headers_done = false;
 	x->refusal = 0;
 	x->data = NULL;
@@ -360,7 +389,7 @@
 		handle_disconnect(x);
 		return;
 	}
-	if (x->state == CONN_LINGERING)
+	if (x->state == CONN_LINGERING || x->state == CONN_RESETTING)
 		return;
 	buf_add(&x->in, bytes, (size_t)n);
 	if (x->state == CONN_BUSY) {
@@ -464,7 +493,11 @@
 	const struct front_limits *limits = &x->server->options.limits;
 	int64_t waited_ms = (now_us - x->state_since_us) / 1000;
 
-	if (x->state == CONN_LINGERING) {
+	if (x->state == CONN_RESETTING) {
+		if (is_delivered(x) ||
+		    now_us - x->state_since_us > FRONT_LINGER_US)
+			reset_connection(x);
+	} else if (x->state == CONN_LINGERING) {
 		if (now_us - x->state_since_us > FRONT_LINGER_US)
 			conn_free(x);
 	} else if (x->state == CONN_READING && x->request_started) {
@@ -815,6 +848,7 @@
 	if (chunked && old)
 		x->keep_alive = false;
 	x->chunked = chunked && !old;
+	x->ends_with_connection = chunked && old;
 	add_status(x, status);
 	buf_add(&x->out, header_lines->data, header_lines->len);
 	if (x->chunked)
@@ -849,8 +883,8 @@
 
 /*
  * Ends an answer. If whole is false, the connection is closed without the last
- * chunk or the rest of the body, so that the caller can't take the answer for a
- * complete one.
+ * chunk or the rest of the body, or reset if only its end delimits the answer,
+ * so that the caller can't take the answer for a complete one.
  */
 void
 front_end_answer(struct front_exchange *x, bool whole)
@@ -863,6 +897,15 @@
 	}
 	x->server->open_exchanges--;
 	x->keep_alive = false;
-	start_lingering(x);
+	if (!x->ends_with_connection || x->is_head) {
+		start_lingering(x);
+		write_output(x);
+		return;
+	}
+	x->state = CONN_RESETTING;
+	x->state_since_us = loop_now_us(x->server->options.loop);
+	buf_clear(&x->in);
 	write_output(x);
+	if (is_delivered(x))
+		reset_connection(x);
 }
--- a/test/unit/http_wire_test.cc
+++ b/test/unit/http_wire_test.cc
@@ -290,6 +290,39 @@
 	buf_free(&lines);
 }
 
+/*
+ * A caller of HTTP/1.0 takes the end of the connection for the end of the
+ * answer, unless the connection is reset.
+ */
+TEST_F(Front, AnAnswerThatIsCutIsResetWhereTheConnectionDelimitsIt)
+{
+	for (bool whole : {true, false}) {
+		int fd = dial(front_port(server));
+		std::string text = "GET / HTTP/1.0\r\nHost: a\r\n\r\n", got;
+		struct buf lines;
+		bool eof = false, reset = false;
+
+		buf_init(&lines, alloc_default());
+		answer_later = true;
+		pending = nullptr;
+		send(fd, text.data(), text.size(), 0);
+		ASSERT_TRUE(events.until([&] { return pending != nullptr; }));
+		front_begin_answer(pending, 200, &lines, true, 0);
+		front_write_body(pending, "part", 4);
+		front_end_answer(pending, whole);
+		ASSERT_TRUE(events.until([&] {
+			errno = 0;
+			got += drain(fd, &eof);
+			reset |= errno == ECONNRESET;
+			return eof;
+		}));
+		EXPECT_NE(std::string::npos, got.find("\r\n\r\npart"));
+		EXPECT_EQ(!whole, reset);
+		close(fd);
+		buf_free(&lines);
+	}
+}
+
 TEST_F(Front, DrainingEndsConnectionsWithTheirAnswers)
 {
 	front_set_draining(server, true);
