A connection to a server carries the id of a request once

The id tells answers to other requests from one's own, but not those to an earlier sending of the same request. Now no connection to a server, or to an instance that takes forwarded requests, carries an id a second time, whatever the status of the earlier answer was; one that brought an answer to another request is not kept.

Upstream.AConnectionCarriesAnIdentityOnce and Upstream.AConnectionWithAnAnswerToAnotherCallIsNotKept fail with the two checks taken out.

--- a/src/gateway/exchange.c
+++ b/src/gateway/exchange.c
@@ -27,6 +27,16 @@
 	return loop_now_us(ex->entry->gw->loop);
 }
 
+/*
+ * Returns a hash of the id by which answers to the request are recognized.  A
+ * caller may send a request with the same id again.
+ */
+uint64_t
+gw_exchange_identity(const struct gw_exchange *ex)
+{
+	return XXH64(ex->request.id, strlen(ex->request.id), 0) | 1;
+}
+
 /*
  * Takes the request's work out of the server's backlog: it has begun there, or
  * never will.
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -135,6 +135,7 @@
 	struct gw_exchange *next_waiting;
 };
 
+uint64_t gw_exchange_identity(const struct gw_exchange *ex);
 int64_t gw_exchange_now_us(const struct gw_exchange *ex);
 void gw_exchange_free(struct gw_exchange *ex);
 void gw_exchange_log(struct gw_exchange *ex, enum log_level level,
--- a/src/gateway/exchange_forward.c
+++ b/src/gateway/exchange_forward.c
@@ -203,6 +203,7 @@
 	    .len = front_body(ex->caller)->len,
 	    .is_head = strcmp(front_method(ex->caller), "HEAD") == 0,
 	    .fresh = ex->request.id[0] == '\0',
+	    .identity = gw_exchange_identity(ex),
 	    .handler = &forward_handler,
 	    .ctx = ex};
 	char to[GW_NAME_BYTES];
--- a/src/gateway/exchange_send.c
+++ b/src/gateway/exchange_send.c
@@ -258,6 +258,7 @@
 	    .is_head = strcmp(front_method(ex->caller), "HEAD") == 0,
 	    /* Without an id late answers of the connection can't be told. */
 	    .fresh = ex->request.id[0] == '\0',
+	    .identity = gw_exchange_identity(ex),
 	    .handler = &gw_exchange_call_handler,
 	    .ctx = ex};
 
--- a/src/http/upstream.c
+++ b/src/http/upstream.c
@@ -21,6 +21,8 @@
 	 */
 	UPSTREAM_KEEP_ALIVE_MARGIN_MS = 700,
 	UPSTREAM_IDLE_CHECK_US = 500000,
+	/* Identities of calls that one connection carries in turn. */
+	UPSTREAM_IDENTITIES_MAX = 1024,
 	/* Dials of one probe, while the server closes its connections. */
 	UPSTREAM_PROBE_DIALS_MAX = 5,
 	/*
@@ -51,6 +53,7 @@
 	http_parser parser;
 	struct header_fields headers;
 	struct buf out;
+	struct buf identities; /* of the calls carried so far, uint64_t each */
 	int64_t idle_until_us;
 	int64_t dialled_us;
 	int64_t round_trip_us; /* duration of the TCP handshake */
@@ -62,7 +65,8 @@
 	bool complete;
 	bool eof; /* the server has closed its side */
 	bool closing; /* not reusable for another call */
-	bool single_use; /* the same, as its call asked for */
+	/* The same, as its call asked for, or an answer to another one came */
+	bool single_use;
 	/*
 	 * The connection is in use further up the stack: conn_free() only sets
 	 * free_pending.
@@ -153,6 +157,7 @@
 		c->next->prev = c->prev;
 	headers_free(&c->headers);
 	buf_free(&c->out);
+	buf_free(&c->identities);
 	alloc_free(client->options.alloc, c);
 }
 
@@ -284,6 +289,7 @@
 	}
 	update_idle_deadline(c);
 	c->skipping_answer = verdict == UPSTREAM_SKIP_ANSWER;
+	c->single_use |= c->skipping_answer;
 	if (c->skipping_answer &&
 	    ++call->skipped_answers > UPSTREAM_SKIPPED_ANSWERS_MAX) {
 		call->refusal = ERR_TOO_LARGE;
@@ -676,6 +682,7 @@
 	c->dialled_us = loop_now_us(client->options.loop);
 	headers_init(&c->headers, client->options.alloc);
 	buf_init(&c->out, client->options.alloc);
+	buf_init(&c->identities, client->options.alloc);
 	c->next = client->conns;
 	if (client->conns != NULL)
 		client->conns->prev = c;
@@ -693,12 +700,31 @@
 	       a->sin_port == b->sin_port;
 }
 
+/* Tells whether a connection may carry a call with an identity. */
+static bool
+may_carry(const struct conn *c, uint64_t identity)
+{
+	size_t count = c->identities.len / sizeof(identity);
+
+	for (size_t i = 0; i < count; i++) {
+		uint64_t carried;
+
+		memcpy(&carried, c->identities.data + i * sizeof(carried),
+		    sizeof(carried));
+		if (carried == identity)
+			return false;
+	}
+	return count < UPSTREAM_IDENTITIES_MAX;
+}
+
 /*
  * Returns the idle connection that expires last, normally the one used most
- * recently, or NULL if all have expired or there is none.
+ * recently, of those that may carry a call with an identity.  NULL: there is
+ * none.
  */
 static struct conn *
-find_idle(struct upstream_client *client, const struct sockaddr_in *address)
+find_idle(struct upstream_client *client, const struct sockaddr_in *address,
+    uint64_t identity)
 {
 	struct conn *best = NULL;
 	int64_t now_us = loop_now_us(client->options.loop);
@@ -707,6 +733,7 @@
 		if (c->call == NULL && !c->free_pending && !c->connecting &&
 		    c->idle_until_us > now_us &&
 		    same_address(&c->address, address) &&
+		    may_carry(c, identity) &&
 		    (best == NULL || c->idle_until_us > best->idle_until_us))
 			best = c;
 	}
@@ -730,8 +757,9 @@
 upstream_start(
     struct upstream_client *client, const struct upstream_request *request)
 {
-	struct conn *c =
-	    request->fresh ? NULL : find_idle(client, &request->address);
+	struct conn *c = request->fresh ? NULL
+					: find_idle(client, &request->address,
+					      request->identity);
 	bool reused = c != NULL;
 	struct upstream_call *call;
 
@@ -749,6 +777,9 @@
 	if (c->probe != NULL)
 		probe_free(c->probe);
 	c->single_use = request->fresh;
+	if (request->identity != 0)
+		buf_add(&c->identities, &request->identity,
+		    sizeof(request->identity));
 	c->complete = c->head_reported = c->skipping_answer = false;
 	http_parser_init(&c->parser, HTTP_RESPONSE);
 	c->parser.data = c;
--- a/src/http/upstream.h
+++ b/src/http/upstream.h
@@ -29,8 +29,9 @@
  *
  * A connection carries one call at a time and is kept for the next one after a
  * complete answer. It is closed if the server sends anything while no call is
- * open, or more bytes after an answer. upstream_cancel() closes the connection,
- * which servers take as the signal to stop working on the request.
+ * open, more bytes after an answer, or an answer to another call.
+ * upstream_cancel() closes the connection, which servers take as the signal to
+ * stop working on the request.
  */
 struct upstream_client;
 struct upstream_call;
@@ -113,6 +114,12 @@
 	size_t len;
 	bool is_head; /* a HEAD request: the answer has no body */
 	bool fresh; /* use a new connection, and for nothing else */
+	/*
+	 * Identity by which the answer is recognized.  No connection carries
+	 * the same one twice, as an answer to the first sending would be taken
+	 * for one to the second.  0: none
+	 */
+	uint64_t identity;
 	const struct upstream_handler *handler;
 	void *ctx;
 };
--- a/test/unit/http_wire_test.cc
+++ b/test/unit/http_wire_test.cc
@@ -417,7 +417,8 @@
 		close(listener);
 	}
 
-	struct upstream_call *start(Seen *seen, const std::string &body = "")
+	struct upstream_call *start(
+	    Seen *seen, const std::string &body = "", uint64_t identity = 0)
 	{
 		static const struct upstream_handler handler = {
 		    on_head, on_data, on_done};
@@ -435,6 +436,7 @@
 		request.len = body.size();
 		request.handler = &handler;
 		request.ctx = seen;
+		request.identity = identity;
 		call = upstream_start(client, &request);
 		buf_free(&head);
 		return call;
@@ -664,6 +666,42 @@
 	EXPECT_EQ("mine", third.body);
 }
 
+/*
+ * An answer to the first sending of a request, written once more, must not be
+ * taken for one to the second.
+ */
+TEST_F(Upstream, AConnectionCarriesAnIdentityOnce)
+{
+	const uint64_t sent[] = {7, 8, 7, 9, 8};
+	const bool reused[] = {false, true, false, true, true};
+
+	for (size_t i = 0; i < 5; i++) {
+		Seen seen;
+
+		start(&seen, "", sent[i]);
+		answer(whole);
+		ASSERT_TRUE(finished(&seen));
+		EXPECT_EQ(reused[i], seen.result.reused) << i;
+	}
+	EXPECT_EQ(2u, upstream_dial_count(client));
+}
+
+TEST_F(Upstream, AConnectionWithAnAnswerToAnotherCallIsNotKept)
+{
+	Seen first, second;
+
+	first.only_id = "7";
+	start(&first);
+	answer(whole + "HTTP/1.1 200 OK\r\nX-Id: 7\r\n"
+		       "Content-Length: 4\r\n\r\nmine");
+	ASSERT_TRUE(finished(&first));
+	EXPECT_EQ("mine", first.body);
+	start(&second);
+	answer(whole);
+	ASSERT_TRUE(finished(&second));
+	EXPECT_FALSE(second.result.reused);
+}
+
 TEST_F(Upstream, EndsAreToldApart)
 {
 	struct {
