Into a stream that has begun goes nothing but its events

After event 1 of a stream whose server broke off, callers got whatever the next server answered with status 200: events of a body of another type, events without ids, or the third where the second is due; and a stream that ends within an event passed for whole where its length or last chunk delimits it. Now a continued stream takes status 200, the type of an event stream, events with ids, none of which goes back once new ones have come, and the next id first where they have been consecutive so far; anything else is a defective answer, and the stream goes on elsewhere or is cut. A stream of which events without ids were forwarded is not resumed, since none could say from where. A success of another type on the route of a stream is buffered and passed on whole as a plain answer. From another instance, an answer that ends with its connection is broken off, as instances send none.

--- a/src/gateway/exchange.c
+++ b/src/gateway/exchange.c
@@ -612,6 +612,7 @@
 	}
 	ex->last_event_id = ex->request.last_event;
 	ex->has_last_event = ex->request.resumes;
+	ex->ids_consecutive = true;
 	return ex;
 }
 
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -55,7 +55,10 @@
 	enum upstream_end end; /* what marked the end of its answer */
 	/* What showed whether it is whole, if its connection marked the end */
 	const char *end_sign;
+	bool is_event_stream; /* the answer is a stream of events */
+	bool continues; /* the caller has events of an earlier attempt */
 	uint32_t events; /* of a stream, received in this attempt */
+	uint32_t new_events; /* of these, those that the caller hadn't got */
 	bool server_leaving; /* its answer says that the server shuts down */
 	uint32_t pause_ms; /* the server refused and asked for this pause */
 	bool escalated; /* cancelled in favour of a larger model */
@@ -128,6 +131,8 @@
 	bool is_paused; /* reading stopped: the caller reads too slowly */
 	bool has_last_event;
 	uint64_t last_event_id; /* of the last event that was forwarded */
+	bool ids_consecutive; /* so far, of the forwarded events */
+	bool has_unnumbered; /* an event without an id was forwarded */
 	bool defers_log; /* log lines are written only if it fails */
 	struct buf deferred_log;
 	struct gw_exchange *prev;
@@ -174,8 +179,10 @@
 /* exchange_answer.c */
 extern const struct upstream_handler gw_exchange_call_handler;
 int gw_exchange_take_data(struct gw_exchange *ex, const void *data, size_t len);
-void gw_exchange_begin_body(
+int gw_exchange_begin_body(
     struct gw_exchange *ex, const struct header_fields *headers);
+bool gw_exchange_may_resume(const struct gw_exchange *ex);
+bool gw_exchange_stops_within_event(const struct gw_exchange *ex);
 void gw_exchange_follow_up(struct gw_exchange *ex, enum retry_end end,
     const struct upstream_result *result);
 void gw_exchange_complete(struct gw_exchange *ex);
--- a/src/gateway/exchange_answer.c
+++ b/src/gateway/exchange_answer.c
@@ -3,6 +3,7 @@
 #include <inttypes.h>
 #include <stdlib.h>
 #include <string.h>
+#include <strings.h>
 
 #include "base/clock.h"
 #include "base/err.h"
@@ -38,10 +39,14 @@
 	GAPS_TIMED = 4,
 	/* A stream whose gaps are this many times longer is sampled early. */
 	LATE_GAPS_FACTOR = 4,
+	STATUS_OK = 200,
+	STATUS_REDIRECT = 300, /* the lowest that is no success */
 	STATUS_MISDIRECTED = 421,
 	STATUS_UNAVAILABLE = 503
 };
 
+#define EVENT_STREAM_TYPE "text/event-stream"
+
 /* Weight of the newest gap in the usual gap of a model. */
 static const double gap_weight = 0.02;
 /* Weight of the newest gap in its server's mean time. */
@@ -371,19 +376,48 @@
 		   : 0;
 }
 
-/* Prepares for the body of an answer that is to be passed on. */
-void
+/*
+ * Returns whether an answer to a request for a stream is one.  An answer that
+ * names no type is taken for it.
+ */
+static bool
+is_event_stream(
+    const struct gw_exchange *ex, const struct header_fields *headers)
+{
+	const char *type = headers_get(headers, "Content-Type");
+
+	return ex->route->kind == ROUTE_STREAM &&
+	       ex->attempt.status < STATUS_REDIRECT &&
+	       (type == NULL || strncasecmp(type, EVENT_STREAM_TYPE,
+				    strlen(EVENT_STREAM_TYPE)) == 0);
+}
+
+/*
+ * Prepares for the body of an answer that is to be passed on.  Returns 0, or
+ * ERR_UPSTREAM for a success that can't continue a stream which has begun.
+ */
+int
 gw_exchange_begin_body(
     struct gw_exchange *ex, const struct header_fields *headers)
 {
 	const struct gw_dialect *dialect = ex->entry->gw->dialect;
 
+	ex->attempt.is_event_stream = is_event_stream(ex, headers);
+	ex->attempt.continues = ex->answer_begun;
+	if (ex->answer_begun && ex->attempt.status < STATUS_REDIRECT &&
+	    (ex->attempt.status != STATUS_OK || !ex->attempt.is_event_stream)) {
+		gw_exchange_log(ex, LOG_LEVEL_WARN, "not_the_stream",
+		    "status=%u events=%d", ex->attempt.status,
+		    ex->attempt.is_event_stream);
+		return ERR_UPSTREAM;
+	}
 	if (!ex->answer_begun) {
 		buf_clear(&ex->answer_head);
 		dialect->ops->write_answer(dialect, headers, &ex->answer_head);
 	}
 	buf_clear(&ex->answer_body);
 	(void)count_buffered(ex);
+	return 0;
 }
 
 /* Logs that an answer to another request came, once for each attempt. */
@@ -444,11 +478,17 @@
 		ex->attempt.escalated = true;
 		return ERR_UPSTREAM;
 	}
-	gw_exchange_begin_body(ex, headers);
+	if (gw_exchange_begin_body(ex, headers) != 0) {
+		ex->attempt.defective = true;
+		return ERR_UPSTREAM;
+	}
 	return 0;
 }
 
-/* Parses the "id: N" line of an event.  Returns false if it has none. */
+/*
+ * Parses the "id: N" line of an event.  Returns false if it has none, or no
+ * number.
+ */
 static bool
 parse_event_id(const char *event, size_t len, uint64_t *id)
 {
@@ -458,8 +498,10 @@
 		const char *end = memchr(event + at, '\n', len - at);
 
 		if (strncmp(event + at, "id:", 3) == 0) {
-			*id = strtoull(event + at + 3, NULL, 10);
-			return true;
+			char *stop;
+
+			*id = strtoull(event + at + 3, &stop, 10);
+			return stop != event + at + 3;
 		}
 		if (end == NULL)
 			break;
@@ -588,39 +630,116 @@
 	ex->attempt.progress_us = now_us;
 }
 
+/* Returns whether an event consists of comments, which have no id. */
+static bool
+is_comment(const char *event, size_t len)
+{
+	return len > 0 && event[0] == ':' &&
+	       memmem(event, len, "\ndata", strlen("\ndata")) == NULL;
+}
+
+/*
+ * Returns whether the stream can go on at another server: that takes the id of
+ * the last event that the caller has got.
+ */
+bool
+gw_exchange_may_resume(const struct gw_exchange *ex)
+{
+	return ex->route->resumable &&
+	       (!ex->answer_begun ||
+		   (ex->has_last_event && !ex->has_unnumbered));
+}
+
+/*
+ * Returns whether an event can follow those that the caller has got.  Only at
+ * its start may a resumed run repeat some of them, which is not this function's
+ * matter; what it adds must have an id, and leave out none if the ids have been
+ * consecutive.
+ */
+static bool
+may_follow(const struct gw_exchange *ex, bool has_id, uint64_t id)
+{
+	if (!ex->has_last_event)
+		return true;
+	if (!has_id)
+		return !ex->attempt.continues;
+	if (id <= ex->last_event_id)
+		return false;
+	return !ex->attempt.continues || ex->attempt.new_events > 0 ||
+	       !ex->ids_consecutive || id == ex->last_event_id + 1;
+}
+
+/* Sends an event to the caller and records its id. */
+static void
+forward_event(struct gw_exchange *ex, const void *event, size_t len,
+    bool has_id, uint64_t id)
+{
+	if (!ex->answer_begun)
+		begin_answer(ex);
+	if (ex->caller != NULL)
+		front_write_body(ex->caller, event, len);
+	ex->attempt.new_events++;
+	if (!has_id) {
+		ex->has_unnumbered = true;
+		return;
+	}
+	if (ex->has_last_event)
+		ex->ids_consecutive &= id == ex->last_event_id + 1;
+	ex->last_event_id = id;
+	ex->has_last_event = true;
+}
+
+/*
+ * Handles a complete event.  Returns whether it was forwarded, or ERR_UPSTREAM
+ * if it can't follow what the caller has got.
+ */
+static int
+process_event(struct gw_exchange *ex, const char *event, size_t len)
+{
+	uint64_t id = 0;
+	bool has_id = parse_event_id(event, len, &id);
+
+	if (is_comment(event, len)) {
+		if (ex->answer_begun && ex->caller != NULL)
+			front_write_body(ex->caller, event, len);
+		return 0;
+	}
+	ex->attempt.events++;
+	/* A resumed run may repeat events that the caller has. */
+	if (has_id && ex->has_last_event && id <= ex->last_event_id &&
+	    ex->attempt.new_events == 0)
+		return 0;
+	if (!may_follow(ex, has_id, id)) {
+		gw_exchange_log(ex, LOG_LEVEL_WARN, "event_out_of_order",
+		    "has_id=%d id=%" PRIu64 " last=%" PRIu64 " continues=%d",
+		    has_id, id, ex->last_event_id, ex->attempt.continues);
+		ex->attempt.defective = true;
+		return ERR_UPSTREAM;
+	}
+	forward_event(ex, event, len, has_id, id);
+	return 1;
+}
+
 /*
  * Forwards complete events to the caller and buffers an incomplete one.  Stops
- * reading while the caller lags by more than UNREAD_MAX_BYTES.  Returns 0 or
- * ERR_TOO_LARGE.
+ * reading while the caller lags by more than UNREAD_MAX_BYTES.  Returns 0,
+ * ERR_TOO_LARGE, or ERR_UPSTREAM for an event that is not of this stream.
  */
 static int
 forward_events(struct gw_exchange *ex, const void *data, size_t len)
 {
 	size_t n, passed = 0;
-	uint64_t id;
+	int result;
 
 	buf_add(&ex->answer_body, data, len);
 	if (complete_event_len(&ex->answer_body) > 0)
 		record_event_progress(ex);
 	while ((n = complete_event_len(&ex->answer_body)) > 0) {
-		bool has_id =
-		    parse_event_id((const char *)ex->answer_body.data, n, &id);
-
-		ex->attempt.events++;
-		/* A resumed run may repeat events that the caller has. */
-		if (!(has_id && ex->has_last_event &&
-			id <= ex->last_event_id)) {
-			if (!ex->answer_begun)
-				begin_answer(ex);
-			if (ex->caller != NULL)
-				front_write_body(
-				    ex->caller, ex->answer_body.data, n);
-			if (has_id) {
-				ex->last_event_id = id;
-				ex->has_last_event = true;
-			}
-			passed += n;
-		}
+		result =
+		    process_event(ex, (const char *)ex->answer_body.data, n);
+		if (result < 0)
+			return result;
+		passed += result > 0 ? n : 0;
 		buf_consume(&ex->answer_body, n);
 	}
 	if (passed > 0) {
@@ -644,7 +763,7 @@
 {
 	if (ex->attempt.not_run)
 		return 0;
-	if (ex->route->kind == ROUTE_STREAM && ex->attempt.status < 300)
+	if (ex->attempt.is_event_stream)
 		return forward_events(ex, data, len);
 	ex->attempt.progress_us = gw_exchange_now_us(ex);
 	record_first_byte(ex);
@@ -674,23 +793,37 @@
 }
 
 /*
- * Returns whether a stream that ended with its connection stops within an event
- * or before the first one, so that it was broken off.
+ * Returns whether a stream stops within an event.  It was broken off then, even
+ * where its length or its last chunk marks its end.
+ */
+bool
+gw_exchange_stops_within_event(const struct gw_exchange *ex)
+{
+	const char *rest = buf_text(&ex->answer_body);
+
+	return ex->attempt.is_event_stream &&
+	       strspn(rest, "\r\n") < ex->answer_body.len;
+}
+
+/*
+ * Returns whether a stream has ended with its connection before the first
+ * event.
  */
 static bool
-stops_short(const struct gw_exchange *ex, const struct upstream_result *result)
+stops_before_events(
+    const struct gw_exchange *ex, const struct upstream_result *result)
 {
-	return result->end == UPSTREAM_END_CONNECTION &&
-	       ex->route->kind == ROUTE_STREAM && ex->attempt.status < 300 &&
-	       (ex->answer_body.len > 0 ||
-		   (ex->attempt.events == 0 && !ex->has_last_event));
+	return ex->attempt.is_event_stream &&
+	       result->end == UPSTREAM_END_CONNECTION &&
+	       ex->attempt.events == 0 && !ex->has_last_event;
 }
 
 /* Returns how the attempt ended. */
 static enum retry_end
 classify_end(const struct gw_exchange *ex, const struct upstream_result *result)
 {
-	if (stops_short(ex, result))
+	if (result->error == 0 && (gw_exchange_stops_within_event(ex) ||
+				      stops_before_events(ex, result)))
 		return RETRY_END_BROKEN;
 	if (ex->attempt.not_run && result->error == 0)
 		return RETRY_END_NOT_RUN;
@@ -952,7 +1085,7 @@
 {
 	struct gw_entry *entry = ex->entry;
 	struct retry_input in = {.kind = ex->route->kind,
-	    .resumable = ex->route->resumable,
+	    .resumable = gw_exchange_may_resume(ex),
 	    .end = end,
 	    .status = ex->attempt.status,
 	    .begun = ex->answer_begun,
--- a/src/gateway/exchange_end.c
+++ b/src/gateway/exchange_end.c
@@ -47,7 +47,8 @@
 	int64_t now_us = gw_exchange_now_us(ex);
 	struct ending_input in = {.sign = sign,
 	    .same_life = is_same_life(ex),
-	    .may_rerun = retry_may_rerun(ex->route->kind, ex->route->resumable),
+	    .may_rerun =
+		retry_may_rerun(ex->route->kind, gw_exchange_may_resume(ex)),
 	    .waited_us = now_us - ex->end_check.ended_us,
 	    .left_us = ex->deadline_us - now_us};
 	enum ending_step step = ending_next_step(&in);
--- a/src/gateway/exchange_forward.c
+++ b/src/gateway/exchange_forward.c
@@ -118,8 +118,7 @@
 	if (status < 300 &&
 	    (!answer.has_proof || answer.encoded || answer.id == NULL))
 		return ERR_UPSTREAM;
-	gw_exchange_begin_body(ex, headers);
-	return 0;
+	return gw_exchange_begin_body(ex, headers);
 }
 
 static int
@@ -131,14 +130,18 @@
 
 /*
  * Returns how the attempt ended.  A declined request has not been sent to a
- * server, just as one whose instance can't be reached.
+ * server, just as one whose instance can't be reached.  Instances send a length
+ * or chunks, so that an answer without either is none of theirs.
  */
 static enum retry_end
 classify_end(const struct gw_exchange *ex, const struct upstream_result *result)
 {
 	if (!result->sent || (ex->attempt.declined && result->error == 0))
 		return RETRY_END_UNREACHABLE;
-	return result->error == 0 ? RETRY_END_ANSWERED : RETRY_END_BROKEN;
+	if (result->error != 0 || result->end == UPSTREAM_END_CONNECTION ||
+	    gw_exchange_stops_within_event(ex))
+		return RETRY_END_BROKEN;
+	return RETRY_END_ANSWERED;
 }
 
 static void
--- a/src/gateway/exchange_send.c
+++ b/src/gateway/exchange_send.c
@@ -641,7 +641,7 @@
 gw_exchange_progress_limit_us(const struct gw_exchange *ex)
 {
 	struct stall_input in = {.kind = ex->route->kind,
-	    .resumable = ex->route->resumable,
+	    .resumable = gw_exchange_may_resume(ex),
 	    .begun = ex->answer_begun,
 	    .can_move =
 		ex->caller != NULL &&
