Instances that shut down take requests of those that are cut off

A shutdown takes 6 to 7 s, so that for 4 s all instances that reached the servers were shutting down, and declined each forwarded request; a request was refused after three of them. They take them now until 2 s before they end, and control names them where no other instance takes any; older builds ignore the new field and decline. Ruled out: instances that start without a path, as none of the three had restarted by then.

--- a/src/gateway/entry.c
+++ b/src/gateway/entry.c
@@ -23,6 +23,8 @@
 	CLOSE_IDLE_US = 250000,
 	READY_LEASE_MIN_US = 1500000, /* with less lease left: not ready */
 	LOG_LINES_PER_REQUEST = 4, /* usual number */
+	/* Left of the process for a forwarded request that is taken */
+	FORWARDED_TIME_MIN_US = 2000000,
 	MILLI = 1000,
 	HTTP_OK = 200
 };
@@ -844,17 +846,30 @@
 
 /*
  * Starts draining: the instance is not ready, and connections are closed after
- * their answers.
+ * their answers.  ends_us: when the process ends at the latest.
  */
 void
-gw_entry_drain(struct gw_entry *entry)
+gw_entry_drain(struct gw_entry *entry, int64_t ends_us)
 {
 	entry->draining = true;
+	entry->ends_us = ends_us;
 	front_set_draining(entry->front, true);
 	if (entry->forward_front != NULL)
 		front_set_draining(entry->forward_front, true);
 }
 
+/*
+ * Tells whether requests of instances that are cut off are taken.  They are for
+ * as long as most of them complete before the process ends, since all other
+ * instances may be shutting down as well.
+ */
+bool
+gw_entry_takes_forwarded(const struct gw_entry *entry)
+{
+	return !entry->draining || loop_now_us(entry->gw->loop) <
+				       entry->ends_us - FORWARDED_TIME_MIN_US;
+}
+
 /*
  * Refuses new requests, which might not complete before the shutdown, as not
  * run, and closes idle connections.
--- a/src/gateway/entry.h
+++ b/src/gateway/entry.h
@@ -103,6 +103,7 @@
 	double log_tokens; /* log lines that may be written now */
 	int64_t log_refilled_us; /* when log_tokens was last updated */
 	bool draining; /* not ready; connections close after their answers */
+	int64_t ends_us; /* when the process ends at the latest, if draining */
 	bool refuses_new; /* new requests are refused */
 	struct metrics_series *requests;
 	struct metrics_series *answers;
@@ -141,7 +142,8 @@
 void gw_entry_apply_note(struct gw_entry *entry, const struct gw_note *note);
 const struct evidence_table *gw_entry_outcomes(const struct gw_entry *entry);
 bool gw_entry_has_rollout(const struct gw_entry *entry);
-void gw_entry_drain(struct gw_entry *entry);
+void gw_entry_drain(struct gw_entry *entry, int64_t ends_us);
+bool gw_entry_takes_forwarded(const struct gw_entry *entry);
 void gw_entry_refuse_new(struct gw_entry *entry);
 uint32_t gw_entry_open_requests(const struct gw_entry *entry);
 void gw_entry_stop_listening(struct gw_entry *entry);
--- a/src/gateway/exchange.c
+++ b/src/gateway/exchange.c
@@ -416,7 +416,7 @@
 	bool fresh = gw_follower_is_fresh(entry->gw->order_follower);
 
 	*retry_ms = entry->refuses_new ? GW_RETRY_MIN_MS : GW_RETRY_UNKNOWN_MS;
-	if (entry->refuses_new)
+	if (entry->refuses_new && ex->forwarded_by == 0)
 		return ERR_SHUTDOWN;
 	if (ex->table == NULL && entry->table != NULL) {
 		ex->table = entry->table;
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -3,6 +3,7 @@
 
 #include "base/log.h"
 #include "gateway/entry.h"
+#include "gateway/forwarders.h"
 #include "route/retry.h"
 
 #ifdef __cplusplus
@@ -26,8 +27,11 @@
  */
 enum {
 	GW_TRIED_SERVERS_MAX = 8,
-	/* Instances to which one request may be forwarded in turn */
-	GW_FORWARD_TRIES_MAX = 3,
+	/*
+	 * Instances to which one request may be forwarded in turn, those that
+	 * decline it included
+	 */
+	GW_FORWARD_TRIES_MAX = GW_FORWARDERS_MAX,
 	/* Shared parts of a prompt as text: 16 digits and a comma each */
 	GW_PARTS_TEXT_BYTES = GW_PROMPT_PARTS_MAX * 17 + 1,
 	/* How long a request waits for orders and servers after a start. */
--- a/src/gateway/exchange_forward.c
+++ b/src/gateway/exchange_forward.c
@@ -276,7 +276,7 @@
 reason_to_decline(
     const struct gw_entry *entry, const struct gw_forward *forward)
 {
-	if (entry->draining)
+	if (!gw_entry_takes_forwarded(entry))
 		return "draining";
 	if (entry->table == NULL || entry->table->number < forward->document)
 		return "older_document";
--- a/src/gateway/forwarders.h
+++ b/src/gateway/forwarders.h
@@ -22,6 +22,7 @@
 	uint32_t instance;
 	uint64_t data_centre; /* hash of its name */
 	bool takes_forwarded; /* live, with an entry that takes requests */
+	bool takes_as_last_resort; /* the same, but it is shutting down */
 	bool cut_off;
 };
 
--- a/src/gateway/links.c
+++ b/src/gateway/links.c
@@ -57,6 +57,7 @@
 	bool subscribed;
 	uint64_t data_centre; /* hash of its name */
 	bool takes_forwarded; /* requests of instances that are cut off */
+	bool takes_as_last_resort; /* the same, while it shuts down */
 	bool cut_off; /* reaches no server of some service */
 	/* last change of this registry that was sent to it */
 	uint64_t sent_change;
@@ -261,6 +262,12 @@
 	return gw->settings->listen.host[0] != '\0';
 }
 
+static bool
+serves_forward(const struct gw *gw)
+{
+	return serves_entry(gw) && gw->settings->forward_port != 0;
+}
+
 static bool
 serves_control(const struct gw *gw)
 {
@@ -285,9 +292,12 @@
 	hello.keeps_state = links->gw->settings->data_dir[0] != '\0';
 	hello.without_entry = !serves_entry(links->gw);
 	hello.cut_off = links->cut_off;
-	hello.takes_forwarded = serves_entry(links->gw) &&
-				links->gw->settings->forward_port != 0 &&
-				!links->gw->stopping;
+	hello.takes_forwarded =
+	    serves_forward(links->gw) && !links->gw->stopping;
+	hello.takes_as_last_resort = serves_forward(links->gw) &&
+				     links->gw->stopping &&
+				     links->gw->entry != NULL &&
+				     gw_entry_takes_forwarded(links->gw->entry);
 	hello.feed = peer->registry_incarnation;
 	hello.change = peer->last_change;
 	hello.subscribe =
@@ -426,10 +436,12 @@
 static struct gw_forward_candidate
 forward_candidate(const struct hello_sender *sender, int64_t now_us)
 {
+	bool alive = now_us - sender->heard_us < GW_PEER_ALIVE_US;
+
 	return (struct gw_forward_candidate){.instance = sender->instance,
 	    .data_centre = sender->data_centre,
-	    .takes_forwarded = sender->takes_forwarded &&
-			       now_us - sender->heard_us < GW_PEER_ALIVE_US,
+	    .takes_forwarded = alive && sender->takes_forwarded,
+	    .takes_as_last_resort = alive && sender->takes_as_last_resort,
 	    .cut_off = sender->cut_off};
 }
 
@@ -712,6 +724,7 @@
 	sender->subscribed = hello->subscribe;
 	sender->data_centre = XXH64(data_centre, strlen(data_centre), 0);
 	sender->takes_forwarded = hello->takes_forwarded;
+	sender->takes_as_last_resort = hello->takes_as_last_resort;
 	sender->cut_off = hello->cut_off;
 	if (hello->keeps_state) {
 		struct gw_peer *peer = gw_peers_get_or_add(&links->peers, from);
--- a/src/gateway/main.c
+++ b/src/gateway/main.c
@@ -149,6 +149,14 @@
 	loop_after(p->gw.loop, SETTINGS_CHECK_US, on_settings_timer, p);
 }
 
+/* Returns when an entry that is shutting down ends at the latest. */
+static int64_t
+drain_end_us(const struct process *p)
+{
+	return p->stopping_us +
+	       ((int64_t)p->settings.grace_ms - FINAL_ANSWERS_MS) * 1000;
+}
+
 /*
  * Runs the phases of the shutdown of an entry.  Returns whether it is over: no
  * request is open, new connections have been refused for a while, and those
@@ -158,9 +166,7 @@
 drain_entry(struct process *p, int64_t now_us)
 {
 	struct gw_entry *entry = p->gw.entry;
-	int64_t end_us =
-	    p->stopping_us +
-	    ((int64_t)p->settings.grace_ms - FINAL_ANSWERS_MS) * 1000;
+	int64_t end_us = drain_end_us(p);
 	bool idle;
 
 	if (now_us - p->stopping_us >= BALANCER_NOTICE_US) {
@@ -211,7 +217,7 @@
 	log_event(
 	    LOG_LEVEL_INFO, "stopping", "grace_ms=%u", p->settings.grace_ms);
 	if (p->gw.entry != NULL)
-		gw_entry_drain(p->gw.entry);
+		gw_entry_drain(p->gw.entry, drain_end_us(p));
 	if (p->gw.replica != NULL)
 		gw_replica_hand_over(p->gw.replica);
 	loop_after(p->gw.loop, DRAIN_TICK_US, on_drain_timer, p);
--- a/src/wire/cluster.pb-c.c
+++ b/src/wire/cluster.pb-c.c
@@ -1191,7 +1191,7 @@
   (ProtobufCMessageInit) clpb__note_sum__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor clpb__hello__field_descriptors[11] =
+static const ProtobufCFieldDescriptor clpb__hello__field_descriptors[12] =
 {
   {
     "incarnation",
@@ -1325,6 +1325,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "takes_as_last_resort",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Clpb__Hello, takes_as_last_resort),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned clpb__hello__field_indices_by_name[] = {
   3,   /* field[3] = change */
@@ -1336,13 +1348,14 @@
   6,   /* field[6] = notes */
   5,   /* field[5] = outcomes */
   4,   /* field[4] = subscribe */
+  11,   /* field[11] = takes_as_last_resort */
   10,   /* field[10] = takes_forwarded */
   7,   /* field[7] = without_entry */
 };
 static const ProtobufCIntRange clpb__hello__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 11 }
+  { 0, 12 }
 };
 const ProtobufCMessageDescriptor clpb__hello__descriptor =
 {
@@ -1352,7 +1365,7 @@
   "Clpb__Hello",
   "clpb",
   sizeof(Clpb__Hello),
-  11,
+  12,
   clpb__hello__field_descriptors,
   clpb__hello__field_indices_by_name,
   1,  clpb__hello__number_ranges,
--- a/src/wire/cluster.pb-c.h
+++ b/src/wire/cluster.pb-c.h
@@ -233,10 +233,14 @@
    * requests of instances that are cut off
    */
   protobuf_c_boolean takes_forwarded;
+  /*
+   * The same, where no instance takes them that is not shutting down.
+   */
+  protobuf_c_boolean takes_as_last_resort;
 };
 #define CLPB__HELLO__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&clpb__hello__descriptor) \
-    , 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0, NULL, 0, 0 }
+    , 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0, NULL, 0, 0, 0 }
 
 
 /*
--- a/test/process/cut_off_entries.sh
+++ b/test/process/cut_off_entries.sh
@@ -20,9 +20,11 @@
 lasts=${CF_TEST_SHORT:+7}
 lasts=${lasts:-9} # seconds of each trial
 for n in 11 12 13; do state $n true; done
-for n in $entries; do
-	entry $n --source-address "127.0.0.$n" --retry-share 0.9 --retry-window-ms 1000 --retry-slack 600
-done
+start_entry() {
+	entry "$1" --source-address "127.0.0.$1" --retry-share 0.9 --retry-window-ms 1000 \
+	    --retry-slack 600 --grace-ms 8000
+}
+for n in $entries; do start_entry $n; done
 links=
 for i in $servers; do
 	start "s-$i" cf-fake-server "s-$i" 127.0.0.1:0
@@ -119,6 +121,34 @@
 trial silent
 trial reset
 trial new
+# The entries that reach the servers restart, and shut down at the same time.
+rm -f "$dir"/calls.*
+check 'restarts: the relay isolates the entry' 200 "$(order 'isolate?from=127.0.0.21&kind=silent')"
+sleep 2
+touch "$dir/load"
+callers 21 restarts &
+load=$!
+sleep 1
+from=$(now_ms)
+for n in 22 23; do
+	kill -TERM "${pid_of[$n]}"
+	sleep 0.5
+done
+for n in 22 23; do
+	wait "${pid_of[$n]}"
+	start_entry $n
+done
+sleep 2
+rm "$dir/load"
+wait $load
+read -r served of < <(share 21 "$from" 'ok once stream')
+echo "      restarts: $served of $of served while the others restart"
+check 'restarts: two thirds are served at the first attempt' 1 "$((of >= 20 && served * 3 >= of * 2))"
+check 'restarts: nothing that may run once runs twice' '' \
+    "$(cat "$dir"/s-?.out | grep -o '/once/.*' | sort | uniq -d)"
+order mend >/dev/null
+rm -f "$dir"/body.*
+sleep 3
 # The entry that a request was forwarded to ends while it runs a second time.
 check 'killed: the relay isolates the entry' 200 "$(order 'isolate?from=127.0.0.21&kind=silent')"
 sleep 3
--- a/test/unit/reach_test.cc
+++ b/test/unit/reach_test.cc
@@ -115,7 +115,24 @@
 static struct gw_forward_candidate
 candidate(uint32_t instance, uint64_t centre, bool takes, bool cut_off)
 {
-	return {instance, centre, takes, cut_off};
+	return {instance, centre, takes, false, cut_off};
+}
+
+/* Instances that all shut down at the same time still serve each other. */
+TEST(ForwardersTest, ThoseThatShutDownAreTheLastResort)
+{
+	std::vector<gw_forward_candidate> rows = {candidate(1, 7, true, true),
+	    candidate(2, 7, false, false), candidate(3, 8, true, false)};
+	uint32_t out[GW_FORWARDERS_MAX];
+
+	rows[1].takes_as_last_resort = true;
+	ASSERT_EQ(
+	    1u, gw_forwarders_choose(rows.data(), rows.size(), &rows[0], out));
+	EXPECT_EQ(3u, out[0]);
+	rows[2].takes_forwarded = false;
+	ASSERT_EQ(
+	    1u, gw_forwarders_choose(rows.data(), rows.size(), &rows[0], out));
+	EXPECT_EQ(2u, out[0]);
 }
 
 TEST(ForwardersTest, TheOwnDataCentreComesFirstWhileItIsEnough)
