celeryfordd: a plain answer without a length is whole if its server goes on

The server's health is checked on a new connection now before such an answer is passed on; if that fails, the answer was cut, and the request may have run.

Attempt.APlainAnswerWithoutALengthIsCutIfItsServerEnds failed before.

--- a/src/entry/attempt.c
+++ b/src/entry/attempt.c
@@ -15,7 +15,9 @@
 	ATTEMPT_ANSWER_MAX_BYTES = 16 * 1024 * 1024,
 	ATTEMPT_PROBE_MS = 1000,
 	HTTP_OK_FIRST = 200,
+	HTTP_NO_CONTENT = 204,
 	HTTP_OK_LAST = 299,
+	HTTP_NOT_MODIFIED = 304,
 	HTTP_TOO_MANY = 429,
 	HTTP_UNAVAILABLE = 503,
 	US_PER_MS = 1000,
@@ -39,6 +41,8 @@
 	char run_state_text[ATTEMPT_TEXT_BYTES];
 	uint32_t retry_after_ms;
 	bool streaming; /* the answer is an event stream */
+	/* Only the end of the connection delimits the answer */
+	bool ends_with_connection;
 	bool first_byte_seen;
 	bool request_sent;
 	bool ended;
@@ -69,6 +73,16 @@
 	snprintf(out, ATTEMPT_TEXT_BYTES, "%s", value != NULL ? value : "");
 }
 
+/* Returns whether an answer with a body has neither a length nor chunks. */
+static bool
+has_no_framing(const struct attempt *a, struct http_client_call *call)
+{
+	return a->status != HTTP_NO_CONTENT && a->status != HTTP_NOT_MODIFIED &&
+	       strcmp(a->options.method, "HEAD") != 0 &&
+	       http_client_header(call, "Content-Length") == NULL &&
+	       http_client_header(call, "Transfer-Encoding") == NULL;
+}
+
 static int
 on_headers(void *ctx, struct http_client_call *call, long status)
 {
@@ -93,6 +107,7 @@
 		a->retry_after_ms =
 		    (uint32_t)strtoul(retry_after, NULL, 10) * MS_PER_S;
 	a->streaming = a->options.streaming && status == HTTP_OK_FIRST;
+	a->ends_with_connection = has_no_framing(a, call);
 	return 0;
 }
 
@@ -195,6 +210,15 @@
 		end.run_state = ERR_RAN;
 	else if (end.error == ERR_UPSTREAM && a->first_byte_seen)
 		end.error = ERR_UPSTREAM_CUT;
+	/*
+	 * The server may have crashed and left a part of the answer.  A stream
+	 * has its terminator, and a chat answer is one JSON text.
+	 */
+	if (end.error == 0 && a->ends_with_connection && !a->streaming &&
+	    !a->options.chat) {
+		start_probe(a, &end);
+		return;
+	}
 	/* A broken connection alone doesn't show that the server failed. */
 	if (end.error != 0 && result->error != 0 && !result->unreachable &&
 	    result->run_state != ERR_NOT_RUN)
@@ -226,7 +250,10 @@
 	return 0;
 }
 
-/* Ends the attempt; a failed probe means that the server has crashed. */
+/*
+ * Ends the attempt; a failed probe means that the server has crashed, and may
+ * have left a part of an answer that seemed complete.
+ */
 static void
 probe_done(void *ctx, const struct http_client_result *result)
 {
@@ -234,6 +261,10 @@
 	struct attempt_end end = a->end_after_probe;
 
 	end.server_crashed = result->error != 0;
+	if (end.server_crashed && end.error == 0) {
+		end.error = ERR_UPSTREAM_CUT;
+		end.run_state = ERR_MAY_HAVE_RUN;
+	}
 	a->probe = NULL;
 	if (a->call != NULL)
 		http_client_cancel(a->call);
