Refuse announcements of servers that claim to have started in the future

An announcement whose start is more than ten minutes ahead of the time of day gets 400, and one that another instance, of an older build perhaps, passes on is dropped with a log line.

process_gateway, row born: 200 before; Registry.ALifeThatBeginsInTheFutureIsNotPlausible. Not bounded: the sequence number of an odd entry with the id and start of a real server.

--- a/src/gateway/control.c
+++ b/src/gateway/control.c
@@ -268,6 +268,14 @@
 	    registry_find(ctl->gw->registry, call->server.id);
 	struct buf body;
 
+	if (!registry_is_plausible(&call->server, clock_wall_us() / 1000)) {
+		log_event(LOG_LEVEL_WARN, "announcement_rejected",
+		    "server=%s born_ms=%" PRIu64, call->server.id,
+		    call->server.born_ms);
+		answer_error(
+		    ctl, x, ERR_MALFORMED, "born: the time is in the future");
+		return;
+	}
 	call->server.heard_us = loop_now_us(ctl->gw->loop);
 	/* A server that leaves without naming its life ends its known life. */
 	if (call->kind == GW_CALL_LEAVE && known != NULL) {
--- a/src/gateway/links.c
+++ b/src/gateway/links.c
@@ -4,6 +4,7 @@
 #include <string.h>
 #include <xxhash.h>
 
+#include "base/clock.h"
 #include "base/err.h"
 #include "base/log.h"
 #include "gateway/entry.h"
@@ -823,6 +824,27 @@
 	return links->forwarder_count;
 }
 
+/*
+ * Applies what another instance has heard of a server.  An older build may pass
+ * on what is rejected here.
+ */
+static void
+accept_server(
+    struct gw_links *links, uint32_t from, const struct registry_server *server)
+{
+	char name[GW_NAME_BYTES];
+
+	if (registry_is_plausible(server, clock_wall_us() / 1000)) {
+		(void)registry_update(
+		    links->gw->registry, server, loop_now_us(links->gw->loop));
+		return;
+	}
+	gw_format_address(from, name);
+	log_event(LOG_LEVEL_WARN, "announcement_rejected",
+	    "server=%s born_ms=%" PRIu64 " from=%s", server->id,
+	    server->born_ms, name);
+}
+
 /*
  * Handles News: the sender's changes, control instances, notes and number of
  * entry instances.
@@ -854,8 +876,7 @@
 			    pb->born_ms, pb->seq,
 			    now_us - (int64_t)pb->age_ms * 1000, now_us);
 		else if (unpack_server(pb, now_us, &server))
-			(void)registry_update(
-			    links->gw->registry, &server, now_us);
+			accept_server(links, from, &server);
 	}
 	/*
 	 * After a lost message the changes have a gap.  The last change then
--- a/src/state/registry.c
+++ b/src/state/registry.c
@@ -164,6 +164,19 @@
 	return server->seq > known->seq;
 }
 
+/*
+ * Tells whether an announcement may be a server's own: one that claims to have
+ * started well after now would supersede all real lives for good.  wall_ms:
+ * time of day.
+ */
+bool
+registry_is_plausible(const struct registry_server *server, int64_t wall_ms)
+{
+	return wall_ms <= 0 ||
+	       server->born_ms <=
+		   (uint64_t)wall_ms + REGISTRY_BORN_AHEAD_MAX_MS;
+}
+
 /* Applies an announcement from the server itself or from another instance. */
 enum registry_verdict
 registry_update(struct server_registry *server_registry,
--- a/src/state/registry.h
+++ b/src/state/registry.h
@@ -42,6 +42,8 @@
 enum {
 	REGISTRY_NAME_BYTES = 64,
 	REGISTRY_MODELS_MAX = 8,
+	/* Clocks of servers and instances may differ, and jump by seconds. */
+	REGISTRY_BORN_AHEAD_MAX_MS = 600000,
 	REGISTRY_SERVERS_MAX = 2048
 };
 
@@ -91,6 +93,8 @@
 
 struct server_registry *registry_new(const struct registry_options *options);
 void registry_free(struct server_registry *server_registry);
+bool registry_is_plausible(
+    const struct registry_server *server, int64_t wall_ms);
 enum registry_verdict registry_update(struct server_registry *server_registry,
     const struct registry_server *server, int64_t now_us);
 void registry_tick(struct server_registry *server_registry, int64_t now_us);
--- a/test/process/gateway.sh
+++ b/test/process/gateway.sh
@@ -55,6 +55,18 @@
 check 'an invalid document is refused with its place' 422 "$(document 2 0 | curl -s -L -o /dev/null -w '%{http_code}' \
     -X PUT --data-binary @- "http://127.0.0.11:$control/api/config")"
 
+# Odd entries among the servers' own are refused, and the servers stay in use.
+odd() { curl -s -m 5 -o /dev/null -w '%{http_code}' -X PUT -d "$1" "http://127.0.0.12:$control/api/instances/s-1"; }
+fields='"service":"s","zone":"a","version":"v1","slots":8,"state":"ready","seq":9'
+for row in "born \"born\":9223372036854775807,\"address\":\"127.0.0.1:$server1\"" \
+    "nesting \"born\":$(printf '[%.0s' $(seq 20000)),\"address\":\"127.0.0.1:$server1\"" \
+    "number \"born\":1e400,\"address\":\"127.0.0.1:$server1\"" \
+    'port "address":"127.0.0.1:99999"'; do
+	check "an odd entry is refused: ${row%% *}" 400 "$(odd "{$fields,${row#* }}")"
+done
+announce s-1 "$server1"
+check 'and the servers stay in use' '200 200' "$(status 21 /ok/o o1) $(status 22 /ok/o o2)"
+
 # The documented command shows the cause of a failed request by its id.
 sleep 0.4
 cause() { "$build/celeryfordctl" explain "$1" "$dir/i$2.log" | tr '\n' ' '; }
--- a/test/unit/registry_test.cc
+++ b/test/unit/registry_test.cc
@@ -633,3 +633,18 @@
 	buf_free(&from);
 	buf_free(&out);
 }
+
+/* One odd entry must not supersede all later lives of a server. */
+TEST(Registry, ALifeThatBeginsInTheFutureIsNotPlausible)
+{
+	const int64_t now_ms = 1800000000000;
+	struct registry_server server = {};
+
+	server.born_ms = (uint64_t)now_ms + 30000;
+	EXPECT_TRUE(registry_is_plausible(&server, now_ms));
+	for (uint64_t born :
+	    {(uint64_t)INT64_MAX, UINT64_MAX, (uint64_t)now_ms + 86400000}) {
+		server.born_ms = born;
+		EXPECT_FALSE(registry_is_plausible(&server, now_ms)) << born;
+	}
+}
