--- a/fakes/closing/main.c
+++ b/fakes/closing/main.c
@@ -10,6 +10,8 @@
 #include <time.h>
 #include <unistd.h>
 
+#include "raw_http.h"
+
 /*
  * cf-fake-closing: a backend server whose answers have neither a length nor
  * chunks and end with their connection, for process tests.  It serves one
@@ -78,18 +80,6 @@
 	nanosleep(&wait, NULL);
 }
 
-/* Copies the value of a request's field; "" if it has none. */
-static void
-copy_field(const char *request, const char *name, char *out, size_t size)
-{
-	const char *at = strstr(request, name);
-
-	out[0] = '\0';
-	if (at != NULL)
-		snprintf(out, size, "%.*s",
-		    (int)strcspn(at + strlen(name), "\r\n"), at + strlen(name));
-}
-
 static void
 send_text(int fd, const char *text)
 {
@@ -258,10 +248,11 @@
 	bool crashes = false;
 	char last[32];
 
-	copy_field(c->request, " ", r.target, sizeof(r.target));
+	raw_http_copy_field(c->request, " ", r.target, sizeof(r.target));
 	r.target[strcspn(r.target, " ")] = '\0';
-	copy_field(c->request, "Celeryford-Request-Id: ", r.id, sizeof(r.id));
-	copy_field(c->request, "Last-Event-Id: ", last, sizeof(last));
+	raw_http_copy_field(
+	    c->request, "Celeryford-Request-Id: ", r.id, sizeof(r.id));
+	raw_http_copy_field(c->request, "Last-Event-Id: ", last, sizeof(last));
 	r.resumes = last[0] != '\0';
 	c->len = 0;
 	if (strstr(r.target, "/repeat/") != NULL) {
--- a/fakes/faulty/main.c
+++ b/fakes/faulty/main.c
@@ -10,6 +10,8 @@
 #include <time.h>
 #include <unistd.h>
 
+#include "raw_http.h"
+
 /*
  * cf-fake-faulty: a backend server that sends some answers twice and does not
  * finish others, for process tests.  Each connection is served by a process of
@@ -34,18 +36,6 @@
 	NS_PER_MS = 1000000
 };
 
-/* Copies the value of a request's field; "" if it has none. */
-static void
-copy_field(const char *request, const char *name, char *out, size_t size)
-{
-	const char *at = strstr(request, name);
-
-	out[0] = '\0';
-	if (at != NULL)
-		snprintf(out, size, "%.*s",
-		    (int)strcspn(at + strlen(name), "\r\n"), at + strlen(name));
-}
-
 static bool
 send_text(int fd, const char *text)
 {
@@ -85,9 +75,9 @@
 {
 	char target[128], id[128], field[192] = "";
 
-	copy_field(request, " ", target, sizeof(target));
+	raw_http_copy_field(request, " ", target, sizeof(target));
 	target[strcspn(target, " ")] = '\0';
-	copy_field(request, "Celeryford-Request-Id: ", id, sizeof(id));
+	raw_http_copy_field(request, "Celeryford-Request-Id: ", id, sizeof(id));
 	if (id[0] != '\0')
 		snprintf(
 		    field, sizeof(field), "Celeryford-Request-Id: %s\r\n", id);
--- a/fakes/raw/main.c
+++ b/fakes/raw/main.c
@@ -12,6 +12,8 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include "raw_http.h"
+
 /*
  * cf-fake-raw: a backend server whose answers never end, for process tests.  It
  * repeats some bytes until the client closes the connection.  The path selects
@@ -92,18 +94,6 @@
 	c->fd = -1;
 }
 
-/* Copies the value of a request's field; name includes the colon. */
-static void
-copy_field(const struct conn *c, const char *name, char *out, size_t size)
-{
-	const char *at = strstr(c->request, name);
-
-	out[0] = '\0';
-	if (at != NULL)
-		snprintf(out, size, "%.*s",
-		    (int)strcspn(at + strlen(name), "\r\n"), at + strlen(name));
-}
-
 /* Selects the answer by the path of the request. */
 static void
 begin_answer(struct conn *c)
@@ -118,7 +108,8 @@
 			kind = &kinds[i];
 	}
 	snprintf(c->path, sizeof(c->path), "%s", kind->path);
-	copy_field(c, "Celeryford-Request-Id: ", id, sizeof(id));
+	raw_http_copy_field(
+	    c->request, "Celeryford-Request-Id: ", id, sizeof(id));
 	snprintf(c->head, sizeof(c->head),
 	    OK "Celeryford-Request-Id: %s\r\n"
 	       "Celeryford-Response-Signature: x\r\n%s",
