--- a/fakes/closing/main.c
+++ b/fakes/closing/main.c
@@ -157,11 +157,12 @@
 /* What may follow after Last-Event-Id: 1 in place of events 2 and 3. */
 static const struct {
 	const char *path;
-	const char *type;
+	const char *type; /* NULL: none is named */
 	const char *body;
 } kinds[] = {
     {"/chunked/again/", "text/event-stream", EVENT_1 EVENT_2 EVENT_3},
     {"/chunked/plain/", "application/octet-stream", EVENT_2 EVENT_3},
+    {"/chunked/untyped/", NULL, EVENT_2 EVENT_3},
     {"/chunked/unnumbered/", "text/event-stream", "data: 2\n\n"},
     {"/chunked/back/", "text/event-stream", EVENT_2 EVENT_1 EVENT_3},
     {"/chunked/gap/", "text/event-stream", EVENT_3},
@@ -183,8 +184,9 @@
 	if (strcmp(body, "error") == 0)
 		snprintf(status, sizeof(status), "%.3s Error",
 		    strstr(r->target, "/chunked/") + strlen("/chunked/"));
-	snprintf(fields, sizeof(fields),
-	    "Content-Type: %s\r\nContent-Length: %zu\r\n", type, strlen(body));
+	snprintf(fields, sizeof(fields), "%s%s%sContent-Length: %zu\r\n",
+	    type != NULL ? "Content-Type: " : "", type != NULL ? type : "",
+	    type != NULL ? "\r\n" : "", strlen(body));
 	send_head(fd, r, status, fields);
 	send_text(fd, body);
 }
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -135,6 +135,7 @@
 	bool is_paused; /* reading stopped: the caller reads too slowly */
 	bool has_last_event;
 	uint64_t last_event_id; /* of the last event that was forwarded */
+	bool stream_is_typed; /* its first answer has a content type */
 	bool ids_consecutive; /* so far, of the forwarded events */
 	bool has_unnumbered; /* an event without an id was forwarded */
 	bool defers_log; /* log lines are written only if it fails */
--- a/src/gateway/exchange_answer.c
+++ b/src/gateway/exchange_answer.c
@@ -377,15 +377,12 @@
 }
 
 /*
- * Returns whether an answer to a request for a stream is one.  An answer that
- * names no type is taken for it.
+ * Returns whether an answer to a request for a stream is one.  type: its type;
+ * NULL if it names none, which is taken for a stream.
  */
 static bool
-is_event_stream(
-    const struct gw_exchange *ex, const struct header_fields *headers)
+is_event_stream(const struct gw_exchange *ex, const char *type)
 {
-	const char *type = headers_get(headers, "Content-Type");
-
 	return ex->route->kind == ROUTE_STREAM &&
 	       ex->attempt.status < STATUS_REDIRECT &&
 	       (type == NULL || strncasecmp(type, EVENT_STREAM_TYPE,
@@ -401,17 +398,20 @@
     struct gw_exchange *ex, const struct header_fields *headers)
 {
 	const struct gw_dialect *dialect = ex->entry->gw->dialect;
+	const char *type = headers_get(headers, "Content-Type");
 
-	ex->attempt.is_event_stream = is_event_stream(ex, headers);
+	ex->attempt.is_event_stream = is_event_stream(ex, type);
 	ex->attempt.continues = ex->answer_begun;
 	if (ex->answer_begun && ex->attempt.status < STATUS_REDIRECT &&
-	    (ex->attempt.status != STATUS_OK || !ex->attempt.is_event_stream)) {
+	    (ex->attempt.status != STATUS_OK || !ex->attempt.is_event_stream ||
+		(ex->stream_is_typed && type == NULL))) {
 		gw_exchange_log(ex, LOG_LEVEL_WARN, "not_the_stream",
-		    "status=%u events=%d", ex->attempt.status,
-		    ex->attempt.is_event_stream);
+		    "status=%u type=\"%s\"", ex->attempt.status,
+		    type != NULL ? type : "");
 		return ERR_UPSTREAM;
 	}
 	if (!ex->answer_begun) {
+		ex->stream_is_typed = type != NULL;
 		buf_clear(&ex->answer_head);
 		dialect->ops->write_answer(dialect, headers, &ex->answer_head);
 	}
--- a/test/process/answers_cut_by_crashes.sh
+++ b/test/process/answers_cut_by_crashes.sh
@@ -107,7 +107,7 @@
 	check "resumed, then $status: nothing but events" 'id: 1 data: 1' "$(text "$dir/body")"
 done
 
-for kind in plain unnumbered gap; do
+for kind in plain untyped unnumbered gap; do
 	row "resumed, then $kind" "/resumable/chunked/$kind/" broken
 	check "resumed, then $kind: nothing but events" 'id: 1 data: 1' "$(text "$dir/body")"
 done
