A probe waits 20 ms for the end of a process whose listener closes last

process_answers_cut_by_crashes, row listener last: 1 of 12 half streams looked whole on a busy machine, where the connections close about 1 ms before the listener and a probe's connection counted as accepted after 2 ms. 24 of 24 were broken off with 20 ms, beside eight busy processes. Ruled out: a half-closed probe that a live server would close, as that costs each answer a connection and not all servers do it; a request, as it takes a slot.

--- a/src/http/upstream.c
+++ b/src/http/upstream.c
@@ -25,12 +25,14 @@
 	UPSTREAM_IDENTITIES_MAX = 1024,
 	/* Dials of one probe, while the server closes its connections. */
 	UPSTREAM_PROBE_DIALS_MAX = 5,
+	/* Between two of these. */
+	UPSTREAM_PROBE_REDIAL_US = 2000,
 	/*
-	 * A process that ends may accept connections until its listener is
-	 * closed as well.  This long after one was accepted, or closed, shows
-	 * which it is.
+	 * A process that ends closes its connections one by one, and its
+	 * listener perhaps last.  On a busy machine that takes milliseconds, in
+	 * which connections are still accepted.
 	 */
-	UPSTREAM_PROBE_SETTLE_US = 2000,
+	UPSTREAM_PROBE_SETTLE_US = 20000,
 	/* 1xx answers before the final one. */
 	UPSTREAM_INTERIM_HEADS_MAX = 16,
 	/* Answers to earlier calls that one call skips. */
@@ -453,7 +455,7 @@
 	p->timer = NULL;
 	if (p->dials < UPSTREAM_PROBE_DIALS_MAX)
 		p->timer = loop_after(p->client->options.loop,
-		    UPSTREAM_PROBE_SETTLE_US, on_redial, p);
+		    UPSTREAM_PROBE_REDIAL_US, on_redial, p);
 	else if (p->accepted)
 		probe_free(p);
 	else
