--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,7 @@
 # Wrapper around CMake; CONTRIBUTING.md describes what each target checks.
 BUILD ?= build
+# Without a bound all files are compiled at once, which takes over 20 GB.
+JOBS ?= $(shell nproc)
 PACKAGES = cmake make gcc g++ pkg-config libmicrohttpd-dev libapr1-dev \
 	libcurl4-openssl-dev libprotobuf-c-dev libcyaml-dev libjansson-dev \
 	libhttp-parser-dev libxxhash-dev libsodium-dev liblog4c-dev libgtest-dev librapidcheck-dev
@@ -17,7 +19,7 @@
 
 build:
 	@cmake -S . -B $(BUILD) -DCMAKE_BUILD_TYPE=RelWithDebInfo >/dev/null
-	@cmake --build $(BUILD) -j
+	@cmake --build $(BUILD) -j $(JOBS)
 
 check: packages build
 	tools/check $(BUILD)
@@ -25,7 +27,7 @@
 asan: packages
 	@cmake -S . -B $(BUILD)-asan -DCMAKE_BUILD_TYPE=Debug -DCF_SANITIZE=ON \
 	    >/dev/null
-	@cmake --build $(BUILD)-asan -j
+	@cmake --build $(BUILD)-asan -j $(JOBS)
 	CF_TEST_SHORT=1 tools/check $(BUILD)-asan
 
 fuzz:
