--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -57,7 +57,7 @@
 	bool not_run; /* the server reports that it did not run the request */
 	bool defective; /* the answer failed validation */
 	enum upstream_end end; /* what marked the end of its answer */
-	/* What showed whether it is whole, if its connection marked the end */
+	/* Sign of its server, if the connection marked the end; else NULL */
 	const char *end_sign;
 	bool is_event_stream; /* the answer is a stream of events */
 	bool continues; /* the caller has events of an earlier attempt */
@@ -82,7 +82,7 @@
 
 /* An answer that ended with its connection and may be a part of one. */
 struct gw_end_check {
-	bool awaited; /* a sign of its server is */
+	bool awaited; /* a sign of its server is awaited */
 	struct upstream_result result; /* of the attempt */
 	struct sockaddr_in address; /* of its server */
 	int64_t ended_us;
--- a/src/gateway/exchange_answer.c
+++ b/src/gateway/exchange_answer.c
@@ -651,10 +651,9 @@
 }
 
 /*
- * Returns whether an event can follow those that the caller has got.  Only at
- * its start may a resumed run repeat some of them, which is not this function's
- * matter; what it adds must have an id, and leave out none if the ids have been
- * consecutive.
+ * Returns whether an event can follow those that the caller has got.  The ids
+ * must not go back.  The first new event of a resumed run must have an id, and
+ * the next one if the ids have been consecutive so far.
  */
 static bool
 may_follow(const struct gw_exchange *ex, bool has_id, uint64_t id)
