--- a/review/peer.c
+++ b/review/peer.c
@@ -38,6 +38,8 @@
 	long stream_events;
 	long gap_ms;
 	const char *confidence; /* NULL: answers name none */
+	long leave_ms; /* when it leaves after its start; 0: it stays */
+	long late_ms; /* after that its last announcement arrives */
 	int64_t born_ms;
 };
 
@@ -307,9 +309,12 @@
 	return NULL;
 }
 
-/* Sends one announcement; returns whether it was acknowledged. */
+/*
+ * Sends one announcement, or a farewell if leaves is set; returns whether it
+ * was acknowledged.
+ */
 static bool
-announce_at(const struct server *s, const char *control, long seq)
+announce_at(const struct server *s, const char *control, long seq, bool leaves)
 {
 	char body[TEXT_BYTES * 2], text[TEXT_BYTES * 4], head[HEAD_MAX_BYTES];
 	size_t head_len;
@@ -323,11 +328,14 @@
 	    "\"version\":\"v1\",\"slots\":64,\"state\":\"ready\","
 	    "\"cold_left_ms\":0,\"seq\":%ld,\"born\":%lld}",
 	    s->service, s->address, seq, (long long)s->born_ms);
+	if (leaves)
+		snprintf(body, sizeof(body), "{\"seq\":%ld,\"born\":%lld}", seq,
+		    (long long)s->born_ms);
 	snprintf(text, sizeof(text),
-	    "PUT /api/instances/%s HTTP/1.1\r\nHost: %s\r\n"
+	    "%s /api/instances/%s HTTP/1.1\r\nHost: %s\r\n"
 	    "Content-Type: application/json\r\nContent-Length: %zu\r\n"
 	    "Connection: close\r\n\r\n%s",
-	    s->id, control, strlen(body), body);
+	    leaves ? "DELETE" : "PUT", s->id, control, strlen(body), body);
 	acknowledged = send_all(fd, text, strlen(text)) &&
 		       read_head(fd, head, &head_len,
 			   clock_ms(CLOCK_MONOTONIC) + 1000) >= 0 &&
@@ -336,22 +344,44 @@
 	return acknowledged;
 }
 
+/* Announces to the control instances in turn until one acknowledges it. */
+static void
+announce_once(const struct server *s, long seq, bool leaves)
+{
+	char list[TEXT_BYTES], *rest = list, *control;
+
+	snprintf(list, sizeof(list), "%s", s->controls);
+	while ((control = strsep(&rest, ",")) != NULL) {
+		if (!announce_at(s, control, seq, leaves))
+			continue;
+		if (s->leave_ms > 0)
+			record("server %s %s seq=%ld acknowledged by %s", s->id,
+			    leaves ? "leaves" : "ready", seq, control);
+		return;
+	}
+}
+
+/*
+ * Announces the server.  One that leaves says so once and goes on serving; its
+ * announcement before that arrives late.
+ */
 static void *
 announce(void *ctx)
 {
 	const struct server *s = ctx;
+	int64_t begin_ms = clock_ms(CLOCK_MONOTONIC);
 	long seq = 0;
 
-	for (;;) {
-		char list[TEXT_BYTES], *rest = list, *control;
-
-		seq++;
-		snprintf(list, sizeof(list), "%s", s->controls);
-		while ((control = strsep(&rest, ",")) != NULL &&
-		       !announce_at(s, control, seq))
-			;
+	while (s->leave_ms == 0 ||
+	       clock_ms(CLOCK_MONOTONIC) - begin_ms < s->leave_ms) {
+		announce_once(s, ++seq, false);
 		sleep_ms(ANNOUNCE_MS);
 	}
+	announce_once(s, seq + 2, true);
+	if (s->late_ms > 0) {
+		sleep_ms(s->late_ms);
+		announce_once(s, seq + 1, false);
+	}
 	return NULL;
 }
 
@@ -379,6 +409,8 @@
 	    .work_ms = option(argc, argv, "work", 15),
 	    .stream_events = option(argc, argv, "events", 0),
 	    .gap_ms = option(argc, argv, "gap", 10),
+	    .leave_ms = option(argc, argv, "leave", 0),
+	    .late_ms = option(argc, argv, "late", 0),
 	    .born_ms = clock_ms(CLOCK_REALTIME)};
 	struct sockaddr_in address = parse_address(argv[0]);
 	char confidence[32];
