--- a/review/peer.c
+++ b/review/peer.c
@@ -38,6 +38,7 @@
 	long stream_events;
 	long gap_ms;
 	const char *confidence; /* NULL: answers name none */
+	bool sends_garbage;
 	long leave_ms; /* when it leaves after its start; 0: it stays */
 	long late_ms; /* after that its last announcement arrives */
 	int64_t born_ms;
@@ -239,6 +240,30 @@
 	return send_all(fd, "0\r\n\r\n", 5);
 }
 
+/*
+ * Begins a stream and sends bytes that are no event, without an end, in chunks
+ * of one byte.
+ */
+static bool
+answer_garbage(const struct server *s, int fd, const char *id)
+{
+	static const char chunk[] = "1\r\nx\r\n";
+	char text[TEXT_BYTES * 2], bytes[6 * 2730];
+
+	snprintf(text, sizeof(text),
+	    "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+	    "Celeryford-Request-Id: %s\r\nCeleryford-Response-Signature: %s\r\n"
+	    "Transfer-Encoding: chunked\r\n\r\n",
+	    id, s->id);
+	if (!send_all(fd, text, strlen(text)))
+		return false;
+	for (size_t i = 0; i < sizeof(bytes); i++)
+		bytes[i] = chunk[i % (sizeof(chunk) - 1)];
+	while (send_all(fd, bytes, sizeof(bytes)))
+		;
+	return false;
+}
+
 static bool
 answer_plain(const struct server *s, int fd, const char *id)
 {
@@ -289,8 +314,11 @@
 	record("server %s runs id=%s %.*s model=%s", s->id, id,
 	    (int)strcspn(head, "\r"), head, model);
 	sleep_ms(s->work_ms);
-	sent = s->stream_events > 0 ? answer_stream(s, fd, id)
-				    : answer_plain(s, fd, id);
+	if (s->sends_garbage)
+		sent = answer_garbage(s, fd, id);
+	else
+		sent = s->stream_events > 0 ? answer_stream(s, fd, id)
+					    : answer_plain(s, fd, id);
 	record("server %s ends id=%s whole=%d", s->id, id, sent);
 	return sent;
 }
@@ -409,6 +437,7 @@
 	    .work_ms = option(argc, argv, "work", 15),
 	    .stream_events = option(argc, argv, "events", 0),
 	    .gap_ms = option(argc, argv, "gap", 10),
+	    .sends_garbage = option(argc, argv, "garbage", 0) != 0,
 	    .leave_ms = option(argc, argv, "leave", 0),
 	    .late_ms = option(argc, argv, "late", 0),
 	    .born_ms = clock_ms(CLOCK_REALTIME)};
