--- a/review/peer.c
+++ b/review/peer.c
@@ -5,6 +5,7 @@
 #include <arpa/inet.h>
 #include <errno.h>
 #include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <poll.h>
 #include <pthread.h>
 #include <stdarg.h>
@@ -24,7 +25,8 @@
 	TEXT_BYTES = 512,
 	ANNOUNCE_MS = 1200,
 	CALL_WAIT_MS = 30000,
-	RECEIVE_BUFFER_BYTES = 64 * 1024
+	RECEIVE_BUFFER_BYTES = 64 * 1024,
+	SEGMENT_BYTES = 1400 /* as on an Ethernet link, not loopback's 64 KB */
 };
 
 struct server {
@@ -114,10 +116,11 @@
 connect_to(const char *text)
 {
 	struct sockaddr_in address = parse_address(text);
-	int size = RECEIVE_BUFFER_BYTES;
+	int size = RECEIVE_BUFFER_BYTES, segment = SEGMENT_BYTES;
 	int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
 
 	setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &size, sizeof(size));
+	setsockopt(fd, IPPROTO_TCP, TCP_MAXSEG, &segment, sizeof(segment));
 	if (connect(fd, (struct sockaddr *)&address, sizeof(address)) != 0) {
 		close(fd);
 		return -1;
@@ -480,7 +483,7 @@
 	long got = have;
 
 	while (bytes != NULL && (expected < 0 || got < expected)) {
-		ssize_t n = receive(fd, bytes, rate > 0 ? 32768 : CHUNK_BYTES,
+		ssize_t n = receive(fd, bytes, rate > 0 ? 8192 : CHUNK_BYTES,
 		    clock_ms(CLOCK_MONOTONIC) + CALL_WAIT_MS);
 
 		if (n <= 0) {
