--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -38,10 +38,10 @@
 await call a warm 600 || finish 2
 sleep 3
 
-for i in $(seq 8); do
+for i in $(seq 12); do
 	call m "m$i" 20000 >"$dir/m$i" &
 done
-sleep 1
+sleep 3
 calls=
 for i in $(seq 60); do
 	ask "c$i" &
