--- a/review/peer.c
+++ b/review/peer.c
@@ -39,10 +39,7 @@
 	long work_ms;
 	long stream_events;
 	long gap_ms;
-	const char *confidence; /* NULL: answers name none */
 	bool sends_garbage;
-	long leave_ms; /* when it leaves after its start; 0: it stays */
-	long late_ms; /* after that its last announcement arrives */
 	int64_t born_ms;
 };
 
@@ -226,10 +223,8 @@
 	snprintf(text, sizeof(text),
 	    "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
 	    "Celeryford-Request-Id: %s\r\nCeleryford-Response-Signature: %s\r\n"
-	    "%s%s%sTransfer-Encoding: chunked\r\n\r\n",
-	    id, s->id, s->confidence != NULL ? "Celeryford-Confidence: " : "",
-	    s->confidence != NULL ? s->confidence : "",
-	    s->confidence != NULL ? "\r\n" : "");
+	    "Transfer-Encoding: chunked\r\n\r\n",
+	    id, s->id);
 	if (!send_all(fd, text, strlen(text)))
 		return false;
 	for (long i = 1; i <= s->stream_events; i++) {
@@ -340,12 +335,9 @@
 	return NULL;
 }
 
-/*
- * Sends one announcement, or a farewell if leaves is set; returns whether it
- * was acknowledged.
- */
+/* Sends one announcement; returns whether it was acknowledged. */
 static bool
-announce_at(const struct server *s, const char *control, long seq, bool leaves)
+announce_at(const struct server *s, const char *control, long seq)
 {
 	char body[TEXT_BYTES * 2], text[TEXT_BYTES * 4], head[HEAD_MAX_BYTES];
 	size_t head_len;
@@ -359,14 +351,11 @@
 	    "\"version\":\"v1\",\"slots\":64,\"state\":\"ready\","
 	    "\"cold_left_ms\":0,\"seq\":%ld,\"born\":%lld}",
 	    s->service, s->address, seq, (long long)s->born_ms);
-	if (leaves)
-		snprintf(body, sizeof(body), "{\"seq\":%ld,\"born\":%lld}", seq,
-		    (long long)s->born_ms);
 	snprintf(text, sizeof(text),
-	    "%s /api/instances/%s HTTP/1.1\r\nHost: %s\r\n"
+	    "PUT /api/instances/%s HTTP/1.1\r\nHost: %s\r\n"
 	    "Content-Type: application/json\r\nContent-Length: %zu\r\n"
 	    "Connection: close\r\n\r\n%s",
-	    leaves ? "DELETE" : "PUT", s->id, control, strlen(body), body);
+	    s->id, control, strlen(body), body);
 	acknowledged = send_all(fd, text, strlen(text)) &&
 		       read_head(fd, head, &head_len,
 			   clock_ms(CLOCK_MONOTONIC) + 1000) >= 0 &&
@@ -377,42 +366,25 @@
 
 /* Announces to the control instances in turn until one acknowledges it. */
 static void
-announce_once(const struct server *s, long seq, bool leaves)
+announce_once(const struct server *s, long seq)
 {
 	char list[TEXT_BYTES], *rest = list, *control;
 
 	snprintf(list, sizeof(list), "%s", s->controls);
-	while ((control = strsep(&rest, ",")) != NULL) {
-		if (!announce_at(s, control, seq, leaves))
-			continue;
-		if (s->leave_ms > 0)
-			record("server %s %s seq=%ld acknowledged by %s", s->id,
-			    leaves ? "leaves" : "ready", seq, control);
-		return;
-	}
+	while ((control = strsep(&rest, ",")) != NULL &&
+	       !announce_at(s, control, seq))
+		;
 }
 
-/*
- * Announces the server.  One that leaves says so once and goes on serving; its
- * announcement before that arrives late.
- */
 static void *
 announce(void *ctx)
 {
-	const struct server *s = ctx;
-	int64_t begin_ms = clock_ms(CLOCK_MONOTONIC);
 	long seq = 0;
 
-	while (s->leave_ms == 0 ||
-	       clock_ms(CLOCK_MONOTONIC) - begin_ms < s->leave_ms) {
-		announce_once(s, ++seq, false);
+	for (;;) {
+		announce_once(ctx, ++seq);
 		sleep_ms(ANNOUNCE_MS);
 	}
-	announce_once(s, seq + 2, true);
-	if (s->late_ms > 0) {
-		sleep_ms(s->late_ms);
-		announce_once(s, seq + 1, false);
-	}
 	return NULL;
 }
 
@@ -441,19 +413,13 @@
 	    .stream_events = option(argc, argv, "events", 0),
 	    .gap_ms = option(argc, argv, "gap", 10),
 	    .sends_garbage = option(argc, argv, "garbage", 0) != 0,
-	    .leave_ms = option(argc, argv, "leave", 0),
-	    .late_ms = option(argc, argv, "late", 0),
 	    .born_ms = clock_ms(CLOCK_REALTIME)};
 	struct sockaddr_in address = parse_address(argv[0]);
-	char confidence[32];
 	int one = 1, listener = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
 	pthread_t thread;
 
 	record_path = s.record;
 	snprintf(s.address, sizeof(s.address), "%s", argv[0]);
-	snprintf(confidence, sizeof(confidence), "%ld",
-	    option(argc, argv, "confidence", -1));
-	s.confidence = confidence[0] != '-' ? confidence : NULL;
 	setsockopt(listener, SOL_SOCKET, SO_REUSEADDR, &one, sizeof(one));
 	if (bind(listener, (struct sockaddr *)&address, sizeof(address)) != 0 ||
 	    listen(listener, 128) != 0) {
