--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -1,18 +1,20 @@
 #!/bin/bash
-# Streams of one service, of whose two servers one, with TROUBLE, sends bytes that
-# are no answer, without end.  Callers of another service, whose servers are
+# Streams of one service, of whose four servers two, with TROUBLE, spoil one of 34
+# answers: they send bytes that are no answer, without end.  Callers of another service, whose servers are
 # sound, ask the same entry instance meanwhile.
 . "$(dirname "$0")/../common.bash"
 
-garbage=1
+garbage=34
 [ "$trouble" != 0 ] || garbage=0
 start_system 21
 server a1 9001 app body=100
 server a2 9002 app body=100
-server m1 9003 llm events=100 gap=100
-server m2 9004 llm events=100 gap=100 garbage=$garbage
+server m1 9003 llm events=5 gap=10
+server m2 9004 llm events=5 gap=10
+server m3 9005 llm events=5 gap=10 garbage=$garbage
+server m4 9006 llm events=5 gap=10 garbage=$garbage
 operator PUT /api/config '{"version":1,"routes":[
-{"name":"m","host":"h.example","path_prefix":"/m/","kind":"streaming","timeout_ms":20000,
+{"name":"m","host":"h.example","path_prefix":"/m/","kind":"streaming","timeout_ms":25000,
 "goal_ms":1000,"priority":0,"service":"llm","max_attempts":3,"public":false,
 "resumable":false,"gap_target_ms":800},
 {"name":"a","host":"h.example","path_prefix":"/a/","kind":"idempotent","timeout_ms":600,
@@ -38,10 +40,16 @@
 await call a warm 600 || finish 2
 sleep 3
 
-for i in $(seq 12); do
-	call m "m$i" 20000 >"$dir/m$i" &
+# served N: how many streams the server N got.
+served() { grep -c " server $1 runs" "$record"; }
+# Streams until both have begun their 34th answer.
+for i in $(seq 300); do
+	call m "m$i" 25000 >"$dir/m$i" &
+	sleep 0.04
+	[ "$(served m3)" -lt 34 ] || [ "$(served m4)" -lt 34 ] || break
 done
-sleep 3
+[ "$(served m3)" -ge 34 ] && [ "$(served m4)" -ge 34 ] || finish 2
+sleep 9
 calls=
 for i in $(seq 60); do
 	ask "c$i" &
@@ -49,7 +57,7 @@
 	sleep 0.1
 done
 wait $calls
-grep -c ' server m2 runs' "$record" | sed 's/^/streams at the server m2: /' | tee -a "$record"
+note "streams at m3: $(served m3), at m4: $(served m4), of these without end: $(grep -c ' sends bytes' "$record")"
 note "callers of the sound service: $(cat "$dir"/c* | cut -d' ' -f2 | sort | uniq -c | tr '\n' ' ')"
 over=$(cat "$dir"/c* | awk '$1 > 600' | wc -l)
 late=$(cat "$dir"/c* | grep -c 'status=0')
--- a/review/peer.c
+++ b/review/peer.c
@@ -39,7 +39,8 @@
 	long work_ms;
 	long stream_events;
 	long gap_ms;
-	bool sends_garbage;
+	long garbage_at; /* this answer is garbage, counted from 1; 0: none */
+	long answers;
 	int64_t born_ms;
 };
 
@@ -253,6 +254,7 @@
 	    "Celeryford-Request-Id: %s\r\nCeleryford-Response-Signature: %s\r\n"
 	    "Transfer-Encoding: chunked\r\n\r\n",
 	    id, s->id);
+	record("server %s sends bytes that are no answer, id=%s", s->id, id);
 	if (!send_all(fd, text, strlen(text)))
 		return false;
 	for (size_t i = 0; i < sizeof(bytes); i++)
@@ -292,6 +294,7 @@
 	size_t head_len;
 	ssize_t extra = read_head(
 	    fd, head, &head_len, clock_ms(CLOCK_MONOTONIC) + CALL_WAIT_MS);
+	long nth;
 	bool sent;
 
 	if (extra < 0)
@@ -312,7 +315,10 @@
 	record("server %s runs id=%s %.*s model=%s", s->id, id,
 	    (int)strcspn(head, "\r"), head, model);
 	sleep_ms(s->work_ms);
-	if (s->sends_garbage)
+	pthread_mutex_lock(&record_lock);
+	nth = ++s->answers;
+	pthread_mutex_unlock(&record_lock);
+	if (nth == s->garbage_at)
 		sent = answer_garbage(s, fd, id);
 	else
 		sent = s->stream_events > 0 ? answer_stream(s, fd, id)
@@ -412,7 +418,7 @@
 	    .work_ms = option(argc, argv, "work", 15),
 	    .stream_events = option(argc, argv, "events", 0),
 	    .gap_ms = option(argc, argv, "gap", 10),
-	    .sends_garbage = option(argc, argv, "garbage", 0) != 0,
+	    .garbage_at = option(argc, argv, "garbage", 0),
 	    .born_ms = clock_ms(CLOCK_REALTIME)};
 	struct sockaddr_in address = parse_address(argv[0]);
 	int one = 1, listener = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
