Voters that are gone lose their votes, and have them back once they are heard

Cause: a newcomer became one more voter, and a voter lost its vote only when its own address came back empty. Four voters became six, of which four ran and four were the majority; the next loss left three of six, which nothing mends.

Ruled out: an election that doesn't end (two votes were missing, none refused), a newcomer that doesn't catch up (0.3 s), a fixed number of voters (the log doesn't know data centres), removal for good (freezes and cuts last longer than the time in which the next loss has to be borne).

Change: the leader makes a learner of a voter that has been silent for twice the longest election timeout, where that lowers the majority, and promotes it when it is heard; one change at a time. 2 x disk-losses + 1 keep their votes. Learners at addresses that never return are forgotten. A replica without a leader introduces itself and is added again under its identity. What an older build left is cleared by the first leader of this build. Logged as member_change.

Conclusion: the majority follows what runs.

--- a/src/daemon/state_log.c
+++ b/src/daemon/state_log.c
@@ -119,6 +119,12 @@
 	case RLOG_ACT_TAKE_SNAPSHOT:
 		provide_snapshot(state, action->u.take.index);
 		break;
+	case RLOG_ACT_MEMBERS:
+		log_event(LOG_LEVEL_INFO, "member_change",
+		    "change=%s rank=%" PRIu64 " voters=%zu",
+		    rlog_member_change_name(action->u.members.change),
+		    action->u.members.instance, action->u.members.voters);
+		break;
 	case RLOG_ACT_GRANT_READ:
 	case RLOG_ACT_REMOVED:
 		break;
--- a/src/gateway/replica.c
+++ b/src/gateway/replica.c
@@ -233,6 +233,19 @@
 	    action->u.leader.term, name, action->u.leader.is_self);
 }
 
+/* Logs a change of the members that this replica decided on as leader. */
+static void
+log_member_change(const struct rlog_action *action)
+{
+	char name[GW_NAME_BYTES];
+
+	gw_format_address((uint32_t)action->u.members.instance, name);
+	log_event(LOG_LEVEL_INFO, "member_change",
+	    "change=%s instance=%s silent_ms=%" PRId64 " voters=%zu",
+	    rlog_member_change_name(action->u.members.change), name,
+	    action->u.members.silent_us / US_PER_MS, action->u.members.voters);
+}
+
 static void
 perform_action(struct gw_replica *rep, const struct rlog_action *action)
 {
@@ -259,6 +272,9 @@
 	case RLOG_ACT_TAKE_SNAPSHOT:
 		take_snapshot(rep, action->u.take.index);
 		break;
+	case RLOG_ACT_MEMBERS:
+		log_member_change(action);
+		break;
 	case RLOG_ACT_GRANT_READ:
 	case RLOG_ACT_REMOVED:
 		break;
@@ -502,6 +518,19 @@
 	return count;
 }
 
+/*
+ * Returns the number of voters whose majority keeps an entry on more disks than
+ * may be lost.
+ */
+static uint32_t
+voters_min(const struct gw_settings *settings)
+{
+	uint32_t losses = settings->disk_losses;
+
+	return losses < RLOG_MEMBERS_MAX / 2 ? 2 * losses + 1
+					     : (uint32_t)RLOG_MEMBERS_MAX;
+}
+
 /* Replays the journal into the log.  Returns 0 or an error of err.h. */
 static int
 replay(struct gw_replica *rep)
@@ -544,7 +573,8 @@
 	    .lease_us = LOG_LEASE_US,
 	    .election_min_us = ELECTION_MIN_US,
 	    .election_max_us = ELECTION_MAX_US,
-	    .jump_us = STEP_GAP_MAX_US};
+	    .jump_us = STEP_GAP_MAX_US,
+	    .voters_min = voters_min(gw->settings)};
 	struct cfgsync_options source_options = {.alloc = gw->alloc,
 	    .emit = send_config,
 	    .ctx = rep,
--- a/src/gateway/settings.c
+++ b/src/gateway/settings.c
@@ -68,6 +68,8 @@
     VALUE("metrics-listen", SETTING_ADDRESS, metrics_listen,
 	"IP:PORT of the metrics page"),
     TEXT("data-dir", data_dir, "folder of the state replica"),
+    VALUE("disk-losses", SETTING_NUMBER, disk_losses,
+	"state replicas that may lose their disks at the same time"),
     VALUE("bootstrap", SETTING_BOOL, bootstrap,
 	"true only when the whole system starts for the first time"),
     VALUE("seeds", SETTING_SEEDS, seeds,
@@ -113,6 +115,7 @@
 	snprintf(settings->dialect, sizeof(settings->dialect), "platform");
 	settings->log_level = LOG_LEVEL_INFO;
 	settings->log_lines = 400;
+	settings->disk_losses = 1;
 	settings->contact_ms = 3000;
 	settings->drain_ms = 2000;
 	settings->grace_ms = 8000;
--- a/src/gateway/settings.h
+++ b/src/gateway/settings.h
@@ -55,6 +55,8 @@
 	uint32_t log_level;
 	/* log lines per second about requests that succeed */
 	uint32_t log_lines;
+	/* state replicas that may lose their disks at the same time */
+	uint32_t disk_losses;
 	/* silence after which an instance counts as lost */
 	uint32_t contact_ms;
 	/* time after which a leaving server gets no more requests */
--- a/src/state/rlog.c
+++ b/src/state/rlog.c
@@ -12,7 +12,8 @@
 	JUMP_US = 400000,
 	WINDOW_BYTES = 256 * 1024,
 	CHUNK_BYTES = 64 * 1024,
-	COMPACT_BYTES = 1024 * 1024
+	COMPACT_BYTES = 1024 * 1024,
+	VOTERS_MIN = 3
 };
 
 static void
@@ -34,6 +35,8 @@
 		options->chunk_bytes = CHUNK_BYTES;
 	if (options->compact_bytes == 0)
 		options->compact_bytes = COMPACT_BYTES;
+	if (options->voters_min < VOTERS_MIN)
+		options->voters_min = VOTERS_MIN;
 }
 
 /*
@@ -67,6 +70,7 @@
 {
 	rlog->now_us = now_us;
 	rlog->last_step_us = now_us;
+	rlog->leader_heard_us = now_us;
 	if (rlog->commit > rlog_last_index(rlog))
 		rlog->commit = rlog_last_index(rlog);
 	rlog->durable = rlog_last_index(rlog);
@@ -434,7 +438,7 @@
 	rlog_advance_durable(rlog);
 	rlog_advance_commit(rlog);
 	rlog_renew_lease(rlog);
-	rlog_member_tick(rlog);
+	rlog_voters_tick(rlog);
 	rlog_hello_tick(rlog);
 	rlog_transfer_leadership(rlog);
 	rlog_replicate(rlog);
--- a/src/state/rlog.h
+++ b/src/state/rlog.h
@@ -35,6 +35,10 @@
  * lowest instance number forms the log, once, after every founder has reported
  * an empty folder.
  *
+ * Unless the instances are a fixed set, others join at any time.  Each that has
+ * caught up becomes a voter, and a voter that has been silent for long becomes
+ * a learner until it is heard again; see rlog_voters.c.
+ *
  * The term is the fencing number of orders.  rlog_lease_until_us() bounds
  * leadership in time: before each action under the lease, the caller compares
  * it with a clock read just before.
@@ -97,6 +101,12 @@
 	uint32_t chunk_bytes; /* 0: 64 KB; snapshot bytes in one message */
 	/* 0: 1 MB; entries to apply before a snapshot is taken. */
 	uint32_t compact_bytes;
+	/*
+	 * At least 3; silent voters lose their vote only while as many
+	 * voters remain.  2N + 1 keeps acknowledged entries on more than N
+	 * disks.
+	 */
+	uint32_t voters_min;
 
 	/* For tests only: each flag disables one safety mechanism. */
 	bool unsafe_skip_persist; /* replies before records are durable */
@@ -114,6 +124,10 @@
 	bool unsafe_commit_old_term;
 	/* Votes for candidates with an outdated log. */
 	bool unsafe_skip_log_check;
+	/* Changes members again before the last change is committed. */
+	bool unsafe_overlap_changes;
+	/* Voters that never return keep their vote. */
+	bool unsafe_keep_silent_voters;
 };
 
 enum rlog_role {
@@ -172,7 +186,7 @@
 	uint64_t round; /* heartbeat round; copied into the reply */
 	uint64_t match; /* reply: the logs match up to this index, durably */
 	bool ok; /* reply: granted or accepted; HELLO: the folder is empty */
-	bool joinable; /* HELLO: has never been a voter */
+	bool joinable; /* HELLO: asks to become a member */
 	bool transfer; /* VOTE: the old leader asked for this election */
 	/* SNAPSHOT: byte offset of the chunk; reply: next one expected. */
 	uint64_t offset;
@@ -227,6 +241,14 @@
 	} u;
 };
 
+enum rlog_member_change {
+	RLOG_MEMBER_JOINED, /* added as a learner */
+	RLOG_MEMBER_PROMOTED, /* learner to voter */
+	RLOG_MEMBER_DEMOTED, /* silent voter to learner */
+	RLOG_MEMBER_REPLACED, /* its instance has a newer identity */
+	RLOG_MEMBER_EXPIRED /* learner that is silent for long */
+};
+
 enum rlog_action_kind {
 	RLOG_ACT_PERSIST, /* append to the journal */
 	RLOG_ACT_SEND,
@@ -237,6 +259,7 @@
 	RLOG_ACT_REFUSE, /* a propose, read or remove failed */
 	RLOG_ACT_REMOVED, /* RLOG_EV_REMOVE is committed */
 	RLOG_ACT_LEADER, /* the known leader or its term changed */
+	RLOG_ACT_MEMBERS, /* as leader, this replica changes the members */
 	RLOG_ACT_TAKE_SNAPSHOT /* reply with an image of the applied state */
 };
 
@@ -284,6 +307,12 @@
 			uint64_t instance; /* or RLOG_NO_INSTANCE */
 			bool is_self;
 		} leader;
+		struct {
+			enum rlog_member_change change;
+			uint64_t instance; /* of the member concerned */
+			int64_t silent_us; /* since it was last heard */
+			size_t voters; /* their number after the change */
+		} members;
 		struct {
 			uint64_t index;
 		} take;
@@ -327,6 +356,7 @@
 
 bool rlog_is_leader(const struct rlog *rlog);
 uint64_t rlog_term(const struct rlog *rlog);
+const char *rlog_member_change_name(enum rlog_member_change change);
 uint64_t rlog_leader_instance(const struct rlog *rlog);
 void rlog_set_hello_targets(
     struct rlog *rlog, const uint64_t *instances, size_t count);
--- a/src/state/rlog_follow.c
+++ b/src/state/rlog_follow.c
@@ -8,6 +8,7 @@
 	rlog_become_follower(rlog, msg->term, msg->from_id, msg->from_instance);
 	rlog_reset_election_timer(rlog);
 	rlog->campaigns = 0;
+	rlog->leader_heard_us = rlog->now_us;
 	rlog->vote_promise_until_us =
 	    rlog->now_us + rlog->options.election_min_us;
 }
--- a/src/state/rlog_i.h
+++ b/src/state/rlog_i.h
@@ -84,7 +84,7 @@
 	bool joinable;
 	/*
 	 * This replica has seen the identity as a voter; never cleared for the
-	 * same identity.
+	 * same identity.  Only used with a fixed set of instances.
 	 */
 	bool was_voter;
 };
@@ -169,6 +169,7 @@
 	struct buf incoming; /* snapshot bytes received so far */
 	uint64_t incoming_index;
 	uint64_t incoming_term;
+	int64_t leader_heard_us; /* last message of a leader, or the start */
 	int64_t next_hello_us;
 	struct rlog_hello hellos[RLOG_INSTANCES_MAX];
 	size_t hello_count;
@@ -277,7 +278,9 @@
 bool rlog_is_voter(const struct rlog *rlog, uint64_t id);
 size_t rlog_voter_count(const struct rlog *rlog);
 struct rlog_peer *rlog_find_peer(struct rlog *rlog, uint64_t id);
-void rlog_member_tick(struct rlog *rlog);
+bool rlog_is_member(const struct rlog *rlog, uint64_t id);
+bool rlog_has_open_membership(const struct rlog *rlog);
+void rlog_append_config(struct rlog *rlog, const struct rlog_config *config);
 void rlog_hello_tick(struct rlog *rlog);
 void rlog_on_hello(struct rlog *rlog, const struct rlog_msg *msg);
 void rlog_on_remove(struct rlog *rlog, uint64_t instance, uint64_t token);
@@ -285,6 +288,12 @@
 bool rlog_is_empty(const struct rlog *rlog);
 void rlog_set_founders(struct rlog *rlog);
 
+/* rlog_voters.c */
+int64_t rlog_silence_limit_us(const struct rlog *rlog);
+bool rlog_may_change_members(const struct rlog *rlog);
+void rlog_remove_member_at(struct rlog_config *config, size_t i);
+void rlog_voters_tick(struct rlog *rlog);
+
 /* rlog_client.c */
 void rlog_on_propose(
     struct rlog *rlog, uint64_t token, const void *data, size_t len);
--- a/src/state/rlog_member.c
+++ b/src/state/rlog_member.c
@@ -2,6 +2,16 @@
 
 #include "state/rlog_i.h"
 
+/*
+ * Tells whether new instances may join the log and silent voters are replaced.
+ * With a fixed set of instances, only operators remove members.
+ */
+bool
+rlog_has_open_membership(const struct rlog *rlog)
+{
+	return rlog->options.instances == 0;
+}
+
 static struct rlog_hello *
 find_hello(struct rlog *rlog, uint64_t instance)
 {
@@ -109,8 +119,9 @@
 	return NULL;
 }
 
-static bool
-is_member(const struct rlog *rlog, uint64_t id)
+/* Tells whether an identity is a voter or a learner. */
+bool
+rlog_is_member(const struct rlog *rlog, uint64_t id)
 {
 	size_t i;
 
@@ -153,8 +164,8 @@
 }
 
 /*
- * Marks the identities that are voters, so that a voter that is removed later
- * can't join again through an old HELLO.
+ * Marks the identities that are voters, so that with a fixed set of instances a
+ * voter that an operator removes later can't join again through an old HELLO.
  */
 static void
 mark_known_voters(struct rlog *rlog)
@@ -205,8 +216,9 @@
 	return rlog->term == 0 && rlog_last_index(rlog) == 0;
 }
 
-static void
-append_config(struct rlog *rlog, const struct rlog_config *config)
+/* Appends a configuration to the log; it takes effect at once. */
+void
+rlog_append_config(struct rlog *rlog, const struct rlog_config *config)
 {
 	struct buf data;
 
@@ -272,7 +284,7 @@
 	rlog->term = 1;
 	rlog->voted_for = rlog->id;
 	rlog_persist_vote(rlog);
-	append_config(rlog, &config);
+	rlog_append_config(rlog, &config);
 	rlog_reset_election_timer(rlog);
 }
 
@@ -282,10 +294,27 @@
 	struct rlog_msg msg = rlog_new_msg(rlog, RLOG_MSG_HELLO, to_id);
 
 	msg.ok = rlog_is_empty(rlog);
-	msg.joinable = !rlog->was_voter;
+	msg.joinable = !rlog->was_voter || rlog_has_open_membership(rlog);
 	rlog_send(rlog, instance, &msg);
 }
 
+/*
+ * Tells whether this replica introduces itself to the others.  One that has
+ * never been a voter does so until a leader has added it.  A former voter may
+ * have been removed while it was cut off, which it can't learn from the leader
+ * that no longer sends to it; it asks to be added again under its identity,
+ * with its log and its vote.
+ */
+static bool
+seeks_leader(const struct rlog *rlog)
+{
+	if (!rlog->was_voter)
+		return !rlog_is_member(rlog, rlog->id) || rlog->leader_id == 0;
+	return rlog_has_open_membership(rlog) && rlog->role != RLOG_LEADER &&
+	       rlog->now_us - rlog->leader_heard_us >=
+		   rlog_silence_limit_us(rlog);
+}
+
 static void
 record_own_vote_right(struct rlog *rlog)
 {
@@ -296,9 +325,8 @@
 }
 
 /*
- * Sends HELLO messages while this replica has never been a voter and hears from
- * no leader, and forms the log if this replica is the lowest founder and all
- * founders are empty.
+ * Sends HELLO messages while no leader sends to this replica, and forms the log
+ * if this replica is the lowest founder and all founders are empty.
  */
 void
 rlog_hello_tick(struct rlog *rlog)
@@ -306,11 +334,10 @@
 	size_t i;
 
 	record_own_vote_right(rlog);
-	if (rlog->was_voter || rlog->leaving ||
-	    rlog->now_us < rlog->next_hello_us)
+	if (rlog->leaving || rlog->now_us < rlog->next_hello_us)
 		return;
 	rlog->next_hello_us = rlog->now_us + 2 * rlog->options.heartbeat_us;
-	if (is_member(rlog, rlog->id) && rlog->leader_id != 0)
+	if (!seeks_leader(rlog))
 		return;
 	for (i = 0; i < rlog->hello_target_count; i++)
 		if (rlog->hello_targets[i] != rlog->options.instance)
@@ -353,133 +380,6 @@
 		send_hello(rlog, msg->from_instance, msg->from_id);
 }
 
-static bool
-is_fresh(const struct rlog *rlog, const struct rlog_hello *hello)
-{
-	return hello->id != 0 && hello->joinable && !hello->was_voter &&
-	       hello->heard_us + RLOG_HELLO_TTL_US > rlog->now_us;
-}
-
-static void
-remove_member_at(struct rlog_config *config, size_t i)
-{
-	config->count--;
-	memmove(&config->members[i], &config->members[i + 1],
-	    (config->count - i) * sizeof(config->members[0]));
-}
-
-/*
- * Adds a new replica as a learner.  An older learner of the same instance is
- * removed first.  Returns whether the configuration changed.
- */
-static bool
-add_learner(struct rlog *rlog, struct rlog_config *config)
-{
-	const struct rlog_hello *hello;
-	struct rlog_member *member;
-	size_t h;
-	size_t i;
-
-	for (h = 0; h < rlog->hello_count; h++) {
-		hello = &rlog->hellos[h];
-		if (!is_fresh(rlog, hello) || is_member(rlog, hello->id))
-			continue;
-		for (i = 0; i < config->count; i++) {
-			if (config->members[i].instance == hello->instance &&
-			    !config->members[i].voter) {
-				remove_member_at(config, i);
-				return true;
-			}
-		}
-		if (config->count == RLOG_MEMBERS_MAX)
-			return false;
-		member = &config->members[config->count++];
-		member->id = hello->id;
-		member->instance = hello->instance;
-		member->voter = rlog->options.unsafe_vote_uncaught;
-		return true;
-	}
-	return false;
-}
-
-static bool
-has_caught_up(struct rlog *rlog, const struct rlog_peer *peer)
-{
-	return peer->state == RLOG_PEER_REPLICATE &&
-	       peer->match >= rlog->base_index &&
-	       peer->heard_us + 2 * rlog->options.heartbeat_us > rlog->now_us &&
-	       rlog_bytes_between(rlog, peer->match, rlog_last_index(rlog)) <=
-		   rlog->options.window_bytes / 4;
-}
-
-static size_t
-find_replaced_voter(const struct rlog_config *config, size_t i)
-{
-	size_t j;
-
-	for (j = 0; j < i; j++)
-		if (config->members[j].voter &&
-		    config->members[j].instance == config->members[i].instance)
-			return j;
-	return i;
-}
-
-/*
- * Promotes a learner that has caught up to voter.  The old identity of its
- * instance is removed first, in a separate change: with both as voters, the
- * quorum would be larger while one of its members is known to be dead.
- */
-static bool
-promote_learner(struct rlog *rlog, struct rlog_config *config)
-{
-	const struct rlog_peer *peer, *old;
-	size_t i, j;
-
-	for (i = 0; i < config->count; i++) {
-		peer = rlog_find_peer(rlog, config->members[i].id);
-		if (peer == NULL || config->members[i].voter ||
-		    !has_caught_up(rlog, peer))
-			continue;
-		j = find_replaced_voter(config, i);
-		if (j == i) {
-			config->members[i].voter = true;
-			return true;
-		}
-		old = rlog_find_peer(rlog, config->members[j].id);
-		if (old == NULL ||
-		    old->heard_us + rlog->options.election_max_us >
-			rlog->now_us)
-			continue;
-		remove_member_at(config, j);
-		return true;
-	}
-	return false;
-}
-
-static bool
-may_change_members(const struct rlog *rlog)
-{
-	return rlog->role == RLOG_LEADER &&
-	       rlog->commit >= rlog->term_start_index &&
-	       rlog->config_index <= rlog->commit &&
-	       rlog->handover_until_us == 0;
-}
-
-/*
- * Makes the next membership change, one at a time: promotes a learner or adds
- * one.
- */
-void
-rlog_member_tick(struct rlog *rlog)
-{
-	struct rlog_config config = rlog->config;
-
-	if (!may_change_members(rlog))
-		return;
-	if (promote_learner(rlog, &config) || add_learner(rlog, &config))
-		append_config(rlog, &config);
-}
-
 /*
  * Handles an operator's request to remove a replica of an instance permanently.
  */
@@ -500,13 +400,13 @@
 		rlog_refuse(rlog, token, ERR_NOT_FOUND);
 		return;
 	}
-	if (!may_change_members(rlog) || rlog->remove_index != 0 ||
+	if (!rlog_may_change_members(rlog) || rlog->remove_index != 0 ||
 	    (config.members[i].voter && rlog_voter_count(rlog) == 1)) {
 		rlog_refuse(rlog, token, ERR_CONFLICT);
 		return;
 	}
-	remove_member_at(&config, i);
-	append_config(rlog, &config);
+	rlog_remove_member_at(&config, i);
+	rlog_append_config(rlog, &config);
 	rlog->remove_token = token;
 	rlog->remove_index = rlog_last_index(rlog);
 }
--- a/test/rlog_sim.h
+++ b/test/rlog_sim.h
@@ -23,6 +23,11 @@
       public:
 	struct Options {
 		int nodes = 5;
+		/*
+		 * Number of nodes, from 0 on, that form a log with open
+		 * membership: others join it.  0: the nodes are a fixed set.
+		 */
+		int founders = 0;
 		uint64_t seed = 1;
 		rlog_options rlog = {};
 		cfgstore_options cfgstore = {};
@@ -46,6 +51,7 @@
 		int64_t sync_due_us = 0; /* 0: no sync in progress */
 		int64_t frozen_until_us = 0;
 		bool sync_stuck = false;
+		bool is_gone = false; /* never started again */
 		uint64_t id = 0;
 		uint64_t revision = 0;
 		uint64_t durable_revision = 0;
@@ -80,6 +86,7 @@
 		nodes.resize(given.nodes);
 		for (int n = 0; n < given.nodes; n++)
 			start(n);
+		is_formed = true;
 	}
 
 	~RlogSim()
@@ -100,6 +107,7 @@
 	uint64_t answered_revision = 0;
 	std::map<rlog_msg_kind, uint64_t> sent;
 	uint64_t sent_bytes = 0;
+	int member_changes = 0;
 
 	int64_t now() const
 	{
@@ -245,19 +253,47 @@
 		nodes[n].frozen_until_us = now() + us;
 	}
 
+	/* Stops a node for good, with its disk. */
+	void remove_machine(int n)
+	{
+		stop(n);
+		nodes[n].disk.clear();
+		nodes[n].synced = 0;
+		nodes[n].is_gone = true;
+	}
+
+	/* Starts a new node with an empty disk and returns its number. */
+	int add_machine()
+	{
+		int n = (int)nodes.size();
+
+		nodes.emplace_back();
+		start(n);
+		for (size_t m = 0; m < nodes.size(); m++)
+			set_hello_targets((int)m);
+		return n;
+	}
+
 	void start(int n)
 	{
 		Node &node = nodes[n];
 		rlog_options rlog = options.rlog;
 		bool keep = rlog.unsafe_keep_identity && node.id != 0;
+		std::vector<uint64_t> founders;
 
-		if (node.up())
+		if (node.up() || node.is_gone)
 			return;
 		rlog.seed = rng();
 		rlog.fresh_id = keep ? node.id : rng() | 1;
 		rlog.instance = (uint16_t)n;
-		rlog.instances = (1ULL << options.nodes) - 1;
+		if (options.founders == 0)
+			rlog.instances = (1ULL << options.nodes) - 1;
+		for (int m = 0; m < options.founders && !is_formed; m++)
+			founders.push_back((uint64_t)m);
+		rlog.founders = founders.data();
+		rlog.founder_count = founders.size();
 		node.rlog = rlog_new(&rlog);
+		set_hello_targets(n);
 		node.cfgstore = cfgstore_new(&options.cfgstore);
 		node.sync_stuck = false;
 		node.frozen_until_us = 0;
@@ -376,6 +412,7 @@
 
       private:
 	std::mt19937_64 rng;
+	bool is_formed = false; /* later starts form no log */
 	uint64_t tokens = 0;
 	/* Nesting of image requests that were caused by taking an image. */
 	int depth = 0;
@@ -424,6 +461,19 @@
 		event(n, RLOG_EV_TICK);
 	}
 
+	void set_hello_targets(int n)
+	{
+		std::vector<uint64_t> targets;
+
+		if (options.founders == 0 || !nodes[n].up())
+			return;
+		for (size_t m = 0; m < nodes.size(); m++)
+			if (!nodes[m].is_gone)
+				targets.push_back(m);
+		rlog_set_hello_targets(
+		    nodes[n].rlog, targets.data(), targets.size());
+	}
+
 	void slice(int64_t us)
 	{
 		net.run_until(now() + us,
@@ -636,6 +686,14 @@
 		case RLOG_ACT_REMOVED:
 			removals.push_back(0);
 			break;
+		case RLOG_ACT_MEMBERS:
+			member_changes++;
+			if (trace)
+				trace(rlog_member_change_name(
+					  action.u.members.change) +
+				      (" " + std::to_string(
+						 action.u.members.instance)));
+			break;
 		}
 		return false;
 	}
