A voter loses its vote only if it can be spared

Cause: with an odd number of voters a demotion leaves the majority as it is; it only removes one that might help. Of an even number it lowers the majority, so that nothing is lost even if it reaches one follower only.

Demotions go before promotions.

--- a/src/state/rlog_voters.c
+++ b/src/state/rlog_voters.c
@@ -7,9 +7,9 @@
  * commits the changes.
  *
  * A learner that has caught up becomes a voter.  A voter that has been silent
- * for rlog_silence_limit_us() becomes a learner if that makes the quorum
- * smaller: its instance may never return.  One that does return still gets the
- * leader's messages, catches up and votes again.
+ * for rlog_silence_limit_us() becomes a learner if it can be spared, as its
+ * instance may never return.  One that does return still gets
+ * the leader's messages, catches up and votes again.
  */
 
 enum {
@@ -80,35 +80,42 @@
 	return peer != NULL ? rlog->now_us - peer->heard_us : 0;
 }
 
-/* Returns the number of voters that have been silent for as long. */
+/*
+ * Returns the number of voters, this replica included, that have replied to it
+ * as this term's leader within the last within_us.
+ */
 static size_t
-count_silent_voters(struct rlog *rlog, int64_t for_us)
+count_heard_voters(struct rlog *rlog, int64_t within_us)
 {
-	const struct rlog_config *config = &rlog->config;
-	size_t count = 0;
+	size_t count = rlog_is_voter(rlog, rlog->id) ? 1 : 0;
 
-	for (size_t i = 0; i < config->count; i++)
-		if (config->members[i].voter &&
-		    silence_us(rlog, &config->members[i]) >= for_us)
+	for (size_t i = 0; i < rlog->peer_count; i++) {
+		const struct rlog_peer *peer = &rlog->peers[i];
+
+		if (rlog_is_voter(rlog, peer->id) &&
+		    peer->acked_round >= rlog->min_round &&
+		    rlog->now_us - peer->heard_us < within_us)
 			count++;
+	}
 	return count;
 }
 
 /*
  * Returns the voter, or the learner, that has been silent for longest, and for
- * at_least_us; config->count if there is none.
+ * at_least_us; config->count if there is none.  Of several, the oldest member.
  */
 static size_t
 find_silent(struct rlog *rlog, const struct rlog_config *config, bool voter,
     int64_t at_least_us)
 {
 	size_t found = config->count;
-	int64_t longest_us = at_least_us;
+	int64_t longest_us = at_least_us - 1;
 
 	for (size_t i = 0; i < config->count; i++) {
 		int64_t silent_us = silence_us(rlog, &config->members[i]);
 
-		if (config->members[i].voter != voter || silent_us < longest_us)
+		if (config->members[i].voter != voter ||
+		    silent_us <= longest_us)
 			continue;
 		longest_us = silent_us;
 		found = i;
@@ -230,15 +237,18 @@
 may_add_voter(struct rlog *rlog)
 {
 	size_t voters = rlog_voter_count(rlog);
-	size_t gone = count_silent_voters(rlog, rlog_silence_limit_us(rlog));
+	bool one_is_gone =
+	    find_silent(rlog, &rlog->config, true,
+		rlog_silence_limit_us(rlog)) < rlog->config.count;
 
 	if (!rlog_has_open_membership(rlog) ||
 	    rlog->options.unsafe_keep_silent_voters)
 		return true;
-	if (voters > VOTERS_MAX || (voters == VOTERS_MAX && gone == 0))
+	if (voters > VOTERS_MAX || (voters == VOTERS_MAX && !one_is_gone))
 		return false;
-	return voters % 2 == 0 || gone > 0 ||
-	       count_silent_voters(rlog, rlog->options.election_max_us) == 0;
+	return voters % 2 == 0 || one_is_gone ||
+	       count_heard_voters(rlog, rlog->options.election_max_us) ==
+		   voters;
 }
 
 /*
@@ -276,20 +286,33 @@
 }
 
 /*
- * Takes the vote of the voter that has been silent for longest, if that lets
- * the others lose one more: the quorum of an even number of voters becomes
- * smaller, that of an odd number only when a second one goes too.
+ * Tells whether a silent voter can be spared, though it may be alive and its
+ * demotion may not be committed before other voters are lost.  With an even
+ * number of voters the quorum becomes smaller, so that nothing is lost.  With
+ * an odd number, those that are heard have to be a quorum without it even after
+ * as many losses as are to be borne.
  */
 static bool
-demote_silent_voter(struct rlog *rlog, struct rlog_config *config)
+can_spare_voter(struct rlog *rlog)
 {
 	size_t voters = rlog_voter_count(rlog);
+	size_t heard =
+	    count_heard_voters(rlog, 2 * rlog->options.heartbeat_us);
+	size_t losses = (rlog->options.voters_min - 1) / 2;
+
+	if (voters <= rlog->options.voters_min)
+		return false;
+	return voters % 2 == 0 || heard >= (voters - 1) / 2 + 1 + losses;
+}
+
+/* Takes the vote of the voter that has been silent for longest. */
+static bool
+demote_silent_voter(struct rlog *rlog, struct rlog_config *config)
+{
 	size_t i = find_silent(rlog, config, true, rlog_silence_limit_us(rlog));
-	size_t leave = voters % 2 == 0 ? 1 : 2;
 
 	if (i == config->count || rlog->options.unsafe_keep_silent_voters ||
-	    count_silent_voters(rlog, rlog_silence_limit_us(rlog)) < leave ||
-	    voters < rlog->options.voters_min + leave)
+	    !can_spare_voter(rlog))
 		return false;
 	report_change(rlog, RLOG_MEMBER_DEMOTED, &config->members[i]);
 	config->members[i].voter = false;
@@ -310,10 +333,11 @@
 static bool
 choose_change(struct rlog *rlog, struct rlog_config *config)
 {
+	if (rlog_has_open_membership(rlog) && demote_silent_voter(rlog, config))
+		return true;
 	if (promote_learner(rlog, config))
 		return true;
-	if (rlog_has_open_membership(rlog) &&
-	    (demote_silent_voter(rlog, config) || expire_learner(rlog, config)))
+	if (rlog_has_open_membership(rlog) && expire_learner(rlog, config))
 		return true;
 	return add_learner(rlog, config);
 }
--- a/test/unit/rlog_voters_test.cc
+++ b/test/unit/rlog_voters_test.cc
@@ -539,27 +539,33 @@
 	return text != nullptr ? atoi(text) : 1;
 }
 
+static std::string
+schedule_outcome(int seed, bool rlog_options::*off)
+{
+	static const int sizes[] = {3, 4, 5, 6, 8};
+	int nodes = sizes[seed % 5];
+	auto options =
+	    open_log(nodes, (uint64_t)seed, nodes > 4 && seed % 2 ? 2 : 1);
+
+	if (off != nullptr)
+		options.rlog.*off = true;
+	OpenSchedule schedule(options);
+	return schedule.run(60);
+}
+
 static int
 broken_schedules(bool rlog_options::*off, int seeds, bool print)
 {
 	int broken = 0;
 
 	for (int seed = first_seed(); seed < first_seed() + seeds; seed++) {
-		static const int sizes[] = {3, 4, 5, 6, 8};
-		int nodes = sizes[seed % 5];
-		auto options = open_log(
-		    nodes, (uint64_t)seed, nodes > 4 && seed % 2 ? 2 : 1);
-
-		if (off != nullptr)
-			options.rlog.*off = true;
-		OpenSchedule schedule(options);
-		std::string seen = schedule.run(60);
+		std::string seen = schedule_outcome(seed, off);
+
 		if (seen.empty())
 			continue;
 		broken++;
 		if (print)
-			ADD_FAILURE() << seen << ", seed " << seed << ", "
-				      << nodes << " nodes";
+			ADD_FAILURE() << seen << ", seed " << seed;
 	}
 	return broken;
 }
@@ -578,6 +584,16 @@
 	EXPECT_EQ(0, broken_schedules(nullptr, seed_count(100), true));
 }
 
+/*
+ * Seeds that failed: of five voters, one of them gone, a living one lost its
+ * vote before another was lost for good.
+ */
+TEST(RlogVoters, SeedsThatFailed)
+{
+	for (int seed : {9746, 17261})
+		EXPECT_EQ("", schedule_outcome(seed, nullptr)) << seed;
+}
+
 TEST(RlogVoters, SchedulesFailIfVotersThatAreGoneKeepTheirVotes)
 {
 	EXPECT_GT(broken_schedules(
@@ -586,34 +602,36 @@
 }
 
 /*
- * A leader takes the votes of two silent followers.  Unless the first change is
- * committed before the second, the leader and one follower accept a change that
- * the three others, who know neither, elect a leader without.
+ * A leader takes the votes of three silent followers of eight.  Unless each
+ * change is committed before the next, the leader and two followers accept a
+ * change that the five others, who know none of this, elect a leader without.
  */
 static std::string
 overlap_changes(bool unsafe)
 {
-	auto options = open_log(5, 2);
-	std::string broken;
+	auto options = open_log(8, 2);
 
 	options.rlog.unsafe_overlap_changes = unsafe;
 	World world(options);
 	RlogSim &sim = world.sim;
-	int a = sim.leader(), b = (a + 1) % 5, c = (a + 2) % 5;
-	int d = (a + 3) % 5, e = (a + 4) % 5;
-
-	sim.net.isolate(d, 5);
-	sim.net.isolate(e, 5);
-	/* Only b gets the changes of the members. */
-	sim.filter = [&, a, b, c](int from, int to, const rlog_msg &msg) {
-		return !(from == a && to == c && msg.entry_count > 0);
+	int a = sim.leader();
+	std::vector<int> few, many;
+
+	for (int i = 0; i < 8; i++)
+		(i < 3 ? few : many).push_back((a + i) % 8);
+	for (int i = 5; i < 8; i++)
+		sim.net.isolate((a + i) % 8, 8);
+	/* Only two followers get the changes of the members. */
+	sim.filter = [&](int from, int to, const rlog_msg &msg) {
+		return from != a || msg.entry_count == 0 || to == few[1] ||
+		       to == few[2];
 	};
-	sim.run_until([&] { return world.voters() < 5; }, 3 * SECOND);
+	sim.run_until([&] { return world.voters() < 6; }, 3 * SECOND);
 	sim.run_for(20000);
 	sim.filter = nullptr;
 	sim.net.mend_all();
-	for (int n : {a, b})
-		for (int m : {c, d, e}) {
+	for (int n : few)
+		for (int m : many) {
 			sim.net.cut(n, m);
 			sim.net.cut(m, n);
 		}
