The end of an event is looked for once a byte

Cause: for each chunk, the end of the event was looked for from the start of all that was buffered, twice: the square of up to 1 MiB. celeryfordd's sse did the same.

Ruled out: the parser, memory (60 MB), large chunks (the rows that endless.sh had).

Change: http/event_stream remembers how much holds no end; both daemons use it.

--- a/fakes/raw/main.c
+++ b/fakes/raw/main.c
@@ -28,6 +28,7 @@
  *	/extension/	a chunk extension
  *	/trailer/	trailer fields
  *	/event/		a single event of a stream
+ *	/event-bytes/	the same in chunks, one byte each
  *	/events/	events of a stream
  *
  * Prints "sent BYTES PATH" when the client has closed the connection.
@@ -72,6 +73,8 @@
     {"/trailer/", CHUNKED "\r\n1\r\nx\r\n0\r\n",
 	"X-More: 0123456789abcdef\r\n"},
     {"/event/", STREAM "\r\nid: 1\ndata: ", "0123456789abcdef"},
+    {"/event-bytes/", STREAM CHUNKED "\r\nc\r\nid: 1\ndata: \r\n",
+	"1\r\nx\r\n"},
     {"/events/", STREAM "\r\n", "id: 1\ndata: x\n\n"},
 };
 
--- a/src/entry/sse.c
+++ b/src/entry/sse.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #include "base/err.h"
+#include "http/event_stream.h"
 
 /* Prepares for a new stream. */
 void
@@ -23,18 +24,6 @@
 	buf_free(&sse->terminator);
 }
 
-/* Returns the length of the first event and its blank line, or 0. */
-static size_t
-event_len(const char *text, size_t len)
-{
-	const char *lf = memmem(text, len, "\n\n", 2);
-	const char *crlf = memmem(text, len, "\r\n\r\n", 4);
-
-	if (lf != NULL && (crlf == NULL || lf < crlf))
-		return (size_t)(lf - text) + 2;
-	return crlf != NULL ? (size_t)(crlf - text) + 4 : 0;
-}
-
 static bool
 starts_with(const char *text, size_t len, const char *start)
 {
@@ -81,19 +70,17 @@
 int
 sse_feed(struct sse *sse, const char *data, size_t len, struct buf *out)
 {
-	size_t at = 0, n;
+	size_t n;
 
 	if (sse->terminated)
 		return len > 0 ? ERR_UPSTREAM : 0;
 	buf_add(&sse->partial, data, len);
-	while (
-	    !sse->terminated && (n = event_len((char *)sse->partial.data + at,
-				     sse->partial.len - at)) > 0) {
-		process_event(sse, (char *)sse->partial.data + at, n, out);
-		at += n;
+	while (!sse->terminated && (n = event_stream_next(&sse->partial,
+					&sse->scanned_bytes)) > 0) {
+		process_event(sse, (char *)sse->partial.data, n, out);
+		buf_consume(&sse->partial, n);
 	}
-	buf_consume(&sse->partial, at);
-	if (sse->partial.len > SSE_EVENT_MAX_BYTES ||
+	if (sse->partial.len > EVENT_STREAM_EVENT_MAX_BYTES ||
 	    (sse->terminated && sse->partial.len > 0))
 		return ERR_UPSTREAM;
 	return 0;
--- a/src/entry/sse.h
+++ b/src/entry/sse.h
@@ -15,12 +15,9 @@
  * Splits a byte stream into complete server-sent events.  The terminator,
  * "data: [DONE]", is withheld, and its absence shows that a stream was cut.
  */
-enum {
-	SSE_EVENT_MAX_BYTES = 1024 * 1024
-};
-
 struct sse {
 	struct buf partial; /* an incomplete event */
+	size_t scanned_bytes; /* of it; see event_stream.h */
 	struct buf terminator; /* the withheld terminator */
 	uint32_t content_events; /* events with data, the terminator excepted */
 	uint32_t reported_tokens; /* from completion_tokens; 0: none */
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -60,6 +60,8 @@
 	/* Sign of its server, if the connection marked the end; else NULL */
 	const char *end_sign;
 	bool is_event_stream; /* the answer is a stream of events */
+	/* of the incomplete event in answer_body; see event_stream.h */
+	size_t scanned_bytes;
 	bool continues; /* the caller has events of an earlier attempt */
 	uint32_t events; /* of a stream, received in this attempt */
 	uint32_t new_events; /* of these, those that the caller hadn't got */
--- a/src/gateway/exchange_answer.c
+++ b/src/gateway/exchange_answer.c
@@ -9,6 +9,7 @@
 #include "base/err.h"
 #include "gateway/follow.h"
 #include "gateway/path_check.h"
+#include "http/event_stream.h"
 #include "route/cascade.h"
 #include "route/retry.h"
 
@@ -20,7 +21,6 @@
 enum {
 	/* Largest plain answer; these are buffered whole. */
 	ANSWER_MAX_BYTES = 16 * 1024 * 1024,
-	EVENT_MAX_BYTES = 1024 * 1024,
 	/* Buffered for all answers of the instance together. */
 	BUFFERED_MAX_BYTES = 24 * 1024 * 1024,
 	/* One answer may buffer this much even beyond the limit above. */
@@ -416,6 +416,7 @@
 		dialect->ops->write_answer(dialect, headers, &ex->answer_head);
 	}
 	buf_clear(&ex->answer_body);
+	ex->attempt.scanned_bytes = 0;
 	(void)count_buffered(ex);
 	return 0;
 }
@@ -510,24 +511,6 @@
 	return false;
 }
 
-/*
- * Returns the length of the first complete event, including its blank line; 0
- * if none is complete.
- */
-static size_t
-complete_event_len(const struct buf *buf)
-{
-	for (size_t i = 1; i < buf->len; i++) {
-		if (buf->data[i] != '\n')
-			continue;
-		if (buf->data[i - 1] == '\n' ||
-		    (i >= 3 && buf->data[i - 1] == '\r' &&
-			buf->data[i - 2] == '\n'))
-			return i + 1;
-	}
-	return 0;
-}
-
 /*
  * Returns whether the attempt's server is reading prompts, which delays events
  * in any version.  Servers of a new version read more prompts, since their
@@ -728,12 +711,15 @@
 forward_events(struct gw_exchange *ex, const void *data, size_t len)
 {
 	size_t n, passed = 0;
+	bool progressed = false;
 	int result;
 
 	buf_add(&ex->answer_body, data, len);
-	if (complete_event_len(&ex->answer_body) > 0)
-		record_event_progress(ex);
-	while ((n = complete_event_len(&ex->answer_body)) > 0) {
+	while ((n = event_stream_next(
+		    &ex->answer_body, &ex->attempt.scanned_bytes)) > 0) {
+		if (!progressed)
+			record_event_progress(ex);
+		progressed = true;
 		result =
 		    process_event(ex, (const char *)ex->answer_body.data, n);
 		if (result < 0)
@@ -752,8 +738,9 @@
 		upstream_set_paused(ex->attempt.call, true);
 		gw_exchange_set_timer(ex);
 	}
-	return ex->answer_body.len > EVENT_MAX_BYTES ? ERR_TOO_LARGE
-						     : count_buffered(ex);
+	return ex->answer_body.len > EVENT_STREAM_EVENT_MAX_BYTES
+		   ? ERR_TOO_LARGE
+		   : count_buffered(ex);
 }
 
 /* Handles a part of an answer's body.  Returns 0 or ERR_TOO_LARGE. */
--- a/test/process/endless.sh
+++ b/test/process/endless.sh
@@ -54,7 +54,8 @@
 
 i=0
 for path in /raw/head/ /raw/line/ /raw/interim/ /raw/other/ /raw/body/ /raw/chunks/ \
-    /raw/extension/ /raw/trailer/ /once/body/ /once/head/ /s/event/; do
+    /raw/extension/ /raw/trailer/ /once/body/ /once/head/ /s/event/ \
+    /s/event-bytes/ /s/extension/ /s/trailer/; do
 	i=$((i + 1))
 	from=$(now_ms)
 	code=$(status 21 "${path}$i" "e$i" -m 5)
@@ -72,6 +73,25 @@
 check 'and logged with the server' 1 "$(($(logged) >= 10))"
 check 'other requests are served meanwhile' 200 "$(status 21 /ok/1 r1)"
 
+# Streams without an event in chunks of one byte, at full speed, beside callers
+# of a sound service: the time for each byte doesn't grow with the event.
+i=0
+for _ in $(seq 10); do
+	i=$((i + 1))
+	ask 21 "/s/event-bytes/$i" "eb$i" -o /dev/null -m 6 &
+	readers="${readers:-} $!"
+done
+# shellcheck disable=SC2086
+for i in $(seq 20); do
+	status 21 "/ok/eb$i" "ok$i" -m 1 >>"$dir/beside"
+	echo >>"$dir/beside"
+	sleep 0.1
+done
+check 'callers beside streams of single bytes are served' 20 "$(grep -c '^200$' "$dir/beside")"
+# shellcheck disable=SC2086
+wait $readers
+readers=
+
 # Slow readers of a stream whose events come at full speed.
 for n in 1 2 3 4; do
 	ask 21 "/s/events/$n" "ev$n" --limit-rate 10K -m 4 -o /dev/null &
