buf: consuming a little of a long buffer moves nothing

An answer or request that waits for a peer that reads slowly was moved as a whole by each write: a reader of 1 KB at a time makes 8 GB of moves for 4 MB.

Cause: buf_consume() moved the rest to the front. front, upstream, link and http/server consume what the socket took.

Ruled out: a queue of its own for these four (the same code four times).

Change: buf_consume() moves the start of the data. The room is used again when as much was consumed as is left; otherwise the buffer grows.

Before: Buf.ConsumingALittleMovesNothing fails at the first byte.

--- a/src/base/buf.c
+++ b/src/base/buf.c
@@ -1,6 +1,7 @@
 #include "base/buf.h"
 
 #include <assert.h>
+#include <stdbool.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -20,13 +21,28 @@
 	buf->alloc = alloc != NULL ? alloc : alloc_default();
 }
 
+/* Moves the content to the start of the allocated memory. */
+static void
+move_to_start(struct buf *buf)
+{
+	uint8_t *start = buf->data - buf->consumed;
+
+	if (buf->consumed == 0)
+		return;
+	memmove(start, buf->data, buf->len + 1);
+	buf->data = start;
+	buf->size += buf->consumed;
+	buf->consumed = 0;
+}
+
 /* Frees the memory and leaves an empty buffer that can be used again. */
 void
 buf_free(struct buf *buf)
 {
 	if (buf->alloc == NULL)
 		return;
-	alloc_free(buf->alloc, buf->data);
+	if (buf->data != NULL)
+		alloc_free(buf->alloc, buf->data - buf->consumed);
 	buf_init(buf, buf->alloc);
 }
 
@@ -34,9 +50,11 @@
 void
 buf_clear(struct buf *buf)
 {
+	if (buf->data == NULL)
+		return;
 	buf->len = 0;
-	if (buf->data != NULL)
-		buf->data[0] = '\0';
+	buf->data[0] = '\0';
+	move_to_start(buf);
 }
 
 /*
@@ -47,14 +65,23 @@
 buf_reserve(struct buf *buf, size_t extra)
 {
 	size_t need, size;
+	bool may_reuse;
 
 	need = buf->len + extra + 1;
 	if (need < extra)
 		abort();
 	if (need <= buf->size)
 		return;
+	/*
+	 * The content is moved only where as much was consumed; otherwise the
+	 * buffer grows.  So the work for each byte is bounded.
+	 */
+	may_reuse = buf->consumed >= buf->len;
+	move_to_start(buf);
+	if (may_reuse && need <= buf->size)
+		return;
 	size = buf->size > 0 ? buf->size : BUF_INITIAL_BYTES;
-	while (size < need)
+	while (size < need || size == buf->size)
 		size *= 2;
 	buf->data = alloc_resize(buf->alloc, buf->data, size);
 	buf->size = size;
@@ -108,8 +135,8 @@
 }
 
 /*
- * Removes the first len bytes and moves the rest to the front.  len must not
- * exceed the buffer's length.
+ * Removes the first len bytes, which moves data.  len must not exceed the
+ * buffer's length.
  */
 void
 buf_consume(struct buf *buf, size_t len)
@@ -117,9 +144,12 @@
 	assert(len <= buf->len);
 	if (len == 0)
 		return;
+	buf->data += len;
 	buf->len -= len;
-	memmove(buf->data, buf->data + len, buf->len);
-	buf->data[buf->len] = '\0';
+	buf->size -= len;
+	buf->consumed += len;
+	if (buf->len == 0)
+		move_to_start(buf);
 }
 
 /* Returns the content as a NUL-terminated string; never NULL. */
--- a/src/base/buf.h
+++ b/src/base/buf.h
@@ -20,7 +20,8 @@
 	const struct alloc *alloc;
 	uint8_t *data;
 	size_t len;
-	size_t size; /* allocated bytes, including the NUL */
+	size_t size; /* allocated bytes from data on, including the NUL */
+	size_t consumed; /* allocated bytes before data */
 };
 
 void buf_init(struct buf *buf, const struct alloc *alloc);
--- a/test/unit/base_test.cc
+++ b/test/unit/base_test.cc
@@ -9,6 +9,48 @@
 #include "base/rng.h"
 #include "celeryford.h"
 
+/*
+ * Guards against work that grows with the square of a long buffer whose reader
+ * takes a little at a time: consuming moves no bytes, and what was consumed is
+ * used again before the buffer grows.
+ */
+TEST(Buf, ConsumingALittleMovesNothing)
+{
+	struct buf buf;
+	std::string text(100000, 'x');
+	size_t size;
+
+	buf_init(&buf, nullptr);
+	buf_add(&buf, text.data(), text.size());
+	size = buf.size;
+	for (int i = 0; i < 50000; i++) {
+		const uint8_t *next = buf.data + 1;
+
+		buf_consume(&buf, 1);
+		ASSERT_EQ(next, buf.data);
+	}
+	EXPECT_EQ(text.substr(50000), buf_text(&buf));
+	buf_add(&buf, text.data(), 70000);
+	EXPECT_EQ(120000u, buf.len);
+	EXPECT_EQ(size, buf.size) << "it has grown, or lost room";
+	for (int i = 0; i < 1000; i++) {
+		buf_consume(&buf, 1000);
+		buf_add(&buf, text.data(), 1000);
+	}
+	EXPECT_EQ(120000u, buf.len);
+	EXPECT_EQ(std::string(120000, 'x'), buf_text(&buf));
+	size = buf.size + buf.consumed;
+	for (int i = 0; i < 100000; i++) {
+		buf_consume(&buf, 1);
+		buf_add(&buf, "x", 1);
+	}
+	EXPECT_LE(buf.size + buf.consumed, 2 * size);
+	buf_clear(&buf);
+	buf_consume(&buf, 0);
+	EXPECT_STREQ("", buf_text(&buf));
+	buf_free(&buf);
+}
+
 TEST(Err, EveryKindHasItsOwnRow)
 {
 	std::set<std::string> names;
