front: a closing connection goes on as long as its caller takes the answer

Cause: a connection that ends with its answer was freed 1 s after the answer had been queued, without a look at what was left of it. A caller that had closed its sending side was taken for gone.

Ruled out: the kernel's buffers, which are sent whatever the process does.

Change: the second of lingering begins once the caller has acknowledged all; until then the connection ends only if nothing is taken for the idle timeout. front_unsent_answers() counts what is still to be delivered.

--- a/src/http/front.c
+++ b/src/http/front.c
@@ -26,8 +26,8 @@
 	FRONT_LISTEN_BACKLOG = 511,
 	FRONT_TIMEOUT_CHECK_US = 250000, /* interval between timeout checks */
 	/*
-	 * Input is discarded for this long after the last answer, so that a
-	 * refused caller can finish sending.
+	 * Input is discarded for this long after the caller has received the
+	 * last answer, so that a refused caller can finish sending.
 	 */
 	FRONT_LINGER_US = 1000000,
 	/*
@@ -46,8 +46,9 @@
 	CONN_READING, /* waiting for a request or reading one */
 	CONN_BUSY, /* the handler has the request */
 	/*
-	 * The connection is closing: queued output is still sent, then the
-	 * socket is shut down for writing. Input is discarded.
+	 * The connection is closing: queued output is still sent, for as long
+	 * as the caller takes some of it, then the socket is shut down for
+	 * writing. Input is discarded.
 	 */
 	CONN_LINGERING,
 	/*
@@ -72,6 +73,7 @@
 	 * When the state was entered, or the first byte of the request arrived.
 	 */
 	int64_t state_since_us;
+	size_t undelivered_bytes; /* of a closing connection, when checked */
 	int64_t arrived_us;
 	void *data;
 	int refusal; /* ERR_* with which the request is refused; 0: none */
@@ -138,15 +140,15 @@
 	alloc_free(server->options.alloc, x);
 }
 
-/* Returns whether the caller has acknowledged all that was sent. */
-static bool
-is_delivered(const struct front_exchange *x)
+/* Returns the number of bytes that the caller has not acknowledged yet. */
+static size_t
+undelivered_bytes(const struct front_exchange *x)
 {
 	int unacknowledged = 0;
 
-	return x->out.len == 0 &&
-	       (ioctl(x->fd, SIOCOUTQ, &unacknowledged) != 0 ||
-		   unacknowledged == 0);
+	if (ioctl(x->fd, SIOCOUTQ, &unacknowledged) != 0)
+		unacknowledged = 0;
+	return x->out.len + (size_t)unacknowledged;
 }
 
 /* Resets the connection and frees it. */
@@ -384,6 +386,12 @@
 
 	if (n < 0 && (errno == EAGAIN || errno == EINTR))
 		return;
+	if (n == 0 && x->state == CONN_LINGERING && x->out.len > 0) {
+		/* A caller that sends nothing more may still read. */
+		x->input_ended = true;
+		update_events(x);
+		return;
+	}
 	if (n <= 0) {
 		x->input_ended = true;
 		handle_disconnect(x);
@@ -487,19 +495,39 @@
 		add_connection(server, fd);
 }
 
+/*
+ * Ends a closing connection once the caller has received everything, or has
+ * taken nothing for the idle timeout.
+ */
+static void
+check_closing(struct front_exchange *x, int64_t now_us)
+{
+	size_t undelivered = undelivered_bytes(x);
+	int64_t limit_us = FRONT_LINGER_US;
+
+	if (undelivered != x->undelivered_bytes) {
+		x->undelivered_bytes = undelivered;
+		x->state_since_us = now_us;
+	}
+	if (undelivered > 0)
+		limit_us =
+		    (int64_t)x->server->options.limits.idle_timeout_ms * 1000;
+	if (x->state == CONN_RESETTING) {
+		if (undelivered == 0 || now_us - x->state_since_us > limit_us)
+			reset_connection(x);
+	} else if (now_us - x->state_since_us > limit_us) {
+		conn_free(x);
+	}
+}
+
 static void
 check_timeout(struct front_exchange *x, int64_t now_us)
 {
 	const struct front_limits *limits = &x->server->options.limits;
 	int64_t waited_ms = (now_us - x->state_since_us) / 1000;
 
-	if (x->state == CONN_RESETTING) {
-		if (is_delivered(x) ||
-		    now_us - x->state_since_us > FRONT_LINGER_US)
-			reset_connection(x);
-	} else if (x->state == CONN_LINGERING) {
-		if (now_us - x->state_since_us > FRONT_LINGER_US)
-			conn_free(x);
+	if (x->state == CONN_RESETTING || x->state == CONN_LINGERING) {
+		check_closing(x, now_us);
 	} else if (x->state == CONN_READING && x->request_started) {
 		/*
 		 * Once the header is complete, the idle timeout limits the
@@ -708,6 +736,18 @@
 	return server->open_exchanges;
 }
 
+/* Returns the number of answers that callers have not received whole yet. */
+uint32_t
+front_unsent_answers(const struct front_server *server)
+{
+	uint32_t count = 0;
+
+	for (const struct front_exchange *x = server->conns; x != NULL;
+	     x = x->next)
+		count += x->state == CONN_BUSY || undelivered_bytes(x) > 0;
+	return count;
+}
+
 /* Returns the number of open connections. */
 uint32_t
 front_connection_count(const struct front_server *server)
@@ -906,6 +946,6 @@
 	x->state_since_us = loop_now_us(x->server->options.loop);
 	buf_clear(&x->in);
 	write_output(x);
-	if (is_delivered(x))
+	if (undelivered_bytes(x) == 0)
 		reset_connection(x);
 }
--- a/src/http/front.h
+++ b/src/http/front.h
@@ -79,6 +79,7 @@
 bool front_is_listening(const struct front_server *server);
 void front_close_idle(struct front_server *server, int64_t idle_us);
 uint32_t front_open_exchanges(const struct front_server *server);
+uint32_t front_unsent_answers(const struct front_server *server);
 uint32_t front_connection_count(const struct front_server *server);
 uint16_t front_port(const struct front_server *server);
 
--- a/test/unit/http_wire_test.cc
+++ b/test/unit/http_wire_test.cc
@@ -332,6 +332,72 @@
 		.find("Connection: close"));
 }
 
+/*
+ * Guards against an answer that ends its connection and is cut because its
+ * caller reads slowly: it is sent to its end, also to a caller that sends
+ * nothing more, and counts as unsent until then.
+ */
+TEST_F(Front, AnAnswerIsSentToItsEndHoweverSlowlyItIsRead)
+{
+	const std::string body(8000000, 'x');
+
+	for (bool half_closed : {false, true}) {
+		int fd = socket(AF_INET, SOCK_STREAM, 0), small = 16384;
+		struct sockaddr_in a = {};
+		size_t received = 0;
+		bool eof = false, was_unsent = false;
+
+		answer_later = true;
+		pending = nullptr;
+		front_set_draining(server, true);
+		a.sin_family = AF_INET;
+		a.sin_port = htons(front_port(server));
+		a.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+		setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &small, sizeof(small));
+		ASSERT_EQ(0, connect(fd, (struct sockaddr *)&a, sizeof(a)));
+		fcntl(fd, F_SETFL, O_NONBLOCK);
+		ASSERT_GT(
+		    send(fd, "GET / HTTP/1.1\r\nHost: a\r\n\r\n", 27, 0), 0);
+		ASSERT_TRUE(events.until([&] { return pending != nullptr; }));
+		front_answer(
+		    pending, 200, nullptr, 0, body.data(), body.size());
+		if (half_closed)
+			shutdown(fd, SHUT_WR);
+		/* Some 3 MB a second. */
+		for (int i = 0; i < 4 && !eof; i++)
+			events.until([&] {
+				std::vector<char> part(16384);
+				ssize_t n =
+				    recv(fd, part.data(), part.size(), 0);
+
+				was_unsent |= front_unsent_answers(server) > 0;
+				received += n > 0 ? (size_t)n : 0;
+				eof = n == 0 || (n < 0 && errno != EAGAIN);
+				return eof;
+			});
+		EXPECT_GT(received, body.size()) << half_closed;
+		EXPECT_TRUE(was_unsent);
+		EXPECT_EQ(0u, front_unsent_answers(server));
+		close(fd);
+	}
+}
+
+/* A caller that takes nothing any more is given up after the idle timeout. */
+TEST_F(Front, AnAnswerThatNobodyTakesEndsWithTheIdleTimeout)
+{
+	const std::string body(8000000, 'x');
+	int fd = dial(front_port(server));
+
+	answer_later = true;
+	front_set_draining(server, true);
+	ASSERT_GT(send(fd, "GET / HTTP/1.1\r\nHost: a\r\n\r\n", 27, 0), 0);
+	ASSERT_TRUE(events.until([&] { return pending != nullptr; }));
+	front_answer(pending, 200, nullptr, 0, body.data(), body.size());
+	EXPECT_TRUE(
+	    events.until([&] { return front_connection_count(server) == 0; }));
+	close(fd);
+}
+
 /*
  * Callers connect without a pause while the server stops listening: whoever
  * gets a connection gets an answer on it.
