A planned stop takes what it can answer, and answers what it has taken

What callers saw: requests that came late in the grace of a stopping entry were passed on and ended without any answer, among them ones that may run once.

Cause: new requests were taken for 2.5 s whatever the grace and their service's time, and the end of the drain ended the process with requests open and answers unsent.

Ruled out: the balancer, which kept connections don't ask.

Change: a request is taken during a stop only if most answers of its service fit into what is left (route/answer_time), and none after half of that time or 2.5 s; 0.7 s before the end of the grace each open request gets its end, 504 if it may have run, 503 if not, a broken off stream; the process waits until callers have received their answers, 0.1 s before the end of the grace at most. Logged as ended_by_shutdown.

--- a/src/gateway/entry.c
+++ b/src/gateway/entry.c
@@ -858,6 +858,36 @@
 		front_set_draining(entry->forward_front, true);
 }
 
+/*
+ * Gives each open request its end, so that no caller is left without one by the
+ * end of the process.
+ */
+void
+gw_entry_end_requests(struct gw_entry *entry)
+{
+	struct gw_exchange *ex = entry->exchanges;
+
+	while (ex != NULL) {
+		if (!gw_exchange_has_caller(ex)) {
+			ex = gw_exchange_next(ex);
+			continue;
+		}
+		gw_exchange_end(ex);
+		/* Other requests may have ended with that one. */
+		ex = entry->exchanges;
+	}
+}
+
+/* Returns the number of answers that callers have not received whole yet. */
+uint32_t
+gw_entry_unsent_answers(const struct gw_entry *entry)
+{
+	return front_unsent_answers(entry->front) +
+	       (entry->forward_front != NULL
+		       ? front_unsent_answers(entry->forward_front)
+		       : 0);
+}
+
 /*
  * Tells whether requests of instances that are cut off are taken.  They are for
  * as long as most of them complete before the process ends, since all other
--- a/src/gateway/entry.h
+++ b/src/gateway/entry.h
@@ -4,6 +4,7 @@
 #include "gateway/gateway.h"
 #include "http/front.h"
 #include "http/upstream.h"
+#include "route/answer_time.h"
 #include "route/budget.h"
 #include "route/prefill.h"
 #include "route/pool.h"
@@ -44,6 +45,7 @@
 struct gw_entry_service {
 	char name[REGISTRY_NAME_BYTES];
 	struct retry_budget budget; /* for retries */
+	struct answer_time answer_time;
 	struct metrics_series *requests;
 	struct metrics_series *repeats;
 	struct metrics_series *repeats_refused;
@@ -143,6 +145,8 @@
 const struct evidence_table *gw_entry_outcomes(const struct gw_entry *entry);
 bool gw_entry_has_rollout(const struct gw_entry *entry);
 void gw_entry_drain(struct gw_entry *entry, int64_t ends_us);
+void gw_entry_end_requests(struct gw_entry *entry);
+uint32_t gw_entry_unsent_answers(const struct gw_entry *entry);
 bool gw_entry_takes_forwarded(const struct gw_entry *entry);
 void gw_entry_refuse_new(struct gw_entry *entry);
 uint32_t gw_entry_open_requests(const struct gw_entry *entry);
@@ -189,6 +193,8 @@
 void gw_exchange_set_waiting(struct gw_exchange *ex, bool waiting);
 void gw_exchange_touch_session(const struct gw_exchange *ex);
 struct gw_exchange *gw_exchange_next(const struct gw_exchange *ex);
+void gw_exchange_end(struct gw_exchange *ex);
+bool gw_exchange_has_caller(const struct gw_exchange *ex);
 uint64_t gw_exchange_queue_rank(const struct gw_exchange *ex);
 bool gw_exchange_is_same_service(
     const struct gw_exchange *a, const struct gw_exchange *b);
--- a/src/gateway/exchange.c
+++ b/src/gateway/exchange.c
@@ -254,9 +254,12 @@
 	gw_exchange_free(ex);
 }
 
-/* Handles the end of the request's deadline. */
+/*
+ * Ends a request whose deadline has passed, or that this instance can't finish
+ * before its own end.  error: the reason if it has not run.
+ */
 static void
-handle_timeout(struct gw_exchange *ex)
+end_unfinished(struct gw_exchange *ex, int error)
 {
 	if (ex->attempt.call != NULL && upstream_was_sent(ex->attempt.call))
 		ex->may_have_run = true;
@@ -264,7 +267,23 @@
 		gw_exchange_truncate(ex);
 	else
 		gw_exchange_answer_error(
-		    ex, ex->may_have_run ? ERR_TIMEOUT : ERR_NO_CAPACITY, 0);
+		    ex, ex->may_have_run ? ERR_TIMEOUT : error, 0);
+}
+
+/* Ends a request because this instance ends. */
+void
+gw_exchange_end(struct gw_exchange *ex)
+{
+	gw_exchange_log(ex, LOG_LEVEL_WARN, "ended_by_shutdown",
+	    "answer_begun=%d sends=%u", ex->answer_begun, ex->send_count);
+	end_unfinished(ex, ERR_SHUTDOWN);
+}
+
+/* Returns whether a caller waits for the answer. */
+bool
+gw_exchange_has_caller(const struct gw_exchange *ex)
+{
+	return ex->caller != NULL;
 }
 
 static void on_timer(void *ctx);
@@ -299,7 +318,7 @@
 
 	ex->timer = NULL;
 	if (now_us >= ex->deadline_us)
-		handle_timeout(ex);
+		end_unfinished(ex, ERR_NO_CAPACITY);
 	else if (patience > 0 && now_us >= ex->attempt.progress_us + patience &&
 		 retry_budget_allows(&ex->service_state->budget, now_us))
 		gw_exchange_abandon_attempt(ex);
@@ -538,6 +557,19 @@
 		causes->parts[causes->part_count++] = ex->request.parts[i].id;
 }
 
+/*
+ * Returns whether this instance shuts down before an answer of the service is
+ * probably complete.  A stream that can be resumed goes on at another instance.
+ */
+static bool
+ends_too_soon(const struct gw_exchange *ex)
+{
+	return ex->entry->draining && ex->forwarded_by == 0 &&
+	       !ex->route->resumable &&
+	       !answer_time_fits(&ex->service_state->answer_time,
+		   ex->entry->ends_us - gw_exchange_now_us(ex));
+}
+
 /*
  * Admits the request and places it, queues it until the orders are known, or
  * answers with an error.
@@ -566,6 +598,10 @@
 			   : ex->route->priority;
 	set_causes(ex);
 	choose_service(ex);
+	if (ends_too_soon(ex)) {
+		gw_exchange_answer_error(ex, ERR_SHUTDOWN, GW_RETRY_MIN_MS);
+		return;
+	}
 	gw_exchange_set_timer(ex);
 	gw_exchange_place(ex);
 }
--- a/src/gateway/exchange_answer.c
+++ b/src/gateway/exchange_answer.c
@@ -961,6 +961,8 @@
 	entry->answers->value++;
 	metrics_observe_us(
 	    entry->answer_us, gw_exchange_now_us(ex) - ex->arrived_us);
+	answer_time_add(&ex->service_state->answer_time,
+	    gw_exchange_now_us(ex) - ex->arrived_us);
 	if (ex->caller == NULL) {
 		gw_exchange_free(ex);
 		return;
--- a/src/gateway/main.c
+++ b/src/gateway/main.c
@@ -23,10 +23,12 @@
 /*
  * celeryford-gateway: routes requests to backend servers by a table of
  * routes.  It reads the settings, builds the supervisor tree and runs until
- * SIGTERM.  Shutdown has two phases.  At once the instance reports that it is
- * not ready, and closes each connection with its answer.  After
- * BALANCER_NOTICE_US it closes idle connections and refuses new requests.  The
- * process ends before grace-ms is over.
+ * SIGTERM.  Shutdown has three phases.  At once the instance reports that it is
+ * not ready, closes each connection with its answer, and refuses requests that
+ * would probably not be answered in time.  After notice_us() it closes idle
+ * connections and refuses all new requests.  FINAL_ANSWERS_MS before grace-ms
+ * is over it ends the requests that are still open.  The process ends once
+ * callers have received their answers.
  */
 
 enum {
@@ -44,11 +46,13 @@
 	/*
 	 * Time in which the load balancer notices that this instance is not
 	 * ready.  Requests that arrive later are refused and go to another
-	 * instance.
+	 * instance.  With a short grace-ms it is less; see notice_us().
 	 */
 	BALANCER_NOTICE_US = 2500000,
 	/* part of grace-ms left for sending the last answers */
 	FINAL_ANSWERS_MS = 700,
+	/* part of grace-ms left for the end of the process */
+	PROCESS_END_MS = 100,
 	/* longest wait for connections without a request to end */
 	LAST_CONNECTIONS_US = 600000
 };
@@ -149,7 +153,7 @@
 	loop_after(p->gw.loop, SETTINGS_CHECK_US, on_settings_timer, p);
 }
 
-/* Returns when an entry that is shutting down ends at the latest. */
+/* Returns when the open requests of an entry that is shutting down end. */
 static int64_t
 drain_end_us(const struct process *p)
 {
@@ -157,22 +161,40 @@
 	       ((int64_t)p->settings.grace_ms - FINAL_ANSWERS_MS) * 1000;
 }
 
+/*
+ * Returns for how long an entry that is shutting down takes new requests: half
+ * of the time that it has for answering them at the most.
+ */
+static int64_t
+notice_us(const struct process *p)
+{
+	int64_t half_us = (drain_end_us(p) - p->stopping_us) / 2;
+
+	return half_us < BALANCER_NOTICE_US ? half_us : BALANCER_NOTICE_US;
+}
+
 /*
  * Runs the phases of the shutdown of an entry.  Returns whether it is over: no
- * request is open, new connections have been refused for a while, and those
- * that were accepted before have ended, or the grace period is nearly over.
+ * request is open, callers have received their answers, new connections have
+ * been refused for a while, and those that were accepted before have ended, or
+ * the grace period is over.
  */
 static bool
 drain_entry(struct process *p, int64_t now_us)
 {
 	struct gw_entry *entry = p->gw.entry;
 	int64_t end_us = drain_end_us(p);
+	int64_t last_us =
+	    p->stopping_us +
+	    ((int64_t)p->settings.grace_ms - PROCESS_END_MS) * 1000;
 	bool idle;
 
-	if (now_us - p->stopping_us >= BALANCER_NOTICE_US) {
+	if (now_us - p->stopping_us >= notice_us(p)) {
 		p->refuses_new = true;
 		gw_entry_refuse_new(entry);
 	}
+	if (now_us >= end_us)
+		gw_entry_end_requests(entry);
 	idle = p->refuses_new && gw_entry_open_requests(entry) == 0;
 	if (p->closed_us == 0 &&
 	    (idle || now_us >= end_us - LAST_CONNECTIONS_US)) {
@@ -180,10 +202,11 @@
 		gw_entry_stop_listening(entry);
 	}
 	if (idle && !gw_entry_is_listening(entry) &&
+	    gw_entry_unsent_answers(entry) == 0 &&
 	    (gw_entry_connections(entry) == 0 ||
 		now_us - p->closed_us >= LAST_CONNECTIONS_US))
 		return true;
-	return now_us >= end_us;
+	return now_us >= last_us;
 }
 
 /* Runs the phases of the shutdown, and stops the loop after the last one. */
