Trailer fields are dropped; a head that stops is shown to be no answer

Cause: the table of header fields stayed open after the head. The parser reports trailer fields through the same calls; the first name after a value was taken for the rest of one, its value for that of the last field.

Change: headers_close() closes the table; what follows is dropped, in requests and answers.

--- a/fuzz/fuzz_platform_headers.c
+++ b/fuzz/fuzz_platform_headers.c
@@ -40,7 +40,7 @@
 		data += len + (end != NULL);
 		size -= len + (end != NULL);
 	}
-	headers_finish(&header_fields);
+	headers_close(&header_fields);
 	buf_init(&lines, alloc_default());
 	(void)dialect->ops->read_request(dialect, &header_fields, &request);
 	dialect->ops->read_answer(dialect, &header_fields, &answer);
--- a/src/http/front.c
+++ b/src/http/front.c
@@ -238,7 +238,7 @@
 	struct front_exchange *x = parser->data;
 	const struct front_limits *limits = &x->server->options.limits;
 
-	headers_finish(&x->headers);
+	headers_close(&x->headers);
 	x->headers_done = true;
 	if (!headers_are_forwardable(&x->headers) ||
 	    headers_count(&x->headers, "Host") > 1)
--- a/src/http/headers.c
+++ b/src/http/headers.c
@@ -27,6 +27,17 @@
 	headers->count = 0;
 	headers->in_value = false;
 	headers->overflow = false;
+	headers->closed = false;
+}
+
+/* Terminates the value of the last field. */
+static void
+end_value(struct header_fields *headers)
+{
+	if (headers->count == 0 || !headers->in_value)
+		return;
+	buf_add(&headers->text, "", 1);
+	headers->in_value = false;
 }
 
 /*
@@ -37,8 +48,10 @@
 void
 headers_parse_name(struct header_fields *headers, const char *data, size_t len)
 {
+	if (headers->closed)
+		return;
 	if (headers->count == 0 || headers->in_value) {
-		headers_finish(headers);
+		end_value(headers);
 		if (headers->count == HEADERS_FIELDS_MAX) {
 			headers->overflow = true;
 			headers->count--;
@@ -54,6 +67,8 @@
 void
 headers_parse_value(struct header_fields *headers, const char *data, size_t len)
 {
+	if (headers->closed)
+		return;
 	if (!headers->in_value) {
 		buf_add(&headers->text, "", 1);
 		headers->fields[headers->count - 1].value =
@@ -63,14 +78,15 @@
 	buf_add(&headers->text, data, len);
 }
 
-/* Terminates the value of the last field. */
+/*
+ * Ends the header.  Fields that the parser reports afterwards are trailers,
+ * which must not change what the message has been judged by; they are dropped.
+ */
 void
-headers_finish(struct header_fields *headers)
+headers_close(struct header_fields *headers)
 {
-	if (headers->count == 0 || !headers->in_value)
-		return;
-	buf_add(&headers->text, "", 1);
-	headers->in_value = false;
+	end_value(headers);
+	headers->closed = true;
 }
 
 /* Returns the name of a field. */
--- a/src/http/headers.h
+++ b/src/http/headers.h
@@ -30,6 +30,7 @@
 	struct header_field fields[HEADERS_FIELDS_MAX];
 	uint32_t count;
 	bool in_value; /* the last field's value is being read */
+	bool closed; /* the header is complete: trailer fields are dropped */
 	bool overflow; /* the message has more than HEADERS_FIELDS_MAX fields */
 };
 
@@ -40,7 +41,7 @@
     struct header_fields *headers, const char *data, size_t len);
 void headers_parse_value(
     struct header_fields *headers, const char *data, size_t len);
-void headers_finish(struct header_fields *headers);
+void headers_close(struct header_fields *headers);
 const char *headers_name(const struct header_fields *headers, uint32_t i);
 const char *headers_value(const struct header_fields *headers, uint32_t i);
 const char *headers_get(const struct header_fields *headers, const char *name);
--- a/src/http/upstream.c
+++ b/src/http/upstream.c
@@ -273,7 +273,7 @@
 	struct upstream_call *call = c->call;
 	int verdict;
 
-	headers_finish(&c->headers);
+	headers_close(&c->headers);
 	if (call == NULL)
 		return -1;
 	if (parser->status_code < 200) {
--- a/test/unit/http_wire_test.cc
+++ b/test/unit/http_wire_test.cc
@@ -324,6 +324,44 @@
 	}
 }
 
+/*
+ * Guards against trailer fields that replace fields of the header: they are
+ * dropped, whatever their name and also where the header has no other field.
+ */
+TEST_F(Front, TrailerFieldsChangeNothing)
+{
+	const std::string chunked =
+	    "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n"
+	    "X-Id: mine\r\n\r\n4\r\nbody\r\n0\r\n";
+	const std::string trailers[] = {"X-Checksum: 5d41402a\r\n\r\n",
+	    "X-Id: another\r\nHost: b\r\nContent-Length: 100\r\n\r\n",
+	    "Authorization: Bearer k2\r\nExpect: 100-continue\r\n\r\n"};
+
+	for (const std::string &trailer : trailers) {
+		int fd = dial(front_port(server));
+		std::string got;
+
+		answer_later = true;
+		pending = nullptr;
+		for (char c : chunked + trailer) {
+			ASSERT_EQ(1, send(fd, &c, 1, 0));
+			if (c == '\n')
+				events.until([] { return true; });
+		}
+		ASSERT_TRUE(events.until([&] { return pending != nullptr; }));
+		const struct header_fields *headers = front_headers(pending);
+		EXPECT_EQ(3u, headers->count);
+		EXPECT_STREQ("mine", headers_get(headers, "X-Id"));
+		EXPECT_STREQ("a", headers_get(headers, "Host"));
+		EXPECT_EQ(nullptr, headers_get(headers, "Authorization"));
+		EXPECT_EQ("POST / body", seen.back());
+		front_answer(pending, 200, nullptr, 0, "ok", 2);
+		events.until([&] { return !(got += drain(fd)).empty(); });
+		EXPECT_EQ(0u, got.find("HTTP/1.1 200"));
+		close(fd);
+	}
+}
+
 TEST_F(Front, DrainingEndsConnectionsWithTheirAnswers)
 {
 	front_set_draining(server, true);
@@ -813,6 +851,60 @@
 	}
 }
 
+/*
+ * Guards against the head of an answer that stops anywhere and is taken for an
+ * answer, empty or short: it is none, whether the connection is closed or reset
+ * and also after an interim answer.
+ */
+TEST_F(Upstream, AHeadThatStopsIsNoAnswer)
+{
+	const std::string interim =
+	    "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n";
+	const std::string head = "HTTP/1.1 200 OK\r\nX-Id: 1\r\n"
+				 "Content-Type: text/event-stream\r\n\r\n";
+
+	for (const std::string &before : {std::string(), interim})
+		for (bool reset : {false, true})
+			for (size_t len = 1; len < head.size(); len++) {
+				const struct linger abort = {1, 0};
+				Seen seen;
+				int at;
+
+				start(&seen);
+				at = answer(before + head.substr(0, len));
+				ASSERT_GE(at, 0);
+				events.until([] { return true; });
+				if (reset)
+					setsockopt(conns[(size_t)at],
+					    SOL_SOCKET, SO_LINGER, &abort,
+					    sizeof(abort));
+				close(conns[(size_t)at]);
+				conns.clear();
+				ASSERT_TRUE(finished(&seen)) << len;
+				EXPECT_NE(0, seen.result.error) << len;
+				EXPECT_EQ(0u, seen.status) << len;
+				EXPECT_EQ("", seen.body) << len;
+			}
+}
+
+/* The same in an answer: its trailers don't change what the head has said. */
+TEST_F(Upstream, TrailerFieldsOfAnAnswerAreDropped)
+{
+	Seen first, second;
+
+	first.only_id = second.only_id = "1";
+	start(&first);
+	answer("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nX-Id: 1\r\n"
+	       "\r\n2\r\nok\r\n0\r\nKeep-Alive: timeout=0\r\nX-Id: 2\r\n\r\n");
+	ASSERT_TRUE(finished(&first));
+	EXPECT_EQ(0, first.result.error);
+	EXPECT_EQ("ok", first.body);
+	start(&second);
+	EXPECT_EQ(0, answer(whole));
+	ASSERT_TRUE(finished(&second));
+	EXPECT_EQ(1u, upstream_dial_count(client)) << "it was not kept";
+}
+
 TEST_F(Upstream, NothingIsSentTwiceOnAStaleConnection)
 {
 	Seen first, second;
--- a/test/unit/platform_test.cc
+++ b/test/unit/platform_test.cc
@@ -46,7 +46,7 @@
 			headers_parse_value(
 			    &header_fields, value.data(), value.size());
 		}
-		headers_finish(&header_fields);
+		headers_close(&header_fields);
 	}
 
 	~Headers()
--- a/test/unit/reach_test.cc
+++ b/test/unit/reach_test.cc
@@ -192,7 +192,7 @@
 		    headers, &lines[colon + 2], end - colon - 2);
 		at = end + 2;
 	}
-	headers_finish(headers);
+	headers_close(headers);
 }
 
 struct ForwardFieldTest : ::testing::Test {
