wire/peer: messages above a frame go in parts

Cause: an entry of the log may have 4 MiB, a frame of a link 1 MiB. peer_send() said so, gw_send_message() dropped that result, and later entries waited behind.

Ruled out: a smaller entry (a document may have 4 MiB, so its change may too); a larger frame (an older build ends the link for it).

Change: messages of up to 5 MiB go in parts, on channels that an older build ignores, and are joined per link. What is larger is logged (message_too_large).

Beside followers of an older build such an entry waits for them.

--- a/src/daemon/child_peer.c
+++ b/src/daemon/child_peer.c
@@ -104,6 +104,8 @@
 	case PEER_CLUSTER_HELLO:
 	case PEER_CLUSTER_NEWS:
 	case PEER_CLUSTER_LOADS:
+	case PEER_PART:
+	case PEER_LAST_PART:
 	case PEER_CHANNEL_END:
 		break;
 	}
--- a/src/gateway/links.c
+++ b/src/gateway/links.c
@@ -124,15 +124,23 @@
 {
 	struct gw_links *links = gw->links;
 	char name[GW_NAME_BYTES];
+	int error;
 
 	if (links == NULL || to == 0 || to == gw->self)
 		return;
 	gw_format_address(to, name);
-	if (peer_send(links->hub, name, channel, bytes->data,
-		(uint32_t)bytes->len) != ERR_NOT_FOUND)
-		return;
-	peer_hub_add(links->hub, name, name, (uint16_t)gw->settings->link_port);
-	peer_send(links->hub, name, channel, bytes->data, (uint32_t)bytes->len);
+	error = peer_send(
+	    links->hub, name, channel, bytes->data, (uint32_t)bytes->len);
+	if (error == ERR_NOT_FOUND) {
+		peer_hub_add(
+		    links->hub, name, name, (uint16_t)gw->settings->link_port);
+		error = peer_send(links->hub, name, channel, bytes->data,
+		    (uint32_t)bytes->len);
+	}
+	/* Links that are down are logged by themselves. */
+	if (error == ERR_TOO_LARGE)
+		log_event(LOG_LEVEL_ERROR, "message_too_large",
+		    "to=%s channel=%d bytes=%zu", name, channel, bytes->len);
 }
 
 /*
--- a/src/wire/peer.c
+++ b/src/wire/peer.c
@@ -18,7 +18,8 @@
 	PEER_REDIAL_DELAY_MIN_US = 100000,
 	PEER_REDIAL_DELAY_MAX_US = 500000,
 	PEER_LISTEN_BACKLOG = 128,
-	PEER_FRAME_OVERHEAD_BYTES = 64 /* envelope and encryption */
+	PEER_FRAME_OVERHEAD_BYTES = 64, /* envelope and encryption */
+	PEER_PART_MAX_BYTES = PEER_FRAME_MAX_BYTES - PEER_FRAME_OVERHEAD_BYTES
 };
 
 /* An instance to send to; its link is NULL while none is open. */
@@ -35,6 +36,7 @@
 /* A link that another instance dialled. */
 struct incoming {
 	struct link *link;
+	struct buf parts; /* of a message that is not complete */
 	struct incoming *next;
 };
 
@@ -115,14 +117,75 @@
 	return p;
 }
 
-static bool
-is_incoming(const struct peer_hub *hub, const struct link *link)
+/* Queues a message on a link, in several frames if it exceeds one. */
+static void
+send_message(struct peer_hub *hub, struct link *link, enum peer_channel channel,
+    const uint8_t *data, uint32_t len)
 {
-	for (struct incoming *in = hub->incoming; in != NULL; in = in->next) {
-		if (in->link == link)
-			return true;
+	const uint8_t number = (uint8_t)channel;
+
+	if (len <= PEER_PART_MAX_BYTES) {
+		send_envelope(hub, link, channel, data, len);
+		return;
 	}
-	return false;
+	send_envelope(hub, link, PEER_PART, &number, sizeof(number));
+	for (; len > PEER_PART_MAX_BYTES; len -= PEER_PART_MAX_BYTES) {
+		send_envelope(hub, link, PEER_PART, data, PEER_PART_MAX_BYTES);
+		data += PEER_PART_MAX_BYTES;
+	}
+	send_envelope(hub, link, PEER_LAST_PART, data, len);
+}
+
+static struct incoming *
+find_incoming(const struct peer_hub *hub, const struct link *link)
+{
+	struct incoming *in = hub->incoming;
+
+	while (in != NULL && in->link != link)
+		in = in->next;
+	return in;
+}
+
+/* Passes a message on, unless a newer release has added its channel. */
+static void
+deliver(struct peer_hub *hub, const struct link *link, uint32_t channel,
+    const uint8_t *data, size_t len)
+{
+	if (channel > 0 && channel < PEER_PART)
+		hub->options.handler->message(hub->options.ctx, link_peer(link),
+		    (enum peer_channel)channel, data, (uint32_t)len);
+}
+
+/*
+ * Adds a part of a message and delivers it with the last one.  A message above
+ * PEER_MESSAGE_MAX_BYTES is dropped.
+ */
+static void
+add_part(struct peer_hub *hub, struct incoming *in, const uint8_t *data,
+    size_t len, bool is_last)
+{
+	struct buf message;
+
+	if (in->parts.len <= 1 + PEER_MESSAGE_MAX_BYTES)
+		buf_add(&in->parts, data, len);
+	if (!is_last)
+		return;
+	/* The handler may free the link. */
+	message = in->parts;
+	buf_init(&in->parts, hub->options.alloc);
+	if (message.len > 1 && message.len <= 1 + PEER_MESSAGE_MAX_BYTES)
+		deliver(hub, in->link, message.data[0], message.data + 1,
+		    message.len - 1);
+	else
+		hub->stats.dropped_frames++;
+	buf_free(&message);
+}
+
+static void
+free_incoming(struct peer_hub *hub, struct incoming *in)
+{
+	buf_free(&in->parts);
+	alloc_free(hub->options.alloc, in);
 }
 
 /*
@@ -148,19 +211,22 @@
 {
 	struct peer_hub *hub = ctx;
 	Wire__Envelope *envelope = wire__envelope__unpack(NULL, len, data);
+	struct incoming *in = find_incoming(hub, link);
 
 	if (envelope == NULL)
 		return;
 	hub->stats.received_frames++;
-	if (is_incoming(hub, link))
+	if (in != NULL)
 		note_peer_alive(hub, link_peer(link));
 	if (envelope->channel == PEER_PING)
 		send_envelope(hub, link, PEER_PONG, NULL, 0);
-	/* Ignores channels that a newer release added. */
-	else if (envelope->channel > 0 && envelope->channel < PEER_CHANNEL_END)
-		hub->options.handler->message(hub->options.ctx, link_peer(link),
-		    (enum peer_channel)envelope->channel, envelope->body.data,
-		    (uint32_t)envelope->body.len);
+	else if (envelope->channel != PEER_PART &&
+		 envelope->channel != PEER_LAST_PART)
+		deliver(hub, link, envelope->channel, envelope->body.data,
+		    envelope->body.len);
+	else if (in != NULL)
+		add_part(hub, in, envelope->body.data, envelope->body.len,
+		    envelope->channel == PEER_LAST_PART);
 	wire__envelope__free_unpacked(envelope, NULL);
 }
 
@@ -197,7 +263,7 @@
 
 		if (in->link == link) {
 			*at = in->next;
-			alloc_free(hub->options.alloc, in);
+			free_incoming(hub, in);
 			return;
 		}
 	}
@@ -216,6 +282,7 @@
 		return;
 	in = alloc_zero(hub->options.alloc, 1, sizeof(*in));
 	in->link = link;
+	buf_init(&in->parts, hub->options.alloc);
 	in->next = hub->incoming;
 	hub->incoming = in;
 }
@@ -320,7 +387,7 @@
 
 		hub->incoming = in->next;
 		link_free(in->link);
-		alloc_free(hub->options.alloc, in);
+		free_incoming(hub, in);
 	}
 	loop_unwatch(hub->watch);
 	loop_cancel(hub->tick);
@@ -385,14 +452,14 @@
 
 	if (peer == NULL)
 		return ERR_NOT_FOUND;
-	if (len > PEER_FRAME_MAX_BYTES - PEER_FRAME_OVERHEAD_BYTES)
+	if (len > PEER_MESSAGE_MAX_BYTES)
 		return ERR_TOO_LARGE;
 	if (!ensure_link(hub, peer) ||
 	    link_queued_bytes(peer->link) > PEER_QUEUE_MAX_BYTES) {
 		hub->stats.dropped_frames++;
 		return ERR_IO;
 	}
-	send_envelope(hub, peer->link, channel, data, len);
+	send_message(hub, peer->link, channel, data, len);
 	return 0;
 }
 
--- a/src/wire/peer.h
+++ b/src/wire/peer.h
@@ -41,12 +41,20 @@
 	/* Replies to PEER_CLUSTER_HELLO: servers, instances. */
 	PEER_CLUSTER_NEWS = 14,
 	PEER_CLUSTER_LOADS = 15, /* load in progress at entry instances */
-	PEER_CHANNEL_END = 16 /* one above the highest channel */
+	/*
+	 * A message that exceeds a frame: first its channel in one byte, then
+	 * its content.  The last part has a channel of its own.
+	 */
+	PEER_PART = 16,
+	PEER_LAST_PART = 17,
+	PEER_CHANNEL_END = 18 /* one above the highest channel */
 };
 
 enum {
 	PEER_FRAME_MAX_BYTES = 1024 * 1024,
-	/* Per link; messages that would exceed it are dropped. */
+	/* Larger than the largest entry of the replicated log. */
+	PEER_MESSAGE_MAX_BYTES = 5 * 1024 * 1024,
+	/* Per link; a message is dropped if more is queued before it. */
 	PEER_QUEUE_MAX_BYTES = 4 * 1024 * 1024
 };
 
