A leader that was frozen counts the silence of its peers from its return

What callers saw: nothing; found by reading. After a suspension of a leader that is not replaced (all instances frozen together, as with a paused host), it took the others for silent and would have taken the vote of one at once.

Cause: the time since a peer was heard includes the leader's own suspension.

Change: handle_time_jump() starts it anew, like the lease.

Before: RlogVoters.AFrozenLeaderTakesNoVotes fails. After: passes; all rlog tests pass.

--- a/src/state/rlog.c
+++ b/src/state/rlog.c
@@ -376,8 +376,9 @@
 
 /*
  * After a long gap between two steps the process may have been frozen.  Its
- * lease and its election timeout are then out of date: a leader has to be
- * confirmed by a quorum again, and a follower starts a new timeout.
+ * lease, its election timeout and the silence of its peers are then out of
+ * date: a leader has to be confirmed by a quorum again, and a follower starts a
+ * new timeout.
  */
 static void
 handle_time_jump(struct rlog *rlog)
@@ -392,6 +393,8 @@
 		rlog->min_round = rlog->round + 1;
 		rlog->quorum_us = rlog->now_us;
 		rlog->heartbeat_us = rlog->now_us;
+		for (size_t i = 0; i < rlog->peer_count; i++)
+			rlog->peers[i].heard_us = rlog->now_us;
 	} else {
 		rlog_reset_election_timer(rlog);
 	}
--- a/src/state/rlog_voters.c
+++ b/src/state/rlog_voters.c
@@ -8,8 +8,8 @@
  *
  * A learner that has caught up becomes a voter.  A voter that has been silent
  * for rlog_silence_limit_us() becomes a learner if it can be spared, as its
- * instance may never return.  One that does return still gets
- * the leader's messages, catches up and votes again.
+ * instance may never return.  One that does return still gets the leader's
+ * messages, catches up and votes again.
  */
 
 enum {
--- a/test/unit/rlog_voters_test.cc
+++ b/test/unit/rlog_voters_test.cc
@@ -267,6 +267,21 @@
 	}
 }
 
+/* A leader that was frozen itself doesn't take the others for silent. */
+TEST(RlogVoters, AFrozenLeaderTakesNoVotes)
+{
+	World world(open_log(4, 3));
+	int leader = world.sim.leader(), before = world.sim.member_changes;
+
+	for (int n = 0; n < 4; n++)
+		world.sim.freeze(n, 5 * SECOND);
+	world.sim.run_for(4900000);
+	world.sim.nodes[leader].frozen_until_us = 0;
+	world.sim.run_for(CATCH_UP);
+	EXPECT_EQ(before, world.sim.member_changes);
+	world.accept();
+}
+
 /* The leader that was cut off is forgotten and asks to be added again. */
 TEST(RlogVoters, AReplicaThatWasForgottenComesBackUnderItsIdentity)
 {
