test/process: a child that is signalled before its program starts ends no test

Cause: bash runs the EXIT trap of the parent in a child that gets SIGTERM between fork and exec. The soak restarts an instance and may stop it at once; under load the child had not started its program, and ran finish(), which ends all processes and removes the folder. A trial: 2,926 of 3,000 children that are signalled at once run the trap of their parent.

Ruled out: the instances (their logs end with the folder), the budget.

Change: finish() and end() return in any process but the test's own. After: none of 3,000 in the same trial; process_limits_soak and process_relay pass. No check changes. Whether failures listed as seen once had this cause isn't known.

--- a/test/process/system.bash
+++ b/test/process/system.bash
@@ -12,6 +12,7 @@
 pid_of() { awk -v n="$1" '$2 == n { print $4 }' "$system_dir/processes"; }
 
 end() {
+	is_main || return
 	[ ! -s "$system_dir/processes" ] || system down
 	[ -z "${CF_KEEP:-}" ] || cp -r "$dir" "$CF_KEEP"
 	finish
--- a/test/process/tools.bash
+++ b/test/process/tools.bash
@@ -23,7 +23,12 @@
 	wait
 }
 
+# A child that gets a signal before it has started its program runs the trap of
+# its parent, which must not end the test.
+is_main() { [ "$BASHPID" = $$ ]; }
+
 finish() {
+	is_main || return
 	end_all
 	if grep -sE 'Sanitizer|runtime error' "$dir"/*.err; then
 		failures=$((failures + 1))
