control: large documents are checked on a thread of their own

Cause: the leader read the document on its event loop, 520 to 594 ms in that build (event=suspended), and was replaced meanwhile; each try did the same at the next leader. perf: nine tenths of the turn in platform_read_document. Ruled out: load (the same at load 0.8), lost parts of messages, quadratic work.

Change: base/worker, a thread for jobs that report on the loop. Documents above 128 KiB are checked there; whether this instance leads is looked at again afterwards.

--- a/src/gateway/control.c
+++ b/src/gateway/control.c
@@ -5,6 +5,7 @@
 #include "base/clock.h"
 #include "base/err.h"
 #include "base/log.h"
+#include "base/worker.h"
 #include "gateway/gateway.h"
 #include "gateway/replica.h"
 #include "http/front.h"
@@ -15,11 +16,13 @@
 	HEADER_MAX_BYTES = 16 * 1024,
 	HEADER_TIMEOUT_MS = 3000,
 	IDLE_TIMEOUT_MS = 60000,
+	/* A larger document is checked on the worker's thread. */
+	DOCUMENT_ON_LOOP_MAX_BYTES = 128 * 1024,
 	HTTP_OK = 200,
 	HTTP_REDIRECT = 307
 };
 
-/* An operator's change that waits for its outcome from the log. */
+/* An operator's change that waits for its check or its outcome from the log. */
 struct pending_change {
 	struct gw_control *ctl;
 	struct front_exchange *x; /* NULL: the operator closed the connection */
@@ -30,9 +33,21 @@
 struct gw_control {
 	struct gw *gw;
 	struct front_server *server;
+	struct worker *worker;
 	struct pending_change *pending_changes;
 };
 
+/* An operator's document that is being checked. */
+struct document_check {
+	struct worker_job job;
+	const struct gw_dialect *dialect;
+	struct pending_change *pending;
+	struct buf text;
+	uint64_t number;
+	int error;
+	struct buf why;
+};
+
 static void
 answer_json(
     struct front_exchange *x, unsigned int status, const struct buf *body)
@@ -86,12 +101,15 @@
 	front_answer(x, HTTP_REDIRECT, &header, 1, NULL, 0);
 }
 
-/* Answers the operator's call with the outcome of its change, and frees it. */
-static void
-change_done(void *ctx, int error)
+/*
+ * Frees a pending change.  Returns its call, or NULL if the operator has closed
+ * the connection.
+ */
+static struct front_exchange *
+end_pending(struct pending_change *pending)
 {
-	struct pending_change *pending = ctx;
 	struct gw_control *ctl = pending->ctl;
+	struct front_exchange *x = pending->x;
 
 	for (struct pending_change **at = &ctl->pending_changes; *at != NULL;
 	     at = &(*at)->next) {
@@ -100,16 +118,27 @@
 			break;
 		}
 	}
+	if (x != NULL)
+		front_set_data(x, NULL);
+	alloc_free(ctl->gw->alloc, pending);
+	return x;
+}
+
+/* Answers the operator's call with the outcome of its change. */
+static void
+change_done(void *ctx, int error)
+{
+	struct pending_change *pending = ctx;
+	struct gw_control *ctl = pending->ctl;
+	struct front_exchange *x;
+
 	log_event(LOG_LEVEL_INFO, "order", "kind=%s result=%s", pending->kind,
 	    err_name(error));
-	if (pending->x != NULL) {
-		front_set_data(pending->x, NULL);
-		if (error == 0)
-			answer_empty(pending->x);
-		else
-			answer_error(ctl, pending->x, ERR_NO_QUORUM, NULL);
-	}
-	alloc_free(ctl->gw->alloc, pending);
+	x = end_pending(pending);
+	if (x != NULL && error == 0)
+		answer_empty(x);
+	else if (x != NULL)
+		answer_error(ctl, x, ERR_NO_QUORUM, NULL);
 }
 
 static struct pending_change *
@@ -135,42 +164,103 @@
 	    ctl->gw->replica, change, change_done, add_pending(ctl, x, kind));
 }
 
-/*
- * Proposes an operator's document, after checking it.  A number that is not
- * higher than the one in force is accepted without effect.
- */
 static void
-put_document(struct gw_control *ctl, struct front_exchange *x)
+check_document(struct worker_job *job)
 {
-	const struct gw_dialect *dialect = ctl->gw->dialect;
-	const struct buf *text = front_body(x);
+	struct document_check *check = (struct document_check *)job;
 	struct route_table *table = NULL;
-	uint64_t number = 0;
-	struct buf why;
-	int error;
 
-	buf_init(&why, ctl->gw->alloc);
-	error = dialect->ops->read_document(
-	    dialect, buf_text(text), text->len, &table, &number, &why);
+	check->error = check->dialect->ops->read_document(check->dialect,
+	    buf_text(&check->text), check->text.len, &table, &check->number,
+	    &check->why);
 	route_table_free(table);
-	if (error != 0) {
+}
+
+static void
+free_check(struct worker_job *job)
+{
+	struct document_check *check = (struct document_check *)job;
+
+	buf_free(&check->text);
+	buf_free(&check->why);
+	alloc_free(alloc_default(), check);
+}
+
+/* Whether this instance may decide on the calls of operators. */
+static bool
+is_leader(const struct gw_control *ctl)
+{
+	return ctl->gw->replica != NULL &&
+	       gw_replica_is_leader(ctl->gw->replica);
+}
+
+/*
+ * Proposes a document that has been checked.  A number that is not higher than
+ * the one in force is accepted without effect.
+ */
+static void
+document_checked(struct worker_job *job)
+{
+	struct document_check *check = (struct document_check *)job;
+	struct pending_change *pending = check->pending;
+	struct gw_control *ctl = pending->ctl;
+	struct front_exchange *x;
+
+	if (check->error != 0) {
 		log_event(LOG_LEVEL_WARN, "document_refused",
-		    "number=%" PRIu64 " error=%s why=\"%s\"", number,
-		    err_name(error), buf_text(&why));
-		answer_error(ctl, x, error, buf_text(&why));
+		    "number=%" PRIu64 " error=%s why=\"%s\"", check->number,
+		    err_name(check->error), buf_text(&check->why));
+		x = end_pending(pending);
+		if (x != NULL)
+			answer_error(
+			    ctl, x, check->error, buf_text(&check->why));
+	} else if (!is_leader(ctl)) {
+		x = end_pending(pending);
+		if (x != NULL)
+			redirect_to_leader(ctl, x);
 	} else if (gw_replica_holds_lease(ctl->gw->replica) &&
-		   number <= ord_document_number(
-				 gw_replica_orders(ctl->gw->replica))) {
+		   check->number <= ord_document_number(
+					gw_replica_orders(ctl->gw->replica))) {
 		/*
 		 * A higher number is in force, or this document was accepted
 		 * before.
 		 */
-		answer_empty(x);
+		x = end_pending(pending);
+		if (x != NULL)
+			answer_empty(x);
 	} else {
-		gw_replica_propose_document(ctl->gw->replica, number, text,
-		    change_done, add_pending(ctl, x, "document"));
+		gw_replica_propose_document(ctl->gw->replica, check->number,
+		    &check->text, change_done, pending);
+	}
+	free_check(job);
+}
+
+static const struct worker_job_ops document_check_ops = {
+    check_document, document_checked, free_check};
+
+/*
+ * Checks an operator's document, then proposes it.  A leader that checks a
+ * large one on its loop is silent for long enough to lose the leadership.
+ */
+static void
+put_document(struct gw_control *ctl, struct front_exchange *x)
+{
+	const struct alloc *alloc = alloc_default(); /* used by two threads */
+	const struct buf *text = front_body(x);
+	struct document_check *check = alloc_zero(alloc, 1, sizeof(*check));
+
+	check->job.ops = &document_check_ops;
+	check->dialect = ctl->gw->dialect;
+	check->pending = add_pending(ctl, x, "document");
+	buf_init(&check->text, alloc);
+	buf_init(&check->why, alloc);
+	buf_add(&check->text, text->data, text->len);
+	if (text->len > DOCUMENT_ON_LOOP_MAX_BYTES) {
+		worker_submit(ctl->worker, &check->job);
+	} else {
+		check_document(&check->job);
+		document_checked(&check->job);
 	}
-	buf_free(&why);
 }
 
 /*
@@ -298,8 +388,7 @@
 handle_leader_call(struct gw_control *ctl, struct front_exchange *x,
     struct gw_control_call *call)
 {
-	if (ctl->gw->replica == NULL ||
-	    !gw_replica_is_leader(ctl->gw->replica)) {
+	if (!is_leader(ctl)) {
 		redirect_to_leader(ctl, x);
 		return;
 	}
@@ -388,6 +477,8 @@
 	    .limits = {HEADER_MAX_BYTES, BODY_MAX_BYTES, HEADER_TIMEOUT_MS,
 		IDLE_TIMEOUT_MS},
 	    .handler = &handler};
+	struct worker_options worker_options = {
+	    .alloc = gw->alloc, .loop = gw->loop};
 
 	if (gw->settings->control_listen.host[0] == '\0')
 		return 0;
@@ -399,6 +490,7 @@
 		alloc_free(gw->alloc, ctl);
 		return ERR_IO;
 	}
+	ctl->worker = worker_new(&worker_options);
 	gw->control = ctl;
 	return 0;
 }
@@ -412,6 +504,7 @@
 	if (ctl == NULL)
 		return;
 	gw->control = NULL;
+	worker_free(ctl->worker);
 	front_free(ctl->server);
 	while (ctl->pending_changes != NULL) {
 		struct pending_change *pending = ctl->pending_changes;
