--- a/test/process/changes.sh
+++ b/test/process/changes.sh
@@ -11,7 +11,7 @@
 RANDOM=${CF_SEED:-7}
 read -r -a name_of <<<"$names"
 
-system_up ${CF_PORT:-28000}
+system_up "$(port_base 28000)"
 # Prints the hash of an API key.  Each workspace that a round adds has a key of
 # its own.
 key_hash() { printf '%s' "$1" | "$build/celeryfordctl" hash-key; }
--- a/test/process/cold.sh
+++ b/test/process/cold.sh
@@ -2,7 +2,7 @@
 # Cold engines under load get no more requests than they can run, and a query of
 # death is refused after it has crashed two engines, while others are answered.
 . "$(dirname "$0")/system.bash"
-system_up ${CF_PORT:-28000}
+system_up "$(port_base 28000)"
 # A new granter grants nothing until the leases of its predecessor have expired.
 GRANTER_WAITS_S=6
 granter_won() { cat "$system_dir"/curepe-*.log | grep -q 'event=role_won role=granter'; }
--- a/test/process/drain.sh
+++ b/test/process/drain.sh
@@ -4,7 +4,7 @@
 # request.
 . "$(dirname "$0")/system.bash"
 LAST_DISPATCH_MS=2000
-system_up ${CF_PORT:-28000}
+system_up "$(port_base 28000)"
 # shellcheck disable=SC2046
 "$build/cf-load" $(load_flags) --key permits-1-key --model auto --rate 100 \
     --seconds 11 --sessions 100 --max-tokens 100 --deadline-ms 1500 \
--- a/test/process/gateway.bash
+++ b/test/process/gateway.bash
@@ -3,7 +3,7 @@
 # announce themselves and as callers.  Each test defines document VERSION
 # TIMEOUT, which prints an operator's document.
 . "$(dirname "$0")/tools.bash"
-base=${CF_PORT:-29000}
+base=$(port_base 29000)
 link=$((base + 1)) control=$((base + 2)) front=$((base + 3)) ready=$((base + 4))
 metrics=$((base + 5)) forward=$((base + 6))
 key=$(printf '%064d' 7)
--- a/test/process/losses.sh
+++ b/test/process/losses.sh
@@ -3,7 +3,7 @@
 # does right after the first is repaired, the leader is frozen for longer than
 # its lease, and a data centre is cut off.
 . "$(dirname "$0")/system.bash"
-system_up ${CF_PORT:-28000} --relays
+system_up "$(port_base 28000)" --relays
 centres="curepe arima tunapuna chaguanas"
 
 # add ID INSTANCE: sends a change until it is accepted, at most 40 times.
--- a/test/process/lost_export.sh
+++ b/test/process/lost_export.sh
@@ -2,7 +2,7 @@
 # Guards against bills missing from a replica's export: after a replica has lost
 # its disk, or lines of its export, the export contains every bill again.
 . "$(dirname "$0")/system.bash"
-system_up ${CF_PORT:-28000}
+system_up "$(port_base 28000)"
 ask() {
 	curl -s -m 5 -o /dev/null -D - -H 'Authorization: Bearer permits-1-key' -d '{"model":"auto",
 	    "max_tokens":5,"messages":[{"role":"user","content":"a"}]}' \
--- /dev/null
+++ b/test/process/ports.bash
@@ -0,0 +1,3 @@
+# port_base DEFAULT: the first port of this test.  Two tests may run at a time;
+# CF_TEST_SLOT keeps their ports apart, CF_PORT those of two runs.
+port_base() { echo $((${CF_PORT:-$1} + ${CF_TEST_SLOT:-0} * 2000)); }
--- a/test/process/tools.bash
+++ b/test/process/tools.bash
@@ -1,6 +1,7 @@
 # Functions shared by the process tests: they start programs on ports that the
 # system chooses, stop them by process id, and compare their answers.
 set -u
+. "$(dirname "${BASH_SOURCE[0]}")/ports.bash"
 build=$(cd "$1" && pwd)
 dir=$(mktemp -d)
 pids=
--- a/test/process/whole_path.sh
+++ b/test/process/whole_path.sh
@@ -2,10 +2,11 @@
 # Runs tools/demo end to end with real processes and checks its output, then
 # checks that celeryfordd refuses invalid flags and celeryfordctl reports errors
 # in its exit status.
+. "$(dirname "$0")/ports.bash"
 set -u
 build=$(cd "$1" && pwd)
 failed=0
-out=$(CF_DEMO_PORT=$((${CF_PORT:-18000} + 500)) tools/demo "$build" 2>&1) || failed=1
+out=$(CF_DEMO_PORT=$(($(port_base 18000) + 500)) tools/demo "$build" 2>&1) || failed=1
 
 check() {	# check NAME PATTERN: the demo's output matches PATTERN
 	if grep -q -- "$2" <<<"$out"; then
