A server's farewell holds over a restart of all processes

Cause: what servers announce was kept in memory only.

Weighed: entries of the replicated log (a farewell during a cut would not be acknowledged), and counting a server only from its second report after a cold start (late reports come in series; sound servers would wait).

A farewell is acknowledged once it is on the disk of the instance that heard it; after 700 ms, or if the folder can't be used, with 503, so that the server calls another one. The coding of a server moves from links.c to server_message.c, which both use. worker_submit() returns an error instead of running the job.

Test: process_farewells, 3 checks failed before; passes, also in the sanitizer build.

--- a/src/base/worker.c
+++ b/src/base/worker.c
@@ -9,7 +9,7 @@
 #include <sys/eventfd.h>
 #include <unistd.h>
 
-#include "base/log.h"
+#include "base/err.h"
 
 struct job_queue {
 	struct worker_job *head;
@@ -148,24 +148,21 @@
 }
 
 /*
- * Submits a job.  If no thread can be started, the job runs and is reported
- * before this function returns.
+ * Submits a job.  Returns 0, or ERR_INTERNAL if no thread can be started; the
+ * caller then keeps the job.
  */
-void
+int
 worker_submit(struct worker *worker, struct worker_job *job)
 {
 	if (worker->pool == NULL && !start_thread(worker)) {
 		close_thread(worker);
-		log_event(LOG_LEVEL_WARN, "worker_without_thread", "%s",
-		    "what=\"the job runs on the event loop\"");
-		job->ops->run(job);
-		job->ops->done(job);
-		return;
+		return ERR_INTERNAL;
 	}
 	apr_thread_mutex_lock(worker->mutex);
 	push_job(&worker->waiting, job);
 	apr_thread_cond_signal(worker->wake);
 	apr_thread_mutex_unlock(worker->mutex);
+	return 0;
 }
 
 static void
--- a/src/base/worker.h
+++ b/src/base/worker.h
@@ -16,7 +16,8 @@
  *	struct my_job { struct worker_job job; ...input and result... };
  *
  *	my_job->job.ops = &my_ops;
- *	worker_submit(worker, &my_job->job);
+ *	if (worker_submit(worker, &my_job->job) != 0)
+ *		...no thread can be had...
  *
  * The thread is started with the first job.
  */
@@ -32,7 +33,7 @@
 	void (*drop)(struct worker_job *job);
 };
 
-/* The first member of each job; the worker owns it until done() or drop(). */
+/* The first member of each job; a submitted one belongs to the worker. */
 struct worker_job {
 	const struct worker_job_ops *ops;
 	struct worker_job *next;
@@ -44,7 +45,7 @@
 };
 
 struct worker *worker_new(const struct worker_options *options);
-void worker_submit(struct worker *worker, struct worker_job *job);
+int worker_submit(struct worker *worker, struct worker_job *job);
 void worker_free(struct worker *worker);
 
 #ifdef __cplusplus
--- a/src/gateway/control.c
+++ b/src/gateway/control.c
@@ -6,6 +6,7 @@
 #include "base/err.h"
 #include "base/log.h"
 #include "gateway/document.h"
+#include "gateway/farewells.h"
 #include "gateway/gateway.h"
 #include "gateway/replica.h"
 #include "http/front.h"
@@ -20,10 +21,13 @@
 	HTTP_REDIRECT = 307
 };
 
-/* An operator's change that waits for its check or its outcome from the log. */
+/*
+ * A call that waits: an operator's change for its check or its outcome from the
+ * log, a server's farewell for the disk.
+ */
 struct pending_change {
 	struct gw_control *ctl;
-	struct front_exchange *x; /* NULL: the operator closed the connection */
+	struct front_exchange *x; /* NULL: the caller closed the connection */
 	const char *kind; /* name of the change in log lines */
 	struct pending_change *next;
 };
@@ -292,15 +296,46 @@
 	buf_free(&change);
 }
 
+static void
+answer_announced(struct gw_control *ctl, struct front_exchange *x)
+{
+	const struct gw_dialect *dialect = ctl->gw->dialect;
+	struct buf body;
+
+	buf_init(&body, ctl->gw->alloc);
+	dialect->ops->write_announced(dialect, NULL, &body);
+	answer_json(x, HTTP_OK, &body);
+	buf_free(&body);
+}
+
+/*
+ * Acknowledges a server's farewell.  Without it on the disk the server is asked
+ * to call another instance.
+ */
+static void
+farewell_recorded(void *ctx, int error)
+{
+	struct pending_change *pending = ctx;
+	struct gw_control *ctl = pending->ctl;
+	struct front_exchange *x = end_pending(pending);
+
+	if (error != 0)
+		log_event(LOG_LEVEL_WARN, "farewell_not_recorded", "error=%s",
+		    err_name(error));
+	if (x != NULL && error == 0)
+		answer_announced(ctl, x);
+	else if (x != NULL)
+		answer_error(
+		    ctl, x, ERR_NO_QUORUM, "the farewell is not on the disk");
+}
+
 /* Records what a backend server announces, or that it leaves. */
 static void
 handle_announcement(struct gw_control *ctl, struct front_exchange *x,
     struct gw_control_call *call)
 {
-	const struct gw_dialect *dialect = ctl->gw->dialect;
 	const struct registry_server *known =
 	    registry_find(ctl->gw->registry, call->server.id);
-	struct buf body;
 
 	if (!registry_is_plausible(&call->server, clock_wall_us() / 1000)) {
 		log_event(LOG_LEVEL_WARN, "announcement_rejected",
@@ -319,10 +354,11 @@
 			call->server.seq = known->seq;
 	}
 	gw_server_announced(ctl->gw, &call->server);
-	buf_init(&body, ctl->gw->alloc);
-	dialect->ops->write_announced(dialect, NULL, &body);
-	answer_json(x, HTTP_OK, &body);
-	buf_free(&body);
+	if (call->server.state == REGISTRY_READY || ctl->gw->farewells == NULL)
+		answer_announced(ctl, x);
+	else
+		gw_farewells_await(ctl->gw->farewells, farewell_recorded,
+		    add_pending(ctl, x, "farewell"));
 }
 
 /*
@@ -456,6 +492,8 @@
 		ctl->pending_changes = pending->next;
 		if (gw->replica != NULL)
 			gw_replica_drop_callbacks(gw->replica, pending);
+		if (gw->farewells != NULL)
+			gw_farewells_cancel(gw->farewells, pending);
 		alloc_free(gw->alloc, pending);
 	}
 	alloc_free(gw->alloc, ctl);
--- a/src/gateway/document.c
+++ b/src/gateway/document.c
@@ -1,5 +1,6 @@
 #include "gateway/document.h"
 
+#include "base/log.h"
 #include "base/worker.h"
 
 enum {
@@ -91,11 +92,13 @@
 	buf_add(&read->document.text, text->data, text->len);
 	reader->jobs++;
 	if (reader->jobs > 1 || text->len > READ_ON_LOOP_MAX_BYTES) {
-		worker_submit(reader->worker, &read->job);
-	} else {
-		run_job(&read->job);
-		finish_job(&read->job);
+		if (worker_submit(reader->worker, &read->job) == 0)
+			return;
+		log_event(LOG_LEVEL_WARN, "document_read_on_loop", "bytes=%zu",
+		    text->len);
 	}
+	run_job(&read->job);
+	finish_job(&read->job);
 }
 
 /* Documents that have not been reported are dropped. */
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -32,17 +32,17 @@
  *	instance_count.c	the number of entry instances
  *	notes.c		short-lived facts that all entry instances need soon
  *	report.c	messages with notes and outcomes of roll-outs
+ *	farewells.c	servers that leave, kept over restarts
+ *	server_message.c	what instances tell each other of a server
  *	replica.c	the replicated log and its journal
  *	control.c	calls of operators and backend servers
  *	judge.c		decisions on roll-outs, by the instances' reports
- *	document.c	reading of operators' documents, without delay of the rest
- *	follow.c	orders at instances with an entry
- *	entry.c		callers' connections and the waiting queue
- *	exchange.c	one caller's request and its attempts
- *	path_check.c	whether this instance reaches the servers
- *	forward.c	requests that one instance forwards to another
- *	forwarders.c	the choice of the other instance
- *	metrics_page.c	counters and histograms for operators
+ *	document.c	reading of operators' documents, without delay of the
+ *rest follow.c	orders at instances with an entry entry.c		callers'
+ *connections and the waiting queue exchange.c	one caller's request and its
+ *attempts path_check.c	whether this instance reaches the servers forward.c
+ *requests that one instance forwards to another forwarders.c	the choice of
+ *the other instance metrics_page.c	counters and histograms for operators
  *	loads.c		exchange of load reports between instances
  *	dialect.h	translation of a platform's wire format
  *
@@ -51,6 +51,7 @@
  */
 struct gw_links;
 struct gw_loads;
+struct gw_farewells;
 struct gw_replica;
 struct gw_control;
 struct gw_judge;
@@ -70,6 +71,7 @@
 	struct gw_links *links;
 	struct gw_loads *loads;
 	struct server_registry *registry;
+	struct gw_farewells *farewells; /* NULL: no data folder */
 	struct gw_replica *replica; /* NULL: this instance has no replica */
 	/* NULL: this instance does not serve control */
 	struct gw_control *control;
@@ -106,6 +108,7 @@
 void gw_redeliver_note(struct gw *gw, enum gw_note_kind kind, uint64_t key);
 
 /* The supervised children, each defined in the file of its name. */
+struct sup_child_spec gw_child_farewells(struct gw *gw);
 struct sup_child_spec gw_child_replica(struct gw *gw);
 struct sup_child_spec gw_child_control(struct gw *gw);
 struct sup_child_spec gw_child_follow(struct gw *gw);
--- a/src/gateway/links.c
+++ b/src/gateway/links.c
@@ -8,6 +8,7 @@
 #include "base/err.h"
 #include "base/log.h"
 #include "gateway/entry.h"
+#include "gateway/farewells.h"
 #include "gateway/follow.h"
 #include "gateway/gateway.h"
 #include "gateway/instance_count.h"
@@ -16,6 +17,7 @@
 #include "gateway/loads.h"
 #include "gateway/replica.h"
 #include "gateway/report.h"
+#include "gateway/server_message.h"
 #include "route/suspects.h"
 #include "wire/cluster.pb-c.h"
 
@@ -387,10 +389,8 @@
 
 struct news_message {
 	Clpb__News pb;
-	Clpb__Server servers[NEWS_SERVERS_MAX];
+	struct gw_server_message servers[NEWS_SERVERS_MAX];
 	Clpb__Server *server_list[NEWS_SERVERS_MAX];
-	Clpb__Model models[NEWS_SERVERS_MAX][REGISTRY_MODELS_MAX];
-	Clpb__Model *model_list[NEWS_SERVERS_MAX][REGISTRY_MODELS_MAX];
 	uint64_t control[GW_PEERS_MAX];
 	uint32_t forward_to[GW_FORWARDERS_MAX];
 	struct gw_report notes;
@@ -408,38 +408,13 @@
 {
 	struct news_message *news = ctx;
 	size_t n = news->pb.n_servers;
-	Clpb__Server *pb = &news->servers[n];
 
 	if (n == NEWS_SERVERS_MAX)
 		return;
-	clpb__server__init(pb);
-	pb->id = (char *)server->id;
-	pb->born_ms = server->born_ms;
-	pb->seq = server->seq;
-	pb->age_ms = (uint32_t)((news->now_us - server->heard_us) / 1000);
-	news->server_list[n] = pb;
+	gw_server_message_init(&news->servers[n], server,
+	    registry_only_refreshed(server, news->after), news->now_us);
+	news->server_list[n] = &news->servers[n].pb;
 	news->pb.n_servers++;
-	pb->refreshed = registry_only_refreshed(server, news->after);
-	if (pb->refreshed)
-		return;
-	pb->service = (char *)server->service;
-	pb->ip = server->ip;
-	pb->port = server->port;
-	pb->data_centre = (char *)server->data_centre;
-	pb->version = (char *)server->version;
-	pb->slots = server->slots;
-	pb->state = server->state;
-	pb->cold_ms = server->cold_ms;
-	for (uint8_t i = 0; i < server->model_count; i++) {
-		Clpb__Model *model = &news->models[n][i];
-
-		clpb__model__init(model);
-		model->name = (char *)server->models[i].name;
-		model->version = server->models[i].version;
-		news->model_list[n][i] = model;
-	}
-	pb->n_models = server->model_count;
-	pb->models = news->model_list[n];
 }
 
 static struct gw_forward_candidate
@@ -754,43 +729,6 @@
 	clpb__hello__free_unpacked(hello, NULL);
 }
 
-/*
- * Reads a server of a message.  Returns false if a name is too long, the state
- * is unknown or there are too many models.
- */
-static bool
-unpack_server(
-    const Clpb__Server *pb, int64_t now_us, struct registry_server *out)
-{
-	memset(out, 0, sizeof(*out));
-	if (strlen(pb->id) >= sizeof(out->id) ||
-	    strlen(pb->service) >= sizeof(out->service) ||
-	    strlen(pb->data_centre) >= sizeof(out->data_centre) ||
-	    strlen(pb->version) >= sizeof(out->version) ||
-	    pb->state > REGISTRY_GONE || pb->n_models > REGISTRY_MODELS_MAX)
-		return false;
-	memcpy(out->id, pb->id, strlen(pb->id) + 1);
-	memcpy(out->service, pb->service, strlen(pb->service) + 1);
-	memcpy(out->data_centre, pb->data_centre, strlen(pb->data_centre) + 1);
-	memcpy(out->version, pb->version, strlen(pb->version) + 1);
-	out->ip = pb->ip;
-	out->port = (uint16_t)pb->port;
-	out->slots = (uint16_t)pb->slots;
-	out->state = (enum registry_state)pb->state;
-	out->born_ms = pb->born_ms;
-	out->seq = pb->seq;
-	out->cold_ms = pb->cold_ms;
-	out->heard_us = now_us - (int64_t)pb->age_ms * 1000;
-	for (size_t i = 0; i < pb->n_models; i++) {
-		struct registry_model *model = &out->models[out->model_count++];
-
-		snprintf(model->name, sizeof(model->name), "%s",
-		    pb->models[i]->name);
-		model->version = pb->models[i]->version;
-	}
-	return true;
-}
-
 static void
 set_forwarders(struct gw_links *links, const Clpb__News *news)
 {
@@ -883,7 +821,7 @@
 			(void)registry_refresh(links->gw->registry, pb->id,
 			    pb->born_ms, pb->seq,
 			    now_us - (int64_t)pb->age_ms * 1000, now_us);
-		else if (unpack_server(pb, now_us, &server))
+		else if (gw_server_message_read(pb, now_us, &server))
 			accept_server(links, from, &server);
 	}
 	/*
@@ -964,6 +902,8 @@
 
 	if (gw->entry != NULL)
 		gw_entry_server_changed(gw->entry, server);
+	if (gw->farewells != NULL)
+		gw_farewells_server_changed(gw->farewells, server);
 	/*
 	 * Changes received from another instance go to this instance's
 	 * subscribers too.  Repeated announcements are not urgent: they are
--- a/src/gateway/main.c
+++ b/src/gateway/main.c
@@ -299,8 +299,9 @@
 	    .failed = child_failed,
 	    .ctx = p};
 	struct sup_child_spec children[] = {gw_child_links(gw),
-	    gw_child_replica(gw), gw_child_follow(gw), gw_child_control(gw),
-	    gw_child_judge(gw), gw_child_entry(gw), gw_child_metrics(gw)};
+	    gw_child_farewells(gw), gw_child_replica(gw), gw_child_follow(gw),
+	    gw_child_control(gw), gw_child_judge(gw), gw_child_entry(gw),
+	    gw_child_metrics(gw)};
 
 	gw->sup = sup_new(&options);
 	for (size_t i = 0; i < sizeof(children) / sizeof(children[0]); i++)
--- a/test/unit/worker_test.cc
+++ b/test/unit/worker_test.cc
@@ -105,7 +105,7 @@
 	seen.expected = 5;
 	seen.hold = true;
 	for (int i = 0; i < 5; i++)
-		worker_submit(worker, &new_job(&seen, i)->job);
+		EXPECT_EQ(0, worker_submit(worker, &new_job(&seen, i)->job));
 	loop_after(seen.loop, 1000, on_tick, &seen);
 	loop_run(seen.loop);
 	worker_free(worker);
@@ -121,7 +121,7 @@
 {
 	seen.hold = true;
 	for (int i = 0; i < 3; i++)
-		worker_submit(worker, &new_job(&seen, i)->job);
+		EXPECT_EQ(0, worker_submit(worker, &new_job(&seen, i)->job));
 	while (seen.begun == 0)
 		std::this_thread::yield();
 	std::thread release([this] { seen.hold = false; });
