wire/peer: the answer to a ping is no message

The hub passed its own PEER_PONG to the handler, as an empty message; the test counts messages, and a link that waits for over 500 ms is pinged. Callers saw nothing: the gateway and the daemon leave that channel out.

Change: the hub keeps it.

--- a/src/gateway/control.c
+++ b/src/gateway/control.c
@@ -93,7 +93,7 @@
 }
 
 /*
- * Frees a pending change.  Returns its call, or NULL if the operator has closed
+ * Frees a pending change.  Returns its call, or NULL if the caller has closed
  * the connection.
  */
 static struct front_exchange *
--- a/src/wire/peer.c
+++ b/src/wire/peer.c
@@ -146,12 +146,15 @@
 	return in;
 }
 
-/* Passes a message on, unless a newer release has added its channel. */
+/*
+ * Passes a message on.  The hub's own answers are none, nor is what comes on a
+ * channel that a newer release has added.
+ */
 static void
 deliver(struct peer_hub *hub, const struct link *link, uint32_t channel,
     const uint8_t *data, size_t len)
 {
-	if (channel > 0 && channel < PEER_PART)
+	if (channel > 0 && channel < PEER_PART && channel != PEER_PONG)
 		hub->options.handler->message(hub->options.ctx, link_peer(link),
 		    (enum peer_channel)channel, data, (uint32_t)len);
 }
--- a/test/unit/peer_test.cc
+++ b/test/unit/peer_test.cc
@@ -120,3 +120,16 @@
 	EXPECT_EQ(ERR_TOO_LARGE, peer_send(sender, "receiver", PEER_RLOG,
 				     large.data(), (uint32_t)large.size()));
 }
+
+/* Guards against answers to a ping that reach the handler as empty messages. */
+TEST_F(Peer, TheAnswerToAPingIsNoMessage)
+{
+	for (size_t count = 1; count <= 2; count++) {
+		ASSERT_EQ(0, peer_send(sender, "receiver", PEER_RLOG, "x", 1));
+		ASSERT_TRUE(until([&] { return got.size() == count; }));
+	}
+	/* Nothing else answers the sender on an open link. */
+	ASSERT_TRUE(
+	    until([&] { return peer_stats(sender)->received_frames > 0; }));
+	EXPECT_EQ(2u, got.size());
+}
