--- a/src/base/buf.c
+++ b/src/base/buf.c
@@ -25,10 +25,11 @@
 static void
 move_to_start(struct buf *buf)
 {
-	uint8_t *start = buf->data - buf->consumed;
+	uint8_t *start;
 
 	if (buf->consumed == 0)
 		return;
+	start = buf->data - buf->consumed;
 	memmove(start, buf->data, buf->len + 1);
 	buf->data = start;
 	buf->size += buf->consumed;
