router: a drained data centre waits for its neighbours' next reports

Cause: reports of neighbours name the versions that have room. A report without room for a version was taken as a data centre that doesn't run it: with no local servers allowed, the request was refused at once (or 403, where the workspace may not run here) instead of waiting for the next report, though it had 1.5 s.

Change: whether a data centre may run a request is one question, whether it has room another. If one may, the request is queued under the usual estimate.

router_script_test, unreported-neighbour.txt: fails before (3 requests refused at once), passes.

--- a/src/core/neighbour.c
+++ b/src/core/neighbour.c
@@ -39,10 +39,10 @@
 	n->known = true;
 }
 
-/* Returns whether a data centre may run this request, even if it is full. */
+/* Returns whether a data centre is in reach and may run this request. */
 static bool
-neighbour_is_eligible(const struct neighbours *neighbours,
-    const struct cfg *cfg, uint16_t dc, const struct neighbour_need *need)
+neighbour_is_allowed(const struct neighbours *neighbours, const struct cfg *cfg,
+    uint16_t dc, const struct neighbour_need *need)
 {
 	const struct neighbour_report *n = &neighbours->reports[dc];
 	const struct cfg_workspace *w = &cfg->workspaces[need->workspace];
@@ -54,9 +54,17 @@
 	    (!w->present || !(w->data_centres >> dc & 1) ||
 		!cfg->data_centres[dc].present || cfg->data_centres[dc].out))
 		return false;
-	if (need->versions == 0)
-		return (n->services >> need->service & 1) != 0;
-	return (n->versions & need->versions) != 0;
+	return need->versions != 0 || (n->services >> need->service & 1) != 0;
+}
+
+/* Returns whether a data centre may run this request and has room for it. */
+static bool
+neighbour_has_room(const struct neighbours *neighbours, const struct cfg *cfg,
+    uint16_t dc, const struct neighbour_need *need)
+{
+	return neighbour_is_allowed(neighbours, cfg, dc, need) &&
+	       (need->versions == 0 ||
+		   (neighbours->reports[dc].versions & need->versions) != 0);
 }
 
 /*
@@ -87,7 +95,7 @@
 	uint16_t dc;
 
 	for (dc = 0; dc < cfg->data_centre_count; dc++) {
-		if (!neighbour_is_eligible(neighbours, cfg, dc, need))
+		if (!neighbour_has_room(neighbours, cfg, dc, need))
 			continue;
 		free_slots =
 		    neighbour_free_slots(&neighbours->reports[dc], priority);
@@ -99,15 +107,19 @@
 	return best;
 }
 
-/* Returns whether any other data centre may run this once it has room. */
+/*
+ * Returns whether any other data centre may run this once it has room.  Reports
+ * name only the versions that have room, and are seconds old, so one that names
+ * none of the request's versions may run them all the same.
+ */
 bool
-neighbour_any_eligible(const struct neighbours *neighbours,
+neighbour_any_allowed(const struct neighbours *neighbours,
     const struct cfg *cfg, const struct neighbour_need *need)
 {
 	uint16_t dc;
 
 	for (dc = 0; dc < cfg->data_centre_count; dc++)
-		if (neighbour_is_eligible(neighbours, cfg, dc, need))
+		if (neighbour_is_allowed(neighbours, cfg, dc, need))
 			return true;
 	return false;
 }
--- a/src/core/neighbour.h
+++ b/src/core/neighbour.h
@@ -46,7 +46,7 @@
     const struct cf_event *event, int64_t now_us);
 uint16_t neighbour_choose(const struct neighbours *neighbours,
     const struct cfg *cfg, const struct neighbour_need *need);
-bool neighbour_any_eligible(const struct neighbours *neighbours,
+bool neighbour_any_allowed(const struct neighbours *neighbours,
     const struct cfg *cfg, const struct neighbour_need *need);
 void neighbour_count_forward(
     struct neighbours *neighbours, uint16_t data_centre);
--- a/src/core/place.c
+++ b/src/core/place.c
@@ -507,7 +507,7 @@
 		return false;
 	place_fill_forward_need(r, q, &need);
 	return (q->params.kind == CF_SERVICE || need.versions != 0) &&
-	       neighbour_any_eligible(&r->neighbours, r->cfg, &need);
+	       neighbour_any_allowed(&r->neighbours, r->cfg, &need);
 }
 
 /*
