gateway: a request that may run once is not asked again at a larger model

Cause: the cascade looked at attempts and budget only.

Change: another run needs a route whose requests may run again, which route/retry tells (the same rule as after a failure). Such requests keep the smallest model's answer.

process_low_confidence: 2 of 4 rows failed before (8 of 8 ran twice, plain and as a stream), passes; repeatable requests and streams that can be resumed are still asked again, 8 of 8.

--- a/fakes/server/main.c
+++ b/fakes/server/main.c
@@ -37,6 +37,8 @@
  *			requests away within a second; not if N is empty
  *	/crash/...	the process ends before the first byte
  *	/crash-late/...	event 1, then the process ends
+ *	/unsure/...	as /ok/, with a confidence of 5 of 100 in the answer
+ *	/unsure-stream/...	as /stream/, with such a confidence
  *	/prompt/...	as /stream/ after PREFILL_US; the process ends after
  *			event 1 if a part of the prompt but the first has an id
  *			that begins with "dead"
@@ -122,6 +124,8 @@
 	    used_slots() ? working : 1, queued, used_slots() ? SLOTS : 8,
 	    request_header(x, "Celeryford-Tenant"),
 	    request_header(x, "Celeryford-Deadline-Ms"));
+	if (strstr(front_target(x), "/unsure") != NULL)
+		buf_adds(lines, "Celeryford-Confidence: 5\r\n");
 	buf_adds(lines, limit_field);
 	buf_adds(lines, brittle_field);
 }
@@ -381,7 +385,8 @@
 		read_prompt(x, false);
 	else if (strstr(target, "/prompt-whole/") != NULL)
 		read_prompt(x, true);
-	else if (strstr(target, "/stream/") != NULL)
+	else if (strstr(target, "/stream/") != NULL ||
+		 strstr(target, "/unsure-stream/") != NULL)
 		start_stream(new_stream(x, false, false));
 	else if (strstr(target, "/cut/") != NULL)
 		start_stream(new_stream(x, true, false));
--- a/src/gateway/exchange_answer.c
+++ b/src/gateway/exchange_answer.c
@@ -234,6 +234,7 @@
 	    .prompt_tokens = ex->request.prompt_tokens,
 	    .output_tokens = expected_output_tokens(ex),
 	    .may_repeat =
+		retry_may_rerun(ex->route->kind, ex->route->resumable) &&
 		ex->run_count + 1 < ex->route->attempts_max &&
 		retry_budget_allows(&ex->service_state->budget, now_us),
 	    .spent_us = now_us - ex->arrived_us,
--- a/src/route/cascade.h
+++ b/src/route/cascade.h
@@ -29,7 +29,8 @@
 	int confidence; /* 0 to 100; -1: not reported */
 	uint32_t prompt_tokens;
 	uint32_t output_tokens; /* estimate */
-	bool may_repeat; /* attempts and retry budget allow another run */
+	/* The route, its attempts and the retry budget allow another run */
+	bool may_repeat;
 	int64_t work_us; /* of processing the prompt with the larger model */
 	/* Queued work at the best server of the larger model */
 	int64_t backlog_us;
--- a/src/route/retry.c
+++ b/src/route/retry.c
@@ -10,12 +10,17 @@
 	STATUS_TIMEOUT = 504
 };
 
-/* Tells whether the request may run a second time at all. */
+/* Tells whether a request of such a route may run a second time at all. */
+bool
+retry_may_rerun(enum route_kind kind, bool resumable)
+{
+	return kind == ROUTE_IDEMPOTENT || (kind == ROUTE_STREAM && resumable);
+}
+
 static bool
 may_rerun(const struct retry_input *in)
 {
-	return in->kind == ROUTE_IDEMPOTENT ||
-	       (in->kind == ROUTE_STREAM && in->resumable);
+	return retry_may_rerun(in->kind, in->resumable);
 }
 
 /* Tells whether limits, budget and time left allow another attempt. */
--- a/src/route/retry.h
+++ b/src/route/retry.h
@@ -58,6 +58,7 @@
 	int64_t left_us; /* until the caller's deadline */
 };
 
+bool retry_may_rerun(enum route_kind kind, bool resumable);
 enum retry_step retry_next_step(const struct retry_input *in);
 
 #ifdef __cplusplus
