control: an order for a roll-out that has ended says so in the log

To start it again would reopen a version that was judged bad for an operator who only repeats his order, and replicas of an older build, which ignore such an entry of the log, would hold other orders than this build. So it stays acknowledged without effect; GET tells how the roll-out ended, and now the log does (result=known ended=1).

--- a/src/gateway/control.c
+++ b/src/gateway/control.c
@@ -229,18 +229,25 @@
 }
 
 /*
- * Proposes a roll-out.  Succeeds without effect if its version is the
- * service's target already.
+ * Proposes a roll-out.  One to a version that is or was the service's target is
+ * taken for the same order, which operators repeat until it is acknowledged: it
+ * succeeds without effect, also when that roll-out has ended.
  */
 static void
 start_rollout(struct gw_control *ctl, struct front_exchange *x,
     struct gw_control_call *call)
 {
+	const struct ord_rollout *known = NULL;
 	struct buf change;
 
-	if (gw_replica_holds_lease(ctl->gw->replica) &&
-	    ord_is_rollout_target(gw_replica_orders(ctl->gw->replica),
-		call->rollout.service, call->rollout.target)) {
+	if (gw_replica_holds_lease(ctl->gw->replica))
+		known = ord_find_rollout(gw_replica_orders(ctl->gw->replica),
+		    call->rollout.service, call->rollout.target);
+	if (known != NULL) {
+		log_event(LOG_LEVEL_INFO, "order",
+		    "kind=rollout result=known service=%s target=%s ended=%d",
+		    known->service, known->target,
+		    known->state >= ORD_COMPLETED);
 		answer_empty(x);
 		return;
 	}
--- a/src/route/pool.c
+++ b/src/route/pool.c
@@ -137,8 +137,8 @@
 		const struct pool_server *s = &pool->servers[i];
 
 		if (!s->used || strcmp(s->announced.service, service) != 0 ||
-		    ord_is_rollout_target(
-			pool->orders, service, s->announced.version))
+		    ord_find_rollout(
+			pool->orders, service, s->announced.version) != NULL)
 			continue;
 		if (oldest == NULL ||
 		    s->announced.born_ms < oldest->announced.born_ms)
--- a/src/state/orders.c
+++ b/src/state/orders.c
@@ -374,14 +374,12 @@
 	return find_rollout((struct ord *)ord, service, NULL);
 }
 
-/*
- * Tells whether a version of a service is the target of a roll-out in the list.
- */
-bool
-ord_is_rollout_target(
+/* Returns the roll-out of a service to a version, or NULL. */
+const struct ord_rollout *
+ord_find_rollout(
     const struct ord *ord, const char *service, const char *version)
 {
-	return find_rollout((struct ord *)ord, service, version) != NULL;
+	return find_rollout((struct ord *)ord, service, version);
 }
 
 /* Tells whether operators have disabled a data centre. */
--- a/src/state/orders.h
+++ b/src/state/orders.h
@@ -76,7 +76,7 @@
 const struct ord_rollout *ord_rollout_at(const struct ord *ord, size_t i);
 const struct ord_rollout *ord_newest_rollout(
     const struct ord *ord, const char *service);
-bool ord_is_rollout_target(
+const struct ord_rollout *ord_find_rollout(
     const struct ord *ord, const char *service, const char *version);
 bool ord_is_disabled(const struct ord *ord, const char *data_centre);
 
--- a/test/unit/registry_test.cc
+++ b/test/unit/registry_test.cc
@@ -502,7 +502,7 @@
 	EXPECT_EQ(ORD_ROLLED_BACK, ord_newest_rollout(o.ord, "s")->state);
 	EXPECT_TRUE(o.rollout("v3", ORD_RUNNING));
 	EXPECT_STREQ("v3", ord_newest_rollout(o.ord, "s")->target);
-	EXPECT_TRUE(ord_is_rollout_target(o.ord, "s", "v2"));
+	EXPECT_NE(nullptr, ord_find_rollout(o.ord, "s", "v2"));
 }
 
 /*
