suspects: a crash counts against a sound part only if other prompts complete

An entry held these against a sound shared part, which completed nowhere for 0.5 s as no server was left, and refused it until it was told otherwise.

Change: a crash under a part that completes all the time counts after 0.5 s only if another prompt has completed since; a request without parts says nothing, as it may be of another service. If nothing completes it counts 0.5 s before contact-ms is over, so that a part that all requests contain is still refused in time.

suspects_test: CrashesDoNotCountAgainstAKnownGoodPartWhileNothingCompletes and CrashesCountAgainstAKnownGoodPartInTheEnd fail before (3 expectations), pass.

--- a/src/gateway/entry.c
+++ b/src/gateway/entry.c
@@ -29,6 +29,8 @@
 	CLOSE_IDLE_US = 250000,
 	READY_LEASE_MIN_US = 1500000, /* with less lease left: not ready */
 	LOG_LINES_PER_REQUEST = 4, /* usual number */
+	/* Time in which all instances hear of a crash */
+	CRASH_TELLING_US = 500000,
 	/* Left of the process for a forwarded request that is taken */
 	FORWARDED_TIME_MIN_US = 2000000,
 	MILLI = 1000,
@@ -1149,8 +1151,12 @@
 	    .silent_us = (int64_t)gw->settings->announce_ms * 1000 * 5};
 	struct gw_document_reader_options documents = {
 	    .alloc = gw->alloc, .loop = gw->loop, .dialect = gw->dialect};
-	struct suspects_options suspects = {
-	    .alloc = gw->alloc, .proved = publish_crash_mark};
+	int64_t contact_us = (int64_t)gw->settings->contact_ms * 1000;
+	struct suspects_options suspects = {.alloc = gw->alloc,
+	    .hold_max_us = contact_us > CRASH_TELLING_US + SUSPECTS_HOLD_US
+			       ? contact_us - CRASH_TELLING_US
+			       : SUSPECTS_HOLD_US,
+	    .proved = publish_crash_mark};
 
 	if (gw->settings->listen.host[0] == '\0')
 		return 0;
--- a/src/route/suspects.c
+++ b/src/route/suspects.c
@@ -11,6 +11,8 @@
 	 * old life's id proves that the old life goes on
 	 */
 	RETRACT_MIN_US = 5000000,
+	/* Interval of checks whether another prompt has completed */
+	HOLD_POLL_US = 100000,
 	PART_KEY_SEED = 0x70617274,
 	COMPLETION_PROBES = 4 /* slots that may hold the completion of a part */
 };
@@ -32,7 +34,9 @@
 	struct suspects_cause part;
 	uint64_t life;
 	int64_t at_us;
-	int64_t due_us;
+	int64_t due_us; /* earliest time at which it counts */
+	int64_t last_us; /* when it counts though no other prompt completes */
+	bool others_complete; /* a prompt without the part has, since then */
 };
 
 struct completion {
@@ -211,6 +215,13 @@
 	return at_us != 0 && now_us - at_us < SUSPECTS_KNOWN_GOOD_US;
 }
 
+static int64_t
+hold_max_us(const struct suspect_table *table)
+{
+	return table->options.hold_max_us != 0 ? table->options.hold_max_us
+					       : SUSPECTS_HOLD_MAX_US;
+}
+
 /* Holds back a crash under a known good part. */
 static void
 hold_crash(struct suspect_table *table, const struct suspects_cause *part,
@@ -226,13 +237,28 @@
 		table->dropped++;
 		return;
 	}
-	table->held[table->held_count++] = (struct held_crash){
-	    *part, run->life.life, run->at_us, now_us + SUSPECTS_HOLD_US};
+	table->held[table->held_count++] = (struct held_crash){.part = *part,
+	    .life = run->life.life,
+	    .at_us = run->at_us,
+	    .due_us = now_us + SUSPECTS_HOLD_US,
+	    .last_us = now_us + hold_max_us(table)};
+}
+
+/* Returns when a held crash is to be looked at next; now or earlier: it counts.
+ */
+static int64_t
+next_look_us(const struct held_crash *held, int64_t now_us)
+{
+	int64_t poll_us = now_us + HOLD_POLL_US;
+
+	if (held->due_us > now_us || held->others_complete)
+		return held->due_us;
+	return held->last_us < poll_us ? held->last_us : poll_us;
 }
 
 /*
- * Reports the held crashes that are due.  Returns when the next one is, or 0 if
- * none is held.
+ * Reports the held crashes that are due.  Returns when to call this again, or 0
+ * if none is held.
  */
 int64_t
 suspects_report_held(struct suspect_table *table, int64_t now_us)
@@ -242,15 +268,16 @@
 
 	while (i < table->held_count) {
 		struct held_crash h = table->held[i];
+		int64_t look_us = next_look_us(&h, now_us);
 
-		if (h.due_us <= now_us) {
+		if (look_us <= now_us) {
 			table->held[i] = table->held[--table->held_count];
 			table->options.proved(table->options.ctx, &h.part,
 			    h.life, SUSPECTS_CRASHED, h.at_us);
 			continue;
 		}
-		if (next_us == 0 || h.due_us < next_us)
-			next_us = h.due_us;
+		if (next_us == 0 || look_us < next_us)
+			next_us = look_us;
 		i++;
 	}
 	return next_us;
@@ -579,6 +606,10 @@
 				    now_us);
 		}
 	}
+	/* Requests without parts may be of another service. */
+	for (uint32_t i = 0; request->part_count > 0 && i < table->held_count;
+	     i++)
+		table->held[i].others_complete = true;
 }
 
 /* Returns the lives of a mark that count as crashes. */
--- a/src/route/suspects.h
+++ b/src/route/suspects.h
@@ -35,7 +35,8 @@
  * counts against the request only with SUSPECTS_CERTAIN_MIN crashes.
  *
  * Most parts are shared by many requests and complete all the time.  A crash
- * counts against such a part only if it does not complete soon after.
+ * counts against such a part only if it does not complete soon after, while
+ * other prompts do: as long as no server is left, nothing completes.
  *
  * No I/O.  Times are of the monotonic clock.
  */
@@ -74,6 +75,10 @@
 	SUSPECTS_KNOWN_GOOD_US = 60000000,
 	/* Time for a known good part to complete before a crash counts */
 	SUSPECTS_HOLD_US = 500000,
+	/*
+	 * The same if no other prompt completes; the default of hold_max_us
+	 */
+	SUSPECTS_HOLD_MAX_US = 2500000,
 	SUSPECTS_HELD_MAX = 1024, /* crashes held back; others are dropped */
 	/* Parts whose last completion is known; the oldest are replaced */
 	SUSPECTS_COMPLETIONS_MAX = 4096
@@ -107,6 +112,7 @@
 
 struct suspects_options {
 	const struct alloc *alloc;
+	int64_t hold_max_us; /* 0: SUSPECTS_HOLD_MAX_US */
 	/*
 	 * Called for each finding made here.  The callee passes it to
 	 * suspects_apply_finding() here and at the other instances.  at_us:
