--- a/src/http/front.c
+++ b/src/http/front.c
@@ -45,8 +45,7 @@
 	STATUS_UNAVAILABLE = 503
 };
 
-/* For callers that are refused for lack of room, which most leave in a second
- */
+/* For lack of room, as most requests under way end within a second. */
 static const char retry_after_line[] = "Retry-After: 1\r\n";
 
 enum conn_state {
@@ -273,8 +272,7 @@
 	return x->refusal != 0 ? -1 : 0;
 }
 
-/* Returns whether the bodies of all requests leave room for more of this one.
- */
+/* Returns whether all bodies together leave room for len more bytes of one. */
 static bool
 body_has_room(const struct front_exchange *x, size_t len)
 {
--- a/src/route/suspects.c
+++ b/src/route/suspects.c
@@ -244,8 +244,7 @@
 	    .last_us = now_us + hold_max_us(table)};
 }
 
-/* Returns when a held crash is to be looked at next; now or earlier: it counts.
- */
+/* Returns when a held crash is to be looked at; it counts once that is past. */
 static int64_t
 next_look_us(const struct held_crash *held, int64_t now_us)
 {
