suspects: a part has its time to complete once a server is back

Cause: the held crashes were overdue by then, so that the first prompt that completed at the first server that was back counted all of them against the part that the others share, milliseconds before that part completed.

Change: the half second in which a part may complete begins anew with that first other completion, within the same end before contact-ms.

suspects_test, CrashesDoNotCountAgainstAKnownGoodPartWhileNothingCompletes: the new step (another prompt completes first) fails before, passes.

--- a/src/route/suspects.c
+++ b/src/route/suspects.c
@@ -580,6 +580,26 @@
 	}
 }
 
+/*
+ * Records that a prompt completed that has none of the parts with held crashes.
+ * From the first one on, as when a server is back, the parts have their time to
+ * complete.
+ */
+static void
+record_other_completion(struct suspect_table *table, int64_t now_us)
+{
+	for (uint32_t i = 0; i < table->held_count; i++) {
+		struct held_crash *h = &table->held[i];
+
+		if (h->others_complete)
+			continue;
+		h->others_complete = true;
+		h->due_us = now_us + SUSPECTS_HOLD_US < h->last_us
+				? now_us + SUSPECTS_HOLD_US
+				: h->last_us;
+	}
+}
+
 /*
  * Records that a run of a request completed, which voids the earlier marks and
  * pending suspicions of the request and of the parts of its prompt.
@@ -606,9 +626,8 @@
 		}
 	}
 	/* Requests without parts may be of another service. */
-	for (uint32_t i = 0; request->part_count > 0 && i < table->held_count;
-	     i++)
-		table->held[i].others_complete = true;
+	if (request->part_count > 0)
+		record_other_completion(table, now_us);
 }
 
 /* Returns the lives of a mark that count as crashes. */
--- a/test/unit/suspects_test.cc
+++ b/test/unit/suspects_test.cc
@@ -458,6 +458,11 @@
 	a.complete({});
 	a.pass(SUSPECTS_HOLD_US);
 	EXPECT_FALSE(a.look_up({FIRST, OTHER}).refused);
+	/* The first prompt that completes at a server that is back is another.
+	 */
+	a.complete({FIRST, OTHER + 1});
+	a.pass(SUSPECTS_HOLD_US / 2);
+	EXPECT_FALSE(a.look_up({FIRST, OTHER}).refused);
 	a.complete({FIRST, OTHER});
 	a.pass(SUSPECTS_HOLD_MAX_US);
 	EXPECT_FALSE(a.look_up({FIRST, OTHER}).refused);
