--- a/test/process/endless.sh
+++ b/test/process/endless.sh
@@ -3,20 +3,8 @@
 # each request stay bounded, the connection is closed, and callers get the
 # answer of another server or an error that does not claim the request has not
 # run.
-. "$(dirname "$0")/gateway.bash"
+. "$(dirname "$0")/endless.bash"
 
-document() {
-	cat <<EOF
-{"version":$1,"routes":[
-{"name":"plain","host":"h.example","path_prefix":"/","kind":"idempotent","timeout_ms":$2,"goal_ms":1000,"max_attempts":3,"service":"s"},
-{"name":"raw","host":"h.example","path_prefix":"/raw/","kind":"idempotent","timeout_ms":$2,"goal_ms":1000,"max_attempts":2,"service":"raw"},
-{"name":"once","host":"h.example","path_prefix":"/once/","kind":"non_idempotent","timeout_ms":$2,"goal_ms":1000,"max_attempts":2,"service":"raw"},
-{"name":"stream","host":"h.example","path_prefix":"/s/","kind":"streaming","timeout_ms":$2,"max_attempts":2,"service":"raw"}],
-"services":[{"name":"s","max_connections":1000},{"name":"raw","max_connections":1000}],
-"tenants":[{"name":"w","api_keys":["k1"]}]}
-EOF
-}
-timeout_ms=2500
 memory_max_kb=80000 # half of what the users' entry instances have
 
 for n in 11 12 13; do state $n true; done
@@ -26,20 +14,11 @@
 start raw cf-fake-raw 0
 raw=${addr##*:}
 put 1 $timeout_ms
-slots=400
 announce s-1 "$good"
-# announce() is for the service "s"; this announces the server of "raw".
-announce_raw() {
-	seq_no=$((seq_no + 1))
-	curl -s -m 1 -o /dev/null -X PUT -d "{\"service\":\"raw\",\"address\":\"127.0.0.1:$raw\",
-	    \"zone\":\"a\",\"version\":\"v1\",\"slots\":400,\"state\":\"ready\",
-	    \"cold_left_ms\":0,\"seq\":$seq_no,\"born\":$started}" \
-	    "http://127.0.0.11:$control/api/instances/raw-1"
-}
 keep_announcing() {
 	while [ -e "$dir/serving" ]; do
 		announce s-1 "$good"
-		announce_raw
+		announce_raw "$raw"
 		sleep 1
 	done
 }
--- a/test/process/endless_forwarded.sh
+++ b/test/process/endless_forwarded.sh
@@ -3,19 +3,8 @@
 # path to the servers and forwards its requests: its memory and that of the
 # instance in between stay bounded, each request ends in its time, and callers
 # of a sound service are served meanwhile at both.
-. "$(dirname "$0")/gateway.bash"
+. "$(dirname "$0")/endless.bash"
 
-document() {
-	cat <<EOF
-{"version":$1,"routes":[
-{"name":"plain","host":"h.example","path_prefix":"/","kind":"idempotent","timeout_ms":$2,"goal_ms":1000,"max_attempts":3,"service":"s"},
-{"name":"raw","host":"h.example","path_prefix":"/raw/","kind":"idempotent","timeout_ms":$2,"goal_ms":1000,"max_attempts":2,"service":"raw"},
-{"name":"stream","host":"h.example","path_prefix":"/s/","kind":"streaming","timeout_ms":$2,"max_attempts":2,"service":"raw"}],
-"services":[{"name":"s","max_connections":1000},{"name":"raw","max_connections":1000}],
-"tenants":[{"name":"w","api_keys":["k1"]}]}
-EOF
-}
-timeout_ms=2500
 at_once=40
 memory_max_kb=131072 # half of an instance's, docs/CAPACITY.md
 
@@ -31,19 +20,10 @@
 until [ "$(grep -c '^relays ' "$dir/relay.out")" = 2 ]; do sleep 0.01; done
 mapfile -t port < <(sed -n 's/^relays .*://p' "$dir/relay.out")
 put 1 $timeout_ms
-slots=400
-# announce() is for the service "s"; this announces the server of "raw".
-announce_raw() {
-	seq_no=$((seq_no + 1))
-	curl -s -m 1 -o /dev/null -X PUT -d "{\"service\":\"raw\",\"address\":\"127.0.0.1:${port[1]}\",
-	    \"zone\":\"a\",\"version\":\"v1\",\"slots\":400,\"state\":\"ready\",
-	    \"cold_left_ms\":0,\"seq\":$seq_no,\"born\":$started}" \
-	    "http://127.0.0.11:$control/api/instances/raw-1"
-}
 touch "$dir/serving"
 while [ -e "$dir/serving" ]; do
 	announce s-1 "${port[0]}"
-	announce_raw
+	announce_raw "${port[1]}"
 	sleep 1
 done &
 announcer=$!
