--- a/src/base/buf.c
+++ b/src/base/buf.c
@@ -7,7 +7,8 @@
 #include <string.h>
 
 enum {
-	BUF_INITIAL_BYTES = 64
+	BUF_INITIAL_BYTES = 64,
+	BUF_KEPT_MAX_BYTES = 64 * 1024 /* of an empty buffer */
 };
 
 /*
@@ -47,12 +48,19 @@
 	buf_init(buf, buf->alloc);
 }
 
-/* Empties the buffer without freeing its memory. */
+/*
+ * Empties the buffer.  Its memory is kept for the next use, unless it is more
+ * than BUF_KEPT_MAX_BYTES.
+ */
 void
 buf_clear(struct buf *buf)
 {
 	if (buf->data == NULL)
 		return;
+	if (buf->size + buf->consumed > BUF_KEPT_MAX_BYTES) {
+		buf_free(buf);
+		return;
+	}
 	buf->len = 0;
 	buf->data[0] = '\0';
 	move_to_start(buf);
@@ -137,7 +145,7 @@
 
 /*
  * Removes the first len bytes, which moves data.  len must not exceed the
- * buffer's length.
+ * buffer's length.  A buffer that is empty then is as after buf_clear().
  */
 void
 buf_consume(struct buf *buf, size_t len)
@@ -150,7 +158,7 @@
 	buf->size -= len;
 	buf->consumed += len;
 	if (buf->len == 0)
-		move_to_start(buf);
+		buf_clear(buf);
 }
 
 /* Returns the content as a NUL-terminated string; never NULL. */
--- a/src/base/err.h
+++ b/src/base/err.h
@@ -74,12 +74,15 @@
 	X(ERR_STALE, -32, 409, 0, "stale",                                     \
 	    "the fencing number is out of date")                               \
 	X(ERR_SETTING, -33, 500, 0, "setting", "a setting is invalid")         \
-	X(ERR_INTERNAL, -34, 500, 1, "internal", "an internal invariant failed")
+	X(ERR_INTERNAL, -34, 500, 1, "internal",                               \
+	    "an internal invariant failed")                                    \
+	X(ERR_MEMORY, -35, 503, 1, "memory",                                   \
+	    "the requests under way take too much memory")
 
 #define ERR_AS_ENUM(kind, number, status, again, name, text) kind = (number),
 enum err {
 	ERR_OK = 0,
-	ERR_KINDS(ERR_AS_ENUM) ERR_END = -35
+	ERR_KINDS(ERR_AS_ENUM) ERR_END = -36
 };
 #undef ERR_AS_ENUM
 
--- a/src/gateway/control.c
+++ b/src/gateway/control.c
@@ -14,6 +14,7 @@
 enum {
 	CONNECTIONS_MAX = 2000,
 	BODY_MAX_BYTES = 4 * 1024 * 1024,
+	BODIES_MAX_BYTES = 8 * BODY_MAX_BYTES, /* of all calls together */
 	HEADER_MAX_BYTES = 16 * 1024,
 	HEADER_TIMEOUT_MS = 3000,
 	IDLE_TIMEOUT_MS = 60000,
@@ -456,6 +457,7 @@
 	    .connections_max = CONNECTIONS_MAX,
 	    .limits = {HEADER_MAX_BYTES, BODY_MAX_BYTES, HEADER_TIMEOUT_MS,
 		IDLE_TIMEOUT_MS},
+	    .bodies_max_bytes = BODIES_MAX_BYTES,
 	    .handler = &handler};
 	struct gw_document_reader_options documents = {
 	    .alloc = gw->alloc, .loop = gw->loop, .dialect = gw->dialect};
--- a/src/gateway/entry.c
+++ b/src/gateway/entry.c
@@ -14,6 +14,12 @@
 
 enum {
 	CONNECTIONS_MAX = 3000,
+	/*
+	 * Of all callers' requests, and of all that other instances forward.
+	 * Each body is held twice while it is sent to a server.
+	 */
+	BODIES_MAX_BYTES = 40 * 1024 * 1024,
+	FORWARDED_BODIES_MAX_BYTES = 16 * 1024 * 1024,
 	CONNECT_TIMEOUT_MS = 250, /* far more than a reachable server needs */
 	IDLE_TIMEOUT_MS = 20000, /* of a connection to a server */
 	COMPILE_DELAY_US = 20000, /* combines changes that arrive together */
@@ -1056,6 +1062,7 @@
 	    .port = s->listen.port,
 	    .connections_max = CONNECTIONS_MAX,
 	    .limits = default_limits,
+	    .bodies_max_bytes = BODIES_MAX_BYTES,
 	    .handler = &front_handler,
 	    .drained = on_caller_drained,
 	    .ctx = entry};
@@ -1066,6 +1073,7 @@
 	if (s->forward_port != 0) {
 		options.host = s->link_host;
 		options.port = (uint16_t)s->forward_port;
+		options.bodies_max_bytes = FORWARDED_BODIES_MAX_BYTES;
 		options.handler = &forward_handler;
 		entry->forward_front = front_new(&options);
 		if (entry->forward_front == NULL)
--- a/src/http/front.c
+++ b/src/http/front.c
@@ -23,6 +23,8 @@
 	 * input is buffered.
 	 */
 	FRONT_READ_AHEAD_MAX_BYTES = 64 * 1024,
+	/* Bodies up to this size are taken however much the others hold. */
+	FRONT_BODY_EXEMPT_BYTES = 16 * 1024,
 	FRONT_LISTEN_BACKLOG = 511,
 	FRONT_TIMEOUT_CHECK_US = 250000, /* interval between timeout checks */
 	/*
@@ -39,9 +41,14 @@
 	FRONT_HANDSHAKES_US = 50000,
 	TCP_FLAGS_OFFSET = 13, /* of the flags in a TCP header, in bytes */
 	TCP_FLAG_SYN = 0x02,
-	TCP_FLAG_ACK = 0x10
+	TCP_FLAG_ACK = 0x10,
+	STATUS_UNAVAILABLE = 503
 };
 
+/* For callers that are refused for lack of room, which most leave in a second
+ */
+static const char retry_after_line[] = "Retry-After: 1\r\n";
+
 enum conn_state {
 	CONN_READING, /* waiting for a request or reading one */
 	CONN_BUSY, /* the handler has the request */
@@ -105,6 +112,7 @@
 	struct front_exchange *conns;
 	uint32_t count;
 	uint32_t open_exchanges;
+	size_t bodies_bytes; /* of the bodies of all requests */
 	bool draining;
 };
 
@@ -112,6 +120,14 @@
 static void parse_input(struct front_exchange *x);
 static void write_output(struct front_exchange *x);
 
+/* Frees the body of a request, which no longer counts. */
+static void
+release_body(struct front_exchange *x)
+{
+	x->server->bodies_bytes -= x->body.len;
+	buf_clear(&x->body);
+}
+
 static void
 conn_free(struct front_exchange *x)
 {
@@ -132,6 +148,7 @@
 	server->count--;
 	if (x->state == CONN_BUSY)
 		server->open_exchanges--;
+	release_body(x);
 	buf_free(&x->in);
 	buf_free(&x->out);
 	buf_free(&x->target);
@@ -193,6 +210,7 @@
 {
 	x->state = CONN_LINGERING;
 	x->state_since_us = loop_now_us(x->server->options.loop);
+	release_body(x);
 	buf_clear(&x->in);
 	if (x->out.len == 0)
 		shutdown(x->fd, SHUT_WR);
@@ -255,16 +273,31 @@
 	return x->refusal != 0 ? -1 : 0;
 }
 
+/* Returns whether the bodies of all requests leave room for more of this one.
+ */
+static bool
+body_has_room(const struct front_exchange *x, size_t len)
+{
+	const struct front_server *server = x->server;
+
+	return server->options.bodies_max_bytes == 0 ||
+	       x->body.len + len <= FRONT_BODY_EXEMPT_BYTES ||
+	       server->bodies_bytes + len <= server->options.bodies_max_bytes;
+}
+
 static int
 on_body(http_parser *parser, const char *data, size_t len)
 {
 	struct front_exchange *x = parser->data;
 
-	if (x->body.len + len > x->server->options.limits.body_max_bytes) {
+	if (x->body.len + len > x->server->options.limits.body_max_bytes)
 		x->refusal = ERR_TOO_LARGE;
+	else if (!body_has_room(x, len))
+		x->refusal = ERR_MEMORY;
+	if (x->refusal != 0)
 		return -1;
-	}
 	buf_add(&x->body, data, len);
+	x->server->bodies_bytes += len;
 	return 0;
 }
 
@@ -299,7 +332,7 @@
 	x->refusal = 0;
 	x->data = NULL;
 	buf_clear(&x->target);
-	buf_clear(&x->body);
+	release_body(x);
 	headers_clear(&x->headers);
 	http_parser_init(&x->parser, HTTP_REQUEST);
 	x->parser.data = x;
@@ -318,8 +351,10 @@
 	server->options.handler->refused(server->options.ctx, error);
 	buf_addf(&x->out,
 	    "HTTP/1.1 %u %s\r\nContent-Type: text/plain\r\n"
-	    "Content-Length: %zu\r\nConnection: close\r\n\r\n%s\n",
-	    row->http_status, row->name, strlen(row->text) + 1, row->text);
+	    "Content-Length: %zu\r\nConnection: close\r\n%s\r\n%s\n",
+	    row->http_status, row->name, strlen(row->text) + 1,
+	    row->http_status == STATUS_UNAVAILABLE ? retry_after_line : "",
+	    row->text);
 	start_lingering(x);
 	write_output(x);
 }
@@ -944,6 +979,7 @@
 	}
 	x->state = CONN_RESETTING;
 	x->state_since_us = loop_now_us(x->server->options.loop);
+	release_body(x);
 	buf_clear(&x->in);
 	write_output(x);
 	if (undelivered_bytes(x) == 0)
--- a/src/http/front.h
+++ b/src/http/front.h
@@ -56,6 +56,12 @@
 	uint16_t port;
 	uint32_t connections_max;
 	struct front_limits limits;
+	/*
+	 * Limits the bytes of the bodies of all requests together; 0: none. A
+	 * request that would exceed it is refused with ERR_MEMORY, unless its
+	 * body is small.
+	 */
+	size_t bodies_max_bytes;
 	const struct front_callbacks *handler;
 	/*
 	 * Called when all bytes queued so far for an unfinished answer have
--- a/test/unit/base_test.cc
+++ b/test/unit/base_test.cc
@@ -9,6 +9,33 @@
 #include "base/rng.h"
 #include "celeryford.h"
 
+/*
+ * Guards against idle connections that keep the memory of the largest request
+ * or answer that they have had.
+ */
+TEST(Buf, AnEmptyBufferGivesALargeBlockBack)
+{
+	const std::string small(1000, 'x'), large(1 << 20, 'x');
+	struct buf buf;
+	size_t size;
+
+	buf_init(&buf, nullptr);
+	buf_add(&buf, large.data(), large.size());
+	buf_clear(&buf);
+	EXPECT_EQ(0u, buf.size);
+	buf_add(&buf, large.data(), large.size());
+	buf_consume(&buf, large.size() - 1);
+	EXPECT_STREQ("x", buf_text(&buf));
+	buf_consume(&buf, 1);
+	EXPECT_EQ(0u, buf.size);
+	EXPECT_STREQ("", buf_text(&buf));
+	buf_add(&buf, small.data(), small.size());
+	size = buf.size;
+	buf_clear(&buf);
+	EXPECT_EQ(size, buf.size) << "it is kept for the next use";
+	buf_free(&buf);
+}
+
 /*
  * Guards against work that grows with the square of a long buffer whose reader
  * takes a little at a time: consuming moves no bytes, and what was consumed is
