review: case 9, bytes after a 304 or 204 reach the next request

A server that answers 304 with a length, or 204 with one, and sends another answer after it, has these bytes passed on as the body of that answer. A client that keeps its channel takes them for the answer to its next request.

--- /dev/null
+++ b/review/9/run.sh
@@ -0,0 +1,41 @@
+#!/bin/bash
+# A server answers 304 or 204, which have no body, and sends another answer after
+# it.  A client that keeps its channel open must not get those bytes, nor take
+# them for the answer to its next request.
+. "$(dirname "$0")/../common-2.bash"
+
+document() {
+	cat <<END
+{"version":$1,"routes":[
+{"name":"r","host":"h.example","path_prefix":"/","kind":"idempotent","timeout_ms":3000,"goal_ms":1000,"priority":0,"service":"s","max_attempts":2,"public":false}],
+"services":[{"name":"s","health_path":"/health","max_connections":100,"protocol":"h1","tls":false,"cold_start_s":0.0,"cold_per_s":0.0}],
+"limits":{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000},
+"tenants":[{"name":"w","api_keys":["key-of-w"],"priority":1}]}
+END
+}
+
+for n in 11 12 13; do state $n true; done
+entry 21
+put 1 >"$dir/put" || give_up 'version 1 is not acknowledged'
+extra=
+[ "$trouble" = 0 ] || extra=extra
+server s-1 31 s $extra
+await_entries key-of-w 21
+pair() {	# pair NAME TARGET
+	$stand pair "127.0.0.21:$front" key-of-w "$2" "$1-a" "/next/$1" "$1-b" |
+	    sed "s|^|$2: |" >>"$dir/pairs"
+}
+for i in 1 2 3 4 5; do
+	pair "u$i" "/unchanged/$i"
+	pair "e$i" "/empty/$i"
+done
+sleep 0.2
+cat "$dir/pairs" "$dir/s-1.ran" | tee -a "$record"
+unasked=$(grep -c ' unasked [0-9]* HTTP/1.1 200' "$dir/pairs")
+foreign=$(awk '$2 == "answer" && $4 == 200 && $5 != $3' "$dir/pairs" | wc -l)
+own=$(awk '$2 == "answer" && $3 ~ /-b$/ && $4 == 200 && $5 == $3' "$dir/pairs" | wc -l)
+note "channels with a success while no request waited: $unasked of 10"
+note "second requests that got an answer to another request: $foreign of 10, their own: $own"
+[ "$unasked" -eq 0 ] && [ "$foreign" -eq 0 ] || finish 1
+[ "$own" -gt 0 ] || give_up 'no second request was answered'
+finish 0
--- a/review/common-2.bash
+++ b/review/common-2.bash
@@ -101,8 +101,10 @@
 	pids="$pids $!"
 }
 # server NAME N: starts a backend server on 127.0.0.N and its announcements.
-server() {	# the third argument is the service, s without it
-	$stand serve "$1" "127.0.0.$2:$served" >"$dir/$1.ran" &
+# The third argument is the service, s without it; a fourth is passed to the
+# server.
+server() {
+	$stand serve "$1" "127.0.0.$2:$served" ${4:+"$4"} >"$dir/$1.ran" &
 	pid_of[$1]=$!
 	pids="$pids $!"
 	$stand beat "$1" "127.0.0.$2:$served" "${3:-s}" "$controls" >"$dir/$1.born" &
--- a/review/stand-2.c
+++ b/review/stand-2.c
@@ -17,21 +17,24 @@
 /*
  * Stand-ins for the scripts of this review, each a process of its own:
  *
- *	serve ID IP:PORT	a backend server.  Answers 200 with "ok", the
- *		request's id and a signature; 421 to a request that names
- *		another server.  After SIGUSR1 its answers say that it leaves.
- *		Prints "ran MS REQUEST-ID TENANT TARGET" for each request.
- *	beat ID IP:PORT SERVICE CONTROL,...	announces that server every
- *		1.2 s, at the next control instance whenever one fails, and
- *		prints "born MS" first.
- *	leave ID BORN CONTROL [PID]	sends the server's farewell and prints
- *		"acknowledged MS STATUS"; with PID, it sends SIGKILL to that
- *		process as soon as the farewell is acknowledged.
- *	call IP:PORT METHOD TARGET [FIELD...]	sends one request with the
- *		header fields and prints "MS STATUS TARGET"; 000: no answer.
- *	order METHOD TARGET FILE CONTROL,...	an operator's call, sent again
- *		until it is acknowledged; prints "acknowledged MS STATUS".
- *	load IP:PORT TARGET KEY CONNECTIONS SECONDS	as many clients, each of
+ *	serve ID IP:PORT [extra]	a backend server.  Answers 200 with
+ *"ok", the request's id and a signature; 421 to a request that names another
+ *server; 304 to a target below /unchanged/ and 204 below /empty/, both without
+ *a body.  With "extra" it sends a second answer, 200 with a body, after each
+ *304 and 204.  After SIGUSR1 its answers say that it leaves.  Prints "ran MS
+ *REQUEST-ID TENANT TARGET" for each request. beat ID IP:PORT SERVICE
+ *CONTROL,...	announces that server every 1.2 s, at the next control instance
+ *whenever one fails, and prints "born MS" first. leave ID BORN CONTROL [PID]
+ *sends the server's farewell and prints "acknowledged MS STATUS"; with PID, it
+ *sends SIGKILL to that process as soon as the farewell is acknowledged. call
+ *IP:PORT METHOD TARGET [FIELD...]	sends one request with the header fields
+ *and prints "MS STATUS TARGET"; 000: no answer. pair IP:PORT KEY TARGET ID
+ *TARGET ID	a client that sends two requests on one channel, the second one
+ *after a pause.  Prints "answer ID STATUS OF" for each, OF being the id that
+ *the answer bears, and between them "unasked COUNT LINE" for the bytes that
+ *came while no request waited. order METHOD TARGET FILE CONTROL,...	an
+ *operator's call, sent again until it is acknowledged; prints "acknowledged MS
+ *STATUS". load IP:PORT TARGET KEY CONNECTIONS SECONDS	as many clients, each of
  *		which sends its next request when the last one is answered;
  *		prints "sent COUNT answered COUNT ok COUNT".
  *
@@ -46,6 +49,8 @@
 	CLIENT_TIMEOUT_MS = 4000,
 	ORDER_TRIES_MAX = 100,
 	ORDER_PAUSE_MS = 100,
+	PAIR_PAUSE_MS = 300, /* of a client between two requests */
+	CONTENT_BYTES = 400, /* of what is unchanged or empty */
 	REDIRECTS_MAX = 2,
 	BACKLOG = 64,
 	TEXT_BYTES = 512,
@@ -60,6 +65,7 @@
 };
 
 static volatile sig_atomic_t is_leaving;
+static bool sends_extra;
 
 static int64_t
 now_ms(void)
@@ -123,6 +129,34 @@
 	is_leaving = 1;
 }
 
+/*
+ * Answers a request that gets no body: with 304, which names the length of what
+ * is unchanged, or with 204.  A faulty server sends another answer at once; the
+ * 204 names its length then.
+ */
+static void
+answer_without_body(int fd, const char *request, bool is_unchanged)
+{
+	char text[8 * TEXT_BYTES], extra[4 * TEXT_BYTES], length[TEXT_BYTES];
+	int len;
+
+	len = snprintf(extra, sizeof(extra),
+	    "HTTP/1.1 200 OK\r\nCeleryford-Request-Id: %s\r\n"
+	    "Celeryford-Response-Signature: extra\r\n"
+	    "Content-Length: %d\r\n\r\n%0*d",
+	    request, CONTENT_BYTES, CONTENT_BYTES, 0);
+	length[0] = '\0';
+	if (is_unchanged || sends_extra)
+		snprintf(length, sizeof(length), "Content-Length: %d\r\n",
+		    is_unchanged ? CONTENT_BYTES : len);
+	snprintf(text, sizeof(text),
+	    "HTTP/1.1 %s\r\nCeleryford-Request-Id: %s\r\n"
+	    "Celeryford-Response-Signature: stand\r\n%s\r\n%s",
+	    is_unchanged ? "304 Not Modified" : "204 No Content", request,
+	    length, sends_extra ? extra : "");
+	(void)send(fd, text, strlen(text), MSG_NOSIGNAL);
+}
+
 /* Answers the request whose head begins the buffer. */
 static void
 answer(const struct client *client, const char *id)
@@ -144,6 +178,12 @@
 		    tenant[0] != '\0' ? tenant : "-", (int)strcspn(target, " "),
 		    target);
 		fflush(stdout);
+		if (strncmp(target, "/unchanged/", 11) == 0 ||
+		    strncmp(target, "/empty/", 7) == 0) {
+			answer_without_body(
+			    client->fd, request, target[1] == 'u');
+			return;
+		}
 	}
 	snprintf(text, sizeof(text),
 	    "HTTP/1.1 %s\r\nCeleryford-Request-Id: %s\r\n"
@@ -407,6 +447,99 @@
 	return 0;
 }
 
+/* What a client has read of a channel, and not yet taken as an answer. */
+struct channel {
+	int fd;
+	size_t len;
+	char in[REQUEST_MAX_BYTES];
+};
+
+/* Reads for so long at most.  Returns false if nothing comes. */
+static bool
+read_more(struct channel *channel, int timeout_ms)
+{
+	struct pollfd ready = {channel->fd, POLLIN, 0};
+	ssize_t n;
+
+	if (poll(&ready, 1, timeout_ms) <= 0)
+		return false;
+	n = recv(channel->fd, channel->in + channel->len,
+	    sizeof(channel->in) - channel->len - 1, 0);
+	if (n <= 0)
+		return false;
+	channel->len += (size_t)n;
+	channel->in[channel->len] = '\0';
+	return true;
+}
+
+/*
+ * Reads the next answer of a channel.  One with 204 or 304 ends with its head,
+ * whatever that says (RFC 9112, 6.3); another one has a length here.
+ */
+static void
+read_answer(struct channel *channel, const char *id)
+{
+	char length[TEXT_BYTES], of[TEXT_BYTES];
+	size_t size = 0;
+	const char *end;
+	int status;
+
+	while ((end = strstr(channel->in, "\r\n\r\n")) == NULL) {
+		if (!read_more(channel, CLIENT_TIMEOUT_MS)) {
+			printf("answer %s 000 -\n", id);
+			return;
+		}
+	}
+	status = (int)strtol(channel->in + strcspn(channel->in, " "), NULL, 10);
+	get_field(channel->in, "Content-Length", length);
+	get_field(channel->in, "Celeryford-Request-Id", of);
+	size = (size_t)(end + 4 - channel->in);
+	if (status != 204 && status != 304)
+		size += strtoul(length, NULL, 10);
+	while (channel->len < size && size < sizeof(channel->in) &&
+	       read_more(channel, CLIENT_TIMEOUT_MS))
+		;
+	size = size < channel->len ? size : channel->len;
+	channel->len -= size;
+	memmove(channel->in, channel->in + size, channel->len + 1);
+	printf("answer %s %03d %s\n", id, status, of[0] != '\0' ? of : "-");
+}
+
+static void
+send_conditional(const struct channel *channel, const char *target,
+    const char *id, const char *key)
+{
+	char text[4 * TEXT_BYTES];
+
+	snprintf(text, sizeof(text),
+	    "GET %s HTTP/1.1\r\nHost: h.example\r\n"
+	    "Celeryford-Request-Id: %s\r\nCeleryford-Deadline-Ms: 1000\r\n"
+	    "If-None-Match: \"v1\"\r\nAuthorization: Bearer %s\r\n\r\n",
+	    target, id, key);
+	(void)send(channel->fd, text, strlen(text), MSG_NOSIGNAL);
+}
+
+static int
+pair(char **argv)
+{
+	static struct channel channel;
+	struct sockaddr_in to;
+
+	channel.fd = socket(AF_INET, SOCK_STREAM, 0);
+	if (!parse_address(argv[0], &to) ||
+	    connect(channel.fd, (struct sockaddr *)&to, sizeof(to)) != 0)
+		return 2;
+	send_conditional(&channel, argv[2], argv[3], argv[1]);
+	read_answer(&channel, argv[3]);
+	while (read_more(&channel, PAIR_PAUSE_MS))
+		;
+	printf("unasked %zu %.*s\n", channel.len,
+	    (int)strcspn(channel.in, "\r\n"), channel.in);
+	send_conditional(&channel, argv[4], argv[5], argv[1]);
+	read_answer(&channel, argv[5]);
+	return 0;
+}
+
 static int
 order(const char *method, const char *target, const char *path,
     const char *controls)
@@ -546,8 +679,12 @@
 int
 main(int argc, char **argv)
 {
-	if (argc == 4 && strcmp(argv[1], "serve") == 0)
+	if ((argc == 4 || argc == 5) && strcmp(argv[1], "serve") == 0) {
+		sends_extra = argc == 5;
 		return serve(argv[2], argv[3]);
+	}
+	if (argc == 8 && strcmp(argv[1], "pair") == 0)
+		return pair(argv + 2);
 	if (argc == 6 && strcmp(argv[1], "beat") == 0)
 		beat(argv[2], argv[3], argv[4], argv[5]);
 	if ((argc == 5 || argc == 6) && strcmp(argv[1], "leave") == 0)
