--- a/review/stand-2.c
+++ b/review/stand-2.c
@@ -17,24 +17,30 @@
 /*
  * Stand-ins for the scripts of this review, each a process of its own:
  *
- *	serve ID IP:PORT [extra]	a backend server.  Answers 200 with
- *"ok", the request's id and a signature; 421 to a request that names another
- *server; 304 to a target below /unchanged/ and 204 below /empty/, both without
- *a body.  With "extra" it sends a second answer, 200 with a body, after each
- *304 and 204.  After SIGUSR1 its answers say that it leaves.  Prints "ran MS
- *REQUEST-ID TENANT TARGET" for each request. beat ID IP:PORT SERVICE
- *CONTROL,...	announces that server every 1.2 s, at the next control instance
- *whenever one fails, and prints "born MS" first. leave ID BORN CONTROL [PID]
- *sends the server's farewell and prints "acknowledged MS STATUS"; with PID, it
- *sends SIGKILL to that process as soon as the farewell is acknowledged. call
- *IP:PORT METHOD TARGET [FIELD...]	sends one request with the header fields
- *and prints "MS STATUS TARGET"; 000: no answer. pair IP:PORT KEY TARGET ID
- *TARGET ID	a client that sends two requests on one channel, the second one
- *after a pause.  Prints "answer ID STATUS OF" for each, OF being the id that
- *the answer bears, and between them "unasked COUNT LINE" for the bytes that
- *came while no request waited. order METHOD TARGET FILE CONTROL,...	an
- *operator's call, sent again until it is acknowledged; prints "acknowledged MS
- *STATUS". load IP:PORT TARGET KEY CONNECTIONS SECONDS	as many clients, each of
+ *	serve ID IP:PORT	a backend server.  Answers 200 with "ok", the
+ *		request's id and a signature; 421 to a request that names
+ *		another server.  After SIGUSR1 its answers say that it leaves.
+ *		Prints "ran MS REQUEST-ID TENANT TARGET" for each request.
+ *		A target below /own/ has content that names the tenant; one
+ *		below /unchanged/ gets 304 and one below /empty/ 204, without
+ *		a body.  With a third argument it sends its last answer with
+ *		content on that channel once more after a 304 or 204.
+ *	beat ID IP:PORT SERVICE CONTROL,...	announces that server every
+ *		1.2 s, at the next control instance whenever one fails, and
+ *		prints "born MS" first.
+ *	leave ID BORN CONTROL [PID]	sends the server's farewell and prints
+ *		"acknowledged MS STATUS"; with PID, it sends SIGKILL to that
+ *		process as soon as the farewell is acknowledged.
+ *	call IP:PORT METHOD TARGET [FIELD...]	sends one request with the
+ *		header fields and prints "MS STATUS TARGET"; 000: no answer.
+ *	pair IP:PORT KEY TARGET ID TARGET ID	a client that sends two
+ *		requests on one channel, with a pause between them.  Prints
+ *		"answer ID STATUS OF CONTENT" for each, OF being the id in the
+ *		answer, and between them "unasked COUNT LINE" for the bytes
+ *		that came while no request waited.
+ *	order METHOD TARGET FILE CONTROL,...	an operator's call, sent again
+ *		until it is acknowledged; prints "acknowledged MS STATUS".
+ *	load IP:PORT TARGET KEY CONNECTIONS SECONDS	as many clients, each of
  *		which sends its next request when the last one is answered;
  *		prints "sent COUNT answered COUNT ok COUNT".
  *
@@ -50,7 +56,8 @@
 	ORDER_TRIES_MAX = 100,
 	ORDER_PAUSE_MS = 100,
 	PAIR_PAUSE_MS = 300, /* of a client between two requests */
-	CONTENT_BYTES = 400, /* of what is unchanged or empty */
+	CONTENT_BYTES = 400,
+	SHOWN_BYTES = 13, /* of an answer's content */
 	REDIRECTS_MAX = 2,
 	BACKLOG = 64,
 	TEXT_BYTES = 512,
@@ -62,6 +69,7 @@
 	int fd; /* -1: free */
 	size_t len;
 	char in[REQUEST_MAX_BYTES];
+	char last[4 * TEXT_BYTES]; /* the last answer with content; "": none */
 };
 
 static volatile sig_atomic_t is_leaving;
@@ -129,37 +137,47 @@
 	is_leaving = 1;
 }
 
+/* Answers a request with content that belongs to its tenant. */
+static void
+answer_with_content(
+    struct client *client, const char *request, const char *tenant)
+{
+	snprintf(client->last, sizeof(client->last),
+	    "HTTP/1.1 200 OK\r\nCeleryford-Request-Id: %s\r\n"
+	    "Celeryford-Response-Signature: stand\r\n"
+	    "Content-Length: %d\r\n\r\ncontent-of-%-*s",
+	    request, CONTENT_BYTES, CONTENT_BYTES - 11, tenant);
+	(void)send(
+	    client->fd, client->last, strlen(client->last), MSG_NOSIGNAL);
+}
+
 /*
  * Answers a request that gets no body: with 304, which names the length of what
- * is unchanged, or with 204.  A faulty server sends another answer at once; the
- * 204 names its length then.
+ * is unchanged, or with 204.  A faulty server sends its last answer on this
+ * channel once more; the 204 names its length then.
  */
 static void
-answer_without_body(int fd, const char *request, bool is_unchanged)
+answer_without_body(
+    const struct client *client, const char *request, bool is_unchanged)
 {
-	char text[8 * TEXT_BYTES], extra[4 * TEXT_BYTES], length[TEXT_BYTES];
-	int len;
+	const char *extra = sends_extra ? client->last : "";
+	char text[8 * TEXT_BYTES], length[TEXT_BYTES];
 
-	len = snprintf(extra, sizeof(extra),
-	    "HTTP/1.1 200 OK\r\nCeleryford-Request-Id: %s\r\n"
-	    "Celeryford-Response-Signature: extra\r\n"
-	    "Content-Length: %d\r\n\r\n%0*d",
-	    request, CONTENT_BYTES, CONTENT_BYTES, 0);
 	length[0] = '\0';
-	if (is_unchanged || sends_extra)
-		snprintf(length, sizeof(length), "Content-Length: %d\r\n",
-		    is_unchanged ? CONTENT_BYTES : len);
+	if (is_unchanged || extra[0] != '\0')
+		snprintf(length, sizeof(length), "Content-Length: %zu\r\n",
+		    is_unchanged ? (size_t)CONTENT_BYTES : strlen(extra));
 	snprintf(text, sizeof(text),
 	    "HTTP/1.1 %s\r\nCeleryford-Request-Id: %s\r\n"
 	    "Celeryford-Response-Signature: stand\r\n%s\r\n%s",
 	    is_unchanged ? "304 Not Modified" : "204 No Content", request,
-	    length, sends_extra ? extra : "");
-	(void)send(fd, text, strlen(text), MSG_NOSIGNAL);
+	    length, extra);
+	(void)send(client->fd, text, strlen(text), MSG_NOSIGNAL);
 }
 
 /* Answers the request whose head begins the buffer. */
 static void
-answer(const struct client *client, const char *id)
+answer(struct client *client, const char *id)
 {
 	char request[TEXT_BYTES], target_server[TEXT_BYTES], tenant[TEXT_BYTES];
 	char text[4 * TEXT_BYTES];
@@ -180,8 +198,11 @@
 		fflush(stdout);
 		if (strncmp(target, "/unchanged/", 11) == 0 ||
 		    strncmp(target, "/empty/", 7) == 0) {
-			answer_without_body(
-			    client->fd, request, target[1] == 'u');
+			answer_without_body(client, request, target[1] == 'u');
+			return;
+		}
+		if (strncmp(target, "/own/", 5) == 0) {
+			answer_with_content(client, request, tenant);
 			return;
 		}
 	}
@@ -233,6 +254,7 @@
 			continue;
 		clients[i].fd = fd;
 		clients[i].len = 0;
+		clients[i].last[0] = '\0';
 		return;
 	}
 	if (fd >= 0)
@@ -480,7 +502,7 @@
 read_answer(struct channel *channel, const char *id)
 {
 	char length[TEXT_BYTES], of[TEXT_BYTES];
-	size_t size = 0;
+	size_t size = 0, body;
 	const char *end;
 	int status;
 
@@ -500,9 +522,12 @@
 	       read_more(channel, CLIENT_TIMEOUT_MS))
 		;
 	size = size < channel->len ? size : channel->len;
+	end = strstr(channel->in, "\r\n\r\n") + 4;
+	body = size - (size_t)(end - channel->in);
+	printf("answer %s %03d %s %.*s\n", id, status, of[0] != '\0' ? of : "-",
+	    (int)(body < SHOWN_BYTES ? body : SHOWN_BYTES), end);
 	channel->len -= size;
 	memmove(channel->in, channel->in + size, channel->len + 1);
-	printf("answer %s %03d %s\n", id, status, of[0] != '\0' ? of : "-");
 }
 
 static void
