--- a/review/stand-2.c
+++ b/review/stand-2.c
@@ -538,7 +538,7 @@
 
 	snprintf(text, sizeof(text),
 	    "GET %s HTTP/1.1\r\nHost: h.example\r\n"
-	    "Celeryford-Request-Id: %s\r\nCeleryford-Deadline-Ms: 1000\r\n"
+	    "Celeryford-Request-Id: %s\r\nCeleryford-Deadline-Ms: 600\r\n"
 	    "If-None-Match: \"v1\"\r\nAuthorization: Bearer %s\r\n\r\n",
 	    target, id, key);
 	(void)send(channel->fd, text, strlen(text), MSG_NOSIGNAL);
